--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the load tool."""
--- /dev/null
+++ b/src/apricotlever/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""The catalogue: entries, classes, customers, limits and their versions."""
--- /dev/null
+++ b/src/apricotlever/client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/apricotlever/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""What is owed to customers: admission, fairness, limits and budgets."""
--- /dev/null
+++ b/src/apricotlever/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that every entry VM runs."""
--- /dev/null
+++ b/src/apricotlever/data_centres/__init__.py
@@ -0,0 +1,1 @@
+"""Data centres: prices, reclaim risk and planned capacity."""
--- /dev/null
+++ b/src/apricotlever/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links to callers, peers, upstreams and the platform."""
--- /dev/null
+++ b/src/apricotlever/mailbox.py
@@ -0,0 +1,184 @@
+"""Tasks that own their state and talk by typed messages.
+
+A task runs on one thread of a :class:`concurrent.futures` executor. Others
+reach it only by :meth:`Task.ask` and :meth:`Task.tell`; a handler is a
+method marked with :func:`handles`, and its return value settles the future.
+"""
+
+from concurrent import futures
+import queue
+import typing
+
+from . import clock as clocks
+from . import errors
+
+Handler = typing.Callable[[typing.Any, typing.Any], typing.Any]
+
+DEFAULT_TICK_S = 0.1
+
+
+class TaskStopped(errors.ApricotleverError):
+    """The task ended before it handled the message."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"task {name} has stopped")
+
+
+class Deferred:
+    """Returned by a handler that will settle the future itself, later."""
+
+    __slots__ = ()
+
+
+DEFERRED = Deferred()
+
+
+def handles(message_type: type) -> typing.Callable[[Handler], Handler]:
+    """Mark a method of a task as the handler of one type of message.
+
+    :param message_type: the class whose instances the method takes.
+    """
+
+    def mark(method: Handler) -> Handler:
+        method.__dict__.setdefault("handled_types", []).append(message_type)
+        return method
+
+    return mark
+
+
+class _Envelope:
+    """A message with the future that its handler settles."""
+
+    __slots__ = ("message", "future")
+
+    def __init__(
+        self, message: typing.Any, future: "futures.Future[typing.Any] | None"
+    ) -> None:
+        self.message = message
+        self.future = future
+
+
+class Task:
+    """A thread's worth of state behind a mailbox.
+
+    Subclasses mark handlers with :func:`handles` and may override
+    :meth:`started`, :meth:`tick` and :meth:`stopped`.
+
+    :param name: used for the thread and in logs.
+    :param clock: decides when the next tick is due.
+    :param tick_s: seconds between two calls of :meth:`tick`.
+    """
+
+    _handlers: typing.ClassVar[dict[type, Handler]] = {}
+
+    def __init_subclass__(cls) -> None:
+        inherited = dict(cls._handlers)
+        inherited.update(
+            (message_type, method)
+            for method in vars(cls).values()
+            for message_type in getattr(method, "handled_types", ())
+        )
+        cls._handlers = inherited
+
+    def __init__(
+        self,
+        name: str,
+        clock: clocks.Clock,
+        tick_s: float = DEFAULT_TICK_S,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._tick_s = tick_s
+        self._inbox: queue.SimpleQueue[_Envelope | None] = queue.SimpleQueue()
+        self._current: futures.Future[typing.Any] | None = None
+        self._stopping = False
+
+    @property
+    def name(self) -> str:
+        """The name given at construction."""
+        return self._name
+
+    def ask(self, message: typing.Any) -> "futures.Future[typing.Any]":
+        """Post a message and get a future for the handler's answer."""
+        future: futures.Future[typing.Any] = futures.Future()
+        if self._stopping:
+            future.set_exception(TaskStopped(self._name))
+            return future
+        self._inbox.put(_Envelope(message, future))
+        return future
+
+    def tell(self, message: typing.Any) -> None:
+        """Post a message whose answer nobody waits for."""
+        self._inbox.put(_Envelope(message, None))
+
+    def stop(self) -> None:
+        """Ask the task to end after the messages posted so far."""
+        self._inbox.put(None)
+
+    def run(self) -> None:
+        """Handle messages and ticks until stopped; runs on the executor."""
+        self.started()
+        next_tick = self._clock.now() + self._tick_s
+        while True:
+            wait_s = max(0.0, next_tick - self._clock.now())
+            try:
+                envelope = self._inbox.get(timeout=wait_s)
+            except queue.Empty:
+                envelope = _Envelope(None, None)
+            if envelope is None:
+                break
+            if envelope.message is not None:
+                self._dispatch(envelope)
+            if self._clock.now() >= next_tick:
+                self._guarded_tick()
+                next_tick = self._clock.now() + self._tick_s
+        self._stopping = True
+        self._refuse_the_rest()
+        self.stopped()
+
+    def started(self) -> None:
+        """Hook: runs on the task's thread before the first message."""
+
+    def tick(self) -> None:
+        """Hook: runs about every ``tick_s`` seconds."""
+
+    def stopped(self) -> None:
+        """Hook: runs on the task's thread after the last message."""
+
+    def failed(self, error: Exception) -> None:
+        """Hook: a tick, or a message that nobody waits for, raised."""
+
+    def defer(self) -> "futures.Future[typing.Any]":
+        """Within a handler that returns DEFERRED: the future to settle.
+
+        A message sent by :meth:`tell` gets a future that nobody reads.
+        """
+        return self._current or futures.Future()
+
+    def _dispatch(self, envelope: _Envelope) -> None:
+        self._current = envelope.future
+        try:
+            handler = self._handlers[type(envelope.message)]
+            answer = handler(self, envelope.message)
+        except Exception as error:
+            if envelope.future is None:
+                self.failed(error)
+            elif not envelope.future.done():
+                envelope.future.set_exception(error)
+            return
+        finally:
+            self._current = None
+        if envelope.future is not None and answer is not DEFERRED:
+            envelope.future.set_result(answer)
+
+    def _guarded_tick(self) -> None:
+        try:
+            self.tick()
+        except Exception as error:
+            self.failed(error)
+
+    def _refuse_the_rest(self) -> None:
+        while not self._inbox.empty():
+            envelope = self._inbox.get()
+            if envelope is not None and envelope.future is not None:
+                envelope.future.set_exception(TaskStopped(self._name))
--- /dev/null
+++ b/src/apricotlever/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: idempotency keys, the ledger, streams and their recovery."""
--- /dev/null
+++ b/src/apricotlever/runners/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: load, prefix caches, routing, health and orders."""
--- /dev/null
+++ b/src/apricotlever/vms/__init__.py
@@ -0,0 +1,1 @@
+"""The entry VMs: membership, drains, duties, leases and configuration."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the engines and the plain services."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out like the package."""
