--- /dev/null
+++ b/src/apricotlever/client/catalogue_commands.py
@@ -0,0 +1,230 @@
+"""Commands that check, edit and show the catalogue."""
+
+import argparse
+import datetime
+import json
+import typing
+
+from .. import catalogue
+from .. import documents
+from ..catalogue import difference
+from ..catalogue import edit
+from . import catalogue_store
+from . import command
+from . import errors
+
+Json = typing.Any
+
+_SIGNS = {
+    difference.ADDED: "+",
+    difference.REMOVED: "-",
+    difference.CHANGED: "~",
+}
+
+
+def changes_text(changes: tuple[difference.Change, ...]) -> str:
+    """One line for each field that differs."""
+    return "\n".join(map(_change_line, changes))
+
+
+def _file_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("file", help="a catalogue in JSON; - reads stdin")
+
+
+def _expect_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--expect",
+        type=int,
+        metavar="VERSION",
+        help="change nothing unless this version is in force; 0 for none",
+    )
+
+
+def _apply_arguments(parser: argparse.ArgumentParser) -> None:
+    _file_argument(parser)
+    _expect_argument(parser)
+    parser.add_argument(
+        "--merge",
+        action="store_true",
+        help="put only what the file names, and keep everything else",
+    )
+
+
+def _delete_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("name", help="an entry")
+    _expect_argument(parser)
+
+
+def _show_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--version", type=int, help="an older version that is kept"
+    )
+
+
+def _diff_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "to", help="a file, or a version's number", metavar="FILE|VERSION"
+    )
+    parser.add_argument(
+        "--from",
+        dest="base",
+        type=int,
+        metavar="VERSION",
+        help="compare with this version instead of the one in force",
+    )
+
+
+@command.command("catalogue", "validate", arguments=_file_argument)
+def validate(invocation: command.Invocation) -> command.Report:
+    """Check a file without the platform."""
+    document = invocation.document()
+    parsed = catalogue.parse(document, 0)
+    counts = {
+        "entries": len(parsed.entries),
+        "classes": len(parsed.classes),
+        "customers": len(parsed.customers),
+    }
+    text = " ".join(f"{name}={count}" for name, count in counts.items())
+    return command.Report({"valid": True, **counts}, f"valid {text}")
+
+
+@command.command("catalogue", "apply", arguments=_apply_arguments)
+def apply(invocation: command.Invocation) -> command.Report:
+    """Put a file in force, unless another edit came first."""
+    document = invocation.document()
+    options = invocation.options
+    if not isinstance(document, dict):
+        raise errors.InvalidInput("the catalogue must be a JSON object")
+    expected = options.expect
+    if options.merge:
+        return _applied(_merge(invocation, document, expected))
+    catalogue.parse(document, 0)
+    if expected is None:
+        expected = edit.expected_version(document)
+    return _applied(invocation.store().replace(document, expected))
+
+
+@command.command("catalogue", "delete", arguments=_delete_arguments)
+def delete(invocation: command.Invocation) -> command.Report:
+    """Take an entry out of force."""
+    options = invocation.options
+
+    def transform(document: Json) -> Json:
+        if options.name not in document["entries"]:
+            raise errors.InvalidInput(f"there is no entry {options.name}")
+        return edit.without_entry(document, options.name)
+
+    return _applied(invocation.store().change(transform, options.expect))
+
+
+@command.command("catalogue", "show", arguments=_show_arguments)
+def show(invocation: command.Invocation) -> command.Report:
+    """Print the catalogue in force, ready to edit and apply."""
+    store = invocation.store()
+    wanted = invocation.options.version
+    version = store.current() if wanted is None else store.version(wanted)
+    document = edit.shown(version)
+    text = json.dumps(document, indent=2)
+    report = {"version": version.version, "document": version.document}
+    return command.Report(report, text)
+
+
+@command.command("catalogue", "list")
+def list_entries(invocation: command.Invocation) -> command.Report:
+    """List the entries in force."""
+    version = invocation.store().current()
+    entries = version.document.get("entries", {})
+    rows = [_entry_row(name, entries[name]) for name in sorted(entries)]
+    lines = [f"version={version.version} entries={len(rows)}"]
+    lines += [" ".join(f"{k}={v}" for k, v in row.items()) for row in rows]
+    report = {"version": version.version, "entries": rows}
+    return command.Report(report, "\n".join(lines))
+
+
+@command.command("catalogue", "diff", arguments=_diff_arguments)
+def diff(invocation: command.Invocation) -> command.Report:
+    """Show what a file or a version would change."""
+    options = invocation.options
+    store = invocation.store()
+    base = options.base
+    before = store.current() if base is None else store.version(base)
+    if options.to.isdigit():
+        older = store.version(int(options.to))
+        after = catalogue.filled_in(older.document)
+    else:
+        options.file = options.to
+        after = catalogue.parse(invocation.document(), 0).document
+    changes = difference.changes(catalogue.filled_in(before.document), after)
+    report = {
+        "version": before.version,
+        "changes": [change.document for change in changes],
+    }
+    return command.Report(report, changes_text(changes) or "no difference")
+
+
+@command.command("catalogue", "history")
+def history(invocation: command.Invocation) -> command.Report:
+    """List the versions that are kept, the newest first."""
+    stamps = invocation.store().history()
+    lines = [
+        f"version={stamp.version} at={_time_text(stamp.at)} "
+        f"by={stamp.by or '-'} edit={stamp.edit_id or '-'}"
+        for stamp in stamps
+    ]
+    report = {"versions": [stamp.document for stamp in stamps]}
+    return command.Report(report, "\n".join(lines) or "no version yet")
+
+
+def _merge(
+    invocation: command.Invocation, overlay: Json, expected: int | None
+) -> catalogue_store.Applied:
+    wrong = [
+        section
+        for section in difference.SECTIONS
+        if not isinstance(overlay.get(section, {}), dict)
+    ]
+    if wrong:
+        raise errors.InvalidInput(f"{wrong[0]}: want an object")
+    return invocation.store().change(
+        lambda document: edit.merged(document, overlay), expected
+    )
+
+
+def _applied(applied: catalogue_store.Applied) -> command.Report:
+    changes = applied.changes
+    lines = [changes_text(changes), f"version={applied.version}"]
+    if not changes:
+        lines = [f"version={applied.version} nothing to change"]
+    report = {
+        "version": applied.version,
+        "changes": [change.document for change in changes],
+    }
+    return command.Report(report, "\n".join(lines))
+
+
+def _entry_row(name: str, entry: Json) -> dict[str, Json]:
+    return {
+        "entry": name,
+        "kind": entry.get("kind"),
+        "class": entry.get("class"),
+        "pool": entry.get("upstreams", {}).get("pool"),
+        "owner": documents.shown(entry.get("owner")),
+    }
+
+
+def _change_line(change: difference.Change) -> str:
+    sign = _SIGNS[change.kind]
+    if change.kind == difference.CHANGED:
+        before = documents.shown(change.before)
+        return f"{sign} {change.field}: {before} -> " + documents.shown(
+            change.after
+        )
+    value = change.after if change.kind == difference.ADDED else change.before
+    return f"{sign} {change.field}: {documents.shown(value)}"
+
+
+def _time_text(at: float) -> str:
+    if not at:
+        return "-"
+    moment = datetime.datetime.fromtimestamp(at, datetime.timezone.utc)
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/src/apricotlever/daemon/calls.py
@@ -0,0 +1,166 @@
+"""What this VM answers to the calls of other entry VMs."""
+
+from concurrent import futures
+import typing
+
+from .. import mailbox
+from .. import refusals
+from ..links import peer_pb2 as pb
+from ..links import peers
+from ..runners import quarantine
+
+from . import context as contexts
+from . import heir
+from . import messages
+from . import rumours
+from . import service_calls
+from . import watcher
+
+
+class Rooms:
+    """The tasks that answer peers."""
+
+    __slots__ = ("fleet", "watcher", "desk", "heir")
+
+    def __init__(
+        self,
+        fleet: typing.Any,
+        watcher_task: mailbox.Task,
+        desk: mailbox.Task,
+        heir_task: mailbox.Task,
+    ) -> None:
+        self.fleet = fleet
+        self.watcher = watcher_task
+        self.desk = desk
+        self.heir = heir_task
+
+
+def register(
+    handlers: peers.Handlers, context: contexts.Context, rooms: Rooms
+) -> None:
+    """Register an answer for each method of the service.
+
+    :param handlers: the link's registry.
+    :param context: the daemon's tasks.
+    :param rooms: those of them that answer peers.
+    """
+    services = service_calls.ServiceCalls(context)
+
+    @handlers.answers("Gossip")
+    def _gossip(message: pb.GossipMessage) -> typing.Any:
+        return rooms.fleet.receive(message)
+
+    @handlers.answers("Fetch")
+    def _fetch(message: pb.FetchCatalogue) -> typing.Any:
+        return rooms.watcher.ask(watcher.Serve(message))
+
+    @handlers.answers("Run")
+    def _run(message: pb.KeyedCall) -> typing.Any:
+        return context.background.submit(
+            run_forwarded, context, services, message
+        )
+
+    @handlers.answers("Handover")
+    def _handover(message: pb.HandoverPart) -> typing.Any:
+        return rooms.heir.ask(heir.Take(message))
+
+    @handlers.answers("Crash")
+    def _crash(message: pb.CrashReport) -> typing.Any:
+        report = rumours.crash_of(message)
+        asked = rooms.desk.ask(messages.CrashHeard(report))
+        return _then(asked, lambda _: pb.CrashReceipt())
+
+    @handlers.answers("Judge")
+    def _judge(message: pb.TrialQuestion) -> typing.Any:
+        if message.over:
+            report = quarantine.TrialOver(
+                message.fingerprint, message.request_id
+            )
+            over = rooms.desk.ask(messages.TrialOver(report))
+            return _then(over, lambda _: pb.TrialAnswer())
+        question = quarantine.MayRun(
+            message.fingerprint,
+            message.request_id,
+            tuple(
+                quarantine.Place(place.runner, place.data_centre)
+                for place in message.places
+            ),
+        )
+        asked = rooms.desk.ask(messages.Judge(question))
+        return _then(asked, verdict_message)
+
+
+def verdict_message(verdict: quarantine.Decision) -> pb.TrialAnswer:
+    """A judge's decision as a message."""
+    match verdict:
+        case quarantine.RunAt():
+            return pb.TrialAnswer(
+                verdict=pb.TrialAnswer.TRIAL_AT, runner=verdict.runner
+            )
+        case quarantine.Hold():
+            return pb.TrialAnswer(
+                verdict=pb.TrialAnswer.TRIAL_HOLD,
+                retry_after_s=verdict.retry_after_s,
+            )
+        case quarantine.RefuseRun():
+            return pb.TrialAnswer(
+                verdict=pb.TrialAnswer.TRIAL_REFUSED,
+                retry_after_s=verdict.retry_after_s,
+            )
+    return pb.TrialAnswer(verdict=pb.TrialAnswer.TRIAL_FREE)
+
+
+def run_forwarded(
+    context: contexts.Context,
+    services: service_calls.ServiceCalls,
+    message: pb.KeyedCall,
+) -> pb.KeyedAnswer:
+    """Run a keyed call that another entry VM forwarded to this ledger.
+
+    :param context: the daemon's tasks.
+    :param services: runs the call.
+    :param message: the call; its customer was checked by the sender.
+    """
+    catalogue = context.catalogue
+    entry = catalogue.entries.get(message.entry)
+    if entry is None:
+        refusal = refusals.Refusal(
+            refusals.NOT_READY, "the entry is not in force here yet"
+        )
+        return service_calls.refusal_message(message.request_id, refusal)
+    now = context.clock.now()
+    request = service_calls.ServiceRequest(
+        message.request_id,
+        message.customer,
+        entry,
+        catalogue.class_of(entry),
+        message.method,
+        message.path,
+        dict(message.headers),
+        message.body,
+        now,
+        now + message.deadline_s,
+    )
+    try:
+        answer = services.run_keyed(request, message.key, False, True)
+    except refusals.Refusal as refusal:
+        return service_calls.refusal_message(message.request_id, refusal)
+    return service_calls.message_of(message.request_id, answer)
+
+
+def _then(
+    future: "futures.Future[typing.Any]",
+    turn: typing.Callable[[typing.Any], typing.Any],
+) -> "futures.Future[typing.Any]":
+    """A future of what a function makes of another future's value."""
+    turned: futures.Future[typing.Any] = futures.Future()
+
+    def ended(done: "futures.Future[typing.Any]") -> None:
+        error = done.exception()
+        if error is not None:
+            turned.set_exception(error)
+        else:
+            turned.set_result(turn(done.result()))
+
+    future.add_done_callback(ended)
+    return turned
--- /dev/null
+++ b/src/apricotlever/daemon/context.py
@@ -0,0 +1,98 @@
+"""What the handlers of requests need, in one place."""
+
+from concurrent import futures
+import typing
+
+from .. import clock as clocks
+from .. import histograms
+from .. import mailbox
+from .. import metrics
+from .. import refusals
+from .. import settings
+from ..catalogue import model as catalogues
+from ..links import upstreams
+
+ANSWER_S = 5.0
+
+
+class Context:
+    """The tasks and shared tools of one daemon.
+
+    :param config: the settings in force.
+    :param desk: decides about requests.
+    :param archive: keeps running and ended requests.
+    :param book: keeps idempotency keys.
+    :param fleet: speaks to the other entry VMs.
+    :param background: runs work that no caller waits for.
+    """
+
+    __slots__ = (
+        "config",
+        "clock",
+        "histograms",
+        "metrics",
+        "desk",
+        "archive",
+        "book",
+        "fleet",
+        "background",
+        "connections",
+        "incarnation",
+        "_catalogue",
+    )
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        clock: clocks.Clock,
+        meters: histograms.Histograms,
+        counts: metrics.Metrics,
+        desk: mailbox.Task,
+        archive: mailbox.Task,
+        book: mailbox.Task,
+        fleet: mailbox.Task,
+        background: futures.Executor,
+        incarnation: int,
+    ) -> None:
+        self.config = config
+        self.clock = clock
+        self.histograms = meters
+        self.metrics = counts
+        self.desk = desk
+        self.archive = archive
+        self.book = book
+        self.fleet = fleet
+        self.background = background
+        self.connections = upstreams.Pool(clock)
+        self.incarnation = incarnation
+        self._catalogue = catalogues.EMPTY
+
+    @property
+    def catalogue(self) -> catalogues.Catalogue:
+        """The catalogue in force."""
+        return self._catalogue
+
+    def put_in_force(self, catalogue: catalogues.Catalogue) -> None:
+        """Take over a catalogue; a version never goes down.
+
+        :param catalogue: a checked catalogue.
+        """
+        if catalogue.version > self._catalogue.version:
+            self._catalogue = catalogue
+
+    def answer_of(
+        self, future: "futures.Future[typing.Any]", wait_s: float = ANSWER_S
+    ) -> typing.Any:
+        """A task's answer, or a refusal when the task has stopped.
+
+        :param future: from :meth:`.mailbox.Task.ask`.
+        :param wait_s: the longest wait.
+        """
+        try:
+            return future.result(wait_s)
+        except (mailbox.TaskStopped, futures.TimeoutError) as error:
+            raise refusals.Refusal(
+                refusals.LEAVING,
+                "this entry VM is stopping",
+                retry_after_s=1.0,
+            ) from error
--- /dev/null
+++ b/src/apricotlever/daemon/departing.py
@@ -0,0 +1,201 @@
+"""The task that hands a leaving VM's requests and ledger to its peers."""
+
+from concurrent import futures
+import functools
+import typing
+
+from .. import clock as clocks
+from .. import logs
+from .. import mailbox
+from ..links import peer_pb2 as pb
+from ..requests import departure
+from ..requests import handover
+from ..requests import messages as keyed
+from ..vms import view as views
+
+from . import archive
+from . import book
+from . import context as contexts
+from . import fleet
+from . import presence as presences
+
+TICK_S = 0.1
+PART_CALL_S = 1.0
+
+
+class HandOver:
+    """Hand everything over; answered with whether all was taken."""
+
+    __slots__ = ()
+
+
+class _Receipt:
+    """A peer answered a part, or not.
+
+    :param accepted: None when no answer came.
+    """
+
+    __slots__ = ("sequence", "accepted")
+
+    def __init__(self, sequence: int, accepted: bool | None) -> None:
+        self.sequence = sequence
+        self.accepted = accepted
+
+
+class OwnerGone:
+    """An incarnation of a peer is gone for certain."""
+
+    __slots__ = ("owner",)
+
+    def __init__(self, owner: keyed.Owner) -> None:
+        self.owner = owner
+
+
+class Departing(mailbox.Task):
+    """Hands over, once.
+
+    :param context: the daemon's other tasks.
+    :param presence: knows the peers.
+    :param deadline: when this VM ends, on its own clock.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        context: contexts.Context,
+        presence: presences.Presence,
+        deadline: float,
+    ) -> None:
+        super().__init__("departing", clock, TICK_S)
+        self._context = context
+        self._presence = presence
+        config = context.config
+        self._departure = departure.Departure(
+            clock,
+            keyed.Owner(config.vm, context.incarnation),
+            config.data_centre,
+            deadline,
+        )
+        self._finished: futures.Future[typing.Any] | None = None
+
+    @mailbox.handles(HandOver)
+    def _hand_over(self, message: HandOver) -> mailbox.Deferred:
+        self._finished = self.defer()
+        self._context.book.ask(book.Freeze()).result()
+        asked = self._context.archive.ask(archive.Snapshot())
+        everything = asked.result()
+        found = self._departure.begin(
+            self._peers(),
+            everything.running,
+            everything.ended,
+            self._in_flight(),
+        )
+        self._carry_out(found)
+        return mailbox.DEFERRED
+
+    @mailbox.handles(_Receipt)
+    def _received(self, message: _Receipt) -> None:
+        if message.accepted is None:
+            return
+        if message.accepted:
+            found = self._departure.receipt(message.sequence)
+        else:
+            found = self._departure.refused(message.sequence)
+        self._carry_out(found)
+
+    @mailbox.handles(OwnerGone)
+    def _owner_gone(self, message: OwnerGone) -> None:
+        self._carry_out(self._departure.peer_gone(message.owner))
+
+    def tick(self) -> None:
+        """Send again what has no receipt, and outcomes that came late."""
+        if self._finished is None:
+            return
+        late = self._context.book.ask(book.LateOutcomes()).result()
+        found = self._departure.outcomes(late, self._in_flight())
+        self._carry_out(found)
+        self._carry_out(self._departure.tick())
+
+    def failed(self, error: Exception) -> None:
+        """Log what no handler foresaw."""
+        logs.event("task_failed", task=self.name, error=repr(error))
+
+    def _in_flight(self) -> int:
+        return int(self._context.book.ask(book.Count()).result()[1])
+
+    def _peers(self) -> list[departure.Peer]:
+        view = self._presence.view
+        if view is None:
+            return []
+        return [
+            departure.Peer(
+                keyed.Owner(member.vm, member.incarnation),
+                member.data_centre,
+            )
+            for member in _others(view, self._context.config.vm)
+        ]
+
+    def _carry_out(self, found: typing.Iterable[departure.Action]) -> None:
+        for action in found:
+            self._carry_out_one(action)
+
+    @functools.singledispatchmethod
+    def _carry_out_one(self, action: typing.Any) -> None:
+        raise TypeError(type(action))
+
+    @_carry_out_one.register
+    def _send(self, action: departure.Send) -> None:
+        part = action.part
+        call = fleet.CallPeer(
+            part.heir.vm,
+            part.heir.incarnation,
+            "Handover",
+            pb.HandoverPart(part=handover.encode(part)),
+            PART_CALL_S,
+        )
+
+        def ended(future: "futures.Future[typing.Any]") -> None:
+            failed = future.exception() is not None
+            accepted = None if failed else future.result().accepted
+            self.tell(_Receipt(part.sequence, accepted))
+
+        self._context.fleet.ask(call).add_done_callback(ended)
+
+    @_carry_out_one.register
+    def _tell_moved(self, action: departure.TellMoved) -> None:
+        address = self._presence.address_of(action.vm)
+        logs.event(
+            "handover_sent", heir=action.vm, requests=len(action.request_ids)
+        )
+        self._context.archive.tell(
+            archive.TellMoved(action.request_ids, action.vm, address)
+        )
+
+    @_carry_out_one.register
+    def _export(self, action: departure.ExportLedger) -> None:
+        asked = self._context.book.ask(book.Export(action.heir))
+        self._carry_out(self._departure.exported(asked.result()))
+
+    @_carry_out_one.register
+    def _ledger_received(self, action: departure.LedgerReceived) -> None:
+        self._context.book.tell(book.HeirAnswered(action.receipt))
+
+    @_carry_out_one.register
+    def _outcomes_received(self, action: departure.OutcomesReceived) -> None:
+        self._context.book.tell(book.OutcomesReceived(action.settled))
+
+    @_carry_out_one.register
+    def _done(self, action: departure.Finished) -> None:
+        if not action.complete:
+            logs.event("handover_failed", parts=self._departure.unreceived)
+        if self._finished is not None and not self._finished.done():
+            self._finished.set_result(action.complete)
+
+
+def owner(vm: str, incarnation: int) -> keyed.Owner:
+    """An incarnation as the handover names it."""
+    return keyed.Owner(vm, incarnation)
+
+
+def _others(view: views.View, vm: str) -> list[pb.Member]:
+    return [member for member in view.serving() if member.vm != vm]
--- /dev/null
+++ b/src/apricotlever/daemon/desk.py
@@ -0,0 +1,540 @@
+"""The task that decides about requests: whether, when and where they run.
+
+It owns admission, routing, the retry budget and the quarantine, and knows
+which request is at which runner. It does no I/O.
+"""
+
+from concurrent import futures
+import random
+import typing
+
+from .. import clock as clocks
+from .. import logs
+from .. import mailbox
+from .. import metrics as metrics_
+from .. import refusals
+from ..contracts import admission
+from ..contracts import retries
+from ..contracts import retry_budget
+from ..links import peer_pb2 as pb
+from ..requests import evacuation
+from ..requests import export_times
+from ..requests import recovery
+from ..runners import crashes
+from ..runners import model as runners
+from ..runners import quarantine
+from ..runners import routing
+
+from . import flights
+from . import messages
+from . import rumours
+
+Announce = typing.Callable[[pb.Rumour], None]
+
+NEEDED_S = 0.2
+#: Recoveries of a stream are bounded by its deadline; this only stops a
+#: request that no runner finishes from trying for ever.
+MOST_ATTEMPTS_AFTER_DEATHS = 12
+TRIAL_PLACES = 4
+CANDIDATES = 8
+
+_LIMITS = frozenset(
+    (
+        admission.Reason.CONCURRENCY,
+        admission.Reason.RATE,
+        admission.Reason.TOKENS,
+        admission.Reason.SPEND,
+    )
+)
+
+
+class _Placed:
+    """A request at a runner.
+
+    :param moving_to: the runner that its stream is on the way to, or empty.
+    """
+
+    __slots__ = ("dispatch", "runner", "moving_to")
+
+    def __init__(
+        self, dispatch: messages.Dispatch, runner: runners.Runner
+    ) -> None:
+        self.dispatch = dispatch
+        self.runner = runner
+        self.moving_to = ""
+
+
+class Desk(mailbox.Task):
+    """Decides about the requests of one entry VM.
+
+    :param rng: spreads probes and choices.
+    :param vm: this VM's name.
+    :param data_centre: where this VM runs.
+    :param metrics: where counts go.
+    :param announce: spreads a rumour among the entry VMs.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        vm: str,
+        data_centre: str,
+        metrics: metrics_.Metrics,
+        announce: Announce,
+    ) -> None:
+        super().__init__("desk", clock)
+        self._vm = vm
+        self._metrics = metrics
+        self._announce = announce
+        self._admission = admission.Admission(clock, rng, vm)
+        self._router = routing.Router(clock, rng, vm, data_centre)
+        self._budget = retry_budget.RetryBudget()
+        self._quarantine = quarantine.Quarantine(clock)
+        self._waiting: dict[str, futures.Future[typing.Any]] = {}
+        self._placed: dict[str, _Placed] = {}
+        self._reported: dict[str, float] = {}
+        self._taken_at: dict[str, float] = {}
+        self._export_times = export_times.ExportTimes()
+
+    @mailbox.handles(messages.CatalogueInForce)
+    def _configure(self, message: messages.CatalogueInForce) -> None:
+        catalogue = message.catalogue
+        self._admission.configure(catalogue)
+        self._budget.keep_only(frozenset(catalogue.entries))
+
+    @mailbox.handles(messages.Admit)
+    def _admit(self, message: messages.Admit) -> mailbox.Deferred:
+        self._waiting[message.ticket.request_id] = self.defer()
+        self._settle(self._admission.offer(message.ticket))
+        return mailbox.DEFERRED
+
+    @mailbox.handles(messages.Withdraw)
+    def _withdraw(self, message: messages.Withdraw) -> None:
+        self._waiting.pop(message.request_id, None)
+        self._settle(self._admission.withdraw(message.request_id))
+
+    @mailbox.handles(messages.Dispatch)
+    def _dispatch(
+        self, message: messages.Dispatch
+    ) -> runners.Route | messages.TrialWanted:
+        standing = self._quarantine.standing(message.fingerprint)
+        if standing.state is quarantine.State.QUARANTINED:
+            self._metrics.count("requests.quarantined")
+            raise refusals.Refusal(
+                refusals.QUARANTINED,
+                "requests like this one crashed the runners they ran on",
+                retry_after_s=standing.retry_after_s,
+            )
+        suspect = standing.state is quarantine.State.SUSPECT
+        if suspect and not message.on_trial:
+            return self._trial(message)
+        route = self._route(message)
+        self._place(message, route.runner)
+        return route
+
+    @mailbox.handles(messages.FirstToken)
+    def _first_token(self, message: messages.FirstToken) -> None:
+        self._router.first_token(message.request_id)
+        self._admission.first_token(message.request_id)
+
+    @mailbox.handles(messages.AttemptEnded)
+    def _attempt_ended(
+        self, message: messages.AttemptEnded
+    ) -> crashes.CrashSeen | None:
+        placed = self._placed.get(message.request_id)
+        report = None
+        if placed is not None and message.crashed:
+            report = self._crashed(placed.runner)
+        self._placed.pop(message.request_id, None)
+        self._router.finished(
+            message.request_id, message.outcome, message.tokens
+        )
+        return report
+
+    @mailbox.handles(messages.RequestEnded)
+    def _request_ended(
+        self, message: messages.RequestEnded
+    ) -> crashes.Survived | None:
+        placed = self._placed.pop(message.request_id, None)
+        self._router.finished(
+            message.request_id, message.outcome, message.tokens
+        )
+        verdicts = self._admission.finished(
+            message.request_id, message.outcome, message.tokens
+        )
+        self._settle(verdicts)
+        done = message.outcome is runners.Outcome.DONE
+        if placed is None or not done:
+            return None
+        self._budget.succeeded(placed.dispatch.query.entry)
+        return self._survived(placed.dispatch.fingerprint)
+
+    @mailbox.handles(messages.StreamBroke)
+    def _broke(self, message: messages.StreamBroke) -> recovery.Decision:
+        flight = message.flight
+        runner = flight.runner
+        assert runner is not None
+        return recovery.plan(
+            self._situation(
+                flight,
+                runner,
+                message.cause,
+                self._candidates(flight, message.excluded),
+                message.failures,
+                message.same_runner,
+            )
+        )
+
+    @mailbox.handles(messages.MoveEnded)
+    def _move_ended(self, message: messages.MoveEnded) -> None:
+        if message.seconds is None:
+            self._export_times.failed()
+        else:
+            self._export_times.observe(message.tokens, message.seconds)
+
+    @mailbox.handles(messages.MayRetry)
+    def _may_retry(
+        self, message: messages.MayRetry
+    ) -> retries.Retry | retries.NoRetry:
+        takers = frozenset(
+            runner.name
+            for runner in self._router.runners
+            if runner.pool == message.pool
+            and not self._router.is_leaving(runner.name)
+        )
+        failure = retries.Failure(
+            message.entry,
+            message.may_have_run,
+            message.idempotent,
+            message.attempts,
+            message.left_s,
+            NEEDED_S,
+            message.tried,
+            takers,
+        )
+        if message.died:
+            # A runner's death takes its load away with it, so what it ran
+            # may go elsewhere without adding any.
+            spare = retry_budget.RetryBudget()
+            most = MOST_ATTEMPTS_AFTER_DEATHS
+            return retries.decide(failure, spare, most)
+        return retries.decide(failure, self._budget)
+
+    @mailbox.handles(messages.RunnersListed)
+    def _listed(self, message: messages.RunnersListed) -> None:
+        before = {runner.name for runner in self._router.runners}
+        self._router.set_runners(message.runners)
+        after = {runner.name for runner in self._router.runners}
+        for name in sorted(after - before):
+            logs.event("runner_found", runner=name)
+        for name in sorted(before - after):
+            logs.event("runner_gone", runner=name)
+        self._size_pools()
+
+    @mailbox.handles(messages.RunnerLeaving)
+    def _leaving(self, message: messages.RunnerLeaving) -> bool:
+        name = message.runner
+        if self._router.runner(name) is None or self._router.is_leaving(name):
+            self._router.leaving(name)
+            return False
+        deadline = self._clock.now() + message.left_s
+        self._taken_at[name] = deadline
+        self._router.leaving(name, deadline)
+        self._size_pools()
+        left_s = round(message.left_s, 3)
+        logs.event("runner_leaving", runner=name, left_s=left_s)
+        return True
+
+    @mailbox.handles(messages.RunnerGone)
+    def _gone(self, message: messages.RunnerGone) -> None:
+        if self._router.runner(message.runner) is not None:
+            logs.event("runner_gone", runner=message.runner)
+        self._router.gone(message.runner)
+        self._taken_at.pop(message.runner, None)
+        self._size_pools()
+
+    @mailbox.handles(messages.RunnerWanted)
+    def _runner_wanted(
+        self, message: messages.RunnerWanted
+    ) -> runners.Runner | None:
+        return self._router.runner(message.runner)
+
+    @mailbox.handles(messages.LoadSeen)
+    def _load_seen(self, message: messages.LoadSeen) -> None:
+        self._router.observe_load(message.runner, message.report)
+        self._router.succeeded(message.runner)
+
+    @mailbox.handles(messages.CacheSeen)
+    def _cache_seen(self, message: messages.CacheSeen) -> None:
+        self._router.observe_cache(message.runner, message.events)
+
+    @mailbox.handles(messages.ProbeFailed)
+    def _probe_failed(self, message: messages.ProbeFailed) -> None:
+        self._router.failed(message.runner)
+
+    @mailbox.handles(messages.Judge)
+    def _judge(self, message: messages.Judge) -> quarantine.Decision:
+        return self._quarantine.judge(message.question)
+
+    @mailbox.handles(messages.TrialOver)
+    def _trial_over(self, message: messages.TrialOver) -> None:
+        self._quarantine.trial_over(message.report)
+
+    @mailbox.handles(messages.CrashHeard)
+    def _crash_heard(self, message: messages.CrashHeard) -> None:
+        self._quarantine.receive(message.report)
+
+    @mailbox.handles(messages.MembersSeen)
+    def _members_seen(self, message: messages.MembersSeen) -> None:
+        self._admission.set_members(message.vms | {self._vm})
+
+    @mailbox.handles(messages.DemandHeard)
+    def _demand_heard(self, message: messages.DemandHeard) -> None:
+        self._admission.shares.receive(message.report, message.age_s)
+
+    @mailbox.handles(messages.StatusWanted)
+    def _status(self, message: messages.StatusWanted) -> dict[str, object]:
+        return {
+            "in_flight": len(self._placed),
+            "queued": len(self._waiting),
+            "runners": [self._runner_row(r) for r in self._router.runners],
+            "quarantine": {"deaths": len(self._quarantine.log.deaths)},
+            "cost": self._cost_rows(),
+        }
+
+    def tick(self) -> None:
+        """Settle what time has decided, and empty runners that leave."""
+        self._settle(self._admission.tick())
+        self._evacuate()
+        self._quarantine.tick()
+        report = self._admission.take_report()
+        if report is not None:
+            self._announce(rumours.of_demand(report))
+
+    def stopped(self) -> None:
+        """Refuse what still waits."""
+        for request_id in list(self._waiting):
+            refused = admission.Refused(
+                request_id, admission.Reason.OVERLOAD, 1.0
+            )
+            self._settle([refused])
+
+    def failed(self, error: Exception) -> None:
+        """Log what no handler foresaw."""
+        logs.event("task_failed", task=self.name, error=repr(error))
+
+    def _settle(self, verdicts: list[admission.Verdict]) -> None:
+        for verdict in verdicts:
+            future = self._waiting.pop(verdict.request_id, None)
+            if future is None:
+                continue
+            if isinstance(verdict, admission.Admitted):
+                future.set_result(None)
+            else:
+                future.set_exception(_refusal(verdict))
+
+    def _route(self, message: messages.Dispatch) -> runners.Route:
+        if message.only:
+            runner = self._router.runner(message.only)
+            if runner is not None:
+                return runners.Route(runner, 0.0, 0)
+        route = self._router.choose(message.query)
+        if isinstance(route, runners.NoRunner):
+            self._metrics.count("routing.no_runner")
+            raise refusals.Refusal(
+                refusals.NO_RUNNER,
+                f"no runner can take the request: {route.reason.value}",
+                retry_after_s=route.retry_after_s,
+            )
+        return route
+
+    def _place(
+        self, message: messages.Dispatch, runner: runners.Runner
+    ) -> None:
+        self._placed[message.request_id] = _Placed(message, runner)
+        self._router.started(message.request_id, runner.name, message.query)
+
+    def _trial(self, message: messages.Dispatch) -> messages.TrialWanted:
+        routes = self._router.ranked(message.query, TRIAL_PLACES)
+        places = tuple(
+            quarantine.Place(route.runner.name, route.runner.data_centre)
+            for route in routes
+        )
+        question = quarantine.MayRun(
+            message.fingerprint, message.request_id, places
+        )
+        return messages.TrialWanted(message.query.pool, question)
+
+    def _crashed(self, runner: runners.Runner) -> crashes.CrashSeen | None:
+        """Put a runner's death on record, once for all its requests."""
+        now = self._clock.now()
+        told_at = self._reported.get(runner.name, float("-inf"))
+        charges = tuple(
+            crashes.Charge(
+                placed.dispatch.fingerprint,
+                placed.dispatch.request_id,
+                placed.dispatch.attempt,
+                placed.dispatch.on_trial,
+            )
+            for placed in self._placed.values()
+            if placed.runner.name == runner.name
+        )
+        noticed = self._router.is_leaving(runner.name)
+        self._router.crashed(runner.name)
+        report = crashes.CrashSeen(
+            self._vm, runner.name, runner.data_centre, 0.0, noticed, charges
+        )
+        self._quarantine.receive(report)
+        if now - told_at < crashes.SAME_DEATH_S:
+            return None
+        self._reported[runner.name] = now
+        return report
+
+    def _survived(self, fingerprint: str) -> crashes.Survived | None:
+        standing = self._quarantine.standing(fingerprint)
+        if standing.state is quarantine.State.CLEAR:
+            return None
+        report = crashes.Survived(fingerprint, 0.0)
+        self._quarantine.receive(report)
+        return report
+
+    def _evacuate(self) -> None:
+        """Decide about every stream on a runner that will be taken.
+
+        All streams of a wave are decided together, so that they do not meet
+        at the one runner that looked emptiest to each of them.
+        """
+        if not self._taken_at:
+            return
+        placed = [
+            each
+            for each in self._placed.values()
+            if each.runner.name in self._taken_at
+            and each.dispatch.flight is not None
+        ]
+        candidates: dict[str, list[recovery.Candidate]] = {}
+        situations = []
+        for each in placed:
+            flight = each.dispatch.flight
+            assert flight is not None
+            pool = flight.entry.pool
+            if pool not in candidates:
+                candidates[pool] = self._candidates(flight, frozenset())
+            situation = self._situation(
+                flight, each.runner, recovery.Cause.NOTICE, candidates[pool]
+            )
+            situation.moving_to = each.moving_to
+            situations.append(situation)
+        for move in evacuation.plan(situations):
+            self._move(self._placed[move.request_id], move.decision)
+
+    def _move(self, placed: _Placed, decision: recovery.Decision) -> None:
+        if not isinstance(decision, (recovery.ExportTo, recovery.Replay)):
+            return
+        flight = placed.dispatch.flight
+        assert flight is not None
+        if flight.decide(placed.runner.name, decision):
+            placed.moving_to = decision.runner
+
+    def _situation(
+        self,
+        flight: flights.Flight,
+        runner: runners.Runner,
+        cause: recovery.Cause,
+        candidates: list[recovery.Candidate],
+        failures: int = 0,
+        same_runner: int = 0,
+    ) -> recovery.Situation:
+        sent = flight.transcript.tokens()
+        tokens = flight.request.prompt_tokens + len(sent)
+        left = flight.request.max_tokens - len(sent)
+        taken_at = self._taken_at.get(runner.name, float("inf"))
+        return recovery.Situation(
+            flight.request_id,
+            cause,
+            runner.name,
+            flight.service_class.priority,
+            flight.request.prompt_tokens,
+            sent,
+            left * flight.service_class.between_tokens_s,
+            taken_at - self._clock.now(),
+            self._export_times.estimate_s(tokens),
+            flight.left_s,
+            failures,
+            MOST_ATTEMPTS_AFTER_DEATHS,
+            same_runner,
+            "",
+            candidates,
+        )
+
+    def _candidates(
+        self, flight: flights.Flight, excluded: frozenset[str]
+    ) -> list[recovery.Candidate]:
+        doomed = self._doomed()
+        routes = self._router.ranked(flight.query(excluded), CANDIDATES)
+        return [
+            recovery.Candidate(
+                route.runner.name,
+                route.runner.data_centre,
+                route.runner.slots
+                - self._router.own_in_flight(route.runner.name),
+                route.runner.data_centre in doomed,
+            )
+            for route in routes
+        ]
+
+    def _doomed(self) -> set[str]:
+        """Data centres that are losing most of their runners."""
+        known: dict[str, list[bool]] = {}
+        for runner in self._router.runners:
+            leaving = self._router.is_leaving(runner.name)
+            known.setdefault(runner.data_centre, []).append(leaving)
+        return {
+            data_centre
+            for data_centre, leaving in known.items()
+            if 2 * sum(leaving) > len(leaving)
+        }
+
+    def _size_pools(self) -> None:
+        by_pool: dict[str, list[runners.Runner]] = {}
+        for runner in self._router.runners:
+            by_pool.setdefault(runner.pool, [])
+            if not self._router.is_leaving(runner.name):
+                by_pool[runner.pool].append(runner)
+        for pool, members in by_pool.items():
+            slots = sum(runner.slots for runner in members)
+            price = sum(runner.price_per_hour for runner in members)
+            self._admission.set_pool(pool, slots, price / max(1, slots))
+
+    def _runner_row(self, runner: runners.Runner) -> dict[str, object]:
+        return {
+            "runner": runner.name,
+            "pool": runner.pool,
+            "data_centre": runner.data_centre,
+            "leaving": self._router.is_leaving(runner.name),
+            "in_flight": self._router.own_in_flight(runner.name),
+        }
+
+    def _cost_rows(self) -> list[dict[str, object]]:
+        return [
+            {
+                "customer": line.customer,
+                "entry": line.entry,
+                "requests": line.requests,
+                "cost": round(line.amount, 6),
+            }
+            for line in self._admission.spending.lines
+        ]
+
+
+def _refusal(verdict: admission.Refused) -> refusals.Refusal:
+    limited = verdict.reason in _LIMITS
+    kind = refusals.RATE_LIMITED if limited else refusals.SHED
+    if verdict.reason is admission.Reason.UNKNOWN_ENTRY:
+        kind = refusals.NOT_FOUND
+    return refusals.Refusal(
+        kind,
+        f"not admitted: {verdict.reason.value}",
+        retry_after_s=verdict.retry_after_s,
+    )
--- /dev/null
+++ b/src/apricotlever/daemon/fleet.py
@@ -0,0 +1,530 @@
+"""The task that speaks to the other entry VMs.
+
+It drives the membership over the peer link, delivers rumours, spreads
+crash reports, asks judges, and carries other tasks' calls to peers.
+"""
+
+from concurrent import futures
+import functools
+import itertools
+import random
+import typing
+
+from returns import result
+
+from .. import clock as clocks
+from .. import logs
+from .. import mailbox
+from .. import metrics as metrics_
+from .. import settings
+from ..links import peer_pb2 as pb
+from ..links import peers
+from ..runners import crashes
+from ..runners import quarantine
+from ..vms import actions
+from ..vms import membership
+from ..vms import rendezvous
+from ..vms import timing
+from ..vms import view as views
+
+from . import rumours
+
+CRASH_CALL_S = 0.4
+JUDGE_CALL_S = 1.0
+JUDGE_RETRY_S = 0.3
+#: In a fleet larger than this the judge and a few others hear of a crash by
+#: a call, and the rest by rumour.
+CALLED_AT_ONCE = 16
+
+_STATE_EVENTS = {
+    pb.VM_ALIVE: "member_joined",
+    pb.VM_SUSPECT: "member_suspected",
+    pb.VM_LEAVING: "member_leaving",
+    pb.VM_DEAD: "member_dead",
+}
+
+
+class AskJudge:
+    """Ask the judge of a pool about a suspect.
+
+    :param pool: picks the judge.
+    """
+
+    __slots__ = ("pool", "question")
+
+    def __init__(self, pool: str, question: quarantine.MayRun) -> None:
+        self.pool = pool
+        self.question = question
+
+
+class TrialDone:
+    """Tell the judge of a pool that a trial is over."""
+
+    __slots__ = ("pool", "report")
+
+    def __init__(self, pool: str, report: quarantine.TrialOver) -> None:
+        self.pool = pool
+        self.report = report
+
+
+class SpreadCrash:
+    """Tell the others of a death or survival; answered when they know."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: crashes.Report) -> None:
+        self.report = report
+
+
+class Announce:
+    """Spread a rumour."""
+
+    __slots__ = ("rumour",)
+
+    def __init__(self, rumour: pb.Rumour) -> None:
+        self.rumour = rumour
+
+
+class CatalogueKnown:
+    """This VM has a catalogue in force; peers are to hear of it."""
+
+    __slots__ = ("version", "digest")
+
+    def __init__(self, version: int, digest: int) -> None:
+        self.version = version
+        self.digest = digest
+
+
+class Hints:
+    """Entry VMs on the platform's lagging list."""
+
+    __slots__ = ("hints",)
+
+    def __init__(self, hints: tuple[membership.Hint, ...]) -> None:
+        self.hints = hints
+
+
+class ViewWanted:
+    """Ask for the view as it is now."""
+
+    __slots__ = ()
+
+
+class CallPeer:
+    """Call a method of another entry VM by its name.
+
+    Answered with the peer's answer; raises what the peer link raises.
+
+    :param incarnation: only this one is meant; 0 for any.
+    """
+
+    __slots__ = ("vm", "incarnation", "method", "message", "timeout_s")
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        method: str,
+        message: typing.Any,
+        timeout_s: float,
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.method = method
+        self.message = message
+        self.timeout_s = timeout_s
+
+
+class Leave:
+    """Tell the others that this VM takes no new work."""
+
+    __slots__ = ()
+
+
+class Depart:
+    """Tell the others that this process ends; the last message."""
+
+    __slots__ = ()
+
+
+class _Received:
+    """A gossip message came in, as a call or as an answer."""
+
+    __slots__ = ("message", "asked")
+
+    def __init__(self, message: pb.GossipMessage, asked: bool) -> None:
+        self.message = message
+        self.asked = asked
+
+
+class Listener(typing.Protocol):
+    """What the daemon does when the fleet changes; must return at once."""
+
+    def on_view(self, view: views.View) -> None:
+        """The members changed."""
+
+    def on_rumour(self, rumour: pb.Rumour, via: str) -> None:
+        """A rumour came, once."""
+
+    def on_incarnation_ended(self, vm: str, incarnation: int) -> None:
+        """A process of an entry VM is gone for certain."""
+
+    def on_catalogue_heard(self, version: int, digest: int, vm: str) -> None:
+        """A peer has a newer catalogue."""
+
+    def on_paused(self, seconds: float) -> None:
+        """This process stood still."""
+
+    def on_superseded(self) -> None:
+        """A newer process runs under this VM's name."""
+
+    def judge(
+        self, question: quarantine.MayRun
+    ) -> "futures.Future[quarantine.Decision]":
+        """Decide on a suspect as the judge of its pool."""
+
+    def trial_over(self, report: quarantine.TrialOver) -> None:
+        """A trial that this VM handed out is over."""
+
+
+def own_member(
+    config: settings.Settings,
+    callers: str,
+    peers_address: str,
+    incarnation: int,
+) -> pb.Member:
+    """This VM's own record.
+
+    :param callers: ``host:port`` for callers.
+    :param peers_address: ``host:port`` for peers.
+    :param incarnation: the process start, ms since the Unix epoch.
+    """
+    return pb.Member(
+        vm=config.vm,
+        data_centre=config.data_centre,
+        region=config.region,
+        callers_address=callers,
+        peers_address=peers_address,
+        incarnation=incarnation,
+        state=pb.VM_ALIVE,
+    )
+
+
+class Fleet(mailbox.Task):
+    """This VM's part in the fleet.
+
+    :param config: intervals and first contacts.
+    :param link: carries calls; started already.
+    :param me: this VM's record.
+    :param listener: told of what changes.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        config: settings.Settings,
+        link: peers.PeerLink,
+        me: pb.Member,
+        metrics: metrics_.Metrics,
+        listener: Listener,
+    ) -> None:
+        super().__init__("fleet", clock, timing.TICK_S)
+        self._config = config
+        self._link = link
+        self._metrics = metrics
+        self._listener = listener
+        self._membership = membership.Membership(
+            clock,
+            rng,
+            me,
+            timing.MembershipTiming(
+                probe_interval_s=config.timing.probe_interval_s,
+                probe_timeout_s=config.timing.probe_timeout_s,
+                sync_interval_s=config.timing.sync_interval_s,
+            ),
+            [
+                membership.Hint(seed.vm, str(seed.address), "")
+                for seed in config.seeds
+            ],
+        )
+
+    def receive(
+        self, message: pb.GossipMessage
+    ) -> "futures.Future[pb.GossipMessage]":
+        """Take in a peer's call; the future is its answer."""
+        return self.ask(_Received(message, True))
+
+    @mailbox.handles(_Received)
+    def _received(self, received: _Received) -> pb.GossipMessage:
+        if not received.asked:
+            self._carry_out(self._membership.answered(received.message))
+            return pb.GossipMessage()
+        found = self._membership.receive(received.message)
+        replies = [
+            action.message
+            for action in found
+            if isinstance(action, actions.Reply)
+        ]
+        self._carry_out(found)
+        return replies[0] if replies else pb.GossipMessage()
+
+    @mailbox.handles(Announce)
+    def _announce(self, message: Announce) -> None:
+        self._membership.announce(message.rumour)
+
+    @mailbox.handles(CatalogueKnown)
+    def _catalogue(self, message: CatalogueKnown) -> None:
+        self._membership.set_catalogue(message.version, message.digest)
+
+    @mailbox.handles(Hints)
+    def _hinted(self, message: Hints) -> None:
+        self._membership.hint(message.hints)
+
+    @mailbox.handles(ViewWanted)
+    def _view_wanted(self, message: ViewWanted) -> views.View:
+        return self._membership.view
+
+    @mailbox.handles(Leave)
+    def _leave(self, message: Leave) -> None:
+        self._carry_out(self._membership.leave())
+
+    @mailbox.handles(Depart)
+    def _depart(self, message: Depart) -> "mailbox.Deferred":
+        sends = [
+            action
+            for action in self._membership.depart()
+            if isinstance(action, actions.Send)
+        ]
+        calls = [self._send(action) for action in sends]
+        _settle_with_all(self.defer(), calls)
+        return mailbox.DEFERRED
+
+    @mailbox.handles(CallPeer)
+    def _call_peer(self, message: CallPeer) -> mailbox.Deferred:
+        future = self.defer()
+        member = self._membership.view.members.get(message.vm)
+        other = message.incarnation not in (
+            0,
+            member.incarnation if member else 0,
+        )
+        if member is None or other:
+            future.set_exception(
+                peers.PeerUnavailable(message.vm, "not in the view", False)
+            )
+            return mailbox.DEFERRED
+        call = self._call(
+            member.peers_address,
+            message.method,
+            message.message,
+            message.timeout_s,
+        )
+        call.add_done_callback(functools.partial(_copy, future))
+        return mailbox.DEFERRED
+
+    @mailbox.handles(SpreadCrash)
+    def _spread_crash(self, message: SpreadCrash) -> mailbox.Deferred:
+        report = rumours.crash_message(self._config.vm, message.report)
+        self._membership.announce(rumours.of_crash(report))
+        others = [
+            member
+            for vm, member in self._membership.view.members.items()
+            if vm != self._config.vm
+        ]
+        calls = [
+            self._call(member.peers_address, "Crash", report, CRASH_CALL_S)
+            for member in others[:CALLED_AT_ONCE]
+        ]
+        _settle_with_all(self.defer(), calls)
+        return mailbox.DEFERRED
+
+    @mailbox.handles(AskJudge)
+    def _ask_judge(self, message: AskJudge) -> mailbox.Deferred:
+        future = self.defer()
+        judge = self._judge_of(message.pool)
+        if judge is None:
+            local = self._listener.judge(message.question)
+            local.add_done_callback(functools.partial(_copy, future))
+            return mailbox.DEFERRED
+        question = pb.TrialQuestion(
+            fingerprint=message.question.fingerprint,
+            request_id=message.question.request_id,
+            places=[
+                pb.TrialPlace(
+                    runner=place.runner, data_centre=place.data_centre
+                )
+                for place in message.question.places
+            ],
+        )
+        call = self._call(judge.peers_address, "Judge", question, JUDGE_CALL_S)
+        call.add_done_callback(functools.partial(_decide, future))
+        return mailbox.DEFERRED
+
+    @mailbox.handles(TrialDone)
+    def _trial_done(self, message: TrialDone) -> None:
+        judge = self._judge_of(message.pool)
+        if judge is None:
+            self._listener.trial_over(message.report)
+            return
+        over = pb.TrialQuestion(
+            fingerprint=message.report.fingerprint,
+            request_id=message.report.request_id,
+            over=True,
+        )
+        self._call(judge.peers_address, "Judge", over, JUDGE_CALL_S)
+
+    def tick(self) -> None:
+        """Probe, suspect and spread what is due."""
+        self._carry_out(self._membership.tick())
+
+    def failed(self, error: Exception) -> None:
+        """Log what no handler foresaw."""
+        logs.event("task_failed", task=self.name, error=repr(error))
+
+    def _judge_of(self, pool: str) -> pb.Member | None:
+        """The VM that judges a pool; None when it is this one."""
+        view = self._membership.view
+        names = view.names()
+        vm = rendezvous.pick(f"judge/{pool}", names) if names else None
+        if vm is None or vm == self._config.vm:
+            return None
+        return view.members[vm]
+
+    def _carry_out(self, found: list[actions.Action]) -> None:
+        for action in found:
+            self._carry_out_one(action)
+        if any(isinstance(action, actions.Changed) for action in found):
+            self._listener.on_view(self._membership.view)
+
+    @functools.singledispatchmethod
+    def _carry_out_one(self, action: typing.Any) -> None:
+        """A reply, which its caller sends."""
+
+    @_carry_out_one.register
+    def _sent(self, action: actions.Send) -> None:
+        self._send(action)
+
+    def _send(self, action: actions.Send) -> "futures.Future[typing.Any]":
+        future = self._call(
+            action.address,
+            "Gossip",
+            action.message,
+            self._config.timing.peer_timeout_s,
+        )
+        future.add_done_callback(self._answered)
+        return future
+
+    @_carry_out_one.register
+    def _changed(self, action: actions.Changed) -> None:
+        after = action.after
+        before = action.before
+        if before is not None and before.state == after.state:
+            return
+        logs.event(
+            _STATE_EVENTS[after.state],
+            member=after.vm,
+            incarnation=after.incarnation,
+            data_centre=after.data_centre,
+        )
+
+    @_carry_out_one.register
+    def _incarnation_ended(self, action: actions.IncarnationEnded) -> None:
+        self._listener.on_incarnation_ended(action.vm, action.incarnation)
+
+    @_carry_out_one.register
+    def _delivered(self, action: actions.Delivered) -> None:
+        self._listener.on_rumour(action.rumour, action.via)
+
+    @_carry_out_one.register
+    def _paused(self, action: actions.Paused) -> None:
+        logs.event("paused", seconds=round(action.seconds, 3))
+        self._listener.on_paused(action.seconds)
+
+    @_carry_out_one.register
+    def _superseded(self, action: actions.Superseded) -> None:
+        self._listener.on_superseded()
+
+    @_carry_out_one.register
+    def _heard(self, action: actions.CatalogueHeard) -> None:
+        self._listener.on_catalogue_heard(
+            action.version, action.digest, action.via
+        )
+
+    def _call(
+        self, address: str, method: str, message: typing.Any, timeout_s: float
+    ) -> "futures.Future[typing.Any]":
+        self._metrics.count("peers.calls")
+        call = self._link.call(address, method, message, timeout_s)
+        call.add_done_callback(self._counted)
+        return call
+
+    def _counted(self, call: "futures.Future[typing.Any]") -> None:
+        if not call.cancelled() and call.exception() is not None:
+            self._metrics.count("peers.failed")
+
+    def _answered(self, call: "futures.Future[typing.Any]") -> None:
+        if call.cancelled() or call.exception() is not None:
+            return
+        answer = call.result()
+        if answer.sender.vm:
+            self.tell(_Received(answer, False))
+
+
+def outcome_of(
+    call: "futures.Future[typing.Any]",
+) -> result.Result[typing.Any, BaseException]:
+    """What a finished call gave."""
+    error = call.exception()
+    if error is not None:
+        return result.Failure(error)
+    return result.Success(call.result())
+
+
+def _copy(
+    future: "futures.Future[typing.Any]", call: "futures.Future[typing.Any]"
+) -> None:
+    error = call.exception()
+    if error is not None:
+        future.set_exception(error)
+    else:
+        future.set_result(call.result())
+
+
+def _settle_with_all(
+    future: "futures.Future[typing.Any]",
+    calls: list["futures.Future[typing.Any]"],
+) -> None:
+    """Settle a future with None when every call has ended, well or not."""
+    ended_count = itertools.count(1)
+    if not calls:
+        future.set_result(None)
+
+    def ended(call: "futures.Future[typing.Any]") -> None:
+        if next(ended_count) == len(calls):
+            future.set_result(None)
+
+    for call in calls:
+        call.add_done_callback(ended)
+
+
+def _decide(
+    future: "futures.Future[typing.Any]", call: "futures.Future[typing.Any]"
+) -> None:
+    """Turn a judge's answer into a decision.
+
+    A judge that can't be reached must not let a suspect run: two VMs that
+    each think they judge would let it crash one runner each.
+    """
+    if call.exception() is not None:
+        future.set_result(quarantine.Hold(JUDGE_RETRY_S))
+        return
+    answer = call.result()
+    verdicts = {
+        pb.TrialAnswer.TRIAL_FREE: quarantine.RunFreely(),
+        pb.TrialAnswer.TRIAL_AT: quarantine.RunAt(answer.runner),
+        pb.TrialAnswer.TRIAL_HOLD: quarantine.Hold(answer.retry_after_s),
+        pb.TrialAnswer.TRIAL_REFUSED: quarantine.RefuseRun(
+            answer.retry_after_s
+        ),
+    }
+    future.set_result(verdicts[answer.verdict])
--- /dev/null
+++ b/src/apricotlever/daemon/heir.py
@@ -0,0 +1,137 @@
+"""The task that takes over what a leaving entry VM hands to this one."""
+
+from concurrent import futures
+
+from .. import clock as clocks
+from .. import logs
+from .. import mailbox
+from ..links import openai
+from ..links import peer_pb2 as pb
+from ..requests import errors as request_errors
+from ..requests import intake
+from ..requests import messages as keyed
+from ..requests import records
+from ..runners import quarantine
+
+from . import archive
+from . import book
+from . import context as contexts
+from . import flights
+from . import messages
+from . import pump as pumps
+from . import relay
+from . import transcripts
+
+ADOPTED_THREADS = 512
+
+
+class Take:
+    """A part of a handover came; answered with the receipt."""
+
+    __slots__ = ("part",)
+
+    def __init__(self, part: pb.HandoverPart) -> None:
+        self.part = part
+
+
+class Heir(mailbox.Task):
+    """Adopts requests and ledgers.
+
+    :param context: the daemon's other tasks.
+    """
+
+    def __init__(self, clock: clocks.Clock, context: contexts.Context) -> None:
+        super().__init__("heir", clock)
+        self._context = context
+        me = keyed.Owner(context.config.vm, context.incarnation)
+        self._intake = intake.Intake(me)
+        self._threads = futures.ThreadPoolExecutor(ADOPTED_THREADS, "adopted")
+
+    @mailbox.handles(Take)
+    def _take(self, message: Take) -> pb.HandoverReceipt:
+        try:
+            taken = self._intake.receive(message.part.part)
+        except request_errors.HandoverInvalid as error:
+            return _refused(error.message)
+        match taken:
+            case intake.WrongHeir():
+                return _refused("meant for another incarnation")
+            case intake.AdoptRecords():
+                self._adopt(taken.sender.vm, taken.records)
+            case intake.AdoptLedger():
+                return self._adopt_ledger(taken)
+            case intake.AdoptOutcomes():
+                self._context.book.tell(book.Settle(taken.settled))
+        return pb.HandoverReceipt(accepted=True)
+
+    def stopped(self) -> None:
+        """End the threads when their streams have ended."""
+        self._threads.shutdown(wait=False)
+
+    def failed(self, error: Exception) -> None:
+        """Log what no handler foresaw."""
+        logs.event("task_failed", task=self.name, error=repr(error))
+
+    def _adopt_ledger(self, taken: intake.AdoptLedger) -> pb.HandoverReceipt:
+        adopt = book.AdoptLedger(taken.state)
+        receipt = self._context.book.ask(adopt).result()
+        if not receipt.accepted:
+            return _refused("this VM is leaving too")
+        logs.event("handover_taken", sender=receipt.sender.vm, ledger=True)
+        return pb.HandoverReceipt(accepted=True)
+
+    def _adopt(self, sender: str, adopted: list[records.Record]) -> None:
+        """Go on with the running requests before the receipt is given.
+
+        The caller is told to come here only after the receipt, so it finds
+        its request.
+        """
+        asked = self._context.archive.ask(archive.Adopt(adopted))
+        running = asked.result()
+        for record in running:
+            self._go_on(record)
+        logs.event("handover_taken", sender=sender, requests=len(running))
+
+    def _go_on(self, record: records.Record) -> None:
+        flight = self._flight(record)
+        if flight is None:
+            outcome = archive.outcome_failed("unknown", "not_found")
+            close = archive.Close(record.request_id, outcome)
+            self._context.archive.tell(close)
+            return
+        self._context.archive.ask(archive.Join(flight)).result()
+        wanted = messages.RunnerWanted(record.runner)
+        runner = self._context.desk.ask(wanted).result()
+        pump = pumps.Pump(self._context, flight, runner)
+        self._threads.submit(relay.pump_adopted, self._context, pump)
+
+    def _flight(self, record: records.Record) -> flights.Flight | None:
+        context = self._context
+        catalogue = context.catalogue
+        entry = catalogue.entries.get(record.entry)
+        if entry is None:
+            return None
+        service_class = catalogue.class_of(entry)
+        request = openai.parse(record.body, record.chat)
+        events = (
+            relay.token_event(record.request_id, index, token, record.chat)
+            for index, token in enumerate(record.tokens)
+        )
+        flight = flights.Flight(
+            context.clock,
+            record.request_id,
+            record.customer,
+            entry,
+            service_class,
+            request,
+            record.body,
+            quarantine.fingerprint(entry.name, record.customer, record.body),
+            context.clock.now() + service_class.deadline_s,
+            transcripts.Transcript(events),
+        )
+        flight.attempt = record.attempt
+        return flight
+
+
+def _refused(reason: str) -> pb.HandoverReceipt:
+    return pb.HandoverReceipt(accepted=False, reason=reason)
--- /dev/null
+++ b/src/apricotlever/daemon/keeper.py
@@ -0,0 +1,353 @@
+"""The task that knows the upstreams: their list, notices, load and caches.
+
+Each runner's load and cache events are read by a few entry VMs only, picked
+by rendezvous hashing over the view; the others hear of them by rumour.
+"""
+
+from concurrent import futures
+import typing
+
+from returns import result
+
+from .. import clock as clocks
+from .. import logs
+from .. import mailbox
+from .. import settings
+from ..catalogue import model as catalogues
+from ..links import platform
+from ..links import upstreams
+from ..runners import model as runners
+from ..vms import membership
+from ..vms import rendezvous
+
+from . import fleet
+from . import messages
+from . import rumours
+
+THREADS = 8
+TICK_S = 0.1
+LIST_S = 1.0
+PRICES_S = 10.0
+KEEPERS = 2
+NOTICE_WATCHERS = 2
+NOTICE_WAIT_S = 10.0
+POLL_TIMEOUT_S = 1.0
+#: What a leaving runner is taken to have left when its notice was missed.
+LISTED_LEAVING_S = 2.0
+DEFAULT_SLOTS = 16
+
+
+class Shown:
+    """The serving entry VMs of this VM's view.
+
+    :param serving: all names.
+    :param here: those of this VM's data centre.
+    """
+
+    __slots__ = ("serving", "here")
+
+    def __init__(self, serving: list[str], here: list[str]) -> None:
+        self.serving = serving
+        self.here = here
+
+
+class _Listed:
+    """The platform's list of VMs came, or not."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(self, outcome: typing.Any) -> None:
+        self.outcome = outcome
+
+
+class _Priced:
+    """The platform's prices came, or not."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(self, outcome: typing.Any) -> None:
+        self.outcome = outcome
+
+
+class _Noticed:
+    """A wait for notices is over."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(self, outcome: typing.Any) -> None:
+        self.outcome = outcome
+
+
+class _Polled:
+    """A runner's load and cache events were read, or not.
+
+    :param load: None when the runner did not answer.
+    """
+
+    __slots__ = ("runner", "load", "events")
+
+    def __init__(
+        self,
+        runner: str,
+        load: runners.LoadReport | None,
+        events: runners.CacheEvents | None,
+    ) -> None:
+        self.runner = runner
+        self.load = load
+        self.events = events
+
+
+class Keeper(mailbox.Task):
+    """Keeps this VM's knowledge of the upstreams fresh.
+
+    :param config: intervals and this VM's name.
+    :param cloud: the client of the cloud API.
+    :param desk: hears of runners.
+    :param others: the fleet's task, for rumours and hints.
+    :param on_notice: told of a reclaim notice, for this VM itself too.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        config: settings.Settings,
+        cloud: platform.CloudApi,
+        desk: mailbox.Task,
+        others: mailbox.Task,
+        on_notice: typing.Callable[[str, float], None],
+    ) -> None:
+        super().__init__("keeper", clock, TICK_S)
+        self._config = config
+        self._cloud = cloud
+        self._desk = desk
+        self._others = others
+        self._on_notice = on_notice
+        self._threads = futures.ThreadPoolExecutor(THREADS, "keeper")
+        self._connections = upstreams.Pool(clock)
+        self._catalogue = catalogues.EMPTY
+        self._prices: dict[tuple[str, str, str], float] = {}
+        self._vms: tuple[platform.Vm, ...] = ()
+        self._runners: dict[str, runners.Runner] = {}
+        self._serving = [config.vm]
+        self._here = [config.vm]
+        self._due: dict[str, float] = {}
+        self._list_at = 0.0
+        self._prices_at = 0.0
+        self._notice_seq = -1
+        self._notice_waits = False
+        self._cache_seqs: dict[str, int] = {}
+
+    @property
+    def _watches_notices(self) -> bool:
+        ranked = rendezvous.rank("notices", self._here)
+        return self._config.vm in ranked[:NOTICE_WATCHERS]
+
+    @mailbox.handles(messages.CatalogueInForce)
+    def _configure(self, message: messages.CatalogueInForce) -> None:
+        self._catalogue = message.catalogue
+        self._publish()
+
+    @mailbox.handles(Shown)
+    def _shown(self, message: Shown) -> None:
+        self._serving = message.serving or [self._config.vm]
+        self._here = message.here or [self._config.vm]
+
+    @mailbox.handles(_Listed)
+    def _listed(self, message: _Listed) -> None:
+        if not isinstance(message.outcome, result.Success):
+            self._failed_call("vms", message.outcome)
+            return
+        self._vms = message.outcome.unwrap()
+        entries = tuple(
+            membership.Hint(vm.vm, vm.address, vm.data_centre)
+            for vm in self._vms
+            if vm.role == "entry" and vm.address
+        )
+        self._others.tell(fleet.Hints(entries))
+        self._publish()
+
+    @mailbox.handles(_Priced)
+    def _priced(self, message: _Priced) -> None:
+        if not isinstance(message.outcome, result.Success):
+            self._failed_call("prices", message.outcome)
+            return
+        self._prices = {
+            (price.data_centre, price.machine, price.market): price.per_hour
+            for price in message.outcome.unwrap()
+        }
+        self._publish()
+
+    @mailbox.handles(_Noticed)
+    def _noticed(self, message: _Noticed) -> None:
+        self._notice_waits = False
+        if not isinstance(message.outcome, result.Success):
+            self._failed_call("notices", message.outcome)
+            return
+        answer = message.outcome.unwrap()
+        self._notice_seq = answer.seq
+        for notice in answer.notices:
+            self._on_notice(notice.vm, notice.deadline_s)
+
+    @mailbox.handles(_Polled)
+    def _polled(self, message: _Polled) -> None:
+        if message.load is None:
+            self._desk.tell(messages.ProbeFailed(message.runner))
+            return
+        self._desk.tell(messages.LoadSeen(message.runner, message.load))
+        rumour = rumours.of_load(message.runner, message.load)
+        self._others.tell(fleet.Announce(rumour))
+        if message.events is None or not message.events.events:
+            return
+        self._cache_seqs[message.runner] = message.events.last
+        self._desk.tell(messages.CacheSeen(message.runner, message.events))
+        self._others.tell(
+            fleet.Announce(rumours.of_cache(message.runner, message.events))
+        )
+
+    @mailbox.handles(messages.StatusWanted)
+    def _status(self, message: messages.StatusWanted) -> dict[str, object]:
+        return {
+            "kept": sorted(filter(self._keeps, self._runners)),
+            "watches_notices": self._watches_notices,
+        }
+
+    def tick(self) -> None:
+        """Start the calls that are due."""
+        now = self._clock.now()
+        if now >= self._list_at:
+            self._list_at = now + LIST_S
+            self._submit(self._cloud.vms, _Listed)
+        if now >= self._prices_at:
+            self._prices_at = now + PRICES_S
+            self._submit(self._cloud.prices, _Priced)
+        if self._watches_notices and not self._notice_waits:
+            self._notice_waits = True
+            self._submit(self._wait_for_notices, _Noticed)
+        for name, runner in self._runners.items():
+            if self._due.get(name, 0.0) <= now and self._keeps(name):
+                self._due[name] = now + self._config.timing.load_poll_s
+                after = self._cache_seqs.get(name, 0)
+                self._threads.submit(self._poll, runner, after)
+
+    def stopped(self) -> None:
+        """End the threads; calls under way end by their own timeouts."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    def failed(self, error: Exception) -> None:
+        """Log what no handler foresaw."""
+        logs.event("task_failed", task=self.name, error=repr(error))
+
+    def _keeps(self, runner: str) -> bool:
+        """Whether this VM reads the runner's load for the others."""
+        runner_known = self._runners[runner]
+        pools = {
+            entry.pool
+            for entry in self._catalogue.entries.values()
+            if entry.kind == catalogues.KIND_MODEL
+        }
+        if runner_known.pool not in pools:
+            return False
+        ranked = rendezvous.rank(f"keeper/{runner}", self._serving)
+        return self._config.vm in ranked[:KEEPERS]
+
+    def _publish(self) -> None:
+        """Tell the desk which runners the catalogue's pools have."""
+        slots = {
+            entry.pool: entry.capacity.slots_per_runner
+            for entry in self._catalogue.entries.values()
+        }
+        listed = tuple(
+            self._runner(vm, slots.get(vm.pool, DEFAULT_SLOTS))
+            for vm in self._vms
+            if vm.role == "runner" and vm.address and vm.state != "starting"
+        )
+        if not self._vms:
+            return
+        self._runners = {runner.name: runner for runner in listed}
+        self._desk.tell(messages.RunnersListed(listed))
+        for vm in self._vms:
+            if vm.role == "runner" and vm.state == "leaving":
+                leaving = messages.RunnerLeaving(vm.vm, LISTED_LEAVING_S)
+                self._desk.tell(leaving)
+
+    def _runner(self, vm: platform.Vm, slots: int) -> runners.Runner:
+        price = self._prices.get((vm.data_centre, vm.machine, vm.market), 0.0)
+        return runners.Runner(
+            vm.vm,
+            vm.address,
+            vm.data_centre,
+            vm.pool,
+            vm.market,
+            vm.machine,
+            price,
+            slots,
+        )
+
+    def _submit(
+        self,
+        call: typing.Callable[[], typing.Any],
+        heard: typing.Callable[[typing.Any], typing.Any],
+    ) -> None:
+        def run() -> None:
+            self.tell(heard(call()))
+
+        self._threads.submit(run)
+
+    def _wait_for_notices(self) -> typing.Any:
+        return self._cloud.notices(max(0, self._notice_seq), NOTICE_WAIT_S)
+
+    def _poll(self, runner: runners.Runner, after: int) -> None:
+        try:
+            load = upstreams.call_json(
+                runner.address,
+                "GET",
+                "/v1/load",
+                timeout_s=POLL_TIMEOUT_S,
+                pool=self._connections,
+            )
+            events = upstreams.call_json(
+                runner.address,
+                "GET",
+                f"/v1/cache/events?after={after}",
+                timeout_s=POLL_TIMEOUT_S,
+                pool=self._connections,
+            )
+            polled = _Polled(runner.name, _load(load), _events(events))
+        except (upstreams.UpstreamError, KeyError, TypeError, ValueError):
+            polled = _Polled(runner.name, None, None)
+        self.tell(polled)
+
+    def _failed_call(self, call: str, outcome: typing.Any) -> None:
+        error = outcome.failure()
+        logs.event(
+            "platform_call_failed",
+            call=call,
+            kind=error.kind,
+            error=error.message,
+        )
+
+
+def _load(document: typing.Any) -> runners.LoadReport:
+    return runners.LoadReport(
+        int(document["running"]),
+        int(document["waiting"]),
+        int(document["slots"]),
+        int(document.get("blocks_used", 0)),
+        int(document.get("blocks", 0)),
+        float(document.get("tokens_per_s", 0.0)),
+        float(document.get("age_s", 0.0)),
+    )
+
+
+def _events(document: typing.Any) -> runners.CacheEvents:
+    events = tuple(
+        runners.CacheEvent(
+            int(event["seq"]),
+            event["kind"] == "stored",
+            tuple(int(block, 16) for block in event["blocks"]),
+        )
+        for event in document["events"]
+    )
+    return runners.CacheEvents(
+        events, int(document["seq"]), int(document.get("from", 0))
+    )
--- /dev/null
+++ b/src/apricotlever/daemon/node.py
@@ -0,0 +1,398 @@
+"""One daemon: its tasks, how they hear of each other, and its end."""
+
+from concurrent import futures
+import random
+import secrets
+import threading
+
+from .. import catalogue as catalogues
+from .. import clock as clocks
+from .. import histograms
+from .. import logs
+from .. import mailbox
+from .. import metrics
+from .. import settings
+from ..contracts import call_budget
+from ..links import callers
+from ..links import peer_pb2 as pb
+from ..links import peers
+from ..links import platform
+from ..runners import quarantine
+from ..vms import view as views
+
+from . import archive
+from . import book
+from . import calls
+from . import context as contexts
+from . import departing
+from . import desk
+from . import fleet
+from . import gateway
+from . import heir
+from . import keeper
+from . import messages
+from . import presence
+from . import rumours
+from . import store
+from . import watcher
+
+RECEIVE_S = 10.0
+BACKGROUND_THREADS = 512
+TASK_THREADS = 16
+#: Parts of a short notice that may pass before each step of the shutdown.
+NAMED_PART = 0.25
+HANDOVER_PART = 0.7
+SETTLE_S = 0.05
+
+
+class Node:
+    """A daemon, assembled.
+
+    :param config: the settings.
+    :param clock: drives every task.
+    """
+
+    def __init__(self, config: settings.Settings, clock: clocks.Clock) -> None:
+        self._config = config
+        self._clock = clock
+        self._rng = random.Random(secrets.randbits(64))
+        self._incarnation = int(clock.wall() * 1000)
+        self._metrics = metrics.Metrics(config.statsd)
+        self._presence = presence.Presence(config, self._rng)
+        self._stop_asked = threading.Event()
+        self._notice_until: float | None = None
+        self._pool = futures.ThreadPoolExecutor(TASK_THREADS, "task")
+        self._running: list[futures.Future[None]] = []
+        self._handlers = peers.Handlers()
+        self._link = peers.PeerLink(
+            config.peers.host, config.peers.port, self._handlers, clock
+        )
+        self._tasks: list[mailbox.Task] = []
+        self._make_tasks()
+        calls.register(self._handlers, self._context, self._rooms())
+        self._server = self._make_server()
+        self._departing: departing.Departing | None = None
+
+    @property
+    def callers_address(self) -> str:
+        """``host:port`` for callers."""
+        return f"{self._config.callers.host}:{self._server.port}"
+
+    def run(self) -> int:
+        """Serve until asked to stop, then stop gracefully.
+
+        :returns: the exit code of the process.
+        """
+        self._start()
+        self._stop_asked.wait()
+        return self._stop()
+
+    def ask_to_stop(self, notice_s: float | None = None) -> None:
+        """Begin a graceful shutdown; may be called from any thread.
+
+        :param notice_s: seconds until the VM is taken, or None.
+        """
+        if notice_s is not None:
+            until = self._clock.now() + notice_s
+            known = self._notice_until
+            self._notice_until = until if known is None else min(known, until)
+        self._stop_asked.set()
+
+    # What the fleet's task reports; see fleet.Listener.
+
+    def on_view(self, view: views.View) -> None:
+        """Pass the members on to the tasks that go by them."""
+        self._presence.seen(view)
+        here = view.names(self._config.data_centre)
+        self._keeper.tell(keeper.Shown(view.names(), here))
+        self._watcher.tell(watcher.ViewSeen(view))
+        self._desk.tell(messages.MembersSeen(frozenset(view.members)))
+        self._store.tell(store.FleetSize(view.size))
+        for member in view.members.values():
+            seen = book.OwnerSeen(member.vm, member.incarnation)
+            self._book.tell(seen)
+
+    def on_rumour(self, rumour: pb.Rumour, via: str) -> None:
+        """Give a rumour to the task that it concerns."""
+        age_s = rumour.age_ms / rumours.MS_PER_S
+        match rumour.WhichOneof("body"):
+            case "runner_leaving":
+                left_s = rumour.runner_leaving.deadline_s - age_s
+                name = rumour.runner_leaving.runner
+                self._noticed(name, max(0.0, left_s))
+            case "runner_gone":
+                gone = messages.RunnerGone(rumour.runner_gone.runner)
+                self._desk.tell(gone)
+            case "quarantine":
+                report = rumours.crash_of(rumour.quarantine, age_s)
+                self._desk.tell(messages.CrashHeard(report))
+            case "catalogue":
+                self._watcher.tell(watcher.Rumoured(rumour, via))
+            case "load":
+                load = rumours.load_of(rumour)
+                seen = messages.LoadSeen(rumour.load.runner, load)
+                self._desk.tell(seen)
+            case "prefix":
+                events = rumours.cache_of(rumour)
+                cached = messages.CacheSeen(rumour.prefix.runner, events)
+                self._desk.tell(cached)
+            case "demand":
+                demand = rumours.demand_of(rumour.demand)
+                self._desk.tell(messages.DemandHeard(demand, age_s))
+
+    def on_incarnation_ended(self, vm: str, incarnation: int) -> None:
+        """A process is gone for certain."""
+        self._book.tell(book.OwnerGone(vm, incarnation))
+        if self._departing is not None:
+            owner = departing.owner(vm, incarnation)
+            self._departing.tell(departing.OwnerGone(owner))
+
+    def on_catalogue_heard(self, version: int, digest: int, vm: str) -> None:
+        """A peer has a newer catalogue."""
+        self._watcher.tell(watcher.Heard(version, digest, vm))
+
+    def on_paused(self, seconds: float) -> None:
+        """Nothing to do: leases and keys check the clock when used."""
+
+    def on_superseded(self) -> None:
+        """A newer process runs under this VM's name: end."""
+        self.ask_to_stop(0.0)
+
+    def judge(
+        self, question: quarantine.MayRun
+    ) -> "futures.Future[quarantine.Decision]":
+        """Decide on a suspect as the judge of its pool."""
+        return self._desk.ask(messages.Judge(question))
+
+    def trial_over(self, report: quarantine.TrialOver) -> None:
+        """A trial that this VM handed out is over."""
+        self._desk.tell(messages.TrialOver(report))
+
+    def _make_tasks(self) -> None:
+        config = self._config
+        clock = self._clock
+        timing = config.timing
+        secret_rng = random.SystemRandom()
+        objects = platform.ObjectApi(
+            config.platform.objects, timing.platform_timeout_s
+        )
+        budget = call_budget.CallBudget(
+            clock,
+            config.sizes.store_reads_per_s,
+            config.sizes.store_writes_per_s,
+        )
+        self._store = store.Store(clock, objects, budget, self._metrics)
+        self._book = book.Book(
+            clock, secret_rng, config.vm, self._incarnation, self._store
+        )
+        self._archive = archive.Archive(
+            clock,
+            config.sizes.keep_outcomes_s,
+            config.sizes.keep_outcomes_bytes_max,
+        )
+        self._desk = desk.Desk(
+            clock,
+            self._rng,
+            config.vm,
+            config.data_centre,
+            self._metrics,
+            self._announce,
+        )
+        me = fleet.own_member(
+            config, str(config.callers), self._link.address, self._incarnation
+        )
+        self._fleet = fleet.Fleet(
+            clock, self._rng, config, self._link, me, self._metrics, self
+        )
+        cloud = platform.CloudApi(
+            config.platform.cloud, timing.platform_timeout_s
+        )
+        self._keeper = keeper.Keeper(
+            clock, config, cloud, self._desk, self._fleet, self._told_notice
+        )
+        self._watcher = watcher.Watcher(
+            clock,
+            self._rng,
+            config,
+            self._store,
+            self._fleet,
+            self._in_force,
+        )
+        self._background = futures.ThreadPoolExecutor(
+            BACKGROUND_THREADS, "background"
+        )
+        self._context = contexts.Context(
+            config,
+            clock,
+            histograms.Histograms(),
+            self._metrics,
+            self._desk,
+            self._archive,
+            self._book,
+            self._fleet,
+            self._background,
+            self._incarnation,
+        )
+        self._heir = heir.Heir(clock, self._context)
+        self._tasks = [
+            self._store,
+            self._book,
+            self._archive,
+            self._desk,
+            self._fleet,
+            self._keeper,
+            self._watcher,
+            self._heir,
+        ]
+
+    def _rooms(self) -> calls.Rooms:
+        return calls.Rooms(self._fleet, self._watcher, self._desk, self._heir)
+
+    def _make_server(self) -> callers.CallerServer:
+        sizes = self._config.sizes
+        return callers.CallerServer(
+            self._config.callers.host,
+            self._config.callers.port,
+            gateway.Gateway(self._context, self._presence),
+            self._fault,
+            sizes.caller_threads,
+            sizes.body_bytes_max,
+            sizes.header_bytes_max,
+            RECEIVE_S,
+        )
+
+    def _start(self) -> None:
+        self._presence.listening_at(self.callers_address)
+        self._link.start()
+        self._running = [self._pool.submit(task.run) for task in self._tasks]
+        self._running.append(self._pool.submit(self._server.run))
+        for running in self._running:
+            running.add_done_callback(self._task_ended)
+        self._fleet.ask(fleet.ViewWanted()).add_done_callback(self._first_view)
+        logs.event(
+            "started",
+            callers=self.callers_address,
+            peers=self._link.address,
+            incarnation=self._incarnation,
+        )
+
+    def _first_view(self, future: "futures.Future[views.View]") -> None:
+        if future.exception() is None:
+            self.on_view(future.result())
+
+    def _stop(self) -> int:
+        """End without cutting off a request that was accepted.
+
+        First callers are told to go elsewhere, while those who still know
+        this address are served. Then streams, answers and the ledger go to
+        peers. What can't be moved is waited for.
+        """
+        deadline = self._deadline()
+        logs.event("stopping", left_s=round(deadline - self._clock.now(), 3))
+        self._presence.leave()
+        self._fleet.tell(fleet.Leave())
+        self._sleep_until(self._named_until(deadline))
+        self._presence.take_no_more()
+        handed_over = self._hand_over(deadline)
+        ended = self._wait_for_calls(deadline)
+        if not ended:
+            logs.event("stop_cut_off")
+        self._shut_down()
+        logs.event("stopped", handed_over=handed_over)
+        return 0 if ended else 1
+
+    def _deadline(self) -> float:
+        now = self._clock.now()
+        longest = now + self._config.timing.stop_s
+        if self._notice_until is None:
+            return longest
+        return min(longest, self._notice_until)
+
+    def _named_until(self, deadline: float) -> float:
+        """When the answers that named this VM have run out.
+
+        A short notice leaves no time for that; callers that come later find
+        the port closed and ask another entry VM.
+        """
+        now = self._clock.now()
+        ttl_s = self._config.timing.entries_ttl_s
+        return now + min(ttl_s, NAMED_PART * (deadline - now))
+
+    def _hand_over(self, deadline: float) -> bool:
+        now = self._clock.now()
+        until = now + HANDOVER_PART * (deadline - now)
+        task = departing.Departing(
+            self._clock, self._context, self._presence, until
+        )
+        self._departing = task
+        running = self._pool.submit(task.run)
+        handed_over = task.ask(departing.HandOver())
+        try:
+            complete = handed_over.result(max(0.1, until - now + 1.0))
+        except futures.TimeoutError:
+            complete = False
+        task.stop()
+        running.result()
+        return bool(complete)
+
+    def _wait_for_calls(self, deadline: float) -> bool:
+        """Wait until callers have their answers.
+
+        :returns: whether all had them in time.
+        """
+        while self._clock.now() < deadline:
+            if not self._server.busy:
+                return True
+            threading.Event().wait(SETTLE_S)
+        return not self._server.busy
+
+    def _sleep_until(self, until: float) -> None:
+        while (left_s := until - self._clock.now()) > 0:
+            threading.Event().wait(min(left_s, 0.25))
+
+    def _shut_down(self) -> None:
+        departed = self._fleet.ask(fleet.Depart())
+        futures.wait([departed], self._config.timing.peer_timeout_s)
+        self._server.close()
+        for task in self._tasks:
+            task.stop()
+        futures.wait(self._running, 2.0)
+        self._link.stop(1.0)
+        self._background.shutdown(wait=False, cancel_futures=True)
+        self._pool.shutdown(wait=False)
+        self._metrics.close()
+
+    def _in_force(self, catalogue: catalogues.Catalogue) -> None:
+        self._context.put_in_force(catalogue)
+        message = messages.CatalogueInForce(catalogue)
+        self._desk.tell(message)
+        self._keeper.tell(message)
+        self._metrics.gauge("catalogue.version", catalogue.version)
+
+    def _announce(self, rumour: pb.Rumour) -> None:
+        self._fleet.tell(fleet.Announce(rumour))
+
+    def _told_notice(self, vm: str, left_s: float) -> None:
+        """The platform gave notice of a VM; tell the fleet at once."""
+        self._announce(rumours.of_runner_leaving(vm, left_s))
+        self._noticed(vm, left_s)
+
+    def _noticed(self, vm: str, left_s: float) -> None:
+        if vm == self._config.vm:
+            self.ask_to_stop(left_s)
+            return
+        self._desk.tell(messages.RunnerLeaving(vm, left_s))
+
+    def _task_ended(self, running: "futures.Future[None]") -> None:
+        """A task whose thread died would leave all others waiting on it.
+
+        It shows as requests that time out one after the other. Ending the
+        process lets callers and peers notice at once.
+        """
+        error = running.exception()
+        if error is not None:
+            logs.event("task_failed", task="ended", error=repr(error))
+            self.ask_to_stop(0.0)
+
+    def _fault(self, error: Exception) -> None:
+        logs.event("task_failed", task="callers", error=repr(error))
--- /dev/null
+++ b/src/apricotlever/daemon/sources.py
@@ -0,0 +1,418 @@
+"""Opens the exchanges that a pump reads: each attempt at an answer."""
+
+import time
+import typing
+
+from .. import logs
+from .. import refusals
+from ..contracts import retries
+from ..links import upstreams
+from ..requests import recovery
+from ..runners import crashes
+from ..runners import model as runners
+from ..runners import quarantine
+
+from . import context as contexts
+from . import fleet
+from . import flights
+from . import messages
+
+FIRST_BYTE_PATIENCE = 5
+LEAST_FIRST_BYTE_S = 3.0
+IMPORT_S = 5.0
+SETTLE_S = 0.5
+PRIORITY_HEADER = "Apricotlever-Priority"
+_NOT_FOUND = 404
+_CLIENT_ERRORS = (400, 413, 422)
+
+
+class Sources:
+    """The attempts of one request.
+
+    :param context: the daemon's tasks.
+    :param flight: the request.
+    """
+
+    __slots__ = (
+        "_context",
+        "_flight",
+        "_exchange",
+        "_broken_at",
+        "_on_trial",
+        "_sent",
+    )
+
+    def __init__(
+        self, context: contexts.Context, flight: flights.Flight
+    ) -> None:
+        self._context = context
+        self._flight = flight
+        self._exchange: upstreams.Exchange | None = None
+        self._broken_at = ""
+        self._on_trial = False
+        self._sent = False
+
+    def open(
+        self, step: recovery.Decision | None, tried: frozenset[str]
+    ) -> upstreams.Exchange:
+        """Make the next attempt.
+
+        :param step: what was decided, or None for the first attempt.
+        :param tried: runners that failed the request.
+        :returns: an exchange whose answer has begun.
+        :raises UpstreamError: when the attempt failed.
+        :raises Refusal: when there is no runner, or none is allowed.
+        """
+        if isinstance(step, recovery.ExportTo):
+            return self._moved_to(step.runner)
+        if isinstance(step, recovery.ResumeSame):
+            return self._resumed()
+        if isinstance(step, recovery.Replay):
+            logs.event(
+                "stream_replayed",
+                request=self._flight.request_id,
+                runner=step.runner,
+                tokens=len(step.resume_tokens),
+            )
+            self._context.metrics.count("streams.replayed")
+            return self._started(step.runner, tried)
+        return self._started("", tried)
+
+    def decided(self, broke: messages.StreamBroke) -> recovery.Decision:
+        """Ask the desk how to go on, waiting while no runner is free.
+
+        :param broke: the stream's situation.
+        :raises Refusal: when the request is given up.
+        """
+        while True:
+            context = self._context
+            decision = context.answer_of(context.desk.ask(broke))
+            if isinstance(decision, recovery.GiveUp):
+                raise self._refusal(
+                    refusals.GAVE_UP,
+                    "every attempt failed within the deadline",
+                    decision.retry_after_s,
+                )
+            if not isinstance(decision, recovery.Wait):
+                return decision
+            time.sleep(decision.seconds)
+
+    def check_budget(
+        self,
+        error: upstreams.UpstreamError,
+        tried: frozenset[str],
+        attempts: int,
+    ) -> retries.Retry:
+        """Ask for another attempt that a living runner made necessary.
+
+        :raises Refusal: when there is none.
+        """
+        flight = self._flight
+        question = messages.MayRetry(
+            flight.entry.name,
+            flight.entry.pool,
+            error.sent,
+            True,
+            attempts,
+            flight.left_s,
+            tried,
+        )
+        answer = self._context.answer_of(self._context.desk.ask(question))
+        if isinstance(answer, retries.NoRetry):
+            raise self._refusal(
+                refusals.GAVE_UP,
+                f"the upstream failed and is not tried again: "
+                f"{answer.reason.value}",
+                1.0,
+            )
+        return answer
+
+    def retry(
+        self,
+        error: upstreams.UpstreamError,
+        tried: frozenset[str],
+        attempts: int,
+    ) -> recovery.Decision:
+        """Go on when no runner was in use yet."""
+        self.check_budget(error, tried, attempts)
+        return recovery.Replay("", self._flight.transcript.tokens())
+
+    def ended(self, error: upstreams.UpstreamError) -> bool:
+        """Report the end of an attempt.
+
+        A connection that broke and a runner that then refuses or no longer
+        knows the stream mean that its process has ended. The other entry
+        VMs hear of it before the request runs again anywhere.
+
+        :returns: whether the runner died.
+        """
+        flight = self._flight
+        runner = flight.runner.name if flight.runner else ""
+        refused = isinstance(error, upstreams.ConnectFailed)
+        unknown = (
+            isinstance(error, upstreams.Declined)
+            and error.status == _NOT_FOUND
+        )
+        died = refused or unknown
+        crashed = died and runner != "" and self._broken_at == runner
+        broke = isinstance(error, upstreams.Broken)
+        self._broken_at = runner if broke else ""
+        if isinstance(error, upstreams.Declined):
+            self._check_blame(error)
+        if isinstance(error, upstreams.Silent) and runner:
+            self._cancel_later(runner)
+        if broke:
+            return False
+        report = self._context.answer_of(
+            self._context.desk.ask(
+                messages.AttemptEnded(
+                    flight.request_id, runners.Outcome.FAILED, crashed
+                )
+            )
+        )
+        self._spread(report, SETTLE_S)
+        return died
+
+    def close(
+        self, outcome: runners.Outcome, first_token_s: float | None
+    ) -> None:
+        """Report the end of the request and let its connection go.
+
+        :param outcome: how it ended.
+        :param first_token_s: time to the first token, or None.
+        """
+        flight = self._flight
+        if self._exchange is not None:
+            self._exchange.abandon()
+        ended = messages.RequestEnded(
+            flight.request_id,
+            outcome,
+            first_token_s,
+            flight.request.prompt_tokens + flight.resume_from,
+        )
+        future = self._context.desk.ask(ended)
+        if flight.attempt > 1 or self._on_trial:
+            self._spread(self._context.answer_of(future), 0.0)
+        if self._on_trial:
+            self._context.fleet.tell(
+                fleet.TrialDone(flight.entry.pool, self._trial_over())
+            )
+
+    def _trial_over(self) -> quarantine.TrialOver:
+        flight = self._flight
+        return quarantine.TrialOver(flight.fingerprint, flight.request_id)
+
+    def _check_blame(self, error: upstreams.Declined) -> None:
+        if error.status in _CLIENT_ERRORS:
+            raise self._refusal(
+                refusals.BAD_REQUEST,
+                f"the runner refused the request with {error.status}",
+                None,
+            )
+
+    def _started(
+        self, wanted: str, tried: frozenset[str]
+    ) -> upstreams.Exchange:
+        flight = self._flight
+        flight.attempt += 1
+        runner = self._place(wanted, tried)
+        tokens = flight.transcript.tokens()
+        body = flight.request.body_for(flight.entry.model, tokens)
+        exchange = self._connect(runner)
+        self._sent = True
+        exchange.send("POST", flight.request.path, self._headers(), body)
+        return self._checked(exchange)
+
+    def _resumed(self) -> upstreams.Exchange:
+        flight = self._flight
+        runner = flight.runner
+        assert runner is not None
+        flight.attempt += 1
+        return self._continued(runner)
+
+    def _moved_to(self, target: str) -> upstreams.Exchange:
+        flight = self._flight
+        old = flight.runner
+        assert old is not None
+        self._drop()
+        began = self._context.clock.now()
+        tokens = flight.request.prompt_tokens + flight.resume_from
+        desk = self._context.desk
+        try:
+            state = upstreams.call_json(
+                old.address,
+                "POST",
+                f"/v1/streams/{flight.request_id}/export",
+                {},
+                IMPORT_S,
+            )
+            flight.attempt += 1
+            runner = self._place(target, frozenset())
+            upstreams.call_json(
+                runner.address, "POST", "/v1/import", state, IMPORT_S
+            )
+        except upstreams.UpstreamError:
+            desk.tell(messages.MoveEnded(tokens, None))
+            raise
+        seconds = self._context.clock.now() - began
+        desk.tell(messages.MoveEnded(tokens, seconds))
+        self._context.metrics.count("streams.moved")
+        logs.event(
+            "stream_moved",
+            request=flight.request_id,
+            runner=runner.name,
+            before=old.name,
+            tokens=flight.resume_from,
+            seconds=seconds,
+        )
+        return self._continued(runner)
+
+    def _continued(self, runner: runners.Runner) -> upstreams.Exchange:
+        """Read the runner's own stream from the next token on."""
+        flight = self._flight
+        exchange = self._connect(runner)
+        path = f"/v1/streams/{flight.request_id}?from={flight.resume_from}"
+        exchange.send("GET", path, self._headers())
+        return self._checked(exchange)
+
+    def _connect(self, runner: runners.Runner) -> upstreams.Exchange:
+        self._drop()
+        first_token_s = self._flight.service_class.first_token_s
+        patience_s = max(
+            LEAST_FIRST_BYTE_S, FIRST_BYTE_PATIENCE * first_token_s
+        )
+        exchange = upstreams.Exchange(
+            runner.address, min(patience_s, max(0.1, self._flight.left_s))
+        )
+        self._exchange = exchange
+        self._flight.uses(runner, exchange.interrupt)
+        exchange.open()
+        return exchange
+
+    def _checked(self, exchange: upstreams.Exchange) -> upstreams.Exchange:
+        flight = self._flight
+        if exchange.status != 200:
+            status = exchange.status
+            body = exchange.read_all()[:256]
+            exchange.abandon()
+            raise upstreams.Declined(status, body)
+        exchange.check(flight.request_id, flight.attempt)
+        return exchange
+
+    def _headers(self) -> dict[str, str]:
+        flight = self._flight
+        return {
+            "Content-Type": "application/json",
+            "Connection": "close",
+            upstreams.REQUEST_HEADER: flight.request_id,
+            upstreams.ATTEMPT_HEADER: str(flight.attempt),
+            PRIORITY_HEADER: str(flight.service_class.priority),
+        }
+
+    def _place(self, wanted: str, tried: frozenset[str]) -> runners.Runner:
+        """A runner for the next attempt, from the desk or the judge."""
+        only = wanted
+        on_trial = False
+        while True:
+            answer = self._dispatch(only, tried, on_trial)
+            if isinstance(answer, runners.Route):
+                self._on_trial = on_trial
+                self._flight.runner = answer.runner
+                return answer.runner
+            verdict = self._context.answer_of(
+                self._context.fleet.ask(
+                    fleet.AskJudge(answer.pool, answer.question)
+                )
+            )
+            only, on_trial = self._obey(verdict)
+
+    def _dispatch(
+        self, only: str, tried: frozenset[str], on_trial: bool
+    ) -> typing.Any:
+        flight = self._flight
+        dispatch = messages.Dispatch(
+            flight.request_id,
+            flight.query(tried),
+            flight.fingerprint,
+            flight.attempt,
+            flight,
+            only,
+            on_trial,
+        )
+        try:
+            return self._context.answer_of(self._context.desk.ask(dispatch))
+        except refusals.Refusal as refusal:
+            raise self._refusal(
+                refusal.kind, refusal.message, refusal.retry_after_s
+            ) from refusal
+
+    def _obey(self, verdict: quarantine.Decision) -> tuple[str, bool]:
+        """What a judge's verdict means for the next question to the desk."""
+        if isinstance(verdict, quarantine.RefuseRun):
+            raise self._refusal(
+                refusals.QUARANTINED,
+                "requests like this one crashed the runners they ran on",
+                verdict.retry_after_s,
+            )
+        if isinstance(verdict, quarantine.RunAt):
+            return verdict.runner, True
+        if isinstance(verdict, quarantine.RunFreely):
+            return "", True
+        if self._flight.left_s < verdict.retry_after_s:
+            raise self._refusal(
+                refusals.QUARANTINED,
+                "a like request is being tried elsewhere",
+                verdict.retry_after_s,
+            )
+        time.sleep(verdict.retry_after_s)
+        return "", False
+
+    def _refusal(
+        self, kind: refusals.Kind, message: str, retry_after_s: float | None
+    ) -> refusals.Refusal:
+        executed = refusals.Executed.NO
+        if self._sent or self._flight.resume_from:
+            executed = refusals.Executed.UNKNOWN
+        return refusals.Refusal(
+            kind, message, executed, retry_after_s, self._flight.request_id
+        )
+
+    def _spread(self, report: crashes.Report | None, wait_s: float) -> None:
+        """Tell the other entry VMs of a death or a survival.
+
+        A caller that gets its answer sends the request again, perhaps to
+        another entry VM, at once. That VM must know by then.
+        """
+        if report is None:
+            return
+        future = self._context.fleet.ask(fleet.SpreadCrash(report))
+        if wait_s:
+            self._context.answer_of(future)
+
+    def _cancel_later(self, runner: str) -> None:
+        flight = self._flight
+        known = flight.runner
+        if known is None or known.name != runner:
+            return
+        self._context.background.submit(
+            cancel, known.address, flight.request_id
+        )
+
+    def _drop(self) -> None:
+        if self._exchange is not None:
+            self._exchange.abandon()
+            self._exchange = None
+
+
+def cancel(address: str, request_id: str) -> None:
+    """Tell a runner that nobody wants a stream any more.
+
+    A failure does no harm: the runner ends streams that nobody reads.
+
+    :param address: ``host:port`` of the runner.
+    :param request_id: names the stream.
+    """
+    try:
+        upstreams.call_json(address, "DELETE", f"/v1/streams/{request_id}")
+    except upstreams.UpstreamError as error:
+        logs.event("peer_call_failed", address=address, error=error.message)
--- /dev/null
+++ b/src/apricotlever/daemon/watcher.py
@@ -0,0 +1,303 @@
+"""The task that brings catalogue versions into force at this VM.
+
+It carries out what the configuration spread decides: holding the store's
+watch when this VM is one of the watchers, and fetching from peers.
+"""
+
+from concurrent import futures
+import random
+import typing
+
+from returns import result
+
+from .. import catalogue as catalogues
+from .. import clock as clocks
+from .. import logs
+from .. import mailbox
+from .. import settings
+from ..catalogue import edit
+from ..links import peer_pb2 as pb
+from ..links import platform
+from ..vms import spread
+from ..vms import spread_actions
+from ..vms import view as views
+
+from . import fleet
+from . import messages
+from . import store as stores
+
+TICK_S = 0.1
+BACKOFF_FIRST_S = 0.25
+BACKOFF_LAST_S = 2.0
+
+InForce = typing.Callable[[catalogues.Catalogue], None]
+
+
+class ViewSeen:
+    """The members changed."""
+
+    __slots__ = ("view",)
+
+    def __init__(self, view: views.View) -> None:
+        self.view = view
+
+
+class Heard:
+    """A peer mentioned the version that is in force there."""
+
+    __slots__ = ("version", "digest", "via")
+
+    def __init__(self, version: int, digest: int, via: str) -> None:
+        self.version = version
+        self.digest = digest
+        self.via = via
+
+
+class Rumoured:
+    """A rumour about a version came; it may carry the change."""
+
+    __slots__ = ("rumour", "via")
+
+    def __init__(self, rumour: pb.Rumour, via: str) -> None:
+        self.rumour = rumour
+        self.via = via
+
+
+class Serve:
+    """A peer asks for the catalogue; answered with the document."""
+
+    __slots__ = ("request",)
+
+    def __init__(self, request: pb.FetchCatalogue) -> None:
+        self.request = request
+
+
+class _Read:
+    """The object was read, or not."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(self, outcome: typing.Any) -> None:
+        self.outcome = outcome
+
+
+class _Watched:
+    """A wait for changes is over."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(self, outcome: typing.Any) -> None:
+        self.outcome = outcome
+
+
+class _Fetched:
+    """A peer answered a fetch, or not.
+
+    :param answer: None when it did not.
+    """
+
+    __slots__ = ("vm", "answer")
+
+    def __init__(self, vm: str, answer: pb.CatalogueDocument | None) -> None:
+        self.vm = vm
+        self.answer = answer
+
+
+class Watcher(mailbox.Task):
+    """Brings catalogues into force.
+
+    :param store: runs reads and watches.
+    :param others: the fleet's task, for fetches and rumours.
+    :param in_force: told of each catalogue that comes into force.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        config: settings.Settings,
+        store: mailbox.Task,
+        others: mailbox.Task,
+        in_force: InForce,
+    ) -> None:
+        super().__init__("watcher", clock, TICK_S)
+        self._config = config
+        self._store = store
+        self._others = others
+        self._in_force = in_force
+        self._parser = catalogues.Parser()
+        self._parsed = catalogues.EMPTY
+        self._spread = spread.ConfigurationSpread(
+            clock, rng, config.vm, config.data_centre, self._check
+        )
+        self._calling = False
+        self._read_at = float("inf")
+        self._backoff_s = BACKOFF_FIRST_S
+
+    @mailbox.handles(ViewSeen)
+    def _view_seen(self, message: ViewSeen) -> None:
+        self._carry_out(self._spread.look(message.view))
+
+    @mailbox.handles(Heard)
+    def _heard(self, message: Heard) -> None:
+        found = self._spread.heard(
+            message.version, message.digest, message.via
+        )
+        self._carry_out(found)
+
+    @mailbox.handles(Rumoured)
+    def _rumoured(self, message: Rumoured) -> None:
+        self._carry_out(self._spread.rumoured(message.rumour, message.via))
+
+    @mailbox.handles(Serve)
+    def _serve(self, message: Serve) -> pb.CatalogueDocument:
+        return self._spread.serve(message.request)
+
+    @mailbox.handles(_Fetched)
+    def _fetched(self, message: _Fetched) -> None:
+        if message.answer is None:
+            self._spread.fetch_failed(message.vm)
+            return
+        self._carry_out(self._spread.answered(message.vm, message.answer))
+
+    @mailbox.handles(_Read)
+    def _read(self, message: _Read) -> None:
+        self._calling = False
+        outcome = message.outcome
+        if isinstance(outcome, result.Success):
+            stored = outcome.unwrap()
+            self._backoff_s = BACKOFF_FIRST_S
+            self._carry_out(self._spread.stored(stored.version, stored.value))
+            self._watch(stored.version)
+        elif isinstance(outcome.failure(), platform.NotFound):
+            self._carry_out(self._spread.stored(0, None))
+            self._watch(0)
+        else:
+            self._back_off()
+
+    @mailbox.handles(_Watched)
+    def _watched(self, message: _Watched) -> None:
+        self._calling = False
+        outcome = message.outcome
+        if not isinstance(outcome, result.Success):
+            self._back_off()
+            return
+        self._backoff_s = BACKOFF_FIRST_S
+        seen = outcome.unwrap()
+        for event in seen.events:
+            if event.name == edit.CURRENT_NAME:
+                self._carry_out(
+                    self._spread.stored(event.version, event.value)
+                )
+        self._watch(seen.version)
+
+    @mailbox.handles(messages.StatusWanted)
+    def _status(self, message: messages.StatusWanted) -> dict[str, object]:
+        return {
+            "watches_catalogue": self._spread.watching,
+            "catalogue_digest": f"{self._spread.in_force.digest:016x}",
+        }
+
+    def tick(self) -> None:
+        """Fetch what is missing, and read the store when that is due."""
+        self._carry_out(self._spread.tick())
+        if self._spread.watching and self._clock.now() >= self._read_at:
+            self._start_read()
+
+    def failed(self, error: Exception) -> None:
+        """Log what no handler foresaw."""
+        logs.event("task_failed", task=self.name, error=repr(error))
+
+    def _check(
+        self, document: dict[str, typing.Any], version: int
+    ) -> str | None:
+        try:
+            self._parsed = self._parser.parse(
+                edit.without_edit(document), version
+            )
+        except catalogues.CatalogueInvalid as error:
+            return error.message
+        return None
+
+    def _carry_out(
+        self, found: typing.Iterable[spread_actions.SpreadAction]
+    ) -> None:
+        for action in found:
+            self._carry_out_one(action)
+
+    def _carry_out_one(self, action: spread_actions.SpreadAction) -> None:
+        match action:
+            case spread_actions.Watch():
+                self._read_at = self._clock.now()
+            case spread_actions.StopWatching():
+                self._read_at = float("inf")
+            case spread_actions.FetchFrom():
+                self._fetch(action)
+            case spread_actions.Apply():
+                self._apply(action)
+            case spread_actions.Announce():
+                self._others.tell(fleet.Announce(action.rumour))
+            case spread_actions.Fault():
+                logs.event(
+                    "catalogue_refused",
+                    version=action.version,
+                    source=action.source,
+                    fault=type(action).__name__,
+                    error=action.detail,
+                )
+
+    def _apply(self, action: spread_actions.Apply) -> None:
+        self._others.tell(fleet.CatalogueKnown(action.version, action.digest))
+        self._in_force(self._parsed)
+        logs.event(
+            "catalogue_in_force",
+            version=action.version,
+            digest=f"{action.digest:016x}",
+        )
+
+    def _fetch(self, action: spread_actions.FetchFrom) -> None:
+        call = fleet.CallPeer(
+            action.vm, 0, "Fetch", action.message, spread.FETCH_TIMEOUT_S
+        )
+
+        def ended(future: "futures.Future[typing.Any]") -> None:
+            failed = future.exception() is not None
+            answer = None if failed else future.result()
+            self.tell(_Fetched(action.vm, answer))
+
+        self._others.ask(call).add_done_callback(ended)
+
+    def _start_read(self) -> None:
+        def run(api: platform.ObjectApi) -> typing.Any:
+            return api.get(edit.CURRENT_NAME)
+
+        self._read_at = float("inf")
+        self._call(run, _Read)
+
+    def _watch(self, after: int) -> None:
+        wait_s = self._config.timing.watch_s
+
+        def run(api: platform.ObjectApi) -> typing.Any:
+            return api.watch(edit.CURRENT_NAME, after, wait_s)
+
+        if self._spread.watching:
+            self._call(run, _Watched)
+
+    def _call(
+        self, run: stores.Run, heard: type[_Read] | type[_Watched]
+    ) -> None:
+        if self._calling:
+            return
+        self._calling = True
+        call = stores.StoreCall(stores.Rank.CATALOGUE, stores.Kind.READ, run)
+
+        def ended(future: "futures.Future[typing.Any]") -> None:
+            if future.exception() is None:
+                self.tell(heard(future.result()))
+
+        self._store.ask(call).add_done_callback(ended)
+
+    def _back_off(self) -> None:
+        """Read again later; the watch can't be trusted to go on."""
+        self._read_at = self._clock.now() + self._backoff_s
+        self._backoff_s = min(BACKOFF_LAST_S, 2 * self._backoff_s)
--- /dev/null
+++ b/src/apricotlever/links/peers.py
@@ -0,0 +1,341 @@
+"""The link between entry VMs: grpclib on an asyncio loop of its own thread.
+
+The rest of the process never sees asyncio: calls return
+:class:`concurrent.futures.Future`, and handlers of incoming calls return a
+message or such a future.
+"""
+
+import asyncio
+from concurrent import futures
+import socket
+import typing
+
+from google.protobuf import message as protobuf
+from grpclib import const
+from grpclib import exceptions
+from grpclib import server
+
+from .. import clock as clocks
+from .. import errors
+from . import channels
+from . import peer_grpc
+
+Handler = typing.Callable[[typing.Any], typing.Any]
+
+DEFAULT_GRACE_S = 5.0
+KEEPALIVE_IDLE_S = 30
+KEEPALIVE_INTERVAL_S = 10
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MS = 30_000
+
+_REFUSALS = frozenset(
+    (const.Status.FAILED_PRECONDITION, const.Status.UNIMPLEMENTED)
+)
+
+
+class PeerError(errors.ApricotleverError):
+    """A call to another entry VM did not give an answer."""
+
+
+class PeerUnavailable(PeerError):
+    """No answer came: not reachable, timed out, or broken off.
+
+    :param address: the peer's "host:port".
+    :param reason: what was seen.
+    :param sent: False only when the call surely never left this VM; when
+        True the peer may have acted on it.
+    """
+
+    def __init__(self, address: str, reason: str, sent: bool) -> None:
+        super().__init__(f"peer {address} is unavailable: {reason}")
+        self.address = address
+        self.sent = sent
+
+
+class PeerRefused(PeerError):
+    """The peer answered that it will not do this; nothing was done.
+
+    :param address: the peer's "host:port"; empty when raised by a handler
+        to refuse an incoming call.
+    :param reason: the peer's own words.
+    """
+
+    def __init__(self, reason: str, address: str = "") -> None:
+        super().__init__(reason)
+        self.address = address
+
+
+class Handlers:
+    """Who answers which call; filled by the decorator :meth:`answers`."""
+
+    __slots__ = ("_by_method",)
+
+    def __init__(self) -> None:
+        self._by_method: dict[str, Handler] = {}
+
+    def answers(self, method: str) -> typing.Callable[[Handler], Handler]:
+        """Register the decorated function for one method of the service.
+
+        It runs on the loop's thread, so it has to return quickly: a message,
+        or a concurrent future of one. It refuses by :class:`PeerRefused`.
+
+        :param method: "Gossip", "Fetch", "Run", "Handover", "Crash" or
+            "Judge".
+        """
+
+        def register(handler: Handler) -> Handler:
+            self._by_method[method] = handler
+            return handler
+
+        return register
+
+    def get(self, method: str) -> Handler | None:
+        """The function registered, if any."""
+        return self._by_method.get(method)
+
+
+class _Service(peer_grpc.PeersBase):
+    """Hands every incoming call to its registered handler."""
+
+    def __init__(self, handlers: Handlers) -> None:
+        self._handlers = handlers
+        self._running = 0
+        self._closing = False
+
+    @property
+    def running(self) -> int:
+        """Calls that are being answered."""
+        return self._running
+
+    def refuse_new(self) -> None:
+        """Answer UNAVAILABLE to calls from now on."""
+        self._closing = True
+
+    async def Gossip(self, stream: typing.Any) -> None:
+        await self._serve("Gossip", stream)
+
+    async def Fetch(self, stream: typing.Any) -> None:
+        await self._serve("Fetch", stream)
+
+    async def Run(self, stream: typing.Any) -> None:
+        await self._serve("Run", stream)
+
+    async def Handover(self, stream: typing.Any) -> None:
+        await self._serve("Handover", stream)
+
+    async def Crash(self, stream: typing.Any) -> None:
+        await self._serve("Crash", stream)
+
+    async def Judge(self, stream: typing.Any) -> None:
+        await self._serve("Judge", stream)
+
+    async def _serve(self, method: str, stream: typing.Any) -> None:
+        message = await stream.recv_message()
+        if self._closing:
+            # FAILED_PRECONDITION, not UNAVAILABLE: it says that nothing
+            # was done, so the caller may go elsewhere.
+            raise _status(const.Status.FAILED_PRECONDITION, "stopping")
+        self._running += 1
+        try:
+            await stream.send_message(await self._answer(method, message))
+        finally:
+            self._running -= 1
+
+    async def _answer(
+        self, method: str, message: protobuf.Message
+    ) -> protobuf.Message:
+        handler = self._handlers.get(method)
+        if handler is None:
+            raise _status(const.Status.UNIMPLEMENTED, f"no {method} here")
+        try:
+            answer = handler(message)
+            if isinstance(answer, futures.Future):
+                # A caller that gives up cancels this coroutine; shielded,
+                # the future stays whole for the task that will settle it.
+                answer = await asyncio.shield(asyncio.wrap_future(answer))
+        except PeerRefused as error:
+            raise _status(const.Status.FAILED_PRECONDITION, error.message)
+        except Exception as error:
+            raise _status(const.Status.INTERNAL, str(error))
+        return answer
+
+
+class PeerLink:
+    """Serves peers' calls and makes calls to them.
+
+    :param host: the IP number to listen on.
+    :param port: 0 for any free one.
+    :param handlers: who answers incoming calls.
+    :param clock: gives the age of connections.
+    :param max_age_s: the age past which a connection takes no new call.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handlers: Handlers,
+        clock: clocks.Clock | None = None,
+        max_age_s: float = channels.MAX_AGE_S,
+    ) -> None:
+        self._socket = _listen(host, port)
+        self._service = _Service(handlers)
+        self._channels = channels.Channels(
+            clock or clocks.SystemClock(), max_age_s
+        )
+        self._loop = asyncio.new_event_loop()
+        self._executor = futures.ThreadPoolExecutor(1, "peers")
+        self._thread: futures.Future[None] | None = None
+        self._server: server.Server | None = None
+        self._stopping = False
+
+    @property
+    def address(self) -> str:
+        """The "host:port" that peers call."""
+        host, port = self._socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    @property
+    def open_channels(self) -> int:
+        """Connections to peers that are kept or still drain."""
+        return self._channels.open_count
+
+    def start(self) -> None:
+        """Run the loop on its thread and take calls."""
+        self._thread = self._executor.submit(self._run)
+        self._submit(self._start_server()).result()
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        message: protobuf.Message,
+        timeout_s: float,
+    ) -> "futures.Future[typing.Any]":
+        """Call a method of a peer.
+
+        :param address: the peer's "host:port".
+        :param method: a method of the service, such as "Gossip".
+        :param message: the request.
+        :param timeout_s: connecting included.
+        :returns: a future of the answer; it raises :class:`PeerUnavailable`
+            or :class:`PeerRefused`.
+        """
+        if self._stopping:
+            failed: futures.Future[typing.Any] = futures.Future()
+            failed.set_exception(
+                PeerUnavailable(address, "this VM is stopping", False)
+            )
+            return failed
+        return self._submit(self._call(address, method, message, timeout_s))
+
+    def stop(self, grace_s: float = DEFAULT_GRACE_S) -> None:
+        """Stop: refuse new calls, end those that run, close.
+
+        :param grace_s: how long calls in progress may still take.
+        """
+        if self._stopping or self._thread is None:
+            return
+        self._stopping = True
+        self._submit(self._stop_server(grace_s)).result()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.result()
+        self._executor.shutdown()
+
+    def _submit(
+        self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> "futures.Future[typing.Any]":
+        return asyncio.run_coroutine_threadsafe(work, self._loop)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+        self._loop.close()
+
+    async def _start_server(self) -> None:
+        self._server = server.Server([self._service])
+        await self._server.start(sock=self._socket)
+
+    async def _stop_server(self, grace_s: float) -> None:
+        assert self._server is not None
+        self._service.refuse_new()
+        give_up_at = self._loop.time() + grace_s
+        while self._service.running and self._loop.time() < give_up_at:
+            await asyncio.sleep(0.01)
+        self._server.close()
+        self._channels.close()
+        await self._server.wait_closed()
+
+    async def _call(
+        self,
+        address: str,
+        method: str,
+        message: protobuf.Message,
+        timeout_s: float,
+    ) -> protobuf.Message:
+        try:
+            lane = self._channels.borrow(address)
+        except ValueError:
+            raise PeerUnavailable(address, "not a host:port", False)
+        healthy = False
+        try:
+            answer = await self._exchange(
+                lane, address, method, message, timeout_s
+            )
+            healthy = True
+            return answer
+        except PeerRefused:
+            healthy = True
+            raise
+        finally:
+            self._channels.give_back(address, lane, healthy)
+
+    async def _exchange(
+        self,
+        lane: channels.Lane,
+        address: str,
+        method: str,
+        message: protobuf.Message,
+        timeout_s: float,
+    ) -> protobuf.Message:
+        give_up_at = self._loop.time() + timeout_s
+        try:
+            await asyncio.wait_for(lane.channel.__connect__(), timeout_s)
+        except (OSError, asyncio.TimeoutError) as error:
+            raise PeerUnavailable(address, _reason(error), False)
+        stub = peer_grpc.PeersStub(lane.channel)
+        left_s = max(0.001, give_up_at - self._loop.time())
+        try:
+            return await getattr(stub, method)(message, timeout=left_s)
+        except exceptions.GRPCError as error:
+            if error.status in _REFUSALS:
+                raise PeerRefused(error.message or "", address)
+            raise PeerUnavailable(address, _reason(error), True)
+        except (
+            OSError,
+            asyncio.TimeoutError,
+            exceptions.ProtocolError,
+            exceptions.StreamTerminatedError,
+        ) as error:
+            raise PeerUnavailable(address, _reason(error), True)
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    listener = socket.create_server((host, port), backlog=512)
+    # A peer whose end was lost without a FIN would otherwise hold its
+    # connection here for good; accepted sockets inherit these options.
+    tcp = socket.IPPROTO_TCP
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    listener.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    listener.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    listener.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return listener
+
+
+def _reason(error: BaseException) -> str:
+    return str(error) or type(error).__name__
+
+
+def _status(status: const.Status, message: str) -> exceptions.GRPCError:
+    return exceptions.GRPCError(status, message)
--- /dev/null
+++ b/src/apricotlever/links/upstreams.py
@@ -0,0 +1,437 @@
+"""The HTTP link to upstreams: runners and plain services.
+
+An exchange is owned by the one thread that opened it. Its connection is
+used again only when the exchange ended cleanly, for an idempotent call,
+within a bounded age.
+"""
+
+from http import client as http
+import json
+import queue
+import socket
+import threading
+import typing
+
+from .. import clock as clocks
+from .. import errors
+
+CONNECT_S = 1.0
+POOLED_AGE_S = 20.0
+POOLED_PER_UPSTREAM = 32
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_MS = 6000
+READ_BYTES = 65536
+ANSWER_BYTES_MAX = 32 * 1024 * 1024
+REQUEST_HEADER = "Apricotlever-Request"
+ATTEMPT_HEADER = "Apricotlever-Attempt"
+
+
+class UpstreamError(errors.ApricotleverError):
+    """An exchange that did not end with a whole answer.
+
+    :param message: what happened, for the log.
+    :param sent: whether the upstream may have seen the request.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self._sent = sent
+
+    @property
+    def sent(self) -> bool:
+        """Whether the upstream may have seen the request."""
+        return self._sent
+
+
+class ConnectFailed(UpstreamError):
+    """No connection came about, so the upstream saw nothing."""
+
+
+class Silent(UpstreamError):
+    """The connection stands, and nothing came within the deadline."""
+
+
+class Broken(UpstreamError):
+    """The connection ended before the answer did."""
+
+
+class Mismatched(UpstreamError):
+    """The answer belongs to another request or attempt.
+
+    A late answer on a connection that was used again would otherwise reach
+    the wrong caller; the echoed request ID shows it.
+    """
+
+
+class TooLarge(UpstreamError):
+    """The answer exceeds what one request may hold in memory."""
+
+
+class Declined(UpstreamError):
+    """The upstream answered with an error status.
+
+    :param status: its HTTP status.
+    :param body: the start of its body.
+    """
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(f"the upstream answered {status}", sent=True)
+        self._status = status
+        self._body = body
+
+    @property
+    def status(self) -> int:
+        """The upstream's HTTP status."""
+        return self._status
+
+    @property
+    def body(self) -> bytes:
+        """The start of the upstream's body."""
+        return self._body
+
+
+class _Connection(http.HTTPConnection):
+    """A connection whose death is noticed sooner than TCP would.
+
+    A path that lost track of the connection drops packets both ways without
+    a reset. Keepalive shows it while we listen, the user timeout while we
+    send; the deadlines of each phase are the first line of defence.
+    """
+
+    def connect(self) -> None:
+        super().connect()
+        sock = self.sock
+        tcp = socket.IPPROTO_TCP
+        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
+        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+class Exchange:
+    """One request to one upstream, and its answer.
+
+    :param address: ``host:port`` of the upstream.
+    :param first_byte_s: how long the answer may take to begin.
+    :param pool: where a clean connection is taken from and put back, or
+        None to use a new one.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        first_byte_s: float,
+        pool: "Pool | None" = None,
+    ) -> None:
+        self._address = address
+        self._first_byte_s = first_byte_s
+        self._pool = pool
+        self._connection: _Connection | None = None
+        # http.client drops its reference once the answer says that the
+        # connection will close; deadlines and interrupts still need one.
+        self._sock: socket.socket | None = None
+        self._opened_at = 0.0
+        self._response: http.HTTPResponse | None = None
+        self._interrupted = threading.Event()
+
+    @property
+    def status(self) -> int:
+        """The answer's HTTP status; 0 before the answer began."""
+        return self._response.status if self._response else 0
+
+    @property
+    def interrupted(self) -> bool:
+        """Whether :meth:`interrupt` was called."""
+        return self._interrupted.is_set()
+
+    def header(self, name: str) -> str:
+        """A header of the answer, or an empty string.
+
+        :param name: the header's name.
+        """
+        if self._response is None:
+            return ""
+        return self._response.getheader(name, "") or ""
+
+    def headers(self) -> list[tuple[str, str]]:
+        """All headers of the answer."""
+        return self._response.getheaders() if self._response else []
+
+    def open(self) -> None:
+        """Connect, or take a connection that ended its last use cleanly.
+
+        :raises ConnectFailed: when there is no connection.
+        """
+        pooled = self._pool.take(self._address) if self._pool else None
+        if pooled is not None:
+            self._connection = pooled.connection
+            self._sock = pooled.connection.sock
+            self._opened_at = pooled.opened_at
+            return
+        host, _, port = self._address.rpartition(":")
+        connection = _Connection(host, int(port), timeout=CONNECT_S)
+        try:
+            connection.connect()
+        except OSError as error:
+            connection.close()
+            message = f"no connection to {self._address}: {error}"
+            raise ConnectFailed(message, sent=False) from error
+        self._connection = connection
+        self._sock = connection.sock
+        self._opened_at = self._pool.now() if self._pool else 0.0
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: typing.Mapping[str, str],
+        body: bytes | None = None,
+    ) -> None:
+        """Send the request and wait until the answer begins.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param headers: names and values.
+        :param body: the request's body.
+        :raises Silent: when the answer did not begin in time.
+        :raises Broken: when the connection ended first.
+        """
+        connection = self._live()
+        connection.sock.settimeout(self._first_byte_s)
+        try:
+            connection.request(method, path, body, dict(headers))
+            self._response = connection.getresponse()
+        except TimeoutError as error:
+            raise self._failed(Silent, "no answer began", error) from error
+        except (OSError, http.HTTPException) as error:
+            raise self._failed(Broken, "broke off", error) from error
+
+    def check(self, request_id: str, attempt: int) -> None:
+        """Verify that the answer is to this request and attempt.
+
+        :param request_id: the ID sent.
+        :param attempt: the attempt number sent.
+        :raises Mismatched: when the upstream echoed another.
+        """
+        echoed = self.header(REQUEST_HEADER)
+        echoed_attempt = self.header(ATTEMPT_HEADER)
+        wrong_id = echoed not in ("", request_id)
+        wrong_attempt = echoed_attempt not in ("", str(attempt))
+        if wrong_id or wrong_attempt:
+            self.abandon()
+            message = f"{self._address} answered {echoed} {echoed_attempt}"
+            raise Mismatched(message, sent=True)
+
+    def patience(self, seconds: float) -> None:
+        """Set how long each further read may wait.
+
+        :param seconds: the deadline between two reads.
+        """
+        if self._sock is not None:
+            self._sock.settimeout(seconds)
+
+    def read_some(self) -> bytes:
+        """The next bytes of the body, empty at its end.
+
+        :raises Silent: when nothing came in time.
+        :raises Broken: when the connection ended before the body did.
+        """
+        assert self._response is not None
+        try:
+            return self._response.read1(READ_BYTES)
+        except TimeoutError as error:
+            raise self._failed(Silent, "fell silent", error) from error
+        except (OSError, ValueError, http.HTTPException) as error:
+            raise self._failed(Broken, "broke off", error) from error
+
+    def read_all(self, limit: int = ANSWER_BYTES_MAX) -> bytes:
+        """The whole body.
+
+        :param limit: the most bytes to hold.
+        :raises TooLarge: when the body is longer.
+        :raises Silent: when nothing came in time.
+        :raises Broken: when the connection ended before the body did.
+        """
+        chunks: list[bytes] = []
+        size = 0
+        while chunk := self.read_some():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                self.abandon()
+                raise TooLarge("the answer is too large", sent=True)
+        self._expect_whole(size)
+        return b"".join(chunks)
+
+    def interrupt(self) -> None:
+        """Wake the owner's blocked read; may be called from any thread.
+
+        The owner then sees the end of the connection and finds
+        :attr:`interrupted` set.
+        """
+        self._interrupted.set()
+        sock = self._sock
+        if sock is None:
+            return
+        try:
+            sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The owner closed it in the meantime and will look at the flag.
+            return
+
+    def finish(self) -> None:
+        """End cleanly; the connection may serve again."""
+        connection = self._connection
+        response = self._response
+        self._connection = None
+        self._sock = None
+        if connection is None or response is None:
+            return
+        reusable = response.isclosed() and not response.will_close
+        if self._pool is not None and reusable and connection.sock:
+            self._pool.put(self._address, connection, self._opened_at)
+            return
+        connection.close()
+        response.close()
+
+    def abandon(self) -> None:
+        """End the connection; it is never used again."""
+        connection = self._connection
+        self._connection = None
+        self._sock = None
+        if self._response is not None:
+            self._response.close()
+        if connection is not None:
+            connection.close()
+
+    def _live(self) -> _Connection:
+        assert self._connection is not None
+        return self._connection
+
+    def _expect_whole(self, size: int) -> None:
+        # http.client ends a read1 loop without an error when the connection
+        # closes before Content-Length bytes came; the caller would take a
+        # part for the whole.
+        announced = self.header("Content-Length")
+        if announced.isdigit() and size < int(announced):
+            self.abandon()
+            raise Broken("the answer was cut short", sent=True)
+
+    def _failed(
+        self, kind: type[UpstreamError], what: str, cause: Exception
+    ) -> UpstreamError:
+        self.abandon()
+        return kind(f"{self._address} {what}: {cause}", sent=True)
+
+
+class _Pooled:
+    """A clean connection and when it was opened."""
+
+    __slots__ = ("connection", "opened_at")
+
+    def __init__(self, connection: _Connection, opened_at: float) -> None:
+        self.connection = connection
+        self.opened_at = opened_at
+
+
+class Pool:
+    """Connections that ended their last exchange cleanly.
+
+    A connection's age is bounded, because one that the network has lost
+    track of looks alive until it is used.
+
+    :param clock: tells ages.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._idle: dict[str, queue.LifoQueue[_Pooled]] = {}
+
+    def now(self) -> float:
+        """The clock's reading in seconds."""
+        return self._clock.now()
+
+    def take(self, address: str) -> _Pooled | None:
+        """A connection young enough, or None.
+
+        :param address: ``host:port`` of the upstream.
+        """
+        idle = self._idle.get(address)
+        while idle is not None:
+            try:
+                pooled = idle.get_nowait()
+            except queue.Empty:
+                return None
+            if self._clock.now() - pooled.opened_at < POOLED_AGE_S:
+                return pooled
+            pooled.connection.close()
+        return None
+
+    def put(
+        self, address: str, connection: _Connection, opened_at: float
+    ) -> None:
+        """Keep a connection for the next exchange.
+
+        :param address: ``host:port`` of the upstream.
+        :param connection: an idle connection.
+        :param opened_at: when it was opened, by this pool's clock.
+        """
+        fresh: queue.LifoQueue[_Pooled] = queue.LifoQueue(POOLED_PER_UPSTREAM)
+        idle = self._idle.setdefault(address, fresh)
+        try:
+            idle.put_nowait(_Pooled(connection, opened_at))
+        except queue.Full:
+            connection.close()
+
+    def forget(self, address: str) -> None:
+        """Close what is kept for an upstream that failed.
+
+        :param address: ``host:port`` of the upstream.
+        """
+        idle = self._idle.pop(address, None)
+        while idle is not None:
+            try:
+                idle.get_nowait().connection.close()
+            except queue.Empty:
+                return
+
+
+def call_json(
+    address: str,
+    method: str,
+    path: str,
+    document: typing.Any = None,
+    timeout_s: float = 2.0,
+    pool: Pool | None = None,
+) -> typing.Any:
+    """One small JSON exchange.
+
+    :param address: ``host:port`` of the upstream.
+    :param method: HTTP method.
+    :param path: path with query.
+    :param document: what to send as JSON, or None for no body.
+    :param timeout_s: deadline of the connection and of each read.
+    :param pool: connections to use again; None for a new one.
+    :returns: the decoded answer.
+    :raises UpstreamError: when there is no whole 2xx answer.
+    """
+    exchange = Exchange(address, timeout_s, pool)
+    exchange.open()
+    body = None if document is None else json.dumps(document).encode()
+    headers = {"Content-Type": "application/json"}
+    if pool is None:
+        headers["Connection"] = "close"
+    exchange.send(method, path, headers, body)
+    content = exchange.read_all()
+    status = exchange.status
+    exchange.finish()
+    if not 200 <= status < 300:
+        raise Declined(status, content[:512])
+    try:
+        return json.loads(content or b"null")
+    except ValueError as error:
+        message = f"{address} sent no JSON: {error}"
+        raise Broken(message, sent=True) from error
--- /dev/null
+++ b/src/apricotlever/logs.py
@@ -0,0 +1,173 @@
+"""Logs: one line of key=value pairs for each event, on standard error.
+
+Every event is registered here with its level and one line of meaning; the
+operators' page lists the same names, and a test compares the two.
+"""
+
+import json
+import re
+import sys
+import typing
+
+import logbook
+
+_PLAIN = re.compile(r"[!#-<>-\[\]-~]+")
+_LINE = (
+    "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
+    "level={record.level_name} {record.message}"
+)
+
+DEBUG = logbook.DEBUG
+INFO = logbook.INFO
+WARNING = logbook.WARNING
+ERROR = logbook.ERROR
+
+_LEVELS = {"debug": DEBUG, "info": INFO, "warning": WARNING, "error": ERROR}
+
+
+class Event:
+    """What is known about an event before it happens.
+
+    :param level: one of the levels of this module.
+    :param meaning: one line for operators.
+    """
+
+    __slots__ = ("level", "meaning")
+
+    def __init__(self, level: int, meaning: str) -> None:
+        self.level = level
+        self.meaning = meaning
+
+
+EVENTS: dict[str, Event] = {
+    "started": Event(INFO, "The daemon serves callers."),
+    "settings_invalid": Event(ERROR, "The settings were refused."),
+    "stopping": Event(INFO, "A graceful shutdown began."),
+    "stopped": Event(INFO, "The daemon has ended."),
+    "stop_cut_off": Event(
+        ERROR, "The graceful shutdown ran out of time with requests left."
+    ),
+    "task_failed": Event(ERROR, "A task met an error that it can't name."),
+    "paused": Event(
+        WARNING, "This process stood still; its leases are held to be lost."
+    ),
+    "catalogue_in_force": Event(INFO, "A catalogue version came into force."),
+    "catalogue_refused": Event(
+        ERROR, "A catalogue in the store is invalid; the old one stays."
+    ),
+    "platform_call_failed": Event(
+        WARNING, "A call to the platform failed or has an unknown outcome."
+    ),
+    "platform_down": Event(WARNING, "The object API stopped answering."),
+    "platform_up": Event(INFO, "The object API answers again."),
+    "member_joined": Event(INFO, "An entry VM joined the view."),
+    "member_suspected": Event(INFO, "An entry VM did not answer probes."),
+    "member_leaving": Event(INFO, "An entry VM said that it leaves."),
+    "member_dead": Event(WARNING, "An entry VM is held to be gone."),
+    "peer_call_failed": Event(DEBUG, "A call to another entry VM failed."),
+    "lease_taken": Event(INFO, "This VM holds a duty's lease."),
+    "lease_lost": Event(WARNING, "This VM no longer holds a duty's lease."),
+    "order_sent": Event(INFO, "A runner took an order."),
+    "order_refused": Event(
+        WARNING, "A runner refused an order with an old fencing number."
+    ),
+    "order_failed": Event(WARNING, "An order has no known outcome yet."),
+    "runner_found": Event(INFO, "A runner may be given work."),
+    "runner_leaving": Event(
+        INFO, "A runner is being reclaimed; it gets no new work."
+    ),
+    "runner_gone": Event(INFO, "A runner is no longer in the platform."),
+    "runner_unhealthy": Event(WARNING, "A runner's circuit breaker opened."),
+    "runner_healthy": Event(INFO, "A runner's circuit breaker closed."),
+    "cache_events_missed": Event(
+        DEBUG, "A runner's cache events have a gap; its index is dropped."
+    ),
+    "vm_bought": Event(INFO, "The cloud API started a VM."),
+    "vm_refused": Event(WARNING, "The cloud API refused to start a VM."),
+    "vm_released": Event(INFO, "A VM was given back."),
+    "request_refused": Event(INFO, "A request was refused and not run."),
+    "request_retried": Event(INFO, "An attempt failed and another began."),
+    "request_ended": Event(INFO, "A request has its outcome."),
+    "request_unknown": Event(
+        ERROR, "A non-idempotent call may have run and is not sent again."
+    ),
+    "request_quarantined": Event(
+        ERROR, "A request that crashed runners is refused everywhere."
+    ),
+    "stream_moved": Event(INFO, "A stream went on at another runner."),
+    "stream_replayed": Event(
+        WARNING, "A stream's tokens were computed again elsewhere."
+    ),
+    "stream_broken": Event(ERROR, "A stream ended without its last token."),
+    "handover_sent": Event(INFO, "The heir took this VM's requests."),
+    "handover_taken": Event(INFO, "A leaving VM's requests came here."),
+    "handover_failed": Event(
+        ERROR, "No heir took this VM's requests or ledger."
+    ),
+    "ledger_full": Event(WARNING, "The ledger refuses new keys."),
+}
+
+_logger = logbook.Logger("apricotlever")
+_installed: list[logbook.Handler] = []
+_constant: dict[str, str] = {}
+
+
+def setup(
+    vm: str, level: str = "info", stream: typing.TextIO | None = None
+) -> None:
+    """Send this process's events to a stream; replaces an earlier set-up.
+
+    :param vm: stands on each line.
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :param stream: standard error when None.
+    """
+    teardown()
+    logbook.set_datetime_format("utc")
+    handler = logbook.StreamHandler(
+        stream or sys.stderr, level=_LEVELS[level], format_string=_LINE
+    )
+    handler.push_application()
+    _installed.append(handler)
+    _constant["vm"] = vm
+
+
+def teardown() -> None:
+    """Undo :func:`setup`."""
+    while _installed:
+        _installed.pop().pop_application()
+    _constant.clear()
+
+
+def event(name: str, **fields: typing.Any) -> None:
+    """Log an event.
+
+    Nothing is written before :func:`setup`. Bearer keys, prompts and
+    answers don't belong into fields.
+
+    :param name: a name in ``EVENTS``.
+    :param fields: what else stands on the line, in this order.
+    """
+    if not _installed:
+        return
+    known = EVENTS.get(name)
+    level = known.level if known else ERROR
+    _logger.log(level, line(event=name, **_constant, **fields))
+
+
+def line(**fields: typing.Any) -> str:
+    """Fields as ``key=value`` pairs; None is left out."""
+    return " ".join(
+        f"{key}={quoted(value)}"
+        for key, value in fields.items()
+        if value is not None
+    )
+
+
+def quoted(value: typing.Any) -> str:
+    """A value as one word, or as a JSON string when it is not one.
+
+    An unquoted line break or space would let a caller's text forge further
+    events or fields.
+    """
+    text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
--- a/src/apricotlever/mailbox.py
+++ b/src/apricotlever/mailbox.py
@@ -128,7 +128,7 @@
             if envelope is None:
                 break
             if envelope.message is not None:
-                self._dispatch(envelope)
+                self._handle(envelope)
             if self._clock.now() >= next_tick:
                 self._guarded_tick()
                 next_tick = self._clock.now() + self._tick_s
@@ -155,7 +155,7 @@
         """
         return self._current or futures.Future()
 
-    def _dispatch(self, envelope: _Envelope) -> None:
+    def _handle(self, envelope: _Envelope) -> None:
         self._current = envelope.future
         try:
             handler = self._handlers[type(envelope.message)]
--- /dev/null
+++ b/src/apricotlever/metrics.py
@@ -0,0 +1,95 @@
+"""Metrics, sent to a statsd server when the settings name one.
+
+Every metric is registered here with one line of meaning; the operators'
+page lists the same names, and a test compares the two.
+"""
+
+import re
+
+import statsd
+
+from . import settings
+
+PREFIX = "apricotlever"
+_NOT_IN_A_PART = re.compile(r"[^A-Za-z0-9_-]")
+
+METRICS: dict[str, str] = {
+    "requests.admitted": "Requests admitted, by customer.",
+    "requests.refused": "Requests refused and not run, by reason.",
+    "requests.ended": "Requests with an outcome, by outcome.",
+    "requests.retried": "Attempts after the first.",
+    "requests.unknown": "Non-idempotent calls with an unknown outcome.",
+    "requests.quarantined": "Requests refused since they crash runners.",
+    "requests.in_flight": "Requests in flight at this VM.",
+    "requests.queued": "Requests waiting for admission at this VM.",
+    "latency.first_token": "Seconds to the first token, by class.",
+    "latency.whole": "Seconds to the whole answer, by class.",
+    "streams.moved": "Streams that went on at another runner.",
+    "streams.replayed": "Streams whose tokens were computed again.",
+    "streams.broken": "Streams that ended without their last token.",
+    "tokens.sent": "Tokens sent to callers.",
+    "tokens.recomputed": "Tokens computed again, as estimated here.",
+    "routing.cached_tokens": "Prompt tokens expected in runners' caches.",
+    "routing.no_runner": "Requests for which no runner was found.",
+    "runners.known": "Runners that may be given work.",
+    "runners.unhealthy": "Runners whose circuit breaker is open.",
+    "members.alive": "Entry VMs alive in this VM's view.",
+    "catalogue.version": "The catalogue version in force at this VM.",
+    "platform.calls": "Calls to the object API, by rank.",
+    "platform.failed": "Calls to the platform that failed, by kind.",
+    "platform.held_back": "Calls that the call budget held back, by rank.",
+    "peers.calls": "Calls to other entry VMs.",
+    "peers.failed": "Calls to other entry VMs that failed.",
+    "ledger.keys": "Idempotency keys that the ledger holds.",
+    "cost.per_hour": "What the VMs of an entry cost per hour.",
+}
+
+
+class Metrics:
+    """Sends counts, gauges and times over UDP; never fails, never waits.
+
+    :param address: a statsd server, None to send nothing.
+    :param prefix: stands before each name.
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(
+        self, address: settings.Address | None, prefix: str = PREFIX
+    ) -> None:
+        self._client = _client(address, prefix) if address else None
+
+    def count(self, name: str, n: int = 1, of: str = "") -> None:
+        """Add to a counter.
+
+        :param name: a name in ``METRICS``.
+        :param n: how much.
+        :param of: what the counter is split by, such as a customer.
+        """
+        if self._client:
+            self._client.incr(_full_name(name, of), n)
+
+    def gauge(self, name: str, value: float, of: str = "") -> None:
+        """Set a gauge; see :meth:`count` for the parameters."""
+        if self._client:
+            self._client.gauge(_full_name(name, of), value)
+
+    def timing(self, name: str, seconds: float, of: str = "") -> None:
+        """Send a time; see :meth:`count` for the other parameters."""
+        if self._client:
+            self._client.timing(_full_name(name, of), seconds * 1000.0)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._client:
+            self._client.close()
+
+
+def _client(address: settings.Address, prefix: str) -> statsd.StatsClient:
+    return statsd.StatsClient(
+        address.host, address.port, prefix=prefix, ipv6=":" in address.host
+    )
+
+
+def _full_name(name: str, of: str) -> str:
+    return f"{name}.{_NOT_IN_A_PART.sub('_', of)}" if of else name
--- /dev/null
+++ b/src/apricotlever/runners/model.py
@@ -0,0 +1,214 @@
+"""Runners, and the messages that routing takes and returns."""
+
+import enum
+
+
+class Runner:
+    """One upstream, as the platform's list describes it.
+
+    :param name: unique for the life of the VM that it runs on.
+    :param address: ``host:port``.
+    :param data_centre: where it runs.
+    :param pool: catalogue entries send to a pool.
+    :param market: ``reclaimable`` or ``on_demand``.
+    :param machine: the machine class.
+    :param price_per_hour: of the whole runner.
+    :param slots: requests that it runs side by side.
+    """
+
+    __slots__ = (
+        "name",
+        "address",
+        "data_centre",
+        "pool",
+        "market",
+        "machine",
+        "price_per_hour",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        data_centre: str,
+        pool: str,
+        market: str,
+        machine: str,
+        price_per_hour: float,
+        slots: int,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.pool = pool
+        self.market = market
+        self.machine = machine
+        self.price_per_hour = price_per_hour
+        self.slots = slots
+
+
+class Outcome(enum.Enum):
+    """How a request ended at its runner."""
+
+    DONE = "done"
+    #: The caller or the system ended it; it says nothing about the runner.
+    CANCELLED = "cancelled"
+    #: The runner broke, refused or timed out.
+    FAILED = "failed"
+
+
+class Query:
+    """A request that wants a runner.
+
+    :param blocks: the chain of prompt block hashes, empty for services.
+    :param prompt_tokens: of the whole prompt.
+    :param expected_tokens: of the answer.
+    :param priority: 0 to 9, higher first.
+    :param excluded: runners that must not be chosen.
+    :param wanted_first_token_s: the class's latency target.
+    """
+
+    __slots__ = (
+        "entry",
+        "pool",
+        "model",
+        "blocks",
+        "prompt_tokens",
+        "expected_tokens",
+        "priority",
+        "excluded",
+        "wanted_first_token_s",
+    )
+
+    def __init__(
+        self,
+        entry: str,
+        pool: str,
+        model: str,
+        blocks: tuple[int, ...] = (),
+        prompt_tokens: int = 0,
+        expected_tokens: int = 0,
+        priority: int = 0,
+        excluded: frozenset[str] = frozenset(),
+        wanted_first_token_s: float = 1.0,
+    ) -> None:
+        self.entry = entry
+        self.pool = pool
+        self.model = model
+        self.blocks = blocks
+        self.prompt_tokens = prompt_tokens
+        self.expected_tokens = expected_tokens
+        self.priority = priority
+        self.excluded = excluded
+        self.wanted_first_token_s = wanted_first_token_s
+
+
+class Route:
+    """The runner chosen for a query.
+
+    :param runner: the whole description, with its address.
+    :param expected_first_token_s: what the choice was based on.
+    :param cached_blocks: prompt blocks that the runner likely holds.
+    """
+
+    __slots__ = ("runner", "expected_first_token_s", "cached_blocks")
+
+    def __init__(
+        self,
+        runner: Runner,
+        expected_first_token_s: float,
+        cached_blocks: int,
+    ) -> None:
+        self.runner = runner
+        self.expected_first_token_s = expected_first_token_s
+        self.cached_blocks = cached_blocks
+
+
+class NoRunnerReason(enum.Enum):
+    """Why no runner could be chosen."""
+
+    EMPTY_POOL = "empty_pool"
+    ALL_LEAVING = "all_leaving"
+    ALL_EXCLUDED = "all_excluded"
+    ALL_UNHEALTHY = "all_unhealthy"
+
+
+class NoRunner:
+    """No runner can take the query now.
+
+    :param retry_after_s: when it is worth asking again.
+    """
+
+    __slots__ = ("reason", "retry_after_s")
+
+    def __init__(self, reason: NoRunnerReason, retry_after_s: float) -> None:
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class LoadReport:
+    """A runner's own account of its load.
+
+    :param age_s: how old the figures were when they were read.
+    """
+
+    __slots__ = (
+        "running",
+        "waiting",
+        "slots",
+        "blocks_used",
+        "blocks",
+        "tokens_per_s",
+        "age_s",
+    )
+
+    def __init__(
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        blocks_used: int = 0,
+        blocks: int = 0,
+        tokens_per_s: float = 0.0,
+        age_s: float = 0.0,
+    ) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+        self.blocks_used = blocks_used
+        self.blocks = blocks
+        self.tokens_per_s = tokens_per_s
+        self.age_s = age_s
+
+
+class CacheEvent:
+    """Blocks that a runner stored in, or removed from, its cache."""
+
+    __slots__ = ("seq", "stored", "blocks")
+
+    def __init__(self, seq: int, stored: bool, blocks: tuple[int, ...]):
+        self.seq = seq
+        self.stored = stored
+        self.blocks = blocks
+
+
+class CacheEvents:
+    """One answer of a runner to the question for its cache events.
+
+    :param events: in order of ``seq``; numbers may be missing.
+    :param last: the newest sequence number that the runner gave out.
+    :param first_kept: the oldest one that it still remembers.
+    """
+
+    __slots__ = ("events", "last", "first_kept")
+
+    def __init__(
+        self,
+        events: tuple[CacheEvent, ...],
+        last: int,
+        first_kept: int = 0,
+    ) -> None:
+        self.events = events
+        self.last = last
+        self.first_kept = first_kept
--- /dev/null
+++ b/src/apricotlever/settings.py
@@ -0,0 +1,220 @@
+"""Settings of one entry VM, read from a JSON file."""
+
+import collections.abc
+import ipaddress
+import pathlib
+import typing
+
+from . import documents
+from . import timing
+
+Json = typing.Any
+
+SCHEMA_NAME = "settings.schema.json"
+DEFAULT_REGION = "default"
+DEFAULT_LOG_LEVEL = "info"
+PORT_MAX = 65535
+
+Sizes = timing.Sizes
+Timing = timing.Timing
+
+_SCHEMA = documents.schema_of("apricotlever", SCHEMA_NAME)
+
+
+class SettingsInvalid(documents.DocumentInvalid):
+    """The settings were refused; the process must not start with them."""
+
+    def __init__(
+        self, faults: collections.abc.Sequence[documents.Fault]
+    ) -> None:
+        super().__init__("settings", faults)
+
+
+class Address:
+    """Where something listens.
+
+    :param host: an IP number, without brackets.
+    :param port: a TCP or UDP port; 0 for any free one.
+    """
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+    @classmethod
+    def from_text(cls, text: str) -> "Address":
+        """Read ``host:port``; an IPv6 number stands in brackets.
+
+        :raises ValueError: if the text is not an address.
+        """
+        host, _, port = text.rpartition(":")
+        bare = host.removeprefix("[").removesuffix("]")
+        ipaddress.ip_address(bare)
+        if not 0 <= int(port) <= PORT_MAX:
+            raise ValueError(f"port {port} is over {PORT_MAX}")
+        return cls(bare, int(port))
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Address) and str(self) == str(other)
+
+    def __hash__(self) -> int:
+        return hash((self.host, self.port))
+
+
+class Seed:
+    """An entry VM to contact first.
+
+    :param vm: its name.
+    :param address: where it listens for peers.
+    """
+
+    __slots__ = ("vm", "address")
+
+    def __init__(self, vm: str, address: Address) -> None:
+        self.vm = vm
+        self.address = address
+
+
+class PlatformUrls:
+    """Where the platform's services are.
+
+    :param objects: URL of the object API.
+    :param cloud: URL of the cloud API.
+    :param weights: URL of the weight store.
+    """
+
+    __slots__ = ("objects", "cloud", "weights")
+
+    def __init__(self, objects: str, cloud: str, weights: str) -> None:
+        self.objects = objects
+        self.cloud = cloud
+        self.weights = weights
+
+
+class Settings:
+    """All settings of one entry VM.
+
+    :param vm: this VM's name.
+    :param data_centre: where it runs.
+    :param region: the region of the data centre.
+    :param callers: address for callers.
+    :param peers: address for other entry VMs.
+    :param platform: where the platform is.
+    :param seeds: entry VMs to contact first.
+    :param statsd: where metrics go, None for nowhere.
+    :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+
+    __slots__ = (
+        "vm",
+        "data_centre",
+        "region",
+        "callers",
+        "peers",
+        "platform",
+        "seeds",
+        "statsd",
+        "log_level",
+        "timing",
+        "sizes",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        data_centre: str,
+        callers: Address,
+        peers: Address,
+        platform: PlatformUrls,
+        region: str = DEFAULT_REGION,
+        seeds: tuple[Seed, ...] = (),
+        statsd: Address | None = None,
+        log_level: str = DEFAULT_LOG_LEVEL,
+        timing: Timing | None = None,
+        sizes: Sizes | None = None,
+    ) -> None:
+        self.vm = vm
+        self.data_centre = data_centre
+        self.region = region
+        self.callers = callers
+        self.peers = peers
+        self.platform = platform
+        self.seeds = seeds
+        self.statsd = statsd
+        self.log_level = log_level
+        self.timing = timing or Timing()
+        self.sizes = sizes or Sizes()
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    :param path: a JSON file.
+    :raises SettingsInvalid: names every field that is wrong.
+    """
+    try:
+        document = documents.loads(pathlib.Path(path).read_bytes())
+    except (OSError, documents.NotJson) as error:
+        fault = documents.Fault(str(path), str(error), "a readable JSON file")
+        raise SettingsInvalid([fault]) from error
+    return parse(document)
+
+
+def parse(document: Json) -> Settings:
+    """Check parsed JSON and turn it into settings.
+
+    :param document: parsed JSON.
+    :raises SettingsInvalid: names every field that is wrong.
+    """
+    faults = documents.faults_of(document, _SCHEMA)
+    faults = faults or _address_faults(document)
+    if faults:
+        raise SettingsInvalid(faults)
+    statsd = document.get("statsd")
+    return Settings(
+        vm=document["vm"],
+        data_centre=document["data_centre"],
+        region=document.get("region", DEFAULT_REGION),
+        callers=Address.from_text(document["callers"]),
+        peers=Address.from_text(document["peers"]),
+        platform=PlatformUrls(**document["platform"]),
+        seeds=tuple(map(_seed, document.get("seeds", ()))),
+        statsd=Address.from_text(statsd) if statsd else None,
+        log_level=document.get("log_level", DEFAULT_LOG_LEVEL),
+        timing=Timing(**document.get("timing", {})),
+        sizes=Sizes(**document.get("sizes", {})),
+    )
+
+
+def _seed(value: Json) -> Seed:
+    return Seed(value["vm"], Address.from_text(value["address"]))
+
+
+def _address_faults(document: Json) -> list[documents.Fault]:
+    named = {name: document.get(name) for name in _ADDRESS_FIELDS}
+    named |= {
+        f"seeds.{i}.address": seed["address"]
+        for i, seed in enumerate(document.get("seeds", ()))
+    }
+    return [
+        documents.Fault(field, text, "an IP number and a port up to 65535")
+        for field, text in named.items()
+        if text is not None and not _is_address(text)
+    ]
+
+
+_ADDRESS_FIELDS = ("callers", "peers", "statsd")
+
+
+def _is_address(text: str) -> bool:
+    try:
+        Address.from_text(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/tests/links/blind.py
@@ -0,0 +1,25 @@
+"""A naive writer: repeats a write until it gets an answer."""
+
+import typing
+
+from returns import result
+
+from apricotlever.links import platform
+
+ATTEMPTS = 3
+
+
+def put(
+    objects: platform.ObjectApi,
+    name: str,
+    value: typing.Any,
+    expected_version: int | None,
+) -> platform.Outcome[platform.Stored]:
+    """Write without asking what became of an ambiguous write."""
+    for _ in range(ATTEMPTS):
+        outcome = objects.put(name, value, expected_version)
+        match outcome:
+            case result.Failure(platform.Ambiguous()):
+                continue
+        return outcome
+    return outcome
--- /dev/null
+++ b/tests/runners/naive.py
@@ -0,0 +1,100 @@
+"""Plain versions of what the runners package decides."""
+
+import collections
+import itertools
+import random
+import typing
+
+from apricotlever.runners import candidates
+from apricotlever.runners import model as models
+from apricotlever.runners import pace as paces
+from apricotlever.runners import policies
+from apricotlever.runners import prefix
+
+
+class PrefixSets:
+    """A set of blocks for each runner; never forgets, never doubts."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, set[int]] = collections.defaultdict(set)
+
+    def add(self, runner: str, blocks: typing.Iterable[int]) -> None:
+        """Hold blocks."""
+        self.held[runner] |= set(blocks)
+
+    def remove(self, runner: str, blocks: typing.Iterable[int]) -> None:
+        """Hold blocks no more."""
+        self.held[runner] -= set(blocks)
+
+    def depth(self, runner: str, blocks: tuple[int, ...]) -> int:
+        """Leading blocks that the runner holds."""
+        held = self.held[runner]
+        return len(list(itertools.takewhile(held.__contains__, blocks)))
+
+
+class ReportedLoad:
+    """Believes the last report as it stands."""
+
+    def __init__(self) -> None:
+        self.last = 0.0
+
+    def observe(self, report: models.LoadReport) -> None:
+        """Take in a report."""
+        self.last = report.running + report.waiting
+
+    def in_flight(self) -> float:
+        """What the report said."""
+        return self.last
+
+
+@policies.policy("test_reported_idlest")
+class ReportedIdlest:
+    """The runner that its last report shows idlest."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.reports: dict[str, float] = {}
+
+    def pick(
+        self,
+        query: models.Query,
+        found: typing.Sequence[candidates.Candidate],
+        key: int | None,
+    ) -> candidates.Candidate:
+        """Pick a runner."""
+        return min(found, key=lambda c: self.reports.get(c.name, 0.0))
+
+
+class Figures:
+    """Expected first token and cost, for a runner without any history."""
+
+    def __init__(
+        self, runner: models.Runner, query: models.Query, own: int, cached: int
+    ) -> None:
+        pace = paces.Pace()
+        slots = runner.slots
+        fill = (own + 1) / slots
+        error = 2 * candidates.FILL_ERROR
+        excess = fill - 1
+        if abs(excess) < error:
+            excess = (excess + error) ** 2 / (4 * error)
+        wait_s = max(0.0, excess) * pace.hold_s
+        tokens = query.prompt_tokens - cached * prefix.TOKENS_PER_BLOCK
+        prefill_s = tokens * pace.prefill_s
+        slow = 1 + paces.BATCH_SLOWDOWN * min(1.0, fill)
+        per_s = runner.price_per_hour / 3600
+        decode_s = query.expected_tokens * pace.decode_s / slots
+        self.first_s = (pace.base_s + wait_s + prefill_s) * slow
+        self.cost = per_s * (pace.base_s + prefill_s + decode_s)
+
+
+def fits(chosen: str, figures: dict[str, Figures], target_s: float) -> bool:
+    """Whether a choice is among the cheapest that meet, or the fastest."""
+    within_s = target_s * policies.TARGET_SHARE
+    meeting = {n: f for n, f in figures.items() if f.first_s <= within_s}
+    if meeting:
+        least = min(f.cost for f in meeting.values())
+        bound = least * (1 + policies.COST_TOLERANCE) + 1e-12
+        return chosen in meeting and meeting[chosen].cost <= bound
+    least = min(f.first_s for f in figures.values())
+    bound = least * (1 + policies.LATENCY_TOLERANCE) + 1e-12
+    return figures[chosen].first_s <= bound
--- /dev/null
+++ b/tests/steps/catalogue_schema.py
@@ -0,0 +1,77 @@
+"""Steps for tests/catalogue/schema.feature."""
+
+import json
+import pathlib
+
+from apricotlever import catalogue
+from apricotlever.catalogue import schema
+from apricotlever import documents
+from behave import then
+from behave import when
+
+from tests.catalogue import examples
+from tests.support import pages
+
+
+def _refused(context, document):
+    try:
+        catalogue.parse(document, 1)
+    except catalogue.CatalogueInvalid as error:
+        context.catalogue_error = error
+
+
+@then(
+    "the catalogue file {file} has {entries:d} entries "
+    "and {customers:d} customers"
+)
+def _valid(context, file, entries, customers):
+    document = examples.document(pathlib.Path(file))
+    parsed = catalogue.parse(document, 1)
+    assert len(parsed.entries) == entries
+    assert len(parsed.customers) == customers
+
+
+@when("the example catalogue is changed so that {field} is {value}")
+def _changed(context, field, value):
+    document = examples.document()
+    _refused(context, examples.changed(document, field, json.loads(value)))
+
+
+@when("the example catalogue gives two customers one key")
+def _one_key(context):
+    document = examples.document()
+    customers = document["customers"]
+    customers["belem"]["key_sha256"] = customers["alfama"]["key_sha256"]
+    _refused(context, document)
+
+
+@when("the example catalogue's entry {name} is emptied")
+def _emptied(context, name):
+    document = examples.document()
+    _refused(context, examples.changed(document, f"entries.{name}", {}))
+
+
+@then('the catalogue is refused at {field} wanting "{wanted}"')
+def _at(context, field, wanted):
+    found = [
+        fault
+        for fault in context.catalogue_error.faults
+        if fault.field.startswith(field) and wanted in fault.wanted
+    ]
+    assert found, context.catalogue_error.message
+    assert field in context.catalogue_error.message
+
+
+@then("the catalogue's faults name {fields}")
+def _names(context, fields):
+    found = {
+        fault.field.rpartition(".")[2]
+        for fault in context.catalogue_error.faults
+    }
+    assert found == set(fields.split(", "))
+
+
+@then("the catalogue's page lists exactly the schema's fields")
+def _page(context):
+    loaded = documents.schema_of("apricotlever.catalogue", schema.SCHEMA_NAME)
+    assert pages.rows("catalogue.md", "Fields") == pages.fields(loaded)
--- /dev/null
+++ b/tests/steps/client_catalogue_store.py
@@ -0,0 +1,255 @@
+"""Steps for tests/client/catalogue_store.feature."""
+
+from concurrent import futures
+
+from apricotlever.catalogue import edit
+from apricotlever.client import catalogue_store
+from apricotlever.client import errors
+from apricotlever.links import platform
+from behave import given
+from behave import then
+from behave import when
+from standins import object_api
+
+from tests.catalogue import examples
+from tests.standins import serving
+
+TIMEOUT_S = 1.0
+
+
+class _Died(BaseException):
+    """The client's process ended."""
+
+
+class _MeddledApi(platform.ObjectApi):
+    """Runs something before and after the next write of the catalogue."""
+
+    __slots__ = ("before", "after")
+
+    def __init__(self, url, before=None, after=None):
+        super().__init__(url, TIMEOUT_S)
+        self.before = before
+        self.after = after
+
+    def put(self, name, value, expected_version):
+        if name != edit.CURRENT_NAME:
+            return super().put(name, value, expected_version)
+        before, self.before = self.before, None
+        after, self.after = self.after, None
+        if before:
+            before()
+        outcome = super().put(name, value, expected_version)
+        if after:
+            after()
+        return outcome
+
+
+def _store(context, by="operator", **meddling):
+    api = _MeddledApi(context.store_url, **meddling)
+    return catalogue_store.CatalogueStore(api, by)
+
+
+def _weighted(document, customer, weight):
+    return examples.changed(document, f"customers.{customer}.weight", weight)
+
+
+def _overlay(customer, weight):
+    value = examples.document()["customers"]["belem"]
+    return {"customers": {customer: {**value, "weight": weight}}}
+
+
+def _set_weight(store, customer, weight, expected=None):
+    document = store.current().document
+    return store.replace(_weighted(document, customer, weight), expected)
+
+
+def _merge(store, overlay):
+    return store.change(lambda base: edit.merged(base, overlay), None)
+
+
+def _try(context, run):
+    context.edit_error = None
+    try:
+        context.edit_applied = run()
+    except (errors.CommandFailed, _Died) as error:
+        context.edit_error = error
+
+
+@given("a catalogue store holding Procurador's example")
+def _holding(context):
+    context.store_standin = object_api.ObjectApi()
+    address = serving.serve(context, context.store_standin)
+    context.store_url = f"http://{address}"
+    context.operator_store = _store(context)
+    context.operator_store.replace(examples.document(), None)
+
+
+@given("two operators who read the catalogue")
+def _two(context):
+    context.read = context.operator_store.current()
+
+
+@when('the first operator applies {weight:g} as the weight of "{customer}"')
+def _first(context, weight, customer):
+    _set_weight(_store(context), customer, weight, context.read.version)
+
+
+@when('the second operator applies {weight:g} as the weight of "{customer}"')
+def _second(context, weight, customer):
+    document = _weighted(context.read.document, customer, weight)
+    store = _store(context)
+    _try(context, lambda: store.replace(document, context.read.version))
+
+
+@when(
+    "the second operator writes {weight:g} as the weight of "
+    '"{customer}" blindly'
+)
+def _blindly(context, weight, customer):
+    document = _weighted(context.read.document, customer, weight)
+    api = platform.ObjectApi(context.store_url)
+    version = api.get(edit.CURRENT_NAME).unwrap().version
+    api.put(edit.CURRENT_NAME, document, version).unwrap()
+
+
+@then("the second operator's edit is lost")
+@then("the operator's edit is lost")
+def _lost(context):
+    assert isinstance(context.edit_error, errors.EditLost), context.edit_error
+
+
+@then("the lost edit shows that it would change {field} back")
+def _shows(context, field):
+    changes = {c.field: c for c in context.edit_error.changes}
+    assert (changes[field].before, changes[field].after) == (5.0, 3.0)
+
+
+@then('the weight of "{customer}" in force is {weight:g}')
+def _in_force(context, customer, weight):
+    document = _store(context).current().document
+    assert document["customers"][customer]["weight"] == weight
+
+
+@when("{count:d} operators at once merge a customer each")
+def _at_once(context, count):
+    def merge(i):
+        overlay = _overlay(f"c{i}", 1.0)
+        overlay["customers"][f"c{i}"]["key_sha256"] = f"{i:064x}"
+        for _ in range(count):
+            try:
+                return _merge(_store(context, f"op-{i}"), overlay)
+            except errors.EditLost:
+                continue
+
+    with futures.ThreadPoolExecutor(count) as pool:
+        list(pool.map(merge, range(count)))
+
+
+@then("all {count:d} customers are in force")
+def _all_in_force(context, count):
+    customers = context.operator_store.current().document["customers"]
+    assert {f"c{i}" for i in range(count)} <= set(customers)
+
+
+@then("the catalogue history names each of the {count:d} edits")
+def _all_named(context, count):
+    history = context.operator_store.history()
+    editors = [stamp.by for stamp in history]
+    assert sorted(editors) == sorted(
+        ["operator", *(f"op-{i}" for i in range(count))]
+    )
+
+
+@given(
+    'another operator sets the weight of "{customer}" during the next write'
+)
+def _during(context, customer):
+    other = _store(context, "other")
+    context.operator_store = _store(
+        context, before=lambda: _set_weight(other, customer, 9.0)
+    )
+
+
+@when('an operator merges another weight of "{customer}"')
+def _merges(context, customer):
+    overlay = _overlay(customer, 8.0)
+    _try(context, lambda: _merge(context.operator_store, overlay))
+
+
+@given("the store loses the answer of the edit and another edit follows")
+def _lose_then_edit(context):
+    faults = context.store_standin.faults
+    other = _store(context, "other")
+    context.operator_store = _store(
+        context,
+        before=lambda: faults.set({"lose_answer": 1}),
+        after=lambda: _set_weight(other, "alfama", 2.0),
+    )
+
+
+@given("the store loses the answer of the edit and is then down")
+def _lose_then_down(context):
+    faults = context.store_standin.faults
+    context.operator_store = _store(
+        context,
+        before=lambda: faults.set({"lose_answer": 1}),
+        after=lambda: faults.set({"down": True}),
+    )
+
+
+@given("the client dies between its two writes")
+def _dies(context):
+    def die():
+        raise _Died
+
+    context.operator_store = _store(context, before=die)
+
+
+@when('an operator applies {weight:g} as the weight of "{customer}"')
+def _applies(context, weight, customer):
+    store = context.operator_store
+    _try(context, lambda: _set_weight(store, customer, weight))
+
+
+@then("the edit is reported with the version that it got")
+def _reported(context):
+    assert context.edit_error is None, context.edit_error
+    store = _store(context)
+    version = store.version(context.edit_applied.version)
+    assert version.stamp.by == "operator"
+    assert version.document["customers"]["belem"]["weight"] == 5.0
+    assert store.current().stamp.by == "other"
+
+
+@then("the edit's outcome is unknown")
+def _unknown(context):
+    assert isinstance(context.edit_error, errors.OutcomeUnknown)
+
+
+@then('the weight of "{customer}" in force is {weight:g} once the store is up')
+def _once_up(context, customer, weight):
+    context.store_standin.faults.set({"down": False})
+    _in_force(context, customer, weight)
+
+
+@then(
+    'the catalogue history shows the weights {a:g} and {b:g} of "{customer}"'
+)
+def _weights(context, a, b, customer):
+    store = _store(context)
+    documents = [store.version(s.version).document for s in store.history()]
+    weights = [d["customers"][customer]["weight"] for d in documents]
+    assert weights == [a, b], weights
+
+
+@when('an operator applies {count:d} weights of "{customer}"')
+def _many(context, count, customer):
+    for i in range(count):
+        _set_weight(context.operator_store, customer, 10.0 + i)
+
+
+@then("the store holds {count:d} objects of catalogue history")
+def _bounded(context, count):
+    api = platform.ObjectApi(context.store_url)
+    kept = api.list(edit.HISTORY_PREFIX).unwrap().items
+    assert len(kept) == count, len(kept)
--- /dev/null
+++ b/tests/steps/client_main.py
@@ -0,0 +1,124 @@
+"""Steps for tests/client/main.feature."""
+
+import contextlib
+import io
+import pathlib
+import tempfile
+
+from apricotlever.client import exit_codes
+from apricotlever.client import main
+from apricotlever import refusals
+from behave import given
+from behave import then
+from behave import when
+from standins import object_api
+
+from tests.client import entry_vm
+from tests.standins import serving
+from tests.support import pages
+
+
+def _run(context, arguments):
+    out, complaint = io.StringIO(), io.StringIO()
+    connection = context.operator_connection
+    extra = [] if connection[0] in arguments else connection
+    with (
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(complaint),
+    ):
+        try:
+            context.exit_code = main.main([*arguments, *extra])
+        except SystemExit as stopped:
+            context.exit_code = stopped.code
+    context.printed = out.getvalue()
+    context.complaint = complaint.getvalue()
+
+
+@given("an operator's command line with an object API")
+def _command_line(context):
+    address = serving.serve(context, object_api.ObjectApi())
+    context.operator_connection = ["--objects", f"http://{address}"]
+
+
+@given("the operator has applied an example and saved what is shown")
+def _saved(context):
+    _run(context, ["catalogue", "apply", "examples/procurador.json"])
+    _run(context, ["catalogue", "show"])
+    directory = tempfile.TemporaryDirectory()
+    context.closers.append(directory.cleanup)
+    context.saved = pathlib.Path(directory.name, "saved.json")
+    context.saved.write_text(context.printed)
+
+
+@when("the operator applies what was saved")
+def _apply_saved(context):
+    _run(context, ["catalogue", "apply", str(context.saved)])
+
+
+@when('the operator runs "{command}"')
+def _runs(context, command):
+    _run(context, command.split())
+
+
+@then('the command exits with {code:d} and prints "{text}"')
+def _prints(context, code, text):
+    assert context.exit_code == code, context.complaint
+    assert text in context.printed, context.printed
+
+
+@then('the command exits with {code:d} and complains "{text}"')
+def _complains(context, code, text):
+    assert context.exit_code == code, (context.exit_code, context.complaint)
+    assert text in context.complaint, context.complaint
+
+
+@given("entry VMs a, b and c with catalogue versions {a:d}, {b:d} and {c:d}")
+def _entry_vms(context, a, b, c):
+    versions = {"a": a, "b": b, "c": c}
+    context.entry_vms = {
+        vm: entry_vm.EntryVm(vm, version) for vm, version in versions.items()
+    }
+    addresses = {
+        vm: serving.serve(context, standin)
+        for vm, standin in context.entry_vms.items()
+    }
+    peers = [
+        {"vm": vm, "callers_address": address, "state": "alive"}
+        for vm, address in addresses.items()
+    ]
+    for standin in context.entry_vms.values():
+        standin.views = [peers]
+    context.operator_connection = ["--entry", addresses["a"]]
+
+
+@when("entry VM c stops answering")
+def _stops(context):
+    context.entry_vms["c"].faults.set({"down": True})
+
+
+@given("entry VM c dies and its peers find out during the wait")
+def _dies(context):
+    _stops(context)
+    first = context.entry_vms["a"]
+    (before,) = first.views
+    after = [
+        {**peer, "state": "dead"} if peer["vm"] == "c" else peer
+        for peer in before
+    ]
+    first.views = [before, before, after]
+
+
+@then("the operators' page lists exactly the exit codes")
+def _page(context):
+    listed = pages.rows("refusals.md", "Exit codes")
+    known = [(str(c), m) for c, m in exit_codes.MEANINGS.items()]
+    assert listed == known
+
+
+@then("the operators' page lists exactly the types of refusals")
+def _types(context):
+    known = [
+        (f"`{name}`", str(kind.status), kind.meaning)
+        for name, kind in refusals.kinds().items()
+    ]
+    assert pages.rows("refusals.md", "Types") == known
--- /dev/null
+++ b/tests/steps/runners_health.py
@@ -0,0 +1,103 @@
+"""Steps for tests/runners/health.feature."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from apricotlever import clock as clocks
+from apricotlever.runners import health
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, database=None, max_examples=200
+)
+
+
+@given("a runner's circuit")
+def _circuit(context):
+    context.clock = clocks.ManualClock()
+    context.health = health.Health(
+        context.clock, random.Random(1), warm=True
+    )
+
+
+@when('it sees the ends "{ends}"')
+def _ends(context, ends):
+    for end in ends:
+        context.health.started()
+        if end == "S":
+            context.health.succeeded()
+        else:
+            context.health.failed()
+
+
+@when("its open time passes")
+def _passes(context):
+    context.clock.advance(context.health.open_until - context.clock.now())
+
+
+@when("a probe goes out and its end is lost for {seconds:d} seconds")
+def _lost_probe(context, seconds):
+    context.health.started()
+    context.clock.advance(seconds)
+
+
+@then("the circuit is {state}")
+def _state(context, state):
+    assert context.health.state.value == state
+
+
+@then("the circuit allows one probe and not a second one")
+def _one_probe(context):
+    assert context.health.allows(context.clock.now())
+    context.health.started()
+    assert not context.health.allows(context.clock.now())
+
+
+@then("the runner starts slowly again")
+def _slow(context):
+    now = context.clock.now()
+    assert context.health.share(now) == health.SLOW_START_SHARE
+    assert context.health.share(now + health.SLOW_START_S) == 1.0
+
+
+@then("each failed probe keeps the circuit open longer, up to 38 seconds")
+def _backoff(context):
+    waits = []
+    for _ in range(8):
+        waits.append(context.health.open_until - context.clock.now())
+        _passes(context)
+        _ends(context, "F")
+    assert waits[0] < 1.3 and 22.0 < waits[-1] <= 37.5
+    assert all(later > 0.9 * sooner for sooner, later in zip(waits, waits[1:]))
+
+
+@then("a circuit is closed exactly when a plain count says so")
+def _plain(context):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.booleans(), strategies.floats(0, 5)
+            ),
+            max_size=40,
+        )
+    )
+    def check(ends):
+        _circuit(context)
+        in_a_row = 0
+        opened = False
+        for succeeded, pause_s in ends:
+            context.clock.advance(pause_s)
+            _ends(context, "S" if succeeded else "F")
+            in_a_row = 0 if succeeded else in_a_row + 1
+            opened = not succeeded and (
+                opened or in_a_row >= health.FAILURES_TO_OPEN
+            )
+            closed = context.health.state is health.CircuitState.CLOSED
+            assert closed == (not opened)
+
+    check()
--- /dev/null
+++ b/tests/steps/standins_object_api.py
@@ -0,0 +1,231 @@
+"""Steps for tests/standins/object_api.feature."""
+
+from concurrent import futures
+
+from behave import given
+from behave import then
+from behave import when
+
+from standins import _server
+from standins import object_api
+from tests.standins import serving
+from tests.support import caller
+from tests.support import fleet
+from tests.support import http as calls
+
+NAME = "claims/one"
+PATH = f"/v1/objects/{NAME}"
+CLAIM_PATH = "/v1/objects/claims/two"
+FIRST = {"value": "first"}
+SECOND = {"value": "second"}
+WATCH_S = 10.0
+
+
+def _call(context, method, path, body=None, headers=None):
+    return calls.call(context.store, method, path, body, headers)
+
+
+def _update(context, value, headers=None):
+    return _call(context, "PUT", PATH, value, headers)
+
+
+def _value(context, path=PATH):
+    return _call(context, "GET", path).payload["value"]
+
+
+def _watch_path(after):
+    return f"/v1/watch?prefix=claims/&after={after}&timeout_s={WATCH_S}"
+
+
+def _race(context, count, path, headers):
+    with futures.ThreadPoolExecutor(count) as pool:
+        racing = [
+            pool.submit(
+                _call, context, "PUT", path, {"value": number}, headers
+            )
+            for number in range(count)
+        ]
+        replies = [future.result() for future in racing]
+    context.winners = [
+        number for number, reply in enumerate(replies) if reply.status == 200
+    ]
+    context.losers = [reply for reply in replies if reply.status == 412]
+    assert len(context.winners) + len(context.losers) == count
+
+
+def _lost(context, fault):
+    context.standin.faults.set({fault: 1})
+    try:
+        _update(context, SECOND)
+    except caller.BROKEN:
+        return
+    raise AssertionError("an answer came")
+
+
+@given("an object API stand-in with an object")
+def _a_store(context):
+    context.standin = object_api.ObjectApi()
+    server = _server.Server(context.standin, threads=16)
+    server.start()
+    context.closers.append(server.close)
+    context.store = f"{serving.HOST}:{server.port}"
+    context.store_control = f"{serving.HOST}:{server.control_port}"
+    context.first = _update(context, FIRST).payload["version"]
+
+
+@when("{count:d} writers update the object at once on its first version")
+def _racing_updates(context, count):
+    _race(context, count, PATH, {"If-Match": str(context.first)})
+
+
+@when("{count:d} writers update the object at once without a condition")
+def _unconditional(context, count):
+    _race(context, count, PATH, {})
+
+
+@when("{count:d} writers claim a name at once")
+def _claims(context, count):
+    _race(context, count, CLAIM_PATH, {"If-None-Match": "*"})
+
+
+@when("the answer to an update is lost")
+def _answer_lost(context):
+    _lost(context, "lose_answer")
+
+
+@when("an update is lost before it reaches the store")
+def _request_lost(context):
+    _lost(context, "lose_request")
+
+
+@when("a watch waits for objects under the prefix")
+def _watch(context):
+    pool = futures.ThreadPoolExecutor(1)
+    context.closers.append(pool.shutdown)
+    path = _watch_path(context.first)
+    context.watch = pool.submit(_call, context, "GET", path)
+    fleet.wait_for(lambda: context.standin.counts()["watches_waiting"])
+
+
+@when("the object is deleted from the object API")
+def _delete(context):
+    assert _call(context, "DELETE", PATH).status == 200
+
+
+@when("the object is updated and its events are compacted")
+def _compact(context):
+    _update(context, SECOND)
+    _call(context, "POST", "/control/compact", {})
+
+
+@when("the object API goes down")
+def _down(context):
+    context.standin.faults.set({"down": True})
+
+
+@then("1 writer has won and the object API holds its value")
+def _one_won(context):
+    assert [_value(context)] == context.winners, context.winners
+    versions = {reply.payload["version"] for reply in context.losers}
+    assert versions == {_call(context, "GET", PATH).payload["version"]}
+
+
+@then("{count:d} writers have won and the object API holds just one value")
+def _all_won(context, count):
+    assert len(context.winners) == count
+    assert _value(context) in context.winners
+
+
+@then("1 writer has won and the object API holds its claim")
+def _claimed(context):
+    assert [_value(context, CLAIM_PATH)] == context.winners
+
+
+@then("the object API holds the update whose answer was lost")
+def _took_effect(context):
+    assert _value(context) == SECOND["value"]
+
+
+@then("the next update gets an answer")
+def _answered(context):
+    assert _update(context, FIRST).status == 200
+
+
+@then("the object API holds the first value")
+def _unchanged(context):
+    assert _value(context) == FIRST["value"]
+
+
+@then("the object API counts 1 waiting watch")
+def _one_waiting(context):
+    assert context.standin.counts()["watches_waiting"] == 1
+
+
+@then("a write under another prefix leaves it waiting")
+def _elsewhere(context):
+    _call(context, "PUT", "/v1/objects/status/one", FIRST)
+    assert not context.watch.done()
+    assert context.standin.counts()["watches_waiting"] == 1
+
+
+@then("a write under the prefix wakes it with the value")
+def _woken(context):
+    version = _update(context, SECOND).payload["version"]
+    reply = context.watch.result(WATCH_S / 2)
+    event = {"name": NAME, "version": version, "value": SECOND["value"]}
+    assert reply.payload == {"events": [event], "version": version}
+
+
+@then("a watch from its first version gets a null value")
+def _null(context):
+    reply = _call(context, "GET", _watch_path(context.first))
+    assert [event["value"] for event in reply.payload["events"]] == [None]
+
+
+@then("a watch from its first version is told that it is gone")
+def _gone(context):
+    assert _call(context, "GET", _watch_path(context.first)).status == 410
+
+
+@then("the waiting watch is answered with 503")
+def _watch_ended(context):
+    assert context.watch.result(WATCH_S / 2).status == 503
+
+
+@then("while it refuses connections none comes about, and later one does")
+def _refuses(context):
+    _fault(context, {"refuse": True, "down": False})
+    fleet.wait_for(lambda: not _connects(context))
+    _fault(context, {"refuse": False})
+    fleet.wait_for(lambda: _connects(context))
+
+
+def _fault(context, faults):
+    control = context.store_control
+    reply = calls.call(control, "POST", "/control/faults", faults)
+    assert reply.status == 200
+
+
+def _connects(context):
+    try:
+        return _value(context) == FIRST["value"]
+    except ConnectionRefusedError:
+        return False
+    except caller.BROKEN:
+        return True
+
+
+@then("a value over a megabyte is answered with 413")
+def _too_large(context):
+    large = {"value": "x" * object_api.VALUE_BYTES_MAX}
+    assert _update(context, large).status == 413
+
+
+@then("over a rate of 5 calls a second some of 30 are answered with 429")
+def _throttled(context):
+    context.standin.faults.set({"calls_per_s": 5})
+    replies = [_call(context, "GET", PATH) for _ in range(30)]
+    refused = [reply for reply in replies if reply.status == 429]
+    assert refused and len(refused) < 30, len(refused)
+    assert all(reply.headers["Retry-After"] for reply in refused)
+    assert context.standin.counts()["throttled"] == len(refused)
