--- /dev/null
+++ b/tests/steps/standins_services.py
@@ -0,0 +1,178 @@
+"""Steps for tests/standins/services.feature."""
+
+from concurrent import futures
+
+from behave import given
+from behave import then
+from behave import when
+
+from standins import cloud_api
+from standins import weight_store
+from tests.standins import serving
+from tests.support import caller
+from tests.support import fleet
+from tests.support import http as calls
+
+OPERATION = "register-power-17"
+NOTICES = "/v1/notices?after=0&timeout_s=10"
+RUNNER = "vm-r1"
+
+
+def _cloud(context, method, path, body=None):
+    return calls.call(context.cloud, method, path, body)
+
+
+def _buy(context, data_centre, token):
+    order = {
+        "data_centre": data_centre,
+        "machine": "small",
+        "market": "reclaimable",
+        "pool": "llm",
+        "token": token,
+    }
+    return _cloud(context, "POST", "/v1/vms", order)
+
+
+def _listed(context):
+    vms = _cloud(context, "GET", "/v1/vms").payload["vms"]
+    return {vm["vm"]: vm["state"] for vm in vms}
+
+
+@given("a cloud API stand-in whose list lags by {lag_s:g} s")
+def _a_cloud(context, lag_s):
+    standin = cloud_api.CloudApi()
+    standin.faults.set({"lag_s": lag_s})
+    context.cloud_standin = standin
+    context.cloud = serving.serve(context, standin)
+
+
+@given("a weight store stand-in that allows {burst:d} loads at once")
+def _a_weight_store(context, burst):
+    standin = weight_store.WeightStore()
+    standin.faults.set({"burst": burst, "loads_per_s": 0.01})
+    context.weights = serving.serve(context, standin)
+
+
+@given("a plain service stand-in in a process of its own")
+def _a_service(context):
+    context.fleet = fleet.Fleet()
+    context.closers.append(context.fleet.close)
+    context.fleet.start_services(["s1"], "pool", register=False)
+
+
+@given("the plain service's fault {fault} for one call")
+def _service_fault(context, fault):
+    context.fleet.faults("s1", **{fault: 1})
+
+
+@when("the same purchase reaches the cloud API twice")
+def _buy_twice(context):
+    first = _buy(context, "dc-a", "token-1")
+    context.early = _listed(context)
+    second = _buy(context, "dc-a", "token-1")
+    assert first.status == second.status == 201
+    context.bought = {first.payload["vm"], second.payload["vm"]}
+
+
+@when("the cloud API has no capacity in dc-a")
+def _no_capacity(context):
+    context.cloud_standin.faults.set({"no_capacity": ["dc-a"]})
+
+
+@when("a runner is registered and reclaimed in {notice_s:g} s")
+def _reclaim(context, notice_s):
+    context.notice_s = notice_s
+    vm = {"vm": RUNNER, "data_centre": "dc-a", "role": "runner"}
+    _cloud(context, "POST", "/control/register", vm)
+    with futures.ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(_cloud, context, "GET", NOTICES)
+        counts = context.cloud_standin.counts
+        fleet.wait_for(lambda: counts()["notices_waiting"])
+        order = {"vms": [RUNNER], "notice_s": notice_s}
+        _cloud(context, "POST", "/control/reclaim", order)
+        context.states = _listed(context)
+        context.notices = waiting.result(5.0).payload
+
+
+@when("{count:d} leases are asked of the weight store")
+def _leases(context, count):
+    body = {"model": "m", "version": "1"}
+    context.replies = [
+        calls.call(context.weights, "POST", "/v1/leases", body)
+        for _ in range(count)
+    ]
+
+
+@when("the operation is sent to the plain service {count:d} times")
+def _send(context, count):
+    context.errors = []
+    for _ in range(count):
+        try:
+            calls.call(
+                context.fleet.address("s1"),
+                "POST",
+                "/registrations",
+                {"operation": OPERATION},
+                {"Apricotlever-Request": "vm-1.1.1"},
+            )
+        except caller.BROKEN as error:
+            context.errors.append(error)
+
+
+@then("the cloud API has sold 1 VM")
+def _sold_once(context):
+    assert len(context.bought) == 1
+
+
+@then("the cloud API's list shows it only later")
+def _later(context):
+    assert context.early == {}
+    fleet.wait_for(lambda: set(_listed(context)) == context.bought)
+
+
+@then("the cloud API refuses a VM in dc-a and sells one in dc-b")
+def _refused(context):
+    assert _buy(context, "dc-a", "token-1").status == 409
+    assert _buy(context, "dc-b", "token-2").status == 201
+
+
+@then("the cloud API's notice names the runner and the time left")
+def _noticed(context):
+    (notice,) = context.notices["notices"]
+    assert notice["vm"] == RUNNER and notice["seq"] == 1
+    assert 0.0 <= notice["deadline_s"] <= context.notice_s
+
+
+@then("the cloud API's list shows it leaving, then no more")
+def _leaving(context):
+    assert context.states == {RUNNER: "leaving"}
+    fleet.wait_for(lambda: not _listed(context))
+
+
+@then(
+    "the weight store grants {granted:d} and refuses {refused:d}, saying when"
+)
+def _granted(context, granted, refused):
+    statuses = [reply.status for reply in context.replies]
+    assert statuses == [200] * granted + [429] * refused
+    last = context.replies[-1]
+    assert int(last.headers["Retry-After"]) > 0
+
+
+@then("the plain service has run the operation {count:d} times")
+def _ran(context, count):
+    runs = context.fleet.counts("s1")["runs"]
+    assert runs == {OPERATION: count}, runs
+
+
+@then("the plain service gave no answer")
+def _no_answer(context):
+    assert len(context.errors) == 1
+
+
+@then("started again, it has run the operation {count:d} times")
+def _after_restart(context, count):
+    context.fleet.process("s1").wait(10.0)
+    context.fleet.restart("s1")
+    runs = context.fleet.counts("s1")["runs"]
+    assert runs.get(OPERATION, 0) == count, runs
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes, callers and links for tests and the demo."""
--- /dev/null
+++ b/tests/vms/__init__.py
@@ -0,0 +1,1 @@
+"""Naive versions and helpers for the tests of ``apricotlever.vms``."""
