Prove that streams outlive reclaimed, killed and failing runners

Change: failure tests with real processes: a wave of notices over a data centre with no replacement, the same notice twice, kills without notice, a kill during an export, refused imports, a lagging list; and the naive caller that breaks. Conclusion: export within the notice costs nothing again, replay the rest.

--- /dev/null
+++ b/tests/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests of whole daemons, as processes."""
--- /dev/null
+++ b/tests/daemon/scene.py
@@ -0,0 +1,251 @@
+"""A small fleet of real processes with callers whose answers are checked."""
+
+from concurrent import futures
+import hashlib
+import itertools
+import time
+import typing
+
+from tests.support import answers
+from tests.support import caller
+from tests.support import fleet
+
+CUSTOMERS = ("ana", "bruno")
+MODEL_ENTRY = "drafts"
+SERVICE_ENTRY = "registry"
+MODEL_POOL = "llm"
+SERVICE_POOL = "app"
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+CALLERS_MAX = 64
+STEP_MS = "30"
+WORDS = 60
+#: Of "mandate NN " and WORDS times "clause ", at four bytes a token.
+PROMPT_TOKENS = 108
+TIMING = {
+    "entries_ttl_s": 0.6,
+    "stop_s": 20.0,
+    "load_poll_s": 0.3,
+    "watch_s": 2.0,
+    "probe_interval_s": 0.3,
+    "probe_timeout_s": 0.2,
+}
+Answers = list[answers.Answer]
+
+
+def key_of(customer: str) -> str:
+    """The bearer key of a customer."""
+    return f"key-{customer}"
+
+
+def catalogue(**limits: float) -> dict[str, typing.Any]:
+    """A catalogue with one model entry and one plain service.
+
+    :param limits: of the model entry.
+    """
+    capacity = {
+        "min_runners": 1,
+        "max_runners": 12,
+        "slots_per_runner": 16,
+        "machine": "small",
+    }
+    return {
+        "customers": {
+            name: {
+                "key_sha256": hashlib.sha256(
+                    key_of(name).encode()
+                ).hexdigest(),
+                "weight": 1.0,
+            }
+            for name in CUSTOMERS
+        },
+        "classes": {
+            "desk": _service_class(0.6, 0, 9),
+            "batch": _service_class(2.0, 8, 1),
+        },
+        "entries": {
+            MODEL_ENTRY: _entry("desk", MODEL_POOL, capacity, limits),
+            "summaries": _entry("batch", MODEL_POOL, capacity, {}),
+            SERVICE_ENTRY: {
+                "owner": "tests",
+                "kind": "service",
+                "class": "desk",
+                "upstreams": {"pool": SERVICE_POOL},
+                "non_idempotent": ["POST /entries"],
+                "capacity": capacity,
+            },
+        },
+    }
+
+
+def _service_class(
+    first_token_s: float, shed_order: int, priority: int
+) -> dict[str, typing.Any]:
+    return {
+        "first_token_s": first_token_s,
+        "between_tokens_s": 0.067,
+        "deadline_s": 40,
+        "queue_s": 2.0,
+        "shed_order": shed_order,
+        "priority": priority,
+    }
+
+
+def _entry(
+    class_name: str,
+    pool: str,
+    capacity: dict[str, typing.Any],
+    limits: dict[str, float],
+) -> dict[str, typing.Any]:
+    return {
+        "owner": "tests",
+        "kind": "model",
+        "class": class_name,
+        "model": "m",
+        "version": "1",
+        "upstreams": {"pool": pool},
+        "limits": limits,
+        "capacity": capacity,
+    }
+
+
+class Scene:
+    """A fleet under test.
+
+    :param engines: how many, spread over the data centres by turns.
+    :param services: how many plain services.
+    :param vms: how many entry VMs, spread likewise.
+    :param timing: changes to ``TIMING``.
+    :param flags: of each engine.
+    """
+
+    def __init__(
+        self,
+        engines: int = 3,
+        services: int = 0,
+        vms: int = 2,
+        timing: dict[str, typing.Any] | None = None,
+        flags: typing.Sequence[str] = (),
+        sizes: dict[str, typing.Any] | None = None,
+    ) -> None:
+        self.fleet = fleet.Fleet({**TIMING, **(timing or {})}, sizes)
+        self._pool = futures.ThreadPoolExecutor(CALLERS_MAX)
+        self._running: list[futures.Future[answers.Answer]] = []
+        self._numbers = itertools.count()
+        self.engines = [f"engine-{i}" for i in range(engines)]
+        self.services = [f"service-{i}" for i in range(services)]
+        self.vms = [f"vm-{i}" for i in range(vms)]
+        try:
+            self._start(flags)
+        except BaseException:
+            self.fleet.close()
+            raise
+
+    def close(self) -> None:
+        """End every process."""
+        self.fleet.close()
+        self._pool.shutdown(wait=True, cancel_futures=True)
+
+    def data_centre(self, name: str) -> str:
+        """Where an engine or service runs."""
+        number = int(name.rpartition("-")[2])
+        return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+    def engines_in(self, data_centre: str) -> list[str]:
+        """The engines of a data centre."""
+        return [e for e in self.engines if self.data_centre(e) == data_centre]
+
+    def caller(self, customer: str = CUSTOMERS[0]) -> caller.Caller:
+        """A new caller."""
+        return caller.Caller(
+            self.fleet.entries, key_of(customer), gap_timeout_s=10.0
+        )
+
+    def stream(
+        self,
+        count: int,
+        tokens: int,
+        customer: str = CUSTOMERS[0],
+        vm: str = "",
+        words: int = WORDS,
+    ) -> None:
+        """Start callers that each stream one answer.
+
+        :param vm: the entry VM to begin at; by turns if empty.
+        :param words: of each prompt.
+        """
+        address = self.fleet.address(vm) if vm else ""
+        for _ in range(count):
+            number = next(self._numbers)
+            prompt = f"mandate {number} " + "clause " * words
+            body = {
+                "model": MODEL_ENTRY,
+                "prompt": prompt,
+                "max_tokens": tokens,
+                "seed": number,
+                "stream": True,
+            }
+            one = self.caller(customer)
+            self._running.append(
+                self._pool.submit(one.stream, "/v1/completions", body, address)
+            )
+
+    def answers(self, timeout_s: float = 60.0) -> Answers:
+        """Every answer, when all callers are done."""
+        done = [each.result(timeout_s) for each in self._running]
+        self._running = []
+        return done
+
+    def status(self, vm: str) -> dict[str, typing.Any]:
+        """The status page of an entry VM."""
+        address = self.fleet.address(vm)
+        return fleet.http.call(address, "GET", "/v1/status").payload
+
+    def wait_running(self, count: int) -> None:
+        """Wait until so many streams are being relayed."""
+
+        def enough() -> bool:
+            rows = [self.status(vm)["streams"] for vm in self.vms]
+            return sum(rows) >= count
+
+        fleet.wait_for(enough)
+        time.sleep(0.4)
+
+    def recomputed(self) -> int:
+        """Tokens that the living engines computed again."""
+        living = [
+            name for name in self.engines if self.fleet.process(name).running
+        ]
+        return sum(
+            self.fleet.counts(name)["recomputed_total"] for name in living
+        )
+
+    def _start(self, flags: typing.Sequence[str]) -> None:
+        running = self.fleet
+        running.start_platform()
+        running.start_engines(
+            self.engines,
+            MODEL_POOL,
+            DATA_CENTRES,
+            flags=["--step-ms", STEP_MS, *flags],
+        )
+        running.start_services(self.services, SERVICE_POOL, DATA_CENTRES)
+        running.put_catalogue(catalogue())
+        running.start_daemons(
+            dict(zip(self.vms, itertools.cycle(DATA_CENTRES)))
+        )
+        fleet.wait_for(self._ready)
+
+    def _ready(self) -> bool:
+        wanted = len(self.engines) + len(self.services)
+        pages = [self.status(vm) for vm in self.vms]
+        return all(
+            page.get("catalogue_version")
+            and len(page["runners"]) == wanted
+            and len(page["peers"]) == len(self.vms)
+            for page in pages
+        )
+
+
+def problems(found: Answers) -> list[str]:
+    """What is wrong with any answer."""
+    return [answer.problem for answer in found if answer.problem]
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs that the stand-ins keep what they promise."""
--- /dev/null
+++ b/tests/steps/daemon_scene.py
@@ -0,0 +1,208 @@
+"""Steps that the daemon's failure tests share."""
+
+import json
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.daemon import naive
+from tests.daemon import scene
+from tests.support import fleet
+
+
+def _start(context, engines, vms, services=0, **options):
+    context.scene = scene.Scene(engines, services, vms, **options)
+    context.closers.append(context.scene.close)
+
+
+@given("a fleet of {engines:d} engines and {vms:d} entry VMs")
+def _engines_and_vms(context, engines, vms):
+    _start(context, engines, vms)
+
+
+@given(
+    "a fleet of {engines:d} engines, {services:d} services and "
+    "{vms:d} entry VMs"
+)
+def _with_services(context, engines, services, vms):
+    _start(context, engines, vms, services)
+
+
+@given("{count:d} callers are streaming {tokens:d} tokens each")
+def _streaming(context, count, tokens):
+    context.scene.stream(count, tokens)
+    context.scene.wait_running(count)
+
+
+@given("{count:d} callers are streaming {tokens:d} tokens each at {vm}")
+def _streaming_at(context, count, tokens, vm):
+    context.scene.stream(count, tokens, vm=vm)
+    context.scene.wait_running(count)
+
+
+@given("exports take {seconds:f} s at the runners of {data_centre}")
+def _slow_export(context, seconds, data_centre):
+    for name in context.scene.engines_in(data_centre):
+        context.scene.fleet.faults(name, export_delay_s=seconds)
+
+
+@given("imports fail at the runners of {data_centre}")
+def _no_import(context, data_centre):
+    for name in context.scene.engines_in(data_centre):
+        context.scene.fleet.faults(name, import_fails=True)
+
+
+@given("the platform's list lags by {seconds:f} s")
+def _list_lags(context, seconds):
+    context.scene.fleet.faults("cloud", lag_s=seconds)
+
+
+@when("no VM can be bought")
+def _no_capacity(context):
+    context.scene.fleet.faults("cloud", no_capacity=True)
+
+
+@when(
+    "{count:d} callers stream {tokens:d} tokens straight from the runners "
+    "of {data_centre}"
+)
+def _naive_streams(context, count, tokens, data_centre):
+    address = context.scene.fleet.address(
+        context.scene.engines_in(data_centre)[0]
+    )
+    context.naive = naive.DirectStreams(address, count, tokens)
+    context.closers.append(context.naive.close)
+
+
+@when("the runners of {data_centre} are taken after a notice of {seconds:f} s")
+def _reclaimed(context, data_centre, seconds):
+    context.scene.fleet.reclaim(context.scene.engines_in(data_centre), seconds)
+
+
+@when("the runners of {data_centre} are announced with {seconds:f} s")
+def _announced(context, data_centre, seconds):
+    names = context.scene.engines_in(data_centre)
+    context.scene.fleet.reclaim(names, seconds, kill=False)
+
+
+@when("the runners of {data_centre} are announced again with {seconds:f} s")
+def _announced_again(context, data_centre, seconds):
+    time.sleep(0.1)
+    _announced(context, data_centre, seconds)
+
+
+@when("the runners of {data_centre} are killed without a notice")
+def _killed(context, data_centre):
+    context.scene.fleet.vanish(context.scene.engines_in(data_centre))
+
+
+@when(
+    "{seconds:f} s later the runners of {data_centre} are killed without a "
+    "notice"
+)
+def _killed_later(context, seconds, data_centre):
+    time.sleep(seconds)
+    _killed(context, data_centre)
+
+
+@when("{seconds:f} s later {count:d} callers stream {tokens:d} tokens each")
+def _stream_later(context, seconds, count, tokens):
+    time.sleep(seconds)
+    context.scene.stream(count, tokens)
+
+
+@when("{vm} is killed")
+def _vm_killed(context, vm):
+    context.scene.fleet.kill(vm)
+
+
+@when("{vm} is asked to stop")
+def _vm_stops(context, vm):
+    context.scene.fleet.terminate(vm)
+
+
+@when("{vm} gets a reclaim notice of {seconds:f} s")
+def _vm_noticed(context, vm, seconds):
+    context.scene.fleet.reclaim([vm], seconds)
+
+
+@then("an answer is broken")
+def _broken(context):
+    assert any(answer.problem for answer in context.naive.results())
+
+
+def answers_of(context):
+    """Every answer of the scene, waited for once."""
+    if not hasattr(context, "found"):
+        context.found = context.scene.answers()
+    return context.found
+
+
+@then("every answer is whole and no token came twice")
+def _whole(context):
+    found = answers_of(context)
+    wrong = scene.problems(found)
+    assert found and not wrong, (wrong, logs_of(context))
+
+
+def logs_of(context):
+    """What the entry VMs logged, for the message of a failed check."""
+    texts = (context.scene.fleet.log(vm) for vm in context.scene.vms)
+    return "\n".join(text[-6000:] for text in texts)
+
+
+@then("some streams were moved")
+def _moved(context):
+    assert "event=stream_moved" in logs_of(context)
+
+
+@then("no token was computed again")
+def _none_recomputed(context):
+    recomputed = context.scene.recomputed()
+    assert recomputed == 0, (recomputed, logs_of(context))
+
+
+@then("no more tokens were computed again than the dead runners had done")
+def _no_more(context):
+    ours = context.scene.recomputed()
+    lost = naive.lost_tokens(logs_of(context))
+    assert 0 < ours <= lost, (ours, lost)
+
+
+@then("at most {seconds:f} s passed between two tokens")
+def _gap(context, seconds):
+    longest = max(max(a.gaps_s, default=0.0) for a in answers_of(context))
+    assert longest <= seconds, longest
+
+
+@then("the runners of {data_centre} executed nothing")
+def _executed_nothing(context, data_centre):
+    for name in context.scene.engines_in(data_centre):
+        assert not context.scene.fleet.journal(name), name
+
+
+@then("{vm} exits with {code:d}")
+def _exits(context, vm, code):
+    process = context.scene.fleet.process(vm)
+    fleet.wait_for(lambda: not process.running)
+    assert process.exit_code == code, (process.exit_code, process.log)
+
+
+@then("some callers were told where to go on")
+def _told(context):
+    assert any(answer.moves for answer in answers_of(context))
+
+
+def in_background(work):
+    """Run something beside the scenario; returns its thread."""
+    thread = threading.Thread(target=work, daemon=True)
+    thread.start()
+    return thread
+
+
+def pretty(document):
+    """JSON for the message of a failed check."""
+    return json.dumps(document, indent=1)[:4000]
