Give orders to runners under fenced leases

Change: a task that holds duties by rendezvous hashing and leases, reads each runner's target back before it orders, checks the lease on the sending thread just before the first byte, and paces loads by the weight store. Conclusion: the check at the sender carries runners that ignore fencing; the successor waits out the longest order.

--- a/src/apricotlever/daemon/context.py
+++ b/src/apricotlever/daemon/context.py
@@ -24,6 +24,9 @@
     :param book: keeps idempotency keys.
     :param fleet: speaks to the other entry VMs.
     :param background: runs work that no caller waits for.
+    :param incarnation: of this process, ms since the Unix epoch.
+
+    ``reporting`` lists the tasks that add to the status page.
     """
 
     __slots__ = (
@@ -38,6 +41,7 @@
         "background",
         "connections",
         "incarnation",
+        "reporting",
         "_catalogue",
     )
 
@@ -65,6 +69,7 @@
         self.background = background
         self.connections = upstreams.Pool(clock)
         self.incarnation = incarnation
+        self.reporting: list[mailbox.Task] = []
         self._catalogue = catalogues.EMPTY
 
     @property
--- /dev/null
+++ b/src/apricotlever/daemon/duties.py
@@ -0,0 +1,408 @@
+"""The task that does duties for the fleet while this VM holds their leases.
+
+Rendezvous hashing names the VM for a duty, a lease in the store confirms
+it, and the lease is checked on the thread that sends an order, just before
+its first byte.
+"""
+
+from concurrent import futures
+import functools
+import random
+import typing
+
+from returns import result
+
+from .. import clock as clocks
+from .. import logs
+from .. import mailbox
+from .. import settings
+from ..catalogue import model as catalogues
+from ..links import platform
+from ..links import upstreams
+from ..runners import model as runners
+from ..vms import duties
+from ..vms import lease_objects
+from ..vms import orders
+from ..vms import view as views
+
+from . import messages
+from . import store as stores
+
+TICK_S = 0.2
+THREADS = 8
+_STALE = 409
+
+
+class ViewSeen:
+    """The members changed."""
+
+    __slots__ = ("view",)
+
+    def __init__(self, view: views.View) -> None:
+        self.view = view
+
+
+class Leave:
+    """This VM stops: give all duties back."""
+
+    __slots__ = ()
+
+
+class _LeaseCalled:
+    """A store call for a lease is over."""
+
+    __slots__ = ("action", "outcome")
+
+    def __init__(
+        self, action: lease_objects.LeaseAction, outcome: typing.Any
+    ) -> None:
+        self.action = action
+        self.outcome = outcome
+
+
+class _Ordered:
+    """An order was sent, or not.
+
+    :param fenced: the greater number that the runner has seen, or 0.
+    """
+
+    __slots__ = ("duty", "runner", "sent", "fenced")
+
+    def __init__(
+        self, duty: str, runner: str, sent: bool, fenced: int = 0
+    ) -> None:
+        self.duty = duty
+        self.runner = runner
+        self.sent = sent
+        self.fenced = fenced
+
+
+class _ReadBack:
+    """A runner's target in force was read, or not."""
+
+    __slots__ = ("duty", "runner", "target")
+
+    def __init__(
+        self, duty: str, runner: str, target: orders.Target | None
+    ) -> None:
+        self.duty = duty
+        self.runner = runner
+        self.target = target
+
+
+class DutyHolder(mailbox.Task):
+    """This VM's part in the fleet's duties.
+
+    :param config: this VM and its times.
+    :param store: runs the leases' calls.
+    :param weights: paces loads of models.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        config: settings.Settings,
+        incarnation: int,
+        store: mailbox.Task,
+        weights: platform.WeightStore,
+    ) -> None:
+        super().__init__("duties", clock, TICK_S)
+        self._config = config
+        self._incarnation = incarnation
+        self._store = store
+        self._weights = weights
+        self._duties = duties.Duties(
+            clock, rng, config.vm, incarnation, config.timing.lease_s
+        )
+        self._threads = futures.ThreadPoolExecutor(THREADS, "duties")
+        self._catalogue = catalogues.EMPTY
+        self._runners: dict[str, runners.Runner] = {}
+        self._orders: dict[str, orders.Orders] = {}
+        self._view: views.View | None = None
+        self._held: set[str] = set()
+
+    @mailbox.handles(messages.CatalogueInForce)
+    def _configure(self, message: messages.CatalogueInForce) -> None:
+        self._catalogue = message.catalogue
+        longest_s = self._config.timing.order_timeout_s
+        self._duties.configure(
+            duties.Duty(orders_duty(pool), "", longest_s)
+            for pool in self._model_pools()
+        )
+        if self._view is not None:
+            self._duties.look(self._view)
+
+    @mailbox.handles(ViewSeen)
+    def _view_seen(self, message: ViewSeen) -> None:
+        self._view = message.view
+        self._duties.look(message.view)
+
+    @mailbox.handles(Leave)
+    def _leave(self, message: Leave) -> None:
+        self._duties.leave()
+        self._start_lease_calls()
+
+    @mailbox.handles(messages.RunnersListed)
+    def _listed(self, message: messages.RunnersListed) -> None:
+        self._runners = {runner.name: runner for runner in message.runners}
+
+    @mailbox.handles(_LeaseCalled)
+    def _lease_called(self, message: _LeaseCalled) -> None:
+        lease = self._duties.lease(message.action.name)
+        outcome = message.outcome
+        if isinstance(outcome, result.Success):
+            stored = outcome.unwrap()
+            if isinstance(message.action, lease_objects.ReadLease):
+                lease.read(stored.version, stored.value)
+            else:
+                lease.written(stored.version)
+            return
+        match outcome.failure():
+            case platform.NotFound():
+                lease.read(None, None)
+            case platform.Conflict():
+                lease.conflict()
+            case platform.Ambiguous():
+                lease.ambiguous()
+            case _:
+                lease.failed()
+
+    @mailbox.handles(_Ordered)
+    def _ordered(self, message: _Ordered) -> None:
+        known = self._orders.get(message.duty)
+        if message.fenced:
+            logs.event(
+                "order_refused",
+                duty=message.duty,
+                runner=message.runner,
+                fencing=message.fenced,
+            )
+            self._duties.fenced_off(message.duty, message.fenced)
+        if known is None:
+            return
+        if message.sent:
+            known.sent(message.runner)
+        else:
+            known.not_sent(message.runner)
+
+    @mailbox.handles(_ReadBack)
+    def _read_back(self, message: _ReadBack) -> None:
+        known = self._orders.get(message.duty)
+        if known is None:
+            return
+        if message.target is None:
+            known.not_sent(message.runner)
+        else:
+            known.found(message.runner, message.target)
+
+    @mailbox.handles(messages.StatusWanted)
+    def _status(self, message: messages.StatusWanted) -> dict[str, object]:
+        return {
+            "duties": {
+                name: self._duties.may_order(name)
+                for name in self._duties.held
+            },
+            "orders_unconfirmed": {
+                name: known.unconfirmed for name, known in self._orders.items()
+            },
+        }
+
+    def tick(self) -> None:
+        """Renew leases, and order what is due under them."""
+        self._start_lease_calls()
+        self._note_held()
+        for pool in self._model_pools():
+            self._order(orders_duty(pool), pool)
+
+    def stopped(self) -> None:
+        """End the threads; orders under way end by their own timeouts."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    def failed(self, error: Exception) -> None:
+        """Log what no handler foresaw."""
+        logs.event("task_failed", task=self.name, error=repr(error))
+
+    def _model_pools(self) -> list[str]:
+        return sorted(
+            {
+                entry.pool
+                for entry in self._catalogue.entries.values()
+                if entry.kind == catalogues.KIND_MODEL
+            }
+        )
+
+    def _note_held(self) -> None:
+        held = set(self._duties.held)
+        for name in sorted(held - self._held):
+            fencing = self._duties.may_order(name)
+            logs.event("lease_taken", duty=name, fencing=fencing)
+        for name in sorted(self._held - held):
+            logs.event("lease_lost", duty=name)
+        self._held = held
+
+    def _order(self, duty: str, pool: str) -> None:
+        if duty not in self._held:
+            self._orders.pop(duty, None)
+            return
+        known = self._orders.get(duty)
+        if known is None:
+            known = orders.Orders(
+                self._clock, self._config.vm, self._incarnation
+            )
+            self._orders[duty] = known
+        members = [r for r in self._runners.values() if r.pool == pool]
+        target = self._target(pool)
+        fresh = {runner.name for runner in members} - set(known.wanted)
+        for runner in members:
+            known.want(runner.name, target)
+        for name in fresh:
+            # Most have the target already, and to ask costs no load.
+            known.sent(name)
+        for name in set(known.wanted) - {runner.name for runner in members}:
+            known.forget(name)
+        for action in known.tick():
+            runner = self._runners[action.upstream]
+            self._start_order(duty, runner, action)
+
+    def _start_order(
+        self, duty: str, runner: runners.Runner, action: orders.OrderAction
+    ) -> None:
+        if isinstance(action, orders.SendOrder):
+            self._threads.submit(self._send, duty, runner, action)
+        else:
+            self._threads.submit(self._read, duty, runner)
+
+    def _target(self, pool: str) -> orders.Target:
+        """What every runner of a pool should have loaded."""
+        wanted = {
+            (entry.model, entry.model_version)
+            for entry in self._catalogue.entries.values()
+            if entry.pool == pool and entry.kind == catalogues.KIND_MODEL
+        }
+        return {
+            "models": [
+                {"model": model, "version": version, "adapters": []}
+                for model, version in sorted(wanted)
+            ],
+            "role": "serve",
+        }
+
+    def _start_lease_calls(self) -> None:
+        for action in self._duties.tick():
+            self._start_lease_call(action)
+
+    @functools.singledispatchmethod
+    def _start_lease_call(self, action: typing.Any) -> None:
+        raise TypeError(type(action))
+
+    @_start_lease_call.register
+    def _start_read(self, action: lease_objects.ReadLease) -> None:
+        def run(api: platform.ObjectApi) -> typing.Any:
+            return api.get(action.name)
+
+        self._call(stores.Kind.READ, run, action)
+
+    @_start_lease_call.register
+    def _start_write(self, action: lease_objects.WriteLease) -> None:
+        def run(api: platform.ObjectApi) -> typing.Any:
+            return api.put(action.name, action.value, action.expected_version)
+
+        self._call(stores.Kind.WRITE, run, action)
+
+    def _call(
+        self,
+        kind: stores.Kind,
+        run: stores.Run,
+        action: lease_objects.LeaseAction,
+    ) -> None:
+        call = stores.StoreCall(stores.Rank.LEASE, kind, run)
+
+        def ended(future: "futures.Future[typing.Any]") -> None:
+            if future.exception() is None:
+                self.tell(_LeaseCalled(action, future.result()))
+
+        self._store.ask(call).add_done_callback(ended)
+
+    def _send(
+        self, duty: str, runner: runners.Runner, action: orders.SendOrder
+    ) -> None:
+        """Send one order, if the lease still stands at this moment.
+
+        A holder that was paused between its decision and here would give an
+        order under a lease that another VM has by now. Runners that check
+        fencing numbers refuse it; for the others the check stands as close
+        to the first byte as it can, and the successor waits out the rest.
+        """
+        if not self._weights_lent(action.target):
+            self.tell(_Ordered(duty, runner.name, False))
+            return
+        exchange = upstreams.Exchange(
+            runner.address, self._config.timing.order_timeout_s
+        )
+        try:
+            exchange.open()
+            fencing = self._duties.may_order(
+                duty, self._config.timing.order_timeout_s / 2
+            )
+            if fencing is None:
+                exchange.abandon()
+                self.tell(_Ordered(duty, runner.name, False))
+                return
+            body = upstreams.encode_json(
+                {
+                    "order": action.order_id,
+                    "fencing": fencing,
+                    "target": action.target,
+                }
+            )
+            exchange.send("POST", "/v1/orders", upstreams.JSON_ONCE, body)
+            answer = exchange.read_json()
+            status = exchange.status
+        except upstreams.UpstreamError as error:
+            logs.event(
+                "order_failed",
+                duty=duty,
+                runner=runner.name,
+                error=error.message,
+            )
+            self.tell(_Ordered(duty, runner.name, error.sent))
+            return
+        fenced = int(answer["fencing"]) if status == _STALE else 0
+        if not fenced:
+            logs.event(
+                "order_sent", duty=duty, runner=runner.name, fencing=fencing
+            )
+        self.tell(_Ordered(duty, runner.name, not fenced, fenced))
+
+    def _weights_lent(self, target: orders.Target) -> bool:
+        """Ask the weight store before runners begin to load from it."""
+        for model in target["models"]:
+            lent = self._weights.lease(model["model"], model["version"])
+            if not isinstance(lent, result.Success):
+                logs.event(
+                    "platform_call_failed",
+                    call="weights",
+                    kind=lent.failure().kind,
+                    error=lent.failure().message,
+                )
+                return False
+        return True
+
+    def _read(self, duty: str, runner: runners.Runner) -> None:
+        try:
+            found = upstreams.call_json(
+                runner.address,
+                "GET",
+                "/v1/orders",
+                timeout_s=self._config.timing.order_timeout_s,
+            )
+            target = found["target"]
+        except (upstreams.UpstreamError, KeyError, TypeError):
+            target = None
+        self.tell(_ReadBack(duty, runner.name, target))
+
+
+def orders_duty(pool: str) -> str:
+    """The duty of ordering what the runners of a pool load."""
+    return f"orders/{pool}"
--- a/src/apricotlever/daemon/gateway.py
+++ b/src/apricotlever/daemon/gateway.py
@@ -172,12 +172,14 @@
     def _status(self, call: callers.Call) -> callers.Reply:
         context = self._context
         wanted = messages.StatusWanted()
-        desk = context.answer_of(context.desk.ask(wanted))
+        pages = [
+            context.answer_of(task.ask(wanted)) for task in context.reporting
+        ]
         kept = context.answer_of(context.book.ask(book.Count()))
         running = context.answer_of(
             context.archive.ask(archive.CountRunning())
         )
-        document = {
+        document: dict[str, typing.Any] = {
             "vm": context.config.vm,
             "data_centre": context.config.data_centre,
             "incarnation": context.incarnation,
@@ -187,8 +189,9 @@
             "peers": self._presence.peers(),
             "ledger": {"keys": kept[0], "in_flight": kept[1]},
             "streams": running,
-            **desk,
         }
+        for page in pages:
+            document.update(page)
         return _json(document)
 
     @_routes.on("/v1/histograms", "GET")
--- a/src/apricotlever/daemon/keeper.py
+++ b/src/apricotlever/daemon/keeper.py
@@ -22,7 +22,6 @@
 
 from . import fleet
 from . import messages
-from . import rumours
 
 THREADS = 8
 TICK_S = 0.1
@@ -51,6 +50,25 @@
         self.here = here
 
 
+class Listener(typing.Protocol):
+    """What the daemon does with what is found; must return at once."""
+
+    def on_runners(self, listed: tuple[runners.Runner, ...]) -> None:
+        """The platform listed the runners."""
+
+    def on_listed_leaving(self, vm: str, left_s: float) -> None:
+        """The platform's list shows a VM as leaving."""
+
+    def on_notice(self, vm: str, left_s: float) -> None:
+        """The platform gave notice of a VM, maybe of this one."""
+
+    def on_load(self, runner: str, report: runners.LoadReport | None) -> None:
+        """A runner's load was read; None when it did not answer."""
+
+    def on_cache(self, runner: str, events: runners.CacheEvents) -> None:
+        """A runner's cache events were read."""
+
+
 class _Listed:
     """The platform's list of VMs came, or not."""
 
@@ -102,9 +120,8 @@
 
     :param config: intervals and this VM's name.
     :param cloud: the client of the cloud API.
-    :param desk: hears of runners.
-    :param others: the fleet's task, for rumours and hints.
-    :param on_notice: told of a reclaim notice, for this VM itself too.
+    :param others: the fleet's task, for hints.
+    :param listener: told of all that is found.
     """
 
     def __init__(
@@ -112,16 +129,14 @@
         clock: clocks.Clock,
         config: settings.Settings,
         cloud: platform.CloudApi,
-        desk: mailbox.Task,
         others: mailbox.Task,
-        on_notice: typing.Callable[[str, float], None],
+        listener: Listener,
     ) -> None:
         super().__init__("keeper", clock, TICK_S)
         self._config = config
         self._cloud = cloud
-        self._desk = desk
         self._others = others
-        self._on_notice = on_notice
+        self._listener = listener
         self._threads = futures.ThreadPoolExecutor(THREADS, "keeper")
         self._connections = upstreams.Pool(clock)
         self._catalogue = catalogues.EMPTY
@@ -186,23 +201,15 @@
         answer = message.outcome.unwrap()
         self._notice_seq = answer.seq
         for notice in answer.notices:
-            self._on_notice(notice.vm, notice.deadline_s)
+            self._listener.on_notice(notice.vm, notice.deadline_s)
 
     @mailbox.handles(_Polled)
     def _polled(self, message: _Polled) -> None:
-        if message.load is None:
-            self._desk.tell(messages.ProbeFailed(message.runner))
-            return
-        self._desk.tell(messages.LoadSeen(message.runner, message.load))
-        rumour = rumours.of_load(message.runner, message.load)
-        self._others.tell(fleet.Announce(rumour))
+        self._listener.on_load(message.runner, message.load)
         if message.events is None or not message.events.events:
             return
         self._cache_seqs[message.runner] = message.events.last
-        self._desk.tell(messages.CacheSeen(message.runner, message.events))
-        self._others.tell(
-            fleet.Announce(rumours.of_cache(message.runner, message.events))
-        )
+        self._listener.on_cache(message.runner, message.events)
 
     @mailbox.handles(messages.StatusWanted)
     def _status(self, message: messages.StatusWanted) -> dict[str, object]:
@@ -264,11 +271,10 @@
         if not self._vms:
             return
         self._runners = {runner.name: runner for runner in listed}
-        self._desk.tell(messages.RunnersListed(listed))
+        self._listener.on_runners(listed)
         for vm in self._vms:
             if vm.role == "runner" and vm.state == "leaving":
-                leaving = messages.RunnerLeaving(vm.vm, LISTED_LEAVING_S)
-                self._desk.tell(leaving)
+                self._listener.on_listed_leaving(vm.vm, LISTED_LEAVING_S)
 
     def _runner(self, vm: platform.Vm, slots: int) -> runners.Runner:
         price = self._prices.get((vm.data_centre, vm.machine, vm.market), 0.0)
--- a/src/apricotlever/daemon/node.py
+++ b/src/apricotlever/daemon/node.py
@@ -17,6 +17,7 @@
 from ..links import peer_pb2 as pb
 from ..links import peers
 from ..links import platform
+from ..runners import model as runners
 from ..runners import quarantine
 from ..vms import view as views
 
@@ -26,6 +27,7 @@
 from . import context as contexts
 from . import departing
 from . import desk
+from . import duties
 from . import fleet
 from . import gateway
 from . import heir
@@ -106,6 +108,7 @@
         here = view.names(self._config.data_centre)
         self._keeper.tell(keeper.Shown(view.names(), here))
         self._watcher.tell(watcher.ViewSeen(view))
+        self._duties.tell(duties.ViewSeen(view))
         self._desk.tell(messages.MembersSeen(frozenset(view.members)))
         self._store.tell(store.FleetSize(view.size))
         for member in view.members.values():
@@ -207,9 +210,7 @@
         cloud = platform.CloudApi(
             config.platform.cloud, timing.platform_timeout_s
         )
-        self._keeper = keeper.Keeper(
-            clock, config, cloud, self._desk, self._fleet, self._told_notice
-        )
+        self._keeper = keeper.Keeper(clock, config, cloud, self._fleet, self)
         self._watcher = watcher.Watcher(
             clock,
             self._rng,
@@ -218,6 +219,17 @@
             self._fleet,
             self._in_force,
         )
+        weights = platform.WeightStore(
+            config.platform.weights, timing.platform_timeout_s
+        )
+        self._duties = duties.DutyHolder(
+            clock,
+            self._rng,
+            config,
+            self._incarnation,
+            self._store,
+            weights,
+        )
         self._background = futures.ThreadPoolExecutor(
             BACKGROUND_THREADS, "background"
         )
@@ -233,6 +245,12 @@
             self._background,
             self._incarnation,
         )
+        self._context.reporting = [
+            self._desk,
+            self._keeper,
+            self._watcher,
+            self._duties,
+        ]
         self._heir = heir.Heir(clock, self._context)
         self._tasks = [
             self._store,
@@ -243,6 +261,7 @@
             self._keeper,
             self._watcher,
             self._heir,
+            self._duties,
         ]
 
     def _rooms(self) -> calls.Rooms:
@@ -290,6 +309,7 @@
         deadline = self._deadline()
         logs.event("stopping", left_s=round(deadline - self._clock.now(), 3))
         self._presence.leave()
+        self._duties.tell(duties.Leave())
         self._fleet.tell(fleet.Leave())
         self._sleep_until(self._named_until(deadline))
         self._presence.take_no_more()
@@ -367,12 +387,38 @@
         message = messages.CatalogueInForce(catalogue)
         self._desk.tell(message)
         self._keeper.tell(message)
+        self._duties.tell(message)
         self._metrics.gauge("catalogue.version", catalogue.version)
 
     def _announce(self, rumour: pb.Rumour) -> None:
         self._fleet.tell(fleet.Announce(rumour))
 
-    def _told_notice(self, vm: str, left_s: float) -> None:
+    # What the keeper reports; see keeper.Listener.
+
+    def on_runners(self, listed: tuple[runners.Runner, ...]) -> None:
+        """The platform listed the runners."""
+        message = messages.RunnersListed(listed)
+        self._desk.tell(message)
+        self._duties.tell(message)
+
+    def on_listed_leaving(self, vm: str, left_s: float) -> None:
+        """The platform's list shows a VM as leaving."""
+        self._desk.tell(messages.RunnerLeaving(vm, left_s))
+
+    def on_load(self, runner: str, report: runners.LoadReport | None) -> None:
+        """A runner's load was read, or it did not answer."""
+        if report is None:
+            self._desk.tell(messages.ProbeFailed(runner))
+            return
+        self._desk.tell(messages.LoadSeen(runner, report))
+        self._announce(rumours.of_load(runner, report))
+
+    def on_cache(self, runner: str, events: runners.CacheEvents) -> None:
+        """A runner's cache events were read."""
+        self._desk.tell(messages.CacheSeen(runner, events))
+        self._announce(rumours.of_cache(runner, events))
+
+    def on_notice(self, vm: str, left_s: float) -> None:
         """The platform gave notice of a VM; tell the fleet at once."""
         self._announce(rumours.of_runner_leaving(vm, left_s))
         self._noticed(vm, left_s)
--- a/src/apricotlever/links/upstreams.py
+++ b/src/apricotlever/links/upstreams.py
@@ -23,6 +23,7 @@
 UNACKNOWLEDGED_MS = 6000
 READ_BYTES = 65536
 ANSWER_BYTES_MAX = 32 * 1024 * 1024
+JSON_ONCE = {"Content-Type": "application/json", "Connection": "close"}
 REQUEST_HEADER = "Apricotlever-Request"
 ATTEMPT_HEADER = "Apricotlever-Attempt"
 
@@ -266,6 +267,20 @@
         self._expect_whole(size)
         return b"".join(chunks)
 
+    def read_json(self) -> typing.Any:
+        """The whole body, decoded; the exchange ends with it.
+
+        :raises Broken: when it is not JSON.
+        :raises UpstreamError: as :meth:`read_all`.
+        """
+        content = self.read_all()
+        self.finish()
+        try:
+            return json.loads(content or b"null")
+        except ValueError as error:
+            message = f"{self._address} sent no JSON: {error}"
+            raise Broken(message, sent=True) from error
+
     def interrupt(self) -> None:
         """Wake the owner's blocked read; may be called from any thread.
 
@@ -420,18 +435,20 @@
     """
     exchange = Exchange(address, timeout_s, pool)
     exchange.open()
-    body = None if document is None else json.dumps(document).encode()
-    headers = {"Content-Type": "application/json"}
-    if pool is None:
-        headers["Connection"] = "close"
+    body = None if document is None else encode_json(document)
+    headers = {"Content-Type": "application/json"} if pool else JSON_ONCE
     exchange.send(method, path, headers, body)
-    content = exchange.read_all()
-    status = exchange.status
-    exchange.finish()
-    if not 200 <= status < 300:
-        raise Declined(status, content[:512])
-    try:
-        return json.loads(content or b"null")
-    except ValueError as error:
-        message = f"{address} sent no JSON: {error}"
-        raise Broken(message, sent=True) from error
+    if not 200 <= exchange.status < 300:
+        status = exchange.status
+        body = exchange.read_all()[:512]
+        exchange.finish()
+        raise Declined(status, body)
+    return exchange.read_json()
+
+
+def encode_json(document: typing.Any) -> bytes:
+    """A document as it is sent.
+
+    :param document: anything that JSON can hold.
+    """
+    return json.dumps(document).encode()
--- a/src/apricotlever/vms/orders.py
+++ b/src/apricotlever/vms/orders.py
@@ -85,6 +85,11 @@
             if not wanted.confirmed
         )
 
+    @property
+    def wanted(self) -> list[str]:
+        """Upstreams that have a target."""
+        return sorted(self._wanted)
+
     def want(self, upstream: str, target: Target) -> None:
         """Set what should be in force; the same again changes nothing."""
         known = self._wanted.get(upstream)
--- a/tests/daemon/scene.py
+++ b/tests/daemon/scene.py
@@ -28,6 +28,8 @@
     "watch_s": 2.0,
     "probe_interval_s": 0.3,
     "probe_timeout_s": 0.2,
+    "lease_s": 3.0,
+    "order_timeout_s": 1.0,
 }
 Answers = list[answers.Answer]
 
@@ -226,6 +228,11 @@
         address = self.fleet.address(vm)
         return fleet.http.call(address, "GET", "/v1/status").payload
 
+    def holder_of(self, duty: str) -> str:
+        """The entry VM that holds a duty's lease; empty when none does."""
+        holders = (vm for vm in self.vms if duty in self.status(vm)["duties"])
+        return next(holders, "")
+
     def wait_running(self, count: int) -> None:
         """Wait until so many streams are being relayed."""
 
@@ -247,7 +254,7 @@
 
     def _start(self, flags: typing.Sequence[str]) -> None:
         running = self.fleet
-        running.start_platform()
+        self._start_platform()
         running.start_engines(
             self.engines,
             MODEL_POOL,
@@ -261,6 +268,9 @@
         )
         fleet.wait_for(self._ready)
 
+    def _start_platform(self) -> None:
+        self.fleet.start_platform()
+
     def _ready(self) -> bool:
         wanted = len(self.engines) + len(self.services)
         pages = [self.status(vm) for vm in self.vms]
