Split the desk and the fleet's task along their jobs

Change: placements (which request is where, evacuation), trials (judge messages), listeners and promises are modules of their own.

--- a/src/apricotlever/daemon/calls.py
+++ b/src/apricotlever/daemon/calls.py
@@ -1,6 +1,5 @@
 """What this VM answers to the calls of other entry VMs."""
 
-from concurrent import futures
 import typing
 
 from .. import mailbox
@@ -12,8 +11,10 @@
 from . import context as contexts
 from . import heir
 from . import messages
+from . import promises
 from . import rumours
 from . import service_calls
+from . import trials
 from . import watcher
 
 
@@ -68,7 +69,7 @@
     def _crash(message: pb.CrashReport) -> typing.Any:
         report = rumours.crash_of(message)
         asked = rooms.desk.ask(messages.CrashHeard(report))
-        return _then(asked, lambda _: pb.CrashReceipt())
+        return promises.then(asked, lambda _: pb.CrashReceipt())
 
     @handlers.answers("Judge")
     def _judge(message: pb.TrialQuestion) -> typing.Any:
@@ -77,37 +78,10 @@
                 message.fingerprint, message.request_id
             )
             over = rooms.desk.ask(messages.TrialOver(report))
-            return _then(over, lambda _: pb.TrialAnswer())
-        question = quarantine.MayRun(
-            message.fingerprint,
-            message.request_id,
-            tuple(
-                quarantine.Place(place.runner, place.data_centre)
-                for place in message.places
-            ),
-        )
+            return promises.then(over, lambda _: pb.TrialAnswer())
+        question = trials.question_of(message)
         asked = rooms.desk.ask(messages.Judge(question))
-        return _then(asked, verdict_message)
-
-
-def verdict_message(verdict: quarantine.Decision) -> pb.TrialAnswer:
-    """A judge's decision as a message."""
-    match verdict:
-        case quarantine.RunAt():
-            return pb.TrialAnswer(
-                verdict=pb.TrialAnswer.TRIAL_AT, runner=verdict.runner
-            )
-        case quarantine.Hold():
-            return pb.TrialAnswer(
-                verdict=pb.TrialAnswer.TRIAL_HOLD,
-                retry_after_s=verdict.retry_after_s,
-            )
-        case quarantine.RefuseRun():
-            return pb.TrialAnswer(
-                verdict=pb.TrialAnswer.TRIAL_REFUSED,
-                retry_after_s=verdict.retry_after_s,
-            )
-    return pb.TrialAnswer(verdict=pb.TrialAnswer.TRIAL_FREE)
+        return promises.then(asked, trials.verdict_message)
 
 
 def run_forwarded(
@@ -146,21 +120,3 @@
     except refusals.Refusal as refusal:
         return service_calls.refusal_message(message.request_id, refusal)
     return service_calls.message_of(message.request_id, answer)
-
-
-def _then(
-    future: "futures.Future[typing.Any]",
-    turn: typing.Callable[[typing.Any], typing.Any],
-) -> "futures.Future[typing.Any]":
-    """A future of what a function makes of another future's value."""
-    turned: futures.Future[typing.Any] = futures.Future()
-
-    def ended(done: "futures.Future[typing.Any]") -> None:
-        error = done.exception()
-        if error is not None:
-            turned.set_exception(error)
-        else:
-            turned.set_result(turn(done.result()))
-
-    future.add_done_callback(ended)
-    return turned
--- a/src/apricotlever/daemon/desk.py
+++ b/src/apricotlever/daemon/desk.py
@@ -17,26 +17,20 @@
 from ..contracts import retries
 from ..contracts import retry_budget
 from ..links import peer_pb2 as pb
-from ..requests import evacuation
-from ..requests import export_times
 from ..requests import recovery
 from ..runners import crashes
 from ..runners import model as runners
 from ..runners import quarantine
 from ..runners import routing
 
-from . import flights
 from . import messages
+from . import placements
 from . import rumours
 
 Announce = typing.Callable[[pb.Rumour], None]
 
 NEEDED_S = 0.2
-#: Recoveries of a stream are bounded by its deadline; this only stops a
-#: request that no runner finishes from trying for ever.
-MOST_ATTEMPTS_AFTER_DEATHS = 12
 TRIAL_PLACES = 4
-CANDIDATES = 8
 
 _LIMITS = frozenset(
     (
@@ -48,22 +42,6 @@
 )
 
 
-class _Placed:
-    """A request at a runner.
-
-    :param moving_to: the runner that its stream is on the way to, or empty.
-    """
-
-    __slots__ = ("dispatch", "runner", "moving_to")
-
-    def __init__(
-        self, dispatch: messages.Dispatch, runner: runners.Runner
-    ) -> None:
-        self.dispatch = dispatch
-        self.runner = runner
-        self.moving_to = ""
-
-
 class Desk(mailbox.Task):
     """Decides about the requests of one entry VM.
 
@@ -92,10 +70,7 @@
         self._budget = retry_budget.RetryBudget()
         self._quarantine = quarantine.Quarantine(clock)
         self._waiting: dict[str, futures.Future[typing.Any]] = {}
-        self._placed: dict[str, _Placed] = {}
-        self._reported: dict[str, float] = {}
-        self._taken_at: dict[str, float] = {}
-        self._export_times = export_times.ExportTimes()
+        self._placements = placements.Placements(clock, self._router, vm)
 
     @mailbox.handles(messages.CatalogueInForce)
     def _configure(self, message: messages.CatalogueInForce) -> None:
@@ -142,11 +117,11 @@
     def _attempt_ended(
         self, message: messages.AttemptEnded
     ) -> crashes.CrashSeen | None:
-        placed = self._placed.get(message.request_id)
+        runner = self._placements.runner_of(message.request_id)
         report = None
-        if placed is not None and message.crashed:
-            report = self._crashed(placed.runner)
-        self._placed.pop(message.request_id, None)
+        if runner is not None and message.crashed:
+            report = self._crashed(runner)
+        self._placements.left(message.request_id)
         self._router.finished(
             message.request_id, message.outcome, message.tokens
         )
@@ -156,7 +131,8 @@
     def _request_ended(
         self, message: messages.RequestEnded
     ) -> crashes.Survived | None:
-        placed = self._placed.pop(message.request_id, None)
+        dispatch = self._placements.dispatch_of(message.request_id)
+        self._placements.left(message.request_id)
         self._router.finished(
             message.request_id, message.outcome, message.tokens
         )
@@ -165,33 +141,29 @@
         )
         self._settle(verdicts)
         done = message.outcome is runners.Outcome.DONE
-        if placed is None or not done:
+        if dispatch is None or not done:
             return None
-        self._budget.succeeded(placed.dispatch.query.entry)
-        return self._survived(placed.dispatch.fingerprint)
+        self._budget.succeeded(dispatch.query.entry)
+        return self._survived(dispatch.fingerprint)
 
     @mailbox.handles(messages.StreamBroke)
     def _broke(self, message: messages.StreamBroke) -> recovery.Decision:
         flight = message.flight
         runner = flight.runner
         assert runner is not None
-        return recovery.plan(
-            self._situation(
-                flight,
-                runner,
-                message.cause,
-                self._candidates(flight, message.excluded),
-                message.failures,
-                message.same_runner,
-            )
+        situation = self._placements.situation(
+            flight,
+            runner,
+            message.cause,
+            self._placements.candidates(flight, message.excluded),
+            message.failures,
+            message.same_runner,
         )
+        return recovery.plan(situation)
 
     @mailbox.handles(messages.MoveEnded)
     def _move_ended(self, message: messages.MoveEnded) -> None:
-        if message.seconds is None:
-            self._export_times.failed()
-        else:
-            self._export_times.observe(message.tokens, message.seconds)
+        self._placements.moved(message.tokens, message.seconds)
 
     @mailbox.handles(messages.MayRetry)
     def _may_retry(
@@ -217,7 +189,7 @@
             # A runner's death takes its load away with it, so what it ran
             # may go elsewhere without adding any.
             spare = retry_budget.RetryBudget()
-            most = MOST_ATTEMPTS_AFTER_DEATHS
+            most = placements.MOST_ATTEMPTS_AFTER_DEATHS
             return retries.decide(failure, spare, most)
         return retries.decide(failure, self._budget)
 
@@ -238,9 +210,8 @@
         if self._router.runner(name) is None or self._router.is_leaving(name):
             self._router.leaving(name)
             return False
-        deadline = self._clock.now() + message.left_s
-        self._taken_at[name] = deadline
-        self._router.leaving(name, deadline)
+        self._placements.taken_in(name, message.left_s)
+        self._router.leaving(name, self._clock.now() + message.left_s)
         self._size_pools()
         left_s = round(message.left_s, 3)
         logs.event("runner_leaving", runner=name, left_s=left_s)
@@ -251,7 +222,7 @@
         if self._router.runner(message.runner) is not None:
             logs.event("runner_gone", runner=message.runner)
         self._router.gone(message.runner)
-        self._taken_at.pop(message.runner, None)
+        self._placements.gone(message.runner)
         self._size_pools()
 
     @mailbox.handles(messages.RunnerWanted)
@@ -296,7 +267,7 @@
     @mailbox.handles(messages.StatusWanted)
     def _status(self, message: messages.StatusWanted) -> dict[str, object]:
         return {
-            "in_flight": len(self._placed),
+            "in_flight": len(self._placements),
             "queued": len(self._waiting),
             "runners": [self._runner_row(r) for r in self._router.runners],
             "quarantine": {"deaths": len(self._quarantine.log.deaths)},
@@ -306,7 +277,7 @@
     def tick(self) -> None:
         """Settle what time has decided, and empty runners that leave."""
         self._settle(self._admission.tick())
-        self._evacuate()
+        self._placements.evacuate()
         self._quarantine.tick()
         report = self._admission.take_report()
         if report is not None:
@@ -352,7 +323,7 @@
     def _place(
         self, message: messages.Dispatch, runner: runners.Runner
     ) -> None:
-        self._placed[message.request_id] = _Placed(message, runner)
+        self._placements.place(message, runner)
         self._router.started(message.request_id, runner.name, message.query)
 
     def _trial(self, message: messages.Dispatch) -> messages.TrialWanted:
@@ -367,28 +338,9 @@
         return messages.TrialWanted(message.query.pool, question)
 
     def _crashed(self, runner: runners.Runner) -> crashes.CrashSeen | None:
-        """Put a runner's death on record, once for all its requests."""
-        now = self._clock.now()
-        told_at = self._reported.get(runner.name, float("-inf"))
-        charges = tuple(
-            crashes.Charge(
-                placed.dispatch.fingerprint,
-                placed.dispatch.request_id,
-                placed.dispatch.attempt,
-                placed.dispatch.on_trial,
-            )
-            for placed in self._placed.values()
-            if placed.runner.name == runner.name
-        )
-        noticed = self._router.is_leaving(runner.name)
-        self._router.crashed(runner.name)
-        report = crashes.CrashSeen(
-            self._vm, runner.name, runner.data_centre, 0.0, noticed, charges
-        )
-        self._quarantine.receive(report)
-        if now - told_at < crashes.SAME_DEATH_S:
-            return None
-        self._reported[runner.name] = now
+        report = self._placements.crashed(runner)
+        if report is not None:
+            self._quarantine.receive(report)
         return report
 
     def _survived(self, fingerprint: str) -> crashes.Survived | None:
@@ -399,103 +351,6 @@
         self._quarantine.receive(report)
         return report
 
-    def _evacuate(self) -> None:
-        """Decide about every stream on a runner that will be taken.
-
-        All streams of a wave are decided together, so that they do not meet
-        at the one runner that looked emptiest to each of them.
-        """
-        if not self._taken_at:
-            return
-        placed = [
-            each
-            for each in self._placed.values()
-            if each.runner.name in self._taken_at
-            and each.dispatch.flight is not None
-        ]
-        candidates: dict[str, list[recovery.Candidate]] = {}
-        situations = []
-        for each in placed:
-            flight = each.dispatch.flight
-            assert flight is not None
-            pool = flight.entry.pool
-            if pool not in candidates:
-                candidates[pool] = self._candidates(flight, frozenset())
-            situation = self._situation(
-                flight, each.runner, recovery.Cause.NOTICE, candidates[pool]
-            )
-            situation.moving_to = each.moving_to
-            situations.append(situation)
-        for move in evacuation.plan(situations):
-            self._move(self._placed[move.request_id], move.decision)
-
-    def _move(self, placed: _Placed, decision: recovery.Decision) -> None:
-        if not isinstance(decision, (recovery.ExportTo, recovery.Replay)):
-            return
-        flight = placed.dispatch.flight
-        assert flight is not None
-        if flight.decide(placed.runner.name, decision):
-            placed.moving_to = decision.runner
-
-    def _situation(
-        self,
-        flight: flights.Flight,
-        runner: runners.Runner,
-        cause: recovery.Cause,
-        candidates: list[recovery.Candidate],
-        failures: int = 0,
-        same_runner: int = 0,
-    ) -> recovery.Situation:
-        sent = flight.transcript.tokens()
-        tokens = flight.request.prompt_tokens + len(sent)
-        left = flight.request.max_tokens - len(sent)
-        taken_at = self._taken_at.get(runner.name, float("inf"))
-        return recovery.Situation(
-            flight.request_id,
-            cause,
-            runner.name,
-            flight.service_class.priority,
-            flight.request.prompt_tokens,
-            sent,
-            left * flight.service_class.between_tokens_s,
-            taken_at - self._clock.now(),
-            self._export_times.estimate_s(tokens),
-            flight.left_s,
-            failures,
-            MOST_ATTEMPTS_AFTER_DEATHS,
-            same_runner,
-            "",
-            candidates,
-        )
-
-    def _candidates(
-        self, flight: flights.Flight, excluded: frozenset[str]
-    ) -> list[recovery.Candidate]:
-        doomed = self._doomed()
-        routes = self._router.ranked(flight.query(excluded), CANDIDATES)
-        return [
-            recovery.Candidate(
-                route.runner.name,
-                route.runner.data_centre,
-                route.runner.slots
-                - self._router.own_in_flight(route.runner.name),
-                route.runner.data_centre in doomed,
-            )
-            for route in routes
-        ]
-
-    def _doomed(self) -> set[str]:
-        """Data centres that are losing most of their runners."""
-        known: dict[str, list[bool]] = {}
-        for runner in self._router.runners:
-            leaving = self._router.is_leaving(runner.name)
-            known.setdefault(runner.data_centre, []).append(leaving)
-        return {
-            data_centre
-            for data_centre, leaving in known.items()
-            if 2 * sum(leaving) > len(leaving)
-        }
-
     def _size_pools(self) -> None:
         by_pool: dict[str, list[runners.Runner]] = {}
         for runner in self._router.runners:
--- a/src/apricotlever/daemon/fleet.py
+++ b/src/apricotlever/daemon/fleet.py
@@ -6,12 +6,9 @@
 
 from concurrent import futures
 import functools
-import itertools
 import random
 import typing
 
-from returns import result
-
 from .. import clock as clocks
 from .. import logs
 from .. import mailbox
@@ -27,11 +24,13 @@
 from ..vms import timing
 from ..vms import view as views
 
+from . import listeners
+from . import promises
 from . import rumours
+from . import trials
 
 CRASH_CALL_S = 0.4
 JUDGE_CALL_S = 1.0
-JUDGE_RETRY_S = 0.3
 #: In a fleet larger than this the judge and a few others hear of a crash by
 #: a call, and the rest by rumour.
 CALLED_AT_ONCE = 16
@@ -157,36 +156,6 @@
         self.asked = asked
 
 
-class Listener(typing.Protocol):
-    """What the daemon does when the fleet changes; must return at once."""
-
-    def on_view(self, view: views.View) -> None:
-        """The members changed."""
-
-    def on_rumour(self, rumour: pb.Rumour, via: str) -> None:
-        """A rumour came, once."""
-
-    def on_incarnation_ended(self, vm: str, incarnation: int) -> None:
-        """A process of an entry VM is gone for certain."""
-
-    def on_catalogue_heard(self, version: int, digest: int, vm: str) -> None:
-        """A peer has a newer catalogue."""
-
-    def on_paused(self, seconds: float) -> None:
-        """This process stood still."""
-
-    def on_superseded(self) -> None:
-        """A newer process runs under this VM's name."""
-
-    def judge(
-        self, question: quarantine.MayRun
-    ) -> "futures.Future[quarantine.Decision]":
-        """Decide on a suspect as the judge of its pool."""
-
-    def trial_over(self, report: quarantine.TrialOver) -> None:
-        """A trial that this VM handed out is over."""
-
-
 def own_member(
     config: settings.Settings,
     callers: str,
@@ -227,7 +196,7 @@
         link: peers.PeerLink,
         me: pb.Member,
         metrics: metrics_.Metrics,
-        listener: Listener,
+        listener: listeners.Listener,
     ) -> None:
         super().__init__("fleet", clock, timing.TICK_S)
         self._config = config
@@ -297,7 +266,7 @@
             if isinstance(action, actions.Send)
         ]
         calls = [self._send(action) for action in sends]
-        _settle_with_all(self.defer(), calls)
+        promises.settle_with_all(self.defer(), calls)
         return mailbox.DEFERRED
 
     @mailbox.handles(CallPeer)
@@ -319,7 +288,7 @@
             message.message,
             message.timeout_s,
         )
-        call.add_done_callback(functools.partial(_copy, future))
+        call.add_done_callback(functools.partial(promises.copy, future))
         return mailbox.DEFERRED
 
     @mailbox.handles(SpreadCrash)
@@ -335,7 +304,7 @@
             self._call(member.peers_address, "Crash", report, CRASH_CALL_S)
             for member in others[:CALLED_AT_ONCE]
         ]
-        _settle_with_all(self.defer(), calls)
+        promises.settle_with_all(self.defer(), calls)
         return mailbox.DEFERRED
 
     @mailbox.handles(AskJudge)
@@ -344,20 +313,11 @@
         judge = self._judge_of(message.pool)
         if judge is None:
             local = self._listener.judge(message.question)
-            local.add_done_callback(functools.partial(_copy, future))
+            local.add_done_callback(functools.partial(promises.copy, future))
             return mailbox.DEFERRED
-        question = pb.TrialQuestion(
-            fingerprint=message.question.fingerprint,
-            request_id=message.question.request_id,
-            places=[
-                pb.TrialPlace(
-                    runner=place.runner, data_centre=place.data_centre
-                )
-                for place in message.question.places
-            ],
-        )
+        question = trials.question_message(message.question)
         call = self._call(judge.peers_address, "Judge", question, JUDGE_CALL_S)
-        call.add_done_callback(functools.partial(_decide, future))
+        call.add_done_callback(functools.partial(trials.decide, future))
         return mailbox.DEFERRED
 
     @mailbox.handles(TrialDone)
@@ -366,11 +326,7 @@
         if judge is None:
             self._listener.trial_over(message.report)
             return
-        over = pb.TrialQuestion(
-            fingerprint=message.report.fingerprint,
-            request_id=message.report.request_id,
-            over=True,
-        )
+        over = trials.over_message(message.report)
         self._call(judge.peers_address, "Judge", over, JUDGE_CALL_S)
 
     def tick(self) -> None:
@@ -468,63 +424,3 @@
         answer = call.result()
         if answer.sender.vm:
             self.tell(_Received(answer, False))
-
-
-def outcome_of(
-    call: "futures.Future[typing.Any]",
-) -> result.Result[typing.Any, BaseException]:
-    """What a finished call gave."""
-    error = call.exception()
-    if error is not None:
-        return result.Failure(error)
-    return result.Success(call.result())
-
-
-def _copy(
-    future: "futures.Future[typing.Any]", call: "futures.Future[typing.Any]"
-) -> None:
-    error = call.exception()
-    if error is not None:
-        future.set_exception(error)
-    else:
-        future.set_result(call.result())
-
-
-def _settle_with_all(
-    future: "futures.Future[typing.Any]",
-    calls: list["futures.Future[typing.Any]"],
-) -> None:
-    """Settle a future with None when every call has ended, well or not."""
-    ended_count = itertools.count(1)
-    if not calls:
-        future.set_result(None)
-
-    def ended(call: "futures.Future[typing.Any]") -> None:
-        if next(ended_count) == len(calls):
-            future.set_result(None)
-
-    for call in calls:
-        call.add_done_callback(ended)
-
-
-def _decide(
-    future: "futures.Future[typing.Any]", call: "futures.Future[typing.Any]"
-) -> None:
-    """Turn a judge's answer into a decision.
-
-    A judge that can't be reached must not let a suspect run: two VMs that
-    each think they judge would let it crash one runner each.
-    """
-    if call.exception() is not None:
-        future.set_result(quarantine.Hold(JUDGE_RETRY_S))
-        return
-    answer = call.result()
-    verdicts = {
-        pb.TrialAnswer.TRIAL_FREE: quarantine.RunFreely(),
-        pb.TrialAnswer.TRIAL_AT: quarantine.RunAt(answer.runner),
-        pb.TrialAnswer.TRIAL_HOLD: quarantine.Hold(answer.retry_after_s),
-        pb.TrialAnswer.TRIAL_REFUSED: quarantine.RefuseRun(
-            answer.retry_after_s
-        ),
-    }
-    future.set_result(verdicts[answer.verdict])
--- a/src/apricotlever/daemon/gateway.py
+++ b/src/apricotlever/daemon/gateway.py
@@ -87,12 +87,12 @@
     ) -> callers.Reply:
         customer = self._customer(call)
         entry = self._entry(entry_name, customer, catalogues.KIND_SERVICE)
-        self._check_serving()
         request = self._service_request(call, customer, entry, path or "/")
         try:
             if entry.is_non_idempotent(call.method, path or "/"):
                 answer = self._run_keyed(call, request)
             else:
+                self._check_serving()
                 self._admit(self._service_ticket(request), entry)
                 answer = self._services.run(request)
         finally:
@@ -114,16 +114,7 @@
                 refusals.BAD_JSON,
                 f"field count: wanted an integer from 1 to {KEYS_MAX}",
             )
-        mint = book.Mint(customer.name)
-        try:
-            asked = [self._context.book.ask(mint) for _ in range(count)]
-            keys = [self._context.answer_of(each) for each in asked]
-        except request_errors.LedgerFrozen as error:
-            raise refusals.Refusal(
-                refusals.LEAVING,
-                "this entry VM is stopping",
-                retry_after_s=1.0,
-            ) from error
+        keys = self._minted(customer.name, count)
         vm = self._context.config.vm
         return _json({"keys": keys, "vm": vm})
 
@@ -323,14 +314,35 @@
                 f"{KEY_HEADER}: wanted at most {KEY_CHARS_MAX} characters",
             )
         first = call.header(FIRST_HEADER).lower() in ("yes", "true", "1")
-        if not key:
-            # Without a key the call can't be recognised when it comes
-            # again, but within this exchange it runs at most once.
-            mint = book.Mint(request.customer)
-            key = self._context.answer_of(self._context.book.ask(mint))
-        self._admit(self._service_ticket(request), request.entry)
+        try:
+            self._check_serving()
+            if not key:
+                # Without a key the call can't be recognised when it comes
+                # again, but within this exchange it runs at most once.
+                [key] = self._minted(request.customer, 1)
+                first = True
+            self._admit(self._service_ticket(request), request.entry)
+        except refusals.Refusal as refusal:
+            raise refusal if first else _doubted(refusal)
         return self._services.run_keyed(request, key, first)
 
+    def _minted(self, customer: str, count: int) -> list[str]:
+        """Keys bound to this VM's ledger.
+
+        :raises Refusal: when the ledger is on its way to an heir.
+        """
+        context = self._context
+        mint = book.Mint(customer)
+        try:
+            asked = [context.book.ask(mint) for _ in range(count)]
+            return [context.answer_of(each) for each in asked]
+        except request_errors.LedgerFrozen as error:
+            raise refusals.Refusal(
+                refusals.LEAVING,
+                "this entry VM is stopping",
+                retry_after_s=1.0,
+            ) from error
+
     def _model_ticket(self, flight: flights.Flight) -> admission.Ticket:
         return admission.Ticket(
             flight.request_id,
@@ -396,6 +408,22 @@
         return callers.Reply(200, headers, body + _last_event(record))
 
 
+def _doubted(refusal: refusals.Refusal) -> refusals.Refusal:
+    """A refusal of a keyed call that its caller may have sent before.
+
+    An earlier sending may have run, here or elsewhere. Were this one refused
+    with ``no`` before the key's ledger is asked, the caller would take it as
+    the truth about the call, use a new key, and have it run twice.
+    """
+    return refusals.Refusal(
+        refusal.kind,
+        refusal.message,
+        refusals.Executed.UNKNOWN,
+        refusal.retry_after_s,
+        refusal.request_id,
+    )
+
+
 def _json(document: typing.Any) -> callers.Reply:
     body = json.dumps(document).encode()
     headers = [("Content-Type", JSON_TYPE), ("Cache-Control", "no-store")]
--- a/src/apricotlever/daemon/watcher.py
+++ b/src/apricotlever/daemon/watcher.py
@@ -24,11 +24,16 @@
 
 from . import fleet
 from . import messages
+from . import readings
 from . import store as stores
 
 TICK_S = 0.1
-BACKOFF_FIRST_S = 0.25
-BACKOFF_LAST_S = 2.0
+# Open connections may go silent for good. It shows only when a watch's
+# answer is overdue, and an edit has to come into force within 3 s.
+WATCH_S_MAX = 2.0
+# How long a VM that starts waits for its peers' word before it goes by the
+# store, which may have been restored from an old copy.
+PEERS_FIRST_S = 1.0
 
 InForce = typing.Callable[[catalogues.Catalogue], None]
 
@@ -72,24 +77,6 @@
         self.request = request
 
 
-class _Read:
-    """The object was read, or not."""
-
-    __slots__ = ("outcome",)
-
-    def __init__(self, outcome: typing.Any) -> None:
-        self.outcome = outcome
-
-
-class _Watched:
-    """A wait for changes is over."""
-
-    __slots__ = ("outcome",)
-
-    def __init__(self, outcome: typing.Any) -> None:
-        self.outcome = outcome
-
-
 class _Fetched:
     """A peer answered a fetch, or not.
 
@@ -131,8 +118,9 @@
             clock, rng, config.vm, config.data_centre, self._check
         )
         self._calling = False
-        self._read_at = float("inf")
-        self._backoff_s = BACKOFF_FIRST_S
+        self._starting = True
+        self._asked_peers = 0
+        self._readings = readings.Readings(clock)
 
     @mailbox.handles(ViewSeen)
     def _view_seen(self, message: ViewSeen) -> None:
@@ -155,53 +143,67 @@
 
     @mailbox.handles(_Fetched)
     def _fetched(self, message: _Fetched) -> None:
+        self._asked_peers -= 1
         if message.answer is None:
             self._spread.fetch_failed(message.vm)
-            return
-        self._carry_out(self._spread.answered(message.vm, message.answer))
+        else:
+            found = self._spread.answered(message.vm, message.answer)
+            self._carry_out(found)
+        if self._starting and not self._asked_peers:
+            self._readings.within(0.0)
 
-    @mailbox.handles(_Read)
-    def _read(self, message: _Read) -> None:
+    @mailbox.handles(readings.Read)
+    def _read(self, message: readings.Read) -> None:
         self._calling = False
         outcome = message.outcome
         if isinstance(outcome, result.Success):
             stored = outcome.unwrap()
-            self._backoff_s = BACKOFF_FIRST_S
-            self._carry_out(self._spread.stored(stored.version, stored.value))
-            self._watch(stored.version)
+            self._take(stored.version, stored.value)
         elif isinstance(outcome.failure(), platform.NotFound):
-            self._carry_out(self._spread.stored(0, None))
-            self._watch(0)
+            self._take(0, None)
         else:
-            self._back_off()
+            self._readings.failed()
 
-    @mailbox.handles(_Watched)
-    def _watched(self, message: _Watched) -> None:
+    def _take(self, version: int, value: typing.Any) -> None:
+        """Take over what a read gave."""
+        went_back = self._readings.read(version)
+        if went_back or version >= self._spread.in_force.version:
+            self._carry_out(self._spread.stored(version, value))
+        self._watch(version)
+
+    @mailbox.handles(readings.Watched)
+    def _watched(self, message: readings.Watched) -> None:
         self._calling = False
         outcome = message.outcome
         if not isinstance(outcome, result.Success):
-            self._back_off()
+            self._readings.failed()
             return
-        self._backoff_s = BACKOFF_FIRST_S
+        self._readings.answered()
         seen = outcome.unwrap()
         for event in seen.events:
-            if event.name == edit.CURRENT_NAME:
-                self._carry_out(
-                    self._spread.stored(event.version, event.value)
-                )
-        self._watch(seen.version)
+            self._see(event)
+        if not self._readings.due:
+            self._watch(seen.version)
+
+    def _see(self, event: platform.Stored) -> None:
+        """Take over a change; peers may have told of a later one already."""
+        older = event.version < self._spread.in_force.version
+        if event.name == edit.CURRENT_NAME and not older:
+            self._readings.seen(event.version)
+            self._carry_out(self._spread.stored(event.version, event.value))
 
     @mailbox.handles(messages.StatusWanted)
     def _status(self, message: messages.StatusWanted) -> dict[str, object]:
         return {
             "watches_catalogue": self._spread.watching,
+            "store_behind": self._readings.behind,
             "catalogue_digest": f"{self._spread.in_force.digest:016x}",
         }
 
     def tick(self) -> None:
         """Fetch what is missing, and read the store when that is due."""
         self._carry_out(self._spread.tick())
-        if self._spread.watching and self._clock.now() >= self._read_at:
+        if self._spread.watching and self._readings.due:
             self._start_read()
 
     def failed(self, error: Exception) -> None:
@@ -228,9 +230,10 @@
     def _carry_out_one(self, action: spread_actions.SpreadAction) -> None:
         match action:
             case spread_actions.Watch():
-                self._read_at = self._clock.now()
+                wait_s = PEERS_FIRST_S if self._starting else 0.0
+                self._readings.within(wait_s)
             case spread_actions.StopWatching():
-                self._read_at = float("inf")
+                self._readings.stop()
             case spread_actions.FetchFrom():
                 self._fetch(action)
             case spread_actions.Apply():
@@ -260,6 +263,8 @@
             action.vm, 0, "Fetch", action.message, spread.FETCH_TIMEOUT_S
         )
 
+        self._asked_peers += 1
+
         def ended(future: "futures.Future[typing.Any]") -> None:
             failed = future.exception() is not None
             answer = None if failed else future.result()
@@ -271,20 +276,24 @@
         def run(api: platform.ObjectApi) -> typing.Any:
             return api.get(edit.CURRENT_NAME)
 
-        self._read_at = float("inf")
-        self._call(run, _Read)
+        if not self._calling:
+            self._starting = False
+            self._readings.begin(self._spread.in_force.version)
+            self._call(run, readings.Read)
 
     def _watch(self, after: int) -> None:
-        wait_s = self._config.timing.watch_s
+        wait_s = min(WATCH_S_MAX, self._config.timing.watch_s)
 
         def run(api: platform.ObjectApi) -> typing.Any:
             return api.watch(edit.CURRENT_NAME, after, wait_s)
 
         if self._spread.watching:
-            self._call(run, _Watched)
+            self._call(run, readings.Watched)
 
     def _call(
-        self, run: stores.Run, heard: type[_Read] | type[_Watched]
+        self,
+        run: stores.Run,
+        heard: type[readings.Read] | type[readings.Watched],
     ) -> None:
         if self._calling:
             return
@@ -296,8 +305,3 @@
                 self.tell(heard(future.result()))
 
         self._store.ask(call).add_done_callback(ended)
-
-    def _back_off(self) -> None:
-        """Read again later; the watch can't be trusted to go on."""
-        self._read_at = self._clock.now() + self._backoff_s
-        self._backoff_s = min(BACKOFF_LAST_S, 2 * self._backoff_s)
