--- a/src/apricotlever/daemon/calls.py
+++ b/src/apricotlever/daemon/calls.py
@@ -98,8 +98,12 @@
     catalogue = context.catalogue
     entry = catalogue.entries.get(message.entry)
     if entry is None:
+        # The key may have run here before; only the ledger could tell.
         refusal = refusals.Refusal(
-            refusals.NOT_READY, "the entry is not in force here yet"
+            refusals.NOT_READY,
+            "the entry is not in force here",
+            refusals.Executed.UNKNOWN,
+            1.0,
         )
         return service_calls.refusal_message(message.request_id, refusal)
     now = context.clock.now()
@@ -114,6 +118,7 @@
         message.body,
         now,
         now + message.deadline_s,
+        True,
     )
     try:
         answer = services.run_keyed(request, message.key, False, True)
--- a/src/apricotlever/daemon/context.py
+++ b/src/apricotlever/daemon/context.py
@@ -10,6 +10,7 @@
 from .. import refusals
 from .. import settings
 from ..catalogue import model as catalogues
+from ..links import stream_loop
 from ..links import upstreams
 
 ANSWER_S = 5.0
@@ -24,6 +25,7 @@
     :param book: keeps idempotency keys.
     :param fleet: speaks to the other entry VMs.
     :param background: runs work that no caller waits for.
+    :param streams: reads the answers of model runners.
     :param incarnation: of this process, ms since the Unix epoch.
 
     ``reporting`` lists the tasks that add to the status page.
@@ -40,6 +42,7 @@
         "fleet",
         "background",
         "connections",
+        "streams",
         "incarnation",
         "reporting",
         "_catalogue",
@@ -56,6 +59,7 @@
         book: mailbox.Task,
         fleet: mailbox.Task,
         background: futures.Executor,
+        streams: stream_loop.StreamLoop,
         incarnation: int,
     ) -> None:
         self.config = config
@@ -67,6 +71,7 @@
         self.book = book
         self.fleet = fleet
         self.background = background
+        self.streams = streams
         self.connections = upstreams.Pool(clock)
         self.incarnation = incarnation
         self.reporting: list[mailbox.Task] = []
--- a/src/apricotlever/daemon/gateway.py
+++ b/src/apricotlever/daemon/gateway.py
@@ -1,6 +1,7 @@
 """The handlers of what callers and operators ask of an entry VM."""
 
 import json
+import re
 import secrets
 import typing
 
@@ -31,6 +32,7 @@
 KEY_HEADER = "Idempotency-Key"
 FIRST_HEADER = "Apricotlever-First-Attempt"
 KEY_CHARS_MAX = 256
+TOKEN_INDEX_DIGITS_MAX = 9
 _BEARER = "bearer "
 
 _routes = callers.Routes()
@@ -51,7 +53,9 @@
         self._services = service_calls.ServiceCalls(context)
         self._rescues = rescues.Rescues(context)
 
-    def __call__(self, call: callers.Call) -> callers.Reply:
+    def __call__(
+        self, call: callers.Call
+    ) -> callers.Reply | callers.StreamReply:
         """Answer a call.
 
         :raises Refusal: when it is not run.
@@ -74,26 +78,29 @@
         return _json(document)
 
     @_routes.on("/v1/chat/completions", "POST")
-    def _chat(self, call: callers.Call) -> callers.Reply:
+    def _chat(self, call: callers.Call) -> callers.Reply | callers.StreamReply:
         return self._model_request(call, chat=True)
 
     @_routes.on("/v1/completions", "POST")
-    def _completions(self, call: callers.Call) -> callers.Reply:
+    def _completions(
+        self, call: callers.Call
+    ) -> callers.Reply | callers.StreamReply:
         return self._model_request(call, chat=False)
 
     @_routes.on("/v1/services/([^/]+)(/.*)?")
     def _service(
         self, call: callers.Call, entry_name: str, path: str | None
     ) -> callers.Reply:
-        customer = self._customer(call)
-        entry = self._entry(entry_name, customer, catalogues.KIND_SERVICE)
-        request = self._service_request(call, customer, entry, path or "/")
         try:
-            if entry.is_non_idempotent(call.method, path or "/"):
+            request = self._service_request(call, entry_name, path or "/")
+        except refusals.Refusal as refusal:
+            raise refusal if _surely_new(call) else _doubted(refusal)
+        try:
+            if request.non_idempotent:
                 answer = self._run_keyed(call, request)
             else:
                 self._check_serving()
-                self._admit(self._service_ticket(request), entry)
+                self._admit(self._service_ticket(request), request.entry)
                 answer = self._services.run(request)
         finally:
             # Without effect unless the call was admitted and then answered
@@ -189,7 +196,9 @@
     def _histograms(self, call: callers.Call) -> callers.Reply:
         return _json({"histograms": self._context.histograms.encoded()})
 
-    def _model_request(self, call: callers.Call, chat: bool) -> callers.Reply:
+    def _model_request(
+        self, call: callers.Call, chat: bool
+    ) -> callers.Reply | callers.StreamReply:
         customer = self._customer(call)
         request = openai.parse(call.body, chat)
         entry = self._entry(request.entry, customer, catalogues.KIND_MODEL)
@@ -281,12 +290,11 @@
         )
 
     def _service_request(
-        self,
-        call: callers.Call,
-        customer: catalogues.Customer,
-        entry: catalogues.Entry,
-        path: str,
+        self, call: callers.Call, entry_name: str, path: str
     ) -> service_calls.ServiceRequest:
+        customer = self._customer(call)
+        entry = self._entry(entry_name, customer, catalogues.KIND_SERVICE)
+        path = _plain_path(path)
         service_class = self._context.catalogue.class_of(entry)
         now = self._context.clock.now()
         return service_calls.ServiceRequest(
@@ -300,6 +308,7 @@
             call.body,
             now,
             now + service_class.deadline_s,
+            entry.is_non_idempotent(call.method, path),
         )
 
     def _run_keyed(
@@ -313,7 +322,7 @@
                 refusals.BAD_REQUEST,
                 f"{KEY_HEADER}: wanted at most {KEY_CHARS_MAX} characters",
             )
-        first = call.header(FIRST_HEADER).lower() in ("yes", "true", "1")
+        first = _vouched(call)
         try:
             self._check_serving()
             if not key:
@@ -323,7 +332,7 @@
                 first = True
             self._admit(self._service_ticket(request), request.entry)
         except refusals.Refusal as refusal:
-            raise refusal if first else _doubted(refusal)
+            raise refusal if _surely_new(call) else _doubted(refusal)
         return self._services.run_keyed(request, key, first)
 
     def _minted(self, customer: str, count: int) -> list[str]:
@@ -408,6 +417,34 @@
         return callers.Reply(200, headers, body + _last_event(record))
 
 
+def _plain_path(path: str) -> str:
+    """A service's path in the one form that rules are matched against.
+
+    A service resolves ``/x/../entries`` and ``//entries`` to ``/entries``.
+    Passed on as they are, such calls would miss the entry's rules for
+    non-idempotent calls and be sent again after a lost answer.
+
+    :raises Refusal: for a path that climbs.
+    """
+    segments = re.split(r"/+", path)
+    if "." in segments or ".." in segments:
+        raise refusals.Refusal(
+            refusals.BAD_REQUEST, "path: wanted no . or .. as a segment"
+        )
+    return "/".join(segments)
+
+
+def _vouched(call: callers.Call) -> bool:
+    """Whether the caller says that it never sent this key before."""
+    return call.header(FIRST_HEADER).lower() in ("yes", "true", "1")
+
+
+def _surely_new(call: callers.Call) -> bool:
+    """Whether no earlier sending of this call can have run under its key."""
+    key = call.header(KEY_HEADER)
+    return not key or len(key) > KEY_CHARS_MAX or _vouched(call)
+
+
 def _doubted(refusal: refusals.Refusal) -> refusals.Refusal:
     """A refusal of a keyed call that its caller may have sent before.
 
@@ -442,7 +479,8 @@
     text = call.header("Last-Event-ID")
     if not text:
         return None
-    if not text.isascii() or not text.isdigit():
+    digits = text.isascii() and text.isdigit()
+    if not digits or len(text) > TOKEN_INDEX_DIGITS_MAX:
         raise refusals.Refusal(
             refusals.BAD_REQUEST, "Last-Event-ID: wanted a token's index"
         )
--- a/src/apricotlever/daemon/node.py
+++ b/src/apricotlever/daemon/node.py
@@ -17,6 +17,7 @@
 from ..links import peer_pb2 as pb
 from ..links import peers
 from ..links import platform
+from ..links import stream_loop
 from ..runners import model as runners
 from ..runners import quarantine
 from ..vms import view as views
@@ -233,6 +234,7 @@
         self._background = futures.ThreadPoolExecutor(
             BACKGROUND_THREADS, "background"
         )
+        self._streams = stream_loop.StreamLoop(clock)
         self._context = contexts.Context(
             config,
             clock,
@@ -243,6 +245,7 @@
             self._book,
             self._fleet,
             self._background,
+            self._streams,
             self._incarnation,
         )
         self._context.reporting = [
@@ -285,6 +288,7 @@
         self._link.start()
         self._running = [self._pool.submit(task.run) for task in self._tasks]
         self._running.append(self._pool.submit(self._server.run))
+        self._running.append(self._pool.submit(self._streams.run))
         for running in self._running:
             running.add_done_callback(self._task_ended)
         self._fleet.ask(fleet.ViewWanted()).add_done_callback(self._first_view)
@@ -374,6 +378,7 @@
         departed = self._fleet.ask(fleet.Depart())
         futures.wait([departed], self._config.timing.peer_timeout_s)
         self._server.close()
+        self._streams.stop()
         for task in self._tasks:
             task.stop()
         futures.wait(self._running, 2.0)
--- a/src/apricotlever/daemon/pump.py
+++ b/src/apricotlever/daemon/pump.py
@@ -5,6 +5,7 @@
 before its time is over.
 """
 
+import contextlib
 import typing
 
 from .. import histograms
@@ -21,10 +22,19 @@
 from . import messages
 from . import sources
 
-US_PER_S = 1_000_000
+#: Distinct times between tokens that wait to be recorded together.
+GAPS_HELD = 24
 GAP_PATIENCE = 15
 LEAST_PATIENCE_S = 1.0
 _ID = b"id: "
+_DONE = b"data: [DONE]"
+_END = openai.EVENT_END
+
+Sink = typing.Callable[[bytes], None]
+
+
+def _drop(data: bytes) -> None:
+    """The sink when nobody listens: the transcript keeps the events."""
 
 
 class Moved(Exception):
@@ -34,6 +44,9 @@
 class Pump:
     """The tokens of one answer.
 
+    First :meth:`first`, then :meth:`rest`. After
+    :class:`.callers.CallerGone` the rest may be asked for again.
+
     :param context: the daemon's tasks.
     :param flight: the request.
     :param runner: where the stream already runs, after a handover.
@@ -48,7 +61,7 @@
         self._context = context
         self._flight = flight
         self._sources = sources.Sources(context, flight)
-        self._cursor = stream.StreamCursor(0, flight.resume_from)
+        self._cursor = stream.StreamCursor(flight.attempt, flight.resume_from)
         self._failures = 0
         self._same_runner = 0
         self._tried: frozenset[str] = frozenset()
@@ -61,97 +74,181 @@
             flight.customer,
             flight.service_class.name,
         )
+        self._gap_counts: dict[int, int] = {}
         self._last_at = 0.0
+        self._awaited = b"id: %d\n" % flight.resume_from
+        self._exchange: upstreams.Exchange | None = None
+        self._unread = b""
+        self._whole = False
+        self._sink: Sink = _drop
+        self._linger_until = float("inf")
 
     @property
     def flight(self) -> flights.Flight:
         """The request that is pumped."""
         return self._flight
 
-    def chunks(self) -> typing.Iterator[bytes]:
-        """Yield the events of the answer, one or more at a time.
+    def first(self) -> bytes:
+        """Wait for the first events of the answer.
+
+        :raises Refusal: when the request is given up.
+        :raises Moved: when another entry VM goes on with it.
+        """
+        with self._ending():
+            while True:
+                try:
+                    return self._open()
+                except upstreams.UpstreamError as error:
+                    self._step = self._after(error)
+
+    def rest(self, sink: Sink, linger_s: float = float("inf")) -> None:
+        """Pass on the events that follow, until the answer is whole.
 
-        :raises Refusal: when the request is given up; what was yielded
+        :param sink: gets one or more events at a time, on any thread; must
+            not block.
+        :param linger_s: nobody listens; the request is given up after this
+            time, unless a caller comes back.
+        :raises Refusal: when the request is given up; what was passed on
             before stays valid.
         :raises Moved: when another entry VM goes on with it.
+        :raises CallerGone: from the sink; the request still runs.
         """
-        outcome = runners.Outcome.CANCELLED
-        name = "moved"
+        self._sink = sink
+        self._linger_until = self._context.clock.now() + linger_s
+        with self._ending():
+            while not self._whole:
+                try:
+                    self._go_on()
+                except upstreams.UpstreamError as error:
+                    self._exchange = None
+                    self._step = self._after(error)
+        if self._exchange is not None:
+            self._exchange.finish()
+        self._end(runners.Outcome.DONE, "done")
+
+    @contextlib.contextmanager
+    def _ending(self) -> typing.Iterator[None]:
+        """Report the end of a request that is not answered here."""
         try:
-            yield from self._attempts()
-            outcome = runners.Outcome.DONE
-            name = "done"
+            yield
         except refusals.Refusal as refusal:
-            outcome = runners.Outcome.FAILED
-            name = refusal.kind.name
+            self._end(runners.Outcome.FAILED, refusal.kind.name)
+            raise
+        except Moved:
+            self._end(runners.Outcome.CANCELLED, "moved")
             raise
-        finally:
-            self._end(outcome, name)
-
-    def _attempts(self) -> typing.Iterator[bytes]:
-        while True:
-            try:
-                exchange = self._sources.open(self._step, self._tried)
-                self._begin()
-                yield from self._read(exchange)
-                return
-            except upstreams.UpstreamError as error:
-                self._step = self._after(error)
-
-    def _begin(self) -> None:
-        flight = self._flight
-        self._cursor.begin(flight.attempt)
 
-    def _read(self, exchange: upstreams.Exchange) -> typing.Iterator[bytes]:
+    def _open(self) -> bytes:
+        """Open the next attempt and take its first events."""
+        self._unread = b""
+        exchange = self._sources.open(self._step, self._tried)
+        self._cursor.begin(self._flight.attempt)
+        self._exchange = exchange
+        fresh = b""
+        while not fresh and not self._whole:
+            chunk = exchange.read_some()
+            if not chunk:
+                exchange.abandon()
+                raise upstreams.Broken("the stream ended early", sent=True)
+            fresh = self._take(chunk)
         exchange.patience(self._patience_s())
-        rest = b""
-        while True:
+        return fresh
+
+    def _go_on(self) -> None:
+        exchange = self._exchange
+        if exchange is None:
+            self._sink(self._open())
+            return
+        sock = exchange.raw_socket
+        if sock is None:
+            self._read_framed(exchange)
+            return
+        reading = self._context.streams.read(
+            sock, exchange.address, self._patience_s(), self._heard
+        )
+        try:
+            reading.result()
+        except upstreams.UpstreamError:
+            exchange.abandon()
+            raise
+
+    def _read_framed(self, exchange: upstreams.Exchange) -> None:
+        """Read an answer whose framing http.client has to undo."""
+        while not self._whole:
             chunk = exchange.read_some()
             if not chunk:
                 exchange.abandon()
                 raise upstreams.Broken("the stream ended early", sent=True)
-            *events, rest = (rest + chunk).split(openai.EVENT_END)
-            fresh, done = self._take(events)
-            if fresh:
-                yield fresh
-            if done:
-                exchange.finish()
-                return
-
-    def _take(self, events: list[bytes]) -> tuple[bytes, bool]:
+            self._heard(chunk)
+
+    def _heard(self, data: bytes) -> bool:
+        fresh = self._take(data)
+        if fresh:
+            self._sink(fresh)
+        overdue = self._last_at > self._linger_until
+        if overdue and not self._flight.transcript.followed:
+            self._flight.cancel()
+        return self._whole
+
+    def _take(self, data: bytes) -> bytes:
         """Accept events, each token once and in order.
 
-        :returns: the bytes to pass on, and whether the answer is whole.
+        :returns: the bytes to pass on.
         """
-        accepted = []
-        done = False
-        flight = self._flight
+        if not self._unread and data.startswith(self._awaited):
+            # Nearly every read is one whole event, the one awaited.
+            if data.find(openai.EVENT_END) == len(data) - len(_END):
+                self._accept(data)
+                self._timed()
+                return data
+        *events, self._unread = (self._unread + data).split(openai.EVENT_END)
+        before = self._cursor.next_index
         for event in events:
-            if not event.startswith(_ID):
-                done = done or event.startswith(b"data: [DONE]")
-                continue
-            index = int(event[len(_ID) : event.index(b"\n")])
-            verdict = self._cursor.offer(flight.attempt, index)
-            if verdict == stream.ACCEPTED:
-                whole = event + openai.EVENT_END
-                accepted.append(whole)
-                flight.transcript.append(whole)
-            elif verdict == stream.GAP:
-                raise upstreams.Broken("a token is missing", sent=True)
+            self._take_one(event)
+        accepted = self._flight.transcript.events(before)
         if accepted:
             self._timed()
-        if done and not flight.resume_from:
+        if self._whole and not self._flight.resume_from:
+            self._whole = False
             raise upstreams.Broken("the answer is empty", sent=True)
-        return b"".join(accepted), done
+        return b"".join(accepted)
+
+    def _take_one(self, event: bytes) -> None:
+        if not event.startswith(_ID):
+            self._whole |= event.startswith(_DONE)
+            return
+        index = int(event[len(_ID) : event.index(b"\n")])
+        verdict = self._cursor.offer(self._flight.attempt, index)
+        if verdict == stream.GAP:
+            raise upstreams.Broken("a token is missing", sent=True)
+        if verdict == stream.ACCEPTED:
+            self._keep(event + openai.EVENT_END)
+
+    def _accept(self, event: bytes) -> None:
+        flight = self._flight
+        self._cursor.offer(flight.attempt, self._cursor.next_index)
+        self._keep(event)
+
+    def _keep(self, event: bytes) -> None:
+        self._flight.transcript.append(event)
+        self._awaited = b"id: %d\n" % self._cursor.next_index
 
     def _timed(self) -> None:
         now = self._context.clock.now()
         if self._last_at:
-            self._gaps.record_us(int((now - self._last_at) * US_PER_S))
+            gap_us = histograms.rounded_us(int((now - self._last_at) * 1e6))
+            counts = self._gap_counts
+            counts[gap_us] = counts.get(gap_us, 0) + 1
+            if len(counts) >= GAPS_HELD:
+                self._record_gaps()
         elif self._flight.first_token_at is None:
             self._first(now)
         self._last_at = now
 
+    def _record_gaps(self) -> None:
+        counts, self._gap_counts = self._gap_counts, {}
+        self._gaps.record_counts(counts)
+
     def _first(self, now: float) -> None:
         flight = self._flight
         flight.first_token_at = now
@@ -230,6 +327,7 @@
     def _end(self, outcome: runners.Outcome, name: str) -> None:
         flight = self._flight
         flight.transcript.end(name)
+        self._record_gaps()
         context = self._context
         whole_s = context.clock.now() - flight.arrived
         first_s = None
--- a/src/apricotlever/daemon/relay.py
+++ b/src/apricotlever/daemon/relay.py
@@ -1,12 +1,13 @@
 """Gives a model request's answer to its caller, as a stream or whole."""
 
+import functools
 import json
 import typing
 
 from .. import refusals
 from ..links import callers
 from ..links import openai
-from ..requests import records
+from ..runners import model as runners
 
 from . import archive
 from . import context as contexts
@@ -76,19 +77,30 @@
     ) -> None:
         self._context = context
         self._flight = flight
-        self._chunks = pumps.Pump(context, flight).chunks()
+        self._pump = pumps.Pump(context, flight)
+        self._runner: runners.Runner | None = None
 
-    def stream(self) -> callers.Reply:
+    def stream(self) -> callers.Reply | callers.StreamReply:
         """Answer token by token; the first one has come by then.
 
         :raises Refusal: when the request failed before its first token.
         """
-        first = self._first()
-        headers = answer_headers(self._flight.request_id, STREAM_TYPE)
-        token = self._token()
+        flight = self._flight
+        try:
+            first = self._pump.first()
+        except pumps.Moved:
+            return redirect(flight.request_id, flight.moved_to)
+        except refusals.Refusal as refusal:
+            self._failed(refusal)
+            raise refusal.for_request(flight.request_id)
+        self._runner = flight.runner
+        headers = answer_headers(flight.request_id, STREAM_TYPE)
+        token = token_of(self._context, flight)
         if token:
             headers.append((resumption.HEADER, token))
-        return callers.Reply(200, headers, self._events(first))
+        return callers.StreamReply(
+            headers, functools.partial(self._write, first)
+        )
 
     def whole(self) -> callers.Reply:
         """Answer at once when the last token has come.
@@ -97,8 +109,8 @@
         """
         flight = self._flight
         try:
-            for _ in self._chunks:
-                pass
+            self._pump.first()
+            self._pump.rest(drop)
         except pumps.Moved:
             return redirect(flight.request_id, flight.moved_to)
         except refusals.Refusal as refusal:
@@ -110,74 +122,50 @@
         headers = answer_headers(flight.request_id, "application/json")
         return callers.Reply(200, headers, body)
 
-    def _first(self) -> bytes:
+    def _write(self, first: bytes, writer: callers.Writer) -> None:
+        """Write the answer for as long as the caller listens."""
         try:
-            return next(self._chunks)
-        except StopIteration:
-            self._done()
-            return b""
-        except pumps.Moved:
-            flight = self._flight
-            return moved_event(flight.request_id, flight.moved_to)
-        except refusals.Refusal as refusal:
-            self._failed(refusal)
-            raise refusal.for_request(self._flight.request_id)
-
-    def _events(self, first: bytes) -> typing.Iterator[bytes]:
+            last = self._write_events(first, writer)
+            writer(last)
+        except callers.CallerGone:
+            if not self._flight.transcript.ended:
+                # The stream runs on for a while, for the caller may come
+                # back and must find every token.
+                self._context.background.submit(self._linger)
+
+    def _write_events(self, first: bytes, writer: callers.Writer) -> bytes:
+        """Write the events of all tokens.
+
+        :returns: the event that ends the stream.
+        """
         flight = self._flight
-        try:
-            yield first
-            runner = flight.runner
-            for chunk in self._chunks:
-                if flight.runner is not runner:
-                    runner = flight.runner
-                    yield resumption.event(self._token())
-                yield chunk
-            yield openai.DONE_EVENT
-        except GeneratorExit:
-            # The caller has gone. The stream runs on for a while, for the
-            # caller may come back and must find every token.
-            self._context.background.submit(self._linger)
-            raise
-        except pumps.Moved:
-            yield moved_event(flight.request_id, flight.moved_to)
-            return
-        except refusals.Refusal as refusal:
-            self._failed(refusal)
-            yield error_event(refusal)
-            return
-        self._done()
 
-    def _token(self) -> str:
-        """The token by which the caller finds its stream without us."""
-        return token_of(self._context, self._flight)
+        def sink(data: bytes) -> None:
+            if flight.runner is not self._runner:
+                self._runner = flight.runner
+                token = token_of(self._context, flight)
+                writer(resumption.event(token))
+            writer(data)
 
-    def _linger(self) -> None:
-        flight = self._flight
-        give_up_at = self._context.clock.now() + LINGER_S
         try:
-            for _ in self._chunks:
-                overdue = self._context.clock.now() > give_up_at
-                if overdue and not flight.transcript.followed:
-                    flight.cancel()
+            writer(first)
+            self._pump.rest(sink)
         except pumps.Moved:
-            return
+            return moved_event(flight.request_id, flight.moved_to)
         except refusals.Refusal as refusal:
             self._failed(refusal)
-            return
+            return error_event(refusal)
         self._done()
+        return openai.DONE_EVENT
+
+    def _linger(self) -> None:
+        finish(self._context, self._pump, LINGER_S)
 
     def _done(self) -> None:
-        self._close(archive.outcome_done())
+        _close(self._context, self._flight, None)
 
     def _failed(self, refusal: refusals.Refusal) -> None:
-        self._close(
-            archive.outcome_failed(refusal.executed.value, refusal.kind.name)
-        )
-
-    def _close(self, outcome: records.Outcome) -> None:
-        close = archive.Close(self._flight.request_id, outcome)
-        self._context.archive.tell(close)
+        _close(self._context, self._flight, refusal)
 
 
 def token_of(context: contexts.Context, flight: flights.Flight) -> str:
@@ -199,19 +187,50 @@
     return resumption.encode(ticket, customer)
 
 
+def drop(data: bytes) -> None:
+    """The sink when no caller is connected."""
+
+
 def pump_adopted(context: contexts.Context, pump: pumps.Pump) -> None:
     """Go on with a request that another entry VM handed over.
 
     :param pump: of the adopted request; its caller comes on its own.
     """
-    flight = pump.flight
-    outcome = archive.outcome_done()
     try:
-        for _ in pump.chunks():
-            pass
+        pump.first()
     except pumps.Moved:
         return
     except refusals.Refusal as refusal:
+        _close(context, pump.flight, refusal)
+        return
+    finish(context, pump, float("inf"))
+
+
+def finish(
+    context: contexts.Context, pump: pumps.Pump, linger_s: float
+) -> None:
+    """Read an answer to its end while no caller is connected.
+
+    :param linger_s: given up after this time, unless a caller comes back.
+    """
+    refused = None
+    try:
+        pump.rest(drop, linger_s)
+    except pumps.Moved:
+        return
+    except refusals.Refusal as refusal:
+        refused = refusal
+    _close(context, pump.flight, refused)
+
+
+def _close(
+    context: contexts.Context,
+    flight: flights.Flight,
+    refusal: refusals.Refusal | None,
+) -> None:
+    """Put a request's outcome on record."""
+    outcome = archive.outcome_done()
+    if refusal is not None:
         outcome = archive.outcome_failed(
             refusal.executed.value, refusal.kind.name
         )
--- a/src/apricotlever/daemon/service_calls.py
+++ b/src/apricotlever/daemon/service_calls.py
@@ -13,6 +13,7 @@
 from ..links import peers
 from ..links import upstreams
 from ..requests import messages as keyed
+from ..runners import crashes
 from ..runners import model as runners
 from ..runners import quarantine
 
@@ -20,10 +21,12 @@
 from . import context as contexts
 from . import fleet
 from . import messages
+from . import placing
 
 PATIENCE = 5
 LEAST_PATIENCE_S = 1.0
-FORWARD_MARGIN_S = 0.5
+#: What the owner of a key may need besides the run: its own connecting.
+FORWARD_GRACE_S = 3.0
 
 _PASSED_ON = ("Content-Type", "Accept", "Accept-Language")
 _TRANSIENT = frozenset((502, 503, 504))
@@ -51,6 +54,7 @@
     :param headers: those that are passed on.
     :param body: as it came.
     :param deadline: when the answer is worthless, on this VM's clock.
+    :param non_idempotent: whether it must run at most once.
     """
 
     __slots__ = (
@@ -64,6 +68,7 @@
         "body",
         "deadline",
         "arrived",
+        "non_idempotent",
     )
 
     def __init__(
@@ -78,6 +83,7 @@
         body: bytes,
         arrived: float,
         deadline: float,
+        non_idempotent: bool,
     ) -> None:
         self.request_id = request_id
         self.customer = customer
@@ -89,6 +95,7 @@
         self.body = body
         self.arrived = arrived
         self.deadline = deadline
+        self.non_idempotent = non_idempotent
 
     @property
     def digest(self) -> str:
@@ -110,6 +117,12 @@
     return {name: value for name in _PASSED_ON if (value := call.header(name))}
 
 
+def patience_s(request: ServiceRequest) -> float:
+    """How long an upstream may take to begin its answer."""
+    wanted_s = PATIENCE * request.service_class.first_token_s
+    return max(LEAST_PATIENCE_S, wanted_s)
+
+
 class ServiceCalls:
     """Runs calls of plain services for their callers.
 
@@ -194,6 +207,9 @@
         asked for again; it will not run the call twice.
         """
         left_s = request.deadline - self._context.clock.now()
+        # An owner that is silent for good would hold the caller until its
+        # deadline; it is told sooner that nobody knows, and may ask again.
+        wait_s = max(0.1, min(left_s, patience_s(request) + FORWARD_GRACE_S))
         message = pb.KeyedCall(
             request_id=request.request_id,
             key=key,
@@ -210,10 +226,10 @@
             forward.incarnation,
             "Run",
             message,
-            max(0.1, left_s - FORWARD_MARGIN_S),
+            wait_s,
         )
         try:
-            answer = self._context.fleet.ask(call).result(max(0.1, left_s))
+            answer = self._context.fleet.ask(call).result(wait_s + 1.0)
         except (peers.PeerError, futures.TimeoutError) as error:
             raise refusals.Refusal(
                 refusals.OUTCOME_UNKNOWN,
@@ -235,6 +251,9 @@
         "_tried",
         "_sent",
         "_runner",
+        "_address",
+        "_on_trial",
+        "_placing",
     )
 
     def __init__(
@@ -246,19 +265,30 @@
         self._tried: frozenset[str] = frozenset()
         self._sent = False
         self._runner = ""
+        self._address = ""
+        self._on_trial = False
+        self._placing = placing.Placing(
+            context, request.deadline, self._refusal
+        )
 
     def until_answered(self) -> keyed.Answer:
         """Try until there is an answer, or no more tries.
 
         :raises Refusal: when there is none.
         """
+        pool: upstreams.Pool | None = self._context.connections
         while True:
+            exchange: upstreams.Exchange | None = None
             try:
-                exchange = self._open(self._context.connections)
+                exchange = self._open(pool)
                 self._sent = True
                 return self._exchange(exchange, retry_errors=True)
             except upstreams.UpstreamError as error:
-                self._failed(error, idempotent=True)
+                # Whatever went wrong, the next attempt gets a connection
+                # that nobody has used.
+                pool = None
+                if exchange is None or not self._was_stale(exchange, error):
+                    self._failed(error, idempotent=True)
 
     def once(self, token: int) -> keyed.Answer:
         """Send at most once; only connecting is tried again.
@@ -292,9 +322,16 @@
         request = self._request
         context = self._context
         whole_s = context.clock.now() - request.arrived
-        context.desk.tell(
+        ended = context.desk.ask(
             messages.RequestEnded(request.request_id, outcome, whole_s, 1)
         )
+        if self._attempt > 1 or self._on_trial:
+            self._spread(context.answer_of(ended))
+        if self._on_trial:
+            over = quarantine.TrialOver(
+                request.fingerprint, request.request_id
+            )
+            context.fleet.tell(fleet.TrialDone(request.entry.pool, over))
         if outcome is runners.Outcome.DONE:
             for measure in (histograms.FIRST_TOKEN, histograms.WHOLE):
                 context.histograms.record(
@@ -332,26 +369,24 @@
             excluded=self._tried,
             wanted_first_token_s=request.service_class.first_token_s,
         )
-        dispatch = messages.Dispatch(
-            request.request_id, query, request.fingerprint, self._attempt
-        )
-        try:
-            route = self._context.answer_of(self._context.desk.ask(dispatch))
-        except refusals.Refusal as refusal:
-            raise self._refusal(
-                refusal.kind, refusal.message, refusal.retry_after_s
-            ) from refusal
-        if not isinstance(route, runners.Route):
-            raise self._refusal(
-                refusals.QUARANTINED, "a like call crashed its upstream", 5.0
+
+        def dispatch(only: str, on_trial: bool) -> messages.Dispatch:
+            return messages.Dispatch(
+                request.request_id,
+                query,
+                request.fingerprint,
+                self._attempt,
+                only=only,
+                on_trial=on_trial,
             )
-        self._runner = route.runner.name
-        patience_s = max(
-            LEAST_PATIENCE_S, PATIENCE * request.service_class.first_token_s
-        )
+
+        placed = self._placing.place(dispatch)
+        self._on_trial = placed.on_trial
+        self._runner = placed.route.runner.name
+        self._address = placed.route.runner.address
         left_s = request.deadline - self._context.clock.now()
         exchange = upstreams.Exchange(
-            route.runner.address, max(0.1, min(patience_s, left_s)), pool
+            self._address, max(0.1, min(patience_s(request), left_s)), pool
         )
         exchange.open()
         return exchange
@@ -384,18 +419,10 @@
         """
         request = self._request
         context = self._context
-        died = isinstance(error, upstreams.ConnectFailed)
-        crashed = isinstance(error, upstreams.Broken)
+        crashed = self._crashed(error)
+        died = crashed or isinstance(error, upstreams.ConnectFailed)
         self._tried |= {self._runner}
-        report = context.answer_of(
-            context.desk.ask(
-                messages.AttemptEnded(
-                    request.request_id, runners.Outcome.FAILED, crashed
-                )
-            )
-        )
-        if report is not None:
-            context.answer_of(context.fleet.ask(fleet.SpreadCrash(report)))
+        self._attempt_ended(runners.Outcome.FAILED, crashed)
         logs.event(
             "request_retried",
             request=request.request_id,
@@ -426,15 +453,56 @@
         self._tried = answer.excluded
         context.metrics.count("requests.retried")
 
+    def _was_stale(
+        self, exchange: upstreams.Exchange, error: upstreams.UpstreamError
+    ) -> bool:
+        """Whether a connection broke that had waited for its next use.
+
+        Its upstream may have closed it any time ago, which says nothing of
+        the upstream now: the call goes out again over a new connection.
+        """
+        if not exchange.reused:
+            return False
+        self._context.connections.forget(self._address)
+        if not isinstance(error, upstreams.Broken):
+            return False
+        self._attempt_ended(runners.Outcome.CANCELLED, False)
+        return True
+
+    def _crashed(self, error: upstreams.UpstreamError) -> bool:
+        """Whether the upstream's process has ended.
+
+        A connection can break while its upstream is well. Were that taken
+        for a crash, like calls would be refused for minutes as its cause.
+        """
+        if not isinstance(error, upstreams.Broken):
+            return False
+        probe = upstreams.Exchange(self._address, LEAST_PATIENCE_S)
+        try:
+            probe.open()
+        except upstreams.ConnectFailed:
+            return True
+        probe.abandon()
+        return False
+
+    def _attempt_ended(self, outcome: runners.Outcome, crashed: bool) -> None:
+        ended = messages.AttemptEnded(
+            self._request.request_id, outcome, crashed
+        )
+        context = self._context
+        self._spread(context.answer_of(context.desk.ask(ended)))
+
+    def _spread(self, report: crashes.Report | None) -> None:
+        """Tell the other entry VMs before the call runs again anywhere."""
+        if report is None:
+            return
+        context = self._context
+        context.answer_of(context.fleet.ask(fleet.SpreadCrash(report)))
+
     def _lost(self, error: upstreams.UpstreamError) -> refusals.Refusal:
         request = self._request
         context = self._context
-        crashed = isinstance(error, upstreams.Broken)
-        context.desk.tell(
-            messages.AttemptEnded(
-                request.request_id, runners.Outcome.FAILED, crashed
-            )
-        )
+        self._attempt_ended(runners.Outcome.FAILED, self._crashed(error))
         context.metrics.count("requests.unknown")
         logs.event(
             "request_unknown",
--- a/src/apricotlever/daemon/sources.py
+++ b/src/apricotlever/daemon/sources.py
@@ -1,7 +1,6 @@
 """Opens the exchanges that a pump reads: each attempt at an answer."""
 
 import time
-import typing
 
 from .. import logs
 from .. import refusals
@@ -16,6 +15,7 @@
 from . import fleet
 from . import flights
 from . import messages
+from . import placing
 
 FIRST_BYTE_PATIENCE = 5
 LEAST_FIRST_BYTE_S = 3.0
@@ -40,6 +40,8 @@
         "_broken_at",
         "_on_trial",
         "_sent",
+        "_silent_at",
+        "_placing",
     )
 
     def __init__(
@@ -51,6 +53,10 @@
         self._broken_at = ""
         self._on_trial = False
         self._sent = False
+        self._silent_at: runners.Runner | None = None
+        self._placing = placing.Placing(
+            context, flight.deadline, self._refusal
+        )
 
     def open(
         self, step: recovery.Decision | None, tried: frozenset[str]
@@ -159,9 +165,12 @@
         self._broken_at = runner if broke else ""
         if isinstance(error, upstreams.Declined):
             self._check_blame(error)
-        if isinstance(error, upstreams.Silent) and runner:
-            self._cancel_later(runner)
-        if broke:
+        silent = isinstance(error, upstreams.Silent)
+        if silent:
+            self._silent_at = flight.runner
+        if broke or silent:
+            # The runner may be well and its stream going on: it is asked
+            # over a new connection first, so that nothing is recomputed.
             return False
         report = self._context.answer_of(
             self._context.desk.ask(
@@ -215,7 +224,12 @@
     ) -> upstreams.Exchange:
         flight = self._flight
         flight.attempt += 1
+        silent = self._leave_silent()
         runner = self._place(wanted, tried)
+        if silent is not None and silent.name != runner.name:
+            self._context.background.submit(
+                cancel, silent.address, flight.request_id
+            )
         tokens = flight.transcript.tokens()
         body = flight.request.body_for(flight.entry.model, tokens)
         exchange = self._connect(runner)
@@ -282,7 +296,9 @@
             LEAST_FIRST_BYTE_S, FIRST_BYTE_PATIENCE * first_token_s
         )
         exchange = upstreams.Exchange(
-            runner.address, min(patience_s, max(0.1, self._flight.left_s))
+            runner.address,
+            min(patience_s, max(0.1, self._flight.left_s)),
+            stream=True,
         )
         self._exchange = exchange
         self._flight.uses(runner, exchange.interrupt)
@@ -303,6 +319,7 @@
         flight = self._flight
         return {
             "Content-Type": "application/json",
+            "Host": self._flight.runner.address if self._flight.runner else "",
             "Connection": "close",
             upstreams.REQUEST_HEADER: flight.request_id,
             upstreams.ATTEMPT_HEADER: str(flight.attempt),
@@ -311,61 +328,23 @@
 
     def _place(self, wanted: str, tried: frozenset[str]) -> runners.Runner:
         """A runner for the next attempt, from the desk or the judge."""
-        only = wanted
-        on_trial = False
-        while True:
-            answer = self._dispatch(only, tried, on_trial)
-            if isinstance(answer, runners.Route):
-                self._on_trial = on_trial
-                self._flight.runner = answer.runner
-                return answer.runner
-            verdict = self._context.answer_of(
-                self._context.fleet.ask(
-                    fleet.AskJudge(answer.pool, answer.question)
-                )
-            )
-            only, on_trial = self._obey(verdict)
-
-    def _dispatch(
-        self, only: str, tried: frozenset[str], on_trial: bool
-    ) -> typing.Any:
         flight = self._flight
-        dispatch = messages.Dispatch(
-            flight.request_id,
-            flight.query(tried),
-            flight.fingerprint,
-            flight.attempt,
-            flight,
-            only,
-            on_trial,
-        )
-        try:
-            return self._context.answer_of(self._context.desk.ask(dispatch))
-        except refusals.Refusal as refusal:
-            raise self._refusal(
-                refusal.kind, refusal.message, refusal.retry_after_s
-            ) from refusal
 
-    def _obey(self, verdict: quarantine.Decision) -> tuple[str, bool]:
-        """What a judge's verdict means for the next question to the desk."""
-        if isinstance(verdict, quarantine.RefuseRun):
-            raise self._refusal(
-                refusals.QUARANTINED,
-                "requests like this one crashed the runners they ran on",
-                verdict.retry_after_s,
-            )
-        if isinstance(verdict, quarantine.RunAt):
-            return verdict.runner, True
-        if isinstance(verdict, quarantine.RunFreely):
-            return "", True
-        if self._flight.left_s < verdict.retry_after_s:
-            raise self._refusal(
-                refusals.QUARANTINED,
-                "a like request is being tried elsewhere",
-                verdict.retry_after_s,
+        def dispatch(only: str, on_trial: bool) -> messages.Dispatch:
+            return messages.Dispatch(
+                flight.request_id,
+                flight.query(tried),
+                flight.fingerprint,
+                flight.attempt,
+                flight,
+                only,
+                on_trial,
             )
-        time.sleep(verdict.retry_after_s)
-        return "", False
+
+        placed = self._placing.place(dispatch, wanted)
+        self._on_trial = placed.on_trial
+        flight.runner = placed.route.runner
+        return placed.route.runner
 
     def _refusal(
         self, kind: refusals.Kind, message: str, retry_after_s: float | None
@@ -389,14 +368,18 @@
         if wait_s:
             self._context.answer_of(future)
 
-    def _cancel_later(self, runner: str) -> None:
-        flight = self._flight
-        known = flight.runner
-        if known is None or known.name != runner:
-            return
-        self._context.background.submit(
-            cancel, known.address, flight.request_id
-        )
+    def _leave_silent(self) -> runners.Runner | None:
+        """Give up a runner that stayed silent over new connections, too.
+
+        :returns: the runner, which may still be computing the stream.
+        """
+        silent, self._silent_at = self._silent_at, None
+        if silent is not None:
+            ended = messages.AttemptEnded(
+                self._flight.request_id, runners.Outcome.FAILED, False
+            )
+            self._context.desk.tell(ended)
+        return silent
 
     def _drop(self) -> None:
         if self._exchange is not None:
--- a/src/apricotlever/histograms.py
+++ b/src/apricotlever/histograms.py
@@ -21,6 +21,8 @@
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
+#: Two significant decimal digits need seven bits; one more for rounding.
+KEPT_BITS = 8
 HISTOGRAMS_MAX = 1000
 OTHER = "other"
 
@@ -96,6 +98,18 @@
         with self._lock:
             self._histogram.record_value(value)
 
+    def record_counts(
+        self, counts: collections.abc.Mapping[int, int]
+    ) -> None:
+        """Count many values at once.
+
+        :param counts: how often each value came, by microseconds.
+        """
+        with self._lock:
+            for value, count in counts.items():
+                bounded = min(max(value, LOWEST_US), HIGHEST_US)
+                self._histogram.record_value(bounded, count)
+
     def percentile(self, percent: float) -> float:
         """The value in seconds whose rank is nearest to a percentage."""
         with self._lock:
@@ -193,6 +207,15 @@
             return self._by_key.setdefault(key, Distribution(*key))
 
 
+def rounded_us(microseconds: int) -> int:
+    """A value with the precision that histograms keep, at little cost.
+
+    :param microseconds: not negative.
+    """
+    shift = max(0, microseconds.bit_length() - KEPT_BITS)
+    return (microseconds >> shift) << shift
+
+
 def merge(
     encoded: collections.abc.Iterable[Encoded],
 ) -> dict[Key, Distribution]:
--- a/src/apricotlever/links/_platform_http.py
+++ b/src/apricotlever/links/_platform_http.py
@@ -21,7 +21,8 @@
 
 DEFAULT_TIMEOUT_S = 2.0
 DEFAULT_RETRY_AFTER_S = 1.0
-WATCH_MARGIN_S = 2.0
+# Past this a watch's answer is overdue, as on a connection gone silent.
+WATCH_MARGIN_S = 0.5
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _errors_by_status: dict[int, ErrorMaker] = {}
@@ -58,8 +59,7 @@
         self, path: str, reader: Reader[T], wait_s: float = 0.0
     ) -> platform_errors.Outcome[T]:
         """Read something; a lost answer is as good as none asked for."""
-        margin_s = WATCH_MARGIN_S if wait_s else 0.0
-        timeout_s = max(self._timeout_s, wait_s + margin_s)
+        timeout_s = wait_s + WATCH_MARGIN_S if wait_s else self._timeout_s
         try:
             answer = self._link.exchange_again("GET", path, timeout_s)
         except _http.ExchangeFailed as error:
--- a/src/apricotlever/links/callers.py
+++ b/src/apricotlever/links/callers.py
@@ -2,7 +2,8 @@
 
 The link turns HTTP into a typed :class:`Call`, hands it to a handler on one
 of waitress's threads, and writes the :class:`Reply`. Whatever is wrong with
-the HTTP itself is answered here, as JSON that promises that nothing ran.
+the HTTP itself is answered here, as JSON that promises that nothing ran. Of
+a call with an idempotency key it doesn't, for that may have come before.
 """
 
 from http import client as http_names
@@ -16,15 +17,19 @@
 from waitress import server as waitress_server
 from waitress import task as waitress_task
 
+from .. import errors
 from .. import refusals
 
-Application = typing.Callable[["Call"], "Reply"]
+Application = typing.Callable[["Call"], "Reply | StreamReply"]
 
 CONNECTION_LIMIT = 8192
 BACKLOG = 1024
+BACKLOG_BYTES_MAX = 1_000_000
 CLEANUP_INTERVAL_S = 1
 IDLE_CONNECTION_S = 120
 _LENGTH_LIMIT = 2**31
+_TASK = "apricotlever.task"
+_KEY_FIELD = "IDEMPOTENCY_KEY"
 
 _KIND_BY_STATUS = {
     400: refusals.BAD_REQUEST,
@@ -109,6 +114,62 @@
         self.body = body
 
 
+class CallerGone(errors.ApricotleverError):
+    """The caller closed its connection, or does not read from it."""
+
+
+class Writer:
+    """Writes the body of a stream; any one thread may use it at a time.
+
+    :param task: of the WSGI server, after ``start_response``.
+    """
+
+    __slots__ = ("_task", "_channel")
+
+    def __init__(self, task: "_Task") -> None:
+        self._task = task
+        self._channel = task.channel
+
+    def __call__(self, data: bytes) -> None:
+        """Write; never blocks.
+
+        :raises CallerGone: when the caller has gone. One that does not read
+            is treated alike: it would hold memory for as long as it likes,
+            and can come back for what it missed.
+        """
+        task = self._task
+        channel = self._channel
+        if channel.total_outbufs_len > BACKLOG_BYTES_MAX:
+            raise CallerGone("the caller does not read")
+        try:
+            if not task.wrote_header:
+                task.write(data)
+            elif task.chunked_response:
+                channel.send_now(b"%X\r\n%b\r\n" % (len(data), data))
+            else:
+                channel.send_now(data)
+        except (waitress_channel.ClientDisconnected, OSError) as error:
+            raise CallerGone("the caller has gone") from error
+
+
+class StreamReply:
+    """What to answer, written as it comes.
+
+    :param headers: names and values.
+    :param run: writes the whole body and returns; raises nothing.
+    """
+
+    __slots__ = ("headers", "run")
+
+    def __init__(
+        self,
+        headers: list[tuple[str, str]],
+        run: typing.Callable[[Writer], None],
+    ) -> None:
+        self.headers = headers
+        self.run = run
+
+
 def refused(refusal: refusals.Refusal) -> Reply:
     """The reply that a refusal becomes.
 
@@ -147,7 +208,11 @@
         kind = _KIND_BY_STATUS.get(error.code, refusals.BAD_REQUEST)
         retry_after_s = 1.0 if kind is refusals.SHED else None
         message = str(error.body).strip() or kind.meaning
-        refusal = refusals.Refusal(kind, message, retry_after_s=retry_after_s)
+        executed = refusals.Executed.NO
+        if _KEY_FIELD in self.request.headers:
+            # An earlier sending under the key may have run.
+            executed = refusals.Executed.UNKNOWN
+        refusal = refusals.Refusal(kind, message, executed, retry_after_s)
         body = refusal.body()
         self.status = status_line(kind.status)
         self.response_headers.extend(refusal.headers())
@@ -156,12 +221,42 @@
         self.write(body)
 
 
+class _Task(waitress_task.WSGITask):
+    """A call whose handler can write its stream from another thread."""
+
+    def get_environment(self) -> dict[str, typing.Any]:
+        environ = super().get_environment()
+        environ[_TASK] = self
+        return environ
+
+
 class _Channel(waitress_channel.HTTPChannel):
     """A caller's connection that knows when its request began."""
 
+    task_class = _Task
     error_task_class = _RefusalTask
     began: float | None = None
     request: typing.Any
+    stalled = False
+
+    def writable(self) -> bool:
+        """Whether the network thread has something to send.
+
+        A thread that answers sends its bytes itself. If the network thread
+        polled for the same bytes, it would find the socket ready and the
+        buffer locked, again and again, at the cost of a whole core. It is
+        wanted only for what the caller's socket did not take.
+        """
+        if self.requests and not self.stalled:
+            return bool(self.will_close)
+        return bool(super().writable())
+
+    def write_soon(self, data: typing.Any) -> int:
+        written = int(super().write_soon(data))
+        self.stalled = self.total_outbufs_len > 0
+        if self.stalled:
+            self.server.pull_trigger()
+        return written
 
     def received(self, data: bytes) -> bool:
         if self.request is None:
@@ -171,6 +266,28 @@
             self.began = None
         return answer
 
+    def send_now(self, data: bytes) -> None:
+        """Send bytes past the output buffers while those are empty.
+
+        The buffers cost more than the sending itself, and a stream of small
+        events almost never needs them.
+
+        :raises ClientDisconnected: when the caller has gone.
+        """
+        with self.outbuf_lock:
+            if self.total_outbufs_len:
+                self.write_soon(data)
+                return
+            if not self.connected:
+                raise waitress_channel.ClientDisconnected
+            try:
+                sent = self.socket.send(data)
+            except BlockingIOError:
+                sent = 0
+            if sent < len(data):
+                self.write_soon(data[sent:])
+        self.last_activity = time.time()
+
     def overdue(self, limit_s: float) -> bool:
         """Whether a request has been arriving for too long.
 
@@ -316,12 +433,16 @@
         start_response: typing.Callable[..., typing.Any],
     ) -> typing.Iterable[bytes]:
         reply = self._answer(environ)
+        if isinstance(reply, StreamReply):
+            start_response(status_line(200), reply.headers)
+            reply.run(Writer(environ[_TASK]))
+            return []
         start_response(status_line(reply.status), reply.headers)
         if isinstance(reply.body, bytes):
             return [reply.body]
         return reply.body
 
-    def _answer(self, environ: dict[str, typing.Any]) -> Reply:
+    def _answer(self, environ: dict[str, typing.Any]) -> Reply | StreamReply:
         try:
             return self._application(_call(environ))
         except refusals.Refusal as refusal:
--- a/src/apricotlever/links/openai.py
+++ b/src/apricotlever/links/openai.py
@@ -81,6 +81,7 @@
         _check_messages(document)
     else:
         _check_prompt(document)
+    _check_seed(document)
     prompt = _encodable(prefix.prompt_text(document))
     return ModelRequest(document, chat, prompt)
 
@@ -116,6 +117,14 @@
     return value
 
 
+def _check_seed(document: dict[str, typing.Any]) -> None:
+    # A runner would refuse it, and what a runner has seen may have run.
+    value = document.get("seed")
+    whole = isinstance(value, int) and not isinstance(value, bool)
+    if value is not None and not whole:
+        raise _wrong("seed", "an integer")
+
+
 def _check_prompt(document: dict[str, typing.Any]) -> None:
     if not isinstance(document.get("prompt"), str):
         raise _wrong("prompt", "a string")
--- a/src/apricotlever/links/peers.py
+++ b/src/apricotlever/links/peers.py
@@ -179,6 +179,7 @@
         max_age_s: float = channels.MAX_AGE_S,
     ) -> None:
         self._socket = _listen(host, port)
+        self._address = "%s:%d" % self._socket.getsockname()[:2]
         self._service = _Service(handlers)
         self._channels = channels.Channels(
             clock or clocks.SystemClock(), max_age_s
@@ -192,8 +193,7 @@
     @property
     def address(self) -> str:
         """The "host:port" that peers call."""
-        host, port = self._socket.getsockname()[:2]
-        return f"{host}:{port}"
+        return self._address
 
     @property
     def open_channels(self) -> int:
@@ -300,7 +300,8 @@
     ) -> protobuf.Message:
         give_up_at = self._loop.time() + timeout_s
         try:
-            await asyncio.wait_for(lane.channel.__connect__(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await lane.channel.__connect__()
         except (OSError, asyncio.TimeoutError) as error:
             raise PeerUnavailable(address, _reason(error), False)
         stub = peer_grpc.PeersStub(lane.channel)
@@ -325,6 +326,9 @@
     # A peer whose end was lost without a FIN would otherwise hold its
     # connection here for good; accepted sockets inherit these options.
     tcp = socket.IPPROTO_TCP
+    # asyncio sets no TCP_NODELAY on what such a socket accepts; without it
+    # each answer waits some 40 ms for the caller's delayed acknowledgement.
+    listener.setsockopt(tcp, socket.TCP_NODELAY, 1)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     listener.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     listener.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
--- a/src/apricotlever/links/upstreams.py
+++ b/src/apricotlever/links/upstreams.py
@@ -112,6 +112,17 @@
         sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
+class _StreamConnection(_Connection):
+    """A connection whose answer comes unframed, until it is closed.
+
+    A stream of events marks its own end, so the chunks of HTTP/1.1 would
+    only add work to each event.
+    """
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
 class Exchange:
     """One request to one upstream, and its answer.
 
@@ -119,6 +130,7 @@
     :param first_byte_s: how long the answer may take to begin.
     :param pool: where a clean connection is taken from and put back, or
         None to use a new one.
+    :param stream: whether the answer is a stream that marks its own end.
     """
 
     def __init__(
@@ -126,15 +138,18 @@
         address: str,
         first_byte_s: float,
         pool: "Pool | None" = None,
+        stream: bool = False,
     ) -> None:
         self._address = address
         self._first_byte_s = first_byte_s
         self._pool = pool
+        self._stream = stream
         self._connection: _Connection | None = None
         # http.client drops its reference once the answer says that the
         # connection will close; deadlines and interrupts still need one.
         self._sock: socket.socket | None = None
         self._opened_at = 0.0
+        self._reused = False
         self._response: http.HTTPResponse | None = None
         self._interrupted = threading.Event()
 
@@ -148,6 +163,28 @@
         """Whether :meth:`interrupt` was called."""
         return self._interrupted.is_set()
 
+    @property
+    def address(self) -> str:
+        """``host:port`` of the upstream."""
+        return self._address
+
+    @property
+    def raw_socket(self) -> socket.socket | None:
+        """The socket, if the rest of the answer comes from it unframed.
+
+        To be read only after :meth:`read_some` has given what came along
+        with the head.
+        """
+        response = self._response
+        if response is None or response.chunked or response.length:
+            return None
+        return self._sock
+
+    @property
+    def reused(self) -> bool:
+        """Whether the connection had served another exchange before."""
+        return self._reused
+
     def header(self, name: str) -> str:
         """A header of the answer, or an empty string.
 
@@ -168,12 +205,14 @@
         """
         pooled = self._pool.take(self._address) if self._pool else None
         if pooled is not None:
+            self._reused = True
             self._connection = pooled.connection
             self._sock = pooled.connection.sock
             self._opened_at = pooled.opened_at
             return
         host, _, port = self._address.rpartition(":")
-        connection = _Connection(host, int(port), timeout=CONNECT_S)
+        kind = _StreamConnection if self._stream else _Connection
+        connection = kind(host, int(port), timeout=CONNECT_S)
         try:
             connection.connect()
         except OSError as error:
@@ -305,8 +344,13 @@
         self._sock = None
         if connection is None or response is None:
             return
+        if response.length == 0:
+            # read1 leaves an answer open though its last byte was read, and
+            # a connection whose answer is open takes no further request.
+            response.close()
         reusable = response.isclosed() and not response.will_close
         if self._pool is not None and reusable and connection.sock:
+            response.close()
             self._pool.put(self._address, connection, self._opened_at)
             return
         connection.close()
@@ -364,6 +408,11 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._idle: dict[str, queue.LifoQueue[_Pooled]] = {}
+        self._prune_at = clock.now() + POOLED_AGE_S
+
+    def __len__(self) -> int:
+        """Connections that are kept."""
+        return sum(idle.qsize() for idle in list(self._idle.values()))
 
     def now(self) -> float:
         """The clock's reading in seconds."""
@@ -394,12 +443,34 @@
         :param connection: an idle connection.
         :param opened_at: when it was opened, by this pool's clock.
         """
+        self._keep(address, _Pooled(connection, opened_at))
+        self._prune()
+
+    def _prune(self) -> None:
+        """Close the connections that are too old, from time to time.
+
+        Runners come and go; those of one that is gone would stay open on
+        this side, and the process would run out of descriptors.
+        """
+        now = self._clock.now()
+        if now < self._prune_at:
+            return
+        self._prune_at = now + POOLED_AGE_S
+        for address in list(self._idle):
+            idle = self._idle.pop(address, None)
+            kept = _drained(idle) if idle is not None else []
+            for pooled in reversed(kept):
+                if now - pooled.opened_at < POOLED_AGE_S:
+                    self._keep(address, pooled)
+                else:
+                    pooled.connection.close()
+
+    def _keep(self, address: str, pooled: _Pooled) -> None:
         fresh: queue.LifoQueue[_Pooled] = queue.LifoQueue(POOLED_PER_UPSTREAM)
-        idle = self._idle.setdefault(address, fresh)
         try:
-            idle.put_nowait(_Pooled(connection, opened_at))
+            self._idle.setdefault(address, fresh).put_nowait(pooled)
         except queue.Full:
-            connection.close()
+            pooled.connection.close()
 
     def forget(self, address: str) -> None:
         """Close what is kept for an upstream that failed.
@@ -407,11 +478,18 @@
         :param address: ``host:port`` of the upstream.
         """
         idle = self._idle.pop(address, None)
-        while idle is not None:
-            try:
-                idle.get_nowait().connection.close()
-            except queue.Empty:
-                return
+        for pooled in _drained(idle) if idle is not None else []:
+            pooled.connection.close()
+
+
+def _drained(idle: "queue.LifoQueue[_Pooled]") -> list[_Pooled]:
+    """Take everything out, the latest first."""
+    found: list[_Pooled] = []
+    while True:
+        try:
+            found.append(idle.get_nowait())
+        except queue.Empty:
+            return found
 
 
 def call_json(
