Keep a subset of runners, and read each from its own data centre

Cause: at the target every VM would hold 10,000 runners' caches (158 B a block, measured) and every digest of load would cross the fleet. Change: runners/keeping picks by rendezvous hashing the runners that a VM sends to and those whose load it reads, in the runner's own data centre; one of two readers tells the others, within the data centre in a large fleet. Conclusion: small pools are kept whole, so nothing changes today.

--- a/src/apricotlever/daemon/keeper.py
+++ b/src/apricotlever/daemon/keeper.py
@@ -16,9 +16,10 @@
 from ..catalogue import model as catalogues
 from ..links import platform
 from ..links import upstreams
+from ..runners import keeping
 from ..runners import model as runners
 from ..vms import membership
-from ..vms import rendezvous
+from ..vms import view as views
 
 from . import fleet
 from . import messages
@@ -39,22 +40,30 @@
 class Shown:
     """The serving entry VMs of this VM's view.
 
-    :param serving: all names.
-    :param here: those of this VM's data centre.
+    :param serving: names by data centre; empty for a data centre that is
+        seen by its summary only.
     """
 
-    __slots__ = ("serving", "here")
+    __slots__ = ("serving",)
 
-    def __init__(self, serving: list[str], here: list[str]) -> None:
+    def __init__(self, serving: dict[str, list[str]]) -> None:
         self.serving = serving
-        self.here = here
+
+
+def shown(view: views.View) -> Shown:
+    """What a keeper needs to know of a view."""
+    return Shown({name: view.names(name) for name in view.data_centres})
 
 
 class Listener(typing.Protocol):
     """What the daemon does with what is found; must return at once."""
 
-    def on_runners(self, listed: tuple[runners.Runner, ...]) -> None:
-        """The platform listed the runners."""
+    def on_runners(
+        self,
+        chosen: tuple[runners.Runner, ...],
+        listed: tuple[runners.Runner, ...],
+    ) -> None:
+        """The platform listed the runners; some are chosen for this VM."""
 
     def on_listed_leaving(self, vm: str, left_s: float) -> None:
         """The platform's list shows a VM as leaving."""
@@ -62,10 +71,17 @@
     def on_notice(self, vm: str, left_s: float) -> None:
         """The platform gave notice of a VM, maybe of this one."""
 
-    def on_load(self, runner: str, report: runners.LoadReport | None) -> None:
-        """A runner's load was read; None when it did not answer."""
+    def on_load(
+        self, runner: str, report: runners.LoadReport | None, tell: bool
+    ) -> None:
+        """A runner's load was read; None when it did not answer.
+
+        :param tell: whether it is on this VM to tell the others.
+        """
 
-    def on_cache(self, runner: str, events: runners.CacheEvents) -> None:
+    def on_cache(
+        self, runner: str, events: runners.CacheEvents, tell: bool
+    ) -> None:
         """A runner's cache events were read."""
 
 
@@ -143,8 +159,7 @@
         self._prices: dict[tuple[str, str, str], float] = {}
         self._vms: tuple[platform.Vm, ...] = ()
         self._runners: dict[str, runners.Runner] = {}
-        self._serving = [config.vm]
-        self._here = [config.vm]
+        self._keeping = keeping.Keeping(config.vm, config.data_centre)
         self._due: dict[str, float] = {}
         self._list_at = 0.0
         self._prices_at = 0.0
@@ -154,8 +169,7 @@
 
     @property
     def _watches_notices(self) -> bool:
-        ranked = rendezvous.rank("notices", self._here)
-        return self._config.vm in ranked[:NOTICE_WATCHERS]
+        return self._keeping.rank_here("notices") < NOTICE_WATCHERS
 
     @mailbox.handles(messages.CatalogueInForce)
     def _configure(self, message: messages.CatalogueInForce) -> None:
@@ -164,8 +178,8 @@
 
     @mailbox.handles(Shown)
     def _shown(self, message: Shown) -> None:
-        self._serving = message.serving or [self._config.vm]
-        self._here = message.here or [self._config.vm]
+        self._keeping.set_serving(message.serving)
+        self._publish()
 
     @mailbox.handles(_Listed)
     def _listed(self, message: _Listed) -> None:
@@ -205,11 +219,14 @@
 
     @mailbox.handles(_Polled)
     def _polled(self, message: _Polled) -> None:
-        self._listener.on_load(message.runner, message.load)
+        name = message.runner
+        known = self._runners.get(name)
+        tell = known is not None and self._keeping.rank(known) == 0
+        self._listener.on_load(name, message.load, tell)
         if message.events is None or not message.events.events:
             return
-        self._cache_seqs[message.runner] = message.events.last
-        self._listener.on_cache(message.runner, message.events)
+        self._cache_seqs[name] = message.events.last
+        self._listener.on_cache(name, message.events, tell)
 
     @mailbox.handles(messages.StatusWanted)
     def _status(self, message: messages.StatusWanted) -> dict[str, object]:
@@ -246,16 +263,14 @@
 
     def _keeps(self, runner: str) -> bool:
         """Whether this VM reads the runner's load for the others."""
-        runner_known = self._runners[runner]
         pools = {
             entry.pool
             for entry in self._catalogue.entries.values()
             if entry.kind == catalogues.KIND_MODEL
         }
-        if runner_known.pool not in pools:
+        if self._runners[runner].pool not in pools:
             return False
-        ranked = rendezvous.rank(f"keeper/{runner}", self._serving)
-        return self._config.vm in ranked[:KEEPERS]
+        return self._keeping.rank(self._runners[runner]) < KEEPERS
 
     def _publish(self) -> None:
         """Tell the desk which runners the catalogue's pools have."""
@@ -271,7 +286,7 @@
         if not self._vms:
             return
         self._runners = {runner.name: runner for runner in listed}
-        self._listener.on_runners(listed)
+        self._listener.on_runners(self._keeping.choose(listed), listed)
         for vm in self._vms:
             if vm.role == "runner" and vm.state == "leaving":
                 self._listener.on_listed_leaving(vm.vm, LISTED_LEAVING_S)
--- a/src/apricotlever/daemon/node.py
+++ b/src/apricotlever/daemon/node.py
@@ -5,7 +5,6 @@
 import secrets
 import threading
 
-from .. import catalogue as catalogues
 from .. import clock as clocks
 from .. import histograms
 from .. import logs
@@ -14,12 +13,9 @@
 from .. import settings
 from ..contracts import call_budget
 from ..links import callers
-from ..links import peer_pb2 as pb
 from ..links import peers
 from ..links import platform
 from ..links import stream_loop
-from ..runners import model as runners
-from ..runners import quarantine
 from ..vms import view as views
 
 from . import archive
@@ -33,10 +29,9 @@
 from . import gateway
 from . import heir
 from . import keeper
-from . import messages
 from . import presence
-from . import rumours
 from . import store
+from . import switchboard
 from . import watcher
 
 RECEIVE_S = 10.0
@@ -64,6 +59,9 @@
         self._presence = presence.Presence(config, self._rng)
         self._stop_asked = threading.Event()
         self._notice_until: float | None = None
+        self._switchboard = switchboard.Switchboard(
+            config, self._presence, self._metrics, self.ask_to_stop
+        )
         self._pool = futures.ThreadPoolExecutor(TASK_THREADS, "task")
         self._running: list[futures.Future[None]] = []
         self._handlers = peers.Handlers()
@@ -74,7 +72,6 @@
         self._make_tasks()
         calls.register(self._handlers, self._context, self._rooms())
         self._server = self._make_server()
-        self._departing: departing.Departing | None = None
 
     @property
     def callers_address(self) -> str:
@@ -101,77 +98,6 @@
             self._notice_until = until if known is None else min(known, until)
         self._stop_asked.set()
 
-    # What the fleet's task reports; see fleet.Listener.
-
-    def on_view(self, view: views.View) -> None:
-        """Pass the members on to the tasks that go by them."""
-        self._presence.seen(view)
-        here = view.names(self._config.data_centre)
-        self._keeper.tell(keeper.Shown(view.names(), here))
-        self._watcher.tell(watcher.ViewSeen(view))
-        self._duties.tell(duties.ViewSeen(view))
-        self._desk.tell(messages.MembersSeen(frozenset(view.members)))
-        self._store.tell(store.FleetSize(view.size))
-        for member in view.members.values():
-            seen = book.OwnerSeen(member.vm, member.incarnation)
-            self._book.tell(seen)
-
-    def on_rumour(self, rumour: pb.Rumour, via: str) -> None:
-        """Give a rumour to the task that it concerns."""
-        age_s = rumour.age_ms / rumours.MS_PER_S
-        match rumour.WhichOneof("body"):
-            case "runner_leaving":
-                left_s = rumour.runner_leaving.deadline_s - age_s
-                name = rumour.runner_leaving.runner
-                self._noticed(name, max(0.0, left_s))
-            case "runner_gone":
-                gone = messages.RunnerGone(rumour.runner_gone.runner)
-                self._desk.tell(gone)
-            case "quarantine":
-                report = rumours.crash_of(rumour.quarantine, age_s)
-                self._desk.tell(messages.CrashHeard(report))
-            case "catalogue":
-                self._watcher.tell(watcher.Rumoured(rumour, via))
-            case "load":
-                load = rumours.load_of(rumour)
-                seen = messages.LoadSeen(rumour.load.runner, load)
-                self._desk.tell(seen)
-            case "prefix":
-                events = rumours.cache_of(rumour)
-                cached = messages.CacheSeen(rumour.prefix.runner, events)
-                self._desk.tell(cached)
-            case "demand":
-                demand = rumours.demand_of(rumour.demand)
-                self._desk.tell(messages.DemandHeard(demand, age_s))
-
-    def on_incarnation_ended(self, vm: str, incarnation: int) -> None:
-        """A process is gone for certain."""
-        self._book.tell(book.OwnerGone(vm, incarnation))
-        if self._departing is not None:
-            owner = departing.owner(vm, incarnation)
-            self._departing.tell(departing.OwnerGone(owner))
-
-    def on_catalogue_heard(self, version: int, digest: int, vm: str) -> None:
-        """A peer has a newer catalogue."""
-        self._watcher.tell(watcher.Heard(version, digest, vm))
-
-    def on_paused(self, seconds: float) -> None:
-        """Nothing to do: leases and keys check the clock when used."""
-
-    def on_superseded(self) -> None:
-        """A newer process runs under this VM's name: end."""
-        self.ask_to_stop(0.0)
-
-    def judge(
-        self, question: quarantine.MayRun
-    ) -> "futures.Future[quarantine.Decision]":
-        """Decide on a suspect as the judge of its pool."""
-        return self._desk.ask(messages.Judge(question))
-
-    def trial_over(self, report: quarantine.TrialOver) -> None:
-        """A trial that this VM handed out is over."""
-        self._desk.tell(messages.TrialOver(report))
-
     def _make_tasks(self) -> None:
         config = self._config
         clock = self._clock
@@ -200,25 +126,33 @@
             config.vm,
             config.data_centre,
             self._metrics,
-            self._announce,
+            self._switchboard.announce,
         )
         me = fleet.own_member(
             config, str(config.callers), self._link.address, self._incarnation
         )
         self._fleet = fleet.Fleet(
-            clock, self._rng, config, self._link, me, self._metrics, self
+            clock,
+            self._rng,
+            config,
+            self._link,
+            me,
+            self._metrics,
+            self._switchboard,
         )
         cloud = platform.CloudApi(
             config.platform.cloud, timing.platform_timeout_s
         )
-        self._keeper = keeper.Keeper(clock, config, cloud, self._fleet, self)
+        self._keeper = keeper.Keeper(
+            clock, config, cloud, self._fleet, self._switchboard
+        )
         self._watcher = watcher.Watcher(
             clock,
             self._rng,
             config,
             self._store,
             self._fleet,
-            self._in_force,
+            self._switchboard.in_force,
         )
         weights = platform.WeightStore(
             config.platform.weights, timing.platform_timeout_s
@@ -254,6 +188,18 @@
             self._watcher,
             self._duties,
         ]
+        self._switchboard.attach(
+            switchboard.Tasks(
+                self._desk,
+                self._book,
+                self._fleet,
+                self._keeper,
+                self._watcher,
+                self._duties,
+                self._store,
+                self._context,
+            )
+        )
         self._heir = heir.Heir(clock, self._context)
         self._tasks = [
             self._store,
@@ -301,7 +247,7 @@
 
     def _first_view(self, future: "futures.Future[views.View]") -> None:
         if future.exception() is None:
-            self.on_view(future.result())
+            self._switchboard.on_view(future.result())
 
     def _stop(self) -> int:
         """End without cutting off a request that was accepted.
@@ -348,7 +294,7 @@
         task = departing.Departing(
             self._clock, self._context, self._presence, until
         )
-        self._departing = task
+        self._switchboard.depart(task)
         running = self._pool.submit(task.run)
         handed_over = task.ask(departing.HandOver())
         try:
@@ -387,53 +333,6 @@
         self._pool.shutdown(wait=False)
         self._metrics.close()
 
-    def _in_force(self, catalogue: catalogues.Catalogue) -> None:
-        self._context.put_in_force(catalogue)
-        message = messages.CatalogueInForce(catalogue)
-        self._desk.tell(message)
-        self._keeper.tell(message)
-        self._duties.tell(message)
-        self._metrics.gauge("catalogue.version", catalogue.version)
-
-    def _announce(self, rumour: pb.Rumour) -> None:
-        self._fleet.tell(fleet.Announce(rumour))
-
-    # What the keeper reports; see keeper.Listener.
-
-    def on_runners(self, listed: tuple[runners.Runner, ...]) -> None:
-        """The platform listed the runners."""
-        message = messages.RunnersListed(listed)
-        self._desk.tell(message)
-        self._duties.tell(message)
-
-    def on_listed_leaving(self, vm: str, left_s: float) -> None:
-        """The platform's list shows a VM as leaving."""
-        self._desk.tell(messages.RunnerLeaving(vm, left_s))
-
-    def on_load(self, runner: str, report: runners.LoadReport | None) -> None:
-        """A runner's load was read, or it did not answer."""
-        if report is None:
-            self._desk.tell(messages.ProbeFailed(runner))
-            return
-        self._desk.tell(messages.LoadSeen(runner, report))
-        self._announce(rumours.of_load(runner, report))
-
-    def on_cache(self, runner: str, events: runners.CacheEvents) -> None:
-        """A runner's cache events were read."""
-        self._desk.tell(messages.CacheSeen(runner, events))
-        self._announce(rumours.of_cache(runner, events))
-
-    def on_notice(self, vm: str, left_s: float) -> None:
-        """The platform gave notice of a VM; tell the fleet at once."""
-        self._announce(rumours.of_runner_leaving(vm, left_s))
-        self._noticed(vm, left_s)
-
-    def _noticed(self, vm: str, left_s: float) -> None:
-        if vm == self._config.vm:
-            self.ask_to_stop(left_s)
-            return
-        self._desk.tell(messages.RunnerLeaving(vm, left_s))
-
     def _task_ended(self, running: "futures.Future[None]") -> None:
         """A task whose thread died would leave all others waiting on it.
 
