Buy and release runners through the daemon that holds the duty

Cause: the planner of capacity ran nowhere. Change: each VM tells the rate and the slot time of its pools by rumour; the holder of a pool's duty feeds the planner and carries out its orders, asking the lease again on the thread that sends. A release drains first. Conclusion: the order's token and the duty's lease carry it.

--- a/src/apricotlever/daemon/desk.py
+++ b/src/apricotlever/daemon/desk.py
@@ -14,6 +14,7 @@
 from .. import metrics as metrics_
 from .. import refusals
 from ..contracts import admission
+from ..contracts import arrivals
 from ..contracts import retries
 from ..contracts import retry_budget
 from ..links import peer_pb2 as pb
@@ -69,6 +70,8 @@
         self._router = routing.Router(clock, rng, vm, data_centre)
         self._budget = retry_budget.RetryBudget()
         self._quarantine = quarantine.Quarantine(clock)
+        self._arrivals = arrivals.Arrivals(clock, vm)
+        self._pools: dict[str, str] = {}
         self._waiting: dict[str, futures.Future[typing.Any]] = {}
         self._placements = placements.Placements(clock, self._router, vm)
 
@@ -77,10 +80,14 @@
         catalogue = message.catalogue
         self._admission.configure(catalogue)
         self._budget.keep_only(frozenset(catalogue.entries))
+        self._pools = {
+            name: entry.pool for name, entry in catalogue.entries.items()
+        }
 
     @mailbox.handles(messages.Admit)
     def _admit(self, message: messages.Admit) -> mailbox.Deferred:
         self._waiting[message.ticket.request_id] = self.defer()
+        self._arrivals.arrived(self._pools.get(message.ticket.entry, ""))
         self._settle(self._admission.offer(message.ticket))
         return mailbox.DEFERRED
 
@@ -133,6 +140,7 @@
     ) -> crashes.Survived | None:
         dispatch = self._placements.dispatch_of(message.request_id)
         self._placements.left(message.request_id)
+        self._arrivals.ended(message.request_id)
         self._router.finished(
             message.request_id, message.outcome, message.tokens
         )
@@ -282,6 +290,9 @@
         report = self._admission.take_report()
         if report is not None:
             self._announce(rumours.of_demand(report))
+        arrived = self._arrivals.report()
+        if arrived is not None:
+            self._announce(rumours.of_arrivals(arrived))
 
     def stopped(self) -> None:
         """Refuse what still waits."""
@@ -324,6 +335,7 @@
         self, message: messages.Dispatch, runner: runners.Runner
     ) -> None:
         self._placements.place(message, runner)
+        self._arrivals.started(message.request_id, runner.pool)
         self._router.started(message.request_id, runner.name, message.query)
 
     def _trial(self, message: messages.Dispatch) -> messages.TrialWanted:
--- a/src/apricotlever/daemon/duties.py
+++ b/src/apricotlever/daemon/duties.py
@@ -25,6 +25,7 @@
 from ..vms import orders
 from ..vms import view as views
 
+from . import buyer
 from . import messages
 from . import store as stores
 
@@ -122,13 +123,28 @@
         self._view: views.View | None = None
         self._held: set[str] = set()
 
+    def may_order(self, duty: str, order_s: float) -> int | None:
+        """The fencing number of a duty that this VM holds, or None.
+
+        May be asked on any thread, just before an order is sent.
+
+        :param order_s: how long it takes to send the order off.
+        """
+        return self._duties.may_order(duty, order_s)
+
     @mailbox.handles(messages.CatalogueInForce)
     def _configure(self, message: messages.CatalogueInForce) -> None:
         self._catalogue = message.catalogue
         longest_s = self._config.timing.order_timeout_s
         self._duties.configure(
-            duties.Duty(orders_duty(pool), "", longest_s)
-            for pool in self._model_pools()
+            [
+                duties.Duty(orders_duty(pool), "", longest_s)
+                for pool in self._model_pools()
+            ]
+            + [
+                duties.Duty(buyer.capacity_duty(entry.pool), "", longest_s)
+                for entry in message.catalogue.entries.values()
+            ]
         )
         if self._view is not None:
             self._duties.look(self._view)
--- a/src/apricotlever/daemon/keeper.py
+++ b/src/apricotlever/daemon/keeper.py
@@ -65,6 +65,13 @@
     ) -> None:
         """The platform listed the runners; some are chosen for this VM."""
 
+    def on_platform(
+        self,
+        vms: tuple[platform.Vm, ...],
+        per_hour: typing.Mapping[tuple[str, str, str], float],
+    ) -> None:
+        """The platform's list of VMs and its prices were read."""
+
     def on_listed_leaving(self, vm: str, left_s: float) -> None:
         """The platform's list shows a VM as leaving."""
 
@@ -286,6 +293,7 @@
         if not self._vms:
             return
         self._runners = {runner.name: runner for runner in listed}
+        self._listener.on_platform(self._vms, self._prices)
         self._listener.on_runners(self._keeping.choose(listed), listed)
         for vm in self._vms:
             if vm.role == "runner" and vm.state == "leaving":
--- a/src/apricotlever/daemon/node.py
+++ b/src/apricotlever/daemon/node.py
@@ -20,6 +20,7 @@
 
 from . import archive
 from . import book
+from . import buyer
 from . import calls
 from . import context as contexts
 from . import departing
@@ -165,6 +166,13 @@
             self._store,
             weights,
         )
+        self._buyer = buyer.Buyer(
+            clock,
+            self._rng,
+            cloud,
+            self._duties.may_order,
+            self._switchboard.drain,
+        )
         self._background = futures.ThreadPoolExecutor(
             BACKGROUND_THREADS, "background"
         )
@@ -187,6 +195,7 @@
             self._keeper,
             self._watcher,
             self._duties,
+            self._buyer,
         ]
         self._switchboard.attach(
             switchboard.Tasks(
@@ -197,6 +206,7 @@
                 self._watcher,
                 self._duties,
                 self._store,
+                self._buyer,
                 self._context,
             )
         )
@@ -211,6 +221,7 @@
             self._watcher,
             self._heir,
             self._duties,
+            self._buyer,
         ]
 
     def _rooms(self) -> calls.Rooms:
--- a/src/apricotlever/daemon/rumours.py
+++ b/src/apricotlever/daemon/rumours.py
@@ -102,6 +102,16 @@
     )
 
 
+def of_arrivals(message: pb.DemandReport) -> pb.Rumour:
+    """What callers ask of a VM's pools; a newer one replaces it."""
+    return pb.Rumour(
+        scope=pb.SCOPE_FLEET,
+        lifetime_ms=DEMAND_LIFETIME_MS,
+        replaces_key="arrivals",
+        demand=message,
+    )
+
+
 def demand_of(message: pb.DemandReport) -> fleet_shares.DemandReport:
     """The report in a message; limits unknown here are left out."""
     known = {kind.value: kind for kind in fleet_shares.LimitKind}
--- a/src/apricotlever/daemon/switchboard.py
+++ b/src/apricotlever/daemon/switchboard.py
@@ -8,11 +8,13 @@
 from .. import metrics as metrics_
 from .. import settings
 from ..links import peer_pb2 as pb
+from ..links import platform
 from ..runners import model as runners
 from ..runners import quarantine
 from ..vms import view as views
 
 from . import book
+from . import buyer
 from . import context as contexts
 from . import departing
 from . import duties
@@ -40,6 +42,7 @@
         "watcher",
         "duties",
         "store",
+        "buyer",
         "context",
     )
 
@@ -52,6 +55,7 @@
         watcher_task: mailbox.Task,
         duties_task: mailbox.Task,
         store_task: mailbox.Task,
+        buyer_task: mailbox.Task,
         context: contexts.Context,
     ) -> None:
         self.desk = desk
@@ -61,6 +65,7 @@
         self.watcher = watcher_task
         self.duties = duties_task
         self.store = store_task
+        self.buyer = buyer_task
         self.context = context
 
 
@@ -138,6 +143,7 @@
             case "demand":
                 demand = rumours.demand_of(rumour.demand)
                 self._tasks.desk.tell(messages.DemandHeard(demand, age_s))
+                self._tasks.buyer.tell(buyer.DemandSeen(rumour.demand))
 
     def on_incarnation_ended(self, vm: str, incarnation: int) -> None:
         """A process is gone for certain."""
@@ -176,6 +182,18 @@
         self._tasks.desk.tell(messages.RunnersListed(chosen))
         self._tasks.duties.tell(messages.RunnersListed(listed))
 
+    def on_platform(
+        self,
+        vms: tuple[platform.Vm, ...],
+        per_hour: typing.Mapping[tuple[str, str, str], float],
+    ) -> None:
+        """The platform's list of VMs and its prices were read."""
+        self._tasks.buyer.tell(buyer.PlatformSeen(vms, per_hour))
+
+    def drain(self, runner: str, left_s: float) -> None:
+        """A runner will be released: it gets no new work anywhere."""
+        self.on_notice(runner, left_s)
+
     def on_listed_leaving(self, vm: str, left_s: float) -> None:
         """The platform's list shows a VM as leaving."""
         self._tasks.desk.tell(messages.RunnerLeaving(vm, left_s))
@@ -211,6 +229,7 @@
         self._tasks.desk.tell(message)
         self._tasks.keeper.tell(message)
         self._tasks.duties.tell(message)
+        self._tasks.buyer.tell(message)
         self._metrics.gauge("catalogue.version", catalogue.version)
 
     def announce(self, rumour: pb.Rumour) -> None:
@@ -219,6 +238,8 @@
         In a large fleet the loads of all runners would take more than a
         VM's share of the network; each data centre reads its own runners.
         """
+        if rumour.WhichOneof("body") == "demand":
+            self._tasks.buyer.tell(buyer.DemandSeen(rumour.demand))
         if self._large and rumour.WhichOneof("body") in _LOCAL_WHEN_LARGE:
             rumour.scope = pb.SCOPE_DATA_CENTRE
         self._tasks.fleet.tell(fleet.Announce(rumour))
@@ -227,4 +248,6 @@
         if vm == self._config.vm:
             self._stop(left_s)
             return
-        self._tasks.desk.tell(messages.RunnerLeaving(vm, left_s))
+        leaving = messages.RunnerLeaving(vm, left_s)
+        self._tasks.desk.tell(leaving)
+        self._tasks.buyer.tell(leaving)
--- /dev/null
+++ b/tests/steps/daemon_capacity.py
@@ -0,0 +1,79 @@
+"""Steps for tests/daemon/capacity.feature."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.daemon import scene
+from tests.support import fleet
+
+
+@given("{count:d} more engines can be bought")
+def _spares(context, count):
+    running = context.scene
+    names = [f"spare-{number}" for number in range(count)]
+    running.fleet.start_engines(
+        names, scene.MODEL_POOL, scene.DATA_CENTRES, register=False
+    )
+    running.fleet.offer(names, scene.MODEL_POOL)
+    prices = [
+        {
+            "data_centre": data_centre,
+            "machine": "small",
+            "market": market,
+            "per_hour": price,
+        }
+        for data_centre, extra in zip(scene.DATA_CENTRES, (0.0, 0.1, 0.2))
+        for market, price in (
+            ("reclaimable", 1.0 + extra),
+            ("on_demand", 3.0 + extra),
+        )
+    ]
+    running.fleet.control("cloud", "prices", {"prices": prices})
+
+
+@given("the cloud loses the next {count:d} answers")
+def _lost_answers(context, count):
+    context.scene.fleet.faults("cloud", lose_answer=count)
+
+
+@given("{data_centre} sells no VM")
+def _sold_out(context, data_centre):
+    context.scene.fleet.faults("cloud", no_capacity=[data_centre])
+
+
+@when("the catalogue wants at least {least:d} runners")
+def _least(context, least):
+    document = scene.catalogue()
+    for entry in document["entries"].values():
+        entry["capacity"] = dict(entry["capacity"], min_runners=least)
+        if entry["kind"] == "service":
+            entry["capacity"]["min_runners"] = 0
+    context.scene.fleet.put_catalogue(document)
+
+
+@then("each entry VM sends to {count:d} runners")
+def _sends_to(context, count):
+    def enough():
+        pages = [context.scene.status(vm) for vm in context.scene.vms]
+        taking = [
+            [row for row in page["runners"] if not row["leaving"]]
+            for page in pages
+        ]
+        return all(len(rows) == count for rows in taking)
+
+    fleet.wait_for(enough, 45.0)
+
+
+@then("the cloud has sold {count:d} VMs")
+def _sold(context, count):
+    fleet.wait_for(lambda: len(_bought(context)) >= count, 45.0)
+    bought = _bought(context)
+    assert len(bought) == count, bought
+
+
+def _bought(context):
+    listed = fleet.http.call(
+        context.scene.fleet.address("cloud"), "GET", "/v1/vms"
+    ).payload["vms"]
+    return [vm["vm"] for vm in listed if vm["vm"].startswith("spare")]
