Tell all entry VMs where a ledger went, and every death that is seen

Cause: only the leaving VM and its heir knew of a handover, so a third VM answered unknown for calls that had run; deaths of idle runners were on no record, so a wave at a small data centre looked like a poison request; a VM that started knew of no quarantine. Change: a rumour names the heir; the reader of a runner reports its death without charges; a joining VM is told all deaths; the quarantine knows the data centres' sizes; the share of a VM that left is freed at once.

--- a/src/apricotlever/daemon/book.py
+++ b/src/apricotlever/daemon/book.py
@@ -119,6 +119,16 @@
         self.incarnation = incarnation
 
 
+class LedgerMoved:
+    """An heir has the ledger of an incarnation that left."""
+
+    __slots__ = ("owner", "heir")
+
+    def __init__(self, owner: messages.Owner, heir: messages.Owner) -> None:
+        self.owner = owner
+        self.heir = heir
+
+
 class Freeze:
     """Start no more runs."""
 
@@ -272,6 +282,10 @@
     def _owner_gone(self, message: OwnerGone) -> None:
         self._settled(self._ledger.gone(message.vm, message.incarnation))
 
+    @mailbox.handles(LedgerMoved)
+    def _ledger_moved(self, message: LedgerMoved) -> None:
+        self._ledger.handed_over(message.owner, message.heir)
+
     @mailbox.handles(Freeze)
     def _freeze(self, message: Freeze) -> None:
         self._ledger.freeze()
--- a/src/apricotlever/daemon/desk.py
+++ b/src/apricotlever/daemon/desk.py
@@ -4,6 +4,7 @@
 which request is at which runner. It does no I/O.
 """
 
+import collections
 from concurrent import futures
 import random
 import typing
@@ -264,6 +265,28 @@
     def _crash_heard(self, message: messages.CrashHeard) -> None:
         self._quarantine.receive(message.report)
 
+    @mailbox.handles(messages.DeathSeen)
+    def _death_seen(
+        self, message: messages.DeathSeen
+    ) -> crashes.CrashSeen | None:
+        """A runner died; report it though none of ours ran there.
+
+        The deaths of idle runners show that a data centre is being lost,
+        and that the requests on the others are not to blame.
+        """
+        runner = self._router.runner(message.runner)
+        return self._crashed(runner) if runner is not None else None
+
+    @mailbox.handles(messages.CrashesKnown)
+    def _crashes_known(
+        self, message: messages.CrashesKnown
+    ) -> list[crashes.CrashSeen]:
+        return self._quarantine.log.reports(self._vm)
+
+    @mailbox.handles(messages.MemberLeft)
+    def _member_left(self, message: messages.MemberLeft) -> None:
+        self._admission.shares.left(message.vm)
+
     @mailbox.handles(messages.MembersSeen)
     def _members_seen(self, message: messages.MembersSeen) -> None:
         self._admission.set_members(message.vms | {self._vm})
@@ -373,6 +396,9 @@
             slots = sum(runner.slots for runner in members)
             price = sum(runner.price_per_hour for runner in members)
             self._admission.set_pool(pool, slots, price / max(1, slots))
+        self._quarantine.set_sizes(
+            collections.Counter(r.data_centre for r in self._router.runners)
+        )
 
     def _runner_row(self, runner: runners.Runner) -> dict[str, object]:
         return {
--- a/src/apricotlever/daemon/fleet.py
+++ b/src/apricotlever/daemon/fleet.py
@@ -75,6 +75,16 @@
         self.report = report
 
 
+class TellCrash:
+    """Tell one VM of a death."""
+
+    __slots__ = ("vm", "report")
+
+    def __init__(self, vm: str, report: crashes.Report) -> None:
+        self.vm = vm
+        self.report = report
+
+
 class Announce:
     """Spread a rumour."""
 
@@ -307,6 +317,13 @@
         promises.settle_with_all(self.defer(), calls)
         return mailbox.DEFERRED
 
+    @mailbox.handles(TellCrash)
+    def _tell_crash(self, message: TellCrash) -> None:
+        member = self._membership.view.members.get(message.vm)
+        if member is not None:
+            report = rumours.crash_message(self._config.vm, message.report)
+            self._call(member.peers_address, "Crash", report, CRASH_CALL_S)
+
     @mailbox.handles(AskJudge)
     def _ask_judge(self, message: AskJudge) -> mailbox.Deferred:
         future = self.defer()
@@ -376,6 +393,8 @@
         before = action.before
         if before is not None and before.state == after.state:
             return
+        if after.state == pb.VM_ALIVE:
+            self._listener.on_joined(after.vm)
         logs.event(
             _STATE_EVENTS[after.state],
             member=after.vm,
--- a/src/apricotlever/daemon/heir.py
+++ b/src/apricotlever/daemon/heir.py
@@ -16,10 +16,12 @@
 from . import archive
 from . import book
 from . import context as contexts
+from . import fleet
 from . import flights
 from . import messages
 from . import pump as pumps
 from . import relay
+from . import rumours
 from . import transcripts
 
 ADOPTED_THREADS = 512
@@ -78,6 +80,8 @@
         if not receipt.accepted:
             return _refused("this VM is leaving too")
         logs.event("handover_taken", sender=receipt.sender.vm, ledger=True)
+        moved = rumours.of_ledger_moved(receipt.sender, receipt.heir)
+        self._context.fleet.tell(fleet.Announce(moved))
         return pb.HandoverReceipt(accepted=True)
 
     def _adopt(self, sender: str, adopted: list[records.Record]) -> None:
--- a/src/apricotlever/daemon/keeper.py
+++ b/src/apricotlever/daemon/keeper.py
@@ -86,6 +86,9 @@
         :param tell: whether it is on this VM to tell the others.
         """
 
+    def on_death(self, runner: str) -> None:
+        """A runner refuses connections."""
+
     def on_cache(
         self, runner: str, events: runners.CacheEvents, tell: bool
     ) -> None:
@@ -342,6 +345,9 @@
                 pool=self._connections,
             )
             polled = _Polled(runner.name, _load(load), _events(events))
+        except upstreams.ConnectFailed:
+            self._listener.on_death(runner.name)
+            polled = _Polled(runner.name, None, None)
         except (upstreams.UpstreamError, KeyError, TypeError, ValueError):
             polled = _Polled(runner.name, None, None)
         self.tell(polled)
--- a/src/apricotlever/daemon/listeners.py
+++ b/src/apricotlever/daemon/listeners.py
@@ -20,6 +20,9 @@
     def on_incarnation_ended(self, vm: str, incarnation: int) -> None:
         """A process of an entry VM is gone for certain."""
 
+    def on_joined(self, vm: str) -> None:
+        """A process of an entry VM has joined."""
+
     def on_catalogue_heard(self, version: int, digest: int, vm: str) -> None:
         """A peer has a newer catalogue."""
 
--- a/src/apricotlever/daemon/messages.py
+++ b/src/apricotlever/daemon/messages.py
@@ -164,6 +164,33 @@
         self.died = died
 
 
+class DeathSeen:
+    """A runner refuses connections; answered with a report to spread.
+
+    The answer is None when it is known already.
+    """
+
+    __slots__ = ("runner",)
+
+    def __init__(self, runner: str) -> None:
+        self.runner = runner
+
+
+class CrashesKnown:
+    """Ask for all deaths on record, for a VM that has just started."""
+
+    __slots__ = ()
+
+
+class MemberLeft:
+    """A process of an entry VM is gone for certain."""
+
+    __slots__ = ("vm",)
+
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
+
+
 class MembersSeen:
     """The entry VMs that share the fleet's limits, by name."""
 
--- a/src/apricotlever/daemon/rumours.py
+++ b/src/apricotlever/daemon/rumours.py
@@ -2,6 +2,7 @@
 
 from ..contracts import fleet_shares
 from ..links import peer_pb2 as pb
+from ..requests import messages as keyed
 from ..runners import crashes
 from ..runners import model as runners
 
@@ -10,6 +11,7 @@
 LOAD_LIFETIME_MS = 3_000
 PREFIX_LIFETIME_MS = 10_000
 DEMAND_LIFETIME_MS = 5_000
+LEDGER_LIFETIME_MS = 600_000
 MS_PER_S = 1000.0
 
 
@@ -102,6 +104,20 @@
     )
 
 
+def of_ledger_moved(owner: keyed.Owner, heir: keyed.Owner) -> pb.Rumour:
+    """Where the keys of a VM that left are kept now."""
+    return pb.Rumour(
+        scope=pb.SCOPE_FLEET,
+        lifetime_ms=LEDGER_LIFETIME_MS,
+        ledger_moved=pb.LedgerMoved(
+            vm=owner.vm,
+            incarnation=owner.incarnation,
+            heir=heir.vm,
+            heir_incarnation=heir.incarnation,
+        ),
+    )
+
+
 def of_arrivals(message: pb.DemandReport) -> pb.Rumour:
     """What callers ask of a VM's pools; a newer one replaces it."""
     return pb.Rumour(
--- a/src/apricotlever/daemon/switchboard.py
+++ b/src/apricotlever/daemon/switchboard.py
@@ -9,6 +9,7 @@
 from .. import settings
 from ..links import peer_pb2 as pb
 from ..links import platform
+from ..requests import messages as keyed
 from ..runners import model as runners
 from ..runners import quarantine
 from ..vms import view as views
@@ -130,6 +131,11 @@
             case "quarantine":
                 report = rumours.crash_of(rumour.quarantine, age_s)
                 self._tasks.desk.tell(messages.CrashHeard(report))
+            case "ledger_moved":
+                told = rumour.ledger_moved
+                owner = keyed.Owner(told.vm, told.incarnation)
+                heir = keyed.Owner(told.heir, told.heir_incarnation)
+                self._tasks.book.tell(book.LedgerMoved(owner, heir))
             case "catalogue":
                 self._tasks.watcher.tell(watcher.Rumoured(rumour, via))
             case "load":
@@ -148,6 +154,7 @@
     def on_incarnation_ended(self, vm: str, incarnation: int) -> None:
         """A process is gone for certain."""
         self._tasks.book.tell(book.OwnerGone(vm, incarnation))
+        self._tasks.desk.tell(messages.MemberLeft(vm))
         if self._departing is not None:
             owner = departing.owner(vm, incarnation)
             self._departing.tell(departing.OwnerGone(owner))
@@ -209,6 +216,31 @@
         if tell:
             self.announce(rumours.of_load(runner, report))
 
+    def on_death(self, runner: str) -> None:
+        """A runner refuses connections; tell the fleet, once."""
+        asked = self._tasks.desk.ask(messages.DeathSeen(runner))
+        asked.add_done_callback(self._spread_death)
+
+    def _spread_death(self, asked: "futures.Future[typing.Any]") -> None:
+        if asked.exception() is None and asked.result() is not None:
+            report = asked.result()
+            self._tasks.fleet.tell(fleet.SpreadCrash(report))
+
+    def on_joined(self, vm: str) -> None:
+        """A process of an entry VM has started, perhaps just now.
+
+        It knows of no crash yet, and would let a request that is refused
+        everywhere else crash one more runner.
+        """
+        asked = self._tasks.desk.ask(messages.CrashesKnown())
+
+        def told(done: "futures.Future[typing.Any]") -> None:
+            reports = [] if done.exception() else done.result()
+            for report in reports:
+                self._tasks.fleet.tell(fleet.TellCrash(vm, report))
+
+        asked.add_done_callback(told)
+
     def on_cache(
         self, runner: str, events: runners.CacheEvents, tell: bool
     ) -> None:
--- a/src/apricotlever/links/peers.py
+++ b/src/apricotlever/links/peers.py
@@ -9,6 +9,7 @@
 from concurrent import futures
 import socket
 import typing
+import weakref
 
 from google.protobuf import message as protobuf
 from grpclib import const
@@ -160,6 +161,29 @@
         return answer
 
 
+class _Server(server.Server):
+    """A server that closes its connections when it stops.
+
+    grpclib leaves them open: a peer would go on calling over its cached
+    connection and hear nothing, instead of learning that nobody is there.
+    """
+
+    def __init__(self, service: _Service) -> None:
+        super().__init__([service])
+        self._protocols: weakref.WeakSet[typing.Any] = weakref.WeakSet()
+
+    def _protocol_factory(self) -> typing.Any:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    def close_connections(self) -> None:
+        """Close what is still open."""
+        for protocol in list(self._protocols):
+            if hasattr(protocol, "processor"):
+                protocol.processor.close()
+
+
 class PeerLink:
     """Serves peers' calls and makes calls to them.
 
@@ -187,7 +211,7 @@
         self._loop = asyncio.new_event_loop()
         self._executor = futures.ThreadPoolExecutor(1, "peers")
         self._thread: futures.Future[None] | None = None
-        self._server: server.Server | None = None
+        self._server: _Server | None = None
         self._stopping = False
 
     @property
@@ -253,7 +277,7 @@
         self._loop.close()
 
     async def _start_server(self) -> None:
-        self._server = server.Server([self._service])
+        self._server = _Server(self._service)
         await self._server.start(sock=self._socket)
 
     async def _stop_server(self, grace_s: float) -> None:
@@ -265,6 +289,8 @@
         self._server.close()
         self._channels.close()
         await self._server.wait_closed()
+        self._server.close_connections()
+        await asyncio.sleep(0)
 
     async def _call(
         self,
--- a/tests/daemon/handovers.feature
+++ b/tests/daemon/handovers.feature
@@ -62,3 +62,14 @@
     And 1 callers are streaming 60 tokens each at vm-0
     When bruno asks each entry VM for ana's request
     Then bruno is told that there is no such request
+
+  Scenario: A third entry VM finds the keys of one that left
+    Symptom: a registration that ran is answered with unknown elsewhere.
+    Events: a keyed call runs at one VM, which leaves; the caller sends the
+    call again to a VM that is not the heir.
+    Cause: only the leaving VM and its heir know where the ledger went.
+    Given a fleet of 1 engines, 1 services and 4 entry VMs
+    When a keyed call runs at vm-0
+    And vm-0 is asked to stop
+    Then vm-0 exits with 0
+    And each other entry VM gives the same answer again
--- a/tests/steps/daemon_handovers.py
+++ b/tests/steps/daemon_handovers.py
@@ -43,3 +43,28 @@
     assert elsewhere.status in (303, 404), elsewhere.payload
     texts = [str(reply.payload) for reply in context.replies]
     assert not any(re.search("choices|text", text) for text in texts)
+
+
+@when("a keyed call runs at {vm}")
+def _keyed_call(context, vm):
+    running = context.scene
+    address = running.fleet.address(vm)
+    one = running.caller()
+    context.key = one.mint_keys(1, address)[0]
+    context.first = _register(running, context.key, address)
+    assert context.first.done, context.first.error
+
+
+@then("each other entry VM gives the same answer again")
+def _same_again(context):
+    running = context.scene
+    for vm in running.vms[1:]:
+        again = _register(running, context.key, running.fleet.address(vm))
+        assert again.payload == context.first.payload, (vm, again.error)
+
+
+def _register(running, key, address):
+    body = {"operation": "registration-1"}
+    return running.caller().service(
+        "registry", "POST", "/entries", body, key, address
+    )
