--- a/src/apricotlever/client/command.py
+++ b/src/apricotlever/client/command.py
@@ -98,11 +98,18 @@
 
     def store(self) -> catalogue_store.CatalogueStore:
         """The catalogue in the object API that the command line names."""
+        found = self.known_store()
+        if found is None:
+            raise errors.WrongUsage("give --objects URL or --settings FILE")
+        return found
+
+    def known_store(self) -> catalogue_store.CatalogueStore | None:
+        """As :meth:`store`; None when the command line names none."""
         url = self._options.objects
         if url is None and self._settings:
             url = self._settings.platform.objects
         if url is None:
-            raise errors.WrongUsage("give --objects URL or --settings FILE")
+            return None
         api = platform.ObjectApi(url, self._options.call_timeout)
         return catalogue_store.CatalogueStore(api, self._options.by)
 
--- a/src/apricotlever/client/fleet_commands.py
+++ b/src/apricotlever/client/fleet_commands.py
@@ -4,55 +4,20 @@
 import collections
 import itertools
 import json
-import time
 import typing
 
 from .. import histograms as latency
 from . import bars
 from . import command
-from . import errors
 from . import fleet
 from ..links import entry_api
+from . import versions
 
 Json = typing.Any
 
-POLL_S = 0.2
 DEFAULT_WAIT_S = 10.0
 
 
-class _InForce:
-    """The catalogue version at each entry VM.
-
-    :param replies: the status of each live entry VM.
-    """
-
-    __slots__ = ("_replies",)
-
-    def __init__(self, replies: tuple[fleet.Reply, ...]) -> None:
-        self._replies = replies
-
-    @property
-    def rows(self) -> list[dict[str, Json]]:
-        """One row for each VM."""
-        return [
-            {
-                "vm": reply.member.vm,
-                "state": reply.member.state,
-                "version": _version_in(reply),
-                "problem": reply.problem or None,
-            }
-            for reply in self._replies
-        ]
-
-    def lagging(self, wanted: int) -> list[str]:
-        """The VMs that have an older version, or didn't tell."""
-        return [
-            reply.member.vm
-            for reply in self._replies
-            if (_version_in(reply) or 0) < wanted
-        ]
-
-
 def _in_force_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--wait",
@@ -73,13 +38,15 @@
 def in_force(invocation: command.Invocation) -> command.Report:
     """Show the catalogue version at every live entry VM."""
     options = invocation.options
-    asked = invocation.fleet()
+    asked = versions.Question(invocation.fleet(), invocation.known_store())
     found = (
-        _ask(asked)
+        asked.ask()
         if options.wait is None
-        else _wait(asked, options.wait, options.timeout)
+        else asked.wait(options.wait, options.timeout)
     )
-    return command.Report({"vms": found.rows}, bars.table(found.rows))
+    document = {"vms": found.rows, "store": found.store_problem}
+    lines = [bars.table(found.rows), *filter(None, [found.store_problem])]
+    return command.Report(document, "\n".join(lines))
 
 
 @command.command("status")
@@ -130,34 +97,6 @@
     return command.Report({"cost": rows, "missing": missing}, text)
 
 
-def _ask(asked: fleet.Fleet) -> _InForce:
-    return _InForce(asked.ask_all(entry_api.EntryApi.status))
-
-
-def _wait(asked: fleet.Fleet, wanted: int, timeout_s: float) -> _InForce:
-    """Ask again until no live VM lags behind.
-
-    The list of VMs is read anew each time: a VM that dies meanwhile must
-    not hold the answer up, and one that joins must not be missed.
-    """
-    deadline = time.monotonic() + timeout_s
-    while lagging := (found := _ask(asked)).lagging(wanted):
-        if time.monotonic() >= deadline:
-            raise errors.NotInForce(
-                f"version {wanted} is not in force after {timeout_s:g} s at "
-                + ", ".join(lagging)
-            )
-        time.sleep(POLL_S)
-    return found
-
-
-def _version_in(reply: fleet.Reply) -> int | None:
-    if reply.document is None:
-        return None
-    version = reply.document.get("catalogue_version")
-    return version if isinstance(version, int) else None
-
-
 def _missing(replies: tuple[fleet.Reply, ...]) -> list[str]:
     return [reply.member.vm for reply in replies if reply.document is None]
 
--- a/src/apricotlever/daemon/fleet.py
+++ b/src/apricotlever/daemon/fleet.py
@@ -213,6 +213,10 @@
         self._link = link
         self._metrics = metrics
         self._listener = listener
+        # Calls made for other tasks, by the process that is to answer.
+        self._running: dict[
+            tuple[str, int], list["futures.Future[typing.Any]"]
+        ] = {}
         self._membership = membership.Membership(
             clock,
             rng,
@@ -298,9 +302,28 @@
             message.message,
             message.timeout_s,
         )
-        call.add_done_callback(functools.partial(promises.copy, future))
+        call.add_done_callback(functools.partial(_settle, future, message.vm))
+        self._remember(member, call)
         return mailbox.DEFERRED
 
+    def _remember(
+        self, member: pb.Member, call: "futures.Future[typing.Any]"
+    ) -> None:
+        process = (member.vm, member.incarnation)
+        running = [c for c in self._running.get(process, ()) if not c.done()]
+        self._running[process] = [*running, call]
+
+    def _give_up_calls(self, member: pb.Member) -> None:
+        """End the calls that a VM held to be dead has not answered.
+
+        One that stands still gives neither an answer nor an error. The
+        caller would wait out the whole deadline of its request to hear
+        that the outcome is unknown.
+        """
+        process = (member.vm, member.incarnation)
+        for call in self._running.pop(process, ()):
+            call.cancel()
+
     @mailbox.handles(SpreadCrash)
     def _spread_crash(self, message: SpreadCrash) -> mailbox.Deferred:
         report = rumours.crash_message(self._config.vm, message.report)
@@ -391,6 +414,8 @@
     def _changed(self, action: actions.Changed) -> None:
         after = action.after
         before = action.before
+        if after.state == pb.VM_DEAD:
+            self._give_up_calls(after)
         if before is not None and before.state == after.state:
             return
         if after.state == pb.VM_ALIVE:
@@ -443,3 +468,16 @@
         answer = call.result()
         if answer.sender.vm:
             self.tell(_Received(answer, False))
+
+
+def _settle(
+    future: "futures.Future[typing.Any]",
+    vm: str,
+    call: "futures.Future[typing.Any]",
+) -> None:
+    """Settle a future as a call to a VM ended."""
+    if call.cancelled():
+        gone = peers.PeerUnavailable(vm, "gone while it was asked", True)
+        future.set_exception(gone)
+    else:
+        promises.copy(future, call)
--- a/src/apricotlever/daemon/pump.py
+++ b/src/apricotlever/daemon/pump.py
@@ -64,6 +64,7 @@
         self._cursor = stream.StreamCursor(flight.attempt, flight.resume_from)
         self._failures = 0
         self._same_runner = 0
+        self._broken_from = -1
         self._tried: frozenset[str] = frozenset()
         self._step: recovery.Decision | None = None
         if runner is not None:
@@ -302,8 +303,12 @@
         cause = recovery.Cause.LOST
         if isinstance(error, (upstreams.Broken, upstreams.Silent)):
             cause = recovery.Cause.BROKEN
+        # A stream that went on after it was resumed shows that its runner
+        # is well: a connection that goes silent again is a new event.
         resumed = isinstance(self._step, recovery.ResumeSame)
-        self._same_runner = self._same_runner + 1 if resumed else 0
+        stuck = resumed and flight.resume_from == self._broken_from
+        self._same_runner = self._same_runner + 1 if stuck else 0
+        self._broken_from = flight.resume_from
         self._failures += 1
         if cause is recovery.Cause.LOST and flight.runner is not None:
             self._tried |= {flight.runner.name}
--- /dev/null
+++ b/src/apricotlever/data_centres/sizing.py
@@ -0,0 +1,62 @@
+"""How many slots keep the wait within the latency target."""
+
+import functools
+import math
+
+from . import model
+
+LATE_SHARE = 0.05
+EXACT_MAX = 2000
+
+
+def runners_needed(
+    demand: model.Demand, slots_per_runner: int, late_share: float = LATE_SHARE
+) -> int:
+    """Runners that start all but a few requests in time.
+
+    :param late_share: requests that may wait longer than ``wait_s``.
+    """
+    slots = slots_needed(demand, late_share)
+    return math.ceil(slots / slots_per_runner)
+
+
+def slots_needed(demand: model.Demand, late_share: float = LATE_SHARE) -> int:
+    """The least number of slots at which the share of late starts is met.
+
+    Taken from the Erlang C formula. For large loads, where it is slow to
+    compute, the square-root staffing rule gives the same within a few.
+    """
+    load = demand.requests_per_s * demand.service_s
+    if load <= 0:
+        return 0
+    least = math.floor(load) + 1
+    if load > EXACT_MAX:
+        return math.ceil(load + 2 * math.sqrt(load))
+    most = least + math.ceil(4 * math.sqrt(load)) + 8
+    low, high = least, most
+    while low < high:
+        middle = (low + high) // 2
+        if late_start_share(demand, middle) <= late_share:
+            high = middle
+        else:
+            low = middle + 1
+    return low
+
+
+def late_start_share(demand: model.Demand, slots: int) -> float:
+    """The share of requests that wait longer than ``wait_s`` for a slot."""
+    load = demand.requests_per_s * demand.service_s
+    if load <= 0:
+        return 0.0
+    if slots <= load:
+        return 1.0
+    spare = (slots - load) / demand.service_s
+    return _erlang_c(load, slots) * math.exp(-spare * demand.wait_s)
+
+
+@functools.lru_cache(maxsize=4096)
+def _erlang_c(load: float, slots: int) -> float:
+    blocked = 1.0
+    for number in range(1, slots + 1):
+        blocked = load * blocked / (number + load * blocked)
+    return blocked / (1 - load / slots * (1 - blocked))
--- a/src/apricotlever/requests/claims.py
+++ b/src/apricotlever/requests/claims.py
@@ -15,13 +15,14 @@
 
 from .. import clock as clocks
 from . import messages
+from ..vms import rendezvous
 
-DEFAULT_BUCKETS = 64
-DEFAULT_KEEP_S = 6 * 3600.0
+DEFAULT_BUCKETS = 256
+DEFAULT_KEEP_S = 2 * 3600.0
 VALUE_BYTES_MAX = 900_000
 PRUNE_ABOVE_BYTES = 256_000
 ROW_BYTES = 64
-ATTEMPTS_MAX = 8
+GIVE_UP_S = 3.0
 DOWN_S = 0.5
 CACHED_BUCKETS_MAX = 256
 
@@ -91,12 +92,12 @@
 class _Waiting:
     """A claim on its way; ``maybe`` says that a write of it got lost."""
 
-    __slots__ = ("claim", "name", "attempts", "maybe")
+    __slots__ = ("claim", "name", "until", "maybe")
 
-    def __init__(self, claim: messages.Claim) -> None:
+    def __init__(self, claim: messages.Claim, until: float) -> None:
         self.claim = claim
         self.name = claim_id(claim.customer, claim.key)
-        self.attempts = 0
+        self.until = until
         self.maybe = False
 
 
@@ -138,7 +139,7 @@
 
     def claim(self, claim: messages.Claim) -> list[Action]:
         """Start to claim a key."""
-        waiting = _Waiting(claim)
+        waiting = _Waiting(claim, self._clock.now() + GIVE_UP_S)
         if self._clock.now() < self._down_until:
             return [_not_claimed(waiting, messages.Reason.STORE_DOWN)]
         bucket = self._bucket(waiting.name)
@@ -148,12 +149,11 @@
     def written(self, name: str, version: int) -> list[Action]:
         """The store took the write."""
         bucket = self._buckets[name]
-        won, bucket.writing = bucket.writing, []
-        rows = bucket.rows or {}
-        rows.update((each.name, self._row(each)) for each in won)
+        ended, bucket.writing = bucket.writing, []
+        rows = {**(bucket.rows or {}), **self._added(ended)}
         bucket.rows, bucket.version = rows, version
         told: list[Action] = [
-            Tell(messages.Won(each.claim.token)) for each in won
+            Tell(_result(each, rows[each.name])) for each in ended
         ]
         return told + self._advance(bucket)
 
@@ -204,8 +204,7 @@
         ]
 
     def _bucket(self, claim_name: str) -> _Bucket:
-        number = xxhash.xxh64_intdigest(claim_name.encode()) % self._count
-        name = f"claims/{number:04x}"
+        name = bucket_of(claim_name, self._count)
         if name not in self._buckets:
             self._shrink()
             self._buckets[name] = _Bucket(name)
@@ -239,8 +238,9 @@
             if each.name in rows
         ]
         fresh = [each for each in waiting if each.name not in rows]
-        tired = [each for each in fresh if each.attempts >= ATTEMPTS_MAX]
-        eager = [each for each in fresh if each.attempts < ATTEMPTS_MAX]
+        now = self._clock.now()
+        tired = [each for each in fresh if each.until < now]
+        eager = [each for each in fresh if each.until >= now]
         told += [
             _not_claimed(each, messages.Reason.STORE_DOWN) for each in tired
         ]
@@ -257,10 +257,7 @@
         bucket.busy = bool(fitting)
         if not fitting:
             return told
-        for each in fitting:
-            each.attempts += 1
-        added = {each.name: self._row(each) for each in fitting}
-        value = _document({**bucket.rows, **added})
+        value = _document({**bucket.rows, **self._added(fitting)})
         return told + [WriteBucket(bucket.name, value, bucket.version)]
 
     def _fitting(
@@ -274,6 +271,10 @@
         )
         return [each for each, _ in pairs]
 
+    def _added(self, writing: list[_Waiting]) -> dict[str, Row]:
+        # Of two claims of one key in the same write the first wins.
+        return {each.name: self._row(each) for each in reversed(writing)}
+
     def _row(self, waiting: _Waiting) -> Row:
         claim = waiting.claim
         at = round(self._clock.wall(), 1)
@@ -294,6 +295,30 @@
     return hashlib.sha256(text.encode()).hexdigest()[: 2 * _ID_BYTES]
 
 
+def bucket_of(claim_name: str, buckets: int = DEFAULT_BUCKETS) -> str:
+    """Name the object that holds a claim."""
+    number = xxhash.xxh64_intdigest(claim_name.encode()) % buckets
+    return f"claims/{number:04x}"
+
+
+def home(
+    customer: str,
+    key: str,
+    vms: typing.Iterable[str],
+    buckets: int = DEFAULT_BUCKETS,
+) -> str | None:
+    """Choose the VM that had best claim and run a caller's key.
+
+    While the VMs agree on who is there, only one of them writes to a bucket,
+    so its writes don't conflict and it need not read before them. When they
+    don't agree, the store's condition still lets one claimer win.
+
+    :param vms: those that take new work.
+    """
+    bucket = bucket_of(claim_id(customer, key), buckets)
+    return rendezvous.pick(bucket, vms)
+
+
 def _size(rows: dict[str, Row]) -> int:
     return sum(row.size_bytes for row in rows.values())
 
--- a/src/apricotlever/requests/entries.py
+++ b/src/apricotlever/requests/entries.py
@@ -163,10 +163,9 @@
 
     @property
     def may_claim_again(self) -> bool:
-        """Whether the run stands, or stood, before a certain claim."""
-        return self.state is State.CLAIMING or (
-            self.state is State.NOT_RUN and not self.certain
-        )
+        """Whether the store may hold another VM's claim of the key."""
+        unsettled = self.state in (State.CLAIMING, State.NOT_RUN)
+        return self.origin is None and unsettled and not self.certain
 
 
 class Table:
--- a/src/apricotlever/requests/ledger.py
+++ b/src/apricotlever/requests/ledger.py
@@ -133,7 +133,8 @@
         """Decide what becomes of a keyed call.
 
         :param digest: of the method, path and body.
-        :param first: the caller vouches that it never sent this key before.
+        :param first: the caller vouches that it never sent this key before
+            and drops this answer if it sends the key again meanwhile.
         :param forwarded: another VM holds that this ledger owns the key.
         """
         entry = self._table.get(customer, key)
@@ -322,8 +323,13 @@
     def _again(
         self, entry: entries.Entry, digest: str, first: bool
     ) -> messages.Decision:
+        if entry.state is _State.CLAIMING:
+            return messages.Pending(entry.token)
         if entry.digest != digest:
-            return _refuse(messages.Reason.CONFLICT, _NO)
+            # While the claim is uncertain, another VM may be running the
+            # key for this very call.
+            executed = _UNKNOWN if entry.may_claim_again else _NO
+            return _refuse(messages.Reason.CONFLICT, executed)
         if entry.in_flight:
             return messages.Pending(entry.token)
         if entry.answer is not None:
--- a/src/apricotlever/requests/recovery.py
+++ b/src/apricotlever/requests/recovery.py
@@ -207,10 +207,15 @@
 
 
 def pick(candidates: typing.Sequence[Candidate]) -> Candidate | None:
-    """Choose the emptiest runner, outside of doomed data centres first."""
+    """Choose the emptiest runner, outside of doomed data centres first.
+
+    A free slot in a doomed one beats a queue elsewhere: a second move costs
+    less than the caller's wait.
+    """
     return max(
         candidates,
         key=lambda candidate: (
+            candidate.free_slots > 0,
             not candidate.doomed,
             candidate.free_slots,
             candidate.runner,
--- a/tests/daemon/scene.py
+++ b/tests/daemon/scene.py
@@ -8,6 +8,7 @@
 
 from tests.support import answers
 from tests.support import caller
+from tests.support import cuttable
 from tests.support import fleet
 
 CUSTOMERS = ("ana", "bruno")
@@ -18,6 +19,7 @@
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 CALLERS_MAX = 64
 STEP_MS = "30"
+SLOTS = 16
 WORDS = 60
 #: Of "mandate NN " and WORDS times "clause ", at four bytes a token.
 PROMPT_TOKENS = 108
@@ -39,15 +41,17 @@
     return f"key-{customer}"
 
 
-def catalogue(**limits: float) -> dict[str, typing.Any]:
-    """A catalogue with one model entry and one plain service.
+def catalogue(
+    slots_per_runner: int = SLOTS, **limits: float
+) -> dict[str, typing.Any]:
+    """A catalogue with two model entries and one plain service.
 
-    :param limits: of the model entry.
+    :param limits: of the first model entry.
     """
     capacity = {
         "min_runners": 1,
         "max_runners": 12,
-        "slots_per_runner": 16,
+        "slots_per_runner": slots_per_runner,
         "machine": "small",
     }
     return {
@@ -118,6 +122,10 @@
     :param vms: how many entry VMs, spread likewise.
     :param timing: changes to ``TIMING``.
     :param flags: of each engine.
+    :param slots: of each engine, and in the catalogue.
+    :param sizes: of the daemons' settings.
+    :param linked: whether a relay stands before each runner.
+    :param linked_store: whether one stands before the object API.
     """
 
     def __init__(
@@ -127,7 +135,10 @@
         vms: int = 2,
         timing: dict[str, typing.Any] | None = None,
         flags: typing.Sequence[str] = (),
+        slots: int = SLOTS,
         sizes: dict[str, typing.Any] | None = None,
+        linked: bool = False,
+        linked_store: bool = False,
     ) -> None:
         self.fleet = fleet.Fleet({**TIMING, **(timing or {})}, sizes)
         self._pool = futures.ThreadPoolExecutor(CALLERS_MAX)
@@ -136,6 +147,10 @@
         self.engines = [f"engine-{i}" for i in range(engines)]
         self.services = [f"service-{i}" for i in range(services)]
         self.vms = [f"vm-{i}" for i in range(vms)]
+        self.relays: dict[str, cuttable.Relay] = {}
+        self._slots = slots
+        self._linked = linked
+        self._linked_store = linked_store
         try:
             self._start(flags)
         except BaseException:
@@ -145,8 +160,20 @@
     def close(self) -> None:
         """End every process."""
         self.fleet.close()
+        for relay in self.relays.values():
+            relay.close()
         self._pool.shutdown(wait=True, cancel_futures=True)
 
+    def silence(
+        self, names: typing.Iterable[str], new_too: bool = False
+    ) -> int:
+        """Let the open connections to some runners swallow everything.
+
+        :param new_too: whether later connections are swallowed as well.
+        :returns: how many connections went silent.
+        """
+        return sum(self.relays[name].silence(new_too) for name in names)
+
     def data_centre(self, name: str) -> str:
         """Where an engine or service runs."""
         number = int(name.rpartition("-")[2])
@@ -191,6 +218,12 @@
                 self._pool.submit(one.stream, "/v1/completions", body, address)
             )
 
+    def stream_again(self, tokens: int) -> None:
+        """Stream the requests made so far again, with fewer tokens."""
+        count = next(self._numbers)
+        self._numbers = itertools.count()
+        self.stream(count, tokens)
+
     def wait_whole(self, count: int, tokens: int, vm: str) -> None:
         """Start callers that each wait for one whole answer."""
         address = self.fleet.address(vm)
@@ -259,10 +292,19 @@
             self.engines,
             MODEL_POOL,
             DATA_CENTRES,
-            flags=["--step-ms", STEP_MS, *flags],
+            flags=["--step-ms", STEP_MS, "--slots", str(self._slots), *flags],
+            register=not self._linked,
+        )
+        running.start_services(
+            self.services,
+            SERVICE_POOL,
+            DATA_CENTRES,
+            register=not self._linked,
         )
-        running.start_services(self.services, SERVICE_POOL, DATA_CENTRES)
-        running.put_catalogue(catalogue())
+        if self._linked:
+            self._link(self.engines, MODEL_POOL)
+            self._link(self.services, SERVICE_POOL)
+        running.put_catalogue(catalogue(self._slots))
         running.start_daemons(
             dict(zip(self.vms, itertools.cycle(DATA_CENTRES)))
         )
@@ -270,6 +312,18 @@
 
     def _start_platform(self) -> None:
         self.fleet.start_platform()
+        if self._linked_store:
+            store = cuttable.Relay(self.fleet.address("objects"))
+            self.relays["objects"] = store
+            self.fleet.node("objects").address = store.address
+
+    def _link(self, names: typing.Sequence[str], pool: str) -> None:
+        for name in names:
+            relay = cuttable.Relay(self.fleet.address(name))
+            self.relays[name] = relay
+            self.fleet.register_runner(
+                name, pool, self.data_centre(name), address=relay.address
+            )
 
     def _ready(self) -> bool:
         wanted = len(self.engines) + len(self.services)
--- /dev/null
+++ b/tests/requests/fleet.py
@@ -0,0 +1,340 @@
+"""Entry VMs, a store and an upstream that fail step by step.
+
+Nothing happens by itself: a test picks which message arrives next, whose
+answer is lost and who crashes. The fleet checks each answer as it is given.
+"""
+
+import collections
+import random
+import typing
+
+from apricotlever import clock
+from apricotlever.requests import claims
+from apricotlever.requests import entries
+from apricotlever.requests import ledger_state
+from apricotlever.requests import messages
+
+HOPS_MAX = 3
+START_INCARNATION = 100
+
+
+class Call:
+    """What a caller sent: the same call may be sent many times."""
+
+    def __init__(
+        self,
+        customer: str,
+        key: str,
+        digest: str,
+        first: bool = False,
+        hops: int = 0,
+    ) -> None:
+        self.customer = customer
+        self.key = key
+        self.digest = digest
+        self.first = first
+        self.hops = hops
+
+    @property
+    def name(self) -> tuple[str, str]:
+        return (self.customer, self.key)
+
+    @property
+    def whole_name(self) -> tuple[str, str, str]:
+        return (self.customer, self.key, self.digest)
+
+
+class Attempt:
+    """A run on its way: reserved, on the wire, executed."""
+
+    def __init__(self, process: "Process", token: int, call: Call) -> None:
+        self.process = process
+        self.token = token
+        self.call = call
+        self.on_wire = False
+        self.body: bytes | None = None
+
+
+class Process:
+    """One incarnation of an entry VM."""
+
+    def __init__(self, ledger: typing.Any, claiming: claims.Claims) -> None:
+        self.ledger = ledger
+        self.claims = claiming
+        self.calls: dict[int, Call] = {}
+
+
+class Message:
+    """Something between two incarnations."""
+
+    def __init__(
+        self,
+        target: messages.Owner,
+        deliver: typing.Callable[[Process], None],
+    ) -> None:
+        self.target = target
+        self.deliver = deliver
+
+
+class Store:
+    """Objects with versions."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, tuple[int, dict]] = {}
+        self.down = False
+        self.writes = 0
+
+    def write(self, action: claims.WriteBucket) -> int | None:
+        """Write on the condition; None says that it didn't hold."""
+        version = self.objects.get(action.name, (None, {}))[0]
+        if version != action.expected_version:
+            return None
+        self.writes += 1
+        self.objects[action.name] = (self.writes, action.value)
+        return self.writes
+
+
+class Fleet:
+    """Three entry VMs, one store, one upstream."""
+
+    def __init__(
+        self,
+        make_ledger: typing.Callable[..., typing.Any],
+        bounds: entries.Bounds,
+        vms: tuple[str, ...] = ("a", "b", "c"),
+    ) -> None:
+        self.make_ledger = make_ledger
+        self.bounds = bounds
+        self.clock = clock.ManualClock()
+        self.store = Store()
+        self.live: dict[str, Process] = {}
+        self.incarnations = START_INCARNATION
+        self.attempts: list[Attempt] = []
+        self.store_calls: list[tuple[Process, claims.Action]] = []
+        self.late_writes: list[claims.WriteBucket] = []
+        self.network: list[Message] = []
+        self.heirs: dict[messages.Owner, messages.Owner] = {}
+        self.runs: collections.Counter = collections.Counter()
+        self.sent: set[tuple[str, str, str]] = set()
+        self.answers: dict[tuple[str, str], bytes] = {}
+        self.calls: list[Call] = []
+        self.known_keys: set[tuple[str, str]] = set()
+        self.decisions: list[messages.Decision] = []
+        for vm in vms:
+            self.start(vm)
+
+    def start(self, vm: str) -> Process:
+        self.incarnations += 1
+        ledger = self.make_ledger(
+            self.clock,
+            random.Random(self.incarnations),
+            vm,
+            self.incarnations,
+            self.bounds,
+        )
+        self.live[vm] = Process(ledger, claims.Claims(self.clock, buckets=1))
+        return self.live[vm]
+
+    def crash(self, vm: str) -> None:
+        self.live.pop(vm, None)
+
+    def call(self, vm: str, call: Call, forwarded: bool = False) -> None:
+        process = self.live.get(vm)
+        if process is None:
+            return
+        self.known_keys.add(call.name)
+        self.calls.append(call)
+        decision = process.ledger.begin(
+            call.key, call.customer, call.digest, call.first, forwarded
+        )
+        self._answer(process, call, decision)
+
+    def _answer(
+        self, process: Process, call: Call, decision: messages.Decision
+    ) -> None:
+        self.decisions.append(decision)
+        if isinstance(decision, messages.Run):
+            self.attempts.append(Attempt(process, decision.token, call))
+        elif isinstance(decision, messages.Claim):
+            process.calls[decision.token] = call
+            self._do(process, process.claims.claim(decision))
+        elif isinstance(decision, messages.Forward):
+            self._forward(decision, call)
+        elif isinstance(decision, messages.Replay):
+            self._check_answer(call, decision.answer.body)
+        elif isinstance(decision, messages.Refuse):
+            self._check_refusal(call, decision)
+
+    def _forward(self, decision: messages.Forward, call: Call) -> None:
+        if call.hops >= HOPS_MAX:
+            return
+        onward = Call(
+            call.customer, call.key, call.digest, call.first, call.hops + 1
+        )
+        owner = messages.Owner(decision.vm, decision.incarnation)
+        self.network.append(
+            Message(owner, lambda _: self.call(owner.vm, onward, True))
+        )
+
+    def _check_answer(self, call: Call, body: bytes) -> None:
+        told = self.answers.setdefault(call.name, body)
+        assert told == body, "a replay differs from the answer"
+        wanted = "|".join(call.whole_name).encode()
+        assert body.startswith(wanted), "the answer of another call"
+
+    def _check_refusal(self, call: Call, refusal: messages.Refuse) -> None:
+        if call.first and self._sent_again(call):
+            # The caller vouched for this send and has abandoned it since.
+            return
+        if refusal.executed is messages.Executed.NO:
+            assert call.whole_name not in self.sent, "said no, but it was sent"
+        if refusal.executed is messages.Executed.YES:
+            assert self.runs[call.name], "said yes, but it never ran"
+
+    def _sent_again(self, call: Call) -> bool:
+        sends = [each for each in self.calls if each.name == call.name]
+        return any(each.hops == 0 for each in sends[1:])
+
+    def _do(self, process: Process, actions: list[claims.Action]) -> None:
+        for action in actions:
+            if not isinstance(action, claims.Tell):
+                self.store_calls.append((process, action))
+                continue
+            call = process.calls.pop(action.result.token)
+            decision = process.ledger.claimed(action.result)
+            self._answer(process, call, decision)
+
+    def store_answers(self, index: int, fault: str) -> None:
+        """One call of the store ends, well or badly."""
+        process, action = self.store_calls.pop(index)
+        if self.store.down:
+            self._do(process, process.claims.failed(action.name))
+        elif isinstance(action, claims.ReadBucket):
+            self._read(process, action, fault)
+        else:
+            self._write(process, action, fault)
+
+    def _read(
+        self, process: Process, action: claims.ReadBucket, fault: str
+    ) -> None:
+        stored = self.store.objects.get(action.name)
+        if fault:
+            self._do(process, process.claims.failed(action.name))
+        elif stored is None:
+            self._do(process, process.claims.missing(action.name))
+        else:
+            self._do(process, process.claims.read(action.name, *stored))
+
+    def _write(
+        self, process: Process, action: claims.WriteBucket, fault: str
+    ) -> None:
+        if fault == "late":
+            self.late_writes.append(action)
+        version = (
+            None if fault in ("late", "lost") else self.store.write(action)
+        )
+        if fault:
+            self._do(process, process.claims.ambiguous(action.name))
+        elif version is None:
+            self._do(process, process.claims.conflict(action.name))
+        else:
+            self._do(process, process.claims.written(action.name, version))
+
+    def send(self, index: int) -> None:
+        """A worker wants to send its call."""
+        attempt = self.attempts[index]
+        if not self._alive(attempt.process):
+            self.attempts.pop(index)
+        elif attempt.process.ledger.sent(attempt.token):
+            if attempt.on_wire:
+                again = Attempt(attempt.process, attempt.token, attempt.call)
+                again.on_wire = True
+                self.attempts.append(again)
+            attempt.on_wire = True
+            self.sent.add(attempt.call.whole_name)
+        else:
+            self.attempts.pop(index)
+            self.call(attempt.process.ledger.me.vm, attempt.call)
+
+    def execute(self, index: int) -> None:
+        """The call arrives at the upstream, maybe long after."""
+        attempt = self.attempts[index]
+        if not attempt.on_wire or attempt.body is not None:
+            return
+        name = attempt.call.name
+        self.runs[name] += 1
+        assert self.runs[name] == 1, f"{name} ran twice"
+        text = "|".join(attempt.call.whole_name)
+        attempt.body = f"{text}|{self.runs[name]}".encode()
+
+    def report(self, index: int) -> None:
+        """The worker reports how its call ended."""
+        attempt = self.attempts[index]
+        ledger = attempt.process.ledger
+        if not self._alive(attempt.process):
+            self.attempts.pop(index)
+        elif not attempt.on_wire:
+            self.attempts.pop(index)
+            ledger.not_sent(attempt.token)
+        elif attempt.body is not None:
+            self.attempts.pop(index)
+            answer = messages.Answer(200, (), attempt.body)
+            if ledger.finished(attempt.token, answer):
+                self._check_answer(attempt.call, attempt.body)
+        else:
+            ledger.lost(attempt.token)
+
+    def vanish(self, index: int) -> None:
+        """What was on the wire never arrives."""
+        self.attempts.pop(index)
+
+    def hand_over(self, vm: str, heir: str) -> None:
+        source = self.live[vm]
+        target = self.live[heir].ledger.me
+        state = source.ledger.hand_over(target.vm, target.incarnation)
+        data = ledger_state.encode(state)
+
+        def deliver(process: Process) -> None:
+            receipt = process.ledger.adopt(ledger_state.decode(data))
+            self.network.append(
+                Message(
+                    state.sender,
+                    lambda _: self._receipt(source, receipt),
+                )
+            )
+
+        self.network.append(Message(target, deliver))
+
+    def _receipt(self, source: Process, receipt: ledger_state.Receipt) -> None:
+        source.ledger.succession.receipt(receipt)
+        if source.ledger.succession.confirmed:
+            self.heirs[receipt.sender] = source.ledger.succession.heir
+
+    def send_outcomes(self, vm: str) -> None:
+        source = self.live[vm]
+        settled = source.ledger.succession.outcomes()
+        data = ledger_state.encode_settled(settled)
+        heir = source.ledger.succession.heir
+        if heir is None or not settled:
+            return
+
+        def deliver(process: Process) -> None:
+            if process.ledger.me != heir:
+                return
+            process.ledger.settle(ledger_state.decode_settled(data))
+            source.ledger.succession.received(settled)
+
+        self.network.append(Message(heir, deliver))
+
+    def arrive(self, index: int, again: bool) -> None:
+        """A message reaches whoever bears the name of its target now.
+
+        :param again: it stays on the way and arrives once more later.
+        """
+        message = self.network[index] if again else self.network.pop(index)
+        process = self.live.get(message.target.vm)
+        if process is not None:
+            message.deliver(process)
+
+    def _alive(self, process: Process) -> bool:
+        return process in self.live.values()
--- a/tests/steps/client_main.py
+++ b/tests/steps/client_main.py
@@ -1,39 +1,21 @@
 """Steps for tests/client/main.feature."""
 
-import contextlib
-import io
 import pathlib
 import tempfile
 
 from apricotlever.client import exit_codes
-from apricotlever.client import main
 from apricotlever import refusals
 from behave import given
 from behave import then
 from behave import when
 from standins import object_api
 
+from tests.client import commands
 from tests.client import entry_vm
 from tests.standins import serving
 from tests.support import pages
 
 
-def _run(context, arguments):
-    out, complaint = io.StringIO(), io.StringIO()
-    connection = context.operator_connection
-    extra = [] if connection[0] in arguments else connection
-    with (
-        contextlib.redirect_stdout(out),
-        contextlib.redirect_stderr(complaint),
-    ):
-        try:
-            context.exit_code = main.main([*arguments, *extra])
-        except SystemExit as stopped:
-            context.exit_code = stopped.code
-    context.printed = out.getvalue()
-    context.complaint = complaint.getvalue()
-
-
 @given("an operator's command line with an object API")
 def _command_line(context):
     address = serving.serve(context, object_api.ObjectApi())
@@ -53,13 +35,15 @@
 @when("the operator waits until that version is in force")
 def _waits(context):
     version = context.printed.rpartition("version=")[2].strip()
-    _run(context, ["in-force", "--wait", version])
+    commands.run_for(context, ["in-force", "--wait", version])
 
 
 @given("the operator has applied an example and saved what is shown")
 def _saved(context):
-    _run(context, ["catalogue", "apply", "examples/procurador.json"])
-    _run(context, ["catalogue", "show"])
+    commands.run_for(
+        context, ["catalogue", "apply", "examples/procurador.json"]
+    )
+    commands.run_for(context, ["catalogue", "show"])
     directory = tempfile.TemporaryDirectory()
     context.closers.append(directory.cleanup)
     context.saved = pathlib.Path(directory.name, "saved.json")
@@ -68,12 +52,12 @@
 
 @when("the operator applies what was saved")
 def _apply_saved(context):
-    _run(context, ["catalogue", "apply", str(context.saved)])
+    commands.run_for(context, ["catalogue", "apply", str(context.saved)])
 
 
 @when('the operator runs "{command}"')
 def _runs(context, command):
-    _run(context, command.split())
+    commands.run_for(context, command.split())
 
 
 @then('the command exits with {code:d} and prints "{text}"')
--- /dev/null
+++ b/tests/steps/daemon_quarantine.py
@@ -0,0 +1,120 @@
+"""Steps for tests/daemon/quarantine.feature."""
+
+import json
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.daemon import poison
+from tests.daemon import scene
+from tests.support import fleet
+
+SETTLED_S = 0.3
+
+
+def _poisoned(context, engines, vms, after_tokens=0):
+    context.scene = scene.Scene(engines, 0, vms)
+    context.closers.append(context.scene.close)
+    context.poison = poison.Poison(context.scene, after_tokens)
+
+
+@given(
+    "engines that crash on poison, {engines:d} of them behind {vms:d} entry "
+    "VMs"
+)
+def _at_once(context, engines, vms):
+    _poisoned(context, engines, vms)
+
+
+@given(
+    "engines that crash on poison at once, {engines:d} of them behind "
+    "{vms:d} entry VMs"
+)
+def _at_once_too(context, engines, vms):
+    _poisoned(context, engines, vms)
+
+
+@given(
+    "engines that crash on poison after some tokens, {engines:d} of them "
+    "behind {vms:d} entry VMs"
+)
+def _after_tokens(context, engines, vms):
+    _poisoned(context, engines, vms, poison.SOME_TOKENS)
+
+
+@when("a naive caller sends the poison to each engine in turn")
+def _naive(context):
+    context.poison.naive()
+
+
+@when("ana sends the poison {times:d} times, to one entry VM after another")
+def _by_turns(context, times):
+    context.poison.by_turns(times)
+
+
+@when("{callers:d} callers send the poison at once, {times:d} times each")
+def _together(context, callers, times):
+    context.last = callers
+    context.poison.at_once(callers, times)
+
+
+@when("the poison is harmless from now on")
+def _disarmed(context):
+    context.poison.disarm()
+
+
+@then("{count:d} engines have crashed")
+def _crashed(context, count):
+    fleet.wait_for(lambda: len(context.poison.crashed()) == count)
+
+
+@then("at most {count:d} engines have crashed")
+def _few_crashed(context, count):
+    time.sleep(SETTLED_S)
+    found = context.poison.crashed()
+    assert 1 <= len(found) <= count, (found, _shown(context))
+
+
+@then("the last sendings were refused as quarantined, with a time")
+def _quarantined(context):
+    for answer in context.poison.sent[-getattr(context, "last", 2) :]:
+        _check_quarantined(context, answer)
+
+
+def _check_quarantined(context, answer):
+    error = json.loads(answer.error)["error"]
+    assert error["type"] == "quarantined", _shown(context)
+    assert answer.executed == "no", _shown(context)
+    assert answer.retry_after_s, _shown(context)
+
+
+def _shown(context):
+    return [
+        (a.status, a.executed, len(a.ids), a.error, round(a.whole_s, 1))
+        for a in context.poison.sent
+    ]
+
+
+@then("no refused poison that was told no had reached an engine")
+def _no_lies(context):
+    assert not context.poison.lies(), context.poison.lies()
+
+
+@then("a like request of bruno is served")
+def _served(context):
+    answer = context.poison.send("vm-0", "bruno")
+    assert not answer.problem, answer.problem
+
+
+@then("ana's is still refused as quarantined")
+def _still(context):
+    _check_quarantined(context, context.poison.send("vm-0"))
+
+
+@then("nobody is quarantined: the same requests are served again")
+def _nobody(context):
+    context.scene.stream_again(20)
+    wrong = scene.problems(context.scene.answers())
+    assert not wrong, wrong
--- /dev/null
+++ b/tests/steps/daemon_store_outages.py
@@ -0,0 +1,483 @@
+"""Steps for tests/daemon/store_outages.feature."""
+
+import functools
+import json
+import re
+import subprocess
+import sys
+import time
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+from standins import object_api
+
+from tests.client import commands
+from tests.daemon import followers
+from tests.daemon import naive_follower
+from tests.daemon import outages
+from tests.daemon import scene
+from tests.standins import serving
+from tests.support import answers
+from tests.support import caller
+from tests.support import fleet
+from tests.support import processes
+
+COMMAND = [sys.executable, "-m", "apricotlever.client.main"]
+SOON_S = 10.0
+DEFAULT_WATCH_S = 20.0
+PEERS_LATE_S = 0.2
+RACE_CALL_S = 0.4
+MADE_UP = "made-up"
+FIRST_HEADER = "Apricotlever-First-Attempt"
+
+
+def _put(context, edit):
+    context.version = context.scene.fleet.put_catalogue(followers.edited(edit))
+    _edits(context)[context.version] = edit
+    return context.version
+
+
+def _edits(context):
+    if not hasattr(context, "edits"):
+        context.edits = {}
+    return context.edits
+
+
+def _file(context, edit):
+    folder = context.scene.fleet.folder
+    return outages.write_document(
+        folder, f"edit-{edit}", followers.edited(edit)
+    )
+
+
+@given(
+    "a fleet of {engines:d} engines and {vms:d} entry VMs with a relay at "
+    "the store"
+)
+def _relayed(context, engines, vms):
+    context.scene = outages.RelayedStore(
+        engines, 0, vms, timing={"watch_s": DEFAULT_WATCH_S}
+    )
+    context.closers.append(context.scene.close)
+
+
+@given("an operator has put edits {first:d} to {last:d} in force")
+def _puts_many(context, first, last):
+    for edit in range(first, last + 1):
+        _put(context, edit)
+    outages.wait_in_force(context.scene, context.version, SOON_S)
+
+
+@when("the store turns {fault}")
+def _fault(context, fault):
+    running = context.scene
+    context.before = outages.versions(running)
+    running.fleet.faults(outages.STORE, **outages.FAULTS[fault])
+
+
+@when("the store is well again")
+def _well(context):
+    context.scene.fleet.control(outages.STORE, "reset", {})
+
+
+@when("the store has compacted its history")
+def _compacted(context):
+    context.scene.fleet.put_object("other", {})
+    context.scene.fleet.control(outages.STORE, "compact", {})
+
+
+@when("the store loses the next {count:d} answers")
+def _loses(context, count):
+    context.scene.fleet.faults(outages.STORE, lose_answer=count)
+
+
+@when("all open connections to the store go silent")
+def _silent(context):
+    running = context.scene
+    fleet.wait_for(
+        lambda: running.fleet.counts(outages.STORE)["watches_waiting"]
+        >= len(running.vms)
+    )
+    assert running.relay.silence() >= len(running.vms)
+    running.fleet.node(outages.STORE).address = running.direct
+
+
+@when("the store is restored with edit {edit:d}")
+def _restored(context, edit):
+    context.before = outages.versions(context.scene)
+    context.scene.fleet.restart(outages.STORE)
+    version = context.scene.fleet.put_catalogue(followers.edited(edit))
+    assert version < min(context.before.values())
+
+
+@when("a document of bad form is stored")
+def _bad(context):
+    context.before = outages.versions(context.scene)
+    document = followers.edited(1)
+    document["entries"][scene.MODEL_ENTRY]["class"] = "no such class"
+    context.scene.fleet.put_catalogue(document)
+
+
+@when("an operator puts edit {edit:d} in force")
+def _puts(context, edit):
+    _put(context, edit)
+
+
+@then("the edit is in force at every entry VM within {seconds:d} s")
+def _in_force(context, seconds):
+    outages.wait_in_force(context.scene, context.version, seconds)
+    _check_contents(context, _edits(context)[context.version])
+
+
+def _check_contents(context, edit):
+    for address in outages.addresses(context.scene).values():
+        for customer in followers.PAIR:
+            key = followers.key_at(customer, edit)
+            assert followers.takes(address, key), (address, customer)
+
+
+@then("the catalogue in force is what it was")
+def _unchanged(context):
+    found = outages.versions(context.scene)
+    assert found == context.before, (found, context.before)
+
+
+@then('an entry VM reports "{fault}"')
+def _reports(context, fault):
+    wanted = f"fault={fault}"
+
+    def told():
+        logs = map(context.scene.fleet.log, context.scene.vms)
+        return any(
+            wanted in line
+            for log in logs
+            for line in log.splitlines()
+            if "event=catalogue_refused" in line
+        )
+
+    fleet.wait_for(told, SOON_S)
+
+
+@when("each entry VM gets an idempotent call")
+def _lookups(context):
+    one = context.scene.caller()
+    context.lookups = [
+        one.service(scene.SERVICE_ENTRY, "GET", "/status", address=address)
+        for address in outages.addresses(context.scene).values()
+    ]
+
+
+@then("every idempotent call was answered")
+def _looked_up(context):
+    assert all(answer.done for answer in context.lookups), [
+        (answer.status, answer.error) for answer in context.lookups
+    ]
+
+
+@when("each entry VM mints keys for {count:d} registrations, each sent twice")
+def _register(context, count):
+    one = context.scene.caller()
+    context.registrations = {}
+    for vm, address in outages.addresses(context.scene).items():
+        for number, key in enumerate(one.mint_keys(count, address)):
+            operation = f"{vm}-{number}"
+            context.registrations[operation] = [
+                _registered(one, operation, key, address) for _ in range(2)
+            ]
+
+
+def _registered(one, operation, key, address):
+    body = {"operation": operation}
+    return one.service(
+        scene.SERVICE_ENTRY, "POST", "/entries", body, key, address
+    )
+
+
+@then("each registration was answered and ran once")
+def _ran_once(context):
+    runs = context.scene.fleet.journals()
+    for operation, sent in context.registrations.items():
+        assert all(answer.done for answer in sent), [
+            (operation, answer.status, answer.error) for answer in sent
+        ]
+        assert runs[operation] == 1, runs
+
+
+@when("a caller registers under a key that it made up")
+def _made_up(context):
+    context.made_up = _register_made_up(context, {})
+
+
+def _register_made_up(context, headers):
+    running = context.scene
+    headers = {
+        "Authorization": f"Bearer {scene.key_of(scene.CUSTOMERS[0])}",
+        caller.KEY_HEADER: MADE_UP,
+        **headers,
+    }
+    return outages.http.call(
+        running.fleet.entries[0],
+        "POST",
+        f"/v1/services/{scene.SERVICE_ENTRY}/entries",
+        {"operation": MADE_UP},
+        headers,
+    )
+
+
+@then("it is told that the outcome of that key is unknown")
+def _told_unknown(context):
+    """An earlier call under the key may have run; nobody can tell."""
+    _check_refused(context, "unknown")
+
+
+@when("the caller tells that it has not sent that key before")
+def _first(context):
+    context.made_up = _register_made_up(context, {FIRST_HEADER: "true"})
+
+
+@then("the registration is refused and was not run")
+def _refused(context):
+    _check_refused(context, "no")
+    assert MADE_UP not in context.scene.fleet.journals()
+
+
+def _check_refused(context, executed):
+    reply = context.made_up
+    assert reply.status == 503, reply.payload
+    assert reply.headers[answers.EXECUTED_HEADER] == executed, reply.payload
+    assert reply.headers["Retry-After"], reply.payload
+
+
+@then("the caller's registration succeeds soon and ran once")
+def _succeeds(context):
+    one = context.scene.caller()
+    body = {"operation": MADE_UP}
+
+    def answered():
+        return all(
+            one.service(
+                scene.SERVICE_ENTRY, "POST", "/entries", body, MADE_UP, address
+            ).done
+            for address in context.scene.fleet.entries
+        )
+
+    fleet.wait_for(answered, SOON_S)
+    assert context.scene.fleet.journals()[MADE_UP] == 1
+
+
+@when("{vm} is killed and started again")
+def _restarted(context, vm):
+    context.scene.fleet.restart(vm)
+
+
+@when("{vm} is started again and hears of its peers late")
+def _restarted_alone(context, vm):
+    running = context.scene
+    others = [other for other in running.vms if other != vm]
+    running.fleet.kill(vm)
+    for other in others:
+        running.fleet.pause(other)
+        context.closers.append(functools.partial(running.fleet.resume, other))
+    running.fleet.restart(vm)
+    time.sleep(PEERS_LATE_S)
+    for other in others:
+        running.fleet.resume(other)
+
+
+@then("{vm} has the same version in force as before")
+def _same(context, vm):
+    wanted = max(context.before.values())
+    fleet.wait_for(
+        lambda: outages.versions(context.scene)[vm] == wanted, SOON_S
+    )
+
+
+@then("{vm} had no older version in force since its start")
+def _no_older(context, vm):
+    log = context.scene.fleet.log(vm)
+    shown = re.findall(r"event=catalogue_in_force .*?version=(\d+)", log)
+    assert shown, log
+    assert min(map(int, shown)) >= max(context.before.values()), shown
+
+
+@then("the operator sees edit {edit:d} in force")
+def _sees(context, edit):
+    _check_contents(context, edit)
+
+
+@when("the store's versions have passed the one in force")
+def _passed(context):
+    wanted = max(context.before.values())
+    while context.scene.fleet.put_object("other", {}) < wanted:
+        pass
+
+
+@then("{vm} streams an answer within {seconds:f} s")
+def _streams(context, vm, seconds):
+    """A VM that has just started may not have the list of runners yet."""
+
+    def streamed():
+        context.scene.stream(1, 10, vm=vm)
+        [answer] = context.scene.answers()
+        assert answer.done or answer.refused, answer.problem
+        return answer.done and not answer.problem
+
+    fleet.wait_for(streamed, seconds)
+
+
+@given("the versions at each entry VM are sampled")
+def _sampled(context):
+    _sample(context, outages.addresses(context.scene))
+
+
+def _sample(context, addresses):
+    context.sampler = followers.Sampler(addresses, _edits(context))
+    context.closers.append(context.sampler.stop)
+
+
+@then("no version fell and none was half in force")
+def _no_problem(context):
+    samples = context.sampler.stop()
+    assert all(samples.values()), samples
+    tried = [s for each in samples.values() for s in each if s.taken]
+    assert tried
+    found = followers.problems(samples)
+    assert not found, found
+
+
+@given("a naive follower of a store with edit {edit:d}")
+def _naive(context, edit):
+    context.naive_address = serving.serve(context, object_api.ObjectApi())
+    _store_naive(context, edit)
+    context.follower = naive_follower.Follower(context.naive_address)
+    context.closers.append(context.follower.close)
+
+
+def _store_naive(context, edit):
+    reply = outages.http.call(
+        context.naive_address,
+        "PUT",
+        f"/v1/objects/{outages.CURRENT}",
+        {"value": followers.edited(edit)},
+    )
+    _edits(context)[reply.payload["version"]] = edit
+
+
+@given("the versions at the naive follower are sampled")
+def _naive_sampled(context):
+    address = serving.serve(context, context.follower)
+    _sample(context, {"naive": address})
+
+
+@when("{count:d} edits are stored in a row")
+def _in_a_row(context, count):
+    for edit in range(2, count + 2):
+        _store_naive(context, edit)
+        time.sleep(0.05)
+
+
+@when("the naive follower's store is restored with edit {edit:d}")
+def _naive_restored(context, edit):
+    restored = serving.serve(context, object_api.ObjectApi())
+    context.naive_address = restored
+    _store_naive(context, edit)
+    context.follower.follow(restored)
+    time.sleep(0.3)
+
+
+@then("a version fell and one was half in force")
+def _fell(context):
+    found = followers.problems(context.sampler.stop())
+    assert any("after" in problem for problem in found), found
+    assert any("with keys" in problem for problem in found), found
+
+
+@step("the operator applies edit {edit:d}")
+def _applies(context, edit):
+    commands.run_for(context, ["catalogue", "apply", _file(context, edit)])
+    if context.exit_code == 0:
+        context.version = _printed_version(context)
+        _edits(context)[context.version] = edit
+
+
+def _printed_version(context):
+    return int(context.printed.rpartition("version=")[2])
+
+
+@when("the operator waits {seconds:d} s for that version")
+def _waits(context, seconds):
+    version = str(context.version)
+    arguments = ["in-force", "--wait", version, "--timeout", str(seconds)]
+    commands.run_for(context, arguments)
+
+
+@when(
+    "the operator applies {count:d} edits and waits {seconds:d} s at most "
+    "for each"
+)
+def _applies_many(context, count, seconds):
+    context.waits = []
+    for edit in range(1, count + 1):
+        _applies(context, edit)
+        assert context.exit_code == 0, context.complaint
+        _waits(context, seconds)
+        context.waits.append((context.exit_code, context.complaint))
+
+
+@then("each edit was in force at every entry VM in time")
+def _all_in_time(context):
+    assert all(code == 0 for code, _ in context.waits), context.waits
+    _check_contents(context, _edits(context)[context.version])
+
+
+@when("two operators apply edits of one version at once")
+def _race(context):
+    base = outages.stored(context.scene)["version"]
+    # Slow enough that both read before either writes.
+    context.scene.fleet.faults(outages.STORE, slow_s=RACE_CALL_S)
+    command = [*COMMAND, "catalogue", "apply", "--expect", str(base)]
+    runs = [
+        subprocess.Popen(
+            [*command, *context.operator_connection, _file(context, edit)],
+            cwd=processes.ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        for edit in (1, 2)
+    ]
+    texts = [run.communicate(timeout=30.0) for run in runs]
+    context.scene.fleet.faults(outages.STORE, slow_s=0.0)
+    context.race = [(run.returncode, *text) for run, text in zip(runs, texts)]
+
+
+@then("one command ends with 0 and the other with 4")
+def _codes(context):
+    codes = sorted(code for code, _, _ in context.race)
+    assert codes == [0, 4], context.race
+
+
+@then("the loser is shown the difference")
+def _difference(context):
+    complaint = next(err for code, _, err in context.race if code == 4)
+    assert "another edit came first" in complaint, complaint
+    assert "customers.left.key_sha256" in complaint, complaint
+
+
+@then("the winner's edit is in force at every entry VM within {seconds:d} s")
+def _winner(context, seconds):
+    codes = [code for code, _, _ in context.race]
+    stored = outages.stored(context.scene)
+    context.version = stored["version"]
+    _edits(context)[context.version] = codes.index(0) + 1
+    _in_force(context, seconds)
+
+
+@then("the history holds that edit once")
+def _once(context):
+    commands.run_for(context, ["catalogue", "history", "--json"])
+    kept = json.loads(context.printed)["versions"]
+    ids = [row["id"] for row in kept if row["id"]]
+    assert len(ids) == len(set(ids)) == 1, kept
--- a/tests/support/launcher.py
+++ b/tests/support/launcher.py
@@ -25,6 +25,7 @@
 DEFAULT_MACHINE = "small"
 RUNNER = "runner"
 ENTRY = "entry"
+DAEMON = "apricotlever.daemon.main"
 
 
 class Node:
@@ -66,6 +67,7 @@
         self._sizes = sizes or {}
         self._region = region
         self._daemons: list[str] = []
+        self._daemon_module = DAEMON
 
     @property
     def folder(self) -> pathlib.Path:
@@ -114,6 +116,10 @@
         """What a process printed since its latest start."""
         return self.process(name).log
 
+    def use_daemon(self, module: str) -> None:
+        """Run another program as the daemons started from now on."""
+        self._daemon_module = module
+
     def start_platform(self) -> None:
         """Start the object API, the cloud API and the weight store."""
         started = [
@@ -291,8 +297,8 @@
         node.control = f"{HOST}:{control}"
 
     def _daemon_process(self, name: str) -> processes.Process:
-        settings = str(self._settings_path(name))
-        module = "apricotlever.daemon.main"
+        settings = str(self.settings_path(name))
+        module = self._daemon_module
         command = [sys.executable, "-m", module, "--settings", settings]
         log_path = self._folder / f"{name}.log"
         return processes.Process(name, command, log_path)
@@ -330,9 +336,10 @@
             "timing": self._timing,
             "sizes": self._sizes,
         }
-        self._settings_path(name).write_text(json.dumps(settings, indent=2))
+        self.settings_path(name).write_text(json.dumps(settings, indent=2))
 
-    def _settings_path(self, name: str) -> pathlib.Path:
+    def settings_path(self, name: str) -> pathlib.Path:
+        """The settings of an entry VM."""
         return self._folder / f"{name}.json"
 
     def journal_path(self, name: str) -> pathlib.Path:
