Report a runner's death once

Cause: the reader of a runner reported its death at every poll; told again after three seconds it stood on record as another death without charges, and excused the request that had caused it as part of a wave. Change: a death is told once until the runner answers again.

--- a/src/apricotlever/daemon/keeper.py
+++ b/src/apricotlever/daemon/keeper.py
@@ -23,6 +23,8 @@
 
 from . import fleet
 from . import messages
+from . import repeats
+from . import runner_documents
 
 THREADS = 8
 TICK_S = 0.1
@@ -30,11 +32,15 @@
 PRICES_S = 10.0
 KEEPERS = 2
 NOTICE_WATCHERS = 2
-NOTICE_WAIT_S = 10.0
+#: A connection gone silent during a wait delays a notice by as much, twice.
+NOTICE_WAIT_S = 2.0
 POLL_TIMEOUT_S = 1.0
 #: What a leaving runner is taken to have left when its notice was missed.
 LISTED_LEAVING_S = 2.0
 DEFAULT_SLOTS = 16
+VMS = "vms"
+PRICES = "prices"
+NOTICES = "notices"
 
 
 class Shown:
@@ -126,19 +132,22 @@
     """A runner's load and cache events were read, or not.
 
     :param load: None when the runner did not answer.
+    :param refused: the runner refuses connections.
     """
 
-    __slots__ = ("runner", "load", "events")
+    __slots__ = ("runner", "load", "events", "refused")
 
     def __init__(
         self,
         runner: str,
         load: runners.LoadReport | None,
         events: runners.CacheEvents | None,
+        refused: bool = False,
     ) -> None:
         self.runner = runner
         self.load = load
         self.events = events
+        self.refused = refused
 
 
 class Keeper(mailbox.Task):
@@ -176,11 +185,20 @@
         self._notice_seq = -1
         self._notice_waits = False
         self._cache_seqs: dict[str, int] = {}
+        self._dead: set[str] = set()
+        self._calls = {
+            call: repeats.Repeats(clock) for call in (VMS, PRICES, NOTICES)
+        }
 
     @property
     def _watches_notices(self) -> bool:
         return self._keeping.rank_here("notices") < NOTICE_WATCHERS
 
+    @property
+    def _notices_due(self) -> bool:
+        due = self._calls[NOTICES].due and not self._notice_waits
+        return due and self._watches_notices
+
     @mailbox.handles(messages.CatalogueInForce)
     def _configure(self, message: messages.CatalogueInForce) -> None:
         self._catalogue = message.catalogue
@@ -193,8 +211,7 @@
 
     @mailbox.handles(_Listed)
     def _listed(self, message: _Listed) -> None:
-        if not isinstance(message.outcome, result.Success):
-            self._failed_call("vms", message.outcome)
+        if not self._answered(VMS, message.outcome):
             return
         self._vms = message.outcome.unwrap()
         entries = tuple(
@@ -207,8 +224,7 @@
 
     @mailbox.handles(_Priced)
     def _priced(self, message: _Priced) -> None:
-        if not isinstance(message.outcome, result.Success):
-            self._failed_call("prices", message.outcome)
+        if not self._answered(PRICES, message.outcome):
             return
         self._prices = {
             (price.data_centre, price.machine, price.market): price.per_hour
@@ -219,8 +235,7 @@
     @mailbox.handles(_Noticed)
     def _noticed(self, message: _Noticed) -> None:
         self._notice_waits = False
-        if not isinstance(message.outcome, result.Success):
-            self._failed_call("notices", message.outcome)
+        if not self._answered(NOTICES, message.outcome):
             return
         answer = message.outcome.unwrap()
         self._notice_seq = answer.seq
@@ -230,6 +245,13 @@
     @mailbox.handles(_Polled)
     def _polled(self, message: _Polled) -> None:
         name = message.runner
+        if message.refused and name not in self._dead:
+            # Once for each death: told again later, it would pass for the
+            # death of another runner, and excuse the request that did it.
+            self._dead.add(name)
+            self._listener.on_death(name)
+        if message.load is not None:
+            self._dead.discard(name)
         known = self._runners.get(name)
         tell = known is not None and self._keeping.rank(known) == 0
         self._listener.on_load(name, message.load, tell)
@@ -254,7 +276,7 @@
         if now >= self._prices_at:
             self._prices_at = now + PRICES_S
             self._submit(self._cloud.prices, _Priced)
-        if self._watches_notices and not self._notice_waits:
+        if self._notices_due:
             self._notice_waits = True
             self._submit(self._wait_for_notices, _Noticed)
         for name, runner in self._runners.items():
@@ -267,10 +289,6 @@
         """End the threads; calls under way end by their own timeouts."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _keeps(self, runner: str) -> bool:
         """Whether this VM reads the runner's load for the others."""
         pools = {
@@ -344,45 +362,32 @@
                 timeout_s=POLL_TIMEOUT_S,
                 pool=self._connections,
             )
-            polled = _Polled(runner.name, _load(load), _events(events))
+            polled = _Polled(
+                runner.name,
+                runner_documents.load_of(load),
+                runner_documents.events_of(events),
+            )
         except upstreams.ConnectFailed:
-            self._listener.on_death(runner.name)
-            polled = _Polled(runner.name, None, None)
+            polled = _Polled(runner.name, None, None, refused=True)
         except (upstreams.UpstreamError, KeyError, TypeError, ValueError):
             polled = _Polled(runner.name, None, None)
         self.tell(polled)
 
-    def _failed_call(self, call: str, outcome: typing.Any) -> None:
-        error = outcome.failure()
-        logs.event(
-            "platform_call_failed",
-            call=call,
-            kind=error.kind,
-            error=error.message,
-        )
-
+    def _answered(self, call: str, outcome: typing.Any) -> bool:
+        """Note how a call went; the log hears of changes only.
 
-def _load(document: typing.Any) -> runners.LoadReport:
-    return runners.LoadReport(
-        int(document["running"]),
-        int(document["waiting"]),
-        int(document["slots"]),
-        int(document.get("blocks_used", 0)),
-        int(document.get("blocks", 0)),
-        float(document.get("tokens_per_s", 0.0)),
-        float(document.get("age_s", 0.0)),
-    )
-
-
-def _events(document: typing.Any) -> runners.CacheEvents:
-    events = tuple(
-        runners.CacheEvent(
-            int(event["seq"]),
-            event["kind"] == "stored",
-            tuple(int(block, 16) for block in event["blocks"]),
-        )
-        for event in document["events"]
-    )
-    return runners.CacheEvents(
-        events, int(document["seq"]), int(document.get("from", 0))
-    )
+        :returns: whether it was answered.
+        """
+        if isinstance(outcome, result.Success):
+            if self._calls[call].answered():
+                logs.event("platform_call_recovered", call=call)
+            return True
+        error = outcome.failure()
+        if self._calls[call].failed():
+            logs.event(
+                "platform_call_failed",
+                call=call,
+                kind=error.kind,
+                error=error.message,
+            )
+        return False
