Take suspects, verdicts and calls to peers out of the desk and the fleet

Also, read on the way: a peer's reading of a load closed the circuit of a runner that had died since; a body that a runner refuses counted as the runner's failure; a stop waited for callers that do not read; a VM that knows no runners yet told callers to come back in 5 s. Change: suspects.py, verdicts.py and peer_calls.py; only own readings close a circuit; a 4xx of a runner is no failure; a stop waits for calls that are being answered, then 2 s for what is unsent; not_ready with 0.5 s.

--- a/src/apricotlever/daemon/desk.py
+++ b/src/apricotlever/daemon/desk.py
@@ -4,7 +4,6 @@
 which request is at which runner. It does no I/O.
 """
 
-import collections
 from concurrent import futures
 import random
 import typing
@@ -28,20 +27,13 @@
 from . import messages
 from . import placements
 from . import rumours
+from . import suspects
+from . import verdicts as verdicts_
 
 Announce = typing.Callable[[pb.Rumour], None]
 
 NEEDED_S = 0.2
-TRIAL_PLACES = 4
-
-_LIMITS = frozenset(
-    (
-        admission.Reason.CONCURRENCY,
-        admission.Reason.RATE,
-        admission.Reason.TOKENS,
-        admission.Reason.SPEND,
-    )
-)
+NOT_READY_S = 0.5
 
 
 class Desk(mailbox.Task):
@@ -70,11 +62,13 @@
         self._admission = admission.Admission(clock, rng, vm)
         self._router = routing.Router(clock, rng, vm, data_centre)
         self._budget = retry_budget.RetryBudget()
-        self._quarantine = quarantine.Quarantine(clock)
         self._arrivals = arrivals.Arrivals(clock, vm)
         self._pools: dict[str, str] = {}
         self._waiting: dict[str, futures.Future[typing.Any]] = {}
         self._placements = placements.Placements(clock, self._router, vm)
+        self._suspects = suspects.Suspects(
+            clock, self._router, self._placements, metrics, vm
+        )
 
     @mailbox.handles(messages.CatalogueInForce)
     def _configure(self, message: messages.CatalogueInForce) -> None:
@@ -101,17 +95,9 @@
     def _dispatch(
         self, message: messages.Dispatch
     ) -> runners.Route | messages.TrialWanted:
-        standing = self._quarantine.standing(message.fingerprint)
-        if standing.state is quarantine.State.QUARANTINED:
-            self._metrics.count("requests.quarantined")
-            raise refusals.Refusal(
-                refusals.QUARANTINED,
-                "requests like this one crashed the runners they ran on",
-                retry_after_s=standing.retry_after_s,
-            )
-        suspect = standing.state is quarantine.State.SUSPECT
-        if suspect and not message.on_trial:
-            return self._trial(message)
+        trial = self._suspects.check(message)
+        if trial is not None and not message.on_trial:
+            return trial
         route = self._route(message)
         self._place(message, route.runner)
         return route
@@ -128,7 +114,7 @@
         runner = self._placements.runner_of(message.request_id)
         report = None
         if runner is not None and message.crashed:
-            report = self._crashed(runner)
+            report = self._suspects.crashed(runner)
         self._placements.left(message.request_id)
         self._router.finished(
             message.request_id, message.outcome, message.tokens
@@ -153,7 +139,7 @@
         if dispatch is None or not done:
             return None
         self._budget.succeeded(dispatch.query.entry)
-        return self._survived(dispatch.fingerprint)
+        return self._suspects.survived(dispatch.fingerprint)
 
     @mailbox.handles(messages.StreamBroke)
     def _broke(self, message: messages.StreamBroke) -> recovery.Decision:
@@ -243,7 +229,9 @@
     @mailbox.handles(messages.LoadSeen)
     def _load_seen(self, message: messages.LoadSeen) -> None:
         self._router.observe_load(message.runner, message.report)
-        self._router.succeeded(message.runner)
+        if message.own:
+            # What others read may be older than the runner's death.
+            self._router.succeeded(message.runner)
 
     @mailbox.handles(messages.CacheSeen)
     def _cache_seen(self, message: messages.CacheSeen) -> None:
@@ -255,15 +243,15 @@
 
     @mailbox.handles(messages.Judge)
     def _judge(self, message: messages.Judge) -> quarantine.Decision:
-        return self._quarantine.judge(message.question)
+        return self._suspects.judge(message.question)
 
     @mailbox.handles(messages.TrialOver)
     def _trial_over(self, message: messages.TrialOver) -> None:
-        self._quarantine.trial_over(message.report)
+        self._suspects.trial_over(message.report)
 
     @mailbox.handles(messages.CrashHeard)
     def _crash_heard(self, message: messages.CrashHeard) -> None:
-        self._quarantine.receive(message.report)
+        self._suspects.heard(message.report)
 
     @mailbox.handles(messages.DeathSeen)
     def _death_seen(
@@ -275,13 +263,13 @@
         and that the requests on the others are not to blame.
         """
         runner = self._router.runner(message.runner)
-        return self._crashed(runner) if runner is not None else None
+        return self._suspects.crashed(runner) if runner else None
 
     @mailbox.handles(messages.CrashesKnown)
     def _crashes_known(
         self, message: messages.CrashesKnown
     ) -> list[crashes.CrashSeen]:
-        return self._quarantine.log.reports(self._vm)
+        return self._suspects.reports()
 
     @mailbox.handles(messages.MemberLeft)
     def _member_left(self, message: messages.MemberLeft) -> None:
@@ -301,7 +289,7 @@
             "in_flight": len(self._placements),
             "queued": len(self._waiting),
             "runners": [self._runner_row(r) for r in self._router.runners],
-            "quarantine": {"deaths": len(self._quarantine.log.deaths)},
+            "quarantine": {"deaths": self._suspects.deaths},
             "cost": self._cost_rows(),
         }
 
@@ -309,7 +297,7 @@
         """Settle what time has decided, and empty runners that leave."""
         self._settle(self._admission.tick())
         self._placements.evacuate()
-        self._quarantine.tick()
+        self._suspects.tick()
         report = self._admission.take_report()
         if report is not None:
             self._announce(rumours.of_demand(report))
@@ -337,13 +325,19 @@
             if isinstance(verdict, admission.Admitted):
                 future.set_result(None)
             else:
-                future.set_exception(_refusal(verdict))
+                future.set_exception(verdicts_.refusal_of(verdict))
 
     def _route(self, message: messages.Dispatch) -> runners.Route:
         if message.only:
             runner = self._router.runner(message.only)
             if runner is not None:
                 return runners.Route(runner, 0.0, 0)
+        if not self._router.runners:
+            raise refusals.Refusal(
+                refusals.NOT_READY,
+                "the runners are not known here yet",
+                retry_after_s=NOT_READY_S,
+            )
         route = self._router.choose(message.query)
         if isinstance(route, runners.NoRunner):
             self._metrics.count("routing.no_runner")
@@ -361,31 +355,6 @@
         self._arrivals.started(message.request_id, runner.pool)
         self._router.started(message.request_id, runner.name, message.query)
 
-    def _trial(self, message: messages.Dispatch) -> messages.TrialWanted:
-        routes = self._router.ranked(message.query, TRIAL_PLACES)
-        places = tuple(
-            quarantine.Place(route.runner.name, route.runner.data_centre)
-            for route in routes
-        )
-        question = quarantine.MayRun(
-            message.fingerprint, message.request_id, places
-        )
-        return messages.TrialWanted(message.query.pool, question)
-
-    def _crashed(self, runner: runners.Runner) -> crashes.CrashSeen | None:
-        report = self._placements.crashed(runner)
-        if report is not None:
-            self._quarantine.receive(report)
-        return report
-
-    def _survived(self, fingerprint: str) -> crashes.Survived | None:
-        standing = self._quarantine.standing(fingerprint)
-        if standing.state is quarantine.State.CLEAR:
-            return None
-        report = crashes.Survived(fingerprint, 0.0)
-        self._quarantine.receive(report)
-        return report
-
     def _size_pools(self) -> None:
         by_pool: dict[str, list[runners.Runner]] = {}
         for runner in self._router.runners:
@@ -396,9 +365,7 @@
             slots = sum(runner.slots for runner in members)
             price = sum(runner.price_per_hour for runner in members)
             self._admission.set_pool(pool, slots, price / max(1, slots))
-        self._quarantine.set_sizes(
-            collections.Counter(r.data_centre for r in self._router.runners)
-        )
+        self._suspects.resize()
 
     def _runner_row(self, runner: runners.Runner) -> dict[str, object]:
         return {
@@ -419,15 +386,3 @@
             }
             for line in self._admission.spending.lines
         ]
-
-
-def _refusal(verdict: admission.Refused) -> refusals.Refusal:
-    limited = verdict.reason in _LIMITS
-    kind = refusals.RATE_LIMITED if limited else refusals.SHED
-    if verdict.reason is admission.Reason.UNKNOWN_ENTRY:
-        kind = refusals.NOT_FOUND
-    return refusals.Refusal(
-        kind,
-        f"not admitted: {verdict.reason.value}",
-        retry_after_s=verdict.retry_after_s,
-    )
--- a/src/apricotlever/daemon/fleet.py
+++ b/src/apricotlever/daemon/fleet.py
@@ -25,6 +25,7 @@
 from ..vms import view as views
 
 from . import listeners
+from . import peer_calls
 from . import promises
 from . import rumours
 from . import trials
@@ -166,29 +167,6 @@
         self.asked = asked
 
 
-def own_member(
-    config: settings.Settings,
-    callers: str,
-    peers_address: str,
-    incarnation: int,
-) -> pb.Member:
-    """This VM's own record.
-
-    :param callers: ``host:port`` for callers.
-    :param peers_address: ``host:port`` for peers.
-    :param incarnation: the process start, ms since the Unix epoch.
-    """
-    return pb.Member(
-        vm=config.vm,
-        data_centre=config.data_centre,
-        region=config.region,
-        callers_address=callers,
-        peers_address=peers_address,
-        incarnation=incarnation,
-        state=pb.VM_ALIVE,
-    )
-
-
 class Fleet(mailbox.Task):
     """This VM's part in the fleet.
 
@@ -213,10 +191,7 @@
         self._link = link
         self._metrics = metrics
         self._listener = listener
-        # Calls made for other tasks, by the process that is to answer.
-        self._running: dict[
-            tuple[str, int], list["futures.Future[typing.Any]"]
-        ] = {}
+        self._calls = peer_calls.PeerCalls()
         self._membership = membership.Membership(
             clock,
             rng,
@@ -302,28 +277,9 @@
             message.message,
             message.timeout_s,
         )
-        call.add_done_callback(functools.partial(_settle, future, message.vm))
-        self._remember(member, call)
+        self._calls.follow(member, call, future)
         return mailbox.DEFERRED
 
-    def _remember(
-        self, member: pb.Member, call: "futures.Future[typing.Any]"
-    ) -> None:
-        process = (member.vm, member.incarnation)
-        running = [c for c in self._running.get(process, ()) if not c.done()]
-        self._running[process] = [*running, call]
-
-    def _give_up_calls(self, member: pb.Member) -> None:
-        """End the calls that a VM held to be dead has not answered.
-
-        One that stands still gives neither an answer nor an error. The
-        caller would wait out the whole deadline of its request to hear
-        that the outcome is unknown.
-        """
-        process = (member.vm, member.incarnation)
-        for call in self._running.pop(process, ()):
-            call.cancel()
-
     @mailbox.handles(SpreadCrash)
     def _spread_crash(self, message: SpreadCrash) -> mailbox.Deferred:
         report = rumours.crash_message(self._config.vm, message.report)
@@ -415,7 +371,7 @@
         after = action.after
         before = action.before
         if after.state == pb.VM_DEAD:
-            self._give_up_calls(after)
+            self._calls.give_up(after)
         if before is not None and before.state == after.state:
             return
         if after.state == pb.VM_ALIVE:
@@ -468,16 +424,3 @@
         answer = call.result()
         if answer.sender.vm:
             self.tell(_Received(answer, False))
-
-
-def _settle(
-    future: "futures.Future[typing.Any]",
-    vm: str,
-    call: "futures.Future[typing.Any]",
-) -> None:
-    """Settle a future as a call to a VM ended."""
-    if call.cancelled():
-        gone = peers.PeerUnavailable(vm, "gone while it was asked", True)
-        future.set_exception(gone)
-    else:
-        promises.copy(future, call)
--- a/src/apricotlever/daemon/messages.py
+++ b/src/apricotlever/daemon/messages.py
@@ -348,13 +348,19 @@
 
 
 class LoadSeen:
-    """A runner's load, read here or told by a peer."""
+    """A runner's load, read here or told by a peer.
 
-    __slots__ = ("runner", "report")
+    :param own: whether this VM read it.
+    """
+
+    __slots__ = ("runner", "report", "own")
 
-    def __init__(self, runner: str, report: runners.LoadReport) -> None:
+    def __init__(
+        self, runner: str, report: runners.LoadReport, own: bool
+    ) -> None:
         self.runner = runner
         self.report = report
+        self.own = own
 
 
 class CacheSeen:
--- a/src/apricotlever/daemon/node.py
+++ b/src/apricotlever/daemon/node.py
@@ -42,6 +42,7 @@
 NAMED_PART = 0.25
 HANDOVER_PART = 0.7
 SETTLE_S = 0.05
+FLUSH_S = 2.0
 
 
 class Node:
@@ -129,7 +130,7 @@
             self._metrics,
             self._switchboard.announce,
         )
-        me = fleet.own_member(
+        me = presence.own_member(
             config, str(config.callers), self._link.address, self._incarnation
         )
         self._fleet = fleet.Fleet(
@@ -321,9 +322,11 @@
 
         :returns: whether all had them in time.
         """
-        while self._clock.now() < deadline:
-            if not self._server.busy:
-                return True
+        while self._server.busy and self._clock.now() < deadline:
+            threading.Event().wait(SETTLE_S)
+        # A caller that does not read must not hold up the shutdown.
+        flushed = min(deadline, self._clock.now() + FLUSH_S)
+        while self._server.unsent and self._clock.now() < flushed:
             threading.Event().wait(SETTLE_S)
         return not self._server.busy
 
--- a/src/apricotlever/daemon/presence.py
+++ b/src/apricotlever/daemon/presence.py
@@ -129,3 +129,26 @@
         "address": member.callers_address,
         "data_centre": member.data_centre,
     }
+
+
+def own_member(
+    config: settings.Settings,
+    callers: str,
+    peers_address: str,
+    incarnation: int,
+) -> pb.Member:
+    """This VM's own record.
+
+    :param callers: ``host:port`` for callers.
+    :param peers_address: ``host:port`` for peers.
+    :param incarnation: the process start, ms since the Unix epoch.
+    """
+    return pb.Member(
+        vm=config.vm,
+        data_centre=config.data_centre,
+        region=config.region,
+        callers_address=callers,
+        peers_address=peers_address,
+        incarnation=incarnation,
+        state=pb.VM_ALIVE,
+    )
--- a/src/apricotlever/daemon/pump.py
+++ b/src/apricotlever/daemon/pump.py
@@ -133,7 +133,11 @@
         try:
             yield
         except refusals.Refusal as refusal:
-            self._end(runners.Outcome.FAILED, refusal.kind.name)
+            # A body that a runner refuses tells nothing about the runner.
+            blamed = refusal.kind is not refusals.BAD_REQUEST
+            failed = runners.Outcome.FAILED
+            outcome = failed if blamed else runners.Outcome.CANCELLED
+            self._end(outcome, refusal.kind.name)
             raise
         except Moved:
             self._end(runners.Outcome.CANCELLED, "moved")
--- a/src/apricotlever/daemon/switchboard.py
+++ b/src/apricotlever/daemon/switchboard.py
@@ -140,7 +140,7 @@
                 self._tasks.watcher.tell(watcher.Rumoured(rumour, via))
             case "load":
                 load = rumours.load_of(rumour)
-                seen = messages.LoadSeen(rumour.load.runner, load)
+                seen = messages.LoadSeen(rumour.load.runner, load, False)
                 self._tasks.desk.tell(seen)
             case "prefix":
                 events = rumours.cache_of(rumour)
@@ -212,7 +212,7 @@
         if report is None:
             self._tasks.desk.tell(messages.ProbeFailed(runner))
             return
-        self._tasks.desk.tell(messages.LoadSeen(runner, report))
+        self._tasks.desk.tell(messages.LoadSeen(runner, report, True))
         if tell:
             self.announce(rumours.of_load(runner, report))
 
