--- a/src/apricotlever/client/command.py
+++ b/src/apricotlever/client/command.py
@@ -122,7 +122,21 @@
             raise errors.WrongUsage(
                 "give --entry HOST:PORT or --settings FILE"
             )
-        return fleet.Fleet(addresses)
+        return fleet.Fleet(addresses, self._operator_key())
+
+    def _operator_key(self) -> str:
+        """The key in the file that the command line names, or none.
+
+        A file, for others can read a process's arguments.
+        """
+        name = self._options.operator_key_file
+        if name is None:
+            return ""
+        try:
+            with open(name, encoding="utf-8") as file:
+                return file.read().strip()
+        except OSError as error:
+            raise errors.InvalidInput(f"{name}: {error}") from error
 
     def document(self) -> Json:
         """The JSON file that the command line names; ``-`` is stdin."""
--- a/src/apricotlever/client/fleet.py
+++ b/src/apricotlever/client/fleet.py
@@ -53,21 +53,25 @@
     """The entry VMs, found through any that answers.
 
     :param addresses: entry VMs to begin with, tried in order.
+    :param key: the operators' key, empty for none.
     """
 
-    __slots__ = ("_addresses",)
+    __slots__ = ("_addresses", "_key")
 
     def __init__(
-        self, addresses: collections.abc.Sequence[settings.Address]
+        self,
+        addresses: collections.abc.Sequence[settings.Address],
+        key: str = "",
     ) -> None:
         self._addresses = tuple(addresses)
+        self._key = key
 
     def ask_any(self, question: Question) -> Json:
         """Ask the entry VMs of the command line until one answers.
 
         :raises Unreachable: if none does.
         """
-        asked = (question(entry_api.EntryApi(a)) for a in self._addresses)
+        asked = (question(self._api(a)) for a in self._addresses)
         problems = []
         for outcome in asked:
             match outcome:
@@ -93,17 +97,23 @@
         """Ask every live entry VM at once."""
         members = self.members()
         with futures.ThreadPoolExecutor(ASKED_AT_ONCE_MAX) as pool:
-            replies = pool.map(lambda m: _reply(m, question), members)
+            replies = pool.map(
+                lambda m: _reply(m, self._api(m.address), question), members
+            )
             return tuple(replies)
 
+    def _api(self, address: settings.Address) -> entry_api.EntryApi:
+        return entry_api.EntryApi(address, key=self._key)
+
 
 def _member(peer: Json) -> Member:
     address = settings.Address.from_text(peer["address"])
     return Member(str(peer["vm"]), address, str(peer["state"]))
 
 
-def _reply(member: Member, question: Question) -> Reply:
-    api = entry_api.EntryApi(member.address)
+def _reply(
+    member: Member, api: entry_api.EntryApi, question: Question
+) -> Reply:
     try:
         match question(api):
             case result.Success(document):
--- a/src/apricotlever/client/main.py
+++ b/src/apricotlever/client/main.py
@@ -115,6 +115,11 @@
     parser.add_argument(
         "--settings", metavar="FILE", help="a daemon's settings, for both"
     )
+    parser.add_argument(
+        "--operator-key-file",
+        metavar="FILE",
+        help="holds the key that entry VMs want from operators",
+    )
     parser.add_argument(
         "--call-timeout",
         type=float,
--- a/src/apricotlever/daemon/archive.py
+++ b/src/apricotlever/daemon/archive.py
@@ -1,7 +1,6 @@
 """The task that keeps running and ended requests for callers who return."""
 
 from .. import clock as clocks
-from .. import logs
 from .. import mailbox
 from ..requests import messages as request_messages
 from ..requests import records
@@ -236,10 +235,6 @@
         """Drop what was kept long enough."""
         self._records.expire()
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
 
 def outcome_done() -> records.Outcome:
     """The outcome of a request that was answered whole."""
--- a/src/apricotlever/daemon/book.py
+++ b/src/apricotlever/daemon/book.py
@@ -1,7 +1,7 @@
 """The task that keeps the ledger of idempotency keys.
 
-It owns the ledger and the claims, and makes the claims' reads and writes
-through the store's task. Workers ask it before they send and tell it how
+It owns the ledger and the claims, whose reads and writes go through the
+store's task. Workers ask it before they send and tell it how
 the exchange ended.
 """
 
@@ -10,17 +10,14 @@
 import random
 import typing
 
-from returns import result
-
 from .. import clock as clocks
-from .. import logs
 from .. import mailbox
-from ..links import platform
 from ..requests import claims
 from ..requests import ledger
 from ..requests import ledger_state
 from ..requests import messages
 
+from . import claim_calls
 from . import store as stores
 
 TICK_S = 0.25
@@ -192,26 +189,6 @@
     __slots__ = ()
 
 
-class _BucketRead:
-    """A bucket of claims was read, or not."""
-
-    __slots__ = ("name", "outcome")
-
-    def __init__(self, name: str, outcome: typing.Any) -> None:
-        self.name = name
-        self.outcome = outcome
-
-
-class _BucketWritten:
-    """A bucket of claims was written, or not."""
-
-    __slots__ = ("name", "outcome")
-
-    def __init__(self, name: str, outcome: typing.Any) -> None:
-        self.name = name
-        self.outcome = outcome
-
-
 class _Asked:
     """A caller's question that waits for its answer."""
 
@@ -242,7 +219,7 @@
         super().__init__("book", clock, TICK_S)
         self._ledger = ledger.Ledger(clock, rng, vm, incarnation)
         self._claims = claims.Claims(clock)
-        self._store = store
+        self._calls = claim_calls.ClaimCalls(store, self.tell)
         self._claiming: dict[int, _Asked] = {}
         self._pending: dict[int, list[_Asked]] = {}
 
@@ -321,41 +298,18 @@
     def _count(self, message: Count) -> tuple[int, int]:
         return len(self._ledger), self._ledger.in_flight
 
-    @mailbox.handles(_BucketRead)
-    def _bucket_read(self, message: _BucketRead) -> None:
-        name = message.name
-        outcome = message.outcome
-        if isinstance(outcome, result.Success):
-            stored = outcome.unwrap()
-            found = self._claims.read(name, stored.version, stored.value)
-        elif isinstance(outcome.failure(), platform.NotFound):
-            found = self._claims.missing(name)
-        else:
-            found = self._claims.failed(name)
-        self._carry_out(found)
-
-    @mailbox.handles(_BucketWritten)
-    def _bucket_written(self, message: _BucketWritten) -> None:
-        name = message.name
-        outcome = message.outcome
-        if isinstance(outcome, result.Success):
-            found = self._claims.written(name, outcome.unwrap().version)
-        elif isinstance(outcome.failure(), platform.Conflict):
-            found = self._claims.conflict(name)
-        elif isinstance(outcome.failure(), platform.Ambiguous):
-            found = self._claims.ambiguous(name)
-        else:
-            found = self._claims.failed(name)
-        self._carry_out(found)
+    @mailbox.handles(claim_calls.BucketRead)
+    def _bucket_read(self, message: claim_calls.BucketRead) -> None:
+        self._carry_out(claim_calls.after_read(self._claims, message))
+
+    @mailbox.handles(claim_calls.BucketWritten)
+    def _bucket_written(self, message: claim_calls.BucketWritten) -> None:
+        self._carry_out(claim_calls.after_write(self._claims, message))
 
     def tick(self) -> None:
         """Expire keys and give up runs that took too long."""
         self._settled(self._ledger.tick())
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _decide(self, asked: _Asked) -> None:
         begin = asked.begin
         decision = self._ledger.begin(
@@ -389,17 +343,11 @@
 
     @_carry_out_one.register
     def _read(self, action: claims.ReadBucket) -> None:
-        def run(api: platform.ObjectApi) -> typing.Any:
-            return api.get(action.name)
-
-        self._call(stores.Kind.READ, run, action.name, _BucketRead)
+        self._calls.read(action)
 
     @_carry_out_one.register
     def _write(self, action: claims.WriteBucket) -> None:
-        def run(api: platform.ObjectApi) -> typing.Any:
-            return api.put(action.name, action.value, action.expected_version)
-
-        self._call(stores.Kind.WRITE, run, action.name, _BucketWritten)
+        self._calls.write(action)
 
     @_carry_out_one.register
     def _told(self, action: claims.Tell) -> None:
@@ -410,24 +358,3 @@
             asked.future.set_result(decision)
         if not isinstance(decision, messages.Run):
             self._settled([token])
-
-    def _call(
-        self,
-        kind: stores.Kind,
-        run: stores.Run,
-        name: str,
-        heard: type[_BucketRead] | type[_BucketWritten],
-    ) -> None:
-        call = stores.StoreCall(stores.Rank.CLAIM, kind, run)
-
-        def ended(future: "futures.Future[typing.Any]") -> None:
-            error = future.exception()
-            outcome: typing.Any
-            if error is not None:
-                stopped = platform.Unavailable(repr(error))
-                outcome = result.Failure(stopped)
-            else:
-                outcome = future.result()
-            self.tell(heard(name, outcome))
-
-        self._store.ask(call).add_done_callback(ended)
--- a/src/apricotlever/daemon/buyer.py
+++ b/src/apricotlever/daemon/buyer.py
@@ -219,10 +219,6 @@
         """End the threads; calls under way end by their own timeouts."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _plan(self, pool: str) -> None:
         planner = self._planners.get(pool)
         if planner is None:
--- a/src/apricotlever/daemon/calls.py
+++ b/src/apricotlever/daemon/calls.py
@@ -10,10 +10,12 @@
 
 from . import context as contexts
 from . import heir
+from . import keyed_answers
 from . import messages
 from . import promises
 from . import rumours
 from . import service_calls
+from . import service_request
 from . import trials
 from . import watcher
 
@@ -105,9 +107,9 @@
             refusals.Executed.UNKNOWN,
             1.0,
         )
-        return service_calls.refusal_message(message.request_id, refusal)
+        return keyed_answers.refusal_message(message.request_id, refusal)
     now = context.clock.now()
-    request = service_calls.ServiceRequest(
+    request = service_request.ServiceRequest(
         message.request_id,
         message.customer,
         entry,
@@ -123,5 +125,5 @@
     try:
         answer = services.run_keyed(request, message.key, False, True)
     except refusals.Refusal as refusal:
-        return service_calls.refusal_message(message.request_id, refusal)
-    return service_calls.message_of(message.request_id, answer)
+        return keyed_answers.refusal_message(message.request_id, refusal)
+    return keyed_answers.message_of(message.request_id, answer)
--- a/src/apricotlever/daemon/departing.py
+++ b/src/apricotlever/daemon/departing.py
@@ -116,10 +116,6 @@
         self._carry_out(found)
         self._carry_out(self._departure.tick())
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _in_flight(self) -> int:
         return int(self._context.book.ask(book.Count()).result()[1])
 
--- a/src/apricotlever/daemon/duties.py
+++ b/src/apricotlever/daemon/duties.py
@@ -18,7 +18,6 @@
 from .. import settings
 from ..catalogue import model as catalogues
 from ..links import platform
-from ..links import upstreams
 from ..runners import model as runners
 from ..vms import duties
 from ..vms import lease_objects
@@ -27,11 +26,11 @@
 
 from . import buyer
 from . import messages
+from . import order_sender
 from . import store as stores
 
 TICK_S = 0.2
 THREADS = 8
-_STALE = 409
 
 
 class ViewSeen:
@@ -61,36 +60,6 @@
         self.outcome = outcome
 
 
-class _Ordered:
-    """An order was sent, or not.
-
-    :param fenced: the greater number that the runner has seen, or 0.
-    """
-
-    __slots__ = ("duty", "runner", "sent", "fenced")
-
-    def __init__(
-        self, duty: str, runner: str, sent: bool, fenced: int = 0
-    ) -> None:
-        self.duty = duty
-        self.runner = runner
-        self.sent = sent
-        self.fenced = fenced
-
-
-class _ReadBack:
-    """A runner's target in force was read, or not."""
-
-    __slots__ = ("duty", "runner", "target")
-
-    def __init__(
-        self, duty: str, runner: str, target: orders.Target | None
-    ) -> None:
-        self.duty = duty
-        self.runner = runner
-        self.target = target
-
-
 class DutyHolder(mailbox.Task):
     """This VM's part in the fleet's duties.
 
@@ -112,10 +81,12 @@
         self._config = config
         self._incarnation = incarnation
         self._store = store
-        self._weights = weights
         self._duties = duties.Duties(
             clock, rng, config.vm, incarnation, config.timing.lease_s
         )
+        self._sender = order_sender.OrderSender(
+            config.timing.order_timeout_s, weights, self.may_order, self.tell
+        )
         self._threads = futures.ThreadPoolExecutor(THREADS, "duties")
         self._catalogue = catalogues.EMPTY
         self._runners: dict[str, runners.Runner] = {}
@@ -184,8 +155,8 @@
             case _:
                 lease.failed()
 
-    @mailbox.handles(_Ordered)
-    def _ordered(self, message: _Ordered) -> None:
+    @mailbox.handles(order_sender.Ordered)
+    def _ordered(self, message: order_sender.Ordered) -> None:
         known = self._orders.get(message.duty)
         if message.fenced:
             logs.event(
@@ -202,8 +173,8 @@
         else:
             known.not_sent(message.runner)
 
-    @mailbox.handles(_ReadBack)
-    def _read_back(self, message: _ReadBack) -> None:
+    @mailbox.handles(order_sender.ReadBack)
+    def _read_back(self, message: order_sender.ReadBack) -> None:
         known = self._orders.get(message.duty)
         if known is None:
             return
@@ -235,10 +206,6 @@
         """End the threads; orders under way end by their own timeouts."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _model_pools(self) -> list[str]:
         return sorted(
             {
@@ -285,9 +252,9 @@
         self, duty: str, runner: runners.Runner, action: orders.OrderAction
     ) -> None:
         if isinstance(action, orders.SendOrder):
-            self._threads.submit(self._send, duty, runner, action)
+            self._threads.submit(self._sender.send, duty, runner, action)
         else:
-            self._threads.submit(self._read, duty, runner)
+            self._threads.submit(self._sender.read_back, duty, runner)
 
     def _target(self, pool: str) -> orders.Target:
         """What every runner of a pool should have loaded."""
@@ -314,110 +281,30 @@
 
     @_start_lease_call.register
     def _start_read(self, action: lease_objects.ReadLease) -> None:
-        def run(api: platform.ObjectApi) -> typing.Any:
-            return api.get(action.name)
-
-        self._call(stores.Kind.READ, run, action)
+        call = stores.read(stores.Rank.LEASE, action.name)
+        self._call(call, action)
 
     @_start_lease_call.register
     def _start_write(self, action: lease_objects.WriteLease) -> None:
-        def run(api: platform.ObjectApi) -> typing.Any:
-            return api.put(action.name, action.value, action.expected_version)
-
-        self._call(stores.Kind.WRITE, run, action)
+        call = stores.write(
+            stores.Rank.LEASE,
+            action.name,
+            action.value,
+            action.expected_version,
+        )
+        self._call(call, action)
 
     def _call(
         self,
-        kind: stores.Kind,
-        run: stores.Run,
+        call: stores.StoreCall,
         action: lease_objects.LeaseAction,
     ) -> None:
-        call = stores.StoreCall(stores.Rank.LEASE, kind, run)
-
         def ended(future: "futures.Future[typing.Any]") -> None:
             if future.exception() is None:
                 self.tell(_LeaseCalled(action, future.result()))
 
         self._store.ask(call).add_done_callback(ended)
 
-    def _send(
-        self, duty: str, runner: runners.Runner, action: orders.SendOrder
-    ) -> None:
-        """Send one order, if the lease still stands at this moment.
-
-        A holder that was paused between its decision and here would give an
-        order under a lease that another VM has by now. Runners that check
-        fencing numbers refuse it; for the others the check stands as close
-        to the first byte as it can, and the successor waits out the rest.
-        """
-        if not self._weights_lent(action.target):
-            self.tell(_Ordered(duty, runner.name, False))
-            return
-        exchange = upstreams.Exchange(
-            runner.address, self._config.timing.order_timeout_s
-        )
-        try:
-            exchange.open()
-            fencing = self._duties.may_order(
-                duty, self._config.timing.order_timeout_s / 2
-            )
-            if fencing is None:
-                exchange.abandon()
-                self.tell(_Ordered(duty, runner.name, False))
-                return
-            body = upstreams.encode_json(
-                {
-                    "order": action.order_id,
-                    "fencing": fencing,
-                    "target": action.target,
-                }
-            )
-            exchange.send("POST", "/v1/orders", upstreams.JSON_ONCE, body)
-            answer = exchange.read_json()
-            status = exchange.status
-        except upstreams.UpstreamError as error:
-            logs.event(
-                "order_failed",
-                duty=duty,
-                runner=runner.name,
-                error=error.message,
-            )
-            self.tell(_Ordered(duty, runner.name, error.sent))
-            return
-        fenced = int(answer["fencing"]) if status == _STALE else 0
-        if not fenced:
-            logs.event(
-                "order_sent", duty=duty, runner=runner.name, fencing=fencing
-            )
-        self.tell(_Ordered(duty, runner.name, not fenced, fenced))
-
-    def _weights_lent(self, target: orders.Target) -> bool:
-        """Ask the weight store before runners begin to load from it."""
-        for model in target["models"]:
-            lent = self._weights.lease(model["model"], model["version"])
-            if not isinstance(lent, result.Success):
-                logs.event(
-                    "platform_call_failed",
-                    call="weights",
-                    kind=lent.failure().kind,
-                    error=lent.failure().message,
-                )
-                return False
-        return True
-
-    def _read(self, duty: str, runner: runners.Runner) -> None:
-        try:
-            found = upstreams.call_json(
-                runner.address,
-                "GET",
-                "/v1/orders",
-                timeout_s=self._config.timing.order_timeout_s,
-            )
-            target = found["target"]
-        except (upstreams.UpstreamError, KeyError, TypeError):
-            target = None
-        self.tell(_ReadBack(duty, runner.name, target))
-
 
 def orders_duty(pool: str) -> str:
     """The duty of ordering what the runners of a pool load."""
--- a/src/apricotlever/daemon/heir.py
+++ b/src/apricotlever/daemon/heir.py
@@ -70,10 +70,6 @@
         """End the threads when their streams have ended."""
         self._threads.shutdown(wait=False)
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _adopt_ledger(self, taken: intake.AdoptLedger) -> pb.HandoverReceipt:
         adopt = book.AdoptLedger(taken.state)
         receipt = self._context.book.ask(adopt).result()
--- a/src/apricotlever/daemon/rescues.py
+++ b/src/apricotlever/daemon/rescues.py
@@ -31,7 +31,10 @@
         self._threads = futures.ThreadPoolExecutor(RESCUE_THREADS, "rescue")
 
     def rescue(
-        self, ticket: resumption.Ticket, customer: catalogues.Customer
+        self,
+        ticket: resumption.Ticket,
+        catalogue: catalogues.Catalogue,
+        customer: catalogues.Customer,
     ) -> flights.Flight:
         """Read a stream on at the runner that the token names.
 
@@ -39,16 +42,18 @@
         start, and the caller gets it from wherever it stands.
 
         :param ticket: what the token says; it was checked.
+        :param catalogue: that of the caller's request.
         :param customer: who brought it.
         :raises Refusal: when the runner is gone as well.
         """
         context = self._context
-        entry = context.catalogue.entries.get(ticket.entry)
+        entry = catalogue.entries.get(ticket.entry)
         wanted = messages.RunnerWanted(ticket.runner)
         runner = context.answer_of(context.desk.ask(wanted))
         if entry is None or runner is None:
             raise _gone(ticket.request_id)
-        flight = self._flight(ticket, customer, entry, runner)
+        service_class = catalogue.class_of(entry)
+        flight = self._flight(ticket, customer, entry, service_class, runner)
         room = context.answer_of(context.archive.ask(archive.Open(flight)))
         if not room:
             raise refusals.Refusal(
@@ -67,6 +72,7 @@
         ticket: resumption.Ticket,
         customer: catalogues.Customer,
         entry: catalogues.Entry,
+        service_class: catalogues.ServiceClass,
         runner: runners.Runner,
     ) -> flights.Flight:
         document = {
@@ -74,7 +80,6 @@
             "prompt": "",
             "max_tokens": ticket.max_tokens,
         }
-        service_class = self._context.catalogue.class_of(entry)
         now = self._context.clock.now()
         flight = flights.Flight(
             self._context.clock,
--- a/src/apricotlever/daemon/sources.py
+++ b/src/apricotlever/daemon/sources.py
@@ -7,12 +7,10 @@
 from ..contracts import retries
 from ..links import upstreams
 from ..requests import recovery
-from ..runners import crashes
 from ..runners import model as runners
-from ..runners import quarantine
 
+from . import attempt_reports
 from . import context as contexts
-from . import fleet
 from . import flights
 from . import messages
 from . import placing
@@ -20,7 +18,6 @@
 FIRST_BYTE_PATIENCE = 5
 LEAST_FIRST_BYTE_S = 3.0
 IMPORT_S = 5.0
-SETTLE_S = 0.5
 PRIORITY_HEADER = "Apricotlever-Priority"
 _NOT_FOUND = 404
 _CLIENT_ERRORS = (400, 413, 422)
@@ -123,15 +120,9 @@
             flight.left_s,
             tried,
         )
-        answer = self._context.answer_of(self._context.desk.ask(question))
-        if isinstance(answer, retries.NoRetry):
-            raise self._refusal(
-                refusals.GAVE_UP,
-                f"the upstream failed and is not tried again: "
-                f"{answer.reason.value}",
-                1.0,
-            )
-        return answer
+        return attempt_reports.ask_retry(
+            self._context, question, self._refusal
+        )
 
     def retry(
         self,
@@ -179,7 +170,7 @@
                 )
             )
         )
-        self._spread(report, SETTLE_S)
+        attempt_reports.spread(self._context, report, True)
         return died
 
     def close(
@@ -201,16 +192,16 @@
         )
         future = self._context.desk.ask(ended)
         if flight.attempt > 1 or self._on_trial:
-            self._spread(self._context.answer_of(future), 0.0)
+            report = self._context.answer_of(future)
+            attempt_reports.spread(self._context, report, False)
         if self._on_trial:
-            self._context.fleet.tell(
-                fleet.TrialDone(flight.entry.pool, self._trial_over())
+            attempt_reports.end_trial(
+                self._context,
+                flight.entry.pool,
+                flight.fingerprint,
+                flight.request_id,
             )
 
-    def _trial_over(self) -> quarantine.TrialOver:
-        flight = self._flight
-        return quarantine.TrialOver(flight.fingerprint, flight.request_id)
-
     def _check_blame(self, error: upstreams.Declined) -> None:
         if error.status in _CLIENT_ERRORS:
             raise self._refusal(
@@ -356,18 +347,6 @@
             kind, message, executed, retry_after_s, self._flight.request_id
         )
 
-    def _spread(self, report: crashes.Report | None, wait_s: float) -> None:
-        """Tell the other entry VMs of a death or a survival.
-
-        A caller that gets its answer sends the request again, perhaps to
-        another entry VM, at once. That VM must know by then.
-        """
-        if report is None:
-            return
-        future = self._context.fleet.ask(fleet.SpreadCrash(report))
-        if wait_s:
-            self._context.answer_of(future)
-
     def _leave_silent(self) -> runners.Runner | None:
         """Give up a runner that stayed silent over new connections, too.
 
--- a/src/apricotlever/daemon/store.py
+++ b/src/apricotlever/daemon/store.py
@@ -50,6 +50,36 @@
         self.run = run
 
 
+def read(rank: Rank, name: str) -> StoreCall:
+    """A call that reads an object.
+
+    :param rank: who goes first.
+    :param name: the object's name.
+    """
+
+    def run(api: platform.ObjectApi) -> typing.Any:
+        return api.get(name)
+
+    return StoreCall(rank, Kind.READ, run)
+
+
+def write(
+    rank: Rank, name: str, value: typing.Any, expected_version: int | None
+) -> StoreCall:
+    """A call that writes an object if it still has the version expected.
+
+    :param rank: who goes first.
+    :param name: the object's name.
+    :param value: what JSON can hold.
+    :param expected_version: the version to replace; None creates only.
+    """
+
+    def run(api: platform.ObjectApi) -> typing.Any:
+        return api.put(name, value, expected_version)
+
+    return StoreCall(rank, Kind.WRITE, run)
+
+
 class FleetSize:
     """How many entry VMs share the store's rate."""
 
@@ -163,10 +193,6 @@
         """End the threads; calls under way end by their own timeouts."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _run(
         self, call: StoreCall, future: "futures.Future[typing.Any]"
     ) -> None:
--- a/src/apricotlever/daemon/watcher.py
+++ b/src/apricotlever/daemon/watcher.py
@@ -206,10 +206,6 @@
         if self._spread.watching and self._readings.due:
             self._start_read()
 
-    def failed(self, error: Exception) -> None:
-        """Log what no handler foresaw."""
-        logs.event("task_failed", task=self.name, error=repr(error))
-
     def _check(
         self, document: dict[str, typing.Any], version: int
     ) -> str | None:
@@ -273,13 +269,11 @@
         self._others.ask(call).add_done_callback(ended)
 
     def _start_read(self) -> None:
-        def run(api: platform.ObjectApi) -> typing.Any:
-            return api.get(edit.CURRENT_NAME)
-
         if not self._calling:
             self._starting = False
             self._readings.begin(self._spread.in_force.version)
-            self._call(run, readings.Read)
+            call = stores.read(stores.Rank.CATALOGUE, edit.CURRENT_NAME)
+            self._call(call, readings.Read)
 
     def _watch(self, after: int) -> None:
         wait_s = min(WATCH_S_MAX, self._config.timing.watch_s)
@@ -288,17 +282,19 @@
             return api.watch(edit.CURRENT_NAME, after, wait_s)
 
         if self._spread.watching:
-            self._call(run, readings.Watched)
+            call = stores.StoreCall(
+                stores.Rank.CATALOGUE, stores.Kind.READ, run
+            )
+            self._call(call, readings.Watched)
 
     def _call(
         self,
-        run: stores.Run,
+        call: stores.StoreCall,
         heard: type[readings.Read] | type[readings.Watched],
     ) -> None:
         if self._calling:
             return
         self._calling = True
-        call = stores.StoreCall(stores.Rank.CATALOGUE, stores.Kind.READ, run)
 
         def ended(future: "futures.Future[typing.Any]") -> None:
             if future.exception() is None:
--- a/src/apricotlever/histograms.py
+++ b/src/apricotlever/histograms.py
@@ -98,9 +98,7 @@
         with self._lock:
             self._histogram.record_value(value)
 
-    def record_counts(
-        self, counts: collections.abc.Mapping[int, int]
-    ) -> None:
+    def record_counts(self, counts: collections.abc.Mapping[int, int]) -> None:
         """Count many values at once.
 
         :param counts: how often each value came, by microseconds.
--- a/src/apricotlever/links/_http.py
+++ b/src/apricotlever/links/_http.py
@@ -150,7 +150,11 @@
         return answer
 
     def exchange_again(
-        self, method: str, path: str, timeout_s: float = 2.0
+        self,
+        method: str,
+        path: str,
+        timeout_s: float = 2.0,
+        headers: dict[str, str] | None = None,
     ) -> Answer:
         """Read something; once more when a connection in use has failed.
 
@@ -161,13 +165,13 @@
         """
         used = self._owned.connection
         try:
-            return self.exchange(method, path, timeout_s=timeout_s)
+            return self.exchange(method, path, None, headers, timeout_s)
         except AnswerTooLarge:
             raise
         except AnswerLost:
             if used is None:
                 raise
-        return self.exchange(method, path, timeout_s=timeout_s)
+        return self.exchange(method, path, None, headers, timeout_s)
 
     def close(self) -> None:
         """Close this thread's connection."""
--- a/src/apricotlever/links/callers.py
+++ b/src/apricotlever/links/callers.py
@@ -6,39 +6,27 @@
 a call with an idempotency key it doesn't, for that may have come before.
 """
 
-from http import client as http_names
-import re
+import json
 import socket
-import time
 import typing
 from urllib import parse as urls
 
 from waitress import channel as waitress_channel
-from waitress import server as waitress_server
-from waitress import task as waitress_task
 
 from .. import errors
 from .. import refusals
 
+from . import _caller_channels
+
 Application = typing.Callable[["Call"], "Reply | StreamReply"]
 
+JSON_TYPE = "application/json"
 CONNECTION_LIMIT = 8192
 BACKLOG = 1024
 BACKLOG_BYTES_MAX = 1_000_000
 CLEANUP_INTERVAL_S = 1
 IDLE_CONNECTION_S = 120
 _LENGTH_LIMIT = 2**31
-_TASK = "apricotlever.task"
-_KEY_FIELD = "IDEMPOTENCY_KEY"
-
-_KIND_BY_STATUS = {
-    400: refusals.BAD_REQUEST,
-    408: refusals.SLOW_SENDER,
-    413: refusals.BODY_TOO_LARGE,
-    431: refusals.HEADERS_TOO_LARGE,
-    501: refusals.NOT_IMPLEMENTED,
-    503: refusals.SHED,
-}
 
 
 class Call:
@@ -126,7 +114,7 @@
 
     __slots__ = ("_task", "_channel")
 
-    def __init__(self, task: "_Task") -> None:
+    def __init__(self, task: _caller_channels.Task) -> None:
         self._task = task
         self._channel = task.channel
 
@@ -170,179 +158,22 @@
         self.run = run
 
 
-def refused(refusal: refusals.Refusal) -> Reply:
-    """The reply that a refusal becomes.
+def json_reply(document: typing.Any) -> Reply:
+    """A document as an answer that nobody on the way may keep.
 
-    :param refusal: what to tell the caller.
+    :param document: anything that JSON can hold.
     """
-    return Reply(refusal.kind.status, refusal.headers(), refusal.body())
-
-
-def status_line(status: int) -> str:
-    """A status code with its reason phrase.
-
-    :param status: HTTP status code.
-    """
-    return f"{status} {http_names.responses.get(status, 'Unknown')}"
-
-
-class _RequestTimeout:
-    """Stands in the parser's error for a request that came too slowly."""
-
-    code = 408
-    body = "the request did not arrive in time"
-
+    body = json.dumps(document).encode()
+    headers = [("Content-Type", JSON_TYPE), ("Cache-Control", "no-store")]
+    return Reply(200, headers, body)
 
-class _Overloaded:
-    """Stands in the parser's error when no thread is free."""
 
-    code = 503
-    body = "this entry VM has no thread left for the request"
-
-
-class _RefusalTask(waitress_task.ErrorTask):
-    """Answers a malformed request in the form of every other refusal."""
-
-    def execute(self) -> None:
-        error = self.request.error
-        kind = _KIND_BY_STATUS.get(error.code, refusals.BAD_REQUEST)
-        retry_after_s = 1.0 if kind is refusals.SHED else None
-        message = str(error.body).strip() or kind.meaning
-        executed = refusals.Executed.NO
-        if _KEY_FIELD in self.request.headers:
-            # An earlier sending under the key may have run.
-            executed = refusals.Executed.UNKNOWN
-        refusal = refusals.Refusal(kind, message, executed, retry_after_s)
-        body = refusal.body()
-        self.status = status_line(kind.status)
-        self.response_headers.extend(refusal.headers())
-        self.set_close_on_finish()
-        self.content_length = len(body)
-        self.write(body)
-
-
-class _Task(waitress_task.WSGITask):
-    """A call whose handler can write its stream from another thread."""
-
-    def get_environment(self) -> dict[str, typing.Any]:
-        environ = super().get_environment()
-        environ[_TASK] = self
-        return environ
-
-
-class _Channel(waitress_channel.HTTPChannel):
-    """A caller's connection that knows when its request began."""
-
-    task_class = _Task
-    error_task_class = _RefusalTask
-    began: float | None = None
-    request: typing.Any
-    stalled = False
-
-    def writable(self) -> bool:
-        """Whether the network thread has something to send.
+def refused(refusal: refusals.Refusal) -> Reply:
+    """The reply that a refusal becomes.
 
-        A thread that answers sends its bytes itself. If the network thread
-        polled for the same bytes, it would find the socket ready and the
-        buffer locked, again and again, at the cost of a whole core. It is
-        wanted only for what the caller's socket did not take.
-        """
-        if self.requests and not self.stalled:
-            return bool(self.will_close)
-        return bool(super().writable())
-
-    def write_soon(self, data: typing.Any) -> int:
-        written = int(super().write_soon(data))
-        self.stalled = self.total_outbufs_len > 0
-        if self.stalled:
-            self.server.pull_trigger()
-        return written
-
-    def received(self, data: bytes) -> bool:
-        if self.request is None:
-            self.began = time.monotonic()
-        answer = super().received(data)
-        if self.request is None:
-            self.began = None
-        return answer
-
-    def send_now(self, data: bytes) -> None:
-        """Send bytes past the output buffers while those are empty.
-
-        The buffers cost more than the sending itself, and a stream of small
-        events almost never needs them.
-
-        :raises ClientDisconnected: when the caller has gone.
-        """
-        with self.outbuf_lock:
-            if self.total_outbufs_len:
-                self.write_soon(data)
-                return
-            if not self.connected:
-                raise waitress_channel.ClientDisconnected
-            try:
-                sent = self.socket.send(data)
-            except BlockingIOError:
-                sent = 0
-            if sent < len(data):
-                self.write_soon(data[sent:])
-        self.last_activity = time.time()
-
-    def overdue(self, limit_s: float) -> bool:
-        """Whether a request has been arriving for too long.
-
-        :param limit_s: how long it may take, in seconds.
-        """
-        if self.began is None or self.request is None:
-            return False
-        return time.monotonic() - self.began > limit_s
-
-    def give_up_receiving(self) -> None:
-        """Answer the half-received request with a timeout."""
-        with self.requests_lock:
-            if self.request is None or self.requests:
-                return
-            request = self.request
-            request.error = _RequestTimeout()
-            request.completed = True
-            self.requests.append(request)
-            self.request = None
-            self.began = None
-        self.server.add_task(self)
-
-
-class _Server(waitress_server.TcpWSGIServer):
-    """A server that times out slow senders and refuses when full.
-
-    A sender that trickles bytes would hold a connection for ever and never
-    look idle; the age of the request, not of the last byte, ends it.
+    :param refusal: what to tell the caller.
     """
-
-    channel_class = _Channel
-    receive_s = 10.0
-    queued_max = 64
-
-    def maintenance(self, now: float) -> None:
-        super().maintenance(now)
-        overdue = [
-            channel
-            for channel in self.active_channels.values()
-            if channel.overdue(self.receive_s)
-        ]
-        for channel in overdue:
-            channel.give_up_receiving()
-
-    def add_task(self, task: _Channel) -> None:
-        # With every thread busy a request would wait unseen, and its refusal
-        # would come late. A small error is written from the network thread
-        # instead, which never blocks on it.
-        request = task.requests[0] if task.requests else None
-        if len(self.task_dispatcher.queue) < self.queued_max:
-            super().add_task(task)
-            return
-        if request is not None and request.error is None:
-            request.error = _Overloaded()
-        task.service()
+    return Reply(refusal.kind.status, refusal.headers(), refusal.body())
 
 
 class CallerServer:
@@ -373,7 +204,7 @@
         self._on_fault = on_fault
         # The VMs have no disks: the buffers' overflow to temporary files is
         # put out of reach.
-        self._server = _Server(
+        self._server = _caller_channels.Server(
             self._wsgi,
             host=host,
             port=port,
@@ -401,9 +232,15 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a call is being answered or its answer being sent."""
+        """Whether a call is being answered, or waits for a thread."""
+        dispatcher = self._server.task_dispatcher
+        return bool(dispatcher.active_count or dispatcher.queue)
+
+    @property
+    def unsent(self) -> bool:
+        """Whether callers have not taken all that was written to them."""
         return any(
-            channel.requests or channel.total_outbufs_len
+            channel.total_outbufs_len
             for channel in list(self._server.active_channels.values())
         )
 
@@ -434,10 +271,12 @@
     ) -> typing.Iterable[bytes]:
         reply = self._answer(environ)
         if isinstance(reply, StreamReply):
-            start_response(status_line(200), reply.headers)
-            reply.run(Writer(environ[_TASK]))
+            start_response(_caller_channels.status_line(200), reply.headers)
+            reply.run(Writer(environ[_caller_channels.TASK]))
             return []
-        start_response(status_line(reply.status), reply.headers)
+        start_response(
+            _caller_channels.status_line(reply.status), reply.headers
+        )
         if isinstance(reply.body, bytes):
             return [reply.body]
         return reply.body
@@ -466,65 +305,3 @@
         environ,
         environ["wsgi.input"].read(),
     )
-
-
-class _Route:
-    """One row of the table of routes."""
-
-    __slots__ = ("pattern", "methods", "handler")
-
-    def __init__(
-        self,
-        pattern: re.Pattern[str],
-        methods: frozenset[str],
-        handler: typing.Any,
-    ) -> None:
-        self.pattern = pattern
-        self.methods = methods
-        self.handler = handler
-
-
-class Routes:
-    """A table from method and path to handler, filled by a decorator."""
-
-    __slots__ = ("_table",)
-
-    def __init__(self) -> None:
-        self._table: list[_Route] = []
-
-    def on(
-        self, pattern: str, *methods: str
-    ) -> typing.Callable[[typing.Any], typing.Any]:
-        """Register a handler.
-
-        :param pattern: a regular expression for the whole path; its groups
-            become the handler's arguments after the call.
-        :param methods: methods taken; none means any.
-        """
-
-        def register(handler: typing.Any) -> typing.Any:
-            route = _Route(re.compile(pattern), frozenset(methods), handler)
-            self._table.append(route)
-            return handler
-
-        return register
-
-    def find(self, call: Call) -> tuple[typing.Any, tuple[str, ...]]:
-        """The handler of a call and the arguments from its path.
-
-        :param call: what came in.
-        :raises Refusal: when no path matches, or not with this method.
-        """
-        matches = [
-            (route, match.groups())
-            for route in self._table
-            if (match := route.pattern.fullmatch(call.path))
-        ]
-        if not matches:
-            raise refusals.Refusal(refusals.NOT_FOUND, "no such path")
-        for route, groups in matches:
-            if not route.methods or call.method in route.methods:
-                return route.handler, groups
-        raise refusals.Refusal(
-            refusals.METHOD, f"{call.method} is not taken here"
-        )
--- a/src/apricotlever/links/entry_api.py
+++ b/src/apricotlever/links/entry_api.py
@@ -27,16 +27,21 @@
 
     :param address: where it listens for callers.
     :param timeout_s: for each call.
+    :param key: the operators' key, empty for none.
     """
 
-    __slots__ = ("_address", "_link", "_timeout_s")
+    __slots__ = ("_address", "_link", "_timeout_s", "_headers")
 
     def __init__(
-        self, address: settings.Address, timeout_s: float = DEFAULT_TIMEOUT_S
+        self,
+        address: settings.Address,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        key: str = "",
     ) -> None:
         self._address = address
         self._link = _http.HttpLink(f"http://{address}")
         self._timeout_s = timeout_s
+        self._headers = {"Authorization": f"Bearer {key}"} if key else {}
 
     @property
     def address(self) -> settings.Address:
@@ -61,7 +66,9 @@
 
     def _get(self, path: str) -> Outcome:
         try:
-            answer = self._link.exchange_again("GET", path, self._timeout_s)
+            answer = self._link.exchange_again(
+                "GET", path, self._timeout_s, self._headers
+            )
             document = documents.loads(answer.body)
         except (_http.ExchangeFailed, documents.NotJson) as error:
             return self._failed(path, error.message)
--- a/src/apricotlever/links/upstreams.py
+++ b/src/apricotlever/links/upstreams.py
@@ -7,120 +7,28 @@
 
 from http import client as http
 import json
-import queue
 import socket
 import threading
 import typing
 
-from .. import clock as clocks
-from .. import errors
+from . import upstream_errors
+from . import upstream_pool
 
 CONNECT_S = 1.0
-POOLED_AGE_S = 20.0
-POOLED_PER_UPSTREAM = 32
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_PROBES = 3
-UNACKNOWLEDGED_MS = 6000
 READ_BYTES = 65536
 ANSWER_BYTES_MAX = 32 * 1024 * 1024
 JSON_ONCE = {"Content-Type": "application/json", "Connection": "close"}
 REQUEST_HEADER = "Apricotlever-Request"
 ATTEMPT_HEADER = "Apricotlever-Attempt"
 
-
-class UpstreamError(errors.ApricotleverError):
-    """An exchange that did not end with a whole answer.
-
-    :param message: what happened, for the log.
-    :param sent: whether the upstream may have seen the request.
-    """
-
-    def __init__(self, message: str, sent: bool) -> None:
-        super().__init__(message)
-        self._sent = sent
-
-    @property
-    def sent(self) -> bool:
-        """Whether the upstream may have seen the request."""
-        return self._sent
-
-
-class ConnectFailed(UpstreamError):
-    """No connection came about, so the upstream saw nothing."""
-
-
-class Silent(UpstreamError):
-    """The connection stands, and nothing came within the deadline."""
-
-
-class Broken(UpstreamError):
-    """The connection ended before the answer did."""
-
-
-class Mismatched(UpstreamError):
-    """The answer belongs to another request or attempt.
-
-    A late answer on a connection that was used again would otherwise reach
-    the wrong caller; the echoed request ID shows it.
-    """
-
-
-class TooLarge(UpstreamError):
-    """The answer exceeds what one request may hold in memory."""
-
-
-class Declined(UpstreamError):
-    """The upstream answered with an error status.
-
-    :param status: its HTTP status.
-    :param body: the start of its body.
-    """
-
-    def __init__(self, status: int, body: bytes) -> None:
-        super().__init__(f"the upstream answered {status}", sent=True)
-        self._status = status
-        self._body = body
-
-    @property
-    def status(self) -> int:
-        """The upstream's HTTP status."""
-        return self._status
-
-    @property
-    def body(self) -> bytes:
-        """The start of the upstream's body."""
-        return self._body
-
-
-class _Connection(http.HTTPConnection):
-    """A connection whose death is noticed sooner than TCP would.
-
-    A path that lost track of the connection drops packets both ways without
-    a reset. Keepalive shows it while we listen, the user timeout while we
-    send; the deadlines of each phase are the first line of defence.
-    """
-
-    def connect(self) -> None:
-        super().connect()
-        sock = self.sock
-        tcp = socket.IPPROTO_TCP
-        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-
-
-class _StreamConnection(_Connection):
-    """A connection whose answer comes unframed, until it is closed.
-
-    A stream of events marks its own end, so the chunks of HTTP/1.1 would
-    only add work to each event.
-    """
-
-    _http_vsn = 10
-    _http_vsn_str = "HTTP/1.0"
+Pool = upstream_pool.Pool
+UpstreamError = upstream_errors.UpstreamError
+ConnectFailed = upstream_errors.ConnectFailed
+Silent = upstream_errors.Silent
+Broken = upstream_errors.Broken
+Mismatched = upstream_errors.Mismatched
+TooLarge = upstream_errors.TooLarge
+Declined = upstream_errors.Declined
 
 
 class Exchange:
@@ -137,14 +45,14 @@
         self,
         address: str,
         first_byte_s: float,
-        pool: "Pool | None" = None,
+        pool: Pool | None = None,
         stream: bool = False,
     ) -> None:
         self._address = address
         self._first_byte_s = first_byte_s
         self._pool = pool
         self._stream = stream
-        self._connection: _Connection | None = None
+        self._connection: upstream_pool.Connection | None = None
         # http.client drops its reference once the answer says that the
         # connection will close; deadlines and interrupts still need one.
         self._sock: socket.socket | None = None
@@ -211,7 +119,11 @@
             self._opened_at = pooled.opened_at
             return
         host, _, port = self._address.rpartition(":")
-        kind = _StreamConnection if self._stream else _Connection
+        kind = (
+            upstream_pool.StreamConnection
+            if self._stream
+            else upstream_pool.Connection
+        )
         connection = kind(host, int(port), timeout=CONNECT_S)
         try:
             connection.connect()
@@ -366,7 +278,7 @@
         if connection is not None:
             connection.close()
 
-    def _live(self) -> _Connection:
+    def _live(self) -> upstream_pool.Connection:
         assert self._connection is not None
         return self._connection
 
@@ -386,112 +298,6 @@
         return kind(f"{self._address} {what}: {cause}", sent=True)
 
 
-class _Pooled:
-    """A clean connection and when it was opened."""
-
-    __slots__ = ("connection", "opened_at")
-
-    def __init__(self, connection: _Connection, opened_at: float) -> None:
-        self.connection = connection
-        self.opened_at = opened_at
-
-
-class Pool:
-    """Connections that ended their last exchange cleanly.
-
-    A connection's age is bounded, because one that the network has lost
-    track of looks alive until it is used.
-
-    :param clock: tells ages.
-    """
-
-    def __init__(self, clock: clocks.Clock) -> None:
-        self._clock = clock
-        self._idle: dict[str, queue.LifoQueue[_Pooled]] = {}
-        self._prune_at = clock.now() + POOLED_AGE_S
-
-    def __len__(self) -> int:
-        """Connections that are kept."""
-        return sum(idle.qsize() for idle in list(self._idle.values()))
-
-    def now(self) -> float:
-        """The clock's reading in seconds."""
-        return self._clock.now()
-
-    def take(self, address: str) -> _Pooled | None:
-        """A connection young enough, or None.
-
-        :param address: ``host:port`` of the upstream.
-        """
-        idle = self._idle.get(address)
-        while idle is not None:
-            try:
-                pooled = idle.get_nowait()
-            except queue.Empty:
-                return None
-            if self._clock.now() - pooled.opened_at < POOLED_AGE_S:
-                return pooled
-            pooled.connection.close()
-        return None
-
-    def put(
-        self, address: str, connection: _Connection, opened_at: float
-    ) -> None:
-        """Keep a connection for the next exchange.
-
-        :param address: ``host:port`` of the upstream.
-        :param connection: an idle connection.
-        :param opened_at: when it was opened, by this pool's clock.
-        """
-        self._keep(address, _Pooled(connection, opened_at))
-        self._prune()
-
-    def _prune(self) -> None:
-        """Close the connections that are too old, from time to time.
-
-        Runners come and go; those of one that is gone would stay open on
-        this side, and the process would run out of descriptors.
-        """
-        now = self._clock.now()
-        if now < self._prune_at:
-            return
-        self._prune_at = now + POOLED_AGE_S
-        for address in list(self._idle):
-            idle = self._idle.pop(address, None)
-            kept = _drained(idle) if idle is not None else []
-            for pooled in reversed(kept):
-                if now - pooled.opened_at < POOLED_AGE_S:
-                    self._keep(address, pooled)
-                else:
-                    pooled.connection.close()
-
-    def _keep(self, address: str, pooled: _Pooled) -> None:
-        fresh: queue.LifoQueue[_Pooled] = queue.LifoQueue(POOLED_PER_UPSTREAM)
-        try:
-            self._idle.setdefault(address, fresh).put_nowait(pooled)
-        except queue.Full:
-            pooled.connection.close()
-
-    def forget(self, address: str) -> None:
-        """Close what is kept for an upstream that failed.
-
-        :param address: ``host:port`` of the upstream.
-        """
-        idle = self._idle.pop(address, None)
-        for pooled in _drained(idle) if idle is not None else []:
-            pooled.connection.close()
-
-
-def _drained(idle: "queue.LifoQueue[_Pooled]") -> list[_Pooled]:
-    """Take everything out, the latest first."""
-    found: list[_Pooled] = []
-    while True:
-        try:
-            found.append(idle.get_nowait())
-        except queue.Empty:
-            return found
-
-
 def call_json(
     address: str,
     method: str,
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -58,6 +58,9 @@
     "platform_call_failed": Event(
         WARNING, "A call to the platform failed or has an unknown outcome."
     ),
+    "platform_call_recovered": Event(
+        INFO, "A call to the platform that had failed is answered again."
+    ),
     "platform_down": Event(WARNING, "The object API stopped answering."),
     "platform_up": Event(INFO, "The object API answers again."),
     "member_joined": Event(INFO, "An entry VM joined the view."),
--- a/src/apricotlever/mailbox.py
+++ b/src/apricotlever/mailbox.py
@@ -11,6 +11,7 @@
 
 from . import clock as clocks
 from . import errors
+from . import logs
 
 Handler = typing.Callable[[typing.Any, typing.Any], typing.Any]
 
@@ -146,7 +147,11 @@
         """Hook: runs on the task's thread after the last message."""
 
     def failed(self, error: Exception) -> None:
-        """Hook: a tick, or a message that nobody waits for, raised."""
+        """Log what no handler foresaw.
+
+        :param error: what a tick, or a message that nobody waits for, raised.
+        """
+        logs.event("task_failed", task=self.name, error=repr(error))
 
     def defer(self) -> "futures.Future[typing.Any]":
         """Within a handler that returns DEFERRED: the future to settle.
--- a/src/apricotlever/settings.py
+++ b/src/apricotlever/settings.py
@@ -108,6 +108,8 @@
     :param platform: where the platform is.
     :param seeds: entry VMs to contact first.
     :param statsd: where metrics go, None for nowhere.
+    :param operator_key_sha256: of the key that operators' pages want; None
+        opens them to all who reach the port.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -121,6 +123,7 @@
         "seeds",
         "statsd",
         "log_level",
+        "operator_key_sha256",
         "timing",
         "sizes",
     )
@@ -136,6 +139,7 @@
         seeds: tuple[Seed, ...] = (),
         statsd: Address | None = None,
         log_level: str = DEFAULT_LOG_LEVEL,
+        operator_key_sha256: str | None = None,
         timing: Timing | None = None,
         sizes: Sizes | None = None,
     ) -> None:
@@ -148,6 +152,7 @@
         self.seeds = seeds
         self.statsd = statsd
         self.log_level = log_level
+        self.operator_key_sha256 = operator_key_sha256
         self.timing = timing or Timing()
         self.sizes = sizes or Sizes()
 
@@ -187,6 +192,7 @@
         seeds=tuple(map(_seed, document.get("seeds", ()))),
         statsd=Address.from_text(statsd) if statsd else None,
         log_level=document.get("log_level", DEFAULT_LOG_LEVEL),
+        operator_key_sha256=document.get("operator_key_sha256"),
         timing=Timing(**document.get("timing", {})),
         sizes=Sizes(**document.get("sizes", {})),
     )
--- a/src/apricotlever/timing.py
+++ b/src/apricotlever/timing.py
@@ -9,7 +9,6 @@
 
     :param probe_interval_s: between two probes of peers.
     :param probe_timeout_s: until a probe is tried through other peers.
-    :param suspicion_s: from suspecting a peer to holding it dead.
     :param sync_interval_s: between two exchanges of the whole view.
     :param peer_timeout_s: for a call to another entry VM.
     :param connect_timeout_s: for opening a connection.
@@ -26,7 +25,6 @@
     __slots__ = (
         "probe_interval_s",
         "probe_timeout_s",
-        "suspicion_s",
         "sync_interval_s",
         "peer_timeout_s",
         "connect_timeout_s",
@@ -44,7 +42,6 @@
         self,
         probe_interval_s: float = 1.0,
         probe_timeout_s: float = 0.4,
-        suspicion_s: float = 3.0,
         sync_interval_s: float = 15.0,
         peer_timeout_s: float = 2.0,
         connect_timeout_s: float = 1.0,
@@ -59,7 +56,6 @@
     ) -> None:
         self.probe_interval_s = probe_interval_s
         self.probe_timeout_s = probe_timeout_s
-        self.suspicion_s = suspicion_s
         self.sync_interval_s = sync_interval_s
         self.peer_timeout_s = peer_timeout_s
         self.connect_timeout_s = connect_timeout_s
--- /dev/null
+++ b/tests/steps/daemon_gateway.py
@@ -0,0 +1,105 @@
+"""Steps for tests/daemon/gateway.feature."""
+
+from concurrent import futures
+import hashlib
+import types
+
+from apricotlever.catalogue import model as catalogues
+from apricotlever import clock as clocks
+from apricotlever.daemon import gateway
+from apricotlever.links import callers
+from apricotlever import refusals
+from behave import given
+from behave import then
+from behave import when
+
+KEY = "key"
+CALLS = {
+    "model": ("/v1/completions", b'{"model": "entry", "prompt": "p"}'),
+    "service": ("/v1/services/entry/things", b""),
+}
+
+
+def _catalogue(kind):
+    entry = catalogues.Entry(
+        "entry",
+        "owner",
+        kind,
+        "desk",
+        "model",
+        "1",
+        "pool",
+        (),
+        None,
+        catalogues.Limits(),
+        catalogues.Capacity(1, 1, 1, "machine"),
+    )
+    service_class = catalogues.ServiceClass(
+        "desk", 0.8, 0.067, 30.0, 1.0, 1, 8
+    )
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    customer = catalogues.Customer("alfa", digest, 1.0)
+    return catalogues.Catalogue(
+        1, {"entry": entry}, {"desk": service_class}, {"alfa": customer}
+    )
+
+
+class _Desk:
+    """Sheds whatever it is asked for."""
+
+    def ask(self, message):
+        future = futures.Future()
+        refusal = refusals.Refusal(refusals.SHED, "full", retry_after_s=1.0)
+        future.set_exception(refusal)
+        return future
+
+    def tell(self, message):
+        """Nothing is to be withdrawn."""
+
+
+class _Context:
+    """A context in which each reading finds the next catalogue."""
+
+    def __init__(self, versions):
+        self._versions = versions
+        self.clock = clocks.ManualClock()
+        self.config = types.SimpleNamespace(vm="vm")
+        self.incarnation = 1
+        self.desk = _Desk()
+        self.metrics = types.SimpleNamespace(count=lambda name, of: None)
+
+    @property
+    def catalogue(self):
+        return self._versions.pop(0)
+
+    def answer_of(self, future, wait_s=0.0):
+        return future.result(wait_s)
+
+
+@given("a gateway whose catalogue is replaced after {count:d} readings")
+def _gateway(context, count):
+    presence = types.SimpleNamespace(takes_new_work=True)
+
+    def make(kind):
+        later = catalogues.Catalogue(2, {}, {}, {})
+        versions = [_catalogue(kind)] * count + [later] * 9
+        return gateway.Gateway(_Context(versions), presence)
+
+    context.make_gateway = make
+
+
+@when("a {kind} request reaches that gateway, whose desk sheds all")
+def _request(context, kind):
+    path, body = CALLS[kind]
+    environ = {"HTTP_AUTHORIZATION": f"Bearer {KEY}"}
+    call = callers.Call("POST", path, {}, environ, body)
+    context.refusal = None
+    try:
+        context.make_gateway(kind)(call)
+    except refusals.Refusal as refusal:
+        context.refusal = refusal
+
+
+@then('that gateway\'s refusal is "{name}", not a fault')
+def _refused(context, name):
+    assert context.refusal.kind.name == name, context.refusal
--- a/tests/steps/daemon_readings.py
+++ b/tests/steps/daemon_readings.py
@@ -6,7 +6,7 @@
 from behave import then
 from behave import when
 
-STEP_S = 0.25
+from tests.daemon import waits
 
 
 @given("a catalogue reading that begins while version {version:d} is in force")
@@ -37,17 +37,9 @@
     assert context.readings.behind == version
 
 
-def _wait_s(context):
-    waited = 0.0
-    while not context.readings.due:
-        context.clock.advance(STEP_S)
-        waited += STEP_S
-    return waited
-
-
 @then("the next catalogue reading is due after {seconds:f} s")
 def _due(context, seconds):
-    waited = _wait_s(context)
+    waited = waits.waited_s(context.clock, context.readings)
     assert waited == seconds, waited
 
 
@@ -56,7 +48,7 @@
     context.waits = []
     for _ in range(count):
         context.readings.failed()
-        context.waits.append(_wait_s(context))
+        context.waits.append(waits.waited_s(context.clock, context.readings))
 
 
 @then("the catalogue readings waited 0.25, 0.5, 1.0 and 1.0 s")
--- a/tests/steps/daemon_store_outages.py
+++ b/tests/steps/daemon_store_outages.py
@@ -1,57 +1,28 @@
 """Steps for tests/daemon/store_outages.feature."""
 
 import functools
-import json
 import re
-import subprocess
-import sys
 import time
 
 from behave import given
-from behave import step
 from behave import then
 from behave import when
-from standins import object_api
 
-from tests.client import commands
+from tests.daemon import edits
 from tests.daemon import followers
-from tests.daemon import naive_follower
 from tests.daemon import outages
 from tests.daemon import scene
-from tests.standins import serving
 from tests.support import answers
 from tests.support import caller
 from tests.support import fleet
-from tests.support import processes
 
-COMMAND = [sys.executable, "-m", "apricotlever.client.main"]
 SOON_S = 10.0
 DEFAULT_WATCH_S = 20.0
 PEERS_LATE_S = 0.2
-RACE_CALL_S = 0.4
 MADE_UP = "made-up"
 FIRST_HEADER = "Apricotlever-First-Attempt"
 
 
-def _put(context, edit):
-    context.version = context.scene.fleet.put_catalogue(followers.edited(edit))
-    _edits(context)[context.version] = edit
-    return context.version
-
-
-def _edits(context):
-    if not hasattr(context, "edits"):
-        context.edits = {}
-    return context.edits
-
-
-def _file(context, edit):
-    folder = context.scene.fleet.folder
-    return outages.write_document(
-        folder, f"edit-{edit}", followers.edited(edit)
-    )
-
-
 @given(
     "a fleet of {engines:d} engines and {vms:d} entry VMs with a relay at "
     "the store"
@@ -66,7 +37,7 @@
 @given("an operator has put edits {first:d} to {last:d} in force")
 def _puts_many(context, first, last):
     for edit in range(first, last + 1):
-        _put(context, edit)
+        edits.put(context, edit)
     outages.wait_in_force(context.scene, context.version, SOON_S)
 
 
@@ -122,20 +93,12 @@
 
 @when("an operator puts edit {edit:d} in force")
 def _puts(context, edit):
-    _put(context, edit)
+    edits.put(context, edit)
 
 
 @then("the edit is in force at every entry VM within {seconds:d} s")
 def _in_force(context, seconds):
-    outages.wait_in_force(context.scene, context.version, seconds)
-    _check_contents(context, _edits(context)[context.version])
-
-
-def _check_contents(context, edit):
-    for address in outages.addresses(context.scene).values():
-        for customer in followers.PAIR:
-            key = followers.key_at(customer, edit)
-            assert followers.takes(address, key), (address, customer)
+    edits.check_in_force(context, seconds)
 
 
 @then("the catalogue in force is what it was")
@@ -304,7 +267,7 @@
 
 @then("the operator sees edit {edit:d} in force")
 def _sees(context, edit):
-    _check_contents(context, edit)
+    edits.check_contents(context, edit)
 
 
 @when("the store's versions have passed the one in force")
@@ -325,159 +288,3 @@
         return answer.done and not answer.problem
 
     fleet.wait_for(streamed, seconds)
-
-
-@given("the versions at each entry VM are sampled")
-def _sampled(context):
-    _sample(context, outages.addresses(context.scene))
-
-
-def _sample(context, addresses):
-    context.sampler = followers.Sampler(addresses, _edits(context))
-    context.closers.append(context.sampler.stop)
-
-
-@then("no version fell and none was half in force")
-def _no_problem(context):
-    samples = context.sampler.stop()
-    assert all(samples.values()), samples
-    tried = [s for each in samples.values() for s in each if s.taken]
-    assert tried
-    found = followers.problems(samples)
-    assert not found, found
-
-
-@given("a naive follower of a store with edit {edit:d}")
-def _naive(context, edit):
-    context.naive_address = serving.serve(context, object_api.ObjectApi())
-    _store_naive(context, edit)
-    context.follower = naive_follower.Follower(context.naive_address)
-    context.closers.append(context.follower.close)
-
-
-def _store_naive(context, edit):
-    reply = outages.http.call(
-        context.naive_address,
-        "PUT",
-        f"/v1/objects/{outages.CURRENT}",
-        {"value": followers.edited(edit)},
-    )
-    _edits(context)[reply.payload["version"]] = edit
-
-
-@given("the versions at the naive follower are sampled")
-def _naive_sampled(context):
-    address = serving.serve(context, context.follower)
-    _sample(context, {"naive": address})
-
-
-@when("{count:d} edits are stored in a row")
-def _in_a_row(context, count):
-    for edit in range(2, count + 2):
-        _store_naive(context, edit)
-        time.sleep(0.05)
-
-
-@when("the naive follower's store is restored with edit {edit:d}")
-def _naive_restored(context, edit):
-    restored = serving.serve(context, object_api.ObjectApi())
-    context.naive_address = restored
-    _store_naive(context, edit)
-    context.follower.follow(restored)
-    time.sleep(0.3)
-
-
-@then("a version fell and one was half in force")
-def _fell(context):
-    found = followers.problems(context.sampler.stop())
-    assert any("after" in problem for problem in found), found
-    assert any("with keys" in problem for problem in found), found
-
-
-@step("the operator applies edit {edit:d}")
-def _applies(context, edit):
-    commands.run_for(context, ["catalogue", "apply", _file(context, edit)])
-    if context.exit_code == 0:
-        context.version = _printed_version(context)
-        _edits(context)[context.version] = edit
-
-
-def _printed_version(context):
-    return int(context.printed.rpartition("version=")[2])
-
-
-@when("the operator waits {seconds:d} s for that version")
-def _waits(context, seconds):
-    version = str(context.version)
-    arguments = ["in-force", "--wait", version, "--timeout", str(seconds)]
-    commands.run_for(context, arguments)
-
-
-@when(
-    "the operator applies {count:d} edits and waits {seconds:d} s at most "
-    "for each"
-)
-def _applies_many(context, count, seconds):
-    context.waits = []
-    for edit in range(1, count + 1):
-        _applies(context, edit)
-        assert context.exit_code == 0, context.complaint
-        _waits(context, seconds)
-        context.waits.append((context.exit_code, context.complaint))
-
-
-@then("each edit was in force at every entry VM in time")
-def _all_in_time(context):
-    assert all(code == 0 for code, _ in context.waits), context.waits
-    _check_contents(context, _edits(context)[context.version])
-
-
-@when("two operators apply edits of one version at once")
-def _race(context):
-    base = outages.stored(context.scene)["version"]
-    # Slow enough that both read before either writes.
-    context.scene.fleet.faults(outages.STORE, slow_s=RACE_CALL_S)
-    command = [*COMMAND, "catalogue", "apply", "--expect", str(base)]
-    runs = [
-        subprocess.Popen(
-            [*command, *context.operator_connection, _file(context, edit)],
-            cwd=processes.ROOT,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
-            text=True,
-        )
-        for edit in (1, 2)
-    ]
-    texts = [run.communicate(timeout=30.0) for run in runs]
-    context.scene.fleet.faults(outages.STORE, slow_s=0.0)
-    context.race = [(run.returncode, *text) for run, text in zip(runs, texts)]
-
-
-@then("one command ends with 0 and the other with 4")
-def _codes(context):
-    codes = sorted(code for code, _, _ in context.race)
-    assert codes == [0, 4], context.race
-
-
-@then("the loser is shown the difference")
-def _difference(context):
-    complaint = next(err for code, _, err in context.race if code == 4)
-    assert "another edit came first" in complaint, complaint
-    assert "customers.left.key_sha256" in complaint, complaint
-
-
-@then("the winner's edit is in force at every entry VM within {seconds:d} s")
-def _winner(context, seconds):
-    codes = [code for code, _, _ in context.race]
-    stored = outages.stored(context.scene)
-    context.version = stored["version"]
-    _edits(context)[context.version] = codes.index(0) + 1
-    _in_force(context, seconds)
-
-
-@then("the history holds that edit once")
-def _once(context):
-    commands.run_for(context, ["catalogue", "history", "--json"])
-    kept = json.loads(context.printed)["versions"]
-    ids = [row["id"] for row in kept if row["id"]]
-    assert len(ids) == len(set(ids)) == 1, kept
--- a/tests/steps/standins_engine.py
+++ b/tests/steps/standins_engine.py
@@ -113,6 +113,19 @@
     _post(context, engine_calls.body(count))
 
 
+def _exported(context):
+    path = f"/v1/streams/{engine_calls.REQUEST}/export"
+    reply = engine_calls.call(context.addresses[0], "POST", path)
+    assert reply.status == 200, reply.payload
+    context.state = reply.payload
+
+
+def _read_on(context, which):
+    start = len(context.answer.tokens)
+    path = f"/v1/streams/{engine_calls.REQUEST}?from={start}"
+    engine_calls.read(context.answer, context.addresses[which], "GET", path)
+
+
 @when(
     "a stream of {count:d} tokens is exported from the first engine stand-in"
 )
@@ -120,11 +133,8 @@
     _new_answer(context, count)
     context.count = count
     _post(context, engine_calls.body(count), limit=5)
-    path = f"/v1/streams/{engine_calls.REQUEST}/export"
-    reply = engine_calls.call(context.addresses[0], "POST", path)
-    assert reply.status == 200, reply.payload
-    assert 5 <= len(reply.payload["tokens"]) < count
-    context.state = reply.payload
+    _exported(context)
+    assert 5 <= len(context.state["tokens"]) < count
 
 
 @when("a stream of {count:d} tokens is exported once it is generated")
@@ -133,10 +143,8 @@
     _post(context, engine_calls.body(count), limit=5)
     made = context.engines[0]
     fleet.wait_for(lambda: made.counts()["generated_total"] == count)
-    path = f"/v1/streams/{engine_calls.REQUEST}/export"
-    reply = engine_calls.call(context.addresses[0], "POST", path)
-    assert len(reply.payload["tokens"]) == count, reply.payload
-    context.state = reply.payload
+    _exported(context)
+    assert len(context.state["tokens"]) == count, context.state
 
 
 @when("the state is imported by the second engine stand-in")
@@ -149,9 +157,7 @@
 
 @when("the second engine stand-in's stream is read after the last token")
 def _read_imported(context):
-    start = len(context.answer.tokens)
-    path = f"/v1/streams/{engine_calls.REQUEST}?from={start}"
-    engine_calls.read(context.answer, context.addresses[1], "GET", path)
+    _read_on(context, 1)
 
 
 @when("the prompt and the sent tokens are replayed at the second")
@@ -176,9 +182,7 @@
 
 @when("the engine stand-in's stream is resumed after the last token")
 def _resume(context):
-    start = len(context.answer.tokens)
-    path = f"/v1/streams/{engine_calls.REQUEST}?from={start}"
-    engine_calls.read(context.answer, context.addresses[0], "GET", path)
+    _read_on(context, 0)
 
 
 @when("requests of priority 1 and 9 wait behind a running one")
