--- a/src/apricotlever/vms/deltas.py
+++ b/src/apricotlever/vms/deltas.py
@@ -55,9 +55,15 @@
     return copy
 
 
-def divisible(document: Document) -> bool:
-    """Whether every section maps names to items, as a delta needs."""
-    return all(isinstance(section, dict) for section in document.values())
+def comparable(old: Document, new: Document) -> bool:
+    """Whether a delta can tell the whole difference.
+
+    It names items of sections; a section that comes, goes or is no mapping
+    it cannot tell.
+    """
+    sections = itertools.chain(old.values(), new.values())
+    mappings = all(isinstance(section, dict) for section in sections)
+    return mappings and set(old) == set(new)
 
 
 class _Step:
--- a/src/apricotlever/vms/knowledge.py
+++ b/src/apricotlever/vms/knowledge.py
@@ -15,6 +15,7 @@
 # about that size does not flap between the two.
 SHRINK_PART = 0.75
 SYNC_SUMMARIES_BYTES = 16_384
+SUMMARIES_IN_MESSAGE = 2
 
 
 class Hint:
@@ -50,9 +51,11 @@
         "catalogue",
         "_rng",
         "_timing",
+        "_clock",
         "_large",
+        "_large_at",
         "_gateways",
-        "_gateways_of",
+        "_gateways_at",
     )
 
     def __init__(
@@ -72,9 +75,11 @@
         self.catalogue: pb.CatalogueVersion | None = None
         self._rng = rng
         self._timing = timing
+        self._clock = clock
         self._large = False
+        self._large_at = float("-inf")
         self._gateways: list[str] = []
-        self._gateways_of: frozenset[str] = frozenset()
+        self._gateways_at: tuple[int, int, bool] = (-1, -1, False)
 
     @property
     def large(self) -> bool:
@@ -86,16 +91,15 @@
         """This data centre's gateways; none in a small fleet."""
         if not self._large:
             return []
-        serving = [
-            member
-            for member in self.here()
-            if member.state in (pb.VM_ALIVE, pb.VM_SUSPECT)
-            and not member.leaving
-        ]
-        names = frozenset(member.vm for member in serving)
-        if names != self._gateways_of:
-            self._gateways_of = names
-            self._gateways = self.summaries.gateway_names(serving)
+        # Ranking all names at every tick would cost more than the probes.
+        at = (self.roster.changes, self.me.refutation, self.me.leaving)
+        if at != self._gateways_at:
+            self._gateways_at = at
+            self._gateways = self.summaries.gateway_names(
+                member
+                for member in self.here()
+                if member.state != pb.VM_DEAD and not member.leaving
+            )
         return self._gateways
 
     @property
@@ -125,27 +129,39 @@
         return member.data_centre != self.me.data_centre
 
     def resize(self) -> None:
-        """Go from a full view to summaries, or back, by the fleet's size."""
-        beyond = self.summaries.elsewhere() if self._large else 0
-        size = 1 + len(self.roster.live) + beyond
+        """Go back to a full view when the fleet is small for good."""
         most = self._timing.full_view_max
-        if not self._large and size > most:
+        counted = self._counted()
+        self.hear_size(counted)
+        quiet_s = self._clock.now() - self._large_at
+        if (
+            self._large
+            and counted <= most * SHRINK_PART
+            and quiet_s > self._timing.summary_stale_s
+        ):
+            self._large = False
+
+    def hear_size(self, members: int) -> None:
+        """Somebody counts that many members; go to summaries if many.
+
+        All have to make that change together: one that still sees all
+        would probe those of other data centres, and be missed by them.
+        """
+        if members <= self._timing.full_view_max:
+            return
+        self._large_at = self._clock.now()
+        if not self._large:
             self._large = True
             self._forget_far()
-        elif self._large and size <= most * SHRINK_PART:
-            self._large = False
 
     def learn_summaries(
         self, summaries: typing.Iterable[pb.DataCentreSummary]
     ) -> None:
         """Take in summaries; they may show that the fleet is large."""
-        if not [s for s in summaries if self.summaries.merge(s)]:
-            return
-        if not self._large:
-            size = sum(s.members for s in self.summaries.fresh.values())
-            self._large = size > self._timing.full_view_max
-            if self._large:
-                self._forget_far()
+        for summary in summaries:
+            self.summaries.merge(summary)
+        fresh = self.summaries.fresh.values() if summaries else ()
+        self.hear_size(sum(summary.members for summary in fresh))
 
     def compose(self, to: pb.Member) -> pb.GossipMessage:
         """A message with what is worth telling that VM."""
@@ -154,8 +170,19 @@
         room = self._timing.packet_bytes
         if not (far and self._large):
             room -= self._add_members(message, to, room)
-        limit = rumour_books.retransmissions(len(self.roster.live) + 1)
-        message.rumours.extend(self.rumours.pick(room, limit, far))
+        if self._large and not far:
+            message.summaries.extend(
+                self.summaries.pick_few(SUMMARIES_IN_MESSAGE)
+            )
+        size = len(self.roster.live) + 1
+        message.rumours.extend(self.rumours.pick(room, size, to.vm, far))
+        return message
+
+    def receipt(self, to: pb.Member) -> pb.GossipMessage:
+        """A message with just what concerns that VM itself."""
+        message = self._blank()
+        if not (self._large and self.is_far(to)):
+            message.members.extend(self._about(to))
         return message
 
     def add_summaries(self, message: pb.GossipMessage) -> None:
@@ -184,11 +211,17 @@
         return message
 
     def _blank(self) -> pb.GossipMessage:
-        message = pb.GossipMessage(sender=self.me)
+        message = pb.GossipMessage(
+            sender=self.me, fleet_members=self._counted()
+        )
         if self.catalogue is not None:
             message.catalogue.CopyFrom(self.catalogue)
         return message
 
+    def _counted(self) -> int:
+        beyond = self.summaries.elsewhere() if self._large else 0
+        return 1 + len(self.roster.live) + beyond
+
     def _fill_sync(self, sync: pb.Sync, to: pb.Member) -> None:
         far = self.is_far(to)
         if not (far and self._large):
@@ -200,14 +233,18 @@
     def _add_members(
         self, message: pb.GossipMessage, to: pb.Member, room: int
     ) -> int:
+        message.members.extend(self._about(to))
+        size = len(self.roster.live) + 1
+        message.members.extend(
+            self.news.pick(room, size, to.vm, self._record_of)
+        )
+        return sum(map(rumour_books.size_bytes, message.members))
+
+    def _about(self, to: pb.Member) -> list[pb.Member]:
         # A suspect has to hear of it from whoever speaks to it, or it
         # cannot deny it in time and a live VM would be taken for dead.
         known = self.roster.get(to.vm)
-        if known is not None and _concerns(known, to):
-            message.members.append(known)
-        limit = rumour_books.retransmissions(len(self.roster.live) + 1)
-        message.members.extend(self.news.pick(room, limit, self._record_of))
-        return sum(map(rumour_books.size_bytes, message.members))
+        return [known] if known is not None and _concerns(known, to) else []
 
     def _record_of(self, vm: str) -> pb.Member | None:
         return self.me if vm == self.me.vm else self.roster.get(vm)
--- a/src/apricotlever/vms/learning.py
+++ b/src/apricotlever/vms/learning.py
@@ -13,6 +13,10 @@
 
 Actions = list[actions.Action]
 
+# A record learned from a whole view is no news to most: after a join of
+# many, passing all on in full would fill the messages for a minute.
+VIEW_SENDS = 2
+
 
 class Learner:
     """Takes in what others say, and judges the silent.
@@ -49,20 +53,30 @@
         """Take in all that a message carries beside its kind."""
         sender = message.sender
         found = self._learn_sender(sender)
-        found += self.learn_members(message.members)
+        found += self.learn_members(message.members, sender.vm)
         self._known.learn_summaries(message.summaries)
         found += self.learn_rumours(message.rumours, sender.vm)
         return found + self._hear_catalogue(message.catalogue, sender.vm)
 
-    def learn_members(self, members: typing.Iterable[pb.Member]) -> Actions:
-        """Take in records, those of this VM itself included."""
+    def learn_members(
+        self, members: typing.Iterable[pb.Member], via: str, sent: int = 0
+    ) -> Actions:
+        """Take in records, those of this VM itself included.
+
+        :param via: who passed them on.
+        :param sent: sends that are saved in passing them on.
+        """
         known = self._known
         seen = (
             member
             for member in members
             if not (known.large and known.is_far(member))
         )
-        return [action for member in seen for action in self._learn(member)]
+        return [
+            action
+            for member in seen
+            for action in self._learn(member, via, sent)
+        ]
 
     def learn_view(
         self, members: typing.Iterable[pb.Member], sender: str
@@ -73,15 +87,16 @@
         holds the other for dead. A death that we did not hear of as news
         is therefore a suspicion only, which a live VM denies.
         """
-        return self.learn_members(
-            self._doubt(member, sender) for member in members
-        )
+        members_known = len(self._known.roster.live) + 1
+        limit = rumour_books.urgent_sends(members_known)
+        doubted = (self._doubt(member, sender) for member in members)
+        return self.learn_members(doubted, sender, limit - VIEW_SENDS)
 
     def learn_rumours(
         self, rumours: typing.Iterable[pb.Rumour], via: str
     ) -> Actions:
         """Take in rumours; each is delivered once."""
-        fresh = [r for r in rumours if self._known.rumours.take(r)]
+        fresh = [r for r in rumours if self._known.rumours.take(r, via)]
         self.push_due |= any(map(rumour_books.is_urgent, fresh))
         return [actions.Delivered(rumour, via) for rumour in fresh]
 
@@ -131,7 +146,9 @@
             return []
         return self._learn(sender)
 
-    def _learn(self, member: pb.Member) -> Actions:
+    def _learn(
+        self, member: pb.Member, via: str = "", sent: int = 0
+    ) -> Actions:
         if member.vm == self._known.me.vm:
             return self._hear_of_myself(member)
         merged = self._known.roster.merge(member)
@@ -140,11 +157,11 @@
             return []
         if merged.before is None and member.state == pb.VM_DEAD:
             return []
+        self._known.news.add(member.vm, via, sent)
         return self._changed(merged)
 
     def _changed(self, merged: rosters.Merged) -> Actions:
         member = merged.after
-        self._known.news.add(member.vm)
         self._suspicions.pop(member.vm, None)
         if member.state == pb.VM_SUSPECT:
             self._start_suspicion(member)
--- a/src/apricotlever/vms/membership.py
+++ b/src/apricotlever/vms/membership.py
@@ -30,6 +30,7 @@
 # The asker has to hear that nothing came before its own interval ends.
 MEDIATION_PART = 0.75
 PAUSE_HEALTH_COST = 2
+RESYNC_S = 2.0
 
 _handlers: dict[str, _Handler] = {}
 
@@ -147,10 +148,7 @@
             return []
         found = self._hear(message)
         if not any(isinstance(action, actions.Reply) for action in found):
-            answer = self._known.compose(message.sender)
-            if message.summaries:
-                self._known.add_summaries(answer)
-            found.append(actions.Reply(answer))
+            found.append(actions.Reply(self._answer_carrier(message)))
         return found
 
     def answered(self, message: pb.GossipMessage) -> Actions:
@@ -175,10 +173,22 @@
 
     def _hear(self, message: pb.GossipMessage) -> Actions:
         found = self._notice_pause()
+        self._known.hear_size(message.fleet_members)
         found += self._learner.hear(message)
         handler = _handlers.get(message.WhichOneof("kind") or "")
         return found if handler is None else found + handler(self, message)
 
+    def _answer_carrier(self, message: pb.GossipMessage) -> pb.GossipMessage:
+        sender = message.sender
+        if not self._known.is_far(sender):
+            # Whoever pushes something has it from where we got it: sends
+            # spent on telling it back would be missing for others.
+            return self._known.receipt(sender)
+        answer = self._known.compose(sender)
+        if message.summaries:
+            self._known.add_summaries(answer)
+        return answer
+
     @_handles("probe")
     def _hear_probe(self, message: pb.GossipMessage) -> Actions:
         # Answered also when another VM was meant that had this address
@@ -219,6 +229,9 @@
         self._known.learn_summaries(sync.summaries)
         vm = message.sender.vm
         found = self._learner.learn_view(sync.members, vm)
+        if any(map(_is_newcomer, found)):
+            # Where many join at once one view does not have them all.
+            self._outreach.sync_within(RESYNC_S)
         found += self._learner.learn_rumours(sync.rumours, vm)
         if sync.question:
             answer = self._known.answer_sync(message.sender)
@@ -294,7 +307,7 @@
         self._mediations.clear()
         self._health.worse(PAUSE_HEALTH_COST)
         self._learner.restate()
-        self._outreach.sync_soon()
+        self._outreach.sync_within(0.0)
         if gap_s > self._timing.tombstone_s / 2:
             self._distrust_everything()
         return [actions.Paused(gap_s)]
@@ -314,3 +327,7 @@
             self._purge_at = now + self._timing.probe_interval_s
             self._known.roster.purge()
             self._known.rumours.purge()
+
+
+def _is_newcomer(action: actions.Action) -> bool:
+    return isinstance(action, actions.Changed) and action.before is None
--- a/src/apricotlever/vms/outreach.py
+++ b/src/apricotlever/vms/outreach.py
@@ -66,9 +66,9 @@
         """Records that are no longer trusted become first contacts."""
         self._seeds.update((member.vm, _hint(member)) for member in members)
 
-    def sync_soon(self) -> None:
-        """Exchange views at the next tick."""
-        self._sync_at = self._clock.now()
+    def sync_within(self, seconds: float) -> None:
+        """Exchange views again after that time at the latest."""
+        self._sync_at = min(self._sync_at, self._clock.now() + seconds)
 
     def some(self, count: int, without: set[str]) -> list[pb.Member]:
         """Random live members."""
@@ -91,9 +91,11 @@
     def speak_for_data_centre(self) -> Actions:
         """A gateway tells one other data centre in each interval."""
         now = self._clock.now()
-        if now < self._gateway_at or not self._known.is_gateway:
+        if now < self._gateway_at:
             return []
         self._gateway_at = now + self._timing.probe_interval_s
+        if not self._known.is_gateway:
+            return []
         gateways = self._known.gateways
         if gateways[0] == self._known.me.vm:
             self._known.summaries.issue_if_due(self._known.here(), gateways)
@@ -158,12 +160,12 @@
     def _lost(self) -> list[knowledge.Hint]:
         """Who might be there without being seen."""
         known = self._known
-        own = known.summaries.fresh.get(known.me.data_centre)
-        gateways = list(own.gateways) if own is not None else []
         named = itertools.chain(
             self._hints.values(),
             self._seeds.values(),
-            map(_hint, itertools.chain(known.roster.dead, gateways)),
+            map(
+                _hint, itertools.chain(known.roster.dead, known.summaries.kin)
+            ),
         )
         by_name = {hint.vm: hint for hint in named}
         return [hint for hint in by_name.values() if self._is_lost(hint)]
--- a/src/apricotlever/vms/roster.py
+++ b/src/apricotlever/vms/roster.py
@@ -58,7 +58,14 @@
     :param tombstone_s: how long a dead VM is remembered.
     """
 
-    __slots__ = ("_clock", "_tombstone_s", "_records", "_died_at", "_live")
+    __slots__ = (
+        "_clock",
+        "_tombstone_s",
+        "_records",
+        "_died_at",
+        "_live",
+        "_changes",
+    )
 
     def __init__(self, clock: clocks.Clock, tombstone_s: float) -> None:
         self._clock = clock
@@ -66,6 +73,12 @@
         self._records: dict[str, pb.Member] = {}
         self._died_at: dict[str, float] = {}
         self._live: dict[str, pb.Member] = {}
+        self._changes = 0
+
+    @property
+    def changes(self) -> int:
+        """Rises with every change of a record."""
+        return self._changes
 
     @property
     def live(self) -> typing.Mapping[str, pb.Member]:
@@ -108,6 +121,7 @@
 
     def forget(self, vm: str) -> None:
         """Drop all that is known of a VM."""
+        self._changes += 1
         self._records.pop(vm, None)
         self._live.pop(vm, None)
         self._died_at.pop(vm, None)
@@ -119,6 +133,7 @@
             self.forget(vm)
 
     def _store(self, before: pb.Member | None, after: pb.Member) -> Merged:
+        self._changes += 1
         self._records[after.vm] = after
         if after.state == pb.VM_DEAD:
             self._live.pop(after.vm, None)
--- a/src/apricotlever/vms/rumours.py
+++ b/src/apricotlever/vms/rumours.py
@@ -14,9 +14,17 @@
 from .. import clock as clocks
 from ..links import peer_pb2 as pb
 
-RETRANSMIT_FACTOR = 4
+DIGEST_FACTOR = 4
+URGENT_FACTOR = 3
+URGENT_SENDS_MAX = 12
 URGENT = frozenset(
-    ("runner_leaving", "runner_gone", "quarantine", "catalogue")
+    (
+        "runner_leaving",
+        "runner_gone",
+        "quarantine",
+        "catalogue",
+        "ledger_moved",
+    )
 )
 RUMOURS_MAX = 8192
 # A copy may still be on its way when the rumour's lifetime is over.
@@ -28,9 +36,19 @@
 Identity = tuple[str, int, int]
 
 
-def retransmissions(members: int) -> int:
-    """How often one VM sends a rumour in a group of that size."""
-    return RETRANSMIT_FACTOR * max(1, math.ceil(math.log10(members + 1)))
+def digest_sends(members: int) -> int:
+    """How often one VM sends a digest in a group of that size."""
+    return DIGEST_FACTOR * max(1, math.ceil(math.log10(members + 1)))
+
+
+def urgent_sends(members: int) -> int:
+    """How often it sends what nobody should miss.
+
+    A push reaches nearly all of a large group, which needs no more sends
+    than a small one.
+    """
+    wanted = URGENT_FACTOR * max(1, math.ceil(math.log2(members + 1)))
+    return min(URGENT_SENDS_MAX, wanted)
 
 
 def is_urgent(rumour: pb.Rumour) -> bool:
@@ -46,10 +64,19 @@
 class _Held:
     """One rumour and how often it was sent, near and far."""
 
-    __slots__ = ("rumour", "learned_at", "near", "far", "urgent", "size")
+    __slots__ = (
+        "rumour",
+        "via",
+        "learned_at",
+        "near",
+        "far",
+        "urgent",
+        "size",
+    )
 
-    def __init__(self, rumour: pb.Rumour, learned_at: float) -> None:
+    def __init__(self, rumour: pb.Rumour, via: str, learned_at: float) -> None:
         self.rumour = rumour
+        self.via = via
         self.learned_at = learned_at
         self.near = 0
         self.far = 0
@@ -100,12 +127,13 @@
         own.origin_incarnation = self._incarnation
         own.sequence = self._sequence
         own.age_ms = 0
-        self.take(own)
+        self.take(own, self._vm)
         return own
 
-    def take(self, rumour: pb.Rumour) -> bool:
+    def take(self, rumour: pb.Rumour, via: str) -> bool:
         """Hold a rumour that was heard.
 
+        :param via: who passed it on; it is not sent back there.
         :returns: whether it is news; expired ones and doubles are not.
         """
         identity = _identity(rumour)
@@ -113,25 +141,35 @@
         if identity in self._seen_until or left_s <= 0:
             return False
         now = self._clock.now()
-        self._seen_until[identity] = now + left_s + SEEN_SLACK_S
+        until = now + left_s + SEEN_SLACK_S
+        known_otherwise = self._seen_until.get(_topic(rumour), 0.0) > now
+        self._seen_until[identity] = self._seen_until[_topic(rumour)] = until
+        if known_otherwise:
+            return False
         if not self._replace_older(rumour, identity):
             return False
-        self._held[identity] = _Held(rumour, now)
+        self._held[identity] = _Held(rumour, via, now)
         if len(self._held) > RUMOURS_MAX:
             self._drop_one()
         return True
 
     def pick(
-        self, room_bytes: int, limit: int, far: bool = False
+        self, room_bytes: int, members: int, to: str, far: bool = False
     ) -> list[pb.Rumour]:
         """The rumours to put into one message; counts them as sent.
 
         :param room_bytes: what they may take together.
-        :param limit: sends of one rumour, see :func:`retransmissions`.
+        :param members: the size of the group, which bounds the sends.
+        :param to: the VM that the message is for.
         :param far: for another data centre: those for the fleet only.
         """
+        limits = digest_sends(members), urgent_sends(members)
         wanted = sorted(
-            (held for held in self._held.values() if _goes(held, far, limit)),
+            (
+                held
+                for held in self._held.values()
+                if held.via != to and _goes(held, far, limits[held.urgent])
+            ),
             key=_far_order if far else _near_order,
         )
         return [self._send(held, far) for held in _fitting(wanted, room_bytes)]
@@ -200,24 +238,37 @@
 class MemberNews:
     """Changed records of members, each sent a bounded number of times."""
 
-    __slots__ = ("_sent",)
+    __slots__ = ("_sent", "_via")
 
     def __init__(self) -> None:
         self._sent: dict[str, int] = {}
+        self._via: dict[str, str] = {}
 
-    def add(self, vm: str) -> None:
-        """Start passing on the record of a VM, from the first send."""
-        self._sent[vm] = 0
+    def add(self, vm: str, via: str = "", sent: int = 0) -> None:
+        """Start passing on the record of a VM.
+
+        :param via: who told of it; it is not sent back there.
+        :param sent: sends that are saved, as others most likely know it.
+        """
+        self._sent[vm] = sent
+        self._via[vm] = via
 
     def pick(
         self,
         room_bytes: int,
-        limit: int,
+        members: int,
+        to: str,
         record_of: typing.Callable[[str], pb.Member | None],
     ) -> list[pb.Member]:
-        """The records to put into one message; counts them as sent."""
+        """The records to put into one message; counts them as sent.
+
+        :param to: the VM that the message is for.
+        """
+        limit = urgent_sends(members)
         picked: list[pb.Member] = []
         for vm in sorted(self._sent, key=self._sent.__getitem__):
+            if to in (vm, self._via[vm]):
+                continue
             member = record_of(vm)
             if member is None:
                 del self._sent[vm]
@@ -239,6 +290,18 @@
     return rumour.origin, rumour.origin_incarnation, rumour.sequence
 
 
+def _topic(rumour: pb.Rumour) -> Identity:
+    """What the rumour tells, when several VMs tell the same.
+
+    Each watcher of a data centre announces a new catalogue; passing on all
+    of their rumours would multiply its bytes.
+    """
+    if rumour.HasField("catalogue"):
+        catalogue = rumour.catalogue
+        return "catalogue", catalogue.version, catalogue.digest
+    return _identity(rumour)
+
+
 def _for_fleet(held: _Held) -> bool:
     return held.rumour.scope == pb.SCOPE_FLEET
 
--- a/src/apricotlever/vms/summaries.py
+++ b/src/apricotlever/vms/summaries.py
@@ -14,19 +14,28 @@
 from . import rumours
 from . import timing as timings
 
+KIN_MAX = 16
 _MS = 1000.0
 
 
 class _Known:
-    """A summary and when this version of it was heard."""
+    """A summary and when it was issued, by our own clock."""
 
-    __slots__ = ("summary", "heard_at", "sent")
+    __slots__ = ("summary", "issued_at", "sent")
 
-    def __init__(self, summary: pb.DataCentreSummary, heard_at: float) -> None:
+    def __init__(self, summary: pb.DataCentreSummary, now: float) -> None:
         self.summary = summary
-        self.heard_at = heard_at
+        self.issued_at = now - summary.age_ms / _MS
         self.sent = 0
 
+    def copy(self, now: float) -> pb.DataCentreSummary:
+        """The summary with the age that it has by now; counts as sent."""
+        self.sent += 1
+        copy = pb.DataCentreSummary()
+        copy.CopyFrom(self.summary)
+        copy.age_ms = int((now - self.issued_at) * _MS)
+        return copy
+
 
 class Summaries:
     """Summaries of all data centres, and VMs to reach each by.
@@ -43,6 +52,7 @@
         "_region",
         "_known",
         "_contacts",
+        "_kin",
         "_round",
     )
 
@@ -61,6 +71,7 @@
         self._region = region
         self._known: dict[str, _Known] = {}
         self._contacts: dict[str, pb.Member] = {}
+        self._kin: dict[str, pb.Member] = {}
         self._round: list[str] = []
 
     @property
@@ -70,7 +81,7 @@
         return {
             name: known.summary
             for name, known in self._known.items()
-            if known.heard_at >= oldest
+            if known.issued_at >= oldest
         }
 
     @property
@@ -79,6 +90,15 @@
         names = set(self._known) | set(self._contacts)
         return sorted(names - {self._data_centre})
 
+    @property
+    def kin(self) -> list[pb.Member]:
+        """Gateways that some summary named for our own data centre.
+
+        VMs of one data centre that do not know each other yet each issue a
+        summary of it; by these names they find together.
+        """
+        return list(self._kin.values())
+
     def elsewhere(self) -> int:
         """Members in other data centres, by fresh summaries."""
         return sum(
@@ -92,6 +112,10 @@
 
         :returns: whether it was newer than the one known.
         """
+        if summary.data_centre == self._data_centre:
+            newest = {gateway.vm: gateway for gateway in summary.gateways}
+            kept = list({**self._kin, **newest}.items())
+            self._kin = dict(kept[-KIN_MAX:])
         known = self._known.get(summary.data_centre)
         if known is not None and known.summary.version >= summary.version:
             return False
@@ -138,21 +162,33 @@
 
     def pick(self, room_bytes: int) -> list[pb.DataCentreSummary]:
         """Our own summary and the least-sent others for one message."""
-        fresh = self.fresh
-        order = sorted(
-            (self._known[name] for name in fresh),
-            key=lambda known: (
-                known.summary.data_centre != self._data_centre,
-                known.sent,
-            ),
+        order = sorted(self._least_sent(), key=self._is_elsewhere)
+        return self._fitting(order, room_bytes)
+
+    def pick_few(self, count: int) -> list[pb.DataCentreSummary]:
+        """The least-sent ones."""
+        now = self._clock.now()
+        return [known.copy(now) for known in self._least_sent()[:count]]
+
+    def _is_elsewhere(self, known: _Known) -> bool:
+        return known.summary.data_centre != self._data_centre
+
+    def _least_sent(self) -> list[_Known]:
+        return sorted(
+            (self._known[name] for name in self.fresh),
+            key=lambda known: (known.sent, -known.issued_at),
         )
+
+    def _fitting(
+        self, order: list[_Known], room_bytes: int
+    ) -> list[pb.DataCentreSummary]:
+        now = self._clock.now()
         picked = []
         for known in order:
             room_bytes -= rumours.size_bytes(known.summary)
             if room_bytes < 0:
                 break
-            known.sent += 1
-            picked.append(known.summary)
+            picked.append(known.copy(now))
         return picked
 
     def next_data_centre(self) -> str | None:
@@ -176,6 +212,6 @@
         return self._rng.choice(ways) if ways else None
 
     def _issue_due(self, known: _Known, gateways: list[str]) -> bool:
-        age_s = self._clock.now() - known.heard_at
+        age_s = self._clock.now() - known.issued_at
         listed = [member.vm for member in known.summary.gateways]
         return age_s >= self._timing.summary_interval_s or listed != gateways
--- a/src/apricotlever/vms/versions.py
+++ b/src/apricotlever/vms/versions.py
@@ -88,8 +88,7 @@
     def _remember_step(
         self, old: InForce, document: Document
     ) -> list[pb.CatalogueChange] | None:
-        whole = deltas.divisible(old.document) and deltas.divisible(document)
-        if not old.version or not whole:
+        if not old.version or not deltas.comparable(old.document, document):
             self._steps.clear()
             return None
         changes = deltas.difference(old.document, document)
--- /dev/null
+++ b/tests/steps/vms_rumours.py
@@ -0,0 +1,162 @@
+"""Steps for what members tell each other by rumour."""
+
+import collections
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from apricotlever import clock as clocks
+from apricotlever.links import peer_pb2 as pb
+from apricotlever.vms import actions
+from apricotlever.vms import rumours
+
+FRAME_BYTES = 400
+
+
+@behave.when('gossip VM "{vm}" announces a runner that leaves to the fleet')
+def announces_leaving(context, vm):
+    """Urgent."""
+    context.world.fleet.nodes[vm].membership.announce(
+        pb.Rumour(
+            scope=pb.SCOPE_FLEET,
+            lifetime_ms=60_000,
+            runner_leaving=pb.RunnerLeaving(runner="r1", deadline_s=20),
+        )
+    )
+
+
+@behave.when('gossip VM "{vm}" announces a runner\'s load to its data centre')
+def announces_load(context, vm, runner="r1"):
+    """Not urgent."""
+    context.world.fleet.nodes[vm].membership.announce(
+        pb.Rumour(
+            scope=pb.SCOPE_DATA_CENTRE,
+            lifetime_ms=60_000,
+            replaces_key=f"load/{runner}",
+            load=pb.LoadDigest(runner=runner, running=1),
+        )
+    )
+
+
+@behave.when(
+    'gossip VM "{vm}" announces {count:d} loads and a runner that leaves'
+)
+def announces_flood(context, vm, count):
+    """The digests come first."""
+    for i in range(count):
+        announces_load(context, vm, f"r{i}")
+    announces_leaving(context, vm)
+
+
+def _heard(world, body):
+    return collections.Counter(
+        node.vm
+        for _, node, action in world.told[actions.Delivered]
+        if action.rumour.WhichOneof("body") == body
+    )
+
+
+def _reaches(context, seconds, count, body):
+    world = context.world
+    world.within(seconds, lambda: len(_heard(world, body)) == count)
+    world.fleet.run(20.0)
+    heard = _heard(world, body)
+    assert len(heard) == count and set(heard.values()) == {1}, heard
+
+
+@behave.then(
+    "within {seconds:d} s the leaving runner is known at {count:d} gossip "
+    "VMs, once each"
+)
+def leaving_known(context, seconds, count):
+    """Nowhere else."""
+    _reaches(context, seconds, count, "runner_leaving")
+
+
+@behave.then(
+    "within {seconds:d} s the load is known at {count:d} gossip VMs, once each"
+)
+def load_known(context, seconds, count):
+    """Nowhere else."""
+    _reaches(context, seconds, count, "load")
+
+
+@behave.when('gossip VMs "{one}" and "{other}" announce the same catalogue')
+def announce_alike(context, one, other):
+    """As the watchers of one data centre do."""
+    rumour = pb.Rumour(scope=pb.SCOPE_DATA_CENTRE, lifetime_ms=30_000)
+    rumour.catalogue.version, rumour.catalogue.digest = 5, 55
+    for vm in (one, other):
+        context.world.fleet.nodes[vm].membership.announce(rumour)
+
+
+@behave.then(
+    "within {seconds:d} s the gossip catalogue is known at {count:d} VMs of "
+    '"d0", once each'
+)
+def catalogue_known(context, seconds, count):
+    """The announcers know it already."""
+    _reaches(context, seconds, count, "catalogue")
+
+
+@behave.then(
+    "no gossip message carried more than {count:d} bytes beside its frame"
+)
+def bounded(context, count):
+    """Whole views aside."""
+    sizes = [
+        action.message.ByteSize()
+        for _, _, action in context.world.told[actions.Send]
+        if action.message.WhichOneof("kind") != "sync"
+    ]
+    assert max(sizes) <= count + FRAME_BYTES, max(sizes)
+
+
+@behave.then(
+    "with any loss and order every rumour comes at most once and ages"
+)
+def exactly_once(context):
+    """Copies in any order, some after the end of the lifetime."""
+    lifetime_s = 5.0
+    steps = strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 4), strategies.floats(0.0, 2.0)
+        ),
+        min_size=1,
+        max_size=30,
+    )
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, database=None, max_examples=100
+    )
+    @hypothesis.given(steps)
+    def check(copies):
+        clock = clocks.ManualClock()
+        source = rumours.Rumours(clock, "a", 1)
+        held = rumours.Rumours(clock, "b", 1)
+        start = clock.now()
+        made = [
+            source.stamp(
+                pb.Rumour(
+                    lifetime_ms=int(lifetime_s * 1000),
+                    runner_gone=pb.RunnerGone(runner=f"r{i}"),
+                )
+            )
+            for i in range(5)
+        ]
+        taken = collections.Counter()
+        for number, wait_s in copies:
+            clock.advance(wait_s)
+            copy = pb.Rumour()
+            copy.CopyFrom(made[number])
+            copy.age_ms = int((clock.now() - start) * 1000)
+            taken[number] += held.take(copy, "a")
+            held.purge()
+            for passed_on in held.pick(10_000, 99, "c"):
+                age_s = clock.now() - start
+                assert abs(passed_on.age_ms / 1000 - age_s) < 0.01
+                assert age_s < lifetime_s
+        assert all(count <= 1 for count in taken.values())
+
+    check()
--- /dev/null
+++ b/tests/vms/gossip_world.py
@@ -0,0 +1,54 @@
+"""A virtual fleet of members, and all that they were told."""
+
+import collections
+
+from apricotlever.links import peer_pb2 as pb
+from apricotlever.vms import actions
+from apricotlever.vms import membership
+from apricotlever.vms import timing
+from bench import fleets
+from bench import virtual
+
+
+class World:
+    """A fleet and all that its VMs were told."""
+
+    def __init__(self, count, data_centres, make, **timings):
+        sizes = fleets.even_sizes(count, data_centres)
+        self.fleet = virtual.Fleet(timing=timing.MembershipTiming(**timings))
+        self.told = collections.defaultdict(list)
+        self.fleet.watchers.append(self._watch)
+        members = fleets.members_of(sizes)
+        hints = [membership.Hint(m.vm, m.peers_address) for m in members]
+        all_known = make is not membership.Membership
+        for member in members:
+            self.fleet.add(member, hints if all_known else hints[:1], make)
+        self.since = self.fleet.clock.now()
+
+    def _watch(self, node, action):
+        now = self.fleet.clock.now()
+        self.told[type(action)].append((now, node, action))
+
+    def running(self):
+        return [n for n in self.fleet.nodes.values() if n.running]
+
+    def seen_by(self, node):
+        return set(node.membership.view.members)
+
+    def complete(self):
+        names = {node.vm for node in self.running()}
+        return all(self.seen_by(node) == names for node in self.running())
+
+    def wrong_deaths(self):
+        """(judge, victim) where the victim's process ran."""
+        return [
+            (node.vm, action.after.vm)
+            for at, node, action in self.told[actions.Changed]
+            if action.after.state == pb.VM_DEAD
+            and at >= self.since
+            and self.fleet.nodes[action.after.vm].running
+        ]
+
+    def within(self, seconds, done):
+        took = self.fleet.run_until(done, seconds)
+        assert took is not None, "not within the time"
