--- a/src/apricotlever/links/stream_loop.py
+++ b/src/apricotlever/links/stream_loop.py
@@ -167,8 +167,22 @@
             if now - reading.heard_at > reading.patience_s
         ]
         for reading in silent:
-            message = f"{reading.label} fell silent"
-            self._end(reading, upstreams.Silent(message, sent=True))
+            self._end_if_silent(reading)
+
+    def _end_if_silent(self, reading: _Reading) -> None:
+        """End a stream that has nothing to read.
+
+        When this process is short of processor time, the bytes of a stream
+        that is well wait in its socket. Taken for silent it would be
+        resumed, which costs more time yet, and the next ones would follow.
+        """
+        heard_at = reading.heard_at
+        self._read_one(reading)
+        ended = id(reading) not in self._readings
+        if ended or reading.heard_at > heard_at:
+            return
+        message = f"{reading.label} fell silent"
+        self._end(reading, upstreams.Silent(message, sent=True))
 
     def _end(self, reading: _Reading, error: Exception | None) -> None:
         self._readings.pop(id(reading), None)
