--- a/src/apricotlever/daemon/departing.py
+++ b/src/apricotlever/daemon/departing.py
@@ -16,8 +16,9 @@
 from . import archive
 from . import book
 from . import context as contexts
-from . import fleet
+from . import fleet_messages
 from . import presence as presences
+from . import rumours
 
 TICK_S = 0.1
 PART_CALL_S = 1.0
@@ -142,7 +143,7 @@
     @_carry_out_one.register
     def _send(self, action: departure.Send) -> None:
         part = action.part
-        call = fleet.CallPeer(
+        call = fleet_messages.CallPeer(
             part.heir.vm,
             part.heir.incarnation,
             "Handover",
@@ -174,7 +175,11 @@
 
     @_carry_out_one.register
     def _ledger_received(self, action: departure.LedgerReceived) -> None:
-        self._context.book.tell(book.HeirAnswered(action.receipt))
+        receipt = action.receipt
+        self._context.book.tell(book.HeirAnswered(receipt))
+        if receipt.accepted:
+            moved = rumours.of_ledger_moved(receipt.sender, receipt.heir)
+            self._context.fleet.tell(fleet_messages.Announce(moved))
 
     @_carry_out_one.register
     def _outcomes_received(self, action: departure.OutcomesReceived) -> None:
--- a/src/apricotlever/daemon/fleet.py
+++ b/src/apricotlever/daemon/fleet.py
@@ -24,6 +24,7 @@
 from ..vms import timing
 from ..vms import view as views
 
+from . import fleet_messages
 from . import listeners
 from . import peer_calls
 from . import promises
@@ -86,77 +87,6 @@
         self.report = report
 
 
-class Announce:
-    """Spread a rumour."""
-
-    __slots__ = ("rumour",)
-
-    def __init__(self, rumour: pb.Rumour) -> None:
-        self.rumour = rumour
-
-
-class CatalogueKnown:
-    """This VM has a catalogue in force; peers are to hear of it."""
-
-    __slots__ = ("version", "digest")
-
-    def __init__(self, version: int, digest: int) -> None:
-        self.version = version
-        self.digest = digest
-
-
-class Hints:
-    """Entry VMs on the platform's lagging list."""
-
-    __slots__ = ("hints",)
-
-    def __init__(self, hints: tuple[membership.Hint, ...]) -> None:
-        self.hints = hints
-
-
-class ViewWanted:
-    """Ask for the view as it is now."""
-
-    __slots__ = ()
-
-
-class CallPeer:
-    """Call a method of another entry VM by its name.
-
-    Answered with the peer's answer; raises what the peer link raises.
-
-    :param incarnation: only this one is meant; 0 for any.
-    """
-
-    __slots__ = ("vm", "incarnation", "method", "message", "timeout_s")
-
-    def __init__(
-        self,
-        vm: str,
-        incarnation: int,
-        method: str,
-        message: typing.Any,
-        timeout_s: float,
-    ) -> None:
-        self.vm = vm
-        self.incarnation = incarnation
-        self.method = method
-        self.message = message
-        self.timeout_s = timeout_s
-
-
-class Leave:
-    """Tell the others that this VM takes no new work."""
-
-    __slots__ = ()
-
-
-class Depart:
-    """Tell the others that this process ends; the last message."""
-
-    __slots__ = ()
-
-
 class _Received:
     """A gossip message came in, as a call or as an answer."""
 
@@ -227,28 +157,28 @@
         self._carry_out(found)
         return replies[0] if replies else pb.GossipMessage()
 
-    @mailbox.handles(Announce)
-    def _announce(self, message: Announce) -> None:
+    @mailbox.handles(fleet_messages.Announce)
+    def _announce(self, message: fleet_messages.Announce) -> None:
         self._membership.announce(message.rumour)
 
-    @mailbox.handles(CatalogueKnown)
-    def _catalogue(self, message: CatalogueKnown) -> None:
+    @mailbox.handles(fleet_messages.CatalogueKnown)
+    def _catalogue(self, message: fleet_messages.CatalogueKnown) -> None:
         self._membership.set_catalogue(message.version, message.digest)
 
-    @mailbox.handles(Hints)
-    def _hinted(self, message: Hints) -> None:
+    @mailbox.handles(fleet_messages.Hints)
+    def _hinted(self, message: fleet_messages.Hints) -> None:
         self._membership.hint(message.hints)
 
-    @mailbox.handles(ViewWanted)
-    def _view_wanted(self, message: ViewWanted) -> views.View:
+    @mailbox.handles(fleet_messages.ViewWanted)
+    def _view_wanted(self, message: fleet_messages.ViewWanted) -> views.View:
         return self._membership.view
 
-    @mailbox.handles(Leave)
-    def _leave(self, message: Leave) -> None:
+    @mailbox.handles(fleet_messages.Leave)
+    def _leave(self, message: fleet_messages.Leave) -> None:
         self._carry_out(self._membership.leave())
 
-    @mailbox.handles(Depart)
-    def _depart(self, message: Depart) -> "mailbox.Deferred":
+    @mailbox.handles(fleet_messages.Depart)
+    def _depart(self, message: fleet_messages.Depart) -> "mailbox.Deferred":
         sends = [
             action
             for action in self._membership.depart()
@@ -258,8 +188,8 @@
         promises.settle_with_all(self.defer(), calls)
         return mailbox.DEFERRED
 
-    @mailbox.handles(CallPeer)
-    def _call_peer(self, message: CallPeer) -> mailbox.Deferred:
+    @mailbox.handles(fleet_messages.CallPeer)
+    def _call_peer(self, message: fleet_messages.CallPeer) -> mailbox.Deferred:
         future = self.defer()
         member = self._membership.view.members.get(message.vm)
         other = message.incarnation not in (
--- a/src/apricotlever/daemon/heir.py
+++ b/src/apricotlever/daemon/heir.py
@@ -16,7 +16,7 @@
 from . import archive
 from . import book
 from . import context as contexts
-from . import fleet
+from . import fleet_messages
 from . import flights
 from . import messages
 from . import pump as pumps
@@ -77,7 +77,7 @@
             return _refused("this VM is leaving too")
         logs.event("handover_taken", sender=receipt.sender.vm, ledger=True)
         moved = rumours.of_ledger_moved(receipt.sender, receipt.heir)
-        self._context.fleet.tell(fleet.Announce(moved))
+        self._context.fleet.tell(fleet_messages.Announce(moved))
         return pb.HandoverReceipt(accepted=True)
 
     def _adopt(self, sender: str, adopted: list[records.Record]) -> None:
--- a/src/apricotlever/daemon/keeper.py
+++ b/src/apricotlever/daemon/keeper.py
@@ -21,7 +21,7 @@
 from ..vms import membership
 from ..vms import view as views
 
-from . import fleet
+from . import fleet_messages
 from . import messages
 from . import repeats
 from . import runner_documents
@@ -185,6 +185,7 @@
         self._notice_seq = -1
         self._notice_waits = False
         self._cache_seqs: dict[str, int] = {}
+        self._kept: frozenset[str] = frozenset()
         self._dead: set[str] = set()
         self._calls = {
             call: repeats.Repeats(clock) for call in (VMS, PRICES, NOTICES)
@@ -219,7 +220,7 @@
             for vm in self._vms
             if vm.role == "entry" and vm.address
         )
-        self._others.tell(fleet.Hints(entries))
+        self._others.tell(fleet_messages.Hints(entries))
         self._publish()
 
     @mailbox.handles(_Priced)
@@ -263,7 +264,7 @@
     @mailbox.handles(messages.StatusWanted)
     def _status(self, message: messages.StatusWanted) -> dict[str, object]:
         return {
-            "kept": sorted(filter(self._keeps, self._runners)),
+            "kept": sorted(self._kept),
             "watches_notices": self._watches_notices,
         }
 
@@ -279,8 +280,9 @@
         if self._notices_due:
             self._notice_waits = True
             self._submit(self._wait_for_notices, _Noticed)
-        for name, runner in self._runners.items():
-            if self._due.get(name, 0.0) <= now and self._keeps(name):
+        for name in self._kept:
+            if self._due.get(name, 0.0) <= now:
+                runner = self._runners[name]
                 self._due[name] = now + self._config.timing.load_poll_s
                 after = self._cache_seqs.get(name, 0)
                 self._threads.submit(self._poll, runner, after)
@@ -314,6 +316,9 @@
         if not self._vms:
             return
         self._runners = {runner.name: runner for runner in listed}
+        # Ranked here and not at each tick: with many runners the ranking
+        # would take most of a core.
+        self._kept = frozenset(filter(self._keeps, self._runners))
         self._listener.on_platform(self._vms, self._prices)
         self._listener.on_runners(self._keeping.choose(listed), listed)
         for vm in self._vms:
--- a/src/apricotlever/daemon/node.py
+++ b/src/apricotlever/daemon/node.py
@@ -27,6 +27,7 @@
 from . import desk
 from . import duties
 from . import fleet
+from . import fleet_messages
 from . import gateway
 from . import heir
 from . import keeper
@@ -42,6 +43,10 @@
 NAMED_PART = 0.25
 HANDOVER_PART = 0.7
 SETTLE_S = 0.05
+#: How long a connection just made may take to bring its request.
+LAST_CALLS_S = 0.2
+#: How long the news of the heir may take to every entry VM.
+HEIR_KNOWN_S = 0.8
 FLUSH_S = 2.0
 
 
@@ -249,7 +254,9 @@
         self._running.append(self._pool.submit(self._streams.run))
         for running in self._running:
             running.add_done_callback(self._task_ended)
-        self._fleet.ask(fleet.ViewWanted()).add_done_callback(self._first_view)
+        self._fleet.ask(fleet_messages.ViewWanted()).add_done_callback(
+            self._first_view
+        )
         logs.event(
             "started",
             callers=self.callers_address,
@@ -272,11 +279,19 @@
         logs.event("stopping", left_s=round(deadline - self._clock.now(), 3))
         self._presence.leave()
         self._duties.tell(duties.Leave())
-        self._fleet.tell(fleet.Leave())
+        self._fleet.tell(fleet_messages.Leave())
         self._sleep_until(self._named_until(deadline))
         self._presence.take_no_more()
         handed_over = self._hand_over(deadline)
+        # A caller that picked this VM a moment ago gets a refusal that it
+        # can act on, not a broken connection.
+        self._server.stop_listening()
+        handed_over_at = self._clock.now()
+        self._sleep_until(min(deadline, handed_over_at + LAST_CALLS_S))
         ended = self._wait_for_calls(deadline)
+        # A key of this VM that comes to a third one before it has heard of
+        # the heir would be answered unknown, though its answer is kept.
+        self._sleep_until(min(deadline, handed_over_at + HEIR_KNOWN_S))
         if not ended:
             logs.event("stop_cut_off")
         self._shut_down()
@@ -335,7 +350,7 @@
             threading.Event().wait(min(left_s, 0.25))
 
     def _shut_down(self) -> None:
-        departed = self._fleet.ask(fleet.Depart())
+        departed = self._fleet.ask(fleet_messages.Depart())
         futures.wait([departed], self._config.timing.peer_timeout_s)
         self._server.close()
         self._streams.stop()
--- a/src/apricotlever/daemon/service_calls.py
+++ b/src/apricotlever/daemon/service_calls.py
@@ -12,7 +12,7 @@
 
 from . import book
 from . import context as contexts
-from . import fleet
+from . import fleet_messages
 from . import keyed_answers
 from . import service_attempts
 from . import service_request
@@ -115,7 +115,7 @@
             body=request.body,
             deadline_s=left_s,
         )
-        call = fleet.CallPeer(
+        call = fleet_messages.CallPeer(
             forward.vm,
             forward.incarnation,
             "Run",
--- a/src/apricotlever/daemon/switchboard.py
+++ b/src/apricotlever/daemon/switchboard.py
@@ -20,6 +20,7 @@
 from . import departing
 from . import duties
 from . import fleet
+from . import fleet_messages
 from . import keeper
 from . import messages
 from . import presence as presences
@@ -274,7 +275,7 @@
             self._tasks.buyer.tell(buyer.DemandSeen(rumour.demand))
         if self._large and rumour.WhichOneof("body") in _LOCAL_WHEN_LARGE:
             rumour.scope = pb.SCOPE_DATA_CENTRE
-        self._tasks.fleet.tell(fleet.Announce(rumour))
+        self._tasks.fleet.tell(fleet_messages.Announce(rumour))
 
     def _noticed(self, vm: str, left_s: float) -> None:
         if vm == self._config.vm:
--- a/src/apricotlever/daemon/watcher.py
+++ b/src/apricotlever/daemon/watcher.py
@@ -22,7 +22,7 @@
 from ..vms import spread_actions
 from ..vms import view as views
 
-from . import fleet
+from . import fleet_messages
 from . import messages
 from . import readings
 from . import store as stores
@@ -235,7 +235,7 @@
             case spread_actions.Apply():
                 self._apply(action)
             case spread_actions.Announce():
-                self._others.tell(fleet.Announce(action.rumour))
+                self._others.tell(fleet_messages.Announce(action.rumour))
             case spread_actions.Fault():
                 logs.event(
                     "catalogue_refused",
@@ -246,7 +246,9 @@
                 )
 
     def _apply(self, action: spread_actions.Apply) -> None:
-        self._others.tell(fleet.CatalogueKnown(action.version, action.digest))
+        self._others.tell(
+            fleet_messages.CatalogueKnown(action.version, action.digest)
+        )
         self._in_force(self._parsed)
         logs.event(
             "catalogue_in_force",
@@ -255,7 +257,7 @@
         )
 
     def _fetch(self, action: spread_actions.FetchFrom) -> None:
-        call = fleet.CallPeer(
+        call = fleet_messages.CallPeer(
             action.vm, 0, "Fetch", action.message, spread.FETCH_TIMEOUT_S
         )
 
--- a/src/apricotlever/links/_caller_channels.py
+++ b/src/apricotlever/links/_caller_channels.py
@@ -7,6 +7,7 @@
 from waitress import channel as waitress_channel
 from waitress import server as waitress_server
 from waitress import task as waitress_task
+from waitress import wasyncore
 
 from .. import refusals
 
@@ -182,6 +183,20 @@
         for channel in overdue:
             channel.give_up_receiving()
 
+    def stop_listening(self) -> None:
+        """Accept what waits, then close the port; on the loop's thread.
+
+        The kernel resets the connections that wait to be accepted when the
+        listening socket is closed. Their callers have sent a request and
+        could not tell whether it was run, so they are accepted first.
+        """
+        known = -1
+        while known != len(self.active_channels):
+            known = len(self.active_channels)
+            self.handle_accept()
+        self.accepting = False
+        wasyncore.dispatcher.close(self)
+
     def add_task(self, task: Channel) -> None:
         """Queue a request for the threads, or refuse it when they are busy."""
         # With every thread busy a request would wait unseen, and its refusal
--- a/src/apricotlever/links/callers.py
+++ b/src/apricotlever/links/callers.py
@@ -7,7 +7,6 @@
 """
 
 import json
-import socket
 import typing
 from urllib import parse as urls
 
@@ -254,11 +253,7 @@
 
     def stop_listening(self) -> None:
         """Take no new connections; open ones go on."""
-        self._server.accepting = False
-        try:
-            self._server.socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
+        self._server.trigger.pull_trigger(self._server.stop_listening)
 
     def close(self) -> None:
         """End at once, with the connections that are open."""
