--- a/bench/_slope_cases.py
+++ b/bench/_slope_cases.py
@@ -8,12 +8,12 @@
 
 from apricotlever import catalogue
 from apricotlever import clock as clocks
-from apricotlever import histograms
 from apricotlever.contracts import admission
 from apricotlever.contracts import fleet_shares
 from apricotlever.daemon import relay
 from apricotlever.daemon import rumours
 from apricotlever.daemon import transcripts
+from apricotlever import histograms
 from apricotlever.requests import ledger
 from apricotlever.requests import messages as keyed
 from apricotlever.runners import model as runners
@@ -25,6 +25,8 @@
 from . import virtual
 
 REPEATS = 5
+#: Until what a start has to tell has ebbed away.
+WARM_S = 40.0
 Points = list[tuple[float, float]]
 Measure = typing.Callable[[int], float]
 
@@ -59,7 +61,7 @@
 SLOPES: dict[str, Slope] = {}
 
 
-def _slope(
+def slope(
     name: str, x: str, y: str, *sizes: int
 ) -> typing.Callable[[Measure], Measure]:
     def register(measure: Measure) -> Measure:
@@ -69,7 +71,7 @@
     return register
 
 
-def _processor_us(work: typing.Callable[[], int]) -> float:
+def processor_us(work: typing.Callable[[], int]) -> float:
     """Processor time for each operation: the least of some repeats.
 
     :param work: returns how many operations it made.
@@ -82,7 +84,7 @@
     return min(found)
 
 
-def _memory_bytes(make: typing.Callable[[], typing.Any]) -> float:
+def memory_bytes(make: typing.Callable[[], typing.Any]) -> float:
     """What an object holds in memory, by the allocator's own count."""
     gc.collect()
     tracemalloc.start()
@@ -98,35 +100,35 @@
 def _membership_cost(size: int, seconds: float = 15.0) -> fleets.Cost:
     fleet = virtual.Fleet(seed=size)
     nodes = fleets.start_known(fleet, fleets.members_of((size,)))
-    fleet.run(3.0)
+    fleet.run(WARM_S)
     fleets.Cost.reset(nodes)
     fleet.run(seconds)
     return fleets.Cost(nodes, seconds, 0.0, 274.0)
 
 
-@_slope("membership_bytes", "members", "bytes/s a node", 20, 40, 80, 160)
+@slope("membership_bytes", "members", "bytes/s a node", 20, 40, 80, 160)
 def _membership_bytes(size: int) -> float:
     return _membership_cost(size).wire_bytes
 
 
-@_slope("membership_core", "members", "% of a core", 20, 40, 80, 160)
+@slope("membership_core", "members", "% of a core", 20, 40, 80, 160)
 def _membership_core(size: int) -> float:
     return 100.0 * _membership_cost(size).decisions
 
 
-@_slope("gateway_bytes", "data centres", "bytes/s a gateway", 4, 8, 12, 22)
+@slope("gateway_bytes", "data centres", "bytes/s a gateway", 4, 8, 12, 22)
 def _gateway_bytes(size: int) -> float:
     fleet = virtual.Fleet(seed=size)
     sizes = fleets.even_sizes(20 * size, size)
     nodes = fleets.start_known(fleet, fleets.members_of(sizes))
-    fleet.run(5.0)
+    fleet.run(WARM_S)
     fleets.Cost.reset(nodes)
     fleet.run(15.0)
     gateways = [node for node in nodes if node.membership.is_gateway]
     return fleets.Cost(gateways, 15.0, 0.0, 274.0).wire_bytes
 
 
-def _catalogue(entries: int) -> dict[str, typing.Any]:
+def catalogue_of(entries: int) -> dict[str, typing.Any]:
     return {
         "customers": {
             f"customer-{i}": {"key_sha256": f"{i:064x}", "weight": 1.0}
@@ -163,18 +165,18 @@
     }
 
 
-@_slope("catalogue_bytes", "entries", "bytes whole", 50, 100, 200, 400)
+@slope("catalogue_bytes", "entries", "bytes whole", 50, 100, 200, 400)
 def _catalogue_bytes(size: int) -> float:
-    return float(len(deltas.canonical(_catalogue(size))))
+    return float(len(deltas.canonical(catalogue_of(size))))
 
 
-@_slope("catalogue_apply", "entries", "us a change", 50, 100, 200, 400)
+@slope("catalogue_apply", "entries", "us a change", 50, 100, 200, 400)
 def _catalogue_apply(size: int) -> float:
     parser = catalogue.Parser()
-    parser.parse(_catalogue(size), 1)
+    parser.parse(catalogue_of(size), 1)
 
     def work() -> int:
-        document = _catalogue(size)
+        document = catalogue_of(size)
         document["entries"]["entry-0"]["version"] = str(time.monotonic())
         began = time.process_time()
         deltas.digest_of(document)
@@ -188,9 +190,9 @@
     return min(spent) * 1e6
 
 
-@_slope("catalogue_memory", "entries", "bytes held", 50, 100, 200, 400)
+@slope("catalogue_memory", "entries", "bytes held", 50, 100, 200, 400)
 def _catalogue_memory(size: int) -> float:
-    return _memory_bytes(lambda: catalogue.parse(_catalogue(size), 1))
+    return memory_bytes(lambda: catalogue.parse(catalogue_of(size), 1))
 
 
 def _ledger(size: int) -> ledger.Ledger:
@@ -206,18 +208,18 @@
     return book
 
 
-@_slope("ledger_memory", "keys", "bytes held", 1000, 2000, 4000, 8000)
+@slope("ledger_memory", "keys", "bytes held", 1000, 2000, 4000, 8000)
 def _ledger_memory(size: int) -> float:
-    return _memory_bytes(lambda: _ledger(size))
+    return memory_bytes(lambda: _ledger(size))
 
 
-@_slope("ledger_core", "keys", "us for all", 1000, 2000, 4000, 8000)
+@slope("ledger_core", "keys", "us for all", 1000, 2000, 4000, 8000)
 def _ledger_core(size: int) -> float:
     def work() -> int:
         _ledger(size)
         return 1
 
-    return _processor_us(work)
+    return processor_us(work)
 
 
 def _router(count: int) -> routing.Router:
@@ -239,7 +241,7 @@
     return router
 
 
-@_slope("routing_core", "runners", "us a choice", 8, 16, 32, 64)
+@slope("routing_core", "runners", "us a choice", 8, 16, 32, 64)
 def _routing_core(size: int) -> float:
     router = _router(size)
     blocks = prefix.blocks_of("m", "clause " * 300)
@@ -252,10 +254,10 @@
             router.choose(query)
         return 300
 
-    return _processor_us(work)
+    return processor_us(work)
 
 
-@_slope("prefix_memory", "blocks", "bytes held", 2000, 4000, 8000, 16000)
+@slope("prefix_memory", "blocks", "bytes held", 2000, 4000, 8000, 16000)
 def _prefix_memory(size: int) -> float:
     def make() -> prefix.PrefixIndex:
         index = prefix.PrefixIndex()
@@ -267,14 +269,14 @@
             index.routed(name, blocks)
         return index
 
-    return _memory_bytes(make)
+    return memory_bytes(make)
 
 
-@_slope("admission_core", "customers", "us a request", 5, 20, 80, 320)
+@slope("admission_core", "customers", "us a request", 5, 20, 80, 320)
 def _admission_core(size: int) -> float:
     clock = clocks.ManualClock()
     desk = admission.Admission(clock, random.Random(1), "vm-1")
-    desk.configure(catalogue.parse(_catalogue(4), 1))
+    desk.configure(catalogue.parse(catalogue_of(4), 1))
 
     def work() -> int:
         for number in range(500):
@@ -293,10 +295,10 @@
             clock.advance(0.002)
         return 500
 
-    return _processor_us(work)
+    return processor_us(work)
 
 
-@_slope("shares_core", "reports/s", "us a second", 25, 50, 100, 200)
+@slope("shares_core", "reports/s", "us a second", 25, 50, 100, 200)
 def _shares_core(size: int) -> float:
     clock = clocks.ManualClock()
     shares = fleet_shares.FleetShares(clock, "vm-0")
@@ -316,10 +318,10 @@
         shares.units("entry-0", kind)
         return 1
 
-    return _processor_us(work)
+    return processor_us(work)
 
 
-@_slope("demand_bytes", "limited entries", "bytes a report", 1, 2, 4, 8)
+@slope("demand_bytes", "limited entries", "bytes a report", 1, 2, 4, 8)
 def _demand_bytes(size: int) -> float:
     kind = fleet_shares.LimitKind.CONCURRENT
     demands = tuple(
@@ -329,7 +331,7 @@
     return float(rumours.of_demand(report).ByteSize())
 
 
-@_slope("load_bytes", "runners", "bytes of digests", 8, 16, 32, 64)
+@slope("load_bytes", "runners", "bytes of digests", 8, 16, 32, 64)
 def _load_bytes(size: int) -> float:
     report = runners.LoadReport(12, 3, 16, age_s=0.4)
     return float(
@@ -340,7 +342,7 @@
     )
 
 
-@_slope("stream_memory", "tokens", "bytes a stream", 64, 128, 256, 512)
+@slope("stream_memory", "tokens", "bytes a stream", 64, 128, 256, 512)
 def _stream_memory(size: int) -> float:
     request_id = "vm-1.1796240221394.9059129f8d1b27a1"
 
@@ -350,10 +352,10 @@
             for index in range(size)
         )
 
-    return _memory_bytes(make)
+    return memory_bytes(make)
 
 
-@_slope("histogram_memory", "keys", "bytes held", 10, 20, 40, 80)
+@slope("histogram_memory", "keys", "bytes held", 10, 20, 40, 80)
 def _histogram_memory(size: int) -> float:
     def make() -> histograms.Histograms:
         held = histograms.Histograms()
@@ -362,4 +364,4 @@
                 held.handle("whole", f"c{number}", "desk").record_us(micro)
         return held
 
-    return _memory_bytes(make)
+    return memory_bytes(make)
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -20,92 +20,19 @@
 from apricotlever.contracts import admission
 from apricotlever.runners import model as models
 
+from . import _overload_ways
 from . import engine_model
 
-VMS = 3
-RUNNERS = 3
-SLOTS = 16
 CAPACITY_PER_S = 12.0
 TICK_S = 0.1
 WARM_UP_S = 15.0
 DRAIN_S = 30.0
-FIFO_LIMIT = RUNNERS * SLOTS // VMS
-FIXED_LIMITS = {"fixed": FIFO_LIMIT, "fixed_high": 2 * FIFO_LIMIT}
 DEGRADED_SLOTS = 4
 OFFERS = 20_000
 WEIGHTS = {"alfa": 2.0, "beira": 1.0, "cinta": 1.0, "dogma": 1.0}
 FLOOD = {"alfa": 0.2, "beira": 0.1, "cinta": 0.1, "dogma": 5.0}
 
 
-class Way(typing.Protocol):
-    """A way to admit requests at one VM."""
-
-    def offer(self, ticket: admission.Ticket) -> list[admission.Verdict]:
-        """Ask for a request."""
-
-    def first_token(self, request_id: str) -> None:
-        """An answer began."""
-
-    def finished(
-        self, request_id: str, outcome: models.Outcome
-    ) -> list[admission.Verdict]:
-        """An answer ended."""
-
-    def tick(self) -> list[admission.Verdict]:
-        """Time passed."""
-
-
-class Fifo:
-    """As many as there are slots, the rest in a queue without end."""
-
-    def __init__(self) -> None:
-        self._in_flight = 0
-        self._queue: collections.deque[str] = collections.deque()
-
-    def offer(self, ticket: admission.Ticket) -> list[admission.Verdict]:
-        """Queue it."""
-        self._queue.append(ticket.request_id)
-        return self.tick()
-
-    def first_token(self, request_id: str) -> None:
-        """Learn nothing."""
-
-    def finished(
-        self, request_id: str, outcome: models.Outcome
-    ) -> list[admission.Verdict]:
-        """Let the next one in."""
-        self._in_flight -= 1
-        return self.tick()
-
-    def tick(self) -> list[admission.Verdict]:
-        """Let in what fits."""
-        verdicts: list[admission.Verdict] = []
-        while self._queue and self._in_flight < FIFO_LIMIT:
-            self._in_flight += 1
-            verdicts.append(admission.Admitted(self._queue.popleft()))
-        return verdicts
-
-
-class Fixed(Fifo):
-    """A fixed limit and no queue."""
-
-    def __init__(self, limit: int) -> None:
-        super().__init__()
-        self._limit = limit
-
-    def offer(self, ticket: admission.Ticket) -> list[admission.Verdict]:
-        """Admit or refuse."""
-        if self._in_flight >= self._limit:
-            reason = admission.Reason.OVERLOAD
-            return [admission.Refused(ticket.request_id, reason, 1.0)]
-        self._in_flight += 1
-        return [admission.Admitted(ticket.request_id)]
-
-    def tick(self) -> list[admission.Verdict]:
-        """Nothing waits."""
-        return []
-
-
 def _catalogue() -> catalogue_model.Catalogue:
     classes = {
         "desk": catalogue_model.ServiceClass(
@@ -127,7 +54,9 @@
             (),
             None,
             catalogue_model.Limits(),
-            catalogue_model.Capacity(1, RUNNERS, SLOTS, "machine"),
+            catalogue_model.Capacity(
+                1, _overload_ways.RUNNERS, _overload_ways.SLOTS, "machine"
+            ),
         )
         for name in classes
     }
@@ -181,13 +110,13 @@
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._requests: dict[str, Request] = {}
-        self._ways = [self._make(way, vm) for vm in range(VMS)]
+        self._ways = [self._make(way, vm) for vm in range(_overload_ways.VMS)]
         totals = engine_model.Totals()
         self._engines = [
             engine_model.Engine(self._events, _runner(n), 4000, totals)
-            for n in range(RUNNERS)
+            for n in range(_overload_ways.RUNNERS)
         ]
-        self._loads = [0] * RUNNERS
+        self._loads = [0] * _overload_ways.RUNNERS
         for customer, part in demand.items():
             self._plan(customer, part * CAPACITY_PER_S)
         self._events.every(TICK_S, self._tick)
@@ -231,17 +160,19 @@
             ),
         }
 
-    def _make(self, way: str, vm: int) -> Way:
+    def _make(self, way: str, vm: int) -> _overload_ways.Way:
         if way == "fifo":
-            return Fifo()
-        if way in FIXED_LIMITS:
-            return Fixed(FIXED_LIMITS[way])
+            return _overload_ways.Fifo()
+        if way in _overload_ways.FIXED_LIMITS:
+            return _overload_ways.Fixed(_overload_ways.FIXED_LIMITS[way])
         ours = admission.Admission(
             self._events.clock, random.Random(vm), f"vm{vm}"
         )
         ours.configure(CATALOGUE)
-        ours.set_members([f"vm{n}" for n in range(VMS)])
-        ours.set_pool("pool", RUNNERS * SLOTS, 1.0)
+        ours.set_members([f"vm{n}" for n in range(_overload_ways.VMS)])
+        ours.set_pool(
+            "pool", _overload_ways.RUNNERS * _overload_ways.SLOTS, 1.0
+        )
         return ours
 
     def _plan(self, customer: str, per_s: float) -> None:
@@ -263,7 +194,7 @@
             )
             job = engine_model.Job((), (), tokens, answer)
             self._requests[ticket.request_id] = Request(ticket, job)
-            vm = self._rng.randrange(VMS)
+            vm = self._rng.randrange(_overload_ways.VMS)
             self._events.at(at, functools.partial(self._arrive, vm, ticket))
 
     def _arrive(self, vm: int, ticket: admission.Ticket) -> None:
@@ -284,7 +215,7 @@
 
     def _send(self, vm: int, request: Request) -> None:
         name = request.ticket.request_id
-        place = min(range(RUNNERS), key=self._fill)
+        place = min(range(_overload_ways.RUNNERS), key=self._fill)
         self._loads[place] += 1
 
         def on_first() -> None:
@@ -334,7 +265,7 @@
         "reclaimable",
         "machine",
         1.0,
-        SLOTS,
+        _overload_ways.SLOTS,
     )
 
 
@@ -353,7 +284,7 @@
     clock = clocks.ManualClock()
     desk = admission.Admission(clock, random.Random(1), "vm0")
     desk.configure(CATALOGUE)
-    desk.set_pool("pool", RUNNERS * SLOTS, 1.0)
+    desk.set_pool("pool", _overload_ways.RUNNERS * _overload_ways.SLOTS, 1.0)
     spent = []
     running: collections.deque[str] = collections.deque()
     for number in range(OFFERS):
@@ -408,7 +339,7 @@
     parser.add_argument("--seeds", type=int, default=3)
     options = parser.parse_args(arguments)
     for load, demand in loads().items():
-        for way in ("ours", "fifo", *FIXED_LIMITS):
+        for way in ("ours", "fifo", *_overload_ways.FIXED_LIMITS):
             results = [
                 Trial(
                     way, demand, options.seconds, seed, "degraded" in load
