Wait for a stand-in's listener before its control answers

Cause: a fault that opens or closes a stand-in's port is a step of its loop; the control answered as soon as the step was queued. Ruled out: the reserved ports (a connection to a bound port that listens is never refused by another socket bound beside it); the store's end (its log and the next rows went on). Change: the control waits until the loop has done the step. The relay of the tests keeps its port while it refuses, and "a closed port" of the peers' steps stays bound, as the launcher's ports do: let go, they were anybody's.

--- a/standins/_server.py
+++ b/standins/_server.py
@@ -16,12 +16,14 @@
 CONTROL_THREADS = 4
 DEFAULT_THREADS = 128
 STOP_S = 1.0
+#: How long a change of a fault waits for the loop, which may be ending.
+STEP_S = 10.0
 
 
 class _Listener:
     """One waitress server with a loop of its own."""
 
-    __slots__ = ("_map", "_server", "_port", "_reserved")
+    __slots__ = ("_map", "_server", "_port", "_reserved", "_looping")
 
     def __init__(
         self, application: typing.Any, host: str, port: int, threads: int
@@ -30,6 +32,7 @@
         self._port: int = sock.getsockname()[1]
         self._map: dict[int, typing.Any] = {}
         self._reserved: socket.socket | None = None
+        self._looping = False
         self._server = waitress.create_server(
             application,
             map=self._map,
@@ -50,7 +53,9 @@
 
     def run(self) -> None:
         """Serve until :meth:`end`."""
+        self._looping = True
         self._server.run()
+        self._looping = False
         self._server.task_dispatcher.shutdown(timeout=STOP_S)
 
     def end(self) -> None:
@@ -68,9 +73,22 @@
             self._reserved.close()
 
     def refuse(self, refusing: bool) -> None:
-        """Make the kernel refuse new connections, or accept them again."""
+        """Make the kernel refuse new connections, or accept them again.
+
+        Only the loop may touch its sockets, and it does so when it comes to
+        it. Were that not waited for, the control would answer first, and a
+        call right after a mended fault would be refused once in a while.
+        """
         step = self._stop_listening if refusing else self._listen_again
-        self._server.trigger.pull_trigger(step)
+        done = threading.Event()
+
+        def carry_out() -> None:
+            step()
+            done.set()
+
+        self._server.trigger.pull_trigger(carry_out)
+        if self._looping:
+            done.wait(STEP_S)
 
     def _end_loop(self) -> None:
         for connection in list(self._server.active_channels.values()):
--- a/tests/steps/links_peers.py
+++ b/tests/steps/links_peers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from concurrent import futures
-import socket
 import threading
 
 import behave
@@ -13,6 +12,7 @@
 from apricotlever.links import peer_pb2 as pb
 from apricotlever.links import peers
 from tests.links import silent_relay
+from tests.support import ports
 
 TIMEOUT_S = 5.0
 SHORT_S = 0.3
@@ -104,8 +104,9 @@
 @behave.then("a peer call to a closed port is unavailable and was not sent")
 def closed_port(context):
     """Nobody listens there."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        address = "127.0.0.1:%d" % free.getsockname()[1]
+    reserved = ports.Reservations()
+    context.closers.append(reserved.close)
+    address = f"{ports.HOST}:{reserved.reserve()}"
     call = _call(context, "Gossip", address=address)
     assert not _error(call, peers.PeerUnavailable).sent
 
--- a/tests/support/cuttable.py
+++ b/tests/support/cuttable.py
@@ -8,6 +8,8 @@
 import struct
 import threading
 
+from tests.support import ports
+
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65536
 BACKLOG = 128
@@ -64,6 +66,7 @@
         "_lock",
         "_silent_new",
         "_port",
+        "_ports",
         "_accepted",
     )
 
@@ -75,7 +78,10 @@
         self._silent_new = False
         self._accepted = 0
         self._listener: socket.socket | None = None
-        self._port = 0
+        # Kept while the relay refuses: the port would be anybody's until
+        # :meth:`restore` wants it back.
+        self._ports = ports.Reservations()
+        self._port = self._ports.reserve()
         self._listen()
 
     @property
@@ -134,13 +140,13 @@
         """Stop listening and reset each connection."""
         self.refuse()
         self.cut()
+        self._ports.close()
 
     def _listen(self) -> None:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((HOST, self._port))
         listener.listen(BACKLOG)
-        self._port = listener.getsockname()[1]
         self._listener = listener
         _spawn(self._accept, listener)
 
