Take a runner for ended only when its port refuses, not when it is slow

Cause: CrashWatch.refuses took any connection that did not open within 0.1 s of a broken answer for a refusal; NotConnected held only the error's name. Ruled out: unreachable() after a whole CONNECT_S, which charges calls only if one broke at that runner just before: a machine that lost its power. Change: NotConnected tells whether the other side refused.

--- a/src/apricotlever/serving/channels.py
+++ b/src/apricotlever/serving/channels.py
@@ -30,7 +30,14 @@
 
 
 class NotConnected(ChannelError):
-    """The connection could not be opened; nothing was sent."""
+    """The connection could not be opened; nothing was sent.
+
+    :param refused: nobody listens there, rather than none opened in time.
+    """
+
+    def __init__(self, reason: str, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class Broken(ChannelError):
@@ -368,5 +375,6 @@
         async with asyncio.timeout(timeout_s):
             await loop.create_connection(lambda: channel, host, port)
     except (OSError, TimeoutError) as error:
-        raise NotConnected(type(error).__name__) from error
+        refused = isinstance(error, ConnectionRefusedError)
+        raise NotConnected(type(error).__name__, refused) from error
     return channel
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -83,7 +83,8 @@
 
         One that has ended refuses at once. Else its end shows by its entry
         only, four seconds later, and a call that crashes runners may have
-        taken two more by then. It is looked at once in a while.
+        taken two more by then. It is looked at once in a while. A connection
+        that opens too late tells nothing: a busy runner's does, too.
         """
         now = self._clock.now()
         last = self._checked.get(runner.runner_id)
@@ -94,8 +95,8 @@
             channel = await pool.acquire(CHECK_S, fresh=True)
         except pools.PoolFull:
             return False
-        except channels.NotConnected:
-            return True
+        except channels.NotConnected as error:
+            return error.refused
         pool.release(channel, closing=False, keep_alive_s=None)
         return False
 
--- /dev/null
+++ b/tests/steps/serving_crash_watch.py
@@ -0,0 +1,59 @@
+"""Steps for tests/serving/crash_watch.feature."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from apricotlever import clock as clocks
+from apricotlever.serving import channels
+from apricotlever.serving import crash_watch
+from apricotlever.serving import pool as pools
+from apricotlever.serving import runners
+
+ENDS = {
+    "refuses": channels.NotConnected("ConnectionRefusedError", refused=True),
+    "takes a connection": None,
+    "opens nothing in time": channels.NotConnected("TimeoutError"),
+    "has no room left": pools.PoolFull("too many connections are open"),
+}
+
+
+class _Pool:
+    """Connections to a port that does one thing.
+
+    :param error: raised for each connection; None opens it.
+    """
+
+    __slots__ = ("_error", "released")
+
+    def __init__(self, error):
+        self._error = error
+        self.released = 0
+
+    async def acquire(self, timeout_s, fresh):
+        assert fresh
+        if self._error is not None:
+            raise self._error
+        return object()
+
+    def release(self, channel, closing, keep_alive_s):
+        self.released += 1
+
+
+@given("a watch on crashes")
+def _watch(context):
+    context.watch = crash_watch.CrashWatch(clocks.ManualClock(), "vm-1")
+
+
+@when("a runner breaks off an answer and its port {does}")
+def _breaks(context, does):
+    runner = runners.Runner("r-1", "llm", "127.0.0.1", 1, "dc-a", 4)
+    context.pool = _Pool(ENDS[does])
+    context.ended = asyncio.run(context.watch.refuses(runner, context.pool))
+
+
+@then("the runner is taken to have {ended}")
+def _taken(context, ended):
+    assert context.ended == (ended == "ended"), context.ended
