Read records a few times a second, and end all pauses of a process together

Change: records are read each 50 ms instead of as they come; repeated work of a process ends its pauses on one grid (ten timers woke an idle VM 75 times a second, now 20 times). What waited at the socket while the process stood still is thrown away.

--- a/src/apricotlever/serving/callers.py
+++ b/src/apricotlever/serving/callers.py
@@ -8,6 +8,7 @@
 import httptools
 
 from . import framing
+from . import pace
 from . import replies
 from . import routes
 
@@ -357,7 +358,7 @@
         """Close the connections of idle and slow callers, for ever."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(SWEEP_S)
+            await pace.pause(SWEEP_S)
             now = loop.time()
             for channel in list(self.channels):
                 channel.sweep(now, self.limits)
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -1,6 +1,5 @@
 """This VM's link to the fleet: records, who is alive, news that is missing."""
 
-import asyncio
 import random
 import typing
 
@@ -10,6 +9,8 @@
 from ..vms import leads
 from ..vms import rendezvous
 
+from . import datagrams
+from . import pace
 from . import peers
 from . import runners
 from . import settings
@@ -93,7 +94,7 @@
         self._table = digests.PeerTable(
             clock, rng, config.vm, str(config.peers), config.seeds
         )
-        self._datagrams = peers.Datagrams(self)
+        self._datagrams = datagrams.Datagrams(self)
         self._client = peers.PeerClient()
         self._leads = leads.Leads(clock)
         self._fetching: set[str] = set()
@@ -128,12 +129,10 @@
         """Mean seconds between two records of one VM."""
         return self._table.between_s
 
-    async def listen(self, address: settings.Address) -> None:
-        """Open the socket for records."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self._datagrams, local_addr=(address.host, address.port)
-        )
+    def listen(self, address: settings.Address) -> None:
+        """Open the socket for records, and read it from now on."""
+        self._datagrams.listen(address.host, address.port)
+        self._tasks.every(datagrams.READ_S, self._read)
 
     def close(self) -> None:
         """Close the socket."""
@@ -149,6 +148,7 @@
 
     def stood_still(self) -> None:
         """Nobody was heard while the process stood still."""
+        self._datagrams.drop()
         self._table.silence()
 
     def tell(self) -> None:
@@ -167,7 +167,7 @@
         """Send records for ever."""
         while True:
             self.tell()
-            await asyncio.sleep(digests.INTERVAL_S)
+            await pace.pause(digests.INTERVAL_S)
 
     def note_members(self) -> None:
         """Log who was lost and who came; find out who follows the store."""
@@ -193,6 +193,9 @@
         self._local.take(digest)
         self._note_behind(digest)
 
+    async def _read(self) -> None:
+        self._datagrams.read()
+
     def _note_behind(self, digest: digests.Digest) -> None:
         """Fetch from a peer what the store does not bring in time."""
         lead_s = PEER_LEAD_S if self.follows else 0.0
--- a/src/apricotlever/serving/log_writer.py
+++ b/src/apricotlever/serving/log_writer.py
@@ -6,6 +6,8 @@
 
 from .. import logs
 
+from . import pace
+
 STANDARD_OUTPUT = 1
 #: Between two writes, in seconds: lines of one moment go out together, for
 #: one system call instead of one each.
@@ -89,7 +91,7 @@
     async def run(self) -> None:
         """Write again and again."""
         while True:
-            await asyncio.sleep(FLUSH_S)
+            await pace.pause(FLUSH_S)
             self._turn_period()
             self.flush()
 
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -19,6 +19,7 @@
 from . import listeners
 from . import node_checks
 from . import notes
+from . import pace
 from . import peers
 from . import relay
 from . import routes
@@ -313,7 +314,7 @@
             server = callers.CallerServer(handler)
             await server.listen(address.host, address.port)
             self._servers[name] = server
-        await self._fleet.listen(config.peers)
+        self._fleet.listen(config.peers)
 
     def _follow(self) -> None:
         """Follow the store's two kinds, as long as it is wanted."""
@@ -356,7 +357,7 @@
     async def _tick_forever(self) -> None:
         last = self._clock.now()
         while True:
-            await asyncio.sleep(TICK_S)
+            await pace.pause(TICK_S)
             now = self._clock.now()
             if now - last > PAUSE_S:
                 self._stood_still(now - last)
--- a/src/apricotlever/serving/peers.py
+++ b/src/apricotlever/serving/peers.py
@@ -1,13 +1,11 @@
-"""The link to the other entry VMs: datagrams, and fetches over HTTP."""
+"""What entry VMs fetch from each other, over HTTP."""
 
-import asyncio
 import typing
 import zlib
 
 import msgpack
 
 from .. import logs
-from ..vms import digests
 
 from . import callers
 from . import channels
@@ -27,69 +25,6 @@
 #: Named after its form: a peer that knows no compressed one answers 404.
 CONFIGURATION_PATH = "/configuration.msgpack.z"
 RUNNERS_PATH = "/runners"
-#: Malformed records logged for each one that is.
-MOST_BAD_LOGGED = 20
-
-
-class Inbox(typing.Protocol):
-    """Takes what peers say."""
-
-    def digest(self, digest: digests.Digest) -> None:
-        """A record of another VM came."""
-
-
-class Datagrams(asyncio.DatagramProtocol):
-    """Sends and receives records."""
-
-    __slots__ = ("_bad", "_inbox", "_transport")
-
-    def __init__(self, inbox: Inbox) -> None:
-        self._inbox = inbox
-        self._transport: asyncio.DatagramTransport | None = None
-        self._bad = 0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """The socket is open."""
-        self._transport = typing.cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(self, data: bytes, addr: typing.Any) -> None:
-        """A record came."""
-        try:
-            record = msgpack.unpackb(data, strict_map_key=False)
-            digest = digests.Digest.from_record(record)
-            sender = digest.peer_address.rpartition(":")[0]
-        except (ValueError, TypeError, AttributeError) as error:
-            self._refused(addr, type(error).__name__)
-            return
-        if sender != addr[0]:
-            # A record has to come from the address that it names.
-            self._refused(addr, "foreign_address")
-            return
-        self._inbox.digest(digest)
-
-    def error_received(self, exc: Exception) -> None:
-        """A receiver is not there; its silence shows it anyway."""
-
-    def send(
-        self, digest: digests.Digest, receivers: typing.Iterable[str]
-    ) -> None:
-        """Send a record to many."""
-        if self._transport is None:
-            return
-        data = msgpack.packb(digest.to_record())
-        for receiver in receivers:
-            host, _, port = receiver.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    def _refused(self, addr: typing.Any, reason: str) -> None:
-        self._bad += 1
-        if self._bad <= MOST_BAD_LOGGED:
-            logs.event("peer_refused", peer=str(addr[0]), reason=reason)
 
 
 class PeerClient:
--- a/src/apricotlever/serving/tasks.py
+++ b/src/apricotlever/serving/tasks.py
@@ -5,6 +5,8 @@
 
 from .. import logs
 
+from . import pace
+
 
 class Tasks:
     """Keeps tasks alive and tells of those that failed.
@@ -48,4 +50,4 @@
         except Exception as error:
             # A duty that ended here would silently never be done again.
             logs.event("task_failed", error=repr(error))
-        await asyncio.sleep(pause_s)
+        await pace.pause(pause_s)
--- /dev/null
+++ b/tests/serving/datagrams.feature
@@ -0,0 +1,37 @@
+Feature: Records that come as datagrams
+
+  Scenario: Records that came since the last look are taken in
+    Given a VM that hears records
+    When 3 records come from their own address
+    Then 3 records are taken in at the next look
+    And none at the one after
+
+  Scenario Outline: A record that can't be trusted is not taken in
+    Given a VM that hears records
+    When a record comes that is <bad>
+    Then no record is taken in and "<reason>" is logged
+
+    Examples:
+      | bad                     | reason          |
+      | of another VM's address | foreign_address |
+      | cut short               | ValueError      |
+      | not a record            | TypeError       |
+
+  Scenario: More records than can be meant don't keep callers waiting
+    Given a VM that hears records
+    When it takes in a flood of records that never ends
+    Then one look ends after 300 of them
+
+  Scenario: What waited while the process stood still tells nothing
+    Symptom: a VM that was frozen sends callers to VMs that ended meanwhile.
+    Events: records wait at its socket while it stands still; they are read
+    after it woke.
+    Cause: a record is taken for as old as the moment at which it is read.
+    Given a fleet's VM that hears records
+    When 3 records wait until it sees that it was frozen
+    Then it hears nobody after it woke
+
+  Scenario: A receiver that can't be reached keeps no record from the others
+    Given a VM that hears records
+    When it sends a record to a receiver that can't be and then to one that is
+    Then the one that is has it
--- /dev/null
+++ b/tests/steps/serving_datagrams.py
@@ -0,0 +1,222 @@
+"""Steps for tests/serving/datagrams.feature."""
+
+import asyncio
+import random
+import socket
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import msgpack
+
+from apricotlever import addresses
+from apricotlever import clock as clocks
+from apricotlever import logs
+from apricotlever.serving import datagrams
+from apricotlever.serving import fleet_link
+from apricotlever.serving import runners
+from apricotlever.serving import settings
+from apricotlever.serving import tasks
+from apricotlever.vms import digests
+
+HOST = "127.0.0.1"
+ARRIVED_S = 10.0
+POLL_S = 0.001
+
+
+class Inbox:
+    """Keeps what it takes."""
+
+    def __init__(self):
+        self.taken = []
+
+    def digest(self, digest):
+        """A record of another VM came."""
+        self.taken.append(digest)
+
+
+class Local:
+    """A VM that has nothing to tell."""
+
+    version = 0
+
+    def take(self, digest):
+        """A peer's record came."""
+
+
+def _record(number=1, host=HOST):
+    return digests.Digest(f"vm-{number}", 1, 1, f"{host}:9", "", "dc")
+
+
+def _send(context, data):
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.closers.append(sender.close)
+    sender.sendto(data, (HOST, context.port))
+
+
+def _packed(digest):
+    return msgpack.packb(digest.to_record())
+
+
+def _look(context, count):
+    """Look until so many came: a datagram may still be on its way."""
+    until = time.monotonic() + ARRIVED_S
+    taken = context.inbox.taken
+    while len(taken) < count and time.monotonic() < until:
+        context.datagrams.read()
+        time.sleep(POLL_S)
+    return taken
+
+
+def _arrived(context):
+    """Wait until a datagram lies at the socket, unread."""
+    opened = context.link._datagrams._socket
+    until = time.monotonic() + ARRIVED_S
+    while time.monotonic() < until:
+        try:
+            return opened.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            time.sleep(POLL_S)
+    raise AssertionError("no datagram came")
+
+
+@given("a VM that hears records")
+def _vm(context):
+    context.inbox = Inbox()
+    context.datagrams = datagrams.Datagrams(context.inbox)
+    context.datagrams.listen(HOST, 0)
+    context.port = context.datagrams.port
+    context.closers.append(context.datagrams.close)
+
+
+@when("{count:d} records come from their own address")
+def _come(context, count):
+    for number in range(count):
+        _send(context, _packed(_record(number)))
+
+
+@then("{count:d} records are taken in at the next look")
+def _taken(context, count):
+    taken = _look(context, count)
+    assert {d.vm for d in taken} == {f"vm-{i}" for i in range(count)}, taken
+
+
+@then("none at the one after")
+def _none(context):
+    before = len(context.inbox.taken)
+    context.datagrams.read()
+    assert len(context.inbox.taken) == before
+
+
+@when("a record comes that is {bad}")
+def _bad(context, bad):
+    whole = _packed(_record())
+    data = {
+        "of another VM's address": _packed(_record(host="127.0.0.2")),
+        "cut short": whole[:-3],
+        "not a record": msgpack.packb(["vm"]),
+    }[bad]
+    context.logged = []
+    logs.setup_writer("vm-0", lambda name, text: context.logged.append(text))
+    context.closers.append(logs.teardown)
+    _send(context, data)
+
+
+@then('no record is taken in and "{reason}" is logged')
+def _refused(context, reason):
+    until = time.monotonic() + ARRIVED_S
+    while not context.logged and time.monotonic() < until:
+        context.datagrams.read()
+        time.sleep(POLL_S)
+    assert any(f"reason={reason}" in x for x in context.logged), context.logged
+    assert not context.inbox.taken
+
+
+@when("it takes in a flood of records that never ends")
+def _flood(context):
+    class Endless:
+        """A socket at which there is always one more."""
+
+        def recvfrom(self, most):
+            """One more."""
+            return _packed(_record()), (HOST, 9)
+
+        def close(self):
+            """Nothing to close."""
+
+    context.datagrams.close()
+    context.datagrams._socket = Endless()
+    context.datagrams.read()
+
+
+@then("one look ends after {count:d} of them")
+def _ends(context, count):
+    assert len(context.inbox.taken) == count, len(context.inbox.taken)
+
+
+def _node_settings():
+    here = addresses.Address(HOST, 0)
+    return settings.NodeSettings(
+        "vm-0",
+        "dc",
+        ("dc",),
+        here,
+        None,
+        None,
+        here,
+        None,
+        (),
+        here,
+        None,
+        False,
+        False,
+        settings.Bounds(),
+    )
+
+
+@given("a fleet's VM that hears records")
+def _fleet_vm(context):
+    clock = clocks.ManualClock()
+    context.link = fleet_link.FleetLink(
+        clock,
+        random.Random(1),
+        _node_settings(),
+        Local(),
+        runners.Directory(clock),
+        tasks.Tasks(),
+    )
+    context.link._datagrams.listen(HOST, 0)
+    context.port = context.link._datagrams.port
+    context.closers.append(context.link.close)
+
+
+@when("{count:d} records wait until it sees that it was frozen")
+def _still(context, count):
+    for number in range(1, count + 1):
+        _send(context, _packed(_record(number)))
+    # Loopback hands datagrams over as they are sent, so all are there.
+    _arrived(context)
+    context.link.stood_still()
+
+
+@then("it hears nobody after it woke")
+def _nobody(context):
+    asyncio.run(context.link._read())
+    assert not context.link.alive, [d.vm for d in context.link.alive]
+
+
+@when("it sends a record to a receiver that can't be and then to one that is")
+def _sends(context):
+    context.receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.receiver.bind((HOST, 0))
+    context.receiver.settimeout(ARRIVED_S)
+    context.closers.append(context.receiver.close)
+    port = context.receiver.getsockname()[1]
+    context.datagrams.send(_record(), ["255.255.255.255:9", f"{HOST}:{port}"])
+
+
+@then("the one that is has it")
+def _has(context):
+    data = context.receiver.recv(datagrams.MOST_BYTES)
+    assert data == _packed(_record())
--- /dev/null
+++ b/tests/steps/serving_pace.py
@@ -0,0 +1,65 @@
+"""Steps for tests/serving/pace.feature."""
+
+from behave import then
+from behave import when
+
+from apricotlever.serving import pace
+
+PHASE_S = 0.0371
+BEGAN_S = 5000.0123
+#: Moments nearer than this are one wake-up of an event loop.
+SAME_S = 1e-6
+
+
+def _steps(pause_s, for_s, takes_s=0.0):
+    """When the steps of one kind of work begin."""
+    now = BEGAN_S
+    begun = []
+    while now < BEGAN_S + for_s:
+        now += pace.until_next(now, pause_s, PHASE_S)
+        begun.append(now)
+        now += takes_s
+    return begun
+
+
+@when("work is repeated each {paces} s for {for_s:g} seconds")
+def _repeated(context, paces, for_s):
+    context.for_s = for_s
+    context.steps = {
+        float(each): _steps(float(each), for_s)
+        for each in paces.replace(" and", ",").split(",")
+        if each.strip()
+    }
+
+
+@when(
+    "work each {pause_s:g} s takes {takes_s:g} s a step for {for_s:g} seconds"
+)
+def _long(context, pause_s, takes_s, for_s):
+    context.takes_s = takes_s
+    context.begun = _steps(pause_s, for_s, takes_s)
+
+
+@then("each is done as often as its pace says")
+def _often(context):
+    for pause_s, begun in context.steps.items():
+        wanted = context.for_s / pause_s
+        assert abs(len(begun) - wanted) <= 1, (pause_s, len(begun))
+
+
+@then("the process is woken at most {count:d} times")
+def _woken(context, count):
+    moments = sorted(at for begun in context.steps.values() for at in begun)
+    woken = 1 + sum(
+        later - sooner > SAME_S for sooner, later in zip(moments, moments[1:])
+    )
+    assert woken <= count, woken
+
+
+@then("there are at least {seconds:g} s between two steps")
+def _between(context, seconds):
+    pauses = [
+        later - sooner - context.takes_s
+        for sooner, later in zip(context.begun, context.begun[1:])
+    ]
+    assert min(pauses) >= seconds - SAME_S, min(pauses)
