A duty holder that alone can't reach the store hands its lease over

Nobody ordered or reported for 4.7 s, and a window's report came late. Ruled out: reading records each 50 ms (the holder's calls to the store failed). Change: a holder whose calls for the lease fail twice in a row while it hears of a VM that follows the store stops acting, never acts with that number again, and says so in its records; contenders who hear it read the lease and take it. It does not contend for two durations: holders must not alternate. If nobody follows the store, it holds on: none could take the duty over. Test: tests/serving/duties.feature, two scenarios; the first failed before (another VM held the lease 9 s after the cut, now 3.6 s at most).

--- a/src/apricotlever/serving/duties.py
+++ b/src/apricotlever/serving/duties.py
@@ -28,6 +28,12 @@
 #: VMs that contend for a free lease; all others read nothing.
 CONTENDERS = 2
 CALL_S = 1.5
+#: Calls for the lease that fail in a row before a holder hands it over, if
+#: others follow the store: one may fail by chance.
+GIVE_UP_AFTER = 2
+#: Durations of a lease for which a holder that handed it over says so, and
+#: does not contend: holders that alternate would be as bad as none.
+GAVE_UP_PART = 2.0
 
 
 class LeaseKeeper:
@@ -38,10 +44,16 @@
 
     __slots__ = (
         "_alive",
+        "_clock",
         "_contends",
+        "_duration_s",
+        "_failed",
+        "_gave_up",
+        "_gave_up_until",
         "_held",
         "_lease",
         "_name",
+        "_others_follow",
         "_renewals",
         "_store",
         "_vm",
@@ -65,13 +77,21 @@
         self._alive: frozenset[str] | None = None
         self._contends = False
         self._renewals = 0
+        self._clock = clock
+        #: Calls that failed in a row.
+        self._failed = 0
+        self._gave_up = 0
+        self._gave_up_until = leases.NEVER
+        #: Whether another VM was heard that follows the store.
+        self._others_follow = False
+        self._duration_s = LEASE_BOUNDS * bounds.lease_s
         self._lease = leases.Lease(
             clock,
             rng,
             name,
             vm,
             incarnation,
-            duration_s=LEASE_BOUNDS * bounds.lease_s,
+            duration_s=self._duration_s,
             durable=store_.durable,
         )
 
@@ -80,6 +100,12 @@
         """The number to act with, None when this VM may not act."""
         return self._lease.may_order(TICK_S)
 
+    @property
+    def gave_up(self) -> int:
+        """The number that this VM handed over lately, 0 for none."""
+        recent = self._clock.now() < self._gave_up_until
+        return self._gave_up if recent else 0
+
     def look(
         self, peers: typing.Sequence[digests.Digest], members: int
     ) -> None:
@@ -90,13 +116,19 @@
 
         :param members: VMs that may be alive, this one included.
         """
-        alive = frozenset(p.vm for p in peers if p.ready and not p.leaving)
+        self._others_follow = any(p.follows for p in peers)
+        for peer in peers:
+            self._lease.given_up(peer.gave_up)
+        alive = frozenset(
+            p.vm for p in peers if p.ready and not p.leaving and not p.gave_up
+        )
         if alive != self._alive:
             self._alive = alive
             ranked = rendezvous.rank(self._name, [*alive, self._vm])
             self._contends = self._vm in ranked[:CONTENDERS]
         hears = 2 * (len(peers) + 1) >= members
-        self._lease.want(hears and (self._lease.held or self._contends))
+        wanted = self._lease.held or self._contends
+        self._lease.want(hears and wanted and not self.gave_up)
 
     def leave(self) -> None:
         """Give the lease back."""
@@ -126,19 +158,40 @@
             if isinstance(action, lease_objects.WriteLease):
                 stored = await self._write(action)
                 lease.written(stored.revision)
-                return
-            found = await self._store.get(KIND, self._name)
-            if found is None:
-                lease.read(None, None)
             else:
-                lease.read(found.revision, _without_renewal(found.spec))
+                found = await self._store.get(KIND, self._name)
+                if found is None:
+                    lease.read(None, None)
+                else:
+                    lease.read(found.revision, _without_renewal(found.spec))
+            self._failed = 0
         except store.Conflict:
             lease.conflict()
-        except store.Unanswered:
+        except store.Unanswered as error:
             lease.ambiguous()
+            self._note_failure(error)
         except store.StoreError as error:
-            logs.event("lease_call_failed", duty=self._name, error=str(error))
             lease.failed()
+            self._note_failure(error)
+
+    def _note_failure(self, error: store.StoreError) -> None:
+        """Hand the duty over if others can do what this VM can't.
+
+        Else nobody would do it until this holder's time is over and the
+        others', who count from when they saw its last renewal: nine seconds.
+        """
+        logs.event("lease_call_failed", duty=self._name, error=str(error))
+        self._failed += 1
+        if self._failed < GIVE_UP_AFTER or not self._others_follow:
+            return
+        if self._lease.held:
+            self._gave_up = self._lease.give_up()
+            self._gave_up_until = (
+                self._clock.now() + GAVE_UP_PART * self._duration_s
+            )
+            logs.event(
+                "lease_handed_over", duty=self._name, fencing=self._gave_up
+            )
 
     async def _write(
         self, action: lease_objects.WriteLease
--- a/src/apricotlever/serving/duty_roster.py
+++ b/src/apricotlever/serving/duty_roster.py
@@ -131,6 +131,11 @@
         """Decide whether to contend for the lease."""
         self._keeper.look(peers, members)
 
+    @property
+    def gave_up(self) -> int:
+        """The number of the lease that this VM handed over lately."""
+        return self._keeper.gave_up
+
     def leave(self) -> None:
         """Give the lease back."""
         self._keeper.leave()
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -252,6 +252,7 @@
             reported=self._duties.reported,
             known=known if whole else None,
             crashes=calls.crashes.told(whole),
+            gave_up=self._duties.gave_up,
         )
 
     def take(self, digest: digests.Digest) -> None:
--- a/src/apricotlever/vms/digests.py
+++ b/src/apricotlever/vms/digests.py
@@ -58,6 +58,8 @@
     :param reported: the newest window that is known to be reported.
     :param known: peer addresses of other members.
     :param crashes: what it tells of crashed runners; None for nothing.
+    :param gave_up: the fencing number of the fleet's duties that it has just
+        handed over, as it can't reach the store; 0 for none.
     """
 
     __slots__ = (
@@ -84,6 +86,7 @@
         "reported",
         "known",
         "crashes",
+        "gave_up",
     )
 
     def __init__(
@@ -111,6 +114,7 @@
         reported: int = 0,
         known: list[str] | None = None,
         crashes: culprits.Told | None = None,
+        gave_up: int = 0,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -135,6 +139,7 @@
         self.reported = reported
         self.known = known or []
         self.crashes = crashes
+        self.gave_up = gave_up
 
     @property
     def process(self) -> str:
--- a/src/apricotlever/vms/leases.py
+++ b/src/apricotlever/vms/leases.py
@@ -88,6 +88,8 @@
         "_renewed_at",
         "_valid_until",
         "_highest",
+        "_given_up",
+        "_given_up_at",
         "_retry_at",
     )
 
@@ -120,6 +122,8 @@
         self._renewed_at = NEVER
         self._valid_until = NEVER
         self._highest = 0
+        self._given_up = 0
+        self._given_up_at = NEVER
         self._retry_at = NEVER
 
     @property
@@ -154,6 +158,27 @@
         """Set whether this VM should hold it; it stops ordering at once."""
         self._wanted = wanted
 
+    def give_up(self) -> int:
+        """Never act again with the number held now.
+
+        For a holder whose renewals fail while others reach the store: they
+        need not wait until its time is over once they know. What it writes
+        later, if the object is still its own, has a greater number.
+
+        :returns: the number.
+        """
+        given_up = self._fencing
+        self._wanted = False
+        self._valid_until = NEVER
+        self._highest = max(self._highest, given_up + 1)
+        return given_up
+
+    def given_up(self, fencing: int) -> None:
+        """Its holder says that it never acts again with a number."""
+        if fencing > self._given_up:
+            self._given_up = fencing
+            self._given_up_at = self._clock.now()
+
     def fenced_off(self, highest: int) -> None:
         """An upstream refused an order: it has seen a greater number.
 
@@ -334,5 +359,7 @@
         known = self._durable or seen.version is not None
         if not seen.value["holder"] and known:
             return seen.since + self._longest_order_s
+        if 0 < int(seen.value["fencing"]) <= self._given_up:
+            return self._given_up_at + self._longest_order_s
         wait_s = seen.value["duration_s"] * (1 + DRIFT_PART)
         return seen.since + wait_s + self._longest_order_s
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -29,6 +29,26 @@
     When the holder hears nobody of 7
     Then it may not act
 
+  # Symptom: nobody reports or orders for nine seconds, all others being well.
+  # Events: the holder alone is cut off from the store.
+  # Cause: it holds on until its time is over, and the others wait out their
+  # own time from when they saw its last renewal.
+  Scenario: A holder that alone can't reach the store hands its duty over
+    Given 3 VMs that contend for a duty
+    And the contest goes on for 10 seconds
+    When the holder alone is cut off from the store for 8 seconds
+    Then another VM held it at most 3.6 seconds after the cut
+    And no two VMs held it at the same time
+    And the first holder does not take it back within 10 seconds
+
+  # While the store is away for all, nobody could take the duty over: the
+  # holder's calls may well be taken elsewhere.
+  Scenario: A holder that no VM could follow holds on
+    Given 3 VMs that contend for a duty
+    And the contest goes on for 30 seconds
+    When all are cut off from the store for 3 seconds
+    Then the same VM held it all the while
+
   Scenario: A window is reported once, after its counts are fixed
     Given a holder of the usage duty that counted 7 calls in a window
     When 20 seconds pass at the holder
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -21,8 +21,21 @@
 STEP_S = 0.1
 
 
-def _digest(name):
-    return digests.Digest(name, 1, 1, "10.0.0.1:1", "10.0.0.1:2", "dc", True)
+class Way:
+    """A VM's way to the store, which can be cut."""
+
+    def __init__(self, store_):
+        self._store = store_
+        self.durable = store_.durable
+        self.cut = False
+
+    def __getattr__(self, name):
+        if self.cut:
+            return self._refused
+        return getattr(self._store, name)
+
+    async def _refused(self, *arguments):
+        raise store.NotDone("cut off")
 
 
 class Contender:
@@ -31,25 +44,43 @@
     def __init__(self, world, name):
         self.name = name
         self.silent = False
+        self.way = Way(world.store)
         self.keeper = duties.LeaseKeeper(
             "fleet",
             name,
             1,
             world.clock,
             random.Random(name),
-            world.store,
+            self.way,
             settings.Bounds(lease_s=3.0),
         )
 
+    @property
+    def digest(self):
+        """Its record."""
+        return digests.Digest(
+            self.name,
+            1,
+            1,
+            "10.0.0.1:1",
+            "10.0.0.1:2",
+            "dc",
+            ready=True,
+            follows=not self.way.cut,
+            gave_up=self.keeper.gave_up,
+        )
+
 
 class World:
     """VMs, the store and time."""
 
-    def __init__(self, durable=True):
+    def __init__(self, durable=True, count=2):
         self.clock = clocks.ManualClock()
         self.store = memory_store.MemoryStore(durable)
-        self.vms = [Contender(self, name) for name in ("vm-1", "vm-2")]
+        self.vms = [Contender(self, f"vm-{i + 1}") for i in range(count)]
         self.holders = []
+        #: Who held it, by step.
+        self.held = []
 
     def run(self, seconds):
         """Let time pass."""
@@ -57,12 +88,12 @@
             self.clock.advance(STEP_S)
             alive = [vm for vm in self.vms if not vm.silent]
             for vm in alive:
-                others = [_digest(v.name) for v in alive if v is not vm]
+                others = [v.digest for v in alive if v is not vm]
                 vm.keeper.look(others, len(alive))
                 asyncio.run(vm.keeper.step())
-            self.holders += [
-                vm.name for vm in alive if vm.keeper.fencing is not None
-            ]
+            now = [vm.name for vm in alive if vm.keeper.fencing is not None]
+            self.holders += now
+            self.held.append(now)
 
     @property
     def holder(self):
@@ -71,9 +102,9 @@
         return vm
 
 
-@given("2 VMs that contend for a duty")
-def _two(context):
-    context.contest = World()
+@given("{count:d} VMs that contend for a duty")
+def _several(context, count):
+    context.contest = World(count=count)
 
 
 @given("2 VMs that contend for a duty in a store that may forget")
@@ -110,6 +141,47 @@
     context.first.keeper.look([], members)
 
 
+def _cut(context, vms, seconds):
+    context.contest.held.clear()
+    for vm in vms:
+        vm.way.cut = True
+    context.contest.run(seconds)
+    for vm in vms:
+        vm.way.cut = False
+
+
+@when("the holder alone is cut off from the store for {seconds:d} seconds")
+def _cut_off(context, seconds):
+    context.first = context.contest.holder
+    _cut(context, [context.first], seconds)
+
+
+@when("all are cut off from the store for {seconds:d} seconds")
+def _all_cut_off(context, seconds):
+    _cut(context, context.contest.vms, seconds)
+
+
+@then("another VM held it at most {seconds:g} seconds after the cut")
+def _taken_over(context, seconds):
+    first = context.first.name
+    steps = [i for i, now in enumerate(context.contest.held) if now]
+    taken = [i for i in steps if context.contest.held[i] != [first]]
+    assert taken and taken[0] * STEP_S <= seconds, taken[:1]
+
+
+@then("no two VMs held it at the same time")
+def _alone(context):
+    assert max(map(len, context.contest.held)) == 1
+
+
+@then("the first holder does not take it back within {seconds:d} seconds")
+def _not_back(context, seconds):
+    context.contest.held.clear()
+    context.contest.run(seconds)
+    holders = {name for now in context.contest.held for name in now}
+    assert holders and context.first.name not in holders, holders
+
+
 @then("the same VM held it all the while")
 def _same(context):
     assert len(set(context.contest.holders)) == 1
