Name the handing over of a duty in the logs' pages and in explain

Cause: lease_handed_over was logged at the level of an unknown event, and neither the operators' pages nor a request's story knew it. Test: tests/logs.feature holds the page against the events.

--- a/src/apricotlever/client/stories.py
+++ b/src/apricotlever/client/stories.py
@@ -13,6 +13,7 @@
         "configuration_in_force",
         "dependency_lost",
         "dependency_regained",
+        "lease_handed_over",
         "lease_lost",
         "lease_taken",
         "lines_left_out",
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -72,6 +72,9 @@
     "peer_call_failed": Event(INFO, "A call to another entry VM failed."),
     "lease_taken": Event(INFO, "This VM holds a duty's lease."),
     "lease_lost": Event(WARNING, "This VM no longer holds a duty's lease."),
+    "lease_handed_over": Event(
+        WARNING, "This VM alone can't reach the store: others take its duty."
+    ),
     "order_sent": Event(INFO, "A runner took an order."),
     "order_refused": Event(
         WARNING, "A runner refused an order with an old fencing number."
