Show limit parts, queues, cloud calls and each runner's calls as metrics

Cause: the metrics page lacked what an operator asks first when calls are refused: what is left of a customer's limit, which part of it this VM counts on, what waits at a runner, how many of its calls failed, the cloud calls. Counts above a million were shown with six digits. Test: tests/serving/observations.feature, a served call and a count of seven digits.

--- a/src/apricotlever/serving/duty_roster.py
+++ b/src/apricotlever/serving/duty_roster.py
@@ -9,7 +9,7 @@
 
 from . import dialects
 from . import duties
-from . import relay
+from . import limits
 from . import routes
 from . import runner_duty
 from . import runners
@@ -89,7 +89,7 @@
     def report_usage(
         self,
         windows: usage_windows.UsageWindows,
-        limits: relay.Limits,
+        limits_: limits.Limits,
         store_: store.Store,
         dialect: dialects.PlatformDialect,
     ) -> None:
@@ -102,7 +102,7 @@
                 self._cloud,
                 dialect,
                 self._keeper,
-                lambda: limits.levels,
+                lambda: limits_.levels,
             )
 
     def start(self, running: tasks.Tasks) -> None:
@@ -136,6 +136,11 @@
         """The number of the lease that this VM handed over lately."""
         return self._keeper.gave_up
 
+    @property
+    def cloud_calls(self) -> int:
+        """Calls to the cloud API so far."""
+        return self._cloud.calls if self._cloud is not None else 0
+
     def leave(self) -> None:
         """Give the lease back."""
         self._keeper.leave()
--- a/src/apricotlever/serving/listeners.py
+++ b/src/apricotlever/serving/listeners.py
@@ -1,5 +1,6 @@
 """Take what the store's watches bring, for the rest of the process."""
 
+import random
 import typing
 
 from .. import logs
@@ -8,6 +9,10 @@
 from . import runners
 from . import store
 
+#: Changes of runners that come within this time, in seconds, are read by one
+#: call. It is a tenth of the shortest time in which a runner has to be left.
+GATHER_S = 0.2
+
 
 class Configurations:
     """Hands on each version of the configuration.
@@ -97,3 +102,25 @@
         except (ValueError, KeyError, TypeError) as error:
             logs.event("entry_refused", entry=stored.name, error=repr(error))
             return None
+
+
+def watchers(
+    store_: store.Store,
+    platform: dialects.PlatformDialect,
+    configurations: Configurations,
+    entries: Entries,
+    rng: random.Random,
+    wanted: typing.Callable[[], bool],
+) -> list[store.Watcher]:
+    """What follows the store's two kinds.
+
+    :param wanted: whether this VM has to follow the store now.
+    """
+    kinds: tuple[tuple[str, store.Listener, float], ...] = (
+        (platform.configuration_kind, configurations, 0.0),
+        (platform.runners_kind, entries, GATHER_S),
+    )
+    return [
+        store.Watcher(store_, kind, listener, rng, wanted, gather_s)
+        for kind, listener, gather_s in kinds
+    ]
--- /dev/null
+++ b/src/apricotlever/serving/metrics.py
@@ -0,0 +1,41 @@
+"""All metrics of one entry VM as text."""
+
+import typing
+
+from . import limits
+from . import relay
+from . import routes
+
+
+def text(
+    relay_: relay.Relay,
+    limits_: limits.Limits,
+    configuration: routes.Configuration | None,
+    gauges: typing.Mapping[str, float],
+) -> str:
+    """One value a line, as Prometheus reads it.
+
+    :param configuration: the version in force.
+    :param gauges: of the rest of the process, by name.
+    """
+    upstreams = relay_.upstreams
+    calls = upstreams.failures
+    services = configuration.services if configuration else ()
+    return relay_.observations.text(
+        gauges,
+        {
+            ("in_flight", "runner"): upstreams.in_flight,
+            ("waiting_tokens", "runner"): upstreams.pending,
+            ("runner_calls_total", "runner"): {
+                runner: total for runner, (_, total) in calls.items()
+            },
+            ("runner_failures_total", "runner"): {
+                runner: failed for runner, (failed, _) in calls.items()
+            },
+            ("retries_left", "service"): {
+                service: relay_.budget.left(service) for service in services
+            },
+            ("limit_left", "customer"): limits_.levels,
+            ("limit_part", "customer"): limits_.parts,
+        },
+    )
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -16,7 +16,9 @@
 from . import drain
 from . import duty_roster
 from . import fleet_link
+from . import limits
 from . import listeners
+from . import metrics
 from . import node_checks
 from . import notes
 from . import pace
@@ -30,9 +32,6 @@
 from . import tasks
 from . import upstreams
 
-#: Changes of runners that come within this time, in seconds, are read by one
-#: call. It is a tenth of the shortest time in which a runner has to be left.
-GATHER_S = 0.2
 TICK_S = 0.1
 #: Between two looks at the settings file, in seconds.
 RELOAD_S = 5.0
@@ -73,7 +72,7 @@
             self._directory,
             self._process,
         )
-        self._limits = relay.Limits(clock, config.bounds.limit_spare)
+        self._limits = limits.Limits(clock, config.bounds.limit_spare)
         self._budget = retry_allowance.RetryAllowance(
             clock,
             config.bounds.retry_ratio,
@@ -290,14 +289,17 @@
 
     def metrics(self) -> str:
         """All metrics as text."""
-        gauges: dict[str, float] = {
+        gauges = {
             "store_calls_total": self._store.calls,
             "runner_connections_total": self._upstreams.opened,
             "members": len(self._fleet.alive) + 1,
             "configuration_version": self.version,
             "callers_busy": self._busy(),
+            "cloud_calls_total": self._duties.cloud_calls,
         }
-        return self._relay.metrics(gauges)
+        return metrics.text(
+            self._relay, self._limits, self._configuration, gauges
+        )
 
     async def _listen(self) -> None:
         config = self._settings
@@ -319,27 +321,19 @@
 
     def _follow(self) -> None:
         """Follow the store's two kinds, as long as it is wanted."""
-        platform = self._dialect.platform
-        configurations = listeners.Configurations(
-            platform.configuration_name, self.configure
-        )
-        entries = listeners.Entries(
-            self._directory, platform, self.runners_changed
-        )
-        kinds: tuple[tuple[str, store.Listener, float], ...] = (
-            (platform.configuration_kind, configurations, 0.0),
-            (platform.runners_kind, entries, GATHER_S),
+        self._watchers = listeners.watchers(
+            self._store,
+            self._dialect.platform,
+            listeners.Configurations(
+                self._dialect.platform.configuration_name, self.configure
+            ),
+            listeners.Entries(
+                self._directory, self._dialect.platform, self.runners_changed
+            ),
+            self._rng,
+            lambda: self._fleet.follows,
         )
-        for kind, listener, gather_s in kinds:
-            watcher = store.Watcher(
-                self._store,
-                kind,
-                listener,
-                self._rng,
-                lambda: self._fleet.follows,
-                gather_s,
-            )
-            self._watchers.append(watcher)
+        for watcher in self._watchers:
             self._tasks.spawn(watcher.run())
 
     def _start_duties(self) -> None:
--- a/src/apricotlever/serving/observations.py
+++ b/src/apricotlever/serving/observations.py
@@ -14,6 +14,9 @@
 QUANTILES = (0.5, 0.9, 0.99)
 PREFIX = "apricotlever"
 
+#: Values by the name of a metric with its label, and by the label's value.
+Families = typing.Mapping[tuple[str, str], typing.Mapping[str, float]]
+
 
 class Observations:
     """What this process counts of its calls."""
@@ -51,29 +54,36 @@
     def text(
         self,
         gauges: typing.Mapping[str, float],
-        by_runner: typing.Mapping[str, int],
+        families: Families,
     ) -> str:
         """All that is known, one value a line.
 
         :param gauges: further values by name.
-        :param by_runner: calls in flight.
+        :param families: further values that have a label.
         """
         lines = [
-            f"{PREFIX}_{name} {value:g}" for name, value in gauges.items()
+            f"{PREFIX}_{name} {_shown(value)}"
+            for name, value in gauges.items()
         ]
         lines += _labelled("served_total", "customer", self._served)
         lines += _labelled("refused_total", "reason", self._refused)
-        lines += _labelled("in_flight", "runner", by_runner)
+        for (name, label), values in families.items():
+            lines += _labelled(name, label, values)
         for found in self._histograms.distributions():
             lines += _quantiles(found)
         return "\n".join([*lines, ""])
 
 
+def _shown(value: float) -> str:
+    """All digits of a count: six make steps of ten of a count of millions."""
+    return str(int(value)) if value == int(value) else f"{value:.6g}"
+
+
 def _labelled(
-    name: str, label: str, values: typing.Mapping[str, int]
+    name: str, label: str, values: typing.Mapping[str, float]
 ) -> list[str]:
     return [
-        f'{PREFIX}_{name}{{{label}="{key}"}} {value}'
+        f'{PREFIX}_{name}{{{label}="{key}"}} {_shown(value)}'
         for key, value in sorted(values.items())
     ]
 
--- a/src/apricotlever/serving/relay.py
+++ b/src/apricotlever/serving/relay.py
@@ -4,15 +4,14 @@
 import random
 import typing
 
-from .. import clock as clocks
 from .. import logs
-from ..contracts import fleet_rate
 from ..contracts import retry_allowance
 from ..contracts import usage_windows
 
 from . import callers
 from . import dialects
 from . import exchange
+from . import limits
 from . import messages
 from . import observations
 from . import replies
@@ -53,105 +52,6 @@
         self.inputs = inputs
 
 
-class Limits:
-    """The fleet-wide limits of all customers.
-
-    :param clock: of the buckets.
-    :param spare: units by which a limit may be exceeded for a while.
-    """
-
-    __slots__ = (
-        "_clock",
-        "_heard",
-        "_presence",
-        "_rates",
-        "_spare",
-        "_told",
-    )
-
-    def __init__(self, clock: clocks.Clock, spare: float = 0.0) -> None:
-        self._clock = clock
-        self._spare = spare
-        self._presence = fleet_rate.Presence(clock)
-        #: The totals that each process told last.
-        self._heard: dict[str, typing.Mapping[str, float]] = {}
-        self._rates: dict[str, fleet_rate.FleetRate] = {}
-        #: Levels that came before their customers' limits did.
-        self._told: dict[str, float] = {}
-
-    @property
-    def used(self) -> dict[str, float]:
-        """What this VM let in, by customer."""
-        return {name: rate.used for name, rate in self._rates.items()}
-
-    @property
-    def levels(self) -> dict[str, float]:
-        """What is left of each limit, as far as this process knows."""
-        return {
-            name: level
-            for name, rate in self._rates.items()
-            if (level := rate.level) is not None
-        }
-
-    def learn(self, levels: typing.Mapping[str, float]) -> None:
-        """Take over what is left of each limit, if it is not known yet."""
-        self._told.update(levels)
-        for name, level in levels.items():
-            if name in self._rates:
-                self._rates[name].learn(level)
-
-    def configure(self, configuration: routes.Configuration) -> None:
-        """Take over the limits of a version."""
-        for name, customer in configuration.customers.items():
-            rate = self._rates.get(name)
-            if rate is not None:
-                rate.set_limit(customer.rate, customer.burst)
-                continue
-            rate = fleet_rate.FleetRate(
-                self._clock,
-                customer.rate,
-                customer.burst,
-                self._spare,
-                self._presence,
-            )
-            rate.tick()
-            self._rates[name] = rate
-            # It has heard no total yet, however old the others' are.
-            self._heard.clear()
-            if name in self._told:
-                rate.learn(self._told[name])
-
-    def set_members(
-        self, processes: frozenset[str], between_s: float = 0.0
-    ) -> None:
-        """Take over which other processes may let calls in.
-
-        :param between_s: between two records of one of them.
-        """
-        gone = self._presence.members - processes
-        self._presence.set_members(processes, between_s)
-        for process in gone:
-            self._heard.pop(process, None)
-        silent = self._presence.silent
-        for rate in self._rates.values():
-            rate.tick(silent)
-            for process in gone:
-                rate.forget(process)
-
-    def heard(self, process: str, used: typing.Mapping[str, float]) -> None:
-        """Take in what another VM let in."""
-        self._presence.heard(process)
-        before = self._heard.get(process, {})
-        self._heard[process] = used
-        for name, total in used.items():
-            if before.get(name) != total and name in self._rates:
-                self._rates[name].heard(process, total)
-
-    def of(self, customer: routes.Customer) -> fleet_rate.FleetRate:
-        """The limit of a customer."""
-        return self._rates[customer.name]
-
-
 class Relay:
     """The way of each call through this VM.
 
@@ -175,14 +75,14 @@
         self,
         dialect: dialects.Dialect,
         upstreams_: upstreams.Upstreams,
-        limits: Limits,
+        limits_: limits.Limits,
         budget: retry_allowance.RetryAllowance,
         usage: usage_windows.UsageWindows,
         rng: random.Random,
     ) -> None:
         self._dialect = dialect
         self._upstreams = upstreams_
-        self._limits = limits
+        self._limits = limits_
         self._budget = budget
         self._usage = usage
         self._rng = rng
@@ -224,17 +124,6 @@
         """Take over a version of the configuration."""
         self._configuration = configuration
 
-    def metrics(self, gauges: dict[str, float]) -> str:
-        """All metrics as text.
-
-        :param gauges: of the rest of the process, by name.
-        """
-        configuration = self._configuration
-        for service in configuration.services if configuration else ():
-            left = self._budget.left(service)
-            gauges[f'retries_left{{service="{service}"}}'] = left
-        return self._observations.text(gauges, self._upstreams.in_flight)
-
     def next_number(self) -> int:
         """A new number for an attempt."""
         self._numbers += 1
--- a/tests/serving/world.py
+++ b/tests/serving/world.py
@@ -8,6 +8,7 @@
 from apricotlever.contracts import usage_windows
 from apricotlever.serving import callers
 from apricotlever.serving import dialects
+from apricotlever.serving import limits
 from apricotlever.serving import relay
 from apricotlever.serving import routes
 from apricotlever.serving import runners
@@ -48,7 +49,7 @@
             "dc",
             self.directory,
         )
-        self.limits = relay.Limits(clocks.SystemClock())
+        self.limits = limits.Limits(clocks.SystemClock())
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
         self.budget = retry_allowance.RetryAllowance(
             clocks.SystemClock(), 0.2, 20.0, 10.0
@@ -90,7 +91,7 @@
 
     def configure(self, kind, limits=None, rate=0.0, **more):
         """Put a configuration with one route in force."""
-        configuration = routes.Configuration(
+        self.configuration = configuration = routes.Configuration(
             1,
             [_route(kind, **more)],
             [routes.Service("service", 100)],
--- a/tests/steps/serving_observations.py
+++ b/tests/steps/serving_observations.py
@@ -3,6 +3,7 @@
 from behave import then
 from behave import when
 
+from apricotlever.serving import metrics
 from apricotlever.serving import observations
 
 
@@ -12,7 +13,13 @@
     observed.served("clerks", "stream", 0.1, 0.5)
     observed.served("clerks", "stream", 0.3, 0.9)
     observed.refused("broken:closed by the other side")
-    context.metrics = observed.text({"members": 3}, {"r-1": 4})
+    context.metrics = observed.text(
+        {"members": 3, "store_calls_total": 1234567},
+        {
+            ("in_flight", "runner"): {"r-1": 4},
+            ("limit_part", "customer"): {"clerks": 0.875},
+        },
+    )
 
 
 @then("the metrics hold")
@@ -34,3 +41,14 @@
 def _few(context, count):
     lines = context.metrics.splitlines()
     assert sum("_count{" in line for line in lines) <= count
+
+
+@when("the VM's metrics are read")
+def _read(context):
+    world = context.world
+    context.metrics = metrics.text(
+        world.relay,
+        world.limits,
+        world.configuration,
+        {"cloud_calls_total": 2},
+    )
--- a/tests/steps/serving_relay.py
+++ b/tests/steps/serving_relay.py
@@ -8,7 +8,7 @@
 from behave import when
 
 from apricotlever import clock as clocks
-from apricotlever.serving import relay
+from apricotlever.serving import limits
 from apricotlever.serving import routes
 from tests.serving import world as worlds
 
@@ -82,7 +82,7 @@
 )
 def _new_customer(context, units):
     context.clock = clocks.ManualClock(1000.0)
-    context.limits = relay.Limits(context.clock, 640.0)
+    context.limits = limits.Limits(context.clock, 640.0)
     context.limits.set_members(frozenset({"vm-2#1"}))
     # In its first second a process assumes others that it has not heard.
     context.clock.advance(2.0)
