--- a/src/apricotlever/runners/policies.py
+++ b/src/apricotlever/runners/policies.py
@@ -81,8 +81,20 @@
     return _FACTORIES[name](rng)
 
 
+class _Drawing:
+    """A policy that draws among equals.
+
+    :param rng: of this entry VM: VMs that drew alike would herd.
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+
 @policy("cost_at_target")
-class CostAtTarget:
+class CostAtTarget(_Drawing):
     """The cheapest runner that meets the target, else the fastest.
 
     Runners that are equal within a tolerance are ranked by rendezvous
@@ -90,10 +102,7 @@
     prefix to the same runner.
     """
 
-    __slots__ = ("_rng",)
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    __slots__ = ()
 
     def pick(
         self, query: models.Query, candidates: Candidates, key: int | None
@@ -120,7 +129,7 @@
 
 
 @policy("home_or_faster")
-class HomeOrFaster:
+class HomeOrFaster(_Drawing):
     """The home of the shared prefix, unless one of two others is faster.
 
     The home is the runner that all VMs pick for the prefix by its hash, so
@@ -129,10 +138,7 @@
     send to the one runner that looked idle.
     """
 
-    __slots__ = ("_rng",)
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    __slots__ = ()
 
     def pick(
         self, query: models.Query, candidates: Candidates, key: int | None
@@ -145,13 +151,10 @@
 
 
 @policy("random")
-class Random:
+class Random(_Drawing):
     """Any runner with equal chance."""
 
-    __slots__ = ("_rng",)
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    __slots__ = ()
 
     def pick(
         self, query: models.Query, candidates: Candidates, key: int | None
@@ -178,13 +181,10 @@
 
 
 @policy("least_in_flight")
-class LeastInFlight:
+class LeastInFlight(_Drawing):
     """The runner with the fewest requests of this VM."""
 
-    __slots__ = ("_rng",)
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    __slots__ = ()
 
     def pick(
         self, query: models.Query, candidates: Candidates, key: int | None
@@ -195,13 +195,10 @@
 
 
 @policy("prefix_hash")
-class PrefixHash:
+class PrefixHash(_Drawing):
     """Rendezvous hashing of the prompt's beginning, whatever the load."""
 
-    __slots__ = ("_rng",)
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    __slots__ = ()
 
     def pick(
         self, query: models.Query, candidates: Candidates, key: int | None
