Send records among VMs compressed

Ruled out: higher levels of compression (595 bytes instead of 613 of a record of 997); leaving out what did not change (a receiver gets every third record). Change: zlib level 1; whole counts as whole numbers. A record that unpacks to over 1 MB, or is cut short, is refused. Test: tests/serving/datagrams.feature, size and return of a busy VM's record, refusal of ones not compressed, cut short, too long.

--- a/bench/records.py
+++ b/bench/records.py
@@ -13,10 +13,9 @@
 import typing
 from unittest import mock
 
-import msgpack
-
 from apricotlever import clock as clocks
 from apricotlever.contracts import usage_windows
+from apricotlever.serving import datagrams as datagrams_
 from apricotlever.serving import dialects
 from apricotlever.serving import node
 from apricotlever.serving import routes
@@ -89,7 +88,7 @@
         self._customers = [f"customer-{i}" for i in range(customers)]
         self._runners = [f"i-{i:010x}" for i in range(count)]
         self._sent = 0
-        self._counts = {name: 0.0 for name in self._customers}
+        self._counts = {name: 0 for name in self._customers}
 
     @property
     def address(self) -> tuple[str, int]:
@@ -103,10 +102,14 @@
         self._sent += 1
         whole = self._sent % digests.WHOLE_EVERY == 1
         for name in rng.sample(self._customers, BUSY_CUSTOMERS):
-            self._counts[name] += 900.0
+            self._counts[name] += rng.randrange(3000)
         busy = rng.sample(self._runners, min(BUSY_RUNNERS, len(self._runners)))
         usage = {
-            window - i: dict.fromkeys(self._customers[:BUSY_RUNNERS], 3)
+            window
+            - i: {
+                name: rng.randrange(1, 30)
+                for name in self._customers[:BUSY_RUNNERS]
+            }
             for i in range(WINDOWS)
         }
         return digests.Digest(
@@ -121,9 +124,13 @@
             configuration=version,
             runners=checksum,
             in_flight=dict.fromkeys(busy, 2),
-            pending=dict.fromkeys(busy[:2], 900),
+            pending={name: rng.randrange(3000) for name in busy[:2]},
             used=dict(self._counts),
-            levels=dict.fromkeys(self._customers, 9e3) if whole else None,
+            levels=(
+                {name: 9e3 * rng.random() for name in self._customers}
+                if whole
+                else None
+            ),
             usage=usage,
             work={"llm": (self._sent, 8e3, 0.4)},
             failures={name: (1, 9) for name in busy} if whole else None,
@@ -235,7 +242,7 @@
                 member.version,
                 member._directory.checksum,
             )
-            data = msgpack.packb(record.to_record())
+            data = datagrams_.pack(record)
             size.append(len(data))
             heard(datagrams._take, data, peer.address[0])
         sent(member._fleet.tell)
--- a/src/apricotlever/serving/datagrams.py
+++ b/src/apricotlever/serving/datagrams.py
@@ -2,6 +2,7 @@
 
 import socket
 import typing
+import zlib
 
 import msgpack
 
@@ -18,10 +19,36 @@
 #: more must not keep callers waiting.
 MOST_READ = 300
 MOST_BYTES = 65535
+#: The fastest: it takes four tenths off a record of 1,000 bytes in 10 us, and
+#: 3 us to undo. All levels take off about as much of so little.
+COMPRESSION = 1
+#: A record that becomes longer is refused: a few bytes could fill the memory.
+MOST_UNPACKED = 1 << 20
 #: Malformed records logged for each one that is.
 MOST_BAD_LOGGED = 20
 
 
+def pack(digest: digests.Digest) -> bytes:
+    """A record as it is sent."""
+    return zlib.compress(msgpack.packb(digest.to_record()), COMPRESSION)
+
+
+def unpack(data: bytes) -> digests.Digest:
+    """The reverse of :func:`pack`.
+
+    :raises zlib.error: when it is no compressed record.
+    :raises ValueError: when it is cut short, or too long.
+    :raises TypeError: when it has other fields.
+    """
+    reader = zlib.decompressobj()
+    record = reader.decompress(data, MOST_UNPACKED)
+    if not reader.eof:
+        raise ValueError("a record is cut short or too long")
+    return digests.Digest.from_record(
+        msgpack.unpackb(record, strict_map_key=False)
+    )
+
+
 class Inbox(typing.Protocol):
     """Takes what peers say."""
 
@@ -73,7 +100,7 @@
         """Send a record to many."""
         if self._socket is None:
             return
-        data = msgpack.packb(digest.to_record())
+        data = pack(digest)
         for receiver in receivers:
             host, _, port = receiver.rpartition(":")
             try:
@@ -100,10 +127,9 @@
 
     def _take(self, data: bytes, host: str) -> None:
         try:
-            record = msgpack.unpackb(data, strict_map_key=False)
-            digest = digests.Digest.from_record(record)
+            digest = unpack(data)
             sender = digest.peer_address.rpartition(":")[0]
-        except (ValueError, TypeError, AttributeError) as error:
+        except (ValueError, TypeError, AttributeError, zlib.error) as error:
             self._refused(host, type(error).__name__)
             return
         if sender != host:
--- a/src/apricotlever/serving/limits.py
+++ b/src/apricotlever/serving/limits.py
@@ -37,7 +37,7 @@
     @property
     def used(self) -> dict[str, float]:
         """What this VM let in, by customer."""
-        return {name: rate.used for name, rate in self._rates.items()}
+        return {name: _short(rate.used) for name, rate in self._rates.items()}
 
     @property
     def levels(self) -> dict[str, float]:
@@ -110,3 +110,8 @@
     def of(self, customer: routes.Customer) -> fleet_rate.FleetRate:
         """The limit of a customer."""
         return self._rates[customer.name]
+
+
+def _short(units: float) -> float:
+    """Whole units as a whole number: three bytes of a record, not nine."""
+    return int(units) if units == int(units) else units
--- a/tests/serving/datagrams.feature
+++ b/tests/serving/datagrams.feature
@@ -15,6 +15,8 @@
       | bad                     | reason          |
       | of another VM's address | foreign_address |
       | cut short               | ValueError      |
+      | not compressed          | error           |
+      | too long                | ValueError      |
       | not a record            | TypeError       |
 
   Scenario: More records than can be meant don't keep callers waiting
@@ -35,3 +37,10 @@
     Given a VM that hears records
     When it sends a record to a receiver that can't be and then to one that is
     Then the one that is has it
+
+  # Symptom: records among 74 VMs make up 0.5 of 0.57 GB between data centres.
+  # Cause: each carries the names of all customers and runners in full.
+  Scenario: A record of a busy VM fits into six tenths of its length
+    Given a record of a VM with 16 customers and 16 runners
+    Then it is sent in less than 0.65 of its length
+    And it comes as it was
--- a/tests/steps/serving_datagrams.py
+++ b/tests/steps/serving_datagrams.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import time
+import zlib
 
 from behave import given
 from behave import then
@@ -55,8 +56,7 @@
     sender.sendto(data, (HOST, context.port))
 
 
-def _packed(digest):
-    return msgpack.packb(digest.to_record())
+_packed = datagrams.pack
 
 
 def _look(context, count):
@@ -115,7 +115,9 @@
     data = {
         "of another VM's address": _packed(_record(host="127.0.0.2")),
         "cut short": whole[:-3],
-        "not a record": msgpack.packb(["vm"]),
+        "not compressed": msgpack.packb(_record().to_record()),
+        "not a record": zlib.compress(msgpack.packb(["vm"])),
+        "too long": zlib.compress(bytes(4 * datagrams.MOST_UNPACKED)),
     }[bad]
     context.logged = []
     logs.setup_writer("vm-0", lambda name, text: context.logged.append(text))
@@ -220,3 +222,41 @@
 def _has(context):
     data = context.receiver.recv(datagrams.MOST_BYTES)
     assert data == _packed(_record())
+
+
+def _name(rng):
+    return "".join(rng.choices("abcdefgh", k=4)) + str(rng.randrange(9999))
+
+
+@given("a record of a VM with {customers:d} customers and {count:d} runners")
+def _busy(context, customers, count):
+    rng = random.Random(count)
+    names = [_name(rng) for _ in range(customers)]
+    busy = [f"i-{rng.getrandbits(40):010x}" for _ in range(count)]
+    context.record = _record()
+    context.record.used = {name: rng.randrange(10**6) for name in names}
+    context.record.usage = {
+        window: {name: rng.randrange(1, 9) for name in names[: customers // 2]}
+        for window in range(3)
+    }
+    context.record.failures = {name: (1, rng.randrange(99)) for name in busy}
+    context.record.in_flight = {name: 2 for name in busy[:4]}
+    context.record.known = [
+        f"10.3.64.{rng.randrange(250)}:8207" for _ in range(24)
+    ]
+
+
+@then("it is sent in less than {part:g} of its length")
+def _short(context, part):
+    whole = len(msgpack.packb(context.record.to_record()))
+    sent = len(datagrams.pack(context.record))
+    assert sent < part * whole, (sent, whole)
+
+
+@then("it comes as it was")
+def _as_it_was(context):
+    came = datagrams.unpack(datagrams.pack(context.record))
+    wanted = msgpack.unpackb(
+        msgpack.packb(context.record.to_record()), strict_map_key=False
+    )
+    assert came.to_record() == wanted
