Take a duty over at once when its holder's process has started again

Nobody reported or ordered for 5 s. Change: a record, or a VM's own start, that shows a newer process than the one that wrote the lease proves the holder's end. Test: tests/serving/duties.feature, all processes and the holder's alone start again: both failed before, now within 1 s.

--- a/src/apricotlever/serving/duties.py
+++ b/src/apricotlever/serving/duties.py
@@ -117,8 +117,12 @@
         :param members: VMs that may be alive, this one included.
         """
         self._others_follow = any(p.follows for p in peers)
+        holder = self._lease.holder
         for peer in peers:
-            self._lease.given_up(peer.gave_up)
+            if peer.gave_up:
+                self._lease.given_up(peer.gave_up)
+            if peer.vm == holder:
+                self._lease.process_seen(peer.incarnation)
         alive = frozenset(
             p.vm for p in peers if p.ready and not p.leaving and not p.gave_up
         )
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -41,6 +41,23 @@
     And no two VMs held it at the same time
     And the first holder does not take it back within 10 seconds
 
+  # Symptom: nobody reports or orders for five seconds after all VMs lost
+  # their power, though all serve again.
+  # Events: the processes end and start again; the lease names one of them.
+  # Cause: the time of a holder that is known to have ended is waited out.
+  Scenario: All processes start again
+    Given 3 VMs that contend for a duty
+    And the contest goes on for 10 seconds
+    When all processes start again
+    Then a VM holds it within 1.0 seconds with a higher number
+
+  Scenario: The holder's process alone starts again
+    Given 3 VMs that contend for a duty
+    And the contest goes on for 10 seconds
+    When the holder's process starts again
+    Then a VM holds it within 1.0 seconds with a higher number
+    And no two VMs held it at the same time
+
   # While the store is away for all, nobody could take the duty over: the
   # holder's calls may well be taken elsewhere.
   Scenario: A holder that no VM could follow holds on
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -45,12 +45,18 @@
         self.name = name
         self.silent = False
         self.way = Way(world.store)
+        self.incarnation = 0
+        self.start(world)
+
+    def start(self, world):
+        """Start its process, once more."""
+        self.incarnation += 1
         self.keeper = duties.LeaseKeeper(
             "fleet",
-            name,
-            1,
+            self.name,
+            self.incarnation,
             world.clock,
-            random.Random(name),
+            random.Random(self.name),
             self.way,
             settings.Bounds(lease_s=3.0),
         )
@@ -60,7 +66,7 @@
         """Its record."""
         return digests.Digest(
             self.name,
-            1,
+            self.incarnation,
             1,
             "10.0.0.1:1",
             "10.0.0.1:2",
@@ -141,6 +147,29 @@
     context.first.keeper.look([], members)
 
 
+def _start_again(context, vms):
+    context.number = context.contest.holder.keeper.fencing
+    context.contest.held.clear()
+    for vm in vms:
+        vm.start(context.contest)
+
+
+@when("all processes start again")
+def _all_start(context):
+    _start_again(context, context.contest.vms)
+
+
+@when("the holder's process starts again")
+def _holder_starts(context):
+    _start_again(context, [context.contest.holder])
+
+
+@then("a VM holds it within {seconds:g} seconds with a higher number")
+def _soon(context, seconds):
+    context.contest.run(seconds)
+    assert context.contest.holder.keeper.fencing > context.number
+
+
 def _cut(context, vms, seconds):
     context.contest.held.clear()
     for vm in vms:
