Let no record of another form end a VM's ticks

Cause: read in the code while looking at the records' new fields: the ticks and the sending of records were loops of their own; an exception in one of them would have ended it with one line, and the VM would have gone on without looking at who is alive. Test: tests/serving/pace.feature, work that fails at its first two steps.

--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -11,7 +11,6 @@
 from ..vms import rendezvous
 
 from . import datagrams
-from . import pace
 from . import peers
 from . import runners
 from . import settings
@@ -137,9 +136,10 @@
         return self._table.between_s
 
     def listen(self, address: settings.Address) -> None:
-        """Open the socket for records, and read it from now on."""
+        """Open the socket; from now on records are read and sent."""
         self._datagrams.listen(address.host, address.port)
         self._tasks.every(datagrams.READ_S, self._read)
+        self._tasks.every(digests.INTERVAL_S, self._tell)
 
     def close(self) -> None:
         """Close the socket."""
@@ -185,12 +185,6 @@
         if self._table.hears_all:
             self.news()
 
-    async def tell_forever(self) -> None:
-        """Send records for ever."""
-        while True:
-            self.tell()
-            await pace.pause(digests.INTERVAL_S)
-
     def note_members(self) -> None:
         """Log who was lost and who came; find out who follows the store."""
         alive = self._table.alive()
@@ -219,6 +213,9 @@
         self._news_due = False
         self.tell()
 
+    async def _tell(self) -> None:
+        self.tell()
+
     async def _read(self) -> None:
         self._datagrams.read()
 
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -21,7 +21,6 @@
 from . import metrics
 from . import node_checks
 from . import notes
-from . import pace
 from . import peers
 from . import relay
 from . import routes
@@ -112,6 +111,7 @@
         self._work = runner_duty.Work(clock)
         self._watchers: list[store.Watcher] = []
         self._leaving_since: float | None = None
+        self._ticked_at: float | None = None
         self._ended = asyncio.Event()
 
     @property
@@ -135,8 +135,7 @@
         spawn = self._tasks.spawn
         spawn(self._remember())
         self._tasks.every(RELOAD_S, self._reload_unasked)
-        spawn(self._tick_forever())
-        spawn(self._fleet.tell_forever())
+        self._tasks.every(TICK_S, self._tick)
         for server in self._servers.values():
             spawn(server.sweep_forever())
         logs.event(
@@ -351,15 +350,14 @@
             )
         self._duties.start(self._tasks)
 
-    async def _tick_forever(self) -> None:
-        last = self._clock.now()
-        while True:
-            await pace.pause(TICK_S)
-            now = self._clock.now()
-            if now - last > PAUSE_S:
-                self._stood_still(now - last)
-            last = now
-            self._tick()
+    async def _tick(self) -> None:
+        now, last = self._clock.now(), self._ticked_at
+        self._ticked_at = now
+        if last is None:
+            return
+        if now - last > PAUSE_S:
+            self._stood_still(now - last)
+        self._look()
 
     def _stood_still(self, for_s: float) -> None:
         """Doubt all that may have changed while the process stood still."""
@@ -368,7 +366,7 @@
         for watcher in self._watchers:
             watcher.doubt()
 
-    def _tick(self) -> None:
+    def _look(self) -> None:
         ended = self._directory.tick()
         if ended:
             self.runners_changed(ended)
--- a/tests/serving/pace.feature
+++ b/tests/serving/pace.feature
@@ -8,3 +8,9 @@
   Scenario: A step that takes long is not followed at once by the next
     When work each 0.1 s takes 0.09 s a step for 10 seconds
     Then there are at least 0.05 s between two steps
+
+  # Symptom: a VM stops looking at who is alive, without a word.
+  # Events: a peer's record has a field of another form; a step fails on it.
+  Scenario: Work that fails is logged and goes on
+    When repeated work fails at its first two steps
+    Then it is done a third time, and 2 failures are logged
--- a/tests/steps/serving_pace.py
+++ b/tests/steps/serving_pace.py
@@ -1,14 +1,20 @@
 """Steps for tests/serving/pace.feature."""
 
+import asyncio
+
 from behave import then
 from behave import when
 
+from apricotlever import logs
 from apricotlever.serving import pace
+from apricotlever.serving import tasks
 
 PHASE_S = 0.0371
 BEGAN_S = 5000.0123
 #: Moments nearer than this are one wake-up of an event loop.
 SAME_S = 1e-6
+SHORT_S = 0.002
+WAIT_S = 10.0
 
 
 def _steps(pause_s, for_s, takes_s=0.0):
@@ -63,3 +69,33 @@
         for sooner, later in zip(context.begun, context.begun[1:])
     ]
     assert min(pauses) >= seconds - SAME_S, min(pauses)
+
+
+@when("repeated work fails at its first two steps")
+def _fails(context):
+    context.done = 0
+    context.logged = []
+    logs.setup_writer("vm-0", lambda name, text: context.logged.append(name))
+    context.closers.append(logs.teardown)
+
+    async def work():
+        over = asyncio.Event()
+
+        async def step():
+            context.done += 1
+            if context.done == 3:
+                over.set()
+            if context.done < 3:
+                raise TypeError("a field of another form")
+
+        running = tasks.Tasks()
+        running.every(SHORT_S, step)
+        await asyncio.wait_for(over.wait(), WAIT_S)
+
+    asyncio.run(work())
+
+
+@then("it is done a third time, and {count:d} failures are logged")
+def _third(context, count):
+    assert context.done >= 3
+    assert context.logged.count("task_failed") == count, context.logged
