--- a/src/apricotlever/client/stories.py
+++ b/src/apricotlever/client/stories.py
@@ -40,6 +40,10 @@
     ("replaced", "another runner had the address by then"),
     ("unreachable", "no connection to the runner opened in time"),
     ("connections_used_up", "all connections to the runner were in use"),
+    (
+        "broken:not an answer",
+        "the runner sent what is no answer; it may have run",
+    ),
     ("broken", "the runner broke the connection off; it may have run"),
     ("disorder", "the runner's stream left an event out or repeated one"),
     ("ends_within_an_event", "the stream ended in the middle of an event"),
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -12,6 +12,12 @@
     When the operator explains "bb22"
     Then the command succeeds and prints "over its limit"
 
+  Scenario: A request whose runner sent what is no answer
+    Given logs of two VMs with a request that broke off at a reclaimed runner
+    And a log of a request whose runner sent what is no answer
+    When the operator explains "gg77"
+    Then the command succeeds and prints "sent what is no answer"
+
   Scenario: A request that no log names
     Given logs of two VMs with a request that broke off at a reclaimed runner
     When the operator explains "cc33"
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -51,6 +51,11 @@
 took_s=3.2
 """
 
+GARBLED = """\
+time=2026-03-01T03:12:16.300100Z level=INFO event=request_refused vm=vm-1 \
+request=gg77 status=502 reason="broken:not an answer: HttpParserError"
+"""
+
 
 def _file(context, name, text):
     path = pathlib.Path(context.folder, name)
@@ -79,6 +84,11 @@
     _file(context, "vm-2.log", NOTICED)
 
 
+@given("a log of a request whose runner sent what is no answer")
+def _garbled(context):
+    _file(context, "garbled.log", GARBLED)
+
+
 @given("a log of a stream that came late")
 def _late(context):
     _file(context, "vm-3.log", LATE)
