Take back the longer wait before the first orders

Cause: it did what it was for, and costs more than it gives. Conclusion: to be tried instead: look as early, and raise the count that is noted at first while runners are still being listed.

--- a/src/apricotlever/serving/runner_duty.py
+++ b/src/apricotlever/serving/runner_duty.py
@@ -22,11 +22,6 @@
 #: start. Runners that start along with it are listed one by one; a VM that
 #: took the first ones for all let eight of nine go.
 SETTLE_HEARTBEATS = 2.5
-#: And until so many heartbeats after the last one was listed, since what is
-#: there at first counts as needed until the work is known.
-QUIET_HEARTBEATS = 1.0
-#: But no longer than this: runners may come and go for ever.
-MOST_HEARTBEATS = 5.0
 #: An order that showed no effect is sent again after this time: its answer
 #: may have been lost, and an old holder's order may have come after it.
 REPEAT_S = 9.0
@@ -178,12 +173,9 @@
         "_dialect",
         "_directory",
         "_in_flight",
-        "_heartbeat_s",
         "_keeper",
-        "_listed",
         "_orders",
         "_settled_at",
-        "_settled_by",
         "_work",
         "configuration",
     )
@@ -200,11 +192,7 @@
         heartbeat_s: float,
     ) -> None:
         self._clock = clock
-        self._heartbeat_s = heartbeat_s
-        #: The most runners that were listed while they are waited for.
-        self._listed = 0
         self._settled_at = clock.now() + SETTLE_HEARTBEATS * heartbeat_s
-        self._settled_by = clock.now() + MOST_HEARTBEATS * heartbeat_s
         self._work = work
         self._directory = directory
         self._in_flight = in_flight
@@ -218,7 +206,7 @@
     async def step(self) -> None:
         """Order what is missing, and give back what is too much."""
         configuration = self.configuration
-        if configuration is None or not self._settled():
+        if configuration is None or self._clock.now() < self._settled_at:
             return
         holds = self._keeper.fencing is not None
         if not holds:
@@ -235,19 +223,6 @@
                 if not await self._order(line):
                     return
 
-    def _settled(self) -> bool:
-        """Whether the runners that started along have all been listed."""
-        now = self._clock.now()
-        if now >= self._settled_at:
-            return True
-        count = len(self._directory.runners)
-        if count > self._listed:
-            self._listed = count
-            quiet_at = now + QUIET_HEARTBEATS * self._heartbeat_s
-            latest = min(quiet_at, self._settled_by)
-            self._settled_at = max(self._settled_at, latest)
-        return False
-
     def _load(
         self, service: routes.Service, terms: fleet_size.Terms, told: bool
     ) -> _Load:
