Let engines read short prompts first

Cause: a tenth of the short summaries and chats began late on runners that were half idle. Their route is the least urgent, so engines read them last.

Change: within one customer's priority, prompts under 2,000 tokens take the engine's first place, whatever their route.

--- a/src/apricotlever/serving/exchange.py
+++ b/src/apricotlever/serving/exchange.py
@@ -4,6 +4,7 @@
 import typing
 
 from .. import logs
+from ..runners import urgency
 
 from . import attempt as attempts
 from . import channels
@@ -33,10 +34,6 @@
 COME_BACK_S = 0.4
 #: A runner is given at least so long, in seconds; none reads a zero.
 LEAST_WORK_S = 0.001
-#: The least urgent place in an engine's queue.
-LAST_PRIORITY = 9
-#: Places in an engine's queue for the routes of one customer's priority.
-ROUTES_PER_CUSTOMER_PRIORITY = 3
 
 
 class NotServed(Exception):
@@ -250,21 +247,22 @@
             runner.runner_id,
             self._customer.name if self._customer else None,
             max(LEAST_WORK_S, left_s),
-            self._priority() if self._call.prompt is not None else None,
+            self._place(),
             self._splitter.last_id,
             copy_from,
         )
 
-    def _priority(self) -> int:
-        """The call's place in an engine's queue.
-
-        A customer's priority goes before the route's.
-        """
+    def _place(self) -> int | None:
+        """The call's place in an engine's queue; None for a plain one."""
+        prompt = self._call.prompt
+        if prompt is None:
+            return None
         customer = self._customer
-        first = customer.priority if customer is not None else None
-        place = (first or 0) * ROUTES_PER_CUSTOMER_PRIORITY
-        place += min(ROUTES_PER_CUSTOMER_PRIORITY - 1, self._route.priority)
-        return min(LAST_PRIORITY, place)
+        return urgency.place(
+            customer.priority if customer is not None else None,
+            self._route.priority,
+            prompt.tokens_in,
+        )
 
     def _patience(self) -> float | None:
         """How long the answer may take to begin before another is asked.
