Count the runners of the start only until the work is known

Cause: until its work has been counted for 6 s, the runners that a deployment started with count as needed. That figure went among the measured ones, whose peak counts for 5 s more (15 s for reclaimable runners).

Change: what is trusted goes beside what was measured; on-demand runners follow it only while it holds, reclaimable ones, which are cheap, as before.

--- a/src/apricotlever/data_centres/fleet_size.py
+++ b/src/apricotlever/data_centres/fleet_size.py
@@ -96,6 +96,22 @@
         self.prices = prices
 
 
+class _Need:
+    """What counted as needed at one time.
+
+    :param measured: runners that the work kept busy.
+    :param trusted: runners that count as needed until the work is known; 0
+        once it is.
+    """
+
+    __slots__ = ("at", "measured", "trusted")
+
+    def __init__(self, at: float, measured: float, trusted: float) -> None:
+        self.at = at
+        self.measured = measured
+        self.trusted = trusted
+
+
 class FleetSize:
     """Plans the holdings of one service."""
 
@@ -109,9 +125,7 @@
         #: Orders that were taken, by data centre and whether reclaimable:
         #: how many, and until when they are counted on unseen.
         self._coming: dict[tuple[str, bool], tuple[int, float]] = {}
-        self._needs: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
+        self._needs: collections.deque[_Need] = collections.deque()
 
     @property
     def dry(self) -> bool:
@@ -137,16 +151,23 @@
         self._coming[place, reclaimable] = (count, until)
 
     def observe(
-        self, held: typing.Mapping[str, Holding], needed: float
+        self,
+        held: typing.Mapping[str, Holding],
+        needed: float,
+        trusted: float = 0.0,
     ) -> None:
         """Note what the load needs and what serves, to plan by it later.
 
         Every VM does, not only the one that orders: one that took the duty
         over knew no need but the current one and of no refusal, and gave two
         of the last three reclaimable runners back while none were to be had.
+
+        :param needed: runners that the load keeps busy.
+        :param trusted: runners that count as needed until the load is known.
         """
-        self._needs.append((self._clock.now(), needed))
-        while self._needs[0][0] < self._clock.now() - RECLAIMABLE_PEAK_S:
+        now = self._clock.now()
+        self._needs.append(_Need(now, needed, trusted))
+        while self._needs[0].at < now - RECLAIMABLE_PEAK_S:
             self._needs.popleft()
         self._notice_reclaims(held)
 
@@ -156,16 +177,22 @@
         held: typing.Mapping[str, Holding],
         needed: float,
         idle: bool = False,
+        trusted: float = 0.0,
     ) -> dict[str, Holding]:
         """The runners to hold from now on.
 
         :param held: runners that serve and are not leaving.
         :param needed: runners that the load keeps busy to the wanted part.
         :param idle: whether there has been no work at all so far.
+        :param trusted: runners that count as needed until the load is known.
+            They don't outlast that among the on-demand ones: nine that a
+            deployment had started with counted for 5 s more, and while
+            reclaimable ones were scarce eleven were paid where five were
+            needed.
         """
         places = sorted(terms.prices, key=lambda name: terms.prices[name])
-        self.observe(held, needed)
-        needed = self._peak(PEAK_S)
+        self.observe(held, needed, trusted)
+        needed = max(trusted, self._peak(PEAK_S))
         reclaimable = self._reclaimable(terms, places, held)
         have = {
             place: Holding(
@@ -208,9 +235,12 @@
         now = sum(holding.on_demand for holding in have.values())
         return max(more, min(keep, now))
 
-    def _peak(self, within_s: float) -> float:
+    def _recent(self, within_s: float) -> list[_Need]:
         since = self._clock.now() - within_s
-        return max(need for at, need in self._needs if at >= since)
+        return [need for need in self._needs if need.at >= since]
+
+    def _peak(self, within_s: float) -> float:
+        return max(need.measured for need in self._recent(within_s))
 
     def _count(
         self,
@@ -249,7 +279,10 @@
         there = {place: self._count(place, True, held) for place in places}
         if self.dry:
             return there
-        needed = self._peak(RECLAIMABLE_PEAK_S)
+        needed = max(
+            max(need.measured, need.trusted)
+            for need in self._recent(RECLAIMABLE_PEAK_S)
+        )
         rest = RECLAIMABLE_PART * needed * (1.0 - ON_DEMAND_PART)
         spread = len(places) / max(1, len(places) - 1)
         each = math.ceil(rest * spread / len(places) - 1e-9)
--- a/src/apricotlever/serving/runner_duty.py
+++ b/src/apricotlever/serving/runner_duty.py
@@ -75,19 +75,22 @@
 
     :param held: runners that serve, by data centre.
     :param needed: runners that its load needs.
+    :param trusted: runners that count as needed until its load is known.
     :param idle: whether there has been no work so far.
     """
 
-    __slots__ = ("held", "needed", "idle")
+    __slots__ = ("held", "needed", "trusted", "idle")
 
     def __init__(
         self,
         held: dict[str, fleet_size.Holding],
         needed: float,
+        trusted: float,
         idle: bool,
     ) -> None:
         self.held = held
         self.needed = needed
+        self.trusted = trusted
         self.idle = idle
 
 
@@ -140,7 +143,7 @@
 
         :param told: whether to log what it was worked out from.
         """
-        started_with = self._started_with.setdefault(service.name, present)
+        self._started_with.setdefault(service.name, present)
         known = self._demands.get(service.name)
         places = service.engine.concurrency if service.engine else 1
         measured = known.runners(in_flight, places) if known else 1.0
@@ -155,10 +158,15 @@
                 in_flight=in_flight,
                 present=present,
             )
-        if known is None or known.known_for_s < LEARNED_AFTER_S:
-            return max(measured, float(started_with))
         return measured
 
+    def trusted(self, service: str) -> float:
+        """Runners that count as needed until the work is known."""
+        known = self._demands.get(service)
+        if known is None or known.known_for_s < LEARNED_AFTER_S:
+            return float(self._started_with.get(service, 0))
+        return 0.0
+
 
 class RunnerDuty:
     """Orders runners while this VM holds the lease.
@@ -217,7 +225,7 @@
             load = self._load(service, service.scaling, told=holds)
             if not holds:
                 size = self._work.size_of(service.name)
-                size.observe(load.held, load.needed)
+                size.observe(load.held, load.needed, load.trusted)
                 continue
             for line in self._lines(service.name, service.scaling, load):
                 if not await self._order(line):
@@ -232,6 +240,7 @@
         return _Load(
             held,
             self._work.needed(service, present, in_flight, told),
+            self._work.trusted(service.name),
             not in_flight and self._work.never_worked(service.name),
         )
 
@@ -240,7 +249,7 @@
     ) -> list[_Line]:
         held = load.held
         size = self._work.size_of(service)
-        plan = size.plan(terms, held, load.needed, load.idle)
+        plan = size.plan(terms, held, load.needed, load.idle, load.trusted)
         lines = []
         for place, wanted in plan.items():
             have = held[place]
--- a/tests/serving/runner_duty.feature
+++ b/tests/serving/runner_duty.feature
@@ -30,3 +30,19 @@
     When 2 seconds pass and 9 on-demand runners are listed
     And 8 seconds pass at the holder of the orders
     Then at most 2 seconds later reclaimable ones are ordered
+
+  # Symptom: eleven on-demand runners are paid for four seconds where five are
+  # needed.
+  # Events: until its work is known a deployment's nine runners count as
+  # needed; it becomes known, and reclaimable runners are not to be had, for
+  # which half as many more are held as are needed.
+  # Cause: what was only trusted kept among what had been measured.
+  Scenario: The runners of the start count until the work is known, and no longer
+    Given a holder that orders runners, in a fleet without any
+    And reclaimable runners are not to be had for 60 seconds
+    When 2 seconds pass and 9 on-demand runners are listed
+    And the fleet has as much work as 3 runners do
+    And 5 seconds pass at the holder of the orders
+    Then at least 9 on-demand runners are held while no others serve
+    When 3 seconds pass at the holder of the orders
+    Then at most 6 on-demand runners are held while no others serve
--- a/tests/steps/serving_runner_duty.py
+++ b/tests/steps/serving_runner_duty.py
@@ -170,3 +170,10 @@
     assert not holder.orders.total(True), holder.orders.log
     holder.run(seconds)
     assert holder.orders.total(True), holder.orders.log
+
+
+@then("at most {count:d} on-demand runners are held while no others serve")
+def _given_back(context, count):
+    taken = context.holder.orders.taken
+    held = sum(taken.get((place, False), 3) for place in PLACES)
+    assert held <= count, taken
