--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -23,6 +23,7 @@
 from . import notes
 from . import peers
 from . import relay
+from . import reloading
 from . import routes
 from . import runner_duty
 from . import runners
@@ -32,8 +33,6 @@
 from . import upstreams
 
 TICK_S = 0.1
-#: Between two looks at the settings file, in seconds.
-RELOAD_S = 5.0
 #: A tick that is so late, in seconds, shows that the process stood still.
 PAUSE_S = 1.0
 
@@ -52,12 +51,13 @@
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
-        self._read_settings = read_settings
         self._dialect = dialect
         self._clock = clock
         self._rng = rng
-        self._settings = config = read_settings()
-        self._seeds = config.seeds
+        self._reloading = reloading.Reloading(
+            read_settings, lambda seeds: self._fleet.set_seeds(seeds)
+        )
+        self._settings = config = self._reloading.settings
         self._incarnation = time.time_ns() // 1_000_000
         self._process = f"{config.vm}#{self._incarnation}"
         self._configuration: routes.Configuration | None = None
@@ -130,13 +130,13 @@
         """Serve until told to stop."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.leave)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reloading.reload)
         await self._listen()
         self._start_duties()
         self._follow()
         spawn = self._tasks.spawn
         spawn(self._remember())
-        self._tasks.every(RELOAD_S, self._reload_unasked)
+        self._tasks.every(reloading.RELOAD_S, self._reloading.look)
         self._tasks.every(TICK_S, self._tick)
         for server in self._servers.values():
             spawn(server.sweep_forever())
@@ -163,22 +163,6 @@
         self._fleet.tell()
         self._tasks.spawn(self._end_when_quiet())
 
-    def reload(self) -> None:
-        """Read the settings again; what can change in one life are seeds."""
-        try:
-            seeds = self._read_settings().seeds
-        except (OSError, ValueError, KeyError) as error:
-            logs.event("settings_invalid", error=repr(error))
-            return
-        if seeds != self._seeds:
-            self._seeds = seeds
-            self._fleet.set_seeds(seeds)
-            logs.event("reloaded", seeds=len(seeds))
-
-    async def _reload_unasked(self) -> None:
-        """The file may change without a signal."""
-        self.reload()
-
     def configure(self, spec: store.Json) -> bool:
         """Take over a version, if it is newer than the one in force."""
         try:
--- a/tests/contracts/fleet_rate.feature
+++ b/tests/contracts/fleet_rate.feature
@@ -72,13 +72,13 @@
   Scenario: Late news does not refuse the calls that come next
     Given 2 VMs that share a limit of 100 a second and a burst of 100, and 400 to spare
     When both let in 90 units at the same moment and tell it
-    And the fleet has told itself for 1 seconds more
+    And they have told each other for 1 seconds more
     Then VM 1 lets in 80 units at once
 
   Scenario: Without anything to spare it does
     Given 2 VMs that share a limit of 100 a second and a burst of 100, and 0 to spare
     When both let in 90 units at the same moment and tell it
-    And the fleet has told itself for 1 seconds more
+    And they have told each other for 1 seconds more
     Then VM 1 does not let in 80 units
 
   Scenario Outline: What is spared is bounded, however long the flood
--- a/tests/steps/contracts_fleet_rate.py
+++ b/tests/steps/contracts_fleet_rate.py
@@ -72,6 +72,7 @@
 
 
 @given("they have told each other for {seconds:d} seconds")
+@when("they have told each other for {seconds:d} seconds more")
 def _told(context, seconds):
     for _ in range(round(seconds / INTERVAL_S)):
         context.fleet.step()
@@ -254,12 +255,6 @@
     context.fleet.tell()
 
 
-@when("the fleet has told itself for {seconds:d} seconds more")
-def _pass(context, seconds):
-    for _ in range(round(seconds / INTERVAL_S)):
-        context.fleet.step()
-
-
 @then("VM {vm:d} does not let in {units:d} units")
 def _not_in(context, vm, units):
     assert context.fleet.rates[f"vm-{vm - 1}"].take(units)
