--- a/src/apricotlever/serving/runner_duty.py
+++ b/src/apricotlever/serving/runner_duty.py
@@ -94,28 +94,6 @@
         self.idle = idle
 
 
-class _Start:
-    """The runners that a deployment started with.
-
-    They are listed one after the other, and the first look may come between
-    two of them: what is found as long as none that was ordered can have come
-    counts as well.
-
-    :param until: from then on runners that were ordered may be among them.
-    """
-
-    __slots__ = ("_until", "count")
-
-    def __init__(self, until: float) -> None:
-        self._until = until
-        self.count = 0
-
-    def seen(self, present: int, now: float) -> None:
-        """So many are there now."""
-        if not self.count or now < self._until:
-            self.count = max(self.count, present)
-
-
 class Work:
     """The fleet's work and plans, by service."""
 
@@ -125,7 +103,7 @@
         self._clock = clock
         self._demands: dict[str, demand.Demand] = {}
         self._sizes: dict[str, fleet_size.FleetSize] = {}
-        self._started_with: dict[str, _Start] = {}
+        self._started_with: dict[str, int] = {}
 
     def heard(
         self, process: str, work: typing.Mapping[str, typing.Any]
@@ -165,12 +143,7 @@
 
         :param told: whether to log what it was worked out from.
         """
-        now = self._clock.now()
-        boot_s = service.scaling.boot_s if service.scaling else 0.0
-        start = self._started_with.setdefault(
-            service.name, _Start(now + boot_s)
-        )
-        start.seen(present, now)
+        self._started_with.setdefault(service.name, present)
         known = self._demands.get(service.name)
         places = service.engine.concurrency if service.engine else 1
         measured = known.runners(in_flight, places) if known else 1.0
@@ -191,8 +164,7 @@
         """Runners that count as needed until the work is known."""
         known = self._demands.get(service)
         if known is None or known.known_for_s < LEARNED_AFTER_S:
-            start = self._started_with.get(service)
-            return float(start.count) if start is not None else 0.0
+            return float(self._started_with.get(service, 0))
         return 0.0
 
 
