Tell in the log why a runner is left out

Cause: runner_outlier named the runner alone.

Change: the line has the failed and all calls that were counted, the share of failures at the service's middle other runner, and for how long it is left out.

No change of what is decided.

--- a/src/apricotlever/runners/outliers.py
+++ b/src/apricotlever/runners/outliers.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import itertools
 import math
 import typing
 
@@ -88,6 +89,37 @@
         self.for_s = for_s
 
 
+class Found:
+    """A runner that is left out from now on, and why.
+
+    :param failed: of its calls in the last :data:`WINDOW_S`.
+    :param calls: all of them.
+    :param others_share: of failures, at the service's middle other runner.
+    :param out_s: how long it is left out, in seconds.
+    """
+
+    __slots__ = ("runner", "failed", "calls", "others_share", "out_s")
+
+    def __init__(
+        self,
+        runner: str,
+        failed: int,
+        calls: int,
+        others_share: float,
+        out_s: float,
+    ) -> None:
+        self.runner = runner
+        self.failed = failed
+        self.calls = calls
+        self.others_share = others_share
+        self.out_s = out_s
+
+    @property
+    def inputs(self) -> dict[str, str | int | float]:
+        """What decided it, for the log."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
 class Outliers:
     """Failures at the runners of all services, as all VMs tell them.
 
@@ -129,16 +161,15 @@
 
     def judge(
         self, services: typing.Iterable[typing.Sequence[str]]
-    ) -> list[str]:
+    ) -> list[Found]:
         """Find runners that fail more than the others of their service.
 
         :param services: the runners of each service.
         :returns: those that are left out from now on.
         """
-        found = []
-        for runners in services:
-            found += self._judge_service(runners)
-        return found
+        return list(
+            itertools.chain.from_iterable(map(self._judge_service, services))
+        )
 
     def keep_only(self, runners: typing.Container[str]) -> None:
         """Forget runners that are gone."""
@@ -146,7 +177,7 @@
             for runner in [r for r in known if r not in runners]:
                 del known[runner]
 
-    def _judge_service(self, runners: typing.Sequence[str]) -> list[str]:
+    def _judge_service(self, runners: typing.Sequence[str]) -> list[Found]:
         now = self._clock.now()
         recent = {
             runner: self._windows[runner].recent(now)
@@ -158,28 +189,34 @@
             if failed < LEAST_FAILURES:
                 continue
             others = [c for name, c in recent.items() if name != runner]
-            if not _stands_out(failed, calls, others):
+            share = _middle_share(others)
+            if share is None or not _stands_out(failed, calls, share):
                 continue
-            if self._leave_out(runner, runners, now):
-                found.append(runner)
+            out_s = self._leave_out(runner, runners, now)
+            if out_s:
+                found.append(Found(runner, failed, calls, share, out_s))
         return found
 
     def _leave_out(
         self, runner: str, runners: typing.Sequence[str], now: float
-    ) -> bool:
+    ) -> float:
+        """Leave a runner out, unless it is or too many are.
+
+        :returns: for how many seconds; 0 if it is not left out anew.
+        """
         known = self._out.get(runner)
         if known is not None and now < known.until:
-            return False
+            return 0.0
         out = sum(r in self.left_out for r in runners)
         if out + 1 > max(1.0, MOST_OUT_PART * len(runners)):
-            return False
+            return 0.0
         for_s = FIRST_OUT_S
         if known is not None and now < known.until + FORGIVEN_S:
             for_s = min(LONGEST_OUT_S, 2.0 * known.for_s)
         self._out[runner] = _Out(now + for_s, for_s)
         # What was seen so far has been answered for.
         self._windows[runner].restart(now)
-        return True
+        return for_s
 
     def _note(
         self, process: str, runner: str, totals: tuple[int, int]
@@ -188,9 +225,16 @@
         window.add(process, self._clock.now(), *totals)
 
 
-def _stands_out(
-    failed: int, calls: int, others: list[tuple[int, int]]
-) -> bool:
+def _middle_share(others: list[tuple[int, int]]) -> float | None:
+    """The share of failures at the middle one of a service's other runners.
+
+    :returns: None when none of them had a call.
+    """
+    shares = sorted(failed / calls for failed, calls in others if calls)
+    return shares[len(shares) // 2] if shares else None
+
+
+def _stands_out(failed: int, calls: int, others_share: float) -> bool:
     """Whether a runner fails more than chance lets one of its service.
 
     A fixed number of failures takes seconds to come together where calls are
@@ -198,11 +242,8 @@
     """
     if failed < LEAST_SHARE * calls:
         return False
-    shares = sorted(f / c for f, c in others if c)
-    if not shares:
-        return False
-    middle = max(LEAST_MIDDLE_SHARE, shares[len(shares) // 2])
-    return _chance(failed, calls, middle) <= CHANCE
+    share = max(LEAST_MIDDLE_SHARE, others_share)
+    return _chance(failed, calls, share) <= CHANCE
 
 
 def _chance(failed: int, calls: int, share: float) -> float:
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -352,8 +352,8 @@
             if not runner.leaving:
                 names = by_service.setdefault(runner.service, [])
                 names.append(runner.runner_id)
-        for name in self._outliers.judge(by_service.values()):
-            logs.event("runner_outlier", runner=name)
+        for found in self._outliers.judge(by_service.values()):
+            logs.event("runner_outlier", **found.inputs)
 
     def _copies(self, name: str) -> bool:
         configuration = self._configuration
--- a/tests/runners/outliers.feature
+++ b/tests/runners/outliers.feature
@@ -49,3 +49,8 @@
     Given 7 VMs and a service with 3 runners
     When 3 runners fail 14 in 100 of 18 calls a second for 60 seconds, 10 times
     Then a runner was left out at most 2.0 times in each
+
+  Scenario: What decided it is told
+    Given 5 VMs and a service with 6 runners
+    When runner 1 fails 2 of 2 calls at VM 1, and the others none of 10
+    Then VM 1 leaves out runner 1 for 3 seconds, for 2 of 2 beside 0.0
--- a/tests/steps/runners_outliers.py
+++ b/tests/steps/runners_outliers.py
@@ -137,3 +137,25 @@
     # All VMs find the same one at about the same time.
     counts = [len(f.found_at) / len(f.vms) for f in context.fleets]
     assert statistics.mean(counts) <= times, counts
+
+
+@when("runner 1 fails 2 of 2 calls at VM 1, and the others none of 10")
+def _told(context):
+    vm = context.fleet.vms[0]
+    for runner in context.fleet.runners[1:]:
+        for _ in range(2):
+            vm.ended(runner, False)
+    for _ in range(2):
+        vm.ended("runner-1", True)
+    context.found = vm.judge([context.fleet.runners])
+
+
+@then(
+    "VM 1 leaves out runner 1 for {out_s:d} seconds, for {failed:d} of "
+    "{calls:d} beside {share:f}"
+)
+def _found(context, out_s, failed, calls, share):
+    (found,) = context.found
+    assert found.runner == "runner-1"
+    assert (found.failed, found.calls) == (failed, calls)
+    assert (found.others_share, found.out_s) == (share, out_s)
