--- a/src/apricotlever/contracts/fleet_rate.py
+++ b/src/apricotlever/contracts/fleet_rate.py
@@ -99,6 +99,7 @@
         "_bucket",
         "_burst",
         "_ceiling",
+        "_ceiling_times",
         "_clock",
         "_first",
         "_let_in",
@@ -108,7 +109,6 @@
         "_rate",
         "_rest",
         "_since",
-        "_times",
         "_tolerance",
         "_totals",
         "_used",
@@ -137,9 +137,9 @@
         self._bucket.charge(max(0.0, burst - self._first))
         #: Counts all that was let in, what late news made too much as well.
         self._tolerance = LATE_NEWS_PART * spare
-        self._times = 1.0 + LATE_NEWS_OVERSHOOT_PART * overshoot
+        self._ceiling_times = 1.0 + LATE_NEWS_OVERSHOOT_PART * overshoot
         self._ceiling = rates.TokenBucket(
-            clock, rate * self._times, burst + self._tolerance
+            clock, rate * self._ceiling_times, burst + self._tolerance
         )
         self._ceiling.charge(max(0.0, burst - self._first))
         #: What was left at the last tick, and what was let in since.
@@ -192,7 +192,7 @@
             # with this one can have let in by now counts.
             before = max(0.0, total - self._first)
         self._totals[member] = total
-        self._heard(total - before)
+        self._charge_others(total - before)
 
     @property
     def level(self) -> float | None:
@@ -239,7 +239,7 @@
             return wait_s
         if self._let_in and self._let_in + units > self._share():
             return NEXT_TICK_S
-        self._give(-units)
+        self._add(-units)
         self._let_in += units
         self._used += units
         return 0.0
@@ -251,7 +251,7 @@
 
     def give_back(self, units: float) -> None:
         """A call that was let in did not run."""
-        self._give(units)
+        self._add(units)
         self._let_in = max(0.0, self._let_in - units)
         self._used -= units
 
@@ -278,7 +278,7 @@
             self._part = part
             self._apply()
         if self._withheld and heard_any and not silent:
-            self._give(self._withheld)
+            self._add(self._withheld)
             self._withheld = 0.0
 
     def _apply(self) -> None:
@@ -286,15 +286,15 @@
         rate, burst = self._rate * part, self._burst * part
         self._bucket.set_rate(rate, burst)
         self._ceiling.set_rate(
-            rate * self._times, burst + self._tolerance * part
+            rate * self._ceiling_times, burst + self._tolerance * part
         )
 
-    def _give(self, units: float) -> None:
+    def _add(self, units: float) -> None:
         """Change what is left; negative to take."""
         self._bucket.charge(-units)
         self._ceiling.charge(-units)
 
-    def _heard(self, units: float) -> None:
+    def _charge_others(self, units: float) -> None:
         """Others let in so much, in part while it was not left any more."""
         left = max(0.0, self._bucket.level + self._withheld)
         self._bucket.charge(min(units, left))
