Listen before the modules of the path are loaded

Cause: after a loss of power a VM loads Python and its modules for 0.25 s of processor time before its ports listen. Callers who connect meanwhile are reset and spend their one more try; calls that come just after it are refused until the first configuration has been read.

Histograms load with the first answer.

Ruled out: fewer modules. Of 66 ms in the product's 86 modules 52 to 76 went into finding and reading their files, not into running them; one file of all of them would save that, and would have to be kept from going stale.

--- a/bench/records.py
+++ b/bench/records.py
@@ -201,7 +201,7 @@
     rng = random.Random(SEED)
     clock = clocks.ManualClock()
     dialect = dialects.Dialect(*[mock.MagicMock() for _ in range(3)])
-    member = node.Node(_settings, dialect, clock, rng)
+    member = node.Node(_settings, dialect, clock, rng, mock.MagicMock())
     configuration = _configuration(customers)
     dialect.platform.configuration.return_value = configuration
     member._servers["callers"] = mock.MagicMock(busy=0)
--- a/src/apricotlever/serving/callers.py
+++ b/src/apricotlever/serving/callers.py
@@ -7,8 +7,11 @@
 
 import httptools
 
+from .. import addresses
+
 from . import framing
 from . import pace
+from . import ports
 from . import replies
 from . import routes
 
@@ -340,15 +343,23 @@
         return sum(channel.busy for channel in self.channels)
 
     async def listen(self, host: str, port: int) -> int:
-        """Start to take connections.
+        """Start to take connections at an address.
 
         :returns: the port, which matters when 0 was asked for.
         """
+        address = addresses.Address(host, port)
+        return await self.serve(ports.Ports().take(address))
+
+    async def serve(self, sock: socket.socket) -> int:
+        """Start to take connections from a socket that listens.
+
+        :returns: its port.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerChannel(self), host, port, backlog=1024
+            lambda: CallerChannel(self), sock=sock, backlog=ports.BACKLOG
         )
-        return int(self._server.sockets[0].getsockname()[1])
+        return int(sock.getsockname()[1])
 
     def leave(self) -> None:
         """Close each connection after the answer it waits for."""
--- a/src/apricotlever/serving/main.py
+++ b/src/apricotlever/serving/main.py
@@ -10,6 +10,7 @@
 from . import dialects
 from . import log_writer
 from . import node
+from . import ports
 from . import settings
 
 #: Objects between two collections of the youngest generation. The default
@@ -17,10 +18,15 @@
 GC_THRESHOLD = 20000
 
 
-def run(dialect: str, read_settings: settings.Reader) -> int:
+def run(
+    dialect: str,
+    read_settings: settings.Reader,
+    listening: ports.Ports | None = None,
+) -> int:
     """Serve until told to stop.
 
     :param dialect: the registered name of what is spoken at the edges.
+    :param listening: ports that were opened before.
     :returns: the exit code.
     """
     config = read_settings()
@@ -28,11 +34,13 @@
     logs.setup_writer(config.vm, writer.write)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
     member = node.Node(
         read_settings,
         dialects.dialect(dialect),
         clocks.SystemClock(),
         random.Random(),
+        listening or ports.Ports(),
     )
     asyncio.run(_serve(member, writer))
     return 0
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -22,7 +22,9 @@
 from . import metrics
 from . import node_checks
 from . import notes
+from . import opening
 from . import peers
+from . import ports
 from . import relay
 from . import reloading
 from . import routes
@@ -34,6 +36,8 @@
 from . import upstreams
 
 TICK_S = 0.1
+#: Servers that wait until there is an answer for their callers.
+ASKED_BY_CALLERS = ("callers", "lookups")
 #: A tick that is so late, in seconds, shows that the process stood still.
 PAUSE_S = 1.0
 
@@ -43,6 +47,7 @@
 
     :param read_settings: reads the settings file, now and on a change.
     :param dialect: what is spoken at the edges.
+    :param listening: ports that were opened before, for :meth:`run`.
     """
 
     def __init__(
@@ -51,7 +56,9 @@
         dialect: dialects.Dialect,
         clock: clocks.Clock,
         rng: random.Random,
+        listening: ports.Ports,
     ) -> None:
+        self._ports = listening
         self._dialect = dialect
         self._clock = clock
         self._rng = rng
@@ -116,6 +123,7 @@
         self._leaving_since: float | None = None
         self._ticked_at: float | None = None
         self._ended = asyncio.Event()
+        self._opening = opening.Opening()
 
     @property
     def ready(self) -> bool:
@@ -141,10 +149,12 @@
         self._tasks.every(TICK_S, self._tick)
         for server in self._servers.values():
             spawn(server.sweep_forever())
+        informed = await self._opening.serve()
         logs.event(
             "started",
             incarnation=self._incarnation,
             callers=str(self._settings.callers),
+            informed=informed,
         )
         await self._ended.wait()
         self._fleet.close()
@@ -183,11 +193,13 @@
         self._servers["callers"].limits = configuration.limits
         logs.event("configuration_in_force", version=self.version)
         self._fleet.news()
+        self._note_informed()
         return True
 
     def runners_changed(self, ended: list[str]) -> None:
         """Runners came, changed or went."""
         self._upstreams.refresh()
+        self._note_informed()
         if ended:
             self._fleet.news()
         for runner_id in ended:
@@ -307,10 +319,18 @@
             if address is None:
                 continue
             server = callers.CallerServer(handler)
-            await server.listen(address.host, address.port)
             self._servers[name] = server
+            sock = self._ports.take(address)
+            if name in ASKED_BY_CALLERS:
+                self._opening.add(server, sock)
+            else:
+                await server.serve(sock)
         self._fleet.listen(config.peers)
 
+    def _note_informed(self) -> None:
+        if self._configuration is not None and self._directory.runners:
+            self._opening.informed()
+
     def _follow(self) -> None:
         """Follow the store's two kinds, as long as it is wanted."""
         self._watchers = listeners.watchers(
--- a/src/apricotlever/serving/observations.py
+++ b/src/apricotlever/serving/observations.py
@@ -6,7 +6,8 @@
 
 import typing
 
-from .. import histograms
+if typing.TYPE_CHECKING:
+    from .. import histograms
 
 #: Pairs of customer and kind of call that have histograms of their own, twice;
 #: each takes about 30 kB.
@@ -24,7 +25,7 @@
     __slots__ = ("_histograms", "_refused", "_served")
 
     def __init__(self) -> None:
-        self._histograms = histograms.Histograms(MOST_HISTOGRAMS)
+        self._histograms: "histograms.Histograms | None" = None
         self._refused: dict[str, int] = {}
         self._served: dict[str, int] = {}
 
@@ -45,7 +46,13 @@
         whole_s: float,
     ) -> None:
         """A call was answered with success."""
+        # Loaded with the first answer and not before it: that takes about a
+        # tenth of a start, and callers are waiting then.
+        from .. import histograms
+
         self._served[customer] = self._served.get(customer, 0) + 1
+        if self._histograms is None:
+            self._histograms = histograms.Histograms(MOST_HISTOGRAMS)
         record = self._histograms.record
         record(histograms.WHOLE, customer, kind, whole_s)
         if first_s is not None:
@@ -69,8 +76,9 @@
         lines += _labelled("refused_total", "reason", self._refused)
         for (name, label), values in families.items():
             lines += _labelled(name, label, values)
-        for found in self._histograms.distributions():
-            lines += _quantiles(found)
+        if self._histograms is not None:
+            for found in self._histograms.distributions():
+                lines += _quantiles(found)
         return "\n".join([*lines, ""])
 
 
@@ -88,7 +96,7 @@
     ]
 
 
-def _quantiles(found: histograms.Distribution) -> list[str]:
+def _quantiles(found: "histograms.Distribution") -> list[str]:
     name = f"{PREFIX}_{found.measure}_seconds"
     labels = f'customer="{found.customer}",kind="{found.service_class}"'
     lines = [
--- a/src/apricotlever/serving/settings.py
+++ b/src/apricotlever/serving/settings.py
@@ -135,5 +135,10 @@
         self.orders_runners = orders_runners
         self.bounds = bounds
 
+    @property
+    def asked_at(self) -> tuple[Address | None, ...]:
+        """Where callers and the platform connect."""
+        return (self.callers, self.lookups, self.checks)
+
 
 Reader = typing.Callable[[], NodeSettings]
