Hold what is there until the load is known again

Change: amid work whose load is not known, as many runners are held as there are; what goes meanwhile is replaced on demand.

Test: fleet_size.feature, what is there is held until the load is known again; it fails without the change (3 on demand become more).

--- a/src/apricotlever/data_centres/fleet_size.py
+++ b/src/apricotlever/data_centres/fleet_size.py
@@ -193,7 +193,6 @@
         places = sorted(terms.prices, key=lambda name: terms.prices[name])
         self.observe(held, needed, trusted)
         needed = max(trusted, self._peak(PEAK_S))
-        reclaimable = self._reclaimable(terms, places, held)
         have = {
             place: Holding(
                 self._count(place, False, held),
@@ -201,7 +200,12 @@
             )
             for place in places
         }
-        wanted = self._on_demand(held, have, needed, idle)
+        if trusted and not idle:
+            reclaimable = {p: have[p].reclaimable for p in places}
+            wanted = _as_many(have, trusted)
+        else:
+            reclaimable = self._reclaimable(terms, places, held)
+            wanted = self._on_demand(held, have, needed, idle)
         serving = have if idle else held
         floors = _floors(terms, reclaimable, serving)
         on_demand = _on_demand_by_place(terms, have, wanted, floors)
@@ -297,6 +301,19 @@
         return dict.fromkeys(places, each)
 
 
+def _as_many(have: typing.Mapping[str, Holding], trusted: float) -> int:
+    """On-demand runners to hold while there is work and none knows how much.
+
+    When all VMs lose their power, what they had measured is lost, and what is
+    there is the best that is known of the need. To make it safe against a
+    reclaim as if it had been measured more than doubled the on-demand runners
+    of a fleet for six seconds.
+    """
+    on_demand = sum(holding.on_demand for holding in have.values())
+    there = on_demand + sum(holding.reclaimable for holding in have.values())
+    return on_demand + max(0, math.ceil(trusted) - there)
+
+
 def _safe(holdings: typing.Mapping[str, Holding]) -> int:
     """Reclaimable runners that one reclaim leaves at work."""
     counts = [holding.reclaimable for holding in holdings.values()]
--- a/tests/steps/data_centres_fleet_size.py
+++ b/tests/steps/data_centres_fleet_size.py
@@ -34,14 +34,14 @@
         self.booting = {}
         self.least_on_demand = None
 
-    def step(self, needed, idle=False):
+    def step(self, needed, idle=False, trusted=0.0):
         """Half a second passes; what is ordered comes at once."""
         self.clock.advance(0.5)
         for place, (count, ready_at) in list(self.booting.items()):
             if self.clock.now() >= ready_at:
                 self.held[place].reclaimable = count
                 del self.booting[place]
-        plan = self.size.plan(self.terms, self.held, needed, idle)
+        plan = self.size.plan(self.terms, self.held, needed, idle, trusted)
         for place, wanted in plan.items():
             have = self.held[place]
             have.on_demand = wanted.on_demand
@@ -95,6 +95,22 @@
         holding.on_demand, holding.reclaimable = 1, 2
 
 
+@when(
+    "all VMs start anew amid work and trust the {count:d} runners that are there"
+)
+def _anew(context, count):
+    context.trusted = float(count)
+    for _ in range(6):
+        context.platform.step(1, trusted=context.trusted)
+
+
+@when("a data centre's reclaimable ones go meanwhile")
+def _go_meanwhile(context):
+    context.platform.held["b"].reclaimable = 0
+    for _ in range(6):
+        context.platform.step(1, trusted=context.trusted)
+
+
 @when("{needed:d} runners are needed and all orders are met at once")
 def _met(context, needed):
     context.platform.refuses = False
