--- a/tests/steps/data_centres_fleet_size.py
+++ b/tests/steps/data_centres_fleet_size.py
@@ -96,7 +96,8 @@
 
 
 @when(
-    "all VMs start anew amid work and trust the {count:d} runners that are there"
+    "all VMs start anew amid work and trust the {count:d} runners that "
+    "are there"
 )
 def _anew(context, count):
     context.trusted = float(count)
