--- a/bench/records.py
+++ b/bench/records.py
@@ -204,7 +204,7 @@
     member = node.Node(_settings, dialect, clock, rng, mock.MagicMock())
     configuration = _configuration(customers)
     dialect.platform.configuration.return_value = configuration
-    member._servers["callers"] = mock.MagicMock(busy=0)
+    member._servers = mock.MagicMock(busy=0)
     member.configure({})
     for number in range(count):
         member._directory.changed(
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -121,6 +121,17 @@
         """Records of the VMs that may be alive, heard or not."""
         return self._table.members()
 
+    @property
+    def limit_keepers(self) -> dict[str, tuple[str, int]]:
+        """The other VMs that may be asked of limits, and where."""
+        return {
+            peer.vm: address
+            for peer in self.alive
+            if (address := peer.limits_address) is not None
+            and peer.ready
+            and not peer.leaving
+        }
+
     @property
     def follows(self) -> bool:
         """Whether this VM has to follow the store itself.
--- a/src/apricotlever/serving/limit_calls.py
+++ b/src/apricotlever/serving/limit_calls.py
@@ -64,9 +64,6 @@
     def heard_total(self, process: str, customer: str, total: float) -> None:
         """Another VM has counted calls by itself."""
 
-    def is_peer(self, host: str) -> bool:
-        """Whether an IP number is a member's."""
-
 
 class _Question:
     __slots__ = ("answer", "asked_at", "customer", "units")
@@ -88,9 +85,11 @@
     """Asks other VMs, and answers them.
 
     :param keeper: this VM's counts.
+    :param is_peer: whether an IP number is a member's.
     """
 
     __slots__ = (
+        "_is_peer",
         "_keeper",
         "_numbers",
         "_open",
@@ -100,8 +99,14 @@
         "unanswered",
     )
 
-    def __init__(self, keeper: Keeper, refusals: log_limit.LogLimit) -> None:
+    def __init__(
+        self,
+        keeper: Keeper,
+        is_peer: typing.Callable[[str], bool],
+        refusals: log_limit.LogLimit,
+    ) -> None:
         self._keeper = keeper
+        self._is_peer = is_peer
         self._refusals = refusals
         self._transport: asyncio.DatagramTransport | None = None
         self._numbers = itertools.count()
@@ -181,7 +186,7 @@
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """A message of another VM."""
-        if not self._keeper.is_peer(addr[0]):
+        if not self._is_peer(addr[0]):
             self._refused(addr[0], "stranger")
             return
         try:
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -11,7 +11,6 @@
 from ..contracts import usage_windows
 from ..vms import digests
 
-from . import callers
 from . import dialects
 from . import directory as directories
 from . import drain
@@ -24,7 +23,6 @@
 from . import metrics
 from . import node_checks
 from . import notes
-from . import opening
 from . import peers
 from . import ports
 from . import relay
@@ -32,14 +30,13 @@
 from . import routes
 from . import runner_duty
 from . import runners
+from . import servers
 from . import settings
 from . import store
 from . import tasks
 from . import upstreams
 
 TICK_S = 0.1
-#: Servers that wait until there is an answer for their callers.
-ASKED_BY_CALLERS = ("callers", "lookups")
 #: A tick that is so late, in seconds, shows that the process stood still.
 PAUSE_S = 1.0
 
@@ -60,7 +57,6 @@
         rng: random.Random,
         listening: ports.Ports,
     ) -> None:
-        self._ports = listening
         self._dialect = dialect
         self._clock = clock
         self._rng = rng
@@ -90,7 +86,7 @@
             config.vm,
         )
         self._limit_calls = limit_calls.LimitCalls(
-            self, log_limit.LogLimit(clock)
+            self._limits, self.is_peer, log_limit.LogLimit(clock)
         )
         self._budget = retry_allowance.RetryAllowance(
             clock,
@@ -118,7 +114,7 @@
             config.store.host,
             config.store.port,
         )
-        self._servers: dict[str, callers.CallerServer] = {}
+        self._servers = servers.Servers(listening)
         self._duties = duty_roster.DutyRoster(
             clock,
             rng,
@@ -132,7 +128,6 @@
         self._leaving_since: float | None = None
         self._ticked_at: float | None = None
         self._ended = asyncio.Event()
-        self._opening = opening.Opening()
 
     @property
     def ready(self) -> bool:
@@ -156,9 +151,8 @@
         spawn(self._remember())
         self._tasks.every(reloading.RELOAD_S, self._reloading.look)
         self._tasks.every(TICK_S, self._tick)
-        for server in self._servers.values():
-            spawn(server.sweep_forever())
-        informed = await self._opening.serve()
+        self._servers.sweep(self._tasks)
+        informed = await self._servers.serve_callers()
         logs.event(
             "started",
             incarnation=self._incarnation,
@@ -168,8 +162,7 @@
         await self._ended.wait()
         self._fleet.close()
         self._limit_calls.close()
-        for server in self._servers.values():
-            server.close()
+        self._servers.close()
         logs.event("stopped")
 
     def leave(self) -> None:
@@ -177,9 +170,8 @@
         if self._leaving_since is not None:
             return
         self._leaving_since = self._clock.now()
-        logs.event("stopping", busy=self._busy())
-        for name in self._servers.keys() & {"callers", "lookups"}:
-            self._servers[name].leave()
+        logs.event("stopping", busy=self._servers.busy)
+        self._servers.leave()
         self._duties.leave()
         self._fleet.tell()
         self._tasks.spawn(self._end_when_quiet())
@@ -200,7 +192,7 @@
         self._upstreams.configure(configuration)
         self._relay.configure(configuration)
         self._duties.configure(configuration)
-        self._servers["callers"].limits = configuration.limits
+        self._servers.set_limits(configuration.limits)
         logs.event("configuration_in_force", version=self.version)
         self._fleet.news()
         self._note_informed()
@@ -288,18 +280,6 @@
         """Whether an IP number is a member's."""
         return self._fleet.is_peer(host)
 
-    def take_for(self, customer: str, units: float) -> float | None:
-        """Let a call of another VM in, as the keeper of its limit."""
-        return self._limits.take_for(customer, units)
-
-    def given_back(self, customer: str, units: float) -> None:
-        """A call that this VM let in for another one did not run."""
-        self._limits.given_back(customer, units)
-
-    def heard_total(self, process: str, customer: str, total: float) -> None:
-        """Another VM has counted calls by itself."""
-        self._limits.heard_total(process, customer, total)
-
     def lookup(self) -> list[str]:
         """Addresses for callers, this VM's own first."""
         alive = [
@@ -317,7 +297,7 @@
             "runner_connections_total": self._upstreams.opened,
             "members": len(self._fleet.alive) + 1,
             "configuration_version": self.version,
-            "callers_busy": self._busy(),
+            "callers_busy": self._servers.busy,
             "cloud_calls_total": self._duties.cloud_calls,
             "limit_asks_total": self._limit_calls.asked,
             "limit_asks_unanswered_total": self._limit_calls.unanswered,
@@ -341,15 +321,7 @@
             ("peers", config.peers, peer_server.answer),
             ("metrics", config.metrics, checks.metrics),
         ):
-            if address is None:
-                continue
-            server = callers.CallerServer(handler)
-            self._servers[name] = server
-            sock = self._ports.take(address)
-            if name in ASKED_BY_CALLERS:
-                self._opening.add(server, sock)
-            else:
-                await server.serve(sock)
+            await self._servers.listen(name, address, handler)
         self._fleet.listen(config.peers)
         if config.limits is not None:
             await self._limit_calls.listen(
@@ -359,7 +331,7 @@
 
     def _note_informed(self) -> None:
         if self._configuration is not None and self._directory.runners:
-            self._opening.informed()
+            self._servers.informed()
 
     def _follow(self) -> None:
         """Follow the store's two kinds, as long as it is wanted."""
@@ -416,15 +388,7 @@
         self._fleet.note_members()
         processes = frozenset(m.process for m in members)
         self._limits.set_members(processes, self._fleet.between_s)
-        self._limits.set_keepers(
-            {
-                peer.vm: address
-                for peer in alive
-                if (address := peer.limits_address) is not None
-                and peer.ready
-                and not peer.leaving
-            }
-        )
+        self._limits.set_keepers(self._fleet.limit_keepers)
         self._work.heard(self._process, self._upstreams.work)
         self._work.keep_only(processes | {self._process})
         self._budget.set_members(len(members) + 1)
@@ -434,13 +398,12 @@
         if self._leaving_since is None:
             self._duties.look(alive, len(members) + 1)
 
-    def _busy(self) -> int:
-        server = self._servers.get("callers")
-        return server.busy if server else 0
-
     async def _end_when_quiet(self) -> None:
         shutdown_s = self._settings.bounds.shutdown_s
         await drain.until_quiet(
-            self._clock, self._busy, shutdown_s, self._relay.stop_taking
+            self._clock,
+            lambda: self._servers.busy,
+            shutdown_s,
+            self._relay.stop_taking,
         )
         self._ended.set()
--- a/tests/steps/serving_limit_calls.py
+++ b/tests/steps/serving_limit_calls.py
@@ -33,7 +33,9 @@
     def __init__(self, name, clock):
         self.name = name
         self.limits = limits.Limits(clock, 0.0, 0.0, f"{name}#1", name)
-        self.calls = limit_calls.LimitCalls(self, log_limit.LogLimit(clock))
+        self.calls = limit_calls.LimitCalls(
+            self, self.is_peer, log_limit.LogLimit(clock)
+        )
         self.silent = False
         self.late = None
         self.peers = True
