Soak runners that start again under their names, and spoiled entries

Two faults more: a runner crashes and is back under its name and at its address within a second, and somebody writes over a runner's entry until its next heartbeat. Entries tell start and sequence.

--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -8,6 +8,7 @@
 from apricotlever.serving import routes
 from apricotlever.serving import runners
 from apricotlever.serving import store
+from apricotlever import shapes
 from standins import plain_dialect
 
 CONFIGURATION_KIND = "configurations"
@@ -15,6 +16,25 @@
 RUNNERS_KIND = "runners"
 
 
+#: What each field of a runner's entry has to be.
+_ENTRY: dict[str, shapes.Check] = {
+    "service": shapes.is_text,
+    "host": shapes.is_text,
+    "port": shapes.is_whole,
+    "data_centre": shapes.is_text,
+    "concurrency": shapes.is_whole,
+    "leaving": shapes.is_flag,
+    "born": shapes.is_whole,
+    "sequence": shapes.is_whole,
+}
+
+
+def _is_entry(spec: store.Json) -> bool:
+    return isinstance(spec, dict) and all(
+        check(spec.get(name)) for name, check in _ENTRY.items()
+    )
+
+
 class Documents:
     """What lies in the store."""
 
@@ -36,8 +56,10 @@
         )
 
     def runner(self, stored: store.StoredObject) -> runners.Entry:
-        """Translate a runner's entry."""
+        """Translate a runner's entry, whatever stands in it."""
         spec = stored.spec
+        if not _is_entry(spec):
+            return runners.Unreadable(stored.name, stored.revision, "spoiled")
         return runners.Runner(
             stored.name,
             spec["service"],
@@ -47,6 +69,8 @@
             spec["concurrency"],
             leaving=spec["leaving"],
             revision=stored.revision,
+            born=spec["born"],
+            sequence=spec["sequence"],
         )
 
     def store_codec(self) -> store.Codec:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 import typing
 
+from . import dialect
 from . import fleet
 from . import proxy
 from . import vm as vms
@@ -17,6 +18,14 @@
 NOTICED_S = 0.6
 #: A runner that leaves serves on for so long, in seconds.
 DRAIN_S = 2.5
+#: What stands in an entry that somebody else wrote.
+SPOILED: tuple[typing.Any, ...] = (
+    {},
+    [],
+    7,
+    {"service": 3, "port": "x", "leaving": "no"},
+    {"service": "s", "host": None, "port": -1, "concurrency": 1e30},
+)
 MODES = (
     proxy.Mode.DELAY,
     proxy.Mode.RESET,
@@ -106,6 +115,32 @@
     runner.link.close()
 
 
+@fault("runner_restart")
+async def _runner_restart(running: fleet.Fleet, rng: random.Random) -> None:
+    """A runner crashes, and starts again before its entry is removed."""
+    runner = _pick(running, rng)
+    if runner is None:
+        return
+    running.runners.remove(runner)
+    runner.child.kill()
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    running.runners.append(runner)
+    await running.restart_runner(runner)
+
+
+@fault("entry_spoiled")
+async def _entry_spoiled(running: fleet.Fleet, rng: random.Random) -> None:
+    """Somebody writes over a runner's entry; its next heartbeat mends it."""
+    runner = _pick(running, rng)
+    if runner is None:
+        return
+    value = rng.choice(SPOILED)
+    await running.put(dialect.RUNNERS_KIND, runner.name, value)
+    await asyncio.sleep(rng.uniform(0.2, 1.2))
+    if runner in running.runners:
+        await running.list_runner(runner, leaving=False)
+
+
 @fault("runner_pause")
 async def _runner_pause(running: fleet.Fleet, rng: random.Random) -> None:
     runner = _pick(running, rng)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import time
 import typing
 import urllib.request
 
@@ -106,6 +107,14 @@
         self.service = service
         self.child = child
         self.link = link
+        self.born = 0
+        self.sequence = 0
+        self.started()
+
+    def started(self) -> None:
+        """Its process is a new one."""
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
+        self.sequence = 0
 
 
 class Fleet:
@@ -184,6 +193,7 @@
     async def list_runner(self, runner: Runner, leaving: bool) -> None:
         """Write a runner's entry."""
         number = int(runner.name.rpartition("-")[2])
+        runner.sequence += 1
         entry = {
             "service": runner.service,
             "host": HOST,
@@ -191,9 +201,19 @@
             "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
             "concurrency": CONCURRENCY,
             "leaving": leaving,
+            "born": runner.born,
+            "sequence": runner.sequence,
         }
         await self.put(dialect.RUNNERS_KIND, runner.name, entry)
 
+    async def restart_runner(self, runner: Runner) -> None:
+        """Start a runner again, under its name and at its address."""
+        port = runner.link.target
+        runner.child.start()
+        await until(lambda: _listens(port), START_S)
+        runner.started()
+        await self.list_runner(runner, leaving=False)
+
     async def remove_runner(self, runner: Runner) -> None:
         """Remove an entry; the store may stand still meanwhile."""
         path = f"/v1/objects/{dialect.RUNNERS_KIND}/{runner.name}"
