Hold no on-demand runners while reclaimable ones are to be had

Change: no part of the need is held on demand as such. From the notice of a reclaim on, on-demand runners come in as before. The runners that a deployment starts with are replaced by so many reclaimable ones that a reclaim leaves as many, not by 1.6 times that.

--- a/src/apricotlever/data_centres/fleet_size.py
+++ b/src/apricotlever/data_centres/fleet_size.py
@@ -2,9 +2,9 @@
 
 Reclaimable runners cost a part of on-demand ones, and all of a data centre
 may be taken at once, with none to be had for a while. So the fleet holds so
-many that the loss of one data centre's reclaimable runners still leaves what
-the load needs, on top of a floor of on-demand ones; while reclaimable ones
-are not to be had, on-demand ones take their place.
+many of them that the loss of one data centre's still leaves more than the load
+needs. On-demand ones come in when that may not be enough: from the notice of
+a reclaim on, until reclaimable ones are to be had again.
 """
 
 import collections
@@ -13,10 +13,6 @@
 
 from .. import clock as clocks
 
-#: Part of what the load needs that is always held on demand: when several
-#: data centres are reclaimed one after the other, this and what boots
-#: meanwhile is all there is.
-ON_DEMAND_PART = 0.4
 #: The need counts as its highest in this time, in seconds. A runner given
 #: back takes its cache along, and the one that is missed a moment later
 #: boots for seconds.
@@ -24,9 +20,8 @@
 #: The same for reclaimable ones. They cost a quarter, and the next burst is
 #: served by what is there.
 RECLAIMABLE_PEAK_S = 15.0
-#: Times what is needed of them that is held of reclaimable ones, for the same
-#: reason. With 1.2 twelve played days were worth 0.007 less on the mean, at
-#: the same seeds and without a price for processor time.
+#: Times what the load needs that one reclaim must leave of reclaimable ones,
+#: for the same reason.
 RECLAIMABLE_PART = 1.6
 #: Part of the on-demand runners that one data centre may hold, the cheapest
 #: first. No reclaim takes them, so they need no even spread; but a data centre
@@ -233,10 +228,9 @@
         :param held: runners that serve.
         :param have: those on their way instead, where some are.
         """
-        floor = math.ceil(ON_DEMAND_PART * needed)
         if self._scarce:
             needed *= SCARCE_PART
-        more = max(floor, math.ceil(needed - _safe(have) - 1e-9))
+        more = max(0, math.ceil(needed - _safe(have) - 1e-9))
         if idle:
             return more
         sure = 0 if self._scarce else _safe(held)
@@ -288,13 +282,11 @@
         there = {place: self._count(place, True, held) for place in places}
         if self.dry:
             return there
-        needed = max(
-            max(need.measured, need.trusted)
+        wanted = max(
+            max(RECLAIMABLE_PART * need.measured, need.trusted)
             for need in self._recent(RECLAIMABLE_PEAK_S)
         )
-        rest = RECLAIMABLE_PART * needed * (1.0 - ON_DEMAND_PART)
-        spread = len(places) / max(1, len(places) - 1)
-        each = math.ceil(rest * spread / len(places) - 1e-9)
+        each = math.ceil(wanted / max(1, len(places) - 1) - 1e-9)
         if self._scarce:
             # What is given back now is not to be had again.
             return {place: max(each, there[place]) for place in places}
--- a/tests/steps/data_centres_fleet_size.py
+++ b/tests/steps/data_centres_fleet_size.py
@@ -249,6 +249,15 @@
     check()
 
 
+@when("a data centre is reclaimed while {needed:d} are needed")
+def _reclaimed_now(context, needed):
+    platform = context.platform
+    platform.refuses = True
+    platform.held["c"].reclaimable = 0
+    for _ in range(4):
+        platform.step(needed)
+
+
 @when("a data centre is reclaimed and others are refused for 20 seconds")
 def _reclaimed(context):
     platform = context.platform
