--- a/src/apricotlever/__init__.py
+++ b/src/apricotlever/__init__.py
@@ -9,8 +9,8 @@
 
 __version__ = "0.1.0"
 
-# Loaded when first used: the checker of JSON schemas behind some of them
-# takes 6 MB, which a process that needs none of them would pay for.
+# Loaded when first used: the checker of JSON schemas behind some of them is
+# large, and a process that needs none of them would pay for it.
 _PUBLIC = {
     "ApricotleverError": (".errors", "ApricotleverError"),
     "Catalogue": (".catalogue", "Catalogue"),
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -14,7 +14,7 @@
 _TIME = "%Y-%m-%dT%H:%M:%S.%f"
 
 # The same order as in logbook, which is loaded only where it is used: with
-# what it loads itself it takes 5 MB, a fifth of a small VM's process.
+# what it loads itself it would be a fifth of a small VM's process.
 DEBUG = 10
 INFO = 11
 WARNING = 13
--- a/src/apricotlever/runners/policies.py
+++ b/src/apricotlever/runners/policies.py
@@ -50,9 +50,7 @@
 #: runners with them. A batch that is a quarter full is an eighth slower than
 #: an empty one, about the tolerance of the other figures.
 LIGHT_FILL = 0.25
-#: Runners drawn beside the home of a prefix. Three or four gained nothing: the
-#: mean worth of twelve days was 0.525 with three, 0.520 with four and 0.526
-#: with two, by full scores, with a noise of 0.01.
+#: Runners drawn beside the home of a prefix.
 DRAWN = 2
 #: How much of a prompt the policy ``prefix_hash`` looks at.
 HASHED_BLOCKS = 20
--- a/src/apricotlever/runners/urgency.py
+++ b/src/apricotlever/runners/urgency.py
@@ -9,11 +9,9 @@
 LAST_PLACE = 9
 #: Places for the routes of one customer's priority.
 ROUTES_PER_CUSTOMER_PRIORITY = 3
-#: Prompts of fewer tokens go first. An engine reads them in 50 ms, which those
-#: behind them hardly notice; but they themselves waited for others that take
-#: half a second, and most of what is asked of them is to be quick. On 24
-#: played days at equal seeds 2.9 of 100 short summaries and chats came late
-#: instead of 9.6; of the longest prompts 4.1 instead of 3.6.
+#: Prompts of fewer tokens go first. An engine reads them so fast that those
+#: behind them hardly notice; but they themselves would wait for others that
+#: take ten times as long, and what is asked of them is to be quick.
 SHORT_TOKENS = 2000
 
 
--- a/src/apricotlever/serving/datagrams.py
+++ b/src/apricotlever/serving/datagrams.py
@@ -10,17 +10,15 @@
 from ..vms import digests
 
 #: Between two looks at what has come, in seconds. Were each record read as
-#: it comes, the process would be woken for each: of 24 receivers' records
-#: five times a second that was 120 times, and half of what an idle VM in a
-#: fleet of 74 took of the processor. Records are told each 0.2 s, so they
-#: grow little older by it.
+#: it comes, the process would be woken for each, in a large fleet more than
+#: a hundred times a second, which is most of what an idle VM does. Records are
+#: told less often than they are read, so they grow little older by it.
 READ_S = 0.05
 #: Records read at one look. A VM is sent six between two, and 120 a second;
 #: more must not keep callers waiting.
 MOST_READ = 300
 MOST_BYTES = 65535
-#: The fastest: it takes four tenths off a record of 1,000 bytes in 10 us, and
-#: 3 us to undo. All levels take off about as much of so little.
+#: The fastest: all levels take off about as much of so little.
 COMPRESSION = 1
 #: A record that becomes longer is refused: a few bytes could fill the memory.
 MOST_UNPACKED = 1 << 20
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -207,7 +207,7 @@
         self._alive = names
         followers = frozenset(peer.vm for peer in alive if peer.follows)
         if followers != self._followers:
-            # Ranked anew each tick, 74 VMs took 80 us of it.
+            # Not each tick: in a large fleet ranking would be most of one.
             self._followers = followers
             ranked = rendezvous.rank(FOLLOW_KEY, [*followers, self._vm])
             self._follows = ranked.index(self._vm) < FOLLOWERS
--- a/src/apricotlever/serving/observations.py
+++ b/src/apricotlever/serving/observations.py
@@ -9,8 +9,8 @@
 if typing.TYPE_CHECKING:
     from .. import histograms
 
-#: Pairs of customer and kind of call that have histograms of their own, twice;
-#: each takes about 30 kB.
+#: Pairs of customer and kind of call that have histograms of their own, twice.
+#: Without a bound they would grow with the customers.
 MOST_HISTOGRAMS = 48
 QUANTILES = (0.5, 0.9, 0.99)
 PREFIX = "apricotlever"
--- a/src/apricotlever/serving/peers.py
+++ b/src/apricotlever/serving/peers.py
@@ -17,11 +17,10 @@
 from . import pool as pools
 
 FETCH_S = 0.8
-#: The same for a configuration, which may be long: one of 1,900 routes has
-#: 0.4 MB, 0.7 s on a link of 5 Mbit/s even without others.
+#: The same for a configuration: one of thousands of routes takes most of a
+#: second on a slow link, even without others.
 FETCH_CONFIGURATION_S = 2.0
-#: The fastest: it makes such a configuration a ninth in 3 ms; the usual level
-#: makes it a twelfth in 4 ms.
+#: The fastest: the usual level saves little more.
 COMPRESSION = 1
 #: Named after its form: a peer that knows no compressed one answers 404.
 CONFIGURATION_PATH = "/configuration.msgpack.z"
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -159,7 +159,7 @@
 
         :param between_s: between two records of one VM. In a fleet so large
             that this is long, looks more often than twice in it find little
-            new: with 63 VMs they took a sixth of a VM's processor time.
+            new and take a good part of a VM's processor.
         """
         now = self._clock.now()
         if now - self._observed_at < between_s / 2.0 - OBSERVE_SLACK_S:
--- a/src/apricotlever/vms/digests.py
+++ b/src/apricotlever/vms/digests.py
@@ -326,9 +326,9 @@
     def receivers(self) -> list[str]:
         """Addresses to which the next record goes; all come in turn.
 
-        With receivers drawn at random one VM in twenty of a fleet of 63 did
-        not hear of another one for 1.2 s, took it for silent and set its part
-        of each customer's limit aside.
+        With receivers drawn at random some VMs of a large fleet would not hear
+        of another one for so long that they take it for silent, and set its
+        part of each customer's limit aside.
         """
         everybody = self._everybody()
         if len(everybody) <= FANOUT:
