--- a/bench/limits.py
+++ b/bench/limits.py
@@ -6,17 +6,21 @@
 """
 
 import argparse
+import asyncio
 import collections
 import heapq
 import itertools
 import json
 import random
+import time
 import typing
 
 from apricotlever import clock as clocks
 from apricotlever.contracts import fleet_rate
 from apricotlever.contracts import limit_keepers
 from apricotlever.contracts import rates
+from apricotlever.serving import limit_calls
+from apricotlever.serving import log_limit
 
 #: Tokens a second of the limit, and its burst.
 RATE = 150000.0
@@ -42,6 +46,10 @@
 #: From so many tokens on a call counts as large.
 LARGE_TOKENS = 12000.0
 
+HOST = "127.0.0.1"
+#: Questions whose cost is measured.
+ASKS = 5000
+
 WAYS = ("together", "keeper")
 
 
@@ -229,13 +237,56 @@
     return most
 
 
+class _Yes:
+    """A keeper that lets everything in."""
+
+    def take_for(self, customer: str, units: float) -> float | None:
+        """Let a call in."""
+        return 0.0
+
+    def given_back(self, customer: str, units: float) -> None:
+        """Nothing is counted."""
+
+    def heard_total(self, process: str, customer: str, total: float) -> None:
+        """Nothing is counted."""
+
+
+async def _ask(count: int) -> float:
+    refusals = log_limit.LogLimit(clocks.SystemClock())
+    asker, keeper = (
+        limit_calls.LimitCalls(_Yes(), lambda host: True, refusals)
+        for _ in range(2)
+    )
+    for end in (asker, keeper):
+        await end.listen(HOST, 0)
+    began = time.process_time()
+    for _ in range(count):
+        await asker.take((HOST, keeper.port), "customer", 1000.0)
+    spent = time.process_time() - began
+    asker.close()
+    keeper.close()
+    return 1e6 * spent / count
+
+
+def cost_us(count: int) -> float:
+    """Processor time of one question and its answer, both ends together.
+
+    :returns: microseconds; what the kernel spends on the way included.
+    """
+    return asyncio.run(_ask(count))
+
+
 def run(arguments: typing.Sequence[str]) -> int:
-    """Print each way at each load."""
+    """Print each way at each load, or what a question costs."""
     parser = argparse.ArgumentParser(prog="bench limits")
     parser.add_argument("--vms", type=int, default=7)
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--cost", action="store_true")
     options = parser.parse_args(arguments)
+    if options.cost:
+        print(json.dumps({"ask_us": round(cost_us(ASKS), 1)}))
+        return 0
     for load, way in itertools.product((1.2, 2.0, 5.0), WAYS):
         found = [
             play(way, load, options.vms, options.seconds, seed)
