Take no new process of a former holder for one of the next

A look at the peers noted who held the lease before it read their records. If one record told of the new holder's lease and a later one came from the former holder's VM, that VM's new process was compared with the new holder's, seemed to have followed it, and the lease counted as given up. Where the platform checks numbers it refuses what follows; here it does not.

Change: a process is compared with the holder only if it is of the holder's VM, at the moment of the comparison.

Test: duties.feature, a new process of the holder before ends no lease of the next one; it failed before.

--- a/src/apricotlever/serving/duties.py
+++ b/src/apricotlever/serving/duties.py
@@ -125,12 +125,10 @@
         :param members: VMs that may be alive, this one included.
         """
         self._others_follow = any(p.follows for p in peers)
-        holder = self._lease.holder
         for peer in peers:
             if peer.gave_up:
                 self._lease.given_up(peer.gave_up)
-            if peer.vm == holder:
-                self._lease.process_seen(peer.incarnation)
+            self._lease.process_seen(peer.vm, peer.incarnation)
             if peer.lease:
                 self._lease.told(*peer.lease, peer.vm, peer.incarnation)
         alive = frozenset(
--- a/src/apricotlever/vms/leases.py
+++ b/src/apricotlever/vms/leases.py
@@ -115,11 +115,6 @@
         """Whether this VM wants to hold it."""
         return self._wanted
 
-    @property
-    def holder(self) -> str:
-        """Whom the object named when it was last seen, "" for nobody."""
-        return self._seen.value["holder"] if self._seen is not None else ""
-
     def may_order(self, order_s: float = 0.0) -> int | None:
         """Ask just before each order.
 
@@ -186,17 +181,19 @@
         }
         self._observe(version, value)
 
-    def process_seen(self, incarnation: int) -> None:
-        """The holder's VM runs a process; its number as the VM tells it.
+    def process_seen(self, vm: str, incarnation: int) -> None:
+        """A VM runs a process; its number as the VM tells it.
 
-        One that is newer than the holder shows that the holder has ended: no
-        order of it can follow. Only where the store is durable: an old copy
-        may name a process that ended long ago while another VM's lease runs.
+        One of the holder's VM that is newer than the holder shows that the
+        holder has ended: no order of it can follow. Only where the store is
+        durable: an old copy may name a process that ended long ago while
+        another VM's lease runs.
         """
         seen = self._seen
-        if self._durable and seen is not None:
-            if incarnation > seen.value["incarnation"]:
-                self.given_up(int(seen.value["fencing"]))
+        if not self._durable or seen is None or vm != seen.value["holder"]:
+            return
+        if incarnation > seen.value["incarnation"]:
+            self.given_up(int(seen.value["fencing"]))
 
     def fenced_off(self, highest: int) -> None:
         """An upstream refused an order: it has seen a greater number.
@@ -295,8 +292,7 @@
     def _contend(
         self, now: float, seen: lease_objects.Seen
     ) -> lease_objects.LeaseAction | None:
-        if seen.value["holder"] == self._holder:
-            self.process_seen(self._incarnation)
+        self.process_seen(self._holder, self._incarnation)
         free_at = self._free_at(seen)
         if now < free_at:
             return None
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -54,6 +54,18 @@
       | nothing    | 1.4   |
       | the number | 0.0   |
 
+  # Symptom: two VMs order and report at the same time, for 1.4 s; the cloud gets
+  # a call under a lower number than one before.
+  # Events: the holder's VM loses its power and starts again; a second VM takes
+  # the lease, and tells it; a third one hears of that and of the first one's new
+  # process in one look, in this order.
+  # Cause: the new process of the holder before taken for one of the holder that
+  # has just been told of, so that this one seems to have ended.
+  Scenario: A new process of the holder before ends no lease of the next one
+    Given a VM that knows the lease of vm-1
+    When it hears in one look that vm-2 holds the lease and that vm-1 has a new process
+    Then it leaves the lease to vm-2 for 4 seconds
+
   Scenario: The first holder of all waits for nobody
     Given 3 VMs that contend for a duty, on a platform that checks nothing
     When the contest goes on for 1 seconds
--- a/tests/steps/serving_duties.py
+++ b/tests/steps/serving_duties.py
@@ -135,6 +135,69 @@
     assert (later[0] - last_of_first) * STEP_S >= least, held
 
 
+def _digest(vm, incarnation, lease=None):
+    return digests.Digest(
+        vm,
+        incarnation,
+        1,
+        "10.0.0.1:1",
+        "10.0.0.1:2",
+        "dc",
+        ready=True,
+        follows=True,
+        lease=lease,
+    )
+
+
+@given("a VM that knows the lease of vm-1")
+def _knows_lease(context):
+    contest = context.contest = World(count=0)
+    contest.store.objects[duties.KIND, "fleet"] = _lease_object(
+        11, "vm-1", 5, 1
+    )
+    context.third = Contender(contest, "vm-3")
+    # It hears nobody else, contends, and reads whose the lease is.
+    context.third.keeper.look([], 1)
+    contest.clock.advance(STEP_S)
+    asyncio.run(context.third.keeper.step())
+
+
+def _lease_object(revision, holder, incarnation, fencing):
+    spec = {
+        "holder": holder,
+        "incarnation": incarnation,
+        "fencing": fencing,
+        "duration_s": 4.5,
+    }
+    return store.StoredObject("fleet", revision, spec, None)
+
+
+@when(
+    "it hears in one look that vm-2 holds the lease and that vm-1 has a new "
+    "process"
+)
+def _one_look(context):
+    contest = context.contest
+    contest.store.objects[duties.KIND, "fleet"] = _lease_object(
+        12, "vm-2", 3, 2
+    )
+    context.heard = [_digest("vm-2", 3, (12, 2)), _digest("vm-1", 9)]
+    context.third.keeper.look(context.heard, 3)
+
+
+@then("it leaves the lease to vm-2 for {seconds:d} seconds")
+def _leaves_it(context, seconds):
+    keeper = context.third.keeper
+    for _ in range(round(seconds / STEP_S)):
+        context.contest.clock.advance(STEP_S)
+        # Alone it would contend, whatever the names of the others rank it.
+        keeper.look([], 1)
+        asyncio.run(keeper.step())
+        assert keeper.fencing is None
+    kept = context.contest.store.objects[duties.KIND, "fleet"]
+    assert kept.revision == 12, kept.spec
+
+
 @given("a cloud that notes what it is sent")
 def _noting_cloud(context):
     context.sent = []
