--- a/src/apricotlever/contracts/fleet_rate.py
+++ b/src/apricotlever/contracts/fleet_rate.py
@@ -31,9 +31,6 @@
 ASSUMED_VMS = 8
 #: For how long after its start, in seconds. News of all comes within less.
 ALONE_S = 1.0
-#: While a process has heard nobody yet, callers are sent away for no longer
-#: than this, in seconds: it counts on a small part until the first news.
-FIRST_NEWS_S = 0.3
 #: When a call that met no share should come back, in seconds.
 NEXT_TICK_S = 0.1
 #: A process that counted for so long knows what is left, in seconds.
@@ -108,7 +105,6 @@
         "_ceiling_times",
         "_clock",
         "_first",
-        "_guessed",
         "_let_in",
         "_informed",
         "_part",
@@ -137,8 +133,6 @@
         self._burst = burst
         self._since = clock.now()
         self._informed = False
-        #: Whether what this process began with was worked out from old notes.
-        self._guessed = False
         self._withheld = 0.0
         self._bucket = rates.TokenBucket(clock, rate, burst)
         #: With what this process begins.
@@ -240,29 +234,19 @@
         """What is left of the limit; None while this process can't know."""
         return self._bucket.level if self._informed else None
 
-    def learn(self, level: float, quiet_s: float = 0.0) -> None:
+    def learn(self, level: float) -> None:
         """Take over what is left from one who knows; only once.
 
         A process that starts knows nothing of what was let in before it. To
         begin with little refuses calls that the limit allows; to begin with
         a whole burst lets in one for each process that starts.
 
-        :param level: units left, as an older process or its notes in the
+        :param level: units left now, as an older process or its notes in the
             store tell it.
-        :param quiet_s: for how long nothing can have been let in since, if
-            no process was there. It is a guess: a level told by a process
-            that was there goes before it, if it is lower.
         """
-        if self._informed and not (self._guessed and not quiet_s):
+        if self._informed:
             return
-        refilled = min(self._burst, level + self._rate * quiet_s)
-        if self._guessed:
-            refilled = min(refilled, self._bucket.level + self._withheld)
         self._informed = True
-        self._guessed = quiet_s > 0.0
-        self._begin_with(refilled)
-
-    def _begin_with(self, level: float) -> None:
         now_level = min(level, self._burst * self._part)
         # While this process hears nobody, all others may learn the same: it
         # lives by its part, and has the rest when it counts with them.
@@ -290,7 +274,7 @@
             return 0.0
         wait_s = max(self._bucket.wait_s(units), self._ceiling.wait_s(units))
         if wait_s > 0.0:
-            return min(wait_s, FIRST_NEWS_S) if self._alone else wait_s
+            return wait_s
         shares = self._let_in and not for_all
         if shares and self._let_in + units > self._share():
             return NEXT_TICK_S
@@ -299,12 +283,6 @@
         self._used += units
         return 0.0
 
-    @property
-    def _alone(self) -> bool:
-        """Whether this process has just started and heard nobody yet."""
-        young = self._clock.now() - self._since < ALONE_S
-        return young and not self._presence.heard_at
-
     def _share(self) -> float:
         """What this VM may let in until the next tick."""
         count = len(self._presence.members) + 1
@@ -333,7 +311,7 @@
         if now - self._since > INFORMED_S:
             self._informed = True
         part = (count - silent) / count
-        if self._alone:
+        if not heard_any and now - self._since < ALONE_S:
             part = min(part, 1.0 / ASSUMED_VMS)
         if part != self._part:
             self._part = part
--- a/src/apricotlever/serving/limits.py
+++ b/src/apricotlever/serving/limits.py
@@ -72,9 +72,8 @@
         #: The totals that each process told last.
         self._heard: dict[str, typing.Mapping[str, float]] = {}
         self._rates: dict[str, fleet_rate.FleetRate] = {}
-        #: Levels that came before their customers' limits did, and for how
-        #: long nothing had been let in since.
-        self._told: dict[str, tuple[float, float]] = {}
+        #: Levels that came before their customers' limits did.
+        self._told: dict[str, float] = {}
 
     @property
     def used(self) -> dict[str, float]:
@@ -95,17 +94,12 @@
         """The part of each limit that this VM may count on."""
         return {name: rate.part for name, rate in self._rates.items()}
 
-    def learn(
-        self, levels: typing.Mapping[str, float], quiet_s: float = 0.0
-    ) -> None:
-        """Take over what is left of each limit, if it is not known yet.
-
-        :param quiet_s: for how long nobody has let anything in since.
-        """
+    def learn(self, levels: typing.Mapping[str, float]) -> None:
+        """Take over what is left of each limit, if it is not known yet."""
+        self._told.update(levels)
         for name, level in levels.items():
-            self._told[name] = (level, quiet_s)
             if name in self._rates:
-                self._rates[name].learn(level, quiet_s)
+                self._rates[name].learn(level)
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Take over the limits of a version."""
@@ -127,7 +121,7 @@
             # It has heard no total yet, however old the others' are.
             self._heard.clear()
             if name in self._told:
-                rate.learn(*self._told[name])
+                rate.learn(self._told[name])
 
     def set_members(
         self, processes: frozenset[str], between_s: float = 0.0
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -217,11 +217,11 @@
         When all processes were killed at once, nobody is left to ask.
         """
         try:
-            left = await notes.read_levels(self._store, self._clock)
+            levels = await notes.read_levels(self._store, self._clock)
         except (store.StoreError, ValueError) as error:
             logs.event("notes_unread", error=type(error).__name__)
         else:
-            self._limits.learn(left.levels, left.quiet_s)
+            self._limits.learn(levels)
 
     def record(self, number: int, known: list[str]) -> digests.Digest:
         """This VM's next record for its peers."""
--- a/src/apricotlever/serving/notes.py
+++ b/src/apricotlever/serving/notes.py
@@ -17,29 +17,10 @@
 COUNTS = "counts"
 LEVELS = "levels"
 WRITTEN_AT = "written_at"
-#: Between two writings, in seconds.
-WRITTEN_EVERY_S = 1.0
-#: How far two VMs' clocks, and the way of a writing, may be apart, in seconds.
-CLOCKS_APART_S = 0.2
 #: Notes that are older tell nothing of limits, in seconds.
 OLD_S = 30.0
 
 
-class Left:
-    """What is left of the limits, by the notes.
-
-    :param levels: by customer, when the notes were written.
-    :param quiet_s: for how long nobody has let anything in since, if all
-        processes ended together.
-    """
-
-    __slots__ = ("levels", "quiet_s")
-
-    def __init__(self, levels: dict[str, float], quiet_s: float) -> None:
-        self.levels = levels
-        self.quiet_s = quiet_s
-
-
 def compose(
     counts: store.Json, levels: typing.Mapping[str, float], wall: float
 ) -> store.Json:
@@ -74,24 +55,19 @@
     return dict(spec) if _IS_COUNTS(spec) else None
 
 
-async def read_levels(store_: store.Store, clock: clocks.Clock) -> Left:
+async def read_levels(
+    store_: store.Store, clock: clocks.Clock
+) -> dict[str, float]:
     """What is left of each limit, by the notes.
 
-    After they were written, limits may have been used as fast as they allow
-    until the next writing was due; since then nobody was there to write.
-
     :raises store.StoreError: when they can't be read.
     """
     found = await store_.get(KIND, NAME)
     if found is None:
-        return Left({}, 0.0)
+        return {}
     spec = found.spec if isinstance(found.spec, dict) else {}
     written_at, levels = spec.get(WRITTEN_AT, -1.0), spec.get(LEVELS, {})
     if not shapes.is_number(written_at) or not _IS_LEVELS(levels):
         logs.event("stored_refused", kind=KIND, object=NAME, part=LEVELS)
-        return Left({}, 0.0)
-    age_s = clock.wall() - written_at
-    if abs(age_s) > OLD_S:
-        return Left({}, 0.0)
-    quiet_s = age_s - WRITTEN_EVERY_S - CLOCKS_APART_S
-    return Left(dict(levels), max(0.0, quiet_s))
+        return {}
+    return dict(levels) if abs(clock.wall() - written_at) <= OLD_S else {}
--- a/src/apricotlever/serving/usage_duty.py
+++ b/src/apricotlever/serving/usage_duty.py
@@ -22,6 +22,8 @@
 #: How long after a window's end its counts are fixed: calls that began in
 #: it have been counted, and told to all, by then.
 SETTLE_S = 2.5
+#: Between two checkpoints, in seconds.
+CHECKPOINT_S = 1.0
 #: Windows reported after a takeover, back from the newest that is due.
 LOOK_BACK = 3
 #: Reports kept in the store, by window.
@@ -96,7 +98,7 @@
                 await self._recover()
             await self._report_due()
             if now >= self._checkpoint_at:
-                self._checkpoint_at = now + notes.WRITTEN_EVERY_S
+                self._checkpoint_at = now + CHECKPOINT_S
                 await self._checkpoint()
         except (store.StoreError, duties.CloudBusy, ValueError) as error:
             self._next_try = self._clock.now() + PAUSE_S
