--- a/tests/contracts/limit_keepers.feature
+++ b/tests/contracts/limit_keepers.feature
@@ -20,6 +20,16 @@
       | 2    | 8        |
       | 5    | 20       |
 
+  Scenario Outline: Call by call hardly any that is owed is refused
+    When a customer asks 7 VMs for <load> times its limit, in short and long prompts
+    Then with a keeper at most 1 of 100 calls that it is owed is refused
+
+    Examples:
+      | load |
+      | 1.2  |
+      | 2    |
+      | 5    |
+
   Scenario: All VMs find the same keeper, and another one when it is gone
     Given 7 VMs that find the keepers of 40 customers
     Then each customer has one keeper, and each VM keeps some
--- a/tests/steps/contracts_limit_keepers.py
+++ b/tests/steps/contracts_limit_keepers.py
@@ -43,6 +43,11 @@
     assert sum(fewer) / len(fewer) <= most, fewer
 
 
+@then("with a keeper at most {most:d} of 100 calls that it is owed is refused")
+def _owed(context, most):
+    assert _refused(context, "keeper") <= most, _refused(context, "keeper")
+
+
 @then("a tenth as many others in their place as by counting together")
 def _others(context):
     found = _refused(context, "keeper"), _refused(context, "together")
