Tell a large fleet by aggregators that its VMs choose

Cause: with more than 25 VMs a record went to 24 others in turn.

Change: VMs of a large fleet give their records to an aggregator of their data centre, at once when they are news. Loads are summed, what lasts is told when it has changed and again within 5 s, counts for the duties go to their holders alone. Who follows the store is decided a second after a start, and no duty is contended for before (all 195 took themselves for one of the few). `vms/fleet_news` replaces the turns; up to 25 VMs nothing changes.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -69,6 +69,9 @@
     "member_suspected": Event(INFO, "An entry VM did not answer probes."),
     "member_leaving": Event(INFO, "An entry VM said that it leaves."),
     "member_dead": Event(WARNING, "An entry VM is held to be gone."),
+    "aggregator_changed": Event(
+        INFO, "Another VM tells the fleet of this one from now on."
+    ),
     "peer_call_failed": Event(INFO, "A call to another entry VM failed."),
     "lease_taken": Event(INFO, "This VM holds a duty's lease."),
     "lease_lost": Event(WARNING, "This VM no longer holds a duty's lease."),
--- a/src/apricotlever/runners/outliers.py
+++ b/src/apricotlever/runners/outliers.py
@@ -15,6 +15,8 @@
 
 from .. import clock as clocks
 
+from . import totals
+
 #: Over which calls are counted, in seconds.
 WINDOW_S = 4.0
 #: A single failure may be chance.
@@ -37,10 +39,11 @@
 #: At most this part of a service's runners is left out at once.
 MOST_OUT_PART = 0.34
 
-#: More calls at one runner were not made since a process was last heard.
-MOST_NEW_CALLS = 50
+#: For how long the counts of an aggregator stand for those of all VMs, in
+#: seconds after they came.
+SUMMED_S = 2.0
 
-Counts = dict[str, tuple[int, int]]
+Counts = totals.Counts
 
 
 class _Window:
@@ -56,11 +59,11 @@
         """Take over a process's totals."""
         points = self.points.setdefault(process, collections.deque())
         if not points:
-            # A newcomer's totals are recent; those of an old process that
-            # this one has just met are not.
-            old = calls > MOST_NEW_CALLS
-            points.append((now, failed, calls) if old else (now, 0, 0))
-        if (failed, calls) != points[-1][1:]:
+            points.append((now, *totals.first_seen(failed, calls)))
+        if calls < points[-1][2]:
+            # Who told it counts anew.
+            points.clear()
+        if not points or (failed, calls) != points[-1][1:]:
             points.append((now, failed, calls))
 
     def restart(self, now: float) -> None:
@@ -70,10 +73,15 @@
             points.clear()
             points.append((now, *last[1:]))
 
-    def recent(self, now: float) -> tuple[int, int]:
-        """Failed and all calls within the window."""
+    def recent(self, now: float, but: str = "") -> tuple[int, int]:
+        """Failed and all calls within the window.
+
+        :param but: a process that is not counted.
+        """
         failed = calls = 0
-        for points in self.points.values():
+        for process, points in self.points.items():
+            if process == but:
+                continue
             while len(points) > 1 and points[1][0] <= now - WINDOW_S:
                 points.popleft()
             failed += points[-1][1] - points[0][1]
@@ -126,7 +134,14 @@
     :param process: names this VM's process.
     """
 
-    __slots__ = ("_clock", "_out", "_own", "_process", "_windows")
+    __slots__ = (
+        "_clock",
+        "_out",
+        "_own",
+        "_process",
+        "_summed_until",
+        "_windows",
+    )
 
     def __init__(self, clock: clocks.Clock, process: str) -> None:
         self._clock = clock
@@ -134,6 +149,8 @@
         self._own: Counts = {}
         self._windows: dict[str, _Window] = {}
         self._out: dict[str, _Out] = {}
+        #: Until when this VM's own counts are in what others tell.
+        self._summed_until = float("-inf")
 
     @property
     def own(self) -> Counts:
@@ -153,11 +170,19 @@
         self._note(self._process, runner, self._own[runner])
 
     def heard(
-        self, process: str, counts: typing.Mapping[str, typing.Any]
+        self,
+        process: str,
+        counts: typing.Mapping[str, typing.Any],
+        summed: bool = False,
     ) -> None:
-        """Take in another VM's counts."""
-        for runner, totals in counts.items():
-            self._note(process, runner, tuple(totals))
+        """Take in another VM's counts.
+
+        :param summed: whether they are of all VMs, this one included.
+        """
+        if summed and counts:
+            self._summed_until = self._clock.now() + SUMMED_S
+        for runner, told in counts.items():
+            self._note(process, runner, tuple(told))
 
     def judge(
         self, services: typing.Iterable[typing.Sequence[str]]
@@ -179,8 +204,9 @@
 
     def _judge_service(self, runners: typing.Sequence[str]) -> list[Found]:
         now = self._clock.now()
+        own = self._process if now < self._summed_until else ""
         recent = {
-            runner: self._windows[runner].recent(now)
+            runner: self._windows[runner].recent(now, own)
             for runner in runners
             if runner in self._windows
         }
--- a/src/apricotlever/runners/silence.py
+++ b/src/apricotlever/runners/silence.py
@@ -81,12 +81,8 @@
         if line is not None and line.calls:
             line.calls -= 1
 
-    def told(self, reports: typing.Iterable[typing.Iterable[str]]) -> None:
-        """Take over what each other VM finds silent."""
-        counts: dict[str, int] = {}
-        for report in reports:
-            for runner in report:
-                counts[runner] = counts.get(runner, 0) + 1
+    def told(self, counts: typing.Mapping[str, int]) -> None:
+        """Take over how many other VMs find each runner silent."""
         self._told = frozenset(
             runner for runner, count in counts.items() if count >= WITNESSES
         )
--- a/src/apricotlever/serving/datagrams.py
+++ b/src/apricotlever/serving/datagrams.py
@@ -1,4 +1,4 @@
-"""The records of peers, as datagrams."""
+"""What peers tell each other, as datagrams."""
 
 import socket
 import typing
@@ -7,7 +7,9 @@
 import msgpack
 
 from .. import logs
+from ..vms import aggregates
 from ..vms import digests
+from ..vms import fleet_news
 
 #: Between two looks at what has come, in seconds. Were each record read as
 #: it comes, the process would be woken for each, in a large fleet more than
@@ -18,43 +20,63 @@
 #: more must not keep callers waiting.
 MOST_READ = 300
 MOST_BYTES = 65535
-#: The fastest: all levels take off about as much of so little.
-COMPRESSION = 1
-#: A record that becomes longer is refused: a few bytes could fill the memory.
+#: A message of an aggregator goes to many: it pays to pack it well.
+COMPRESSION = 6
+#: A message that becomes longer is refused: a few bytes could fill the memory.
 MOST_UNPACKED = 1 << 20
 #: Malformed records logged for each one that is.
 MOST_BAD_LOGGED = 20
 
 
-def pack(digest: digests.Digest) -> bytes:
-    """A record as it is sent."""
-    return zlib.compress(msgpack.packb(digest.to_record()), COMPRESSION)
+_Reader = typing.Callable[[typing.Any], fleet_news.Message]
+#: Kinds of messages beside records, the first field of each.
+AGGREGATE = 1
+TALLY = 2
+_READERS: dict[int, _Reader] = {
+    AGGREGATE: aggregates.Aggregate.from_record,
+    TALLY: aggregates.Tally.from_record,
+}
+_KINDS = {aggregates.Aggregate: AGGREGATE, aggregates.Tally: TALLY}
 
 
-def unpack(data: bytes) -> digests.Digest:
+def pack(message: fleet_news.Message) -> bytes:
+    """A message as it is sent; a record has no kind before its fields."""
+    fields: list[typing.Any] = message.to_record()
+    kind = _KINDS.get(type(message))
+    if kind is not None:
+        fields = [kind, fields]
+    return zlib.compress(msgpack.packb(fields), COMPRESSION)
+
+
+def unpack(data: bytes) -> fleet_news.Message:
     """The reverse of :func:`pack`.
 
-    :raises zlib.error: when it is no compressed record.
+    :raises zlib.error: when it is no compressed message.
     :raises ValueError: when it is cut short, too long, or has other fields.
     """
-    reader = zlib.decompressobj()
-    record = reader.decompress(data, MOST_UNPACKED)
-    if not reader.eof:
-        raise ValueError("a record is cut short or too long")
-    return digests.Digest.from_record(
-        msgpack.unpackb(record, strict_map_key=False)
-    )
+    decompressor = zlib.decompressobj()
+    packed = decompressor.decompress(data, MOST_UNPACKED)
+    if not decompressor.eof:
+        raise ValueError("a message is cut short or too long")
+    fields = msgpack.unpackb(packed, strict_map_key=False)
+    if isinstance(fields, list) and len(fields) == 2:
+        kind, fields = fields
+        reader = _READERS.get(kind) if isinstance(kind, int) else None
+        if reader is None:
+            raise ValueError("no such kind of message")
+        return reader(fields)
+    return digests.Digest.from_record(fields)
 
 
 class Inbox(typing.Protocol):
     """Takes what peers say."""
 
-    def digest(self, digest: digests.Digest) -> None:
-        """A record of another VM came."""
+    def message(self, message: fleet_news.Message) -> None:
+        """A message of another VM came."""
 
 
 class Datagrams:
-    """Sends and receives records.
+    """Sends and receives messages.
 
     :param inbox: takes those that are well formed.
     """
@@ -92,12 +114,12 @@
             pass
 
     def send(
-        self, digest: digests.Digest, receivers: typing.Iterable[str]
+        self, message: fleet_news.Message, receivers: typing.Sequence[str]
     ) -> None:
-        """Send a record to many."""
-        if self._socket is None:
+        """Send a message to many."""
+        if self._socket is None or not receivers:
             return
-        data = pack(digest)
+        data = pack(message)
         for receiver in receivers:
             host, _, port = receiver.rpartition(":")
             try:
@@ -124,16 +146,16 @@
 
     def _take(self, data: bytes, host: str) -> None:
         try:
-            digest = unpack(data)
-            sender = digest.peer_address.rpartition(":")[0]
+            message = unpack(data)
+            sender = message.peer_address.rpartition(":")[0]
         except (ValueError, TypeError, AttributeError, zlib.error) as error:
             self._refused(host, type(error).__name__)
             return
         if sender != host:
-            # A record has to come from the address that it names.
+            # A message has to come from the address that it names.
             self._refused(host, "foreign_address")
             return
-        self._inbox.digest(digest)
+        self._inbox.message(message)
 
     def _refused(self, host: str, reason: str) -> None:
         self._bad += 1
--- a/src/apricotlever/serving/duties.py
+++ b/src/apricotlever/serving/duties.py
@@ -36,6 +36,18 @@
 GAVE_UP_PART = 2.0
 
 
+def candidates(name: str, peers: typing.Sequence[digests.Digest]) -> list[str]:
+    """Other VMs that hold a lease, or contend for it once it is free.
+
+    :param name: of the lease.
+    :param peers: records of the other living VMs.
+    """
+    holders = [p.vm for p in peers if p.lease]
+    ready = [p.vm for p in peers if p.ready and not p.leaving]
+    ranked = rendezvous.rank(name, ready)[:CONTENDERS]
+    return list(dict.fromkeys([*holders, *ranked]))
+
+
 class LeaseKeeper:
     """Drives one lease by calls to the store.
 
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -6,9 +6,13 @@
 
 from .. import clock as clocks
 from .. import logs
+from ..vms import aggregates
+from ..vms import collector
 from ..vms import digests
+from ..vms import fleet_news
+from ..vms import followers
 from ..vms import leads
-from ..vms import rendezvous
+from ..vms import peer_loads
 
 from . import datagrams
 from . import directory as directories
@@ -23,16 +27,17 @@
 #: How long the directories of two VMs may differ, in seconds, before one
 #: reads all of the other's: news of the same change comes to both meanwhile.
 DIFFERENT_S = 0.3
-#: VMs that follow the store for the others: with one turned away and one
-#: just ended there is still one.
-FOLLOWERS = 3
-FOLLOW_KEY = "follow"
+#: How long a VM of a large fleet waits for news by its aggregator, in seconds,
+#: before it asks whoever has them: all would else ask the few that are first.
+AGGREGATOR_LEAD_S = 1.0
 #: Between two records of which one is sent for news, in seconds.
 LEAST_TELL_S = 0.03
 #: News that comes within this time is told by one record, in seconds: calls
 #: come in clumps.
 GATHER_NEWS_S = 0.01
 EVERYTHING = -1
+#: Between two tallies of an aggregator, in seconds.
+TALLY_S = 1.0
 
 
 class Local(typing.Protocol):
@@ -42,12 +47,31 @@
     def version(self) -> int:
         """Of the configuration in force, 0 for none."""
 
-    def record(self, number: int, known: list[str]) -> digests.Digest:
-        """This VM's next record."""
+    def record(
+        self, number: int, known: list[str], whole: bool, aggregator: str
+    ) -> digests.Digest:
+        """This VM's next record, as :class:`fleet_news.Source` has it."""
 
     def take(self, digest: digests.Digest) -> None:
         """A peer's record came."""
 
+    def take_used(self, process: str, used: dict[str, float]) -> None:
+        """Units that a peer's process has let in came."""
+
+    def take_counts(
+        self, counts: dict[str, tuple[typing.Any, typing.Any]]
+    ) -> None:
+        """Usage and work of many processes came."""
+
+    def present(self, processes: typing.Iterable[str]) -> None:
+        """Processes were heard by an aggregator."""
+
+    def duty_holders(self) -> typing.Iterable[str]:
+        """Names of the VMs that do the fleet's duties, or may soon."""
+
+    def observe(self, loads: peer_loads.PeerLoads) -> None:
+        """Loads of the other VMs came."""
+
     def configure(self, spec: store.Json) -> bool:
         """Take over a configuration, if it is newer."""
 
@@ -70,11 +94,10 @@
         "_directory",
         "_fetching",
         "_followers",
-        "_follows",
         "_leads",
         "_local",
+        "_news",
         "_news_due",
-        "_number",
         "_table",
         "_tasks",
         "_told_at",
@@ -98,15 +121,15 @@
         self._table = digests.PeerTable(
             clock, rng, config.vm, str(config.peers), config.seeds
         )
+        self._news = fleet_news.FleetNews(
+            clock, rng, config.vm, config.data_centre, self._table, local
+        )
         self._datagrams = datagrams.Datagrams(self)
         self._client = peers.PeerClient()
         self._leads = leads.Leads(clock)
         self._fetching: set[str] = set()
         self._alive: set[str] = set()
-        #: The other VMs that follow the store; None before the first look.
-        self._followers: frozenset[str] | None = None
-        self._follows = True
-        self._number = 0
+        self._followers = followers.Followers(clock, config.vm)
         self._told_at = float("-inf")
         #: Whether a record is about to be sent for news.
         self._news_due = False
@@ -134,23 +157,31 @@
 
     @property
     def follows(self) -> bool:
-        """Whether this VM has to follow the store itself.
-
-        A few do it for all: each change ends a call of each follower. VMs
-        whose calls fail don't count, so others take their place.
-        """
-        return self._follows
+        """Whether this VM has to follow the store itself."""
+        return self._followers.follows
 
     @property
     def between_s(self) -> float:
-        """Mean seconds between two records of one VM."""
+        """Mean seconds between two signs of life of one VM."""
         return self._table.between_s
 
+    @property
+    def loads(self) -> peer_loads.PeerLoads:
+        """What the other VMs do at the runners."""
+        return self._news.loads
+
+    @property
+    def aggregator(self) -> str:
+        """The VM that tells the others of this one; "" for itself alone."""
+        return self._news.aggregator
+
     def listen(self, address: settings.Address) -> None:
         """Open the socket; from now on records are read and sent."""
         self._datagrams.listen(address.host, address.port)
         self._tasks.every(datagrams.READ_S, self._read)
-        self._tasks.every(digests.INTERVAL_S, self._tell)
+        self._tasks.every(digests.INTERVAL_S, self._look)
+        self._tasks.every(collector.FLUSH_S, self._flush)
+        self._tasks.every(TALLY_S, self._tally)
 
     def close(self) -> None:
         """Close the socket."""
@@ -170,11 +201,11 @@
         self._table.silence()
 
     def tell(self) -> None:
-        """Send this VM's record."""
-        self._number += 1
+        """Send this VM's record now."""
         self._told_at = self._clock.now()
-        record = self._local.record(self._number, self._table.known())
-        self._datagrams.send(record, self._table.receivers())
+        self._send(self._news.news())
+        if self._news.is_aggregator:
+            self._send(self._flushed())
 
     def news(self) -> None:
         """Tell the others of news soon, but not too often."""
@@ -186,16 +217,6 @@
             max(GATHER_NEWS_S, LEAST_TELL_S - since_s), self._tell_news
         )
 
-    def news_of_load(self) -> None:
-        """Tell the others of work that was given to a runner.
-
-        VMs that send to the same runner within a fifth of a second don't see
-        each other's prompts otherwise. In a fleet so large that a record goes
-        to some of the others only, it would be told to few at a high price.
-        """
-        if self._table.hears_all:
-            self.news()
-
     def note_members(self) -> None:
         """Log who was lost and who came; find out who follows the store."""
         alive = self._table.alive()
@@ -205,27 +226,77 @@
         for vm in sorted(self._alive - names):
             logs.event("member_dead", member=vm, alive=len(names) + 1)
         self._alive = names
-        followers = frozenset(peer.vm for peer in alive if peer.follows)
-        if followers != self._followers:
-            # Not each tick: in a large fleet ranking would be most of one.
-            self._followers = followers
-            ranked = rendezvous.rank(FOLLOW_KEY, [*followers, self._vm])
-            self._follows = ranked.index(self._vm) < FOLLOWERS
-
-    def digest(self, digest: digests.Digest) -> None:
-        """A record of another VM came."""
-        former = self._table.heard(digest)
+        if self._news.sources is not None:
+            # Records that change nothing come rarely in a large fleet.
+            for digest in alive:
+                self._note_behind(digest)
+        self._followers.look(alive)
+
+    def message(self, message: fleet_news.Message) -> None:
+        """A message of another VM came."""
+        if isinstance(message, digests.Digest):
+            self._heard(message)
+            self._send(self._news.record(message))
+        elif isinstance(message, aggregates.Aggregate):
+            self._heard_aggregate(message)
+        else:
+            self._local.take_counts(message.counts)
+
+    def _heard(self, digest: digests.Digest, age_s: float = 0.0) -> None:
+        former = self._table.heard(digest, age_s)
         if former is not None:
             logs.event("member_restarted", member=digest.vm)
         self._local.take(digest)
         self._note_behind(digest)
 
+    def _heard_aggregate(self, aggregate: aggregates.Aggregate) -> None:
+        for entry in aggregate.entries:
+            if entry.vm != self._vm:
+                self._heard(entry, aggregate.ages.get(entry.vm, 0.0))
+        for vm, age_s in aggregate.ages.items():
+            self._table.heard_of(vm, age_s)
+        self._local.present(self._table.processes(aggregate.ages))
+        for process, used in aggregate.used.items():
+            self._local.take_used(process, used)
+        self._send(self._news.aggregate(aggregate))
+        if self._news.uses(aggregate):
+            self._local.observe(self._news.loads)
+
+    def _send(self, outgoing: typing.Iterable[fleet_news.Outgoing]) -> None:
+        for each in outgoing:
+            self._datagrams.send(each.message, each.receivers)
+
+    def _flushed(self) -> list[fleet_news.Outgoing]:
+        runners = {r.runner_id for r in self._directory.runners}
+        return self._news.flush(runners)
+
     def _tell_news(self) -> None:
         self._news_due = False
-        self.tell()
+        self._told_at = self._clock.now()
+        self._send(self._news.news())
 
-    async def _tell(self) -> None:
-        self.tell()
+    async def _look(self) -> None:
+        self._told_at = self._clock.now()
+        before = self._news.aggregator
+        self._send(self._news.look())
+        if self._news.aggregator != before:
+            logs.event(
+                "aggregator_changed",
+                aggregator=self._news.aggregator,
+                before=before,
+                members=len(self._table.alive()) + 1,
+            )
+
+    async def _flush(self) -> None:
+        if self._news.is_aggregator:
+            # What came since the last look belongs to what is told now.
+            self._datagrams.read()
+        self._send(self._flushed())
+        if self._news.is_aggregator:
+            self._local.observe(self._news.loads)
+
+    async def _tally(self) -> None:
+        self._send(self._news.tally(self._local.duty_holders()))
 
     async def _read(self) -> None:
         self._datagrams.read()
@@ -233,6 +304,10 @@
     def _note_behind(self, digest: digests.Digest) -> None:
         """Fetch from a peer what the store does not bring in time."""
         lead_s = PEER_LEAD_S if self.follows else 0.0
+        sources = self._news.sources
+        compared = sources is None or digest.vm in sources
+        if not compared:
+            lead_s = AGGREGATOR_LEAD_S
         directory = self._directory
         self._fetch_if(
             digest.configuration > self._local.version,
@@ -244,7 +319,7 @@
             digest.directory > directory.revision, "runners", digest, lead_s
         )
         self._fetch_if(
-            digest.runners != directory.checksum,
+            compared and digest.runners != directory.checksum,
             "all_runners",
             digest,
             DIFFERENT_S,
--- a/src/apricotlever/serving/limits.py
+++ b/src/apricotlever/serving/limits.py
@@ -149,6 +149,11 @@
             if before.get(name) != total and name in self._rates:
                 self._rates[name].heard(process, total)
 
+    def present(self, processes: typing.Iterable[str]) -> None:
+        """Other VMs' processes were heard, by whomever."""
+        for process in processes:
+            self._presence.heard(process)
+
     def ask_by(self, calls: limit_calls.LimitCalls) -> None:
         """Ask keepers of limits from now on."""
         self._calls = calls
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -4,16 +4,19 @@
 import random
 import signal
 import time
+import typing
 
 from .. import clock as clocks
 from .. import logs
 from ..contracts import retry_allowance
 from ..contracts import usage_windows
 from ..vms import digests
+from ..vms import peer_loads
 
 from . import dialects
 from . import directory as directories
 from . import drain
+from . import duties
 from . import duty_roster
 from . import fleet_link
 from . import limit_calls
@@ -37,6 +40,9 @@
 from . import upstreams
 
 TICK_S = 0.1
+#: A process contends for no duty before it has run for so long, in seconds: it
+#: knows few others, and of a fleet that starts at once each VM would.
+SETTLE_S = 1.0
 #: A tick that is so late, in seconds, shows that the process stood still.
 PAUSE_S = 1.0
 
@@ -76,7 +82,7 @@
             config.data_centre,
             self._directory,
             self._process,
-            lambda: self._fleet.news_of_load(),
+            lambda: self._fleet.news(),
         )
         self._limits = limits.Limits(
             clock,
@@ -126,6 +132,7 @@
         self._work = runner_duty.Work(clock)
         self._watchers: list[store.Watcher] = []
         self._leaving_since: float | None = None
+        self._started_at = clock.now()
         self._ticked_at: float | None = None
         self._ended = asyncio.Event()
 
@@ -223,11 +230,13 @@
         else:
             self._limits.learn(levels)
 
-    def record(self, number: int, known: list[str]) -> digests.Digest:
+    def record(
+        self, number: int, known: list[str], whole: bool, aggregator: str
+    ) -> digests.Digest:
         """This VM's next record for its peers."""
         config, calls = self._settings, self._upstreams
-        # What may be a second old would make each record half as long again.
-        whole = number % digests.WHOLE_EVERY == 1
+        # An aggregator passes counts on more rarely than records come.
+        counts = whole or not aggregator
         return digests.Digest(
             config.vm,
             self._incarnation,
@@ -244,9 +253,11 @@
             in_flight=calls.in_flight,
             pending=calls.pending,
             used=self._limits.used,
+            # What may be a second old would make each record half as long
+            # again.
             levels=self._limits.levels if whole else None,
-            usage=self._usage.own(self._duties.reported),
-            work=calls.work,
+            usage=self._usage.own(self._duties.reported) if counts else None,
+            work=calls.work if counts else None,
             silent=calls.silent,
             failures=calls.failures if whole else None,
             reported=self._duties.reported,
@@ -255,6 +266,7 @@
             gave_up=self._duties.gave_up,
             lease=self._duties.renewed,
             limits_port=self._limit_calls.port,
+            aggregator=aggregator,
         )
 
     def take(self, digest: digests.Digest) -> None:
@@ -266,6 +278,30 @@
         self._duties.heard_reported(digest.reported)
         self._upstreams.crashes.heard(digest.vm, digest.crashes)
 
+    def take_used(self, process: str, used: dict[str, float]) -> None:
+        """Units that a peer's process has let in came."""
+        self._limits.heard(process, used)
+
+    def take_counts(
+        self, counts: dict[str, tuple[typing.Any, typing.Any]]
+    ) -> None:
+        """Usage and work of many processes came."""
+        for process, (usage, work) in counts.items():
+            self._usage.heard(process, usage)
+            self._work.heard(process, work)
+
+    def present(self, processes: typing.Iterable[str]) -> None:
+        """Processes were heard by an aggregator."""
+        self._limits.present(processes)
+
+    def duty_holders(self) -> list[str]:
+        """Names of the VMs that do the fleet's duties, or may soon."""
+        return duties.candidates(duty_roster.LEASE, self._fleet.alive)
+
+    def observe(self, loads: peer_loads.PeerLoads) -> None:
+        """Loads of the other VMs came."""
+        self._upstreams.observe_peers(loads)
+
     def configuration_above(self, version: int) -> store.Json | None:
         """The configuration, None if it is not newer."""
         return self._configuration_spec if self.version > version else None
@@ -393,9 +429,11 @@
         self._work.keep_only(processes | {self._process})
         self._budget.set_members(len(members) + 1)
         self._upstreams.set_members(len(members) + 1)
-        self._upstreams.observe_peers(alive, self._fleet.between_s)
+        if not self._fleet.aggregator:
+            self._upstreams.observe_peers(self._fleet.loads)
         self._upstreams.sweep(asyncio.get_running_loop().time())
-        if self._leaving_since is None:
+        settled = self._clock.now() - self._started_at >= SETTLE_S
+        if settled and self._leaving_since is None:
             self._duties.look(alive, len(members) + 1)
 
     async def _end_when_quiet(self) -> None:
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -11,7 +11,7 @@
 from ..runners import prefix
 from ..runners import routing
 from ..runners import silence
-from ..vms import digests
+from ..vms import peer_loads
 
 from . import crash_watch
 from . import directory as directories
@@ -21,8 +21,6 @@
 from . import runner_pools
 from . import runners
 
-#: Timers fire late, in seconds; a look that is due is not put off by it.
-OBSERVE_SLACK_S = 0.05
 #: What an answer of a plain service counts as, in tokens.
 NO_TOKENS = 0
 
@@ -40,7 +38,6 @@
         "_crashes",
         "_directory",
         "_news",
-        "_observed_at",
         "_others",
         "_outliers",
         "_own",
@@ -71,7 +68,6 @@
         )
         self._pools = runner_pools.RunnerPools()
         self._configuration: routes.Configuration | None = None
-        self._observed_at = float("-inf")
         self._own: dict[str, int] = {}
         self._silence = silence.Silence(clock)
         self._others: dict[str, int] = {}
@@ -152,33 +148,14 @@
         """Take over how many VMs share the runners' connections."""
         self._pools.set_members(count)
 
-    def observe_peers(
-        self, peers: typing.Sequence[digests.Digest], between_s: float
-    ) -> None:
-        """Take in how many calls the other VMs have at each runner.
-
-        :param between_s: between two records of one VM. In a fleet so large
-            that this is long, looks more often than twice in it find little
-            new and take a good part of a VM's processor.
-        """
-        now = self._clock.now()
-        if now - self._observed_at < between_s / 2.0 - OBSERVE_SLACK_S:
-            return
-        self._observed_at = now
-        self._silence.told(peer.silent for peer in peers)
-        for peer in peers:
-            self._outliers.heard(peer.process, peer.failures)
+    def observe_peers(self, loads: peer_loads.PeerLoads) -> None:
+        """Take in what the other VMs do at each runner."""
+        self._silence.told(loads.silent)
+        for source, counts in loads.failures.items():
+            self._outliers.heard(source, counts, loads.summed)
         self._judge()
-        others: dict[str, int] = {}
-        for peer in peers:
-            for name, count in peer.in_flight.items():
-                others[name] = others.get(name, 0) + count
-        self._others = others
-        pending: dict[str, int] = {}
-        for peer in peers:
-            for name, tokens in peer.pending.items():
-                pending[name] = pending.get(name, 0) + tokens
-        self._router.observe_pending(pending)
+        self._others = others = loads.in_flight
+        self._router.observe_pending(loads.pending)
         for runner in self._directory.runners:
             name = runner.runner_id
             total = others.get(name, 0) + self._router.own_in_flight(name)
--- /dev/null
+++ b/src/apricotlever/vms/aggregates.py
@@ -0,0 +1,178 @@
+"""What a VM that aggregates tells of many others at once.
+
+In a large fleet each VM gives its records to one VM of its data centre, the
+aggregator. That one sums up what may be summed and passes on what is new of
+the rest: to the VMs that it serves, and to the other aggregators.
+"""
+
+import typing
+
+from .. import shapes
+
+from . import digests
+
+#: Calls and prompt tokens that wait, at one runner.
+Load = tuple[int, int]
+Loads = dict[str, Load]
+#: Failed and all calls, by runner.
+Failures = dict[str, tuple[int, int]]
+
+
+class Aggregate:
+    """One message of an aggregator.
+
+    :param vm: its name.
+    :param incarnation: of its process.
+    :param number: rises with each message.
+    :param peer_address: where it hears the others, ``host:port``.
+    :param whole: whether it is about the whole fleet, for the VMs that the
+        aggregator serves; else about these only, for other aggregators.
+    :param entries: records of VMs of which something has changed, or whose
+        turn it is, without what is summed up.
+    :param ages: seconds since each living VM was heard; empty in most
+        messages.
+    :param used: what has changed of the units let in, by process and
+        customer.
+    :param loads: of each runner that has any, all VMs together.
+    :param silent: how many VMs hear nothing from a runner.
+    :param failures: calls counted since the aggregator's process started;
+        empty in most messages.
+    :param included: the number of the last record of each VM that is part of
+        the loads.
+    """
+
+    __slots__ = (
+        "vm",
+        "incarnation",
+        "number",
+        "peer_address",
+        "whole",
+        "entries",
+        "ages",
+        "used",
+        "loads",
+        "silent",
+        "failures",
+        "included",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        number: int,
+        peer_address: str,
+        whole: bool,
+        entries: list[digests.Digest] | None = None,
+        ages: dict[str, float] | None = None,
+        used: dict[str, dict[str, float]] | None = None,
+        loads: Loads | None = None,
+        silent: dict[str, int] | None = None,
+        failures: Failures | None = None,
+        included: dict[str, int] | None = None,
+    ) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.number = number
+        self.peer_address = peer_address
+        self.whole = whole
+        self.entries = entries or []
+        self.ages = ages or {}
+        self.used = used or {}
+        self.loads = loads or {}
+        self.silent = silent or {}
+        self.failures = failures or {}
+        self.included = included or {}
+
+    @property
+    def process(self) -> str:
+        """Names the process and not only the VM."""
+        return f"{self.vm}#{self.incarnation}"
+
+    def to_record(self) -> list[typing.Any]:
+        """The fields in order."""
+        record = [getattr(self, name) for name in self.__slots__]
+        record[_ENTRIES_AT] = [entry.to_record() for entry in self.entries]
+        return record
+
+    @classmethod
+    def from_record(cls, record: typing.Any) -> "Aggregate":
+        """The reverse of :meth:`to_record`.
+
+        :raises shapes.Misshapen: when it is no such record.
+        """
+        fields = shapes.checked_record(_FIELDS, record)
+        fields[_ENTRIES_AT] = [
+            digests.Digest.from_record(entry) for entry in fields[_ENTRIES_AT]
+        ]
+        return cls(*fields)
+
+
+_ENTRIES_AT = Aggregate.__slots__.index("entries")
+_PAIR = shapes.is_row(shapes.is_whole, shapes.is_whole)
+_FIELDS: tuple[tuple[str, shapes.Check], ...] = (
+    ("vm", shapes.is_text),
+    ("incarnation", shapes.is_whole),
+    ("number", shapes.is_whole),
+    ("peer_address", shapes.is_address),
+    ("whole", shapes.is_flag),
+    ("entries", shapes.is_list(shapes.is_list(lambda value: True))),
+    ("ages", shapes.is_map(shapes.is_text, shapes.is_number)),
+    (
+        "used",
+        shapes.is_map(
+            shapes.is_text, shapes.is_map(shapes.is_text, shapes.is_finite)
+        ),
+    ),
+    ("loads", shapes.is_map(shapes.is_text, _PAIR)),
+    ("silent", shapes.is_map(shapes.is_text, shapes.is_whole)),
+    ("failures", shapes.is_map(shapes.is_text, _PAIR)),
+    ("included", shapes.is_map(shapes.is_text, shapes.is_whole)),
+)
+
+
+class Tally:
+    """Counts of the VMs that an aggregator serves, for duty holders.
+
+    :param vm: the aggregator's name.
+    :param peer_address: where it hears the others, ``host:port``.
+    :param counts: usage and work as :class:`digests.Digest` has them, by
+        process.
+    """
+
+    __slots__ = ("vm", "peer_address", "counts")
+
+    def __init__(
+        self,
+        vm: str,
+        peer_address: str,
+        counts: dict[str, tuple[typing.Any, typing.Any]],
+    ) -> None:
+        self.vm = vm
+        self.peer_address = peer_address
+        self.counts = counts
+
+    def to_record(self) -> list[typing.Any]:
+        """The fields in order."""
+        return [getattr(self, name) for name in self.__slots__]
+
+    @classmethod
+    def from_record(cls, record: typing.Any) -> "Tally":
+        """The reverse of :meth:`to_record`.
+
+        :raises shapes.Misshapen: when it is no such record.
+        """
+        return cls(*shapes.checked_record(_TALLY_FIELDS, record))
+
+
+_TALLY_FIELDS: tuple[tuple[str, shapes.Check], ...] = (
+    ("vm", shapes.is_text),
+    ("peer_address", shapes.is_address),
+    (
+        "counts",
+        shapes.is_map(
+            shapes.is_text,
+            shapes.is_row(digests.is_usage, digests.is_work),
+        ),
+    ),
+)
--- a/src/apricotlever/vms/digests.py
+++ b/src/apricotlever/vms/digests.py
@@ -21,6 +21,12 @@
 #: A VM is taken out of the answers to callers after this silence: five
 #: records in a row are hardly lost by chance.
 ALIVE_S = 1.1
+#: The same where VMs are told of by an aggregator: their records come more
+#: rarely, how long ago each was heard is told every third time, and it takes
+#: a moment to use another aggregator.
+ALIVE_SUMMED_S = 2.4
+#: Mean seconds between two signs of life of a VM there.
+BETWEEN_SUMMED_S = 0.8
 #: A VM that was heard is still counted as a member, and told, for so long.
 MEMBER_S = 30.0
 #: Receivers of one record. In a fleet of more VMs each record goes to some,
@@ -64,6 +70,9 @@
     :param lease: version and fencing number of the lease on the fleet's
         duties while it holds that.
     :param limits_port: where it is asked of limits; 0 for nowhere.
+    :param aggregator: the VM that it wants to tell the others of it; "" for
+        none, so that it tells them itself.
+    :param hears: how many other VMs it hears.
     """
 
     __slots__ = (
@@ -93,6 +102,8 @@
         "gave_up",
         "lease",
         "limits_port",
+        "aggregator",
+        "hears",
     )
 
     def __init__(
@@ -123,6 +134,8 @@
         gave_up: int = 0,
         lease: tuple[int, int] | None = None,
         limits_port: int = 0,
+        aggregator: str = "",
+        hears: int = 0,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -150,6 +163,8 @@
         self.gave_up = gave_up
         self.lease = lease
         self.limits_port = limits_port
+        self.aggregator = aggregator
+        self.hears = hears
 
     @property
     def limits_address(self) -> tuple[str, int] | None:
@@ -163,6 +178,27 @@
         """Names the process and not only the VM."""
         return f"{self.vm}#{self.incarnation}"
 
+    def rare(self) -> "Digest":
+        """A copy without what is summed up where VMs are told of many."""
+        copy = Digest(*self.to_record())
+        copy.in_flight, copy.pending, copy.failures = {}, {}, {}
+        copy.levels, copy.usage, copy.work = {}, {}, {}
+        copy.silent, copy.known, copy.aggregator = [], [], ""
+        copy.used = {}
+        return copy
+
+    def differs(self, other: "Digest", versions: bool) -> bool:
+        """Whether it tells other things of its VM than another record.
+
+        What any record changes, or is told in another way, does not count.
+
+        :param versions: whether it counts how new its VM's knowledge is.
+        """
+        names = _LASTING + _VERSIONS if versions else _LASTING
+        return any(
+            getattr(self, name) != getattr(other, name) for name in names
+        )
+
     def to_record(self) -> list[typing.Any]:
         """The fields in order."""
         return [getattr(self, name) for name in self.__slots__]
@@ -176,8 +212,25 @@
         return cls(*shapes.checked_record(_FIELDS, record))
 
 
+#: Fields of which a change is news.
+_LASTING = (
+    "incarnation",
+    "ready",
+    "leaving",
+    "follows",
+    "reported",
+    "gave_up",
+    "lease",
+    "limits_port",
+)
+_VERSIONS = ("configuration", "directory", "runners")
 _TEXT_TO_COUNT = shapes.is_map(shapes.is_text, shapes.is_whole)
 _TEXT_TO_UNITS = shapes.is_map(shapes.is_text, shapes.is_finite)
+is_usage = shapes.is_map(shapes.is_whole, _TEXT_TO_COUNT)
+is_work = shapes.is_map(
+    shapes.is_text,
+    shapes.is_row(shapes.is_whole, shapes.is_number, shapes.is_number),
+)
 #: What each field of a record has to be, in order. A record of another form
 #: would fail where its figures are used, in a task that many calls need.
 _FIELDS: tuple[tuple[str, shapes.Check], ...] = (
@@ -197,14 +250,8 @@
     ("pending", _TEXT_TO_COUNT),
     ("used", _TEXT_TO_UNITS),
     ("levels", _TEXT_TO_UNITS),
-    ("usage", shapes.is_map(shapes.is_whole, _TEXT_TO_COUNT)),
-    (
-        "work",
-        shapes.is_map(
-            shapes.is_text,
-            shapes.is_row(shapes.is_whole, shapes.is_number, shapes.is_number),
-        ),
-    ),
+    ("usage", is_usage),
+    ("work", is_work),
     ("silent", shapes.is_list(shapes.is_text)),
     (
         "failures",
@@ -221,6 +268,8 @@
         shapes.is_none_or(shapes.is_row(shapes.is_whole, shapes.is_whole)),
     ),
     ("limits_port", shapes.is_whole),
+    ("aggregator", shapes.is_any_text),
+    ("hears", shapes.is_whole),
 )
 
 
@@ -249,6 +298,7 @@
         "_seeds",
         "_turn",
         "_vm",
+        "summed",
     )
 
     def __init__(
@@ -270,16 +320,25 @@
         #: Where among all addresses the last record's receivers began. VMs
         #: that began alike would all tell the same ones at once.
         self._turn = rng.randrange(FANOUT * FANOUT)
+        #: Whether this VM hears of the others by an aggregator.
+        self.summed = False
+
+    @property
+    def address(self) -> str:
+        """Where this VM hears the others."""
+        return self._address
 
     @property
     def between_s(self) -> float:
-        """Mean seconds between two records of one peer."""
+        """Mean seconds between two signs of life of one peer."""
+        if self.summed:
+            return BETWEEN_SUMMED_S
         return INTERVAL_S * self._rounds
 
     @property
-    def hears_all(self) -> bool:
-        """Whether each record goes to all others."""
-        return len(self._peers) <= FANOUT
+    def is_large(self) -> bool:
+        """Whether there are more members than receivers of a record."""
+        return len(self.everybody()) > FANOUT
 
     @property
     def _rounds(self) -> float:
@@ -300,9 +359,10 @@
             if address != self._address:
                 self._hints.setdefault(address, now)
 
-    def heard(self, digest: Digest) -> Digest | None:
+    def heard(self, digest: Digest, age_s: float = 0.0) -> Digest | None:
         """Take in a record.
 
+        :param age_s: how long ago its VM told it.
         :returns: the last record of the VM's former process, if the VM has
             restarted since, else None.
         """
@@ -318,11 +378,41 @@
             ):
                 return None
             former = old if old.incarnation != digest.incarnation else None
-        self._peers[digest.vm] = _Peer(digest, self._clock.now())
+        heard_at = self._clock.now() - age_s
+        if known is not None and former is None:
+            heard_at = max(heard_at, known.heard_at)
+        self._peers[digest.vm] = _Peer(digest, heard_at)
         self.hint([digest.peer_address])
         self.hint(digest.known)
         return former
 
+    def heard_of(self, vm: str, age_s: float) -> None:
+        """An aggregator has heard a VM so long ago, in seconds."""
+        peer = self._peers.get(vm)
+        if peer is not None:
+            heard_at = self._clock.now() - age_s
+            peer.heard_at = max(peer.heard_at, heard_at)
+
+    def addresses(self, vms: typing.Iterable[str]) -> list[str]:
+        """Where VMs hear the others, of those that are known."""
+        peers = map(self._peers.get, vms)
+        return [peer.digest.peer_address for peer in peers if peer is not None]
+
+    def data_centre(self, vm: str) -> str:
+        """Where a VM is; "" when it is not known."""
+        peer = self._peers.get(vm)
+        return peer.digest.data_centre if peer is not None else ""
+
+    def processes(self, vms: typing.Iterable[str]) -> list[str]:
+        """The processes of VMs, of those that are known."""
+        peers = map(self._peers.get, vms)
+        return [peer.digest.process for peer in peers if peer is not None]
+
+    def unheard(self) -> list[str]:
+        """Addresses at which there may be members that are not heard."""
+        alive = {digest.peer_address for digest in self.alive()}
+        return [a for a in self.everybody() if a not in alive]
+
     def receivers(self) -> list[str]:
         """Addresses to which the next record goes; all come in turn.
 
@@ -330,7 +420,7 @@
         of another one for so long that they take it for silent, and set its
         part of each customer's limit aside.
         """
-        everybody = self._everybody()
+        everybody = self.everybody()
         if len(everybody) <= FANOUT:
             return everybody
         self._turn = (self._turn + FANOUT) % len(everybody)
@@ -343,10 +433,10 @@
         were drawn last would else be turned away as a stranger.
         """
         return any(
-            address.rpartition(":")[0] == host for address in self._everybody()
+            address.rpartition(":")[0] == host for address in self.everybody()
         )
 
-    def _everybody(self) -> list[str]:
+    def everybody(self) -> list[str]:
         """Addresses at which there may be members."""
         now = self._clock.now()
         members = {
@@ -394,4 +484,4 @@
             peer.heard_at = min(peer.heard_at, long_ago)
 
     def _alive_s(self) -> float:
-        return ALIVE_S * self._rounds
+        return ALIVE_SUMMED_S if self.summed else ALIVE_S * self._rounds
--- a/src/apricotlever/vms/leases.py
+++ b/src/apricotlever/vms/leases.py
@@ -166,12 +166,14 @@
         """The holder tells of the version that it wrote.
 
         It wrote it before it told, so the time from now covers the time that
-        the holder counts. The object is still read before it is taken.
+        the holder counts. The object is still read before it is taken. A VM
+        that does not contend yet takes it in, too: it may have to as soon as
+        the holder is not heard any more, and would count from then on.
         """
         seen = self._seen
-        if self._pending is not None or seen is None or self._is_mine():
+        if self._pending is not None or self._doubt or self._is_mine():
             return
-        if seen.version is not None and version <= seen.version:
+        if seen is not None and version <= (seen.version or 0):
             return
         value = {
             "holder": holder,
--- a/tests/serving/duties.feature
+++ b/tests/serving/duties.feature
@@ -42,6 +42,18 @@
   # Events: the holder hands its duty over while an order is under way; the
   # next holder's first order overtakes it.
   # Cause: the wait for that left out, as most platforms refuse such an order.
+  # Symptom: nobody orders runners or reports usage for 12 s.
+  # Events: the holder is frozen just after it renewed. It counts as dead two
+  # seconds later; then a VM that did not contend before does, and reads the
+  # lease for the first time.
+  # Cause: renewals that the holder tells were taken in by contenders only.
+  Scenario: A VM that contends since the holder is silent counts from before
+    Given 5 VMs that contend for a duty, of which each is heard for 2.4 seconds after its end
+    And the contest goes on for 5 seconds
+    When the holder and the other contender fall silent
+    And the contest goes on for 12 seconds
+    Then another VM holds the duty at most 5 seconds after the last renewal
+
   Scenario Outline: Where nobody checks the numbers the last call is waited for
     Given 3 VMs that contend for a duty, on a platform that checks <what>
     And the contest goes on for 10 seconds
