Ask the keeper of a limit for every call

Cause: VMs counted by themselves until a quarter of a limit's burst was used up. At 195 VMs each counts besides on a 98th of the rest in a tick, so a second long prompt within a tenth of a second was refused below the limit.

Change: the keeper is asked for each call. A VM counts by itself only without its word, and tells it so at once.

A question more a call.

--- a/src/apricotlever/contracts/fleet_rate.py
+++ b/src/apricotlever/contracts/fleet_rate.py
@@ -40,9 +40,6 @@
 PART_OF_REST = 2.0
 #: How long a record may be under way, in seconds.
 OVERTAKEN_S = 0.5
-#: Part of a burst. With less left, what others let in while news travels is
-#: a good part of the rest.
-KEPT_BELOW = 0.75
 #: Part of the units by which a limit may be exceeded that late news may use
 #: up. The rest is for processes that start and know nothing yet.
 LATE_NEWS_PART = 0.25
@@ -224,11 +221,6 @@
         """Whether there is a limit at all."""
         return self._rate > 0.0
 
-    @property
-    def nearly_used_up(self) -> bool:
-        """Whether VMs that count together would count too late."""
-        return self._bucket.level < KEPT_BELOW * self._burst * self._part
-
     @property
     def level(self) -> float | None:
         """What is left of the limit; None while this process can't know."""
--- a/src/apricotlever/contracts/limit_keepers.py
+++ b/src/apricotlever/contracts/limit_keepers.py
@@ -1,10 +1,11 @@
-"""Which VM counts a customer's calls while its limit is nearly used up.
+"""Which VM counts a customer's calls for all VMs.
 
-VMs that count together hear of each other a tenth of a second late. That is
-soon enough while a limit has room. When it has hardly any, each of them sees
-the same rest and uses it: some calls are let in that the limit has no room
-for, and in their place others are refused that came first. So then one VM,
-the keeper, decides for all, in the order in which the calls come.
+VMs that count together hear of each other a tenth of a second late, and each
+of them sees the same rest and uses it: some calls are let in that the limit
+has no room for, and in their place others are refused that came first. So one
+VM, the keeper, decides for all, in the order in which the calls come. It is
+asked for each call, also while the limit has room: one call that was counted
+out of turn is followed by others for as long as the customer presses.
 
 All VMs find the same keeper by its name, without talking. One that does not
 answer is passed over for a while, and the next one is asked.
--- a/src/apricotlever/serving/limit_calls.py
+++ b/src/apricotlever/serving/limit_calls.py
@@ -1,4 +1,4 @@
-"""What VMs ask each other of limits that are nearly used up, by datagrams.
+"""What VMs ask each other of limits, by datagrams.
 
 A datagram that is lost costs a caller nothing but the wait for its answer:
 the VM that asked decides by itself then.
--- a/src/apricotlever/serving/limits.py
+++ b/src/apricotlever/serving/limits.py
@@ -174,18 +174,27 @@
         address = self._addresses.get(keeper)
         if address is None:
             return Permit(customer, units, rate.take(units, for_all=True))
-        if not rate.nearly_used_up:
-            wait_s = rate.take(units)
-            self._calls.counted(address, self._process, customer, rate.used)
-            return Permit(customer, units, wait_s)
         try:
             kept_s = await self._calls.take(address, customer, units)
         except TimeoutError:
             self._keepers.unanswered(keeper)
             kept_s = None
-        if kept_s is None:
-            return Permit(customer, units, rate.take(units))
-        return Permit(customer, units, kept_s, keeper)
+        if kept_s is not None:
+            return Permit(customer, units, kept_s, keeper)
+        wait_s = rate.take(units)
+        self._tell_keeper(customer)
+        return Permit(customer, units, wait_s)
+
+    def _tell_keeper(self, customer: str) -> None:
+        """Tell what this VM has counted without the keeper's word.
+
+        Records tell it, too, but late: the keeper would let calls in for
+        which there is no room.
+        """
+        address = self._addresses.get(self._keepers.keeper(customer))
+        if address is not None and self._calls is not None:
+            used = self._rates[customer].used
+            self._calls.counted(address, self._process, customer, used)
 
     def give_back(self, permit: Permit) -> None:
         """A call that was let in did not run."""
