Wait for runners of which the holder of the orders hears by others

Cause: a process orders nothing for 2.5 heartbeats of the runners after its start, as these write their entries one by one.

Change: the second is added.

Ruled out: the most runners seen counts as the start's; those ordered meanwhile would count, too.

--- a/src/apricotlever/serving/runner_duty.py
+++ b/src/apricotlever/serving/runner_duty.py
@@ -6,6 +6,7 @@
 from .. import logs
 from ..data_centres import demand
 from ..data_centres import fleet_size
+from ..vms import followers
 
 from . import dialects
 from . import directory as directories
@@ -200,7 +201,9 @@
         heartbeat_s: float,
     ) -> None:
         self._clock = clock
-        self._settled_at = clock.now() + SETTLE_HEARTBEATS * heartbeat_s
+        # Those that follow the store begin a moment after their start.
+        settle_s = followers.STARTED_S + SETTLE_HEARTBEATS * heartbeat_s
+        self._settled_at = clock.now() + settle_s
         self._work = work
         self._directory = directory
         self._in_flight = in_flight
