Split the collector and the table of peers from what they hold

Change: fleet_entries has what is known and due of each VM, collector what an aggregator sums and composes, peer_table whom a VM hears; which of two records of a VM counts is asked in one place (Digest.supersedes, it stood three times).

--- a/bench/_news_world.py
+++ b/bench/_news_world.py
@@ -9,6 +9,7 @@
 from apricotlever.vms import collector
 from apricotlever.vms import digests
 from apricotlever.vms import fleet_news
+from apricotlever.vms import peer_table
 
 STEP_S = 0.01
 #: One way, in seconds.
@@ -190,7 +191,7 @@
         places=5,
         seed=1,
         runners=44,
-        table=digests.PeerTable,
+        table=peer_table.PeerTable,
         news=fleet_news.FleetNews,
     ):
         self.table = table
--- a/bench/news.py
+++ b/bench/news.py
@@ -11,8 +11,8 @@
 import time
 import typing
 
-from apricotlever.vms import digests
 from apricotlever.vms import fleet_news
+from apricotlever.vms import peer_table
 from bench import _news_world
 
 START_S = 3.0
@@ -24,7 +24,7 @@
 VMS_A_PLACE = 39
 
 
-class FlatTable(digests.PeerTable):
+class FlatTable(peer_table.PeerTable):
     """A table by which no fleet is large."""
 
     @property
--- a/bench/records.py
+++ b/bench/records.py
@@ -23,6 +23,7 @@
 from apricotlever.serving import runners
 from apricotlever.serving import settings
 from apricotlever.vms import digests
+from apricotlever.vms import peer_table
 
 SEED = 7
 ROUNDS = 60
@@ -135,7 +136,7 @@
             usage=usage,
             work={"llm": (self._sent, 8e3, 0.4)},
             failures={name: (1, 9) for name in busy} if whole else None,
-            known=["10.0.0.9:9"] * digests.MOST_KNOWN if whole else None,
+            known=["10.0.0.9:9"] * peer_table.MOST_KNOWN if whole else None,
         )
 
 
@@ -160,7 +161,7 @@
 
     def core(self, vms: int) -> float:
         """Part of a core, without the kernel's work for the datagrams."""
-        a_second = min(vms - 1, digests.FANOUT) / digests.INTERVAL_S
+        a_second = min(vms - 1, peer_table.FANOUT) / digests.INTERVAL_S
         return (
             a_second * self.heard_us
             + self.sent_us / digests.INTERVAL_S
@@ -232,7 +233,7 @@
             heard, sent, tick, size = _Timer(), _Timer(), _Timer(), []
         # In a second of a VM: five records sent, ten ticks, and as many
         # heard as other VMs have receivers for.
-        for _ in range(round(min(vms - 1, digests.FANOUT))):
+        for _ in range(round(min(vms - 1, peer_table.FANOUT))):
             peer = peers[turn % len(peers)]
             turn += 1
             record = peer.record(
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -13,6 +13,7 @@
 from ..vms import followers
 from ..vms import leads
 from ..vms import peer_loads
+from ..vms import peer_table
 
 from . import datagrams
 from . import directory as directories
@@ -118,7 +119,7 @@
         self._local = local
         self._directory = directory
         self._tasks = running
-        self._table = digests.PeerTable(
+        self._table = peer_table.PeerTable(
             clock, rng, config.vm, str(config.peers), config.seeds
         )
         self._news = fleet_news.FleetNews(
--- a/src/apricotlever/vms/fleet_news.py
+++ b/src/apricotlever/vms/fleet_news.py
@@ -17,6 +17,7 @@
 from . import collector
 from . import digests
 from . import peer_loads
+from . import peer_table
 
 #: Between two records of a VM that has no news for its aggregator, in looks
 #: of :data:`digests.INTERVAL_S`.
@@ -87,7 +88,7 @@
         rng: random.Random,
         vm: str,
         data_centre: str,
-        table: digests.PeerTable,
+        table: peer_table.PeerTable,
         source: Source,
     ) -> None:
         self._clock = clock
@@ -327,6 +328,6 @@
         )
         before = set(self._aggregators)
         self._aggregators = sorted(found - {self._vm})
-        self._collector.sources = frozenset(found)
+        self._collector.entries.sources = frozenset(found)
         if not before.issuperset(self._aggregators):
             self._collector.tell_again()
--- a/tests/steps/adapter_entries.py
+++ b/tests/steps/adapter_entries.py
@@ -28,6 +28,7 @@
 from apricotlever.serving import tasks
 from apricotlever.vms import digests
 from apricotlever.vms import lease_objects
+from apricotlever.vms import peer_table
 from tests.steps import adapter as adapter_steps
 
 SETTINGS = hypothesis.settings(
@@ -474,7 +475,9 @@
         """Take it in and use each of its figures."""
         digest = datagrams.unpack(data)
         clock = clocks.ManualClock()
-        table = digests.PeerTable(clock, random.Random(1), "vm-1", "a:1", ())
+        table = peer_table.PeerTable(
+            clock, random.Random(1), "vm-1", "a:1", ()
+        )
         table.heard(digest)
         table.known()
         assert sum(digest.in_flight.values()) >= 0
--- a/tests/steps/vms_digests.py
+++ b/tests/steps/vms_digests.py
@@ -9,6 +9,7 @@
 
 from apricotlever import clock as clocks
 from apricotlever.vms import digests
+from apricotlever.vms import peer_table
 
 
 class Vm:
@@ -21,7 +22,7 @@
         self.number = 0
         self.leaving = False
         self.silent = False
-        self.table = digests.PeerTable(
+        self.table = peer_table.PeerTable(
             clock, random.Random(number), self.name, self.address, [seed]
         )
 
