Count on what is left of a limit while some VM is silent

Cause: a process that starts counts on an eighth of what it learns is left, and on the rest when it hears others and none of them is silent. Among 195 VMs that are restarted in turn one always is; since the keeper counts for all, a keeper that started refused what the limit had room for.

Change: the rest is counted on as far as this VM's part of the limit goes.

--- a/src/apricotlever/contracts/fleet_rate.py
+++ b/src/apricotlever/contracts/fleet_rate.py
@@ -308,9 +308,12 @@
         if part != self._part:
             self._part = part
             self._apply()
-        if self._withheld and heard_any and not silent:
-            self._add(self._withheld)
-            self._withheld = 0.0
+        if self._withheld and heard_any:
+            room = max(0.0, self._burst * part - self._bucket.level)
+            counted_on = min(self._withheld, room)
+            self._add(counted_on)
+            self._rest += counted_on
+            self._withheld -= counted_on
 
     def _apply(self) -> None:
         part = self._part
--- a/tests/contracts/fleet_rate.feature
+++ b/tests/contracts/fleet_rate.feature
@@ -63,6 +63,16 @@
     When all of them start anew, learn that 90 are left and are flooded
     Then they let in at least 80 units and at most 150 in the first second
 
+  # Symptom: in a fleet of 195 of which VMs are restarted in turn, calls within
+  # their limit are refused for seconds.
+  # Events: the process that starts keeps the limit for all, and begins with an
+  # eighth of what is left; some VM is silent at any time.
+  # Cause: the rest was only counted on once nobody was silent.
+  Scenario: A process that starts while a VM is silent counts on what is left
+    Given 20 VMs that share a limit of 100 a second and a burst of 100
+    When a VM starts alone, learns that 80 are left and hears all but one
+    Then it lets in 80 units
+
   # Symptom: a customer that asks for twice its limit gets less than it: of
   # what the limit allowed, a tenth was refused.
   # Events: two VMs let calls in at the same moment, each with all that was
--- a/tests/steps/contracts_fleet_rate.py
+++ b/tests/steps/contracts_fleet_rate.py
@@ -203,6 +203,22 @@
     context.new.learn(second)
 
 
+@when("a VM starts alone, learns that {left:d} are left and hears all but one")
+def _alone(context, left):
+    fleet = context.fleet
+    context.new = fleet_rate.FleetRate(fleet.clock, fleet.rate, fleet.burst)
+    context.new.tick()
+    context.new.learn(left)
+    for name in fleet.names[1:]:
+        context.new.present(name)
+    context.new.set_members(fleet.names)
+
+
+@then("it lets in {units:d} units")
+def _lets_in_at_once(context, units):
+    assert not context.new.take(units, for_all=True)
+
+
 @then("it lets in {first:d} units and not {second:d} more")
 def _new_lets_in(context, first, second):
     assert not context.new.take(first)
