Charge no limit with what was let in before a process was met

Cause: a process that starts hears by its aggregator, for seconds, what others have let in since their start. Of a process that it hears of for the first time it charged the whole total, unless within its first second: the limit was in debt for seconds. A VM keeps some customers' limits as soon as it is ready, and is asked for every call since, so each restart refused calls of whole customers. And an aggregator that was frozen tells totals of before: they were taken for calls given back, up to a full limit, and charged again by the next word.

Change: of a total that is heard for the first time at most what a process begins with is charged, whenever that is. What is told on counts only if it is more.

Ruled out: keepers that know nothing (they say so), parts of silent VMs (part=1).

--- a/src/apricotlever/contracts/fleet_rate.py
+++ b/src/apricotlever/contracts/fleet_rate.py
@@ -198,13 +198,23 @@
             # Most records tell nothing new of most customers.
             self._totals[member] = total
             return
-        if member not in self._totals and now - self._since < ALONE_S:
-            # It may have run for hours: only what a process that started
-            # with this one can have let in by now counts.
+        if member not in self._totals:
+            # It may have run for hours: only what a process that has just
+            # started can have let in by now counts.
             before = max(0.0, total - self._first)
         self._totals[member] = total
         self._charge_others(total - before)
 
+    def told_on(self, member: str, total: float) -> None:
+        """Take in another VM's total as a third one tells it.
+
+        That one may have stood still and tell what was true before. Taken for
+        calls that did not run, it would give units back that are charged
+        again by the next word.
+        """
+        if total > self._totals.get(member, 0.0):
+            self.heard(member, total)
+
     def heard_ahead(self, member: str, total: float) -> None:
         """Take in a total that comes before the records that tell it.
 
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -57,7 +57,7 @@
         """A peer's record came."""
 
     def take_used(self, process: str, used: dict[str, float]) -> None:
-        """Units that a peer's process has let in came."""
+        """Units that a process has let in came, by an aggregator."""
 
     def take_counts(
         self, counts: dict[str, tuple[typing.Any, typing.Any]]
@@ -253,7 +253,9 @@
     def _heard_aggregate(self, aggregate: aggregates.Aggregate) -> None:
         for entry in aggregate.entries:
             if entry.vm != self._vm:
+                used, entry.used = entry.used, {}
                 self._heard(entry, aggregate.ages.get(entry.vm, 0.0))
+                self._local.take_used(entry.process, used)
         for vm, age_s in aggregate.ages.items():
             self._table.heard_of(vm, age_s)
         self._local.present(self._table.processes(aggregate.ages))
--- a/src/apricotlever/serving/limits.py
+++ b/src/apricotlever/serving/limits.py
@@ -149,6 +149,12 @@
             if before.get(name) != total and name in self._rates:
                 self._rates[name].heard(process, total)
 
+    def told_on(self, process: str, used: typing.Mapping[str, float]) -> None:
+        """Take in what another VM let in as a third one tells it."""
+        for name, total in used.items():
+            if name in self._rates:
+                self._rates[name].told_on(process, total)
+
     def present(self, processes: typing.Iterable[str]) -> None:
         """Other VMs' processes were heard, by whomever."""
         for process in processes:
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -279,8 +279,8 @@
         self._upstreams.crashes.heard(digest.vm, digest.crashes)
 
     def take_used(self, process: str, used: dict[str, float]) -> None:
-        """Units that a peer's process has let in came."""
-        self._limits.heard(process, used)
+        """Units that a process has let in came, by an aggregator."""
+        self._limits.told_on(process, used)
 
     def take_counts(
         self, counts: dict[str, tuple[typing.Any, typing.Any]]
--- a/src/apricotlever/vms/fleet_entries.py
+++ b/src/apricotlever/vms/fleet_entries.py
@@ -148,7 +148,9 @@
         new = {
             customer: units
             for customer, units in used.items()
-            if known.get(customer) != units
+            # What was told on may be late, and totals only grow but for calls
+            # that did not run.
+            if known.get(customer, -1.0) < units
         }
         if new:
             known.update(new)
--- a/tests/contracts/fleet_rate.feature
+++ b/tests/contracts/fleet_rate.feature
@@ -63,6 +63,22 @@
     When all of them start anew, learn that 90 are left and are flooded
     Then they let in at least 80 units and at most 150 in the first second
 
+  # Symptom: in a fleet whose VMs are restarted in turn an eighth of all calls
+  # is refused, all of them within their limits.
+  # Events: a process hears seconds after its start, by an aggregator, what
+  # another one has let in since its own start, long ago.
+  # Cause: all of that taken for calls of this moment.
+  Scenario: What a process let in before it was met is not charged
+    Given 20 VMs that share a limit of 100 a second and a burst of 100
+    When a VM that started 5 seconds ago hears of 5000 units of another one
+    Then it lets in 80 units
+
+  # The same where an aggregator was frozen and tells what was true before.
+  Scenario: Totals that are told on late are no calls given back
+    Given 20 VMs that share a limit of 100 a second and a burst of 100
+    When totals of 1000, of 400 and of 1010 units are told on to a VM
+    Then it lets in 80 units
+
   # Symptom: in a fleet of 195 of which VMs are restarted in turn, calls within
   # their limit are refused for seconds.
   # Events: the process that starts keeps the limit for all, and begins with an
--- a/tests/steps/contracts_fleet_rate.py
+++ b/tests/steps/contracts_fleet_rate.py
@@ -203,6 +203,39 @@
     context.new.learn(second)
 
 
+def _settled(context):
+    """A VM that knows all others and has a whole limit left."""
+    fleet = context.fleet
+    new = fleet_rate.FleetRate(fleet.clock, fleet.rate, fleet.burst)
+    for _ in range(50):
+        for name in fleet.names[1:]:
+            new.present(name)
+        new.set_members(fleet.names[1:])
+        fleet.clock.advance(0.1)
+    for name in fleet.names[1:]:
+        new.present(name)
+    new.tick()
+    return new
+
+
+@when(
+    "a VM that started 5 seconds ago hears of {units:d} units of another one"
+)
+def _met_late(context, units):
+    context.new = _settled(context)
+    context.new.heard(context.fleet.names[1], float(units))
+
+
+@when(
+    "totals of {first:d}, of {stale:d} and of {last:d} units are told on to "
+    "a VM"
+)
+def _told_on(context, first, stale, last):
+    context.new = _settled(context)
+    for total in (first, stale, last):
+        context.new.told_on(context.fleet.names[1], float(total))
+
+
 @when("a VM starts alone, learns that {left:d} are left and hears all but one")
 def _alone(context, left):
     fleet = context.fleet
