--- /dev/null
+++ b/bench/roll_outs.py
@@ -0,0 +1,201 @@
+"""Compares strategies for deciding whether to promote a new version.
+
+Reports for each fault, load and fleet size: good versions rolled back, bad
+versions completed, exposure of bad versions relative to the limit, and time
+to decision.
+"""
+
+import argparse
+from concurrent import futures
+import itertools
+import json
+import random
+import statistics
+import typing
+
+from apricotlever import clock as clocks
+from apricotlever.roll_outs import controller as controllers
+from apricotlever.roll_outs import model
+from apricotlever.roll_outs import progress
+from apricotlever.roll_outs import samples
+from apricotlever.roll_outs import schedule
+from apricotlever.roll_outs import verdict
+
+from bench import _roll_out_world as simulation
+
+FAULTS = {
+    "none": simulation.Fault(),
+    "failures": simulation.Fault(failure_rate=0.25),
+    "failures_late": simulation.Fault(failure_rate=0.25, starts_at=0.5),
+    "failures_loaded": simulation.Fault(failure_rate=0.4, least_in_flight=3),
+    "failures_one_route": simulation.Fault(failure_rate=0.5, one_route=True),
+    "slow": simulation.Fault(factor=4.0),
+    "slow_late": simulation.Fault(factor=4.0, starts_at=0.5),
+    "slow_one_route": simulation.Fault(factor=4.0, one_route=True),
+}
+LOADS = {
+    "light": (simulation.LOOKUPS, 18.0, 3),
+    "plain": (simulation.LOOKUPS, 85.0, 3),
+    "heavy": (simulation.STREAMS, 194.0, 45),
+}
+SIZES = (7, 70, 195)
+DURATION_S = 12.0
+_STRATEGIES: dict[str, type[controllers.Controller]] = {}
+
+
+def _strategy(
+    name: str,
+) -> typing.Callable[
+    [type[controllers.Controller]], type[controllers.Controller]
+]:
+    def decorate(
+        strategy: type[controllers.Controller],
+    ) -> type[controllers.Controller]:
+        _STRATEGIES[name] = strategy
+        return strategy
+
+    return decorate
+
+
+@_strategy("compared")
+class _Compared(controllers.Controller):
+    """The production controller."""
+
+    __slots__ = ()
+
+
+@_strategy("steps")
+class _Steps(controllers.Controller):
+    """Fixed traffic steps and fixed thresholds."""
+
+    __slots__ = ()
+
+    STEPS = ((0.6, 0.05), (0.75, 0.25), (0.85, 0.5), (1.0, 1.0))
+    MOST_FAILED = 0.05
+    MOST_FACTOR = 2.0
+    LEAST_CALLS = 20
+
+    def draw(self, service: str, route: str, repeated: bool = False) -> bool:
+        """Choose the new version with the share of the current step."""
+        roll_out = self._by_service[service]
+        if roll_out.order.state is not model.State.RUNNING:
+            return False
+        if not roll_out.new_runners:
+            return False
+        part = self._elapsed_s(roll_out) / roll_out.order.duration_s
+        share = next((s for until, s in self.STEPS if part < until), 1.0)
+        return self._rng.random() < share
+
+    def tick(self) -> bool:
+        """Compare failure rate and latency with fixed limits."""
+        for roll_out in self._running():
+            self._set_phase(roll_out)
+            new = samples.sum_samples(
+                s for k, s in roll_out.fleet_counts.items() if k.runner
+            )
+            if new.ended < self.LEAST_CALLS:
+                continue
+            rate = new.failed / new.ended
+            factor = 2.72**new.first_byte.mean
+            if rate > self.MOST_FAILED or factor > self.MOST_FACTOR:
+                self._fail(
+                    roll_out,
+                    verdict.Finding("limits", "", rate, 0.0, new.ended),
+                )
+        return False
+
+    def _set_phase(self, roll_out: progress.RollOut) -> None:
+        """Complete once the old runners are idle, or when it is due."""
+        due = roll_out.schedule.phase(self._elapsed_s(roll_out))
+        is_due = due is schedule.Phase.DUE
+        phase = schedule.Phase.DUE if is_due else schedule.Phase.TAKE_OVER
+        roll_out.phase = phase
+
+
+@_strategy("time")
+class _Time(_Steps):
+    """Fixed traffic steps without any rollback."""
+
+    __slots__ = ()
+
+    def tick(self) -> bool:
+        """Advance without evaluating the new version."""
+        for roll_out in self._running():
+            self._set_phase(roll_out)
+        return False
+
+
+class Case(typing.NamedTuple):
+    """Parameters of one simulation."""
+
+    strategy: str
+    fault: str
+    load: str
+    vms: int
+    seed: int
+
+
+def simulate(case: Case) -> simulation.Outcome:
+    """Simulate one roll-out."""
+    routes, per_s, runners = LOADS[case.load]
+    strategy = _STRATEGIES[case.strategy]
+
+    def make(
+        clock: clocks.Clock, rng: random.Random, bounds: model.Bounds
+    ) -> simulation.Participant:
+        return strategy(clock, rng, bounds)
+
+    return simulation.Simulation(
+        simulation.Load(case.vms, routes, per_s, runners, DURATION_S),
+        FAULTS[case.fault],
+        model.Bounds(),
+        make,
+        case.seed,
+    ).run()
+
+
+def row(
+    cases: typing.Sequence[Case], outcomes: typing.Sequence[simulation.Outcome]
+) -> dict[str, typing.Any]:
+    """Summarize the runs of one strategy, fault, load and fleet size."""
+    first = cases[0]
+    completed = [o.state is model.State.COMPLETED for o in outcomes]
+    is_bad = FAULTS[first.fault].bad
+    return {
+        "way": first.strategy,
+        "fault": first.fault,
+        "load": first.load,
+        "vms": first.vms,
+        "plays": len(outcomes),
+        "wrong": sum(completed) if is_bad else len(outcomes) - sum(completed),
+        "over_exposure": (
+            sum(o.exposed > o.allowed for o in outcomes) if is_bad else None
+        ),
+        "sent_too_late": (
+            sum(o.late_calls > 0 for o in outcomes) if is_bad else None
+        ),
+        "most_exposed": round(max(o.exposed / o.allowed for o in outcomes), 2),
+        "decided_s": round(statistics.median(o.took_s for o in outcomes), 1),
+        "cut": round(statistics.fmean(o.cut_calls for o in outcomes), 1),
+    }
+
+
+def run(arguments: list[str]) -> int:
+    """Run all cases and print a line for each combination."""
+    parser = argparse.ArgumentParser(prog="bench roll_outs")
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--ways", default=",".join(_STRATEGIES))
+    parser.add_argument("--faults", default=",".join(FAULTS))
+    options = parser.parse_args(arguments)
+    groups = [
+        [Case(*group, seed) for seed in range(1, options.seeds + 1)]
+        for group in itertools.product(
+            options.ways.split(","), options.faults.split(","), LOADS, SIZES
+        )
+    ]
+    with futures.ProcessPoolExecutor(options.jobs) as pool:
+        for cases in groups:
+            outcomes = list(pool.map(simulate, cases))
+            print(json.dumps(row(cases, outcomes)), flush=True)
+    return 0
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -170,6 +170,21 @@
     ),
     "runners_needed": Event(INFO, "What the runners' work was taken for."),
     "runners_ordered": Event(INFO, "A number of runners was ordered."),
+    "roll_out_ordered": Event(INFO, "A new version is to be moved to."),
+    "roll_out_phase": Event(
+        INFO, "The new version gets another part of the calls from now on."
+    ),
+    "roll_out_failed": Event(
+        WARNING, "A new version is worse than the old one; it gets no calls."
+    ),
+    "roll_out_turned": Event(INFO, "A roll-out has come to another state."),
+    "roll_out_written": Event(INFO, "How far a roll-out is was written."),
+    "roll_out_unwritten": Event(
+        WARNING, "How far a roll-out is could not be written yet."
+    ),
+    "roll_out_refused": Event(
+        WARNING, "An order for a roll-out can't be read."
+    ),
     "ledger_full": Event(WARNING, "The ledger refuses new keys."),
 }
 
--- /dev/null
+++ b/src/apricotlever/roll_outs/__init__.py
@@ -0,0 +1,1 @@
+"""Progressive delivery of new versions of services."""
--- /dev/null
+++ b/src/apricotlever/roll_outs/controller.py
@@ -0,0 +1,381 @@
+"""Controls the roll-outs of all services on one entry VM.
+
+Each VM receives the orders from the store or from other VMs, follows the same
+schedule, and evaluates the fleet-wide counts, so that any VM can stop traffic
+to a bad version without waiting for another. Only the holder of the fleet's
+duties writes the result.
+"""
+
+import random
+import typing
+
+from .. import clock as clocks
+from .. import logs
+
+from . import model
+from . import progress
+from . import samples
+from . import schedule
+from . import verdict
+
+
+class Runner(typing.Protocol):
+    """The attributes of a runner that a roll-out uses."""
+
+    @property
+    def runner_id(self) -> str:
+        """Identifies the incarnation of the runner."""
+
+    @property
+    def service(self) -> str:
+        """The service that the runner belongs to."""
+
+    @property
+    def version(self) -> str:
+        """The version of its software."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it accepts no new calls."""
+
+
+class Result:
+    """The state to write for an order."""
+
+    __slots__ = ("order", "state")
+
+    def __init__(self, order: model.Order, state: model.State) -> None:
+        self.order = order
+        self.state = state
+
+
+class Controller:
+    """Tracks the roll-outs on one VM.
+
+    :param bounds: limits on the exposure to a bad version.
+    """
+
+    __slots__ = (
+        "_bounds",
+        "_by_service",
+        "_clock",
+        "_rejected_versions",
+        "_rng",
+    )
+
+    def __init__(
+        self, clock: clocks.Clock, rng: random.Random, bounds: model.Bounds
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._bounds = bounds
+        self._by_service: dict[str, progress.RollOut] = {}
+        #: Versions of superseded orders that were not completed, by service.
+        self._rejected_versions: dict[str, set[str]] = {}
+
+    @property
+    def orders(self) -> list[model.Order]:
+        """All orders, for distribution to the other VMs."""
+        return [each.order for each in self._by_service.values()]
+
+    @property
+    def own_samples(self) -> samples.Records:
+        """Counts of this VM, for distribution to the other VMs."""
+        return {
+            key.text: sample.to_record()
+            for each in self._running()
+            for key, sample in each.own_counts.items()
+        }
+
+    def order(self, service: str) -> model.Order | None:
+        """The newest order for a service."""
+        roll_out = self._by_service.get(service)
+        return roll_out.order if roll_out else None
+
+    def heard(self, order: model.Order) -> bool:
+        """Merge an order received from the store or another VM.
+
+        :returns: whether anything changed.
+        """
+        roll_out = self._by_service.get(order.service)
+        if roll_out is None:
+            self._start(order)
+            return True
+        merged = roll_out.order.merge(order)
+        if merged.equals(roll_out.order):
+            return False
+        if merged.version != roll_out.order.version:
+            self._supersede(roll_out)
+            self._start(merged)
+            return True
+        before, roll_out.order = roll_out.order, merged
+        roll_out.schedule = schedule.Schedule(merged.duration_s, self._bounds)
+        if merged.state is not before.state:
+            self._state_changed(roll_out)
+        return True
+
+    def withdrawn(self, service: str, revision: int) -> bool:
+        """Handle the deletion of a service's order.
+
+        :returns: whether anything changed.
+        """
+        roll_out = self._by_service.get(service)
+        if roll_out is None or roll_out.order.state.is_final:
+            return False
+        order = roll_out.order.with_state(model.State.WITHDRAWN)
+        order.revision = max(order.revision, revision)
+        return self.heard(order)
+
+    def set_runners(self, runners: typing.Iterable[Runner]) -> None:
+        """Replace the list of runners."""
+        by_service: dict[str, list[Runner]] = {}
+        for runner in runners:
+            if runner.service in self._by_service and not runner.leaving:
+                by_service.setdefault(runner.service, []).append(runner)
+        for service, roll_out in self._by_service.items():
+            if roll_out.order.state.is_final:
+                continue
+            new: set[str] = set()
+            old: set[str] = set()
+            for runner in by_service.get(service, ()):
+                same = runner.version == roll_out.order.version
+                (new if same else old).add(runner.runner_id)
+            roll_out.old_runners = frozenset(old)
+            roll_out.new_runners = frozenset(new)
+            roll_out.choose_canaries()
+
+    def arm(self, runner: Runner) -> model.Arm:
+        """The role of a runner in the roll-out of its service."""
+        service = runner.service
+        roll_out = self._by_service.get(service)
+        if roll_out is None:
+            return model.Arm.SERVING
+        order = roll_out.order
+        if runner.version != order.version:
+            excluded = (
+                runner.runner_id in roll_out.retired
+                or runner.version in self._rejected_versions.get(service, ())
+            )
+            return model.Arm.EXCLUDED if excluded else model.Arm.SERVING
+        if order.state is model.State.COMPLETED:
+            return model.Arm.SERVING
+        if order.state is not model.State.RUNNING:
+            return model.Arm.EXCLUDED
+        if roll_out.phase is not schedule.Phase.CANARY:
+            return model.Arm.CANARY
+        is_canary = runner.runner_id in roll_out.canaries
+        return model.Arm.CANARY if is_canary else model.Arm.STANDBY
+
+    def draw(self, service: str, route: str, repeated: bool = False) -> bool:
+        """Decide at random whether a call goes to the new version.
+
+        :param route: of the call.
+        :param repeated: whether the call is a retry. It then goes
+            to the old version, which is proven.
+        """
+        roll_out = self._by_service.get(service)
+        if roll_out is None or roll_out.order.state is not model.State.RUNNING:
+            return False
+        if not roll_out.old_runners:
+            # Without old runners the alternative is to reject all calls.
+            return bool(roll_out.new_runners)
+        share = roll_out.schedule.share(
+            self._elapsed_s(roll_out), roll_out.progress, route
+        )
+        if repeated:
+            return share >= 1.0
+        return self._rng.random() < share
+
+    def sent(self, runner: Runner, route: str) -> samples.Sample | None:
+        """Count a call that is sent to a runner.
+
+        :returns: the sample for its outcome; None without a running roll-out.
+        """
+        roll_out = self._by_service.get(runner.service)
+        if roll_out is None or roll_out.order.state is not model.State.RUNNING:
+            return None
+        version = roll_out.order.version
+        is_new = runner.version == version
+        key = samples.Key(
+            runner.service,
+            version,
+            runner.runner_id if is_new else samples.OLD_VERSION,
+            route,
+        )
+        sample = roll_out.own_counts.setdefault(key, samples.Sample())
+        sample.calls += 1
+        return sample
+
+    def observe(self, told: samples.Records, summed: bool) -> None:
+        """Update the fleet-wide counts.
+
+        :param told: records received from the other VMs.
+        :param summed: whether they include those of this VM.
+        """
+        running = {each.order.service: each for each in self._running()}
+        if not running:
+            return
+        totals = (
+            told if summed else samples.sum_records([told, self.own_samples])
+        )
+        for each in running.values():
+            each.fleet_counts = {}
+        for text, record in totals.items():
+            try:
+                key = samples.Key.from_text(text)
+            except ValueError:
+                # A name with a line break makes the key ambiguous.
+                continue
+            roll_out = running.get(key.service)
+            if roll_out is not None and roll_out.order.version == key.version:
+                roll_out.fleet_counts[key] = samples.Sample.from_record(record)
+
+    def tick(self) -> bool:
+        """Evaluate all running roll-outs.
+
+        :returns: whether the role of any runner changed.
+        """
+        changed = False
+        for roll_out in self._running():
+            roll_out.expect_drain()
+            changed = self._advance(roll_out) or changed
+            if roll_out.order.state is not model.State.RUNNING:
+                continue
+            found = roll_out.judge(self._clock.now())
+            if found is not None:
+                changed = True
+                self._fail(roll_out, found)
+        return changed
+
+    def _advance(self, roll_out: progress.RollOut) -> bool:
+        """Follow the schedule.
+
+        :returns: whether the role of any runner changed.
+        """
+        elapsed_s = self._elapsed_s(roll_out)
+        phase = roll_out.schedule.phase(elapsed_s)
+        slot, roll_out.slot = roll_out.slot, roll_out.schedule.slot(elapsed_s)
+        if phase is roll_out.phase:
+            before = roll_out.canaries
+            if slot != roll_out.slot:
+                roll_out.choose_canaries()
+            return roll_out.canaries != before
+        if roll_out.phase is schedule.Phase.CANARY:
+            found = roll_out.judge_final()
+            if found is not None:
+                self._fail(roll_out, found)
+                return True
+        roll_out.phase = phase
+        self._log_phase(roll_out)
+        return True
+
+    def results(
+        self, in_flight: typing.Callable[[frozenset[str]], int]
+    ) -> list[Result]:
+        """States that the holder of the duty has to write.
+
+        :param in_flight: counts the calls of all VMs at the given runners.
+        """
+        found = []
+        for roll_out in self._by_service.values():
+            state = self._due_state(roll_out, in_flight)
+            if state is not None:
+                found.append(Result(roll_out.order, state))
+        return found
+
+    def _due_state(
+        self,
+        roll_out: progress.RollOut,
+        in_flight: typing.Callable[[frozenset[str]], int],
+    ) -> model.State | None:
+        order = roll_out.order
+        if order.state.is_final:
+            return None
+        if order.state is model.State.FAILED:
+            return model.State.ROLLED_BACK
+        # The phase of the last evaluation; the clock may be past it already.
+        phase = roll_out.phase
+        if phase is schedule.Phase.CANARY:
+            return model.State.RUNNING
+        if not roll_out.progress.may_take_over:
+            is_due = phase is schedule.Phase.DUE
+            return model.State.ROLLED_BACK if is_due else model.State.RUNNING
+        is_quiet = not in_flight(roll_out.old_runners)
+        if phase is schedule.Phase.DUE or is_quiet:
+            return model.State.COMPLETED
+        return model.State.RUNNING
+
+    def _running(self) -> list[progress.RollOut]:
+        return [
+            each
+            for each in self._by_service.values()
+            if each.order.state is model.State.RUNNING
+        ]
+
+    def _elapsed_s(self, roll_out: progress.RollOut) -> float:
+        return max(0.0, self._clock.wall() - roll_out.order.started_at)
+
+    def _start(self, order: model.Order) -> None:
+        roll_out = progress.RollOut(order, self._bounds)
+        self._rejected_versions.get(order.service, set()).discard(
+            order.version
+        )
+        self._by_service[order.service] = roll_out
+        logs.event(
+            "roll_out_ordered",
+            service=order.service,
+            version=order.version,
+            duration_s=order.duration_s,
+            state=order.state.name.lower(),
+        )
+
+    def _supersede(self, roll_out: progress.RollOut) -> None:
+        """Handle the replacement of an order by another one."""
+        order = roll_out.order
+        if order.state is not model.State.COMPLETED:
+            rejected = self._rejected_versions.setdefault(order.service, set())
+            rejected.add(order.version)
+
+    def _state_changed(self, roll_out: progress.RollOut) -> None:
+        order = roll_out.order
+        if order.state is model.State.COMPLETED:
+            roll_out.retired = roll_out.old_runners
+        logs.event(
+            "roll_out_turned",
+            service=order.service,
+            version=order.version,
+            state=order.state.name.lower(),
+        )
+
+    def _fail(
+        self, roll_out: progress.RollOut, found: verdict.Finding
+    ) -> None:
+        order = roll_out.order
+        roll_out.order = order.with_state(model.State.FAILED)
+        progress_ = roll_out.progress
+        logs.event(
+            "roll_out_failed",
+            service=order.service,
+            version=order.version,
+            reason=found.reason,
+            route=found.route or None,
+            new=found.new,
+            old=found.old,
+            judged=found.calls,
+            tried=progress_.new_calls,
+            calls=progress_.calls,
+            elapsed_s=self._elapsed_s(roll_out),
+        )
+
+    def _log_phase(self, roll_out: progress.RollOut) -> None:
+        progress_ = roll_out.progress
+        logs.event(
+            "roll_out_phase",
+            service=roll_out.order.service,
+            version=roll_out.order.version,
+            phase=roll_out.phase.value,
+            old_runners=progress_.old_runners,
+            new_runners=progress_.new_runners,
+            tried=progress_.new_calls,
+            calls=progress_.calls,
+        )
--- /dev/null
+++ b/src/apricotlever/roll_outs/model.py
@@ -0,0 +1,160 @@
+"""Roll-out orders and their state."""
+
+import enum
+import typing
+
+from .. import shapes
+
+
+class State(enum.IntEnum):
+    """State of a roll-out; merging keeps the higher value."""
+
+    #: A share of the calls goes to the new version.
+    RUNNING = 0
+    #: The new version is bad; the result is not in the store yet.
+    FAILED = 1
+    #: All calls go to the new version; the old runners have stopped.
+    COMPLETED = 2
+    #: No calls go to the new version.
+    ROLLED_BACK = 3
+    #: The operators deleted the order.
+    WITHDRAWN = 4
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no result has to be written any more."""
+        return self >= State.COMPLETED
+
+
+class Bounds:
+    """Limits on the exposure to a bad version.
+
+    :param exposure_share: share of its service's calls that it may receive.
+    :param exposure_slack: calls that it may receive in addition.
+    :param rollback_s: time limit for the rollback after its 50th bad answer.
+    """
+
+    __slots__ = ("exposure_share", "exposure_slack", "rollback_s")
+
+    def __init__(
+        self,
+        exposure_share: float = 0.1,
+        exposure_slack: float = 50.0,
+        rollback_s: float = 5.0,
+    ) -> None:
+        self.exposure_share = exposure_share
+        self.exposure_slack = exposure_slack
+        self.rollback_s = rollback_s
+
+
+class Order:
+    """An order to move a service to another version.
+
+    :param revision: the latest known revision of the order in the store.
+    :param started_at: when the first VM received it, in seconds since 1970.
+    :param duration_s: time limit, counted from the start.
+    """
+
+    __slots__ = (
+        "service",
+        "version",
+        "revision",
+        "started_at",
+        "duration_s",
+        "state",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        version: str,
+        revision: int,
+        started_at: float,
+        duration_s: float,
+        state: State = State.RUNNING,
+    ) -> None:
+        self.service = service
+        self.version = version
+        self.revision = revision
+        self.started_at = started_at
+        self.duration_s = duration_s
+        self.state = state
+
+    def merge(self, other: "Order") -> "Order":
+        """Merge two orders for the same service."""
+        if other.version != self.version:
+            return other if other.revision > self.revision else self
+        return Order(
+            self.service,
+            self.version,
+            max(self.revision, other.revision),
+            min(self.started_at, other.started_at),
+            (self if self.revision >= other.revision else other).duration_s,
+            max(self.state, other.state),
+        )
+
+    def with_state(self, state: State) -> "Order":
+        """A copy of the order in the given state."""
+        return Order(
+            self.service,
+            self.version,
+            self.revision,
+            self.started_at,
+            self.duration_s,
+            state,
+        )
+
+    def equals(self, other: "Order") -> bool:
+        """Whether all fields are equal."""
+        return self.to_record() == other.to_record()
+
+    def to_record(self) -> list[typing.Any]:
+        """The field values, in order, for another entry VM."""
+        fields = [getattr(self, name) for name in self.__slots__]
+        return [*fields[:-1], int(self.state)]
+
+    @classmethod
+    def from_record(cls, record: typing.Any) -> "Order":
+        """The reverse of :meth:`to_record`.
+
+        :raises shapes.Misshapen: when it is no such record.
+        """
+        fields = shapes.checked_record(_FIELDS, record)
+        fields[-1] = State(fields[-1])
+        return cls(*fields)
+
+
+def _is_state(value: typing.Any) -> bool:
+    return shapes.is_whole(value) and value in State._value2member_map_
+
+
+_FIELDS: tuple[tuple[str, shapes.Check], ...] = (
+    ("service", shapes.is_text),
+    ("version", shapes.is_text),
+    ("revision", shapes.is_whole),
+    ("started_at", shapes.is_number),
+    ("duration_s", shapes.is_number),
+    ("state", _is_state),
+)
+
+
+def is_order(value: typing.Any) -> bool:
+    """Whether a value is a record of an order."""
+    try:
+        Order.from_record(value)
+    except shapes.Misshapen:
+        return False
+    return True
+
+
+class Arm(enum.Enum):
+    """The role of a runner in the roll-out of its service."""
+
+    #: Takes regular calls.
+    SERVING = "serving"
+    #: Runs the new version and takes its share of the calls.
+    CANARY = "canary"
+    #: Runs the new version and takes no calls before the takeover.
+    STANDBY = "standby"
+    #: Takes no calls.
+    EXCLUDED = "excluded"
--- /dev/null
+++ b/src/apricotlever/roll_outs/progress.py
@@ -0,0 +1,138 @@
+"""State of one roll-out on a VM: its order, runners and counts."""
+
+import collections
+import math
+
+from ..vms import rendezvous
+
+from . import model
+from . import samples
+from . import schedule
+from . import verdict
+
+#: Recent time windows that are evaluated besides the totals, in seconds: the
+#: totals alone delay the detection of a fault that starts late.
+WINDOWS_S = (1.5, 4.0)
+#: Minimum time between two snapshots of the counts, in seconds.
+SNAPSHOT_INTERVAL_S = 0.4
+#: Drain time as a multiple of the mean duration of the slowest route.
+DRAIN_FACTOR = 3.0
+
+Counts = dict[samples.Key, samples.Sample]
+
+
+class RollOut:
+    """An order and its progress.
+
+    :param retired: runners of the old version at the time of completion;
+        they have stopped.
+    """
+
+    __slots__ = (
+        "order",
+        "schedule",
+        "old_runners",
+        "new_runners",
+        "canaries",
+        "retired",
+        "own_counts",
+        "fleet_counts",
+        "phase",
+        "slot",
+        "_history",
+    )
+
+    def __init__(self, order: model.Order, bounds: model.Bounds) -> None:
+        self.order = order
+        self.schedule = schedule.Schedule(order.duration_s, bounds)
+        self.old_runners: frozenset[str] = frozenset()
+        self.new_runners: frozenset[str] = frozenset()
+        self.canaries: frozenset[str] = frozenset()
+        self.retired: frozenset[str] = frozenset()
+        self.own_counts: Counts = {}
+        self.fleet_counts: Counts = {}
+        self.phase = schedule.Phase.CANARY
+        self.slot = 0
+        #: Snapshots of the fleet-wide counts, oldest first.
+        self._history: collections.deque[tuple[float, Counts]] = (
+            collections.deque()
+        )
+
+    @property
+    def progress(self) -> schedule.Progress:
+        """The fleet-wide number of calls and runners."""
+        by_route: dict[str, int] = {}
+        for key, sample in self.fleet_counts.items():
+            by_route[key.route] = by_route.get(key.route, 0) + sample.calls
+        return schedule.Progress(
+            sum(s.calls for key, s in self.fleet_counts.items() if key.runner),
+            by_route,
+            len(self.old_runners),
+            len(self.new_runners),
+        )
+
+    def choose_canaries(self) -> None:
+        """Select the new runners that take calls in the current slot."""
+        count = self.schedule.canaries(
+            len(self.old_runners), len(self.new_runners)
+        )
+        ranked = rendezvous.rank(self.order.version, self.new_runners)
+        if count == 1:
+            ranked = [ranked[self.slot % len(ranked)]]
+        self.canaries = frozenset(ranked[:count])
+
+    def expect_drain(self) -> None:
+        """Derive the drain time of old runners from call durations."""
+        longest = max(
+            (
+                sample.last_byte.mean
+                for key, sample in self.fleet_counts.items()
+                if not key.runner and sample.last_byte.count
+            ),
+            default=None,
+        )
+        if longest is not None:
+            self.schedule.expect_drain(DRAIN_FACTOR * math.exp(longest))
+
+    def judge(self, now: float) -> verdict.Finding | None:
+        """Evaluate the new version by the totals and the recent windows.
+
+        :param now: in seconds, of a monotonic clock.
+        """
+        parts = [self.fleet_counts, *(self._recent(now, s) for s in WINDOWS_S)]
+        self._snapshot(now)
+        return next(filter(None, map(_judge_counts, parts)), None)
+
+    def judge_final(self) -> verdict.Finding | None:
+        """Evaluate the new version for the last time before the takeover."""
+        return _judge_counts(self.fleet_counts, verdict.FINAL_CHECK)
+
+    def _recent(self, now: float, window_s: float) -> Counts:
+        """The counts of a recent time window."""
+        before: Counts = {}
+        for at, counts in self._history:
+            if now - at < window_s:
+                break
+            before = counts
+        if not before:
+            return {}
+        none = samples.Sample()
+        return {
+            key: sample.since(before.get(key, none))
+            for key, sample in self.fleet_counts.items()
+        }
+
+    def _snapshot(self, now: float) -> None:
+        history = self._history
+        if not history or now - history[-1][0] >= SNAPSHOT_INTERVAL_S:
+            history.append((now, self.fleet_counts))
+        while now - history[0][0] > max(WINDOWS_S) + 2 * SNAPSHOT_INTERVAL_S:
+            history.popleft()
+
+
+def _judge_counts(
+    counts: Counts, thresholds: verdict.Thresholds = verdict.REPEATED_CHECK
+) -> verdict.Finding | None:
+    old = {key.route: s for key, s in counts.items() if not key.runner}
+    new = {(k.runner, k.route): s for k, s in counts.items() if k.runner}
+    return verdict.judge(old, new, thresholds)
--- /dev/null
+++ b/src/apricotlever/roll_outs/samples.py
@@ -0,0 +1,207 @@
+"""Counts of calls at the old and the new version, by runner and route.
+
+All figures are monotonic sums, so those of many VMs can be added in any order
+and grouping.
+"""
+
+import math
+import typing
+
+from .. import shapes
+
+#: Runner name that stands for all runners of the old version.
+OLD_VERSION = ""
+#: Lower bound of recorded times, in seconds; keeps the logarithm finite.
+LEAST_TIME_S = 0.001
+
+
+class Key(typing.NamedTuple):
+    """Identifies a sample.
+
+    :param version: target version of the roll-out.
+    :param runner: of that version; :data:`OLD_VERSION` for all of the old one.
+    """
+
+    service: str
+    version: str
+    runner: str
+    route: str
+
+    @property
+    def text(self) -> str:
+        """The serialized key."""
+        return "\n".join(self)
+
+    @classmethod
+    def from_text(cls, text: str) -> "Key":
+        """The reverse of :attr:`text`.
+
+        :raises ValueError: when it is no such text.
+        """
+        service, version, runner, route = text.split("\n")
+        return cls(service, version, runner, route)
+
+
+class TimeSums:
+    """Sums of the logarithms of times, for their mean and variance."""
+
+    __slots__ = ("count", "total", "squares")
+
+    def __init__(
+        self, count: int = 0, total: float = 0.0, squares: float = 0.0
+    ) -> None:
+        self.count = count
+        self.total = total
+        self.squares = squares
+
+    def add(self, took_s: float) -> None:
+        """Add a time."""
+        logarithm = math.log(max(LEAST_TIME_S, took_s))
+        self.count += 1
+        self.total += logarithm
+        self.squares += logarithm * logarithm
+
+    def plus(self, other: "TimeSums") -> "TimeSums":
+        """The sums of both."""
+        return TimeSums(
+            self.count + other.count,
+            self.total + other.total,
+            self.squares + other.squares,
+        )
+
+    def since(self, before: "TimeSums") -> "TimeSums":
+        """The difference to earlier sums; empty if the count has decreased."""
+        if before.count > self.count:
+            return TimeSums()
+        return TimeSums(
+            self.count - before.count,
+            self.total - before.total,
+            max(0.0, self.squares - before.squares),
+        )
+
+    @property
+    def mean(self) -> float:
+        """Mean of the logarithms; 0 without any."""
+        return self.total / self.count if self.count else 0.0
+
+    @property
+    def variance(self) -> float:
+        """Variance of the logarithms; 0 for fewer than two."""
+        if self.count < 2:
+            return 0.0
+        spread = self.squares - self.count * self.mean**2
+        return max(0.0, spread / (self.count - 1))
+
+
+class Sample:
+    """Calls at one version, or at one of its runners, on one route.
+
+    :param calls: calls sent.
+    :param ended: calls that were answered or failed.
+    :param failed: calls that failed.
+    :param first_byte: times to the first byte, relative to the expected time.
+    :param last_byte: times to the last byte, in seconds.
+    """
+
+    __slots__ = ("calls", "ended", "failed", "first_byte", "last_byte")
+
+    def __init__(
+        self,
+        calls: int = 0,
+        ended: int = 0,
+        failed: int = 0,
+        first_byte: TimeSums | None = None,
+        last_byte: TimeSums | None = None,
+    ) -> None:
+        self.calls = calls
+        self.ended = ended
+        self.failed = failed
+        self.first_byte = first_byte or TimeSums()
+        self.last_byte = last_byte or TimeSums()
+
+    def plus(self, other: "Sample") -> "Sample":
+        """The sums of both."""
+        return Sample(
+            self.calls + other.calls,
+            self.ended + other.ended,
+            self.failed + other.failed,
+            self.first_byte.plus(other.first_byte),
+            self.last_byte.plus(other.last_byte),
+        )
+
+    def since(self, before: "Sample") -> "Sample":
+        """The difference to an earlier sample of the same key.
+
+        Empty if the counts have decreased, as those of a VM were lost.
+        """
+        if before.calls > self.calls or before.ended > self.ended:
+            return Sample()
+        return Sample(
+            self.calls - before.calls,
+            self.ended - before.ended,
+            max(0, self.failed - before.failed),
+            self.first_byte.since(before.first_byte),
+            self.last_byte.since(before.last_byte),
+        )
+
+    def to_record(self) -> list[float]:
+        """The field values, in order, for another entry VM."""
+        return [
+            self.calls,
+            self.ended,
+            self.failed,
+            *(
+                figure
+                for times in (self.first_byte, self.last_byte)
+                for figure in (
+                    times.count,
+                    round(times.total, 3),
+                    round(times.squares, 3),
+                )
+            ),
+        ]
+
+    @classmethod
+    def from_record(cls, record: typing.Sequence[typing.Any]) -> "Sample":
+        """The reverse of :meth:`to_record`; expects a validated record."""
+        calls, ended, failed, *times = record
+        return cls(
+            calls, ended, failed, TimeSums(*times[:3]), TimeSums(*times[3:])
+        )
+
+
+Record = list[float]
+Records = dict[str, Record]
+is_records = shapes.is_map(
+    shapes.is_text,
+    shapes.is_row(
+        *[shapes.is_whole] * 4,
+        *[shapes.is_finite] * 2,
+        shapes.is_whole,
+        *[shapes.is_finite] * 2,
+    ),
+)
+
+
+def sum_records(
+    parts: typing.Iterable[typing.Mapping[str, Record]],
+) -> Records:
+    """Add up records by key."""
+    sums: Records = {}
+    for part in parts:
+        for key, record in part.items():
+            known = sums.get(key)
+            sums[key] = (
+                list(record)
+                if known is None
+                else [a + b for a, b in zip(known, record, strict=True)]
+            )
+    return sums
+
+
+def sum_samples(samples: typing.Iterable[Sample]) -> Sample:
+    """Add up samples."""
+    found = Sample()
+    for sample in samples:
+        found = found.plus(sample)
+    return found
--- a/src/apricotlever/serving/dialects.py
+++ b/src/apricotlever/serving/dialects.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from ..roll_outs import model as roll_outs_model
+
 from . import messages
 from . import routes
 from . import runners
@@ -90,6 +92,23 @@
     def runners_kind(self) -> str:
         """The kind of the runners' entries."""
 
+    @property
+    def roll_outs_kind(self) -> str:
+        """The kind of the roll-out orders; each is named after its service."""
+
+    def roll_out(
+        self, stored: store.StoredObject, heard_at: float
+    ) -> roll_outs_model.Order:
+        """Translate a roll-out order; ``ValueError`` if it is invalid.
+
+        :param heard_at: time of receipt, in seconds since 1970.
+        """
+
+    def roll_out_status(
+        self, order: roll_outs_model.Order, state: roll_outs_model.State
+    ) -> store.Json:
+        """The status of an order in a state."""
+
     def configuration(self, spec: store.Json) -> routes.Configuration:
         """Translate a configuration; ``ValueError`` if it is invalid."""
 
--- a/src/apricotlever/serving/duty_roster.py
+++ b/src/apricotlever/serving/duty_roster.py
@@ -5,12 +5,14 @@
 
 from .. import clock as clocks
 from ..contracts import usage_windows
+from ..roll_outs import controller as roll_outs_controller
 from ..vms import digests
 
 from . import dialects
 from . import directory as directories
 from . import duties
 from . import limits
+from . import roll_out_duty
 from . import routes
 from . import runner_duty
 from . import settings
@@ -35,6 +37,7 @@
         "_cloud",
         "_heartbeat_s",
         "_keeper",
+        "_roll_outs",
         "_runners",
         "_usage",
     )
@@ -65,6 +68,7 @@
         )
         self._runners: runner_duty.RunnerDuty | None = None
         self._usage: usage_duty.UsageDuty | None = None
+        self._roll_outs: roll_out_duty.RollOutDuty | None = None
 
     @property
     def reported(self) -> int:
@@ -89,6 +93,7 @@
                 dialect,
                 self._keeper,
                 self._heartbeat_s,
+                calls.serves,
             )
 
     def report_usage(
@@ -110,15 +115,36 @@
                 lambda: limits_.levels,
             )
 
+    def write_roll_outs(
+        self,
+        controller: roll_outs_controller.Controller,
+        store_: store.Store,
+        calls: upstreams.Upstreams,
+        dialect: dialects.PlatformDialect,
+        changed: typing.Callable[[], None],
+    ) -> None:
+        """Take on the duty to write the status of roll-outs."""
+        self._roll_outs = roll_out_duty.RollOutDuty(
+            self._clock,
+            controller,
+            store_,
+            dialect,
+            self._keeper,
+            calls.in_flight_at,
+            changed,
+        )
+
     def start(self, running: tasks.Tasks) -> None:
         """Do the duties from now on."""
-        if self._runners is None and self._usage is None:
+        if (self._runners, self._usage, self._roll_outs) == (None, None, None):
             return
         running.every(duties.TICK_S, self._keeper.step)
         if self._runners is not None:
             running.every(runner_duty.PAUSE_S, self._runners.step)
         if self._usage is not None:
             running.every(usage_duty.PAUSE_S, self._usage.step)
+        if self._roll_outs is not None:
+            running.every(roll_out_duty.PAUSE_S, self._roll_outs.step)
 
     def configure(self, configuration: routes.Configuration) -> None:
         """Take over a version of the configuration."""
--- a/src/apricotlever/serving/listeners.py
+++ b/src/apricotlever/serving/listeners.py
@@ -124,17 +124,21 @@
     platform: dialects.PlatformDialect,
     configurations: Configurations,
     entries: Entries,
+    orders: store.Listener | None,
     rng: random.Random,
     wanted: typing.Callable[[], bool],
 ) -> list[store.Watcher]:
-    """What follows the store's two kinds.
+    """Create the watchers of the store.
 
+    :param orders: listens to roll-out orders; None if these are disabled.
     :param wanted: whether this VM has to follow the store now.
     """
-    kinds: tuple[tuple[str, store.Listener, float], ...] = (
+    kinds: list[tuple[str, store.Listener, float]] = [
         (platform.configuration_kind, configurations, 0.0),
         (platform.runners_kind, entries, GATHER_S),
-    )
+    ]
+    if orders is not None:
+        kinds.append((platform.roll_outs_kind, orders, 0.0))
     return [
         store.Watcher(store_, kind, listener, rng, wanted, gather_s)
         for kind, listener, gather_s in kinds
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -10,6 +10,8 @@
 from .. import logs
 from ..contracts import retry_allowance
 from ..contracts import usage_windows
+from ..roll_outs import controller as roll_outs_controller
+from ..roll_outs import model as roll_outs_model
 from ..vms import digests
 from ..vms import peer_loads
 
@@ -30,6 +32,7 @@
 from . import ports
 from . import relay
 from . import reloading
+from . import roll_out_orders
 from . import routes
 from . import runner_duty
 from . import runners
@@ -75,6 +78,12 @@
         self._configuration: routes.Configuration | None = None
         self._configuration_spec: store.Json = None
         self._directory = directories.Directory(clock, config.bounds.drain_s)
+        self._roll_outs = roll_outs_controller.Controller(
+            clock, rng, config.bounds.roll_outs or roll_outs_model.Bounds()
+        )
+        self._orders = roll_out_orders.Orders(
+            clock, self._roll_outs, dialect.platform, self._roll_outs_changed
+        )
         self._upstreams = upstreams.Upstreams(
             clock,
             rng,
@@ -83,6 +92,7 @@
             self._directory,
             self._process,
             lambda: self._fleet.news(),
+            self._roll_outs,
         )
         self._limits = limits.Limits(
             clock,
@@ -218,6 +228,11 @@
                 runner=runner_id,
             )
 
+    def _roll_outs_changed(self) -> None:
+        """Apply changed roles of runners in roll-outs."""
+        self._upstreams.refresh()
+        self._fleet.tell()
+
     async def _remember(self) -> None:
         """Read what the fleet wrote down of its limits before this start.
 
@@ -267,6 +282,8 @@
             lease=self._duties.renewed,
             limits_port=self._limit_calls.port,
             aggregator=aggregator,
+            roll_outs=[order.to_record() for order in self._roll_outs.orders],
+            trials=self._roll_outs.own_samples,
         )
 
     def take(self, digest: digests.Digest) -> None:
@@ -277,6 +294,8 @@
         self._work.heard(digest.process, digest.work)
         self._duties.heard_reported(digest.reported)
         self._upstreams.crashes.heard(digest.vm, digest.crashes)
+        if digest.roll_outs:
+            self._orders.heard(digest.roll_outs)
 
     def take_used(self, process: str, used: dict[str, float]) -> None:
         """Units that a process has let in came, by an aggregator."""
@@ -301,6 +320,7 @@
     def observe(self, loads: peer_loads.PeerLoads) -> None:
         """Loads of the other VMs came."""
         self._upstreams.observe_peers(loads)
+        self._roll_outs.observe(loads.trials, loads.summed)
 
     def configuration_above(self, version: int) -> store.Json | None:
         """The configuration, None if it is not newer."""
@@ -380,6 +400,7 @@
             listeners.Entries(
                 self._directory, self._dialect.platform, self.runners_changed
             ),
+            self._orders if self._settings.bounds.roll_outs else None,
             self._rng,
             lambda: self._fleet.follows,
         )
@@ -397,6 +418,14 @@
             self._duties.report_usage(
                 self._usage, self._limits, self._store, platform
             )
+        if config.bounds.roll_outs is not None:
+            self._duties.write_roll_outs(
+                self._roll_outs,
+                self._store,
+                self._upstreams,
+                platform,
+                self._roll_outs_changed,
+            )
         self._duties.start(self._tasks)
 
     async def _tick(self) -> None:
@@ -430,7 +459,9 @@
         self._budget.set_members(len(members) + 1)
         self._upstreams.set_members(len(members) + 1)
         if not self._fleet.aggregator:
-            self._upstreams.observe_peers(self._fleet.loads)
+            self.observe(self._fleet.loads)
+        if self._roll_outs.tick():
+            self._roll_outs_changed()
         self._upstreams.sweep(asyncio.get_running_loop().time())
         settled = self._clock.now() - self._started_at >= SETTLE_S
         if settled and self._leaving_since is None:
--- /dev/null
+++ b/src/apricotlever/serving/roll_out_duty.py
@@ -0,0 +1,169 @@
+"""The duty to write the status of each roll-out to the store.
+
+All VMs evaluate roll-outs; a single writer limits the calls to the store.
+Each write is conditional on the revision read just before, so that concurrent
+holders don't overwrite each other and a late write of a former holder fails.
+"""
+
+import typing
+
+from .. import clock as clocks
+from .. import logs
+from .. import shapes
+from ..roll_outs import controller as controllers
+from ..roll_outs import model
+
+from . import dialects
+from . import store
+
+PAUSE_S = 0.1
+#: Delay after a failed call, in seconds.
+RETRY_S = 0.3
+#: The kind of the records of when each roll-out started. They preserve the
+#: elapsed time when all processes restart.
+STARTS_KIND = "roll_out_notes"
+
+
+def _is_start_record(value: typing.Any) -> bool:
+    return (
+        isinstance(value, dict)
+        and shapes.is_text(value.get("version"))
+        and shapes.is_number(value.get("started_at"))
+    )
+
+
+class Holder(typing.Protocol):
+    """Tells whether this VM holds the fleet's duties."""
+
+    @property
+    def fencing(self) -> int | None:
+        """The fencing token; None while another VM holds the duties."""
+
+
+class RollOutDuty:
+    """Writes results while this VM holds the fleet's lease.
+
+    :param in_flight: counts the calls of all VMs at the given runners.
+    :param changed: called when a read or a write changed an order.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_clock",
+        "_controller",
+        "_dialect",
+        "_in_flight",
+        "_keeper",
+        "_next_try",
+        "_started",
+        "_store",
+        "_written",
+    )
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        controller: controllers.Controller,
+        store_: store.Store,
+        dialect: dialects.PlatformDialect,
+        keeper: Holder,
+        in_flight: typing.Callable[[frozenset[str]], int],
+        changed: typing.Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._controller = controller
+        self._store = store_
+        self._dialect = dialect
+        self._keeper = keeper
+        self._in_flight = in_flight
+        self._changed = changed
+        self._next_try = float("-inf")
+        #: Versions whose start was recorded or read, by service.
+        self._started: dict[str, str] = {}
+        #: The last version and state written, by service.
+        self._written: dict[str, tuple[str, model.State]] = {}
+
+    async def step(self) -> None:
+        """Write all results that are due."""
+        if self._keeper.fencing is None:
+            # Another holder may write in the meantime.
+            self._started.clear()
+            self._written.clear()
+            return
+        if self._clock.now() < self._next_try:
+            return
+        for result in self._controller.results(self._in_flight):
+            try:
+                await self._process_result(result)
+            except (store.StoreError, ValueError) as error:
+                self._next_try = self._clock.now() + RETRY_S
+                logs.event(
+                    "roll_out_unwritten",
+                    service=result.order.service,
+                    state=result.state.name.lower(),
+                    error=f"{type(error).__name__}: {error}",
+                )
+
+    async def _process_result(self, result: controllers.Result) -> None:
+        order = result.order
+        if self._started.get(order.service) != order.version:
+            await self._record_start(order)
+            self._started[order.service] = order.version
+            # The recorded start may change the state that is due.
+            return
+        wanted = (order.version, result.state)
+        if self._written.get(order.service) == wanted:
+            return
+        await self._write(result)
+
+    async def _write(self, result: controllers.Result) -> None:
+        order, state = result.order, result.state
+        kind = self._dialect.roll_outs_kind
+        found = await self._store.get(kind, order.service)
+        if self._keeper.fencing is None:
+            return
+        if found is None:
+            if self._controller.withdrawn(order.service, order.revision):
+                self._changed()
+            return
+        current = self._dialect.roll_out(found, order.started_at)
+        if current.version != order.version or current.state.is_final:
+            # The order was replaced, or another holder wrote the result.
+            if self._controller.heard(current):
+                self._changed()
+            return
+        status = self._dialect.roll_out_status(order, state)
+        if found.status != status:
+            await self._store.replace_status(
+                kind, order.service, status, found.revision
+            )
+            logs.event(
+                "roll_out_written",
+                service=order.service,
+                version=order.version,
+                state=state.name.lower(),
+                fencing=self._keeper.fencing,
+            )
+        self._written[order.service] = (order.version, state)
+        if state.is_final and self._controller.heard(order.with_state(state)):
+            self._changed()
+
+    async def _record_start(self, order: model.Order) -> None:
+        """Note when a roll-out began, or take over what is noted."""
+        record = {"version": order.version, "started_at": order.started_at}
+        found = await self._store.get(STARTS_KIND, order.service)
+        if found is None:
+            await self._store.create(STARTS_KIND, order.service, record)
+            return
+        if (
+            not _is_start_record(found.spec)
+            or found.spec["version"] != order.version
+        ):
+            await self._store.replace(
+                STARTS_KIND, order.service, record, found.revision
+            )
+            return
+        earlier = order.with_state(order.state)
+        earlier.started_at = found.spec["started_at"]
+        if self._controller.heard(earlier):
+            self._changed()
--- /dev/null
+++ b/src/apricotlever/serving/roll_out_orders.py
@@ -0,0 +1,90 @@
+"""Receives roll-out orders from the store and from other VMs."""
+
+import typing
+
+from .. import clock as clocks
+from .. import logs
+from ..roll_outs import controller as controllers
+from ..roll_outs import model
+
+from . import dialects
+from . import log_limit
+from . import store
+
+
+class Orders:
+    """Passes orders from the store and from other VMs to the controller.
+
+    :param changed: called when an order changed.
+    """
+
+    __slots__ = ("_changed", "_clock", "_controller", "_platform", "_refusals")
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        controller: controllers.Controller,
+        platform: dialects.PlatformDialect,
+        changed: typing.Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._controller = controller
+        self._platform = platform
+        self._changed = changed
+        self._refusals = log_limit.LogLimit(clock)
+
+    def listed(self, page: store.Page) -> None:
+        """Handle a complete list of the orders."""
+        orders = [self._read(stored) for stored in page.objects]
+        present = {stored.name for stored in page.objects}
+        missing = [
+            known.service
+            for known in self._controller.orders
+            if known.service not in present and known.revision <= page.revision
+        ]
+        self._take(filter(None, orders), missing, page.revision)
+
+    def changed(self, changes: store.Changes) -> None:
+        """Handle created, changed and deleted orders."""
+        last = {c.stored.name: c for c in changes.changes}.values()
+        orders = [self._read(c.stored) for c in last if not c.deleted]
+        gone = [c.stored.name for c in last if c.deleted]
+        self._take(filter(None, orders), gone, changes.revision)
+
+    def store_returned(self) -> None:
+        """Do nothing, as orders don't expire."""
+
+    def heard(self, records: typing.Iterable[list[typing.Any]]) -> None:
+        """Handle orders received from another VM."""
+        self._take(map(model.Order.from_record, records))
+
+    def _take(
+        self,
+        orders: typing.Iterable[model.Order],
+        withdrawn: typing.Iterable[str] = (),
+        revision: int = 0,
+    ) -> None:
+        news = [self._controller.heard(order) for order in orders]
+        news += [self._controller.withdrawn(s, revision) for s in withdrawn]
+        if any(news):
+            self._changed()
+
+    def _read(self, stored: store.StoredObject) -> model.Order | None:
+        try:
+            order = self._platform.roll_out(stored, self._clock.wall())
+        except ValueError as error:
+            if self._refusals.allows(stored.name):
+                logs.event(
+                    "roll_out_refused", order=stored.name, error=str(error)
+                )
+            return None
+        if order.service != stored.name:
+            # Its status would be written to another service's order.
+            if self._refusals.allows(stored.name):
+                logs.event(
+                    "roll_out_refused",
+                    order=stored.name,
+                    error=f"service is {order.service}",
+                )
+            return None
+        return order
--- a/src/apricotlever/serving/runner_duty.py
+++ b/src/apricotlever/serving/runner_duty.py
@@ -12,6 +12,7 @@
 from . import directory as directories
 from . import duties
 from . import routes
+from . import runners
 
 PAUSE_S = 0.5
 #: How long work must have been counted before its figures alone decide; the
@@ -174,6 +175,8 @@
 
     :param in_flight: calls of all VMs at a service's runners.
     :param heartbeat_s: between two heartbeats of a runner.
+    :param serves: whether a runner takes regular calls; only these count
+        towards the fleet size.
     """
 
     __slots__ = (
@@ -184,6 +187,7 @@
         "_in_flight",
         "_keeper",
         "_orders",
+        "_serves",
         "_settled_at",
         "_work",
         "configuration",
@@ -199,8 +203,10 @@
         dialect: dialects.PlatformDialect,
         keeper: duties.LeaseKeeper,
         heartbeat_s: float,
+        serves: typing.Callable[[runners.Runner], bool] = lambda runner: True,
     ) -> None:
         self._clock = clock
+        self._serves = serves
         # Those that follow the store begin a moment after their start.
         settle_s = followers.STARTED_S + SETTLE_HEARTBEATS * heartbeat_s
         self._settled_at = clock.now() + settle_s
@@ -282,7 +288,7 @@
         held = {place: fleet_size.Holding() for place in terms.prices}
         for runner in self._directory.of_service(service):
             holding = held.get(runner.data_centre)
-            if holding is None:
+            if holding is None or not self._serves(runner):
                 continue
             if runner.reclaimable:
                 holding.reclaimable += 1
--- a/src/apricotlever/serving/runners.py
+++ b/src/apricotlever/serving/runners.py
@@ -37,6 +37,7 @@
     :param sequence: of its heartbeat; begins anew with each start.
     :param withdrawn: its entry can't be read any more, and what was read
         before stands here. It takes no new work; its calls go on.
+    :param version: of its software; "" if unknown.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "born",
         "sequence",
         "withdrawn",
+        "version",
         "runner_id",
     )
 
@@ -71,6 +73,7 @@
         born: int = 0,
         sequence: int = 0,
         withdrawn: bool = False,
+        version: str = "",
     ) -> None:
         self.name = name
         self.service = service
@@ -85,6 +88,7 @@
         self.born = born
         self.sequence = sequence
         self.withdrawn = withdrawn
+        self.version = version
         #: Tells incarnations apart. Whatever is kept of a runner is kept
         #: under it: one that starts again under its name holds no cache and
         #: none of the calls, and has none of the failures, of before.
@@ -151,6 +155,7 @@
     ("born", shapes.is_whole),
     ("sequence", shapes.is_whole),
     ("withdrawn", shapes.is_flag),
+    ("version", shapes.is_any_text),
 )
 
 #: What an entry of the store says.
--- a/src/apricotlever/serving/settings.py
+++ b/src/apricotlever/serving/settings.py
@@ -3,6 +3,7 @@
 import typing
 
 from .. import addresses
+from ..roll_outs import model as roll_outs_model
 
 Address = addresses.Address
 
@@ -26,6 +27,8 @@
     :param usage_due_s: how long after its end a report is due.
     :param resolve_ttl_s: the longest that callers keep a list of VMs.
     :param runner_heartbeat_s: between two heartbeats of a runner.
+    :param roll_outs: limits on the exposure to a bad version; None if
+        roll-outs are disabled.
     """
 
     __slots__ = (
@@ -42,6 +45,7 @@
         "usage_due_s",
         "resolve_ttl_s",
         "runner_heartbeat_s",
+        "roll_outs",
     )
 
     def __init__(
@@ -59,7 +63,9 @@
         runner_heartbeat_s: float = 1.2,
         limit_overshoot: float = 0.0,
         fencing_checked: bool = True,
+        roll_outs: roll_outs_model.Bounds | None = None,
     ) -> None:
+        self.roll_outs = roll_outs
         self.fencing_checked = fencing_checked
         self.drain_s = drain_s
         self.runner_heartbeat_s = runner_heartbeat_s
--- a/src/apricotlever/serving/store.py
+++ b/src/apricotlever/serving/store.py
@@ -155,6 +155,11 @@
     ) -> Call:
         """Replace an object's value, only at a revision if one is given."""
 
+    def status_call(
+        self, kind: str, name: str, status: Json, revision: int
+    ) -> Call:
+        """Replace an object's status if it is at the given revision."""
+
     def delete_call(self, kind: str, name: str) -> Call:
         """Remove an object."""
 
@@ -243,6 +248,16 @@
         call = self._codec.replace_call(kind, name, spec, revision)
         return _read(self._codec.stored, await self._call(call))
 
+    async def replace_status(
+        self, kind: str, name: str, status: Json, revision: int
+    ) -> StoredObject:
+        """Replace an object's status.
+
+        :raises Conflict: when it is at another revision.
+        """
+        call = self._codec.status_call(kind, name, status, revision)
+        return _read(self._codec.stored, await self._call(call))
+
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object; one that is not there is no error."""
         await self._call(self._codec.delete_call(kind, name))
--- /dev/null
+++ b/src/apricotlever/serving/trials.py
@@ -0,0 +1,108 @@
+"""Records the outcomes of calls during a roll-out."""
+
+from .. import clock as clocks
+from ..roll_outs import controller as controllers
+from ..roll_outs import model as roll_outs_model
+from ..roll_outs import samples
+from ..runners import model as models
+
+from . import runners
+
+#: Expected time to the first byte without reading the prompt, in seconds.
+ANSWER_OVERHEAD_S = 0.02
+#: Default reading speed of a runner, in tokens per second.
+ASSUMED_SPEED = 20_000.0
+#: A cancelled call counts as slow if it lasted longer than this multiple of
+#: its expected time.
+SLOW_FACTOR = 4.0
+_SUFFIXES = {
+    roll_outs_model.Arm.SERVING: "",
+    roll_outs_model.Arm.CANARY: " canary",
+    roll_outs_model.Arm.STANDBY: " standby",
+}
+
+
+def pool_name(service: str, arm: roll_outs_model.Arm) -> str:
+    """The pool of a service's runners in a role; "" for none."""
+    suffix = _SUFFIXES.get(arm)
+    return "" if suffix is None else service + suffix
+
+
+class _Trial:
+    """A recorded call in flight.
+
+    :param expected_s: expected time to the first byte.
+    """
+
+    __slots__ = ("sample", "sent_at", "expected_s", "answered")
+
+    def __init__(
+        self, sample: samples.Sample, sent_at: float, expected_s: float
+    ) -> None:
+        self.sample = sample
+        self.sent_at = sent_at
+        self.expected_s = expected_s
+        self.answered = False
+
+
+class Trials:
+    """Tracks the calls in flight to services with a roll-out."""
+
+    __slots__ = ("_by_attempt", "_clock", "_controller")
+
+    def __init__(
+        self, clock: clocks.Clock, controller: controllers.Controller
+    ) -> None:
+        self._clock = clock
+        self._controller = controller
+        self._by_attempt: dict[str, _Trial] = {}
+
+    def sent(
+        self,
+        attempt: str,
+        runner: runners.Runner,
+        route: str,
+        tokens: int,
+        speed: float,
+    ) -> None:
+        """Record the start of a call.
+
+        :param tokens: prompt tokens that the runner has to read.
+        :param speed: reading speed of the service's runners, in tokens per
+            second; 0 if unknown.
+        """
+        sample = self._controller.sent(runner, route)
+        if sample is not None:
+            expected_s = ANSWER_OVERHEAD_S + tokens / (speed or ASSUMED_SPEED)
+            self._by_attempt[attempt] = _Trial(
+                sample, self._clock.now(), expected_s
+            )
+
+    def first_answer(self, attempt: str) -> None:
+        """Record the first byte of an answer."""
+        trial = self._by_attempt.get(attempt)
+        if trial is not None and not trial.answered:
+            trial.answered = True
+            took_s = self._clock.now() - trial.sent_at
+            trial.sample.first_byte.add(took_s / trial.expected_s)
+
+    def ended(self, attempt: str, outcome: models.Outcome) -> None:
+        """Record the end of a call.
+
+        Cancelled and rejected calls count only as slow, if at all.
+        """
+        trial = self._by_attempt.pop(attempt, None)
+        if trial is None:
+            return
+        sample = trial.sample
+        took_s = self._clock.now() - trial.sent_at
+        if outcome is models.Outcome.CANCELLED:
+            slow = took_s > SLOW_FACTOR * trial.expected_s
+            if slow and not trial.answered:
+                sample.first_byte.add(took_s / trial.expected_s)
+            return
+        sample.ended += 1
+        if outcome is models.Outcome.FAILED:
+            sample.failed += 1
+        else:
+            sample.last_byte.add(took_s)
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -6,6 +6,8 @@
 from .. import clock as clocks
 from .. import logs
 from ..data_centres import demand
+from ..roll_outs import controller as roll_outs_controller
+from ..roll_outs import model as roll_outs_model
 from ..runners import model as models
 from ..runners import outliers
 from ..runners import prefix
@@ -20,6 +22,7 @@
 from . import routes
 from . import runner_pools
 from . import runners
+from . import trials
 
 #: What an answer of a plain service counts as, in tokens.
 NO_TOKENS = 0
@@ -30,6 +33,8 @@
 
     :param directory: which runners there are.
     :param news: called when a runner was given a prompt to read.
+    :param roll_outs: determines the roles of runners in roll-outs; None
+        without roll-outs.
     """
 
     __slots__ = (
@@ -43,8 +48,10 @@
         "_own",
         "_pools",
         "_reading",
+        "_roll_outs",
         "_router",
         "_silence",
+        "_trials",
         "_work",
     )
 
@@ -57,9 +64,14 @@
         directory: directories.Directory,
         process: str = "",
         news: typing.Callable[[], None] | None = None,
+        roll_outs: roll_outs_controller.Controller | None = None,
     ) -> None:
         self._clock = clock
         self._news = news
+        self._roll_outs = roll_outs or roll_outs_controller.Controller(
+            clock, rng, roll_outs_model.Bounds()
+        )
+        self._trials = trials.Trials(clock, self._roll_outs)
         self._outliers = outliers.Outliers(clock, process)
         self._crashes = crash_watch.CrashWatch(clock, vm)
         self._directory = directory
@@ -72,8 +84,11 @@
         self._silence = silence.Silence(clock)
         self._others: dict[str, int] = {}
         self._work: dict[str, demand.WorkCounter] = {}
-        #: Attempts without an answer yet: query, tokens to read, start.
-        self._reading: dict[str, tuple[models.Query, int, float]] = {}
+        #: Attempts without an answer yet: work counter, query, tokens to
+        #: read, start.
+        self._reading: dict[
+            str, tuple[demand.WorkCounter, models.Query, int, float]
+        ] = {}
 
     @property
     def directory(self) -> directories.Directory:
@@ -135,8 +150,11 @@
     def refresh(self) -> None:
         """Take over which runners take new work."""
         listed = self._directory.runners
+        self._roll_outs.set_runners(listed)
         self._router.set_runners(
-            _described(r) for r in listed if not r.leaving
+            _described(runner, pool)
+            for runner in listed
+            if not runner.leaving and (pool := self._pool_of(runner))
         )
         self._crashes.listed(listed)
         present = {runner.runner_id for runner in listed}
@@ -216,13 +234,15 @@
 
     def choose(self, query: models.Query) -> runners.Runner | None:
         """The runner for a query, None when there is none."""
-        excluded = query.excluded
-        avoided = self._silence.believed | self._outliers.left_out
-        query.excluded = excluded | avoided
-        choice = self._router.choose(query)
-        if isinstance(choice, models.NoRunner):
-            query.excluded = excluded
-            choice = self._router.choose(query)
+        service = query.pool
+        repeated = bool(query.excluded)
+        if self._roll_outs.draw(service, query.entry, repeated):
+            query.pool = trials.pool_name(service, roll_outs_model.Arm.CANARY)
+            choice = self._choose(query)
+            if not isinstance(choice, models.NoRunner):
+                return self._directory.get(choice.runner.name)
+            query.pool = service
+        choice = self._choose(query)
         if isinstance(choice, models.NoRunner):
             logs.event(
                 "no_runner", service=query.pool, reason=choice.reason.value
@@ -230,6 +250,17 @@
             return None
         return self._directory.get(choice.runner.name)
 
+    def serves(self, runner: runners.Runner) -> bool:
+        """Whether a runner takes regular calls of its service."""
+        return self._roll_outs.arm(runner) is roll_outs_model.Arm.SERVING
+
+    def in_flight_at(self, names: typing.Iterable[str]) -> int:
+        """The number of calls of all VMs at the given runners."""
+        return sum(
+            self._own.get(name, 0) + self._others.get(name, 0)
+            for name in names
+        )
+
     def pool(self, runner: runners.Runner) -> pools.Pool:
         """The connections to a runner."""
         return self._pools.of(runner)
@@ -242,11 +273,14 @@
         self._own[name] = self._own.get(name, 0) + 1
         self._silence.sent(name)
         tokens = self._router.started(attempt, name, query)
+        counter = self._counter(runner.service)
+        self._trials.sent(attempt, runner, query.entry, tokens, counter.speed)
         if query.prompt_tokens:
-            self._counter(query.pool).sent(tokens)
+            counter.sent(tokens)
             if self._news is not None:
                 self._news()
-            self._reading[attempt] = (query, tokens, self._clock.now())
+            now = self._clock.now()
+            self._reading[attempt] = (counter, query, tokens, now)
 
     def heard(self, runner: runners.Runner) -> None:
         """A byte of an answer came from a runner."""
@@ -255,10 +289,11 @@
     def first_answer(self, attempt: str) -> None:
         """The first byte of an answer came."""
         self._router.first_token(attempt)
+        self._trials.first_answer(attempt)
         reading = self._reading.pop(attempt, None)
         if reading is not None:
-            query, tokens, since = reading
-            self._counter(query.pool).read(
+            counter, query, tokens, since = reading
+            counter.read(
                 tokens,
                 self._clock.now() - since,
                 query.wanted_first_token_s,
@@ -278,6 +313,7 @@
             full runner does too: it counts only beside its service's others.
         """
         self._reading.pop(attempt, None)
+        self._trials.ended(attempt, outcome)
         name = runner.runner_id
         self._silence.ended(name)
         if outcome is not models.Outcome.CANCELLED or blamed:
@@ -316,12 +352,31 @@
     def _judge(self) -> None:
         by_service: dict[str, list[str]] = {}
         for runner in self._directory.runners:
-            if not runner.leaving:
-                names = by_service.setdefault(runner.service, [])
-                names.append(runner.runner_id)
+            pool = "" if runner.leaving else self._pool_of(runner)
+            if pool:
+                by_service.setdefault(pool, []).append(runner.runner_id)
         for found in self._outliers.judge(by_service.values()):
             logs.event("runner_outlier", **found.inputs)
 
+    def _choose(self, query: models.Query) -> models.Route | models.NoRunner:
+        """Choose a runner from a pool, preferring healthy ones."""
+        excluded = query.excluded
+        avoided = self._silence.believed | self._outliers.left_out
+        query.excluded = excluded | avoided
+        choice = self._router.choose(query)
+        query.excluded = excluded
+        if isinstance(choice, models.NoRunner) and avoided:
+            choice = self._router.choose(query)
+        return choice
+
+    def _pool_of(self, runner: runners.Runner) -> str:
+        """The pool of a runner; "" for none.
+
+        Each version has its own pool, so that prompts are neither placed nor
+        copied across versions.
+        """
+        return trials.pool_name(runner.service, self._roll_outs.arm(runner))
+
     def _copies(self, name: str) -> bool:
         configuration = self._configuration
         service = configuration and configuration.services.get(name)
@@ -342,12 +397,12 @@
         return self._configuration.services.get(runner.service)
 
 
-def _described(runner: runners.Runner) -> models.Runner:
+def _described(runner: runners.Runner, pool: str) -> models.Runner:
     return models.Runner(
         runner.runner_id,
         runner.address,
         runner.data_centre,
-        runner.service,
+        pool,
         "reclaimable" if runner.reclaimable else "on_demand",
         "",
         1.0,
--- a/src/apricotlever/vms/aggregates.py
+++ b/src/apricotlever/vms/aggregates.py
@@ -8,6 +8,7 @@
 import typing
 
 from .. import shapes
+from ..roll_outs import samples
 
 from . import digests
 
@@ -39,6 +40,7 @@
         empty in most messages.
     :param included: the number of the last record of each VM that is part of
         the loads.
+    :param trials: summed counts of calls at old and new versions.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "silent",
         "failures",
         "included",
+        "trials",
     )
 
     def __init__(
@@ -70,6 +73,7 @@
         silent: dict[str, int] | None = None,
         failures: Failures | None = None,
         included: dict[str, int] | None = None,
+        trials: samples.Records | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -83,6 +87,7 @@
         self.silent = silent or {}
         self.failures = failures or {}
         self.included = included or {}
+        self.trials = trials or {}
 
     @property
     def process(self) -> str:
@@ -128,6 +133,7 @@
     ("silent", shapes.is_map(shapes.is_text, shapes.is_whole)),
     ("failures", shapes.is_map(shapes.is_text, _PAIR)),
     ("included", shapes.is_map(shapes.is_text, shapes.is_whole)),
+    ("trials", samples.is_records),
 )
 
 
--- a/src/apricotlever/vms/collector.py
+++ b/src/apricotlever/vms/collector.py
@@ -9,6 +9,7 @@
 import typing
 
 from .. import clock as clocks
+from ..roll_outs import samples
 from ..runners import totals
 
 from . import aggregates
@@ -46,7 +47,14 @@
 class _Cell:
     """What another aggregator tells of the VMs that use it."""
 
-    __slots__ = ("number", "process", "loads", "silent", "heard_at")
+    __slots__ = (
+        "number",
+        "process",
+        "loads",
+        "silent",
+        "trials",
+        "heard_at",
+    )
 
     def __init__(
         self, aggregate: aggregates.Aggregate, heard_at: float
@@ -55,17 +63,19 @@
         self.process = aggregate.process
         self.loads = aggregate.loads
         self.silent = aggregate.silent
+        self.trials = aggregate.trials
         self.heard_at = heard_at
 
 
 class _Told:
     """The loads that were told last."""
 
-    __slots__ = ("_loads", "_silent")
+    __slots__ = ("_loads", "_silent", "_trials")
 
     def __init__(self) -> None:
         self._loads: aggregates.Loads = {}
         self._silent: dict[str, int] = {}
+        self._trials: samples.Records = {}
 
     def news(
         self, aggregate: aggregates.Aggregate, always: bool
@@ -74,13 +84,15 @@
 
         :param always: whether it is to be sent in any case.
         """
-        same = (aggregate.loads, aggregate.silent) == (
+        same = (aggregate.loads, aggregate.silent, aggregate.trials) == (
             self._loads,
             self._silent,
+            self._trials,
         )
         if same and not (always or aggregate.entries or aggregate.used):
             return None
         self._loads, self._silent = aggregate.loads, aggregate.silent
+        self._trials = aggregate.trials
         return aggregate
 
 
@@ -99,6 +111,7 @@
         "_flushes",
         "_members",
         "_others_failures",
+        "_trials",
         "_vm",
         "_whole",
     )
@@ -111,6 +124,8 @@
         self._cells: dict[str, _Cell] = {}
         self._failures = totals.Totals()
         self._others_failures = totals.Totals()
+        #: Last counts of the processes that use this VM as aggregator.
+        self._trials: dict[str, samples.Records] = {}
         self._flushes = 0
         #: What the other aggregators, and the VMs served, were told last.
         self._cell = _Told()
@@ -167,6 +182,7 @@
         self._members[record.vm] = member
         serves = self._serves(member)
         self._failures.heard(record.process, record.failures, serves)
+        self._note_trials(record)
         self._entries.note(record, now)
         return serves and not (known is not None and self._serves(known))
 
@@ -214,6 +230,7 @@
         own_processes = {m.record.process for m in self._members.values()}
         failures = self._flushes % FAILURES_EVERY == 0
         loads, silent = _loads(served), _silent(served)
+        trials = samples.sum_records(self._trials.values())
         cell = aggregates.Aggregate(
             own.vm,
             own.incarnation,
@@ -226,6 +243,7 @@
             loads,
             silent,
             dict(self._failures.sums) if failures else None,
+            trials=trials,
         )
         cells = list(self._cells.values())
         whole = aggregates.Aggregate(
@@ -241,6 +259,7 @@
             peer_loads.summed([silent, *(each.silent for each in cells)]),
             self._all_failures() if failures else None,
             {record.vm: record.number for record in served},
+            samples.sum_records([trials, *(each.trials for each in cells)]),
         )
         return (
             self._cell.news(cell, always),
@@ -297,6 +316,17 @@
             and self._clock.now() - member.heard_at <= fleet_entries.HEARD_S
         )
 
+    def _note_trials(self, record: digests.Digest) -> None:
+        """Keep the counts of a process that uses this VM as aggregator.
+
+        The last counts of a terminated process are kept; those of a process
+        that uses another aggregator are counted there.
+        """
+        if record.aggregator == self._vm and record.trials:
+            self._trials[record.process] = record.trials
+        else:
+            self._trials.pop(record.process, None)
+
     def _ages_here(self, vms: typing.Iterable[str]) -> dict[str, float]:
         """How long ago VMs' own records came here, in seconds.
 
@@ -330,6 +360,11 @@
             if vm in self._entries
         }
         processes = {m.record.process for m in self._members.values()}
+        self._trials = {
+            process: told
+            for process, told in self._trials.items()
+            if process in processes
+        }
         self._failures.keep_only(processes)
         self._failures.keep_runners(runners)
         self._others_failures.keep_runners(runners)
--- a/src/apricotlever/vms/digests.py
+++ b/src/apricotlever/vms/digests.py
@@ -8,6 +8,8 @@
 import typing
 
 from .. import shapes
+from ..roll_outs import model as roll_outs_model
+from ..roll_outs import samples
 from ..runners import culprits
 
 #: Between two records, in seconds. Limits kept by counting overshoot by
@@ -54,6 +56,8 @@
     :param aggregator: the VM that it wants to tell the others of it; "" for
         none, so that it tells them itself.
     :param hears: how many other VMs it hears.
+    :param roll_outs: records of the roll-out orders known to it.
+    :param trials: its own counts of calls at old and new versions.
     """
 
     __slots__ = (
@@ -85,6 +89,8 @@
         "limits_port",
         "aggregator",
         "hears",
+        "roll_outs",
+        "trials",
     )
 
     def __init__(
@@ -117,6 +123,8 @@
         limits_port: int = 0,
         aggregator: str = "",
         hears: int = 0,
+        roll_outs: list[list[typing.Any]] | None = None,
+        trials: samples.Records | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -146,6 +154,8 @@
         self.limits_port = limits_port
         self.aggregator = aggregator
         self.hears = hears
+        self.roll_outs = roll_outs or []
+        self.trials = trials or {}
 
     @property
     def limits_address(self) -> tuple[str, int] | None:
@@ -172,7 +182,7 @@
         copy.in_flight, copy.pending, copy.failures = {}, {}, {}
         copy.levels, copy.usage, copy.work = {}, {}, {}
         copy.silent, copy.known, copy.aggregator = [], [], ""
-        copy.used = {}
+        copy.used, copy.trials = {}, {}
         return copy
 
     def differs(self, other: "Digest", versions: bool) -> bool:
@@ -210,6 +220,7 @@
     "gave_up",
     "lease",
     "limits_port",
+    "roll_outs",
 )
 _VERSIONS = ("configuration", "directory", "runners")
 _TEXT_TO_COUNT = shapes.is_map(shapes.is_text, shapes.is_whole)
@@ -258,4 +269,6 @@
     ("limits_port", shapes.is_whole),
     ("aggregator", shapes.is_any_text),
     ("hears", shapes.is_whole),
+    ("roll_outs", shapes.is_list(roll_outs_model.is_order)),
+    ("trials", samples.is_records),
 )
--- a/src/apricotlever/vms/peer_loads.py
+++ b/src/apricotlever/vms/peer_loads.py
@@ -4,6 +4,7 @@
 import typing
 
 from .. import clock as clocks
+from ..roll_outs import samples
 
 from . import aggregates
 from . import digests
@@ -24,9 +25,18 @@
     :param failures: failed and all calls, by who counted them.
     :param summed: whether the failures are those of all VMs, this one
         included.
+    :param trials: counts of calls at old and new versions; includes those of
+        this VM if the loads are summed.
     """
 
-    __slots__ = ("in_flight", "pending", "silent", "failures", "summed")
+    __slots__ = (
+        "in_flight",
+        "pending",
+        "silent",
+        "failures",
+        "summed",
+        "trials",
+    )
 
     def __init__(
         self,
@@ -35,12 +45,14 @@
         silent: Counts,
         failures: dict[str, aggregates.Failures],
         summed: bool = False,
+        trials: samples.Records | None = None,
     ) -> None:
         self.in_flight = in_flight
         self.pending = pending
         self.silent = silent
         self.failures = failures
         self.summed = summed
+        self.trials = trials or {}
 
 
 def of_records(records: typing.Sequence[digests.Digest]) -> PeerLoads:
@@ -50,6 +62,7 @@
         summed(record.pending for record in records),
         summed(dict.fromkeys(record.silent, 1) for record in records),
         {record.process: record.failures for record in records},
+        trials=samples.sum_records(record.trials for record in records),
     )
 
 
@@ -126,6 +139,7 @@
             aggregate.silent,
             {aggregate.process: aggregate.failures},
             summed=True,
+            trials=aggregate.trials,
         )
 
 
--- /dev/null
+++ b/tests/roll_outs/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests of roll-outs."""
--- /dev/null
+++ b/tests/roll_outs/controller.feature
@@ -0,0 +1,109 @@
+Feature: Control of roll-outs on one VM
+
+  Scenario: The new version gets a part of the calls before it takes over
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    When 10 new runners come after 4 seconds
+    Then between 4 and 17 seconds 5 to 15 in 100 calls go to 2 new runners
+    And in the end all calls go to 10 new runners
+
+  # Guards against failures that only one VM sees and the others ignore.
+  Scenario: All VMs stop sending calls to a bad version
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When another VM tells of 40 calls to them, half of which failed
+    Then no call goes to a new runner
+    And the result ROLLED_BACK is due
+
+  # Guards against a verdict that is not applied by the other VMs.
+  Scenario: The verdict of another VM is applied
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When another VM tells that the version is FAILED
+    Then no call goes to a new runner
+
+  # Guards against stopping old runners that still have calls in flight.
+  Scenario: A roll-out is completed once the old runners are drained
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When 18.8 seconds pass without a failure
+    And 2 calls are left at old runners
+    Then the result RUNNING is due
+    When no call is left at old runners
+    Then the result COMPLETED is due
+
+  Scenario: A roll-out is completed in time even if calls hang at old runners
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When 19.2 seconds pass without a failure
+    And 2 calls are left at old runners
+    Then the result COMPLETED is due
+
+  # Guards against calls to runners that have already stopped.
+  Scenario: Old runners get no calls after the roll-out is completed
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When the roll-out is COMPLETED
+    Then all old runners are EXCLUDED and all new ones SERVING
+
+  # Guards against moving all calls to a version without runners.
+  Scenario: A version whose runners don't start is rolled back
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    When 19.5 seconds pass without a failure
+    Then the result ROLLED_BACK is due
+    And no call goes to a new runner
+
+  # Guards against overloading a smaller number of new runners.
+  Scenario: Too few new runners do not take over
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 3 new runners come after 1 seconds
+    When 19.5 seconds pass without a failure
+    Then the result ROLLED_BACK is due
+
+  # Guards against late updates that revive a replaced order.
+  Scenario: A second order replaces the first one
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When a roll-out follows to version v3
+    Then all runners of version v2 are EXCLUDED
+    And late news of the first order changes nothing
+
+  Scenario: A withdrawn order gets no calls and no result
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When the operators take the order back
+    Then no call goes to a new runner
+    And no result of a roll-out is due
+
+  # Guards against retries that fail at the same bad version.
+  Scenario: A retry goes to the old version
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    Then no repeated call goes to a new runner
+
+  # Guards against a restarted process that restarts the schedule.
+  Scenario: The earliest start time is used
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When another VM tells that it began 17.5 seconds ago
+    Then 18.5 seconds of the roll-out have passed
+
+  Scenario: Order updates can be merged in any sequence
+    Then news of an order may be heard in any sequence
+
+  Scenario Outline: Simulated roll-outs of a whole fleet
+    When 5 roll-outs of a version with <fault> are simulated at <load> load
+    Then at least <right> end as they should
+    And none of a bad version that was found has had more calls than it may
+
+    Examples:
+      | fault              | load  | right |
+      | none               | heavy | 5     |
+      | failures           | heavy | 5     |
+      | failures_late      | heavy | 5     |
+      | failures_loaded    | heavy | 5     |
+      | failures_one_route | heavy | 5     |
+      | slow               | heavy | 5     |
+      | slow_one_route     | heavy | 5     |
+      | none               | plain | 5     |
+      | failures           | plain | 5     |
+      | slow               | plain | 5     |
--- /dev/null
+++ b/tests/steps/roll_outs_controller.py
@@ -0,0 +1,311 @@
+"""Steps for tests/roll_outs/controller.feature."""
+
+import functools
+import itertools
+import random
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from apricotlever import clock as clocks
+from apricotlever.roll_outs import controller as controllers
+from apricotlever.roll_outs import model
+from apricotlever.roll_outs import samples
+from bench import roll_outs
+
+SERVICE = "service"
+NEW = "v2"
+ROUTE = "route"
+TICK_S = 0.1
+CALLS_A_TICK = 20
+
+
+class Runner:
+    """A runner with the attributes that a roll-out uses."""
+
+    def __init__(self, runner_id, version):
+        self.runner_id = runner_id
+        self.service = SERVICE
+        self.version = version
+        self.leaving = False
+
+
+class Vm:
+    """A VM that sends all calls of the fleet, on a manual clock."""
+
+    def __init__(self, duration_s, old):
+        self.clock = clocks.ManualClock()
+        self.rng = random.Random(4)
+        self.controller = controllers.Controller(
+            self.clock, random.Random(3), model.Bounds()
+        )
+        self.order = model.Order(
+            SERVICE, NEW, 5, self.clock.wall(), duration_s
+        )
+        self.controller.heard(self.order)
+        self.old = [Runner(f"a{n}", "v1") for n in range(old)]
+        self.new = []
+        self.left = 0
+        self.controller.set_runners(self.old)
+
+    @property
+    def elapsed_s(self):
+        """Seconds since the order."""
+        return self.clock.now() - self.order.started_at
+
+    def come(self, count, version=NEW):
+        """List new runners."""
+        self.new = [Runner(f"b{n}", version) for n in range(count)]
+        self.controller.set_runners([*self.old, *self.new])
+
+    def call(self, repeated=False):
+        """Send a call; returns its runner."""
+        arm = model.Arm.SERVING
+        if self.controller.draw(SERVICE, ROUTE, repeated):
+            arm = model.Arm.CANARY
+        runners = [
+            runner
+            for runner in [*self.old, *self.new]
+            if self.controller.arm(runner) is arm
+        ]
+        runner = self.rng.choice(runners)
+        sample = self.controller.sent(runner, ROUTE)
+        if sample is not None:
+            sample.ended += 1
+            sample.first_byte.add(0.1)
+            sample.last_byte.add(0.1)
+        return runner
+
+    def tick(self):
+        """Advance the clock by one tick."""
+        self.clock.advance(TICK_S)
+        self.controller.observe({}, False)
+        self.controller.tick()
+
+    def run(self, until_s):
+        """Send calls until a time; returns their runners."""
+        called = []
+        while self.elapsed_s < until_s - TICK_S / 2:
+            self.tick()
+            called += [self.call() for _ in range(CALLS_A_TICK)]
+        return called
+
+    def result(self):
+        """The state that is due."""
+        results = self.controller.results(lambda names: self.left)
+        return results[0].state if results else None
+
+
+@given(
+    "a roll-out of {duration:d} seconds for a service of {old:d} old runners"
+)
+def step_order(context, duration, old):
+    """Start with a new order."""
+    context.vm = Vm(float(duration), old)
+
+
+@step("{count:d} new runners come after {after:d} seconds")
+def step_come(context, count, after):
+    """Advance the clock, and list new runners."""
+    context.vm.run(after)
+    context.vm.come(count)
+
+
+@then(
+    "between {since:d} and {until:d} seconds {least:d} to {most:d} in 100"
+    " calls go to {count:d} new runners"
+)
+def step_part(context, since, until, least, most, count):
+    """Send calls until the given time."""
+    called = context.vm.run(until)
+    new = [runner for runner in called if runner.version == NEW]
+    part = 100.0 * len(new) / len(called)
+    assert least <= part <= most, part
+    assert len({runner.runner_id for runner in new}) <= count
+
+
+@then("in the end all calls go to {count:d} new runners")
+def step_all(context, count):
+    """Send calls until after the takeover."""
+    vm = context.vm
+    vm.run(18.8)
+    called = vm.run(19.0)
+    assert all(runner.version == NEW for runner in called)
+    canaries = [r for r in vm.new if vm.controller.arm(r) is model.Arm.CANARY]
+    assert len(canaries) == count
+
+
+@when("another VM tells of {calls:d} calls to them, half of which failed")
+def step_failures(context, calls):
+    """Receive the counts of another VM."""
+    vm = context.vm
+    vm.run(3)
+    told = {
+        samples.Key(SERVICE, NEW, runner.runner_id, ROUTE).text: (
+            samples.Sample(calls // 10, calls // 10, calls // 20).to_record()
+        )
+        for runner in vm.new
+    }
+    vm.controller.observe(told, False)
+    assert vm.controller.tick()
+
+
+@when("another VM tells that the version is {state}")
+def step_told_state(context, state):
+    """Receive the order of another VM."""
+    order = context.vm.order.with_state(model.State[state])
+    assert context.vm.controller.heard(order)
+
+
+@when("the roll-out is {state}")
+def step_turned(context, state):
+    """Receive the final state."""
+    step_told_state(context, state)
+
+
+@then("no call goes to a new runner")
+def step_none_new(context):
+    """Send many calls."""
+    called = [context.vm.call() for _ in range(200)]
+    assert all(runner.version != NEW for runner in called)
+
+
+@then("no repeated call goes to a new runner")
+def step_no_repeat(context):
+    """Send many retries."""
+    context.vm.run(3)
+    called = [context.vm.call(repeated=True) for _ in range(200)]
+    assert all(runner.version != NEW for runner in called)
+
+
+@then("the result {state} is due")
+def step_due(context, state):
+    """Check the state that is due."""
+    assert context.vm.result() is model.State[state], context.vm.result()
+
+
+@then("no result of a roll-out is due")
+def step_none_due(context):
+    """Check the state that is due."""
+    assert context.vm.result() is None
+
+
+@when("{seconds:f} seconds pass without a failure")
+def step_pass(context, seconds):
+    """Send calls until the given time."""
+    context.vm.run(seconds)
+
+
+@when("{count} is left at old runners")
+@when("{count} are left at old runners")
+def step_left(context, count):
+    """Set the calls in flight at old runners."""
+    number = count.split()[0]
+    context.vm.left = 0 if number == "no" else int(number)
+
+
+@then("all old runners are {old} and all new ones {new}")
+def step_arms(context, old, new):
+    """Check the roles of all runners."""
+    vm = context.vm
+    assert {vm.controller.arm(r) for r in vm.old} == {model.Arm[old]}
+    assert {vm.controller.arm(r) for r in vm.new} == {model.Arm[new]}
+
+
+@when("a roll-out follows to version {version}")
+def step_second(context, version):
+    """Receive a second order."""
+    vm = context.vm
+    second = model.Order(SERVICE, version, 9, vm.clock.wall(), 20.0)
+    assert vm.controller.heard(second)
+    vm.controller.set_runners([*vm.old, *vm.new])
+
+
+@then("all runners of version {version} are {arm}")
+def step_version_arm(context, version, arm):
+    """Check the roles of a version's runners."""
+    vm = context.vm
+    found = {vm.controller.arm(r) for r in vm.new if r.version == version}
+    assert found == {model.Arm[arm]}, found
+
+
+@then("late news of the first order changes nothing")
+def step_late_news(context):
+    """Receive the first order again."""
+    assert not context.vm.controller.heard(context.vm.order)
+
+
+@when("the operators take the order back")
+def step_withdrawn(context):
+    """Withdraw the order."""
+    assert context.vm.controller.withdrawn(SERVICE, 9)
+
+
+@when("another VM tells that it began {ago:f} seconds ago")
+def step_began(context, ago):
+    """Receive an earlier start time."""
+    vm = context.vm
+    order = vm.order.with_state(model.State.RUNNING)
+    order.started_at = vm.clock.wall() - ago
+    assert vm.controller.heard(order)
+    context.began_ago_s = ago
+
+
+@then("{seconds:f} seconds of the roll-out have passed")
+def step_passed(context, seconds):
+    """Advance the clock, and compare the elapsed time."""
+    vm = context.vm
+    vm.clock.advance(seconds - context.began_ago_s)
+    began = vm.controller.order(SERVICE).started_at
+    assert abs(vm.clock.wall() - began - seconds) < 1e-6
+
+
+@then("news of an order may be heard in any sequence")
+def step_any_order(context):
+    """Merge the same updates in all sequences."""
+    news = [
+        model.Order(SERVICE, "v2", 5, 100.0, 20.0),
+        model.Order(SERVICE, "v2", 5, 99.0, 20.0, model.State.FAILED),
+        model.Order(SERVICE, "v2", 7, 101.0, 20.0, model.State.ROLLED_BACK),
+        model.Order(SERVICE, "v3", 9, 130.0, 30.0),
+        model.Order(SERVICE, "v3", 11, 130.5, 30.0, model.State.COMPLETED),
+    ]
+    ends = {
+        tuple(functools.reduce(model.Order.merge, way).to_record())
+        for way in itertools.permutations(news)
+    }
+    assert len(ends) == 1, ends
+
+
+@when(
+    "{count:d} roll-outs of a version with {fault} are simulated at {load}"
+    " load"
+)
+def step_play(context, count, fault, load):
+    """Simulate them on a fleet of 70 VMs."""
+    context.fault = roll_outs.FAULTS[fault]
+    context.played = [
+        roll_outs.simulate(roll_outs.Case("compared", fault, load, 70, seed))
+        for seed in range(1, count + 1)
+    ]
+
+
+@then("at least {right:d} end as they should")
+def step_right(context, right):
+    """Count the expected results."""
+    wanted = (
+        model.State.ROLLED_BACK if context.fault.bad else model.State.COMPLETED
+    )
+    found = [outcome.state for outcome in context.played]
+    assert found.count(wanted) >= right, found
+
+
+@then("none of a bad version that was found has had more calls than it may")
+def step_exposure(context):
+    """Compare calls with the limit."""
+    for outcome in context.played if context.fault.bad else ():
+        if outcome.state is model.State.ROLLED_BACK:
+            assert outcome.exposed <= outcome.allowed, outcome.exposed
+            assert not outcome.late_calls
--- /dev/null
+++ b/tests/steps/roll_outs_verdict.py
@@ -0,0 +1,137 @@
+"""Steps for tests/roll_outs/verdict.feature."""
+
+import itertools
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from apricotlever.roll_outs import samples
+from apricotlever.roll_outs import verdict
+
+#: Standard deviation of the logarithms of times.
+SPREAD = 0.4
+REASONS = {
+    "failures": "failures",
+    "first answers": "first_answers",
+    "whole answers": "whole_answers",
+}
+
+
+def _sample(calls, failed, took_s=None, seed=1):
+    rng = random.Random(seed)
+    sample = samples.Sample(calls, calls, failed)
+    for _ in range(calls if took_s else 0):
+        took = took_s * rng.lognormvariate(0.0, SPREAD)
+        sample.first_byte.add(took)
+        sample.last_byte.add(took)
+    return sample
+
+
+@given("{calls:d} calls at the old version, {failed:d} in 100 failing")
+def step_old_failing(context, calls, failed):
+    """Set the samples of the old version."""
+    context.old = {
+        "usual": _sample(calls, calls * failed // 100),
+        "rare": _sample(calls // 10, calls * failed // 1000),
+    }
+    context.new = {}
+
+
+@given(
+    "{calls:d} calls on route {route} at the old version, {failed:d} of them"
+    " failing"
+)
+def step_old_route(context, calls, route, failed):
+    """Set the sample of the old version on a route."""
+    context.old[route] = _sample(calls, failed)
+
+
+@given("{calls:d} calls at the old version, of about {took:f} seconds each")
+def step_old_times(context, calls, took):
+    """Set the response times of the old version."""
+    context.old = {"usual": _sample(calls, 0, took)}
+    context.new = {}
+
+
+@when(
+    "the new version fails {failed:d} of {calls:d} calls, alike at"
+    " {runners:d} runners"
+)
+def step_new_alike(context, failed, calls, runners):
+    """Spread calls and failures over the runners."""
+    for number in range(runners):
+        context.new[f"r{number}", "usual"] = _sample(
+            calls // runners, failed // runners
+        )
+
+
+@when(
+    "the new version fails {failed:d} of {calls:d} calls, all at one of"
+    " {runners:d} runners"
+)
+def step_new_one(context, failed, calls, runners):
+    """Spread the calls; all failures are at one runner."""
+    for number in range(runners):
+        context.new[f"r{number}", "usual"] = _sample(
+            calls // runners, 0 if number else failed
+        )
+
+
+@when("the new version fails {failed:d} of {calls:d} calls on route {route}")
+def step_new_route(context, failed, calls, route):
+    """Spread a route's calls over two runners."""
+    for runner in ("r0", "r1"):
+        context.new[runner, route] = _sample(calls // 2, failed // 2)
+
+
+@when("{calls:d} calls at the new version take about {took:f} seconds each")
+def step_new_times(context, calls, took):
+    """Spread the calls over two runners."""
+    for seed, runner in enumerate(("r0", "r1"), start=2):
+        context.new[runner, "usual"] = _sample(calls // 2, 0, took, seed)
+
+
+@then("on route {route} it is bad for its {reason}")
+def step_bad_on_route(context, reason, route):
+    """Check the finding."""
+    found = verdict.judge(context.old, context.new)
+    assert found is not None
+    assert (found.reason, found.route) == (REASONS[reason], route)
+
+
+@then("it is bad for its {reason}")
+def step_bad(context, reason):
+    """Check the finding."""
+    found = verdict.judge(context.old, context.new)
+    assert found is not None and found.reason == REASONS[reason], found
+
+
+@then("it is not bad")
+def step_not_bad(context):
+    """Check that neither the repeated nor the final check fails."""
+    assert verdict.judge(context.old, context.new) is None
+    last = verdict.judge(context.old, context.new, verdict.FINAL_CHECK)
+    assert last is None, (last.reason, last.new, last.old)
+
+
+@then("sums of samples don't depend on their order or grouping")
+def step_sums(context):
+    """Add the same records in several ways."""
+    rng = random.Random(5)
+    parts = [
+        {
+            key: _sample(rng.randrange(9), 0, 0.2, rng.random()).to_record()
+            for key in rng.sample("abcd", 2)
+        }
+        for _ in range(4)
+    ]
+    sums = [
+        samples.sum_records([samples.sum_records(order[:2]), *order[2:]])
+        for order in itertools.permutations(parts)
+    ]
+    for key, record in sums[0].items():
+        for other in sums[1:]:
+            for one, two in zip(record, other[key], strict=True):
+                assert abs(one - two) < 1e-6, (key, record, other[key])
