Fix overflow in outlier detection at hundreds of failures

Cause: the binomial tail probability was computed with integer coefficients, which exceed the range of a float from some hundred failures on, so judging the runners raised an OverflowError. Until the window had passed, that VM took in no loads of other VMs, and the datagrams received along with them were lost.

Change: compute the terms in log space. The new test failed first with the same error.

Ruled out: a change of results elsewhere: 20,000 random cases differ by 3e-13 at most.

--- a/src/apricotlever/runners/outliers.py
+++ b/src/apricotlever/runners/outliers.py
@@ -274,8 +274,18 @@
 
 def _chance(failed: int, calls: int, share: float) -> float:
     """How likely so many or more of the calls fail, at a share of failures."""
+    if share >= 1.0:
+        return 1.0
+    log_share, log_rest = math.log(share), math.log1p(-share)
+    # Log space: the binomial coefficients overflow a float for large counts.
     fewer = sum(
-        math.comb(calls, n) * share**n * (1.0 - share) ** (calls - n)
+        math.exp(
+            math.lgamma(calls + 1)
+            - math.lgamma(n + 1)
+            - math.lgamma(calls - n + 1)
+            + n * log_share
+            + (calls - n) * log_rest
+        )
         for n in range(failed)
     )
     return 1.0 - fewer
--- a/tests/runners/outliers.feature
+++ b/tests/runners/outliers.feature
@@ -54,3 +54,10 @@
     Given 5 VMs and a service with 6 runners
     When runner 1 fails 2 of 2 calls at VM 1, and the others none of 10
     Then VM 1 leaves out runner 1 for 3 seconds, for 2 of 2 beside 0.0
+
+  # Guards against a float overflow at hundreds of failures, which stopped
+  # both outlier detection and the processing of peer loads.
+  Scenario: A runner that fails hundreds of calls within the window
+    Given 5 VMs and a service with 3 runners
+    When runner 1 fails 700 of 1400 calls at VM 1, and the others none
+    Then VM 1 leaves out runner 1
--- a/tests/steps/runners_outliers.py
+++ b/tests/steps/runners_outliers.py
@@ -150,6 +150,23 @@
     context.found = vm.judge([context.fleet.runners])
 
 
+@when(
+    "runner 1 fails {failed:d} of {calls:d} calls at VM 1, and the others none"
+)
+def _first_runner_failed(context, failed, calls):
+    vm = context.fleet.vms[0]
+    for runner in context.fleet.runners:
+        for number in range(calls):
+            is_first = runner == context.fleet.runners[0]
+            vm.ended(runner, is_first and number < failed)
+    context.found = vm.judge([context.fleet.runners])
+
+
+@then("VM 1 leaves out runner 1")
+def _first_runner_left_out(context):
+    assert [f.inputs["runner"] for f in context.found] == ["runner-1"]
+
+
 @then(
     "VM 1 leaves out runner 1 for {out_s:d} seconds, for {failed:d} of "
     "{calls:d} beside {share:f}"
