Move following the store out of its client, and count calls in one place

Change: Watcher and what it needs stand in serving/store_watch.py; one sum uses the other. Nothing behaves differently, and no test was changed but for the module's name.

--- a/src/apricotlever/serving/listeners.py
+++ b/src/apricotlever/serving/listeners.py
@@ -11,6 +11,7 @@
 from . import log_limit
 from . import runners
 from . import store
+from . import store_watch
 
 #: Changes of runners that come within this time, in seconds, are read by one
 #: call. It is a tenth of the shortest time in which a runner has to be left.
@@ -124,22 +125,22 @@
     platform: dialects.PlatformDialect,
     configurations: Configurations,
     entries: Entries,
-    orders: store.Listener | None,
+    orders: store_watch.Listener | None,
     rng: random.Random,
     wanted: typing.Callable[[], bool],
-) -> list[store.Watcher]:
+) -> list[store_watch.Watcher]:
     """Create the watchers of the store.
 
     :param orders: listens to roll-out orders; None if these are disabled.
     :param wanted: whether this VM has to follow the store now.
     """
-    kinds: list[tuple[str, store.Listener, float]] = [
+    kinds: list[tuple[str, store_watch.Listener, float]] = [
         (platform.configuration_kind, configurations, 0.0),
         (platform.runners_kind, entries, GATHER_S),
     ]
     if orders is not None:
         kinds.append((platform.roll_outs_kind, orders, 0.0))
     return [
-        store.Watcher(store_, kind, listener, rng, wanted, gather_s)
+        store_watch.Watcher(store_, kind, listener, rng, wanted, gather_s)
         for kind, listener, gather_s in kinds
     ]
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -39,6 +39,7 @@
 from . import servers
 from . import settings
 from . import store
+from . import store_watch
 from . import tasks
 from . import upstreams
 
@@ -140,7 +141,7 @@
             dialect.platform,
         )
         self._work = runner_duty.Work(clock)
-        self._watchers: list[store.Watcher] = []
+        self._watchers: list[store_watch.Watcher] = []
         self._leaving_since: float | None = None
         self._started_at = clock.now()
         self._ticked_at: float | None = None
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -130,8 +130,8 @@
 
     def all_in_flight(self, service: str) -> int:
         """Calls of all VMs at the runners of a service."""
-        return sum(
-            self._own.get(r.runner_id, 0) + self._others.get(r.runner_id, 0)
+        return self.in_flight_at(
+            r.runner_id
             for r in self._directory.runners
             if r.service == service
         )
--- a/tests/steps/adapter_entries.py
+++ b/tests/steps/adapter_entries.py
@@ -25,6 +25,7 @@
 from apricotlever.serving import peers
 from apricotlever.serving import runners
 from apricotlever.serving import store
+from apricotlever.serving import store_watch
 from apricotlever.serving import tasks
 from apricotlever.vms import digests
 from apricotlever.vms import lease_objects
@@ -144,7 +145,7 @@
     running = tasks.Tasks()
 
     async def follow():
-        context.watcher = store.Watcher(
+        context.watcher = store_watch.Watcher(
             _Store(context.body),
             "servers",
             context.vm.entries,
--- a/tests/steps/serving_tasks.py
+++ b/tests/steps/serving_tasks.py
@@ -10,6 +10,7 @@
 
 from apricotlever import logs
 from apricotlever.serving import store
+from apricotlever.serving import store_watch
 from apricotlever.serving import tasks
 
 
@@ -71,7 +72,7 @@
                 raise AttributeError("an error of the test")
 
     context.store = Store()
-    context.watcher = store.Watcher(
+    context.watcher = store_watch.Watcher(
         context.store, "servers", Listener(), random.Random(1)
     )
     context.work = context.watcher.run
