Report lost and late requests by route, time window and reason

Cause: `apricotlever report` counted the reasons of refusals and failures, but neither requests that were only late nor the runners available at the time.

Change: `request_ended` logs the objective. A report has a table of losses by route, two-second window and reason, with the runners present, the runners needed and the calls in flight in that window, and two plots.

Ruled out: distinguishing waiting at the VM from waiting at the runner: a call is forwarded at once, so all waiting is at the runner.

--- a/src/apricotlever/client/day.py
+++ b/src/apricotlever/client/day.py
@@ -6,6 +6,8 @@
 
 from .. import log_lines
 
+from . import losses
+
 #: Events that are marked in plots over time: something changed for everybody.
 MARKED = frozenset(
     {"configuration_in_force", "lease_taken", "member_dead", "runner_gone"}
@@ -22,9 +24,22 @@
     :param outcome: served, failed or refused.
     :param took_s: from its first byte to its last; None when it was refused.
     :param reason: why it was not served, by its first word; empty if it was.
+    :param first_s: seconds to the first byte of its answer; None if unknown.
+    :param objective_s: objective for ``first_s``; None if unknown.
+    :param sends: number of times it was sent to a runner.
     """
 
-    __slots__ = ("at_s", "outcome", "route", "runner", "took_s", "reason")
+    __slots__ = (
+        "at_s",
+        "outcome",
+        "route",
+        "runner",
+        "took_s",
+        "reason",
+        "first_s",
+        "objective_s",
+        "sends",
+    )
 
     def __init__(
         self,
@@ -34,7 +49,13 @@
         runner: str,
         took_s: float | None,
         reason: str,
+        first_s: float | None = None,
+        objective_s: float | None = None,
+        sends: int = 1,
     ) -> None:
+        self.first_s = first_s
+        self.objective_s = objective_s
+        self.sends = sends
         self.at_s = at_s
         self.outcome = outcome
         self.route = route
@@ -60,17 +81,28 @@
     """All ends of requests and all marks, in time order.
 
     :param vms: whose lines were read.
+    :param capacity: samples of the services whose runners are ordered.
     """
 
-    __slots__ = ("answers", "marks", "vms")
+    __slots__ = ("answers", "capacity", "marks", "vms")
 
     def __init__(
-        self, answers: list[Answer], marks: list[Mark], vms: list[str]
+        self,
+        answers: list[Answer],
+        marks: list[Mark],
+        vms: list[str],
+        capacity: typing.Sequence[losses.Capacity] = (),
     ) -> None:
+        self.capacity = capacity
         self.answers = answers
         self.marks = marks
         self.vms = vms
 
+    @property
+    def losses(self) -> losses.Losses:
+        """The requests that were lost or late."""
+        return losses.Losses(self.answers, self.capacity)
+
     @property
     def document(self) -> dict[str, typing.Any]:
         """The counts, for those who read no plots."""
@@ -83,6 +115,8 @@
                 collections.Counter(answer.outcome for answer in self.answers)
             ),
             "reasons": dict(reasons.most_common()),
+            "losses": self.losses.by_reason(),
+            "losses_by_moment": self.losses.rows(),
         }
 
 
@@ -99,6 +133,7 @@
     start = _seconds(lines[0].time)
     answers: dict[str, Answer] = {}
     marks: list[Mark] = []
+    capacity: list[losses.Capacity] = []
     seen: set[str] = set()
     for line in lines:
         at_s = _seconds(line.time) - start
@@ -106,10 +141,15 @@
             answers[_id(line)] = _ended(at_s, line)
         elif line.event == "request_refused":
             answers[_id(line)] = _refused(at_s, line, answers.get(_id(line)))
+        elif line.event == "runners_needed":
+            capacity.append(losses.Capacity.from_line(at_s, line))
         elif line.event in MARKED and _is_new(line, seen):
             marks.append(Mark(at_s, line.event))
     return Day(
-        list(answers.values()), marks, sorted({line.vm for line in lines})
+        list(answers.values()),
+        marks,
+        sorted({line.vm for line in lines}),
+        capacity,
     )
 
 
@@ -130,9 +170,18 @@
         fields.get("runner", ""),
         float(fields.get("took_s", 0.0)),
         "" if served else reason,
+        _optional_float(fields, "first_s"),
+        _optional_float(fields, "objective_s"),
+        int(fields.get("sends", 1)),
     )
 
 
+def _optional_float(
+    fields: typing.Mapping[str, str], name: str
+) -> float | None:
+    return float(fields[name]) if name in fields else None
+
+
 def _refused(
     at_s: float, line: log_lines.LogLine, before: Answer | None
 ) -> Answer:
--- a/src/apricotlever/client/day_plots.py
+++ b/src/apricotlever/client/day_plots.py
@@ -11,6 +11,7 @@
 from matplotlib import figure
 
 from . import day as days
+from . import losses
 
 matplotlib.use("svg")
 
@@ -32,14 +33,16 @@
 
 
 def _svg(day: days.Day) -> str:
-    drawn = figure.Figure(figsize=(14, 12), layout="constrained")
-    plots = drawn.subplots(3, 2)
+    drawn = figure.Figure(figsize=(14, 16), layout="constrained")
+    plots = drawn.subplots(4, 2)
     _latency_over_time(plots[0][0], day)
     _outcomes(plots[0][1], day)
     _latency_by_route(plots[1][0], day)
     _reasons(plots[1][1], day)
     _by_runner(plots[2][0], day)
     _failures_by_runner(plots[2][1], day)
+    _losses_over_time(plots[3][0], day)
+    _losses_by_route(plots[3][1], day)
     text = io.StringIO()
     drawn.savefig(text, format="svg")
     return text.getvalue()
@@ -112,6 +115,28 @@
     _bars(plot, counts, "failed requests by runner")
 
 
+def _losses_over_time(plot: axes.Axes, day: days.Day) -> None:
+    by_reason: dict[str, list[float]] = collections.defaultdict(list)
+    for answer in day.losses.answers:
+        by_reason[losses.loss_reason(answer)].append(answer.at_s)
+    if by_reason:
+        names = sorted(by_reason, key=lambda name: -len(by_reason[name]))
+        plot.hist(
+            [by_reason[name] for name in names],
+            BINS,
+            stacked=True,
+            label=names,
+        )
+        plot.legend(fontsize=6)
+    _mark(plot, day)
+    plot.set(title="lost or late, by reason", xlabel="s")
+
+
+def _losses_by_route(plot: axes.Axes, day: days.Day) -> None:
+    counts = collections.Counter(a.route for a in day.losses.answers)
+    _bars(plot, counts, "lost or late, by route")
+
+
 def _bars(
     plot: axes.Axes, counts: collections.Counter[str], title: str
 ) -> None:
--- a/src/apricotlever/serving/relay.py
+++ b/src/apricotlever/serving/relay.py
@@ -202,6 +202,7 @@
                 served=work.served,
                 ended=work.reason or None,
                 first_s=work.first_s,
+                objective_s=route.objective_s,
                 pause_s=work.longest_pause_s or None,
                 took_s=took_s,
             )
--- a/tests/client/report.feature
+++ b/tests/client/report.feature
@@ -21,3 +21,12 @@
     Given logs of two VMs with a request that broke off at a reclaimed runner
     When the operator draws a report into a directory that is not there
     Then the command fails and says "No such file"
+
+  # Guards against a report that omits late requests, or the route, time and
+  # reason of losses.
+  Scenario: Lost and late requests by route, time window and reason
+    Given logs of requests that were late, refused and failed while 4 runners served
+    When the operator draws a report of them
+    Then the losses are 2 late, waited at its runner and 1 late, retried
+    And the losses are 1 refused by a limit and 1 failed by its runner
+    And losses of route "drafts" from second 2 are listed with 4 runners
--- a/tests/steps/client_report.py
+++ b/tests/steps/client_report.py
@@ -31,6 +31,56 @@
     pathlib.Path(context.folder, "a.log").write_text(line)
 
 
+@given(
+    "logs of requests that were late, refused and failed while 4 runners "
+    "served"
+)
+def _loss_logs(context):
+    _empty(context)
+    template = "time=2026-03-01T03:12:1{} level=INFO event={} vm=a {}\n"
+    end = "request_ended"
+    lines = [
+        ("0.0Z", "started", ""),
+        ("2.1Z", "runners_needed", "service=llm measured=3 present=4"),
+        ("2.2Z", end, _end_fields("1", "True", 0.9, 1)),
+        ("2.3Z", end, _end_fields("2", "True", 0.8, 1)),
+        ("2.4Z", end, _end_fields("3", "True", 0.2, 1)),
+        ("4.1Z", end, _end_fields("4", "True", 0.9, 2)),
+        ("4.2Z", end, _end_fields("5", "False", 0.2, 1)),
+        (
+            "4.3Z",
+            "request_refused",
+            "request=6 status=429 reason=over_the_limit",
+        ),
+    ]
+    text = "".join(template.format(*line) for line in lines)
+    pathlib.Path(context.folder, "a.log").write_text(text)
+
+
+def _end_fields(request, served, first_s, sends):
+    return (
+        f"request={request} route=drafts served={served} first_s={first_s} "
+        f"objective_s=0.5 sends={sends} took_s=1.0"
+    )
+
+
+@then("the losses are {count:d} {reason} and {count2:d} {reason2}")
+def _loss_counts(context, count, reason, count2, reason2):
+    found = json.loads(context.out)["losses"]
+    assert (found[reason], found[reason2]) == (count, count2), found
+
+
+@then(
+    'losses of route "{route}" from second {from_s:d} are listed with '
+    "{runners:d} runners"
+)
+def _loss_row(context, route, from_s, runners):
+    rows = json.loads(context.out)["losses_by_moment"]
+    (row,) = [r for r in rows if r["from_s"] == from_s]
+    assert row["route"] == route and row["calls"] == 2, row
+    assert row["runners"]["llm"][0] == runners, row
+
+
 def _draw(context, page):
     arguments = ["report", context.folder, "--output", str(page), "--json"]
     out, err = io.StringIO(), io.StringIO()
