Let only stable followers of the store follow roll-out orders

Change: a watcher can be created so that it reads no list until it is wanted. The watcher of orders is, and is wanted once its VM has been a follower for two seconds. It does not count towards whether a VM follows the store: runners and configuration have to be known at once. Other VMs learn of orders from the records of their peers.

Ruled out: following by the holder of the duties alone: it may be cut off from the store while other VMs are not.

Cost: while the store rejects the followers, an order is received up to two seconds later.

--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -37,6 +37,9 @@
 #: come in clumps.
 GATHER_NEWS_S = 0.01
 EVERYTHING = -1
+#: How long a VM must have followed the store without interruption to count
+#: as a stable follower, in seconds.
+STABLE_FOLLOWER_S = 2.0
 #: Between two tallies of an aggregator, in seconds.
 TALLY_S = 1.0
 
@@ -95,6 +98,7 @@
         "_directory",
         "_fetching",
         "_followers",
+        "_following_since",
         "_leads",
         "_local",
         "_news",
@@ -131,6 +135,7 @@
         self._fetching: set[str] = set()
         self._alive: set[str] = set()
         self._followers = followers.Followers(clock, config.vm)
+        self._following_since: float | None = None
         self._told_at = float("-inf")
         #: Whether a record is about to be sent for news.
         self._news_due = False
@@ -161,6 +166,14 @@
         """Whether this VM has to follow the store itself."""
         return self._followers.follows
 
+    @property
+    def is_stable_follower(self) -> bool:
+        """Whether `follows` has held for at least STABLE_FOLLOWER_S."""
+        since = self._following_since
+        if since is None:
+            return False
+        return self._clock.now() - since >= STABLE_FOLLOWER_S
+
     @property
     def between_s(self) -> float:
         """Mean seconds between two signs of life of one VM."""
@@ -232,6 +245,10 @@
             for digest in alive:
                 self._note_behind(digest)
         self._followers.look(alive)
+        if not self._followers.follows:
+            self._following_since = None
+        elif self._following_since is None:
+            self._following_since = self._clock.now()
 
     def message(self, message: fleet_news.Message) -> None:
         """A message of another VM came."""
--- a/src/apricotlever/serving/listeners.py
+++ b/src/apricotlever/serving/listeners.py
@@ -128,19 +128,33 @@
     orders: store_watch.Listener | None,
     rng: random.Random,
     wanted: typing.Callable[[], bool],
+    orders_wanted: typing.Callable[[], bool],
 ) -> list[store_watch.Watcher]:
     """Create the watchers of the store.
 
     :param orders: listens to roll-out orders; None if these are disabled.
     :param wanted: whether this VM has to follow the store now.
+    :param orders_wanted: whether this VM has to follow roll-out orders now.
+        A stricter condition than `wanted` prevents all VMs from listing
+        orders when they briefly replace followers that lost the store.
     """
-    kinds: list[tuple[str, store_watch.Listener, float]] = [
+    kinds: tuple[tuple[str, store_watch.Listener, float], ...] = (
         (platform.configuration_kind, configurations, 0.0),
         (platform.runners_kind, entries, GATHER_S),
-    ]
-    if orders is not None:
-        kinds.append((platform.roll_outs_kind, orders, 0.0))
-    return [
+    )
+    created = [
         store_watch.Watcher(store_, kind, listener, rng, wanted, gather_s)
         for kind, listener, gather_s in kinds
     ]
+    if orders is not None:
+        created.append(
+            store_watch.Watcher(
+                store_,
+                platform.roll_outs_kind,
+                orders,
+                rng,
+                orders_wanted,
+                list_when_unwanted=False,
+            )
+        )
+    return created
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -152,6 +152,16 @@
         """Whether callers may be sent here."""
         return self._configuration is not None and self._leaving_since is None
 
+    @property
+    def _follows_store(self) -> bool:
+        """Whether all watchers but that of roll-out orders are in touch."""
+        orders = self._dialect.platform.roll_outs_kind
+        return all(
+            watcher.in_touch
+            for watcher in self._watchers
+            if watcher.kind != orders
+        )
+
     @property
     def version(self) -> int:
         """Of the configuration in force, 0 for none."""
@@ -262,7 +272,7 @@
             config.data_centre,
             ready=self.ready,
             leaving=self._leaving_since is not None,
-            follows=all(watcher.in_touch for watcher in self._watchers),
+            follows=self._follows_store,
             configuration=self.version,
             directory=self._directory.revision,
             runners=self._directory.checksum,
@@ -391,7 +401,7 @@
             self._servers.informed()
 
     def _follow(self) -> None:
-        """Follow the store's two kinds, as long as it is wanted."""
+        """Follow the store's kinds, as long as it is wanted."""
         self._watchers = listeners.watchers(
             self._store,
             self._dialect.platform,
@@ -404,6 +414,7 @@
             self._orders if self._settings.bounds.roll_outs else None,
             self._rng,
             lambda: self._fleet.follows,
+            lambda: self._fleet.is_stable_follower,
         )
         for watcher in self._watchers:
             self._tasks.supervise(f"watch_{watcher.kind}", watcher.run)
--- a/src/apricotlever/serving/store_watch.py
+++ b/src/apricotlever/serving/store_watch.py
@@ -41,12 +41,15 @@
         the same from its peers.
     :param gather_s: pause after news. Changes come in series, and each call
         that ends for one of them has its price.
+    :param list_when_unwanted: whether to read the list at the start and
+        whenever it is outdated, even if `wanted` returns false.
     """
 
     __slots__ = (
         "_failing_since",
         "_gather_s",
         "_kind",
+        "_list_when_unwanted",
         "_listener",
         "_refusals",
         "_revision",
@@ -64,7 +67,9 @@
         rng: random.Random,
         wanted: typing.Callable[[], bool] = lambda: True,
         gather_s: float = 0.0,
+        list_when_unwanted: bool = True,
     ) -> None:
+        self._list_when_unwanted = list_when_unwanted
         self._store = store_
         self._kind = kind
         self._listener = listener
@@ -106,7 +111,8 @@
         loop = asyncio.get_running_loop()
         pause_s = FIRST_PAUSE_S
         while True:
-            if self._revision is not None and not self._wanted():
+            list_due = self._revision is None and self._list_when_unwanted
+            if not list_due and not self._wanted():
                 self._watching = False
                 await asyncio.sleep(UNWANTED_S)
                 continue
--- a/tests/serving/tasks.feature
+++ b/tests/serving/tasks.feature
@@ -13,3 +13,12 @@
     Given a watch whose listener fails at the first list
     When 1 seconds of the loop pass
     Then the list was read twice and the watch is in touch
+
+  # Guards against every VM listing roll-out orders when a fleet starts, or
+  # when its followers briefly lose the store.
+  Scenario: A watch without an initial list calls the store only when wanted
+    Given a watch without an initial list that is wanted after 3 seconds
+    When 2 seconds of the loop pass
+    Then the list was not read
+    When 4 seconds of the loop pass
+    Then the list was read once and the watch is in touch
--- a/tests/steps/serving_tasks.py
+++ b/tests/steps/serving_tasks.py
@@ -78,6 +78,52 @@
     context.work = context.watcher.run
 
 
+@given(
+    "a watch without an initial list that is wanted after {seconds:d} seconds"
+)
+def _watch_wanted_later(context, seconds):
+    class Store:
+        """An empty store that counts the calls that list it."""
+
+        lists = 0
+
+        async def list_all(self, kind, stale=False):
+            """Return an empty list."""
+            self.lists += 1
+            return store.Page([], False, 5)
+
+        async def watch(self, kind, revision, wait_s):
+            """Wait without reporting a change."""
+            await asyncio.sleep(1000)
+
+    class Listener:
+        """Accepts every list."""
+
+        def listed(self, page):
+            """Take the list."""
+
+    context.store = Store()
+    context.watcher = store_watch.Watcher(
+        context.store,
+        "orders",
+        Listener(),
+        random.Random(1),
+        lambda: asyncio.get_running_loop().time() >= seconds,
+        list_when_unwanted=False,
+    )
+    context.work = context.watcher.run
+
+
+@then("the list was not read")
+def _list_not_read(context):
+    assert not context.store.lists and not context.in_touch
+
+
+@then("the list was read once and the watch is in touch")
+def _list_read_once(context):
+    assert context.store.lists == 1 and context.in_touch
+
+
 @when("{seconds:d} seconds of the loop pass")
 def _pass(context, seconds):
     context.logged = []
