Start again on a repeated order for the same version

Cause: when two states of an order were merged, the later state always won, regardless of which was received first. An order that the operators repeated for a version that had been rolled back or withdrawn was therefore treated as finished permanently: its runners received no calls, and no status was written.

Change: a finished order and a running one are distinguished by the store's revision; a result carries the revision of its write.

Ruled out: the start time, which VMs record by their own clocks.

--- a/src/apricotlever/roll_outs/controller.py
+++ b/src/apricotlever/roll_outs/controller.py
@@ -108,6 +108,9 @@
             self._supersede(roll_out)
             self._start(merged)
             return True
+        if roll_out.order.state.is_final and not merged.state.is_final:
+            self._start(merged)
+            return True
         before, roll_out.order = roll_out.order, merged
         roll_out.schedule = schedule.Schedule(merged.duration_s, self._bounds)
         if merged.state is not before.state:
--- a/src/apricotlever/roll_outs/model.py
+++ b/src/apricotlever/roll_outs/model.py
@@ -84,6 +84,10 @@
         """Merge two orders for the same service."""
         if other.version != self.version:
             return other if other.revision > self.revision else self
+        only_one_is_final = self.state.is_final != other.state.is_final
+        if only_one_is_final and self.revision != other.revision:
+            # The lower revision belongs to an earlier order for this version.
+            return other if other.revision > self.revision else self
         return Order(
             self.service,
             self.version,
--- a/src/apricotlever/serving/roll_out_duty.py
+++ b/src/apricotlever/serving/roll_out_duty.py
@@ -134,7 +134,7 @@
             return
         status = self._dialect.roll_out_status(order, state)
         if found.status != status:
-            await self._store.replace_status(
+            found = await self._store.replace_status(
                 kind, order.service, status, found.revision
             )
             logs.event(
@@ -145,7 +145,9 @@
                 fencing=self._keeper.fencing,
             )
         self._written[order.service] = (order.version, state)
-        if state.is_final and self._controller.heard(order.with_state(state)):
+        written = order.with_state(state)
+        written.revision = found.revision
+        if self._controller.heard(written):
             self._changed()
 
     async def _record_start(self, order: model.Order) -> None:
--- a/tests/roll_outs/controller.feature
+++ b/tests/roll_outs/controller.feature
@@ -74,6 +74,15 @@
     Then no call goes to a new runner
     And no result of a roll-out is due
 
+  # Guards against treating a repeated order as already finished.
+  Scenario: A repeated order for the same version starts again
+    Given a roll-out of 20 seconds for a service of 10 old runners
+    And 10 new runners come after 1 seconds
+    When the roll-out is ROLLED_BACK
+    And the operators order the same version again
+    Then the result RUNNING is due
+    And a late result of the finished order changes nothing
+
   # Guards against retries that fail at the same bad version.
   Scenario: A retry goes to the old version
     Given a roll-out of 20 seconds for a service of 10 old runners
--- a/tests/steps/roll_outs_controller.py
+++ b/tests/steps/roll_outs_controller.py
@@ -237,6 +237,21 @@
     assert not context.vm.controller.heard(context.vm.order)
 
 
+@when("the operators order the same version again")
+def step_repeated_order(context):
+    """Receive the order with a higher revision and no status."""
+    vm = context.vm
+    repeated = model.Order(SERVICE, NEW, 9, vm.clock.wall(), 20.0)
+    assert vm.controller.heard(repeated)
+
+
+@then("a late result of the finished order changes nothing")
+def step_late_result(context):
+    """Receive the result of the finished order after the repeated one."""
+    finished = context.vm.order.with_state(model.State.ROLLED_BACK)
+    assert not context.vm.controller.heard(finished)
+
+
 @when("the operators take the order back")
 def step_withdrawn(context):
     """Withdraw the order."""
