--- a/src/apricotlever/runners/candidates.py
+++ b/src/apricotlever/runners/candidates.py
@@ -125,7 +125,7 @@
         pace = self.pace
         slots = self.load.slots
         usable = slots * self.health.share(now)
-        fill = (self.load.in_flight(now, pace.hold_s) + 1.0) / usable
+        fill = (self.load.in_flight(now) + 1.0) / usable
         pending = self.pending_tokens + self.others_pending
         wait_s = pending * pace.prefill_s
         wait_s += _expected_excess(fill - 1.0) * pace.hold_s
--- a/src/apricotlever/runners/load.py
+++ b/src/apricotlever/runners/load.py
@@ -7,7 +7,6 @@
 
 import bisect
 import collections
-import math
 
 from .. import clock as clocks
 from . import model as models
@@ -38,11 +37,6 @@
         self._others = 0.0
         self._own = 0.0
 
-    @property
-    def mean_others(self) -> float:
-        """Moving average of the other VMs' requests per runner."""
-        return self._others
-
     @property
     def ratio(self) -> float:
         """Requests of the others for each own one."""
@@ -118,41 +112,13 @@
         self._others = max(0.0, float(total - self._own_then))
         self._peers.observe(self._others, self._own_then)
 
-    def observe_peer_load(
-        self, others: float, age_s: float, slots: int
-    ) -> None:
-        """Record how many requests the other VMs have at the runner.
-
-        :param age_s: age of the count, in seconds.
-        :param slots: requests that the runner runs side by side.
-        """
-        self._slots = max(1, slots or self._slots)
-        self._reported_at = self._clock.now() - age_s
-        self._own_then = self._own
-        self._others = others
-        self._peers.observe(others, self._own)
-
-    def in_flight(self, now: float, hold_s: float = math.inf) -> float:
-        """Requests expected at the runner now, from all VMs.
-
-        The reported load of the other VMs decays exponentially with the age
-        of the report, with time constant ``hold_s``, towards their average
-        load per runner. This keeps VMs from all sending to the runner that
-        an outdated report shows as idle.
-
-        :param hold_s: mean time for which a request occupies its slot.
-        """
-        if self._reported_at is None:
-            return self._own
-        age_s = now - self._reported_at
-        if age_s > STALE_S:
+    def in_flight(self, now: float) -> float:
+        """Requests expected at the runner now, from all VMs."""
+        if self._reported_at is None or now - self._reported_at > STALE_S:
             return self._own
         sent = self._own - self._own_then
         grown = HERD_PART * self._peers.ratio * sent
-        remaining = math.exp(-max(0.0, age_s) / hold_s)
-        others = remaining * max(0.0, self._others + grown)
-        arrived = (1.0 - remaining) * self._peers.mean_others
-        return self._own + others + arrived
+        return self._own + max(0.0, self._others + grown)
 
     def _change(self, step: int) -> None:
         now = self._clock.now()
--- a/src/apricotlever/runners/pace.py
+++ b/src/apricotlever/runners/pace.py
@@ -21,16 +21,9 @@
     answer token, ``hold_s`` for which a request keeps its slot.
     """
 
-    __slots__ = (
-        "base_s",
-        "prefill_s",
-        "decode_s",
-        "hold_s",
-        "_finished_count",
-    )
+    __slots__ = ("base_s", "prefill_s", "decode_s", "hold_s")
 
     def __init__(self) -> None:
-        self._finished_count = 0
         self.base_s = DEFAULT_BASE_S
         self.prefill_s = DEFAULT_PREFILL_S
         self.decode_s = DEFAULT_DECODE_S
@@ -60,17 +53,12 @@
         :param decoding_s: from the first token to the end.
         :param tokens: of the answer, 0 when not known.
         """
-        # Averages the first samples instead of moving slowly from the default.
-        self._finished_count += 1
-        rate = max(LEARNING_RATE, 1.0 / self._finished_count)
-        self.hold_s = _towards(self.hold_s, held_s, rate)
+        self.hold_s = _towards(self.hold_s, held_s)
         if tokens > 1:
             self.decode_s = _towards(self.decode_s, decoding_s / (tokens - 1))
 
 
-def _towards(
-    known: float, sample: float, rate: float = LEARNING_RATE
-) -> float:
+def _towards(known: float, sample: float) -> float:
     """Move an estimate a step towards a sample."""
     capped = min(sample, LARGEST_STEP * known + 1e-9)
-    return known + rate * (capped - known)
+    return known + LEARNING_RATE * (capped - known)
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -175,21 +175,6 @@
             candidate.health.crashed()
             candidate.changed()
 
-    def observe_peer_load(
-        self, name: str, others: int, age_s: float, slots: int, blocks: int
-    ) -> None:
-        """Record how many requests the other VMs have at a runner.
-
-        :param age_s: age of the count, in seconds.
-        :param slots: requests that the runner runs side by side.
-        :param blocks: capacity of the runner's cache, in prompt blocks.
-        """
-        candidate = self._candidates.get(name)
-        if candidate is not None:
-            candidate.load.observe_peer_load(float(others), age_s, slots)
-            candidate.changed()
-            self._index.resize(name, blocks)
-
     def choose(self, query: models.Query) -> models.Route | models.NoRunner:
         """Pick a runner for a query; nothing is counted yet.
 
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -176,12 +176,12 @@
         self._router.observe_pending(loads.pending)
         for runner in self._directory.runners:
             name = runner.runner_id
-            self._router.observe_peer_load(
+            total = others.get(name, 0) + self._router.own_in_flight(name)
+            self._router.observe_load(
                 name,
-                others.get(name, 0),
-                loads.age_s,
-                runner.concurrency,
-                self._blocks(runner),
+                models.LoadReport(
+                    total, 0, runner.concurrency, 0, self._blocks(runner)
+                ),
             )
 
     def query(
--- a/src/apricotlever/vms/peer_loads.py
+++ b/src/apricotlever/vms/peer_loads.py
@@ -12,10 +12,6 @@
 #: This VM's records that an aggregate may be about, kept for so long, in
 #: seconds: from a record to the aggregate that includes it.
 KEPT_S = 3.0
-#: Mean age of a record exchanged between VMs, in seconds.
-MEAN_RECORD_AGE_S = digests.INTERVAL_S / 2.0
-#: Assumed age of an aggregate without a known record of this VM, in seconds.
-DEFAULT_AGGREGATE_AGE_S = 0.3
 
 Counts = dict[str, int]
 
@@ -31,7 +27,6 @@
         included.
     :param trials: counts of calls at old and new versions; includes those of
         this VM if the loads are summed.
-    :param age_s: mean age of the loads, in seconds.
     """
 
     __slots__ = (
@@ -41,7 +36,6 @@
         "failures",
         "summed",
         "trials",
-        "age_s",
     )
 
     def __init__(
@@ -52,7 +46,6 @@
         failures: dict[str, aggregates.Failures],
         summed: bool = False,
         trials: samples.Records | None = None,
-        age_s: float = MEAN_RECORD_AGE_S,
     ) -> None:
         self.in_flight = in_flight
         self.pending = pending
@@ -60,7 +53,6 @@
         self.failures = failures
         self.summed = summed
         self.trials = trials or {}
-        self.age_s = age_s
 
 
 def of_records(records: typing.Sequence[digests.Digest]) -> PeerLoads:
@@ -135,7 +127,6 @@
         if last[0] == self._last[0] and last[1] <= self._last[1]:
             return
         self._last = last
-        now = self._clock.now()
         own = self._sent.get(aggregate.included.get(self._vm, -1))
         in_flight = {r: load[0] for r, load in aggregate.loads.items()}
         pending = {r: load[1] for r, load in aggregate.loads.items()}
@@ -149,7 +140,6 @@
             {aggregate.process: aggregate.failures},
             summed=True,
             trials=aggregate.trials,
-            age_s=DEFAULT_AGGREGATE_AGE_S if own is None else now - own.at,
         )
 
 
