Log what runners say of the calls that they take

Callers saw nothing yet: a runner in need names a limit in its responses, and no log line or metric shows that one did. Cause: a response's head was decoded for a few headers only. Change: the dialect passes the header's values on, one module reads them (runners/statements), and each VM keeps the latest reading by runner (runners/stated_limits). Every response of the runner's own is recorded, refusals and errors included. No call is routed otherwise than before. Ruled out: reading the header in the request path; it would be a second place for each dialect and kind of response.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -114,6 +114,13 @@
     "runner_outlier": Event(
         WARNING, "A runner fails more often than others of its service."
     ),
+    "runner_limit": Event(
+        INFO,
+        "A runner named, changed or lifted the limit of calls it takes.",
+    ),
+    "runner_statement_unreadable": Event(
+        WARNING, "A runner said something of itself that can't be read."
+    ),
     "runner_unhealthy": Event(WARNING, "A runner's circuit breaker opened."),
     "runner_healthy": Event(INFO, "A runner's circuit breaker closed."),
     "cache_events_missed": Event(
--- /dev/null
+++ b/src/apricotlever/runners/statements.py
@@ -0,0 +1,78 @@
+"""What a runner says of itself in the head of a response.
+
+A dialect finds the values in the head, and this module reads them, so that a
+value means the same whichever dialect, path or kind of response it came with.
+"""
+
+import enum
+import math
+import typing
+
+
+class Field(enum.Enum):
+    """A statement that a runner may make of itself."""
+
+    LIMIT = "limit"
+
+
+class Statement:
+    """What one response says of its runner.
+
+    :param limit_per_s: the calls a second that the runner takes from all VMs
+        together; None if the response names no readable limit.
+    :param unreadable: values that could not be read, or that contradict each
+        other, by field. A limit that is unreadable is neither named nor
+        lifted.
+    """
+
+    __slots__ = ("limit_per_s", "unreadable")
+
+    def __init__(
+        self,
+        limit_per_s: float | None = None,
+        unreadable: typing.Mapping[Field, str] | None = None,
+    ) -> None:
+        self.limit_per_s = limit_per_s
+        self.unreadable = unreadable or {}
+
+    @property
+    def names_no_limit(self) -> bool:
+        """Whether the runner says that it has no limit."""
+        return self.limit_per_s is None and Field.LIMIT not in self.unreadable
+
+
+#: The statement of a response that says nothing of its runner.
+NOTHING = Statement()
+
+
+def read_statement(limits: typing.Sequence[bytes] = ()) -> Statement:
+    """Read what the head of a response says of its runner.
+
+    Of several different limits in one head, the least counts, as the runner
+    takes no harm from it.
+
+    :param limits: the values of the header that names the limit, one for each
+        time that the head has it.
+    """
+    if not limits:
+        return NOTHING
+    numbers = [_parse_number(value) for value in limits]
+    readable = [number for number in numbers if number is not None]
+    is_clear = len(readable) == len(limits) and len(set(readable)) == 1
+    return Statement(
+        min(readable, default=None),
+        None if is_clear else {Field.LIMIT: _join(limits)},
+    )
+
+
+def _parse_number(value: bytes) -> float | None:
+    """Parse a finite number of at least 0; None for anything else."""
+    try:
+        number = float(value.decode("ascii"))
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0.0 else None
+
+
+def _join(values: typing.Sequence[bytes]) -> str:
+    return ", ".join(value.decode("latin-1") for value in values)
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -187,6 +187,7 @@
         parameters = self._runner_call_parameters(
             runner, upstreams.fetch_source(query, runner)
         )
+        limit = upstreams.statements.limits.reading(runner.runner_id)
         logs.event(
             "request_routed",
             request=self._call.request_id,
@@ -197,6 +198,8 @@
             copy_from=parameters.copy_from,
             left_s=parameters.remaining_s,
             attempt=self.sends + 1,
+            limit_per_s=limit.limit_per_s if limit else None,
+            limit_source=(limit.source or None) if limit else None,
         )
         attempt = attempts.Attempt(
             f"{self._call.request_id}.{self._relay.next_attempt_number()}",
--- a/src/apricotlever/serving/messages.py
+++ b/src/apricotlever/serving/messages.py
@@ -7,6 +7,8 @@
 
 import typing
 
+from ..runners import statements
+
 Headers = typing.Sequence[tuple[bytes, bytes]]
 
 
@@ -175,6 +177,7 @@
         seconds; None if not sent.
     :param retry_after_s: time until the call may be repeated, in seconds; None
         if not sent.
+    :param statement: what the runner says of itself.
     """
 
     __slots__ = (
@@ -187,6 +190,7 @@
         "closing",
         "keep_alive_s",
         "retry_after_s",
+        "statement",
     )
 
     def __init__(
@@ -200,6 +204,7 @@
         closing: bool = False,
         keep_alive_s: float | None = None,
         retry_after_s: float | None = None,
+        statement: statements.Statement = statements.NOTHING,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -210,3 +215,4 @@
         self.closing = closing
         self.keep_alive_s = keep_alive_s
         self.retry_after_s = retry_after_s
+        self.statement = statement
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -117,6 +117,7 @@
         "_pool",
         "_query",
         "_runner",
+        "_sent_at",
         "_sink",
         "_upstreams",
     )
@@ -142,6 +143,8 @@
         self._sink = sink
         self._pool = upstreams_.pool(runner)
         self._head: messages.RunnerResponseHead | None = None
+        #: When the call was sent, by the clock of the upstreams.
+        self._sent_at = 0.0
         #: Exception raised in the body callback, to be raised in the task.
         self._failure: Exception | None = None
 
@@ -174,7 +177,7 @@
         result = models.Outcome.CANCELLED
         outlier_failure = reusable = False
         started_at = asyncio.get_running_loop().time()
-        self._upstreams.call_started(
+        self._sent_at = self._upstreams.call_started(
             self._attempt_id, self._runner, self._query
         )
         try:
@@ -255,6 +258,7 @@
                     raw.status, raw.headers
                 )
                 self._head = head
+                self._record_statement(head)
                 if self._is_stream(head):
                     expect_more = await self._forward_first_event(
                         channel, head
@@ -283,6 +287,18 @@
         body = await _read_body(channel)
         return AttemptOutcome(AttemptStatus.ANSWERED, head, body)
 
+    def _record_statement(self, head: messages.RunnerResponseHead) -> None:
+        """Record what the runner says of itself, if it is the runner's word.
+
+        Another runner may use the address now, and an unsigned head may come
+        from something else on the way.
+        """
+        if head.other_runner or not (head.signed or head.not_run):
+            return
+        self._upstreams.statements.record_response(
+            self._runner, head.statement, self._sent_at
+        )
+
     def _is_stream(self, head: messages.RunnerResponseHead) -> bool:
         return (
             self._sink is not None
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -26,6 +26,7 @@
 from . import messages
 from . import runner_directory as directories
 from . import runner_pools
+from . import runner_statements
 from . import runners
 
 #: Output tokens reported for a response whose tokens are not counted.
@@ -62,6 +63,7 @@
         "_roll_outs",
         "_router",
         "_silence",
+        "_statements",
         "_trials",
         "_meters",
     )
@@ -93,6 +95,7 @@
         self._configuration: configuration_model.Configuration | None = None
         self._own_in_flight: dict[str, int] = {}
         self._silence = silence_detector.SilenceDetector(clock)
+        self._statements = runner_statements.RunnerStatements(clock)
         self._peer_in_flight: dict[str, int] = {}
         self._meters: dict[str, prefill_load.PrefillMeter] = {}
         #: Attempts without a response yet, by name: meter, query, prompt
@@ -111,6 +114,11 @@
         """Detects crashes of runners and the calls that may cause them."""
         return self._crashes
 
+    @property
+    def statements(self) -> runner_statements.RunnerStatements:
+        """What the runners say of themselves."""
+        return self._statements
+
     @property
     def in_flight(self) -> dict[str, int]:
         """This VM's calls in progress by runner, without zeros."""
@@ -184,6 +192,7 @@
         present = {runner.runner_id for runner in listed}
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
+        self._statements.limits.keep_only(present)
         self._pools.retain_runners(listed)
 
     def set_fleet_size(self, count: int) -> None:
@@ -311,11 +320,13 @@
 
     def call_started(
         self, attempt: str, runner: runners.Runner, query: models.Query
-    ) -> None:
+    ) -> float:
         """Record that a call is sent to a runner.
 
         :param attempt: name of the attempt, unique on this VM.
+        :returns: the time, by this VM's clock.
         """
+        now = self._clock.now()
         name = runner.runner_id
         self._own_in_flight[name] = self._own_in_flight.get(name, 0) + 1
         self._silence.call_sent(name)
@@ -328,8 +339,8 @@
             meter.record_sent(tokens)
             if self._on_prompt_sent is not None:
                 self._on_prompt_sent()
-            now = self._clock.now()
             self._prefills[attempt] = (meter, query, tokens, now)
+        return now
 
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
--- a/standins/plain_dialect.py
+++ b/standins/plain_dialect.py
@@ -1,5 +1,6 @@
 """A minimal dialect for tests of the request path."""
 
+from apricotlever.runners import statements
 from apricotlever.serving import connection_pool
 from apricotlever.serving import messages
 
@@ -64,7 +65,8 @@
 class PlainRunnerDialect:
     """Runner dialect with the headers Call-Id, Left-S and After.
 
-    A runner marks its own answers with the header Signed.
+    A runner marks its own answers with the header Signed, and names the calls
+    a second that it takes from all VMs in the header Limit-Per-S.
     """
 
     def encode_request(self, call, parameters):
@@ -97,4 +99,11 @@
             keep_alive_s=connection_pool.parse_keep_alive_s(
                 by_name.get(b"keep-alive", b"")
             ),
+            statement=statements.read_statement(
+                [
+                    value
+                    for name, value in headers
+                    if name.lower() == b"limit-per-s"
+                ]
+            ),
         )
--- /dev/null
+++ b/tests/runners/statements.feature
@@ -0,0 +1,69 @@
+Feature: What a runner says of itself
+
+  Scenario Outline: A limit is read
+    When a head names the limit <values>
+    Then the limit is <limit> and the values are <clear>
+
+    Examples:
+      | values      | limit | clear      |
+      | 1.5         | 1.5   | readable   |
+      | 0           | 0     | readable   |
+      | 1e9         | 1e9   | readable   |
+      | 2 and 2     | 2     | readable   |
+      | 3 and 2     | 2     | unreadable |
+      | 3 and many  | 3     | unreadable |
+      | many        | none  | unreadable |
+      | -1          | none  | unreadable |
+      | nan         | none  | unreadable |
+      | inf         | none  | unreadable |
+      | a date      | none  | unreadable |
+      | no text     | none  | unreadable |
+
+  Scenario: A head without a limit says that there is none
+    Then a head without a limit says so, and one with an unreadable limit not
+
+  Scenario: A limit is named, changed and lifted
+    Given a VM that knows a runner
+    When the runner names 2 calls a second
+    Then the limit is named
+    When the runner names 2 calls a second
+    Then the limit stays
+    When the runner names 1 calls a second
+    Then the limit is changed
+    When a response names no limit to a call sent since
+    Then the limit is lifted
+
+  # Guards against a limit that is lifted by a response that crossed it.
+  Scenario: A response to an earlier call doesn't lift a limit
+    Given a VM that knows a runner
+    When the runner names 2 calls a second
+    And a response names no limit to a call sent before
+    Then the limit stays
+
+  Scenario Outline: The latest reading counts, whoever read it
+    Given a VM that knows a runner
+    When the runner names 2 calls a second
+    And another VM passes on <reading>, read <age> seconds ago, 1 second later
+    Then the limit <outcome>
+
+    Examples:
+      | reading | age | outcome    |
+      | 1       | 0.5 | is changed |
+      | 1       | 1.5 | stays      |
+      | none    | 0.5 | is lifted  |
+      | none    | 1.5 | stays      |
+
+  # Guards against a limit that comes back because news of it arrives late.
+  Scenario: Old news doesn't name a lifted limit again
+    Given a VM that knows a runner
+    When the runner names 2 calls a second
+    And a response names no limit to a call sent since
+    And another VM passes on 2, read 3 seconds ago, 1 second later
+    Then the limit stays
+
+  Scenario: A limit ends with its runner
+    Given a VM that knows a runner
+    When the runner names 2 calls a second
+    And the runner is gone
+    Then no limit is known
+    And another VM's reading of it is ignored
--- a/tests/steps/adapter.py
+++ b/tests/steps/adapter.py
@@ -38,7 +38,8 @@
 PLATFORM_NAMES = re.compile(
     r"Server-Signature|Prefix-Hash|Token-Usage|Deadline-Ms|Kv-(From|Hold|"
     r"Fetch|Backup)|Fencing-Token|Duty-Holder|Expect-Instance|Not-Executed|"
-    r"APRICOTLEVER_SETTINGS|traffic_split|/-/(resolve|readyz|objects|kv-)|"
+    r"APRICOTLEVER_SETTINGS|Server-Limit|traffic_split|"
+    r"/-/(resolve|readyz|objects|kv-)|"
     r"\b(kv_capacity_tokens|window_id|desired_count|as_of|has_more|"
     r"target_latency_ms|usage_report|autoscale)\b"
 )
--- /dev/null
+++ b/tests/steps/runners_statements.py
@@ -0,0 +1,100 @@
+"""Steps for tests/runners/statements.feature."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from apricotlever import clock as clocks
+from apricotlever.runners import stated_limits
+from apricotlever.runners import statements
+
+RUNNER = "runner-1"
+TEXTS = {
+    "a date": b"Thu, 03 Dec 2026 10:00:00 GMT",
+    "no text": b"",
+}
+
+
+def _number(text):
+    return None if text == "none" else float(text)
+
+
+@when("a head names the limit {values}")
+def _read_limit(context, values):
+    context.statement = statements.read_statement(
+        [TEXTS.get(each, each.encode()) for each in values.split(" and ")]
+    )
+
+
+@then("the limit is {limit} and the values are {clear}")
+def _check_limit(context, limit, clear):
+    statement = context.statement
+    assert statement.limit_per_s == _number(limit), statement.limit_per_s
+    is_unreadable = statements.Field.LIMIT in statement.unreadable
+    assert is_unreadable == (clear == "unreadable"), statement.unreadable
+
+
+@then("a head without a limit says so, and one with an unreadable limit not")
+def _check_unnamed(context):
+    assert statements.read_statement().names_no_limit
+    assert not statements.read_statement([b"many"]).names_no_limit
+    assert not statements.read_statement([b"2"]).names_no_limit
+
+
+@given("a VM that knows a runner")
+def _add_runner(context):
+    context.clock = clocks.ManualClock()
+    context.limits = stated_limits.StatedLimits(context.clock)
+    context.limits.keep_only([RUNNER])
+
+
+@when("the runner names {limit:g} calls a second")
+def _name(context, limit):
+    context.clock.advance(0.1)
+    context.change = context.limits.record_named(RUNNER, limit)
+
+
+@when("a response names no limit to a call sent since")
+def _lift(context):
+    sent_at = context.clock.advance(0.1)
+    context.clock.advance(0.1)
+    context.change = context.limits.record_unnamed(RUNNER, sent_at)
+
+
+@when("a response names no limit to a call sent before")
+def _cross(context):
+    sent_at = context.clock.now() - 0.05
+    context.clock.advance(0.1)
+    context.change = context.limits.record_unnamed(RUNNER, sent_at)
+
+
+@when("another VM passes on {limit}, read {age:g} seconds ago, 1 second later")
+def _merge(context, limit, age):
+    context.clock.advance(1.0)
+    context.change = context.limits.merge(RUNNER, _number(limit), age, "vm-2")
+
+
+@when("the runner is gone")
+def _remove(context):
+    context.limits.keep_only([])
+
+
+@then("the limit is {change}")
+def _check_change(context, change):
+    assert context.change is stated_limits.Change(change), context.change
+
+
+@then("the limit stays")
+def _check_unchanged(context):
+    assert context.change is None, context.change
+
+
+@then("no limit is known")
+def _check_none(context):
+    assert not context.limits.in_force and not context.limits.readings
+
+
+@then("another VM's reading of it is ignored")
+def _check_ignored(context):
+    assert context.limits.merge(RUNNER, 1.0, 0.0, "vm-2") is None
+    assert not context.limits.in_force
