--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -147,6 +147,18 @@
         await self.send(**more)
         return await self.receive()
 
+    async def call_alone(self, call_id):
+        """Send a call on a connection of its own and read its response."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(
+            f"POST /s/x HTTP/1.1\r\nHost: {HOST}\r\nCall-Id: {call_id}\r\n"
+            f"Key: {KEY}\r\nContent-Length: 5\r\n\r\nhello".encode()
+        )
+        try:
+            return await self._read_reply(reader)
+        finally:
+            writer.close()
+
     async def _read_reply(self, reader):
         head = await reader.readuntil(b"\r\n\r\n")
         lines = head.decode().split("\r\n")
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -34,6 +34,7 @@
         f"Call-Id: {call['call-id']}",
         "Signed: yes",
         "Keep-Alive: timeout=30",
+        *call["statements"],
         *extra_headers,
         "",
         "",
@@ -210,6 +211,10 @@
         self.behaviour_names = list(behaviour_names)
         self.executed_call_ids = []
         self.received_calls = []
+        #: Headers by which the runner says something of itself.
+        self.statements = []
+        #: When each call arrived, on the event loop's clock.
+        self.arrived_at = []
         self.disconnects = 0
         self.connections = 0
         self.port = 0
@@ -229,7 +234,9 @@
         try:
             while True:
                 call = await self._read_call(reader)
+                self.arrived_at.append(asyncio.get_running_loop().time())
                 self.executed_call_ids.append(call["call-id"])
+                call["statements"] = list(self.statements)
                 self.received_calls.append(call)
                 name = self.behaviour_names[0]
                 if len(self.behaviour_names) > 1:
