Keep the limits that runners name, by one count for all VMs

Callers saw late answers from runners that were sent more than they take. Cause: a limit that a runner names was read nowhere, and the class of fault is a bound of the whole fleet that no one in the fleet counts. Change: for each limited runner one VM, found by rendezvous hashing, is asked before each send (runners/limit_keeper). First sends, repeats and resumed streams all go through call_placement, so none is left out. Readings are passed on to four VMs at once and to two others each 0.3 s; the latest one counts. Ruled out: a part for each VM (a limit of 2 a second is 0.03 calls a second for each of 70), and a field in the status records, which would make every record of a fleet of two builds unreadable to the other half.

--- a/src/apricotlever/contracts/fleet_rate_limit.py
+++ b/src/apricotlever/contracts/fleet_rate_limit.py
@@ -65,10 +65,17 @@
     an idle VM.
     """
 
-    __slots__ = ("_clock", "last_contact", "members", "_silence_timeout_s")
+    __slots__ = (
+        "_clock",
+        "_started_at",
+        "last_contact",
+        "members",
+        "_silence_timeout_s",
+    )
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
+        self._started_at = clock.now()
         self.members: frozenset[str] = frozenset()
         #: The monotonic time in seconds of the last contact, by member.
         self.last_contact: dict[str, float] = {}
@@ -81,6 +88,21 @@
         record_contact = map(self.last_contact.get, self.members)
         return sum(at is None or at < oldest for at in record_contact)
 
+    def heard_share(self, silent: int) -> float:
+        """The part of the fleet that is not silent, this VM included.
+
+        Before its first contact, a VM assumes a fleet of
+        :data:`ASSUMED_FLEET_SIZE` for :data:`DISCOVERY_S`.
+
+        :param silent: the last :attr:`silent_count`.
+        """
+        fleet_size = len(self.members) + 1
+        share = (fleet_size - silent) / fleet_size
+        age_s = self._clock.now() - self._started_at
+        if not self.last_contact and age_s < DISCOVERY_S:
+            return min(share, 1.0 / ASSUMED_FLEET_SIZE)
+        return share
+
     def set_members(
         self, members: typing.Iterable[str], record_interval_s: float = 0.0
     ) -> None:
--- a/src/apricotlever/contracts/limit_keepers.py
+++ b/src/apricotlever/contracts/limit_keepers.py
@@ -49,11 +49,17 @@
         #: The keeper found for each customer.
         self._keeper_cache: dict[str, str] = {}
 
-    def set_other_vms(self, others: typing.Iterable[str]) -> None:
-        """Set which other VMs may be keepers.
+    def set_other_vms(
+        self, others: typing.Iterable[str], eligible: bool = True
+    ) -> None:
+        """Set which VMs may be keepers.
 
         A VM that failed to answer is eligible again from the first call of
         this method after :data:`UNAVAILABLE_S`.
+
+        :param others: the other VMs.
+        :param eligible: whether this VM may be a keeper, too; the others don't
+            consider one that leaves.
         """
         now = self._clock.now()
         available_again = [
@@ -61,7 +67,7 @@
         ]
         for vm in available_again:
             del self._unavailable_until[vm]
-        vms = frozenset(others) | {self._vm}
+        vms = frozenset(others) | ({self._vm} if eligible else set())
         if available_again or vms != self._vms:
             self._vms = vms
             self._keeper_cache.clear()
@@ -78,6 +84,14 @@
             self._keeper_cache[customer] = found
         return found
 
+    def is_first(self, key: str) -> bool:
+        """Whether this VM is the keeper for a key by its own view.
+
+        VMs that did not answer this one count as well, as they may answer
+        the others.
+        """
+        return rendezvous.pick(key, self._vms) == self._vm
+
     def record_timeout(self, vm: str) -> None:
         """Note that a keeper did not answer.
 
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -118,6 +118,9 @@
         INFO,
         "A runner named, changed or lifted the limit of calls it takes.",
     ),
+    "runner_passed_over": Event(
+        INFO, "A runner that a request would have gone to had no room for it."
+    ),
     "runner_statement_unreadable": Event(
         WARNING, "A runner said something of itself that can't be read."
     ),
--- a/src/apricotlever/runners/stated_limits.py
+++ b/src/apricotlever/runners/stated_limits.py
@@ -85,6 +85,11 @@
             return None
         return reading
 
+    def age_s(self, runner: str) -> float | None:
+        """Seconds since the latest reading of a runner; None without one."""
+        reading = self._readings.get(runner)
+        return None if reading is None else self._clock.now() - reading.read_at
+
     def keep_only(self, runners: typing.Iterable[str]) -> None:
         """Set the known runners, and forget the limits of all others."""
         self._runners = frozenset(runners)
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -6,6 +6,7 @@
 from .. import logs
 from ..runners import engine_priority
 
+from . import call_placement
 from . import client_channel
 from . import configuration_model
 from . import crash_watch
@@ -70,6 +71,7 @@
         "_customer",
         "_deadline",
         "_loop",
+        "_placement",
         "_relay",
         "_reply",
         "_route",
@@ -103,6 +105,9 @@
         self._service = service
         self._reply = reply
         self._loop = asyncio.get_running_loop()
+        self._placement = call_placement.CallPlacement(
+            relay_.upstreams, call, route, service
+        )
         wait_s = route.timeout_s
         if call.caller_timeout_s is not None:
             wait_s = min(wait_s, call.caller_timeout_s)
@@ -173,21 +178,14 @@
     async def _run_attempt(self) -> attempts.AttemptOutcome:
         upstreams = self._relay.upstreams
         self._check_crash_blocklist(upstreams.crashes)
-        query = upstreams.query(
-            self._call,
-            self._route,
-            self._service,
-            frozenset(self._tried_runners),
-        )
-        runner = upstreams.choose(query)
-        if runner is None:
-            raise self._not_served("no_runner")
+        placement = await self._place()
+        runner, query = placement.runner, placement.query
         self.runner_id = runner.runner_id
         self._tried_runners.add(runner.runner_id)
         parameters = self._runner_call_parameters(
             runner, upstreams.fetch_source(query, runner)
         )
-        limit = upstreams.statements.limits.reading(runner.runner_id)
+        limit = upstreams.runner_limits.stated.reading(runner.runner_id)
         logs.event(
             "request_routed",
             request=self._call.request_id,
@@ -215,10 +213,29 @@
                 else None
             ),
         )
-        connected = await attempt.connect(self._deadline - self._loop.time())
-        if not isinstance(connected, client_channel.Channel):
-            return connected
-        return await self._send(attempt, connected, runner)
+        sends_before = self.sends
+        try:
+            connected = await attempt.connect(
+                self._deadline - self._loop.time()
+            )
+            if not isinstance(connected, client_channel.Channel):
+                return connected
+            return await self._send(attempt, connected, runner)
+        finally:
+            if self.sends == sends_before:
+                self._placement.refund(placement)
+
+    async def _place(self) -> call_placement.Placement:
+        try:
+            return await self._placement.place(
+                frozenset(self._tried_runners),
+                self._deadline - self._loop.time(),
+            )
+        except call_placement.NoPlace as error:
+            refusal = self._not_served(error.reason)
+            if refusal.retry_after_s is not None and error.retry_after_s:
+                refusal.retry_after_s = error.retry_after_s
+            raise refusal from error
 
     async def _send(
         self,
--- a/src/apricotlever/serving/customer_limits.py
+++ b/src/apricotlever/serving/customer_limits.py
@@ -63,6 +63,7 @@
         "_liveness",
         "_process",
         "_rates",
+        "_silent_count",
         "_slack",
         "_initial_levels",
     )
@@ -84,6 +85,8 @@
         self._slack = slack
         self._overshoot = overshoot
         self._liveness = fleet_rate_limit.MemberLiveness(clock)
+        #: How many processes were silent when the members were last set.
+        self._silent_count = 0
         #: The latest totals of each other VM's process, by customer.
         self._last_totals: dict[str, typing.Mapping[str, float]] = {}
         self._rates: dict[str, fleet_rate_limit.FleetRateLimit] = {}
@@ -119,6 +122,15 @@
             name: rate.usable_fraction for name, rate in self._rates.items()
         }
 
+    @property
+    def heard_share(self) -> float:
+        """The part of the fleet's processes that this VM hears from.
+
+        A process that has just started hears from none and assumes a fleet
+        (see :data:`.fleet_rate_limit.ASSUMED_FLEET_SIZE`).
+        """
+        return self._liveness.heard_share(self._silent_count)
+
     def initialize_levels(self, levels: typing.Mapping[str, float]) -> None:
         """Set the levels of limits whose level this VM does not know yet.
 
@@ -175,7 +187,7 @@
         self._liveness.set_members(processes, between_s)
         for process in gone:
             self._last_totals.pop(process, None)
-        silent = self._liveness.silent_count
+        self._silent_count = silent = self._liveness.silent_count
         for rate in self._rates.values():
             rate.tick(silent)
             for process in gone:
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -219,6 +219,18 @@
             and not peer.leaving
         }
 
+    @property
+    def limit_addresses(self) -> dict[str, tuple[str, int]]:
+        """Addresses for messages about limits of all live VMs, by name.
+
+        They include VMs that are leaving, which still send calls.
+        """
+        return {
+            peer.vm: address
+            for peer in self.alive
+            if (address := peer.limits_address) is not None
+        }
+
     @property
     def must_follow_store(self) -> bool:
         """Whether this VM has to be a follower.
--- a/src/apricotlever/serving/limit_protocol.py
+++ b/src/apricotlever/serving/limit_protocol.py
@@ -53,15 +53,10 @@
     validation.is_non_empty_string,
     validation.is_non_negative_number,
 )
-_VALIDATORS = {
-    ASK: _IS_ASK,
-    ANSWER: _IS_ANSWER,
-    REFUND: _IS_REFUND,
-    LOCAL_TOTAL: _IS_LOCAL_TOTAL,
-}
-
 #: IP address and UDP port.
 Address = tuple[str, int]
+#: Processes a valid message, given with its sender's address.
+Handler = typing.Callable[[list[typing.Any], Address], None]
 
 
 class Keeper(typing.Protocol):
@@ -116,6 +111,7 @@
     """
 
     __slots__ = (
+        "_handlers",
         "_is_peer",
         "_keeper",
         "_numbers",
@@ -144,6 +140,13 @@
         #: in time.
         self.request_count = 0
         self.timeout_count = 0
+        #: The check and the handler of each kind of message.
+        self._handlers: dict[int, tuple[validation.Predicate, Handler]] = {
+            ASK: (_IS_ASK, self._receive_request),
+            ANSWER: (_IS_ANSWER, self._receive_answer),
+            REFUND: (_IS_REFUND, self._receive_refund),
+            LOCAL_TOTAL: (_IS_LOCAL_TOTAL, self._receive_local_total),
+        }
 
     @property
     def port(self) -> int:
@@ -152,6 +155,16 @@
             return 0
         return int(self._transport.get_extra_info("sockname")[1])
 
+    def add_handler(
+        self, kind: int, is_valid: validation.Predicate, handler: Handler
+    ) -> None:
+        """Process a further kind of message that arrives at the socket.
+
+        :param kind: the first field of these messages.
+        :param is_valid: checks a message; others are refused.
+        """
+        self._handlers[kind] = (is_valid, handler)
+
     async def listen(self, host: str, port: int) -> None:
         """Open the socket for requests and answers."""
         loop = asyncio.get_running_loop()
@@ -183,7 +196,7 @@
         )
         self._pending[number] = request
         self.request_count += 1
-        self._send([ASK, number, customer, units], address)
+        self.send([ASK, number, customer, units], address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 wait_s = await request.answer
@@ -200,7 +213,7 @@
 
         :param units: the units of the call.
         """
-        self._send([REFUND, customer, units], address)
+        self.send([REFUND, customer, units], address)
 
     def send_local_total(
         self, address: Address, process: str, customer: str, total: float
@@ -214,7 +227,12 @@
         :param total: units that this process has admitted for the customer
             since it started.
         """
-        self._send([LOCAL_TOTAL, process, customer, total], address)
+        self.send([LOCAL_TOTAL, process, customer, total], address)
+
+    def send(self, message: list[typing.Any], address: Address) -> None:
+        """Send a message, if the socket is open."""
+        if self._transport is not None:
+            self._transport.sendto(msgpack.packb(message), address)
 
     # Methods of asyncio.DatagramProtocol.
 
@@ -233,23 +251,33 @@
             self._log_refusal(addr[0], type(error).__name__)
             return
         kind = message[0] if isinstance(message, list) and message else None
-        is_valid = _VALIDATORS.get(kind) if isinstance(kind, int) else None
-        if is_valid is None or not is_valid(message):
+        known = self._handlers.get(kind) if isinstance(kind, int) else None
+        if known is None or not known[0](message):
             self._log_refusal(addr[0], "no_such_message")
-        elif kind == ASK:
-            _, number, customer, units = message
-            wait_s = self._keeper.admit_for_peer(customer, units)
-            self._send([ANSWER, number, wait_s], addr)
-        elif kind == ANSWER:
-            self._receive_answer(message[1], message[2], addr)
-        elif kind == REFUND:
-            self._keeper.refund_units(message[1], message[2])
         else:
-            self._keeper.receive_early_total(*message[1:])
+            known[1](message, addr)
+
+    def _receive_request(
+        self, message: list[typing.Any], address: Address
+    ) -> None:
+        _, number, customer, units = message
+        wait_s = self._keeper.admit_for_peer(customer, units)
+        self.send([ANSWER, number, wait_s], address)
+
+    def _receive_refund(
+        self, message: list[typing.Any], address: Address
+    ) -> None:
+        self._keeper.refund_units(message[1], message[2])
+
+    def _receive_local_total(
+        self, message: list[typing.Any], address: Address
+    ) -> None:
+        self._keeper.receive_early_total(*message[1:])
 
     def _receive_answer(
-        self, number: int, wait_s: float | None, address: Address
+        self, message: list[typing.Any], address: Address
     ) -> None:
+        _, number, wait_s = message
         request = self._pending.get(number)
         if request is None:
             return
@@ -270,10 +298,6 @@
                 return
             del self._pending[number]
 
-    def _send(self, message: list[typing.Any], address: Address) -> None:
-        if self._transport is not None:
-            self._transport.sendto(msgpack.packb(message), address)
-
     def _log_refusal(self, host: str, reason: str) -> None:
         if self._refusals.allows(host):
             logs.event("peer_refused", peer=host, reason=reason)
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -37,7 +37,9 @@
             ("runner_failures_total", "runner"): {
                 runner: failed for runner, (failed, _) in calls.items()
             },
-            ("runner_limit", "runner"): upstreams.statements.limits.in_force,
+            ("runner_limit", "runner"): (
+                upstreams.runner_limits.stated.in_force
+            ),
             ("retries_left", "service"): {
                 service: relay_.budget.remaining(service)
                 for service in services
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -38,6 +38,7 @@
 from . import roll_out_orders
 from . import runner_directory as directories
 from . import runner_duty
+from . import runner_limits
 from . import runners
 from . import servers
 from . import settings
@@ -453,6 +454,7 @@
             "cloud_calls_total": self._duties.cloud_calls,
             "limit_asks_total": self._limit_calls.request_count,
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
+            **self._upstreams.runner_limits.counters,
         }
         return metrics.format_metrics(
             self._relay,
@@ -480,6 +482,11 @@
                 config.limits.host, config.limits.port
             )
             self._limits.enable_keepers(self._limit_calls)
+            limits = self._upstreams.runner_limits
+            limits.enable_protocol(self._limit_calls)
+            self._tasks.repeat(
+                runner_limits.EXCHANGE_INTERVAL_S, limits.exchange
+            )
 
     def _check_informed(self) -> None:
         if self._configuration is not None and self._directory.runners:
@@ -559,7 +566,15 @@
         self._limits.set_members(
             processes, self._fleet.mean_message_interval_s
         )
-        self._limits.set_keepers(self._fleet.limit_keepers)
+        keepers = self._fleet.limit_keepers
+        self._limits.set_keepers(keepers)
+        self._upstreams.runner_limits.set_fleet(
+            keepers,
+            self._fleet.limit_addresses,
+            self.ready,
+            self._limits.heard_share,
+            len(members) + 1,
+        )
         self._work.merge_counters(
             self._process, self._upstreams.prefill_meters
         )
--- /dev/null
+++ b/src/apricotlever/serving/runner_limits.py
@@ -0,0 +1,389 @@
+"""Keeps the limits that runners name, together with the other VMs.
+
+A runner in need names how many calls a second it takes from all VMs together.
+One VM, the keeper of the runner's limit, is asked before each call to the
+runner (:mod:`..runners.limit_keeper`). What a VM learns of a limit it passes
+on to some others at once, and to a few more several times a second, until all
+know it.
+"""
+
+import asyncio
+import random
+import typing
+
+from .. import clock as clocks
+from .. import logs
+from ..contracts import limit_keepers
+from ..contracts import retry_after
+from ..runners import full_runners
+from ..runners import limit_keeper
+from ..runners import stated_limits
+from ..runners import statements
+
+from . import limit_protocol
+from . import runner_limit_protocol as protocols
+
+#: Seconds between two messages with all readings to a few other VMs.
+EXCHANGE_INTERVAL_S = 0.3
+#: Number of VMs that get these messages.
+EXCHANGE_FANOUT = 2
+#: Number of VMs to which a change is passed on at once. Each of them does the
+#: same, so a change reaches thousands of VMs in a few steps.
+CHANGE_FANOUT = 4
+#: Seconds for which changes are collected before they are passed on.
+CHANGE_BATCH_S = 0.01
+#: Seconds after which a VM asks again if no keeper has answered.
+UNANSWERED_RETRY_S = 0.2
+#: Upper limit of ``Retry-After`` for a call that finds no room, in seconds.
+MAX_RETRY_AFTER_S = 10.0
+
+
+class Permit:
+    """Permission to send one call to a limited runner.
+
+    :param runner: the runner's ID.
+    :param wait_s: seconds to wait before the call is sent.
+    :param keeper: the VM that counts the call; "" for this VM.
+    """
+
+    __slots__ = ("runner", "wait_s", "keeper")
+
+    def __init__(self, runner: str, wait_s: float, keeper: str) -> None:
+        self.runner = runner
+        self.wait_s = wait_s
+        self.keeper = keeper
+
+
+class RunnerLimits:
+    """This VM's part in the limits of all runners.
+
+    :param clock: the source of time.
+    :param rng: selects the VMs to which readings are passed on.
+    :param vm: this VM's name.
+    """
+
+    __slots__ = (
+        "_addresses",
+        "_changed",
+        "_clock",
+        "_full",
+        "_keeper",
+        "_keepers",
+        "_protocol",
+        "_refusal_times",
+        "_rng",
+        "_stated",
+        "_vm",
+        "ask_count",
+        "refused_count",
+        "unanswered_count",
+    )
+
+    def __init__(
+        self, clock: clocks.Clock, rng: random.Random, vm: str
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._vm = vm
+        self._stated = stated_limits.StatedLimits(clock)
+        self._full = full_runners.FullRunners(clock)
+        self._keeper = limit_keeper.LimitKeeper(clock)
+        self._keepers = limit_keepers.LimitKeepers(clock, vm)
+        self._refusal_times = retry_after.RetryAfterScheduler(clock, rng)
+        self._protocol: protocols.RunnerLimitProtocol | None = None
+        #: Addresses of the other VMs, by name.
+        self._addresses: dict[str, limit_protocol.Address] = {}
+        #: Runners whose changed limits are about to be passed on.
+        self._changed: set[str] = set()
+        #: How many calls were asked about, how many of them a keeper refused,
+        #: and how often no keeper answered.
+        self.ask_count = 0
+        self.refused_count = 0
+        self.unanswered_count = 0
+
+    @property
+    def stated(self) -> stated_limits.StatedLimits:
+        """The limits as this VM knows them."""
+        return self._stated
+
+    @property
+    def full_runners(self) -> frozenset[str]:
+        """Runners that had no room for a call of this VM a moment ago."""
+        return self._full.names
+
+    @property
+    def counters(self) -> dict[str, int]:
+        """Counts of the questions to keepers, for metrics, by name."""
+        return {
+            "runner_limit_asks_total": self.ask_count,
+            "runner_limit_refusals_total": self.refused_count,
+            "runner_limit_asks_unanswered_total": self.unanswered_count,
+        }
+
+    def enable_protocol(self, transport: limit_protocol.LimitProtocol) -> None:
+        """From now on, exchange messages with the other VMs.
+
+        :param transport: the socket for them.
+        """
+        self._protocol = protocols.RunnerLimitProtocol(transport, self)
+
+    def set_fleet(
+        self,
+        keepers: typing.Iterable[str],
+        addresses: typing.Mapping[str, limit_protocol.Address],
+        eligible: bool,
+        heard_share: float,
+        fleet_size: int,
+    ) -> None:
+        """Set which VMs there are; the caller does so several times a second.
+
+        :param keepers: the other VMs that may be keepers.
+        :param addresses: addresses of all other VMs that are alive, by name.
+        :param eligible: whether this VM may be a keeper.
+        :param heard_share: part of the fleet that this VM hears from.
+        :param fleet_size: number of VMs, this one and silent ones included.
+        """
+        self._addresses = dict(addresses)
+        if self._protocol is None:
+            # Without messages, each VM keeps a part of its own.
+            self._keeper.set_share(1.0 / fleet_size)
+            return
+        self._keepers.set_other_vms(keepers, eligible)
+        self._keeper.set_share(heard_share)
+
+    def keep_only(self, runners: typing.Iterable[str]) -> None:
+        """Set the known runners, and forget all others."""
+        self._stated.keep_only(runners)
+        self._forget_lifted()
+
+    def record_statement(
+        self, runner: str, statement: statements.Statement, sent_at: float
+    ) -> None:
+        """Record what a response to this VM says of its runner's limit.
+
+        :param sent_at: when the call was sent, by this VM's clock.
+        """
+        before = self._stated.reading(runner)
+        if statement.limit_per_s is not None:
+            change = self._stated.record_named(runner, statement.limit_per_s)
+        elif statement.names_no_limit:
+            change = self._stated.record_unnamed(runner, sent_at)
+        else:
+            change = None
+        self._handle_change(runner, change, before)
+
+    async def admit(
+        self, runner: str, patience_s: float = 0.0
+    ) -> Permit | None:
+        """Ask for room for a call at a runner.
+
+        :param runner: the runner's ID.
+        :param patience_s: how long the call can wait for its turn.
+        :returns: the permit; None if there is no room. A runner without a
+            limit has room for every call.
+        """
+        reading = self._stated.reading(runner)
+        if reading is None:
+            return Permit(runner, 0.0, "")
+        self.ask_count += 1
+        admission, keeper = await self._ask(runner, reading, patience_s)
+        if admission.admitted:
+            return Permit(runner, admission.wait_s, keeper)
+        self.refused_count += 1
+        self._full.record(runner, admission.wait_s, admission.ask_again_s)
+        return None
+
+    def refund(self, permit: Permit) -> None:
+        """Give back a permit whose call was not sent."""
+        if not permit.keeper:
+            self._keeper.refund(permit.runner)
+            return
+        address = self._addresses.get(permit.keeper)
+        if address is not None and self._protocol is not None:
+            self._protocol.send_refund(address, permit.runner)
+
+    def room_in_s(self, runner: str) -> float:
+        """Seconds until a runner may have room for a call of this VM."""
+        return self._full.room_in_s(runner)
+
+    def soonest_room(
+        self, runners: typing.Iterable[str]
+    ) -> tuple[str, float] | None:
+        """The limited runner that may have room first.
+
+        :param runners: the runners to select from.
+        :returns: the runner and the seconds until then; None if none of the
+            runners has a limit.
+        """
+        waits = {
+            runner: self._full.room_in_s(runner)
+            for runner in runners
+            if self._stated.reading(runner) is not None
+        }
+        if not waits:
+            return None
+        runner = min(waits, key=lambda each: waits[each])
+        return runner, waits[runner]
+
+    def retry_after_s(
+        self, service: str, runners: typing.Iterable[str], room_in_s: float
+    ) -> float:
+        """When a caller should return that found no room, in seconds.
+
+        Callers of one service are told different times, at the pace at which
+        its runners take calls, so that they don't all return at once.
+
+        :param runners: the limited runners of the service.
+        :param room_in_s: seconds until the first of them may have room.
+        """
+        in_force = self._stated.in_force
+        per_s = sum(in_force.get(runner, 0.0) for runner in runners)
+        interval_s = 1.0 / max(per_s, limit_keeper.MIN_LIMIT_PER_S)
+        return min(
+            MAX_RETRY_AFTER_S,
+            self._refusal_times.schedule(service, room_in_s, interval_s),
+        )
+
+    async def exchange(self) -> None:
+        """Pass on all readings to a few other VMs.
+
+        This reaches VMs that have missed a change. The caller does so once in
+        :data:`EXCHANGE_INTERVAL_S`.
+        """
+        self._refusal_times.tick()
+        readings = [
+            self._reading_record(runner) for runner in self._stated.readings
+        ]
+        if readings and self._protocol is not None:
+            self._rng.shuffle(readings)
+            self._protocol.send_readings(
+                self._some_addresses(EXCHANGE_FANOUT), readings
+            )
+
+    # Methods of runner_limit_protocol.Vm.
+
+    def admit_for_peer(
+        self,
+        reading: protocols.ReadingRecord,
+        patience_s: float,
+        source: str,
+    ) -> tuple[limit_keeper.Admission, protocols.ReadingRecord]:
+        """Decide on another VM's call, as the keeper of a runner's limit."""
+        runner, limit_per_s, _ = reading
+        self.merge_readings([reading], source)
+        own = self._stated.readings.get(runner)
+        if own is not None:
+            limit_per_s = own.limit_per_s
+            reading = self._reading_record(runner)
+        if limit_per_s is None:
+            return limit_keeper.Admission(True, 0.0), reading
+        admission = self._keeper.admit(
+            runner,
+            limit_per_s,
+            patience_s,
+            is_deputy=not self._keepers.is_first(runner),
+        )
+        return admission, reading
+
+    def refund_for_peer(self, runner: str) -> None:
+        """Give back the room of an admitted call that was not sent."""
+        self._keeper.refund(runner)
+
+    def merge_readings(
+        self,
+        readings: typing.Iterable[protocols.ReadingRecord],
+        source: str,
+    ) -> None:
+        """Merge another VM's readings of limits."""
+        for runner, limit_per_s, age_s in readings:
+            before = self._stated.reading(runner)
+            change = self._stated.merge(runner, limit_per_s, age_s, source)
+            self._handle_change(runner, change, before)
+
+    async def _ask(
+        self,
+        runner: str,
+        reading: stated_limits.Reading,
+        patience_s: float,
+    ) -> tuple[limit_keeper.Admission, str]:
+        """Ask the keeper, or else the VM that takes its place.
+
+        :returns: the decision, and the VM that made it; "" for this VM.
+        """
+        assert reading.limit_per_s is not None
+        for _ in range(2):
+            keeper = self._keepers.keeper(runner)
+            address = self._addresses.get(keeper)
+            if self._protocol is None or keeper == self._vm:
+                admission = self._keeper.admit(
+                    runner,
+                    reading.limit_per_s,
+                    patience_s,
+                    is_deputy=not self._keepers.is_first(runner),
+                )
+                return admission, ""
+            if address is None:
+                break
+            try:
+                admission = await self._protocol.ask(
+                    address, self._reading_record(runner), patience_s
+                )
+            except TimeoutError:
+                self.unanswered_count += 1
+                self._keepers.record_timeout(keeper)
+                continue
+            return admission, keeper
+        wait_s = UNANSWERED_RETRY_S
+        return limit_keeper.Admission(False, wait_s, wait_s), ""
+
+    def _reading_record(self, runner: str) -> protocols.ReadingRecord:
+        reading = self._stated.readings.get(runner)
+        if reading is None:
+            return runner, None, stated_limits.LIFTED_KEPT_S
+        age_s = self._clock.now() - reading.read_at
+        return runner, reading.limit_per_s, max(0.0, age_s)
+
+    def _handle_change(
+        self,
+        runner: str,
+        change: stated_limits.Change | None,
+        before: stated_limits.Reading | None,
+    ) -> None:
+        """Log a changed limit and pass it on."""
+        if change is None:
+            return
+        self._forget_lifted()
+        reading = self._stated.reading(runner)
+        logs.event(
+            "runner_limit",
+            runner=runner,
+            change=change.value,
+            limit_per_s=reading.limit_per_s if reading else None,
+            before_per_s=before.limit_per_s if before else None,
+            source=(reading.source or None) if reading else None,
+        )
+        if self._protocol is None:
+            return
+        if not self._changed:
+            asyncio.get_running_loop().call_later(
+                CHANGE_BATCH_S, self._pass_on_changes
+            )
+        self._changed.add(runner)
+
+    def _pass_on_changes(self) -> None:
+        changed, self._changed = self._changed, set()
+        if self._protocol is not None:
+            self._protocol.send_readings(
+                self._some_addresses(CHANGE_FANOUT),
+                [self._reading_record(runner) for runner in sorted(changed)],
+            )
+
+    def _some_addresses(self, count: int) -> list[limit_protocol.Address]:
+        others = sorted(self._addresses)
+        chosen = self._rng.sample(others, min(count, len(others)))
+        return [self._addresses[vm] for vm in chosen]
+
+    def _forget_lifted(self) -> None:
+        limited = frozenset(self._stated.in_force)
+        self._full.keep_only(limited)
+        self._keeper.keep_only(limited)
--- a/src/apricotlever/serving/runner_statements.py
+++ b/src/apricotlever/serving/runner_statements.py
@@ -2,10 +2,10 @@
 
 from .. import clock as clocks
 from .. import logs
-from ..runners import stated_limits
 from ..runners import statements
 
 from . import log_rate_limiter
+from . import runner_limits
 from . import runners
 
 #: Longest part of an unreadable value that is logged, in characters.
@@ -19,19 +19,17 @@
     the head of a stream, a refusal and an error.
 
     :param clock: the source of time.
+    :param limits: keeps the limits that the runners name.
     """
 
     __slots__ = ("_limits", "_unreadable")
 
-    def __init__(self, clock: clocks.Clock) -> None:
-        self._limits = stated_limits.StatedLimits(clock)
+    def __init__(
+        self, clock: clocks.Clock, limits: runner_limits.RunnerLimits
+    ) -> None:
+        self._limits = limits
         self._unreadable = log_rate_limiter.LogRateLimiter(clock)
 
-    @property
-    def limits(self) -> stated_limits.StatedLimits:
-        """The limits that the runners have named."""
-        return self._limits
-
     def record_response(
         self,
         runner: runners.Runner,
@@ -52,33 +50,4 @@
                     field=field.value,
                     value=value[:MAX_LOGGED_CHARS],
                 )
-        before = self._limits.reading(name)
-        change = None
-        if statement.limit_per_s is not None:
-            change = self._limits.record_named(name, statement.limit_per_s)
-        elif statement.names_no_limit:
-            change = self._limits.record_unnamed(name, sent_at)
-        if change is not None:
-            log_limit_change(name, change, before, self._limits)
-
-
-def log_limit_change(
-    runner: str,
-    change: stated_limits.Change,
-    before: stated_limits.Reading | None,
-    limits: stated_limits.StatedLimits,
-) -> None:
-    """Log that a runner's limit has changed.
-
-    :param before: the reading before the change.
-    :param limits: the limits after it.
-    """
-    reading = limits.reading(runner)
-    logs.event(
-        "runner_limit",
-        runner=runner,
-        change=change.value,
-        limit_per_s=reading.limit_per_s if reading else None,
-        before_per_s=before.limit_per_s if before else None,
-        source=(reading.source or None) if reading else None,
-    )
+        self._limits.record_statement(name, statement, sent_at)
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -25,6 +25,7 @@
 from . import crash_watch
 from . import messages
 from . import runner_directory as directories
+from . import runner_limits
 from . import runner_pools
 from . import runner_statements
 from . import runners
@@ -54,6 +55,7 @@
         "_configuration",
         "_crashes",
         "_directory",
+        "_limits",
         "_on_prompt_sent",
         "_peer_in_flight",
         "_outliers",
@@ -95,7 +97,10 @@
         self._configuration: configuration_model.Configuration | None = None
         self._own_in_flight: dict[str, int] = {}
         self._silence = silence_detector.SilenceDetector(clock)
-        self._statements = runner_statements.RunnerStatements(clock)
+        self._limits = runner_limits.RunnerLimits(clock, rng, vm)
+        self._statements = runner_statements.RunnerStatements(
+            clock, self._limits
+        )
         self._peer_in_flight: dict[str, int] = {}
         self._meters: dict[str, prefill_load.PrefillMeter] = {}
         #: Attempts without a response yet, by name: meter, query, prompt
@@ -116,9 +121,14 @@
 
     @property
     def statements(self) -> runner_statements.RunnerStatements:
-        """What the runners say of themselves."""
+        """Takes what the runners say of themselves."""
         return self._statements
 
+    @property
+    def runner_limits(self) -> runner_limits.RunnerLimits:
+        """The limits that runners name, kept together with the other VMs."""
+        return self._limits
+
     @property
     def in_flight(self) -> dict[str, int]:
         """This VM's calls in progress by runner, without zeros."""
@@ -192,7 +202,7 @@
         present = {runner.runner_id for runner in listed}
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
-        self._statements.limits.keep_only(present)
+        self._limits.keep_only(present)
         self._pools.retain_runners(listed)
 
     def set_fleet_size(self, count: int) -> None:
@@ -271,12 +281,18 @@
         source = self._router.fetch_source(query, runner.runner_id)
         return source.address if source is not None else None
 
-    def choose(self, query: models.Query) -> runners.Runner | None:
+    def choose(
+        self, query: models.Query, full: frozenset[str] = frozenset()
+    ) -> runners.Runner | None:
         """Choose a runner for a query; None if none is available.
 
         During a roll-out of the service, a share of the calls goes to runners
         of the new version if one of them is available.
+
+        :param full: limited runners that have no room for the call, besides
+            those that had none a moment ago.
         """
+        full |= self._limits.full_runners
         service = query.pool
         repeated = bool(query.excluded)
         if self._roll_outs.should_use_new_version(
@@ -285,11 +301,11 @@
             query.pool = call_sampling.pool_name(
                 service, roll_outs_model.RunnerRole.CANARY
             )
-            choice = self._choose_healthy(query)
+            choice = self._choose_healthy(query, full)
             if not isinstance(choice, models.NoRunner):
                 return self._directory.get(choice.runner.name)
             query.pool = service
-        choice = self._choose_healthy(query)
+        choice = self._choose_healthy(query, full)
         if isinstance(choice, models.NoRunner):
             logs.event(
                 "no_runner", service=query.pool, reason=choice.reason.value
@@ -427,20 +443,21 @@
             logs.event("runner_outlier", **found.inputs)
 
     def _choose_healthy(
-        self, query: models.Query
+        self, query: models.Query, full: frozenset[str]
     ) -> models.Route | models.NoRunner:
         """Choose a runner from the query's pool, preferring healthy ones.
 
         A runner that is silent or ejected as an outlier is chosen only if no
         other one is available.
         """
-        excluded = query.excluded
+        tried = query.excluded
         avoided = self._silence.silent | self._outliers.ejected
-        query.excluded = excluded | avoided
+        query.excluded = tried | full | avoided
         choice = self._router.choose(query)
-        query.excluded = excluded
         if isinstance(choice, models.NoRunner) and avoided:
+            query.excluded = tried | full
             choice = self._router.choose(query)
+        query.excluded = tried
         return choice
 
     def _routing_pool(self, runner: runners.Runner) -> str:
--- a/tests/serving/fleet_paths.py
+++ b/tests/serving/fleet_paths.py
@@ -2,9 +2,15 @@
 
 import asyncio
 
+from apricotlever import clock as clocks
 from apricotlever.serving import configuration_model
+from apricotlever.serving import limit_protocol
+from apricotlever.serving import log_rate_limiter
+from apricotlever.serving import runner_limits
 from tests.serving import request_path
 
+HOST = "127.0.0.1"
+
 
 class FleetPaths:
     """The request paths of a fleet's VMs, and the runners that they share.
@@ -13,7 +19,11 @@
     """
 
     def __init__(self, count):
-        self.vms = [request_path.RequestPath() for _ in range(count)]
+        self.vms = [
+            request_path.RequestPath(f"vm-{n}") for n in range(1, count + 1)
+        ]
+        self.sockets = []
+        self.exchange_tasks = []
         self.runners = []
         self.replies = []
 
@@ -28,6 +38,32 @@
             for runner in first.directory.runners:
                 vm.directory.apply_entry(runner)
             vm.upstreams.refresh()
+            await self._open_socket(vm)
+        self._connect()
+
+    async def _open_socket(self, vm):
+        """Open the socket for messages about limits."""
+        socket = limit_protocol.LimitProtocol(
+            vm.limits,
+            lambda host: True,
+            log_rate_limiter.LogRateLimiter(clocks.SystemClock()),
+        )
+        await socket.listen(HOST, 0)
+        self.sockets.append(socket)
+        vm.upstreams.runner_limits.enable_protocol(socket)
+        self.exchange_tasks.append(asyncio.ensure_future(_exchange(vm)))
+
+    def _connect(self):
+        """Tell each VM of all others."""
+        addresses = {
+            vm.name: (HOST, socket.port)
+            for vm, socket in zip(self.vms, self.sockets)
+        }
+        for vm in self.vms:
+            others = {n: a for n, a in addresses.items() if n != vm.name}
+            vm.upstreams.runner_limits.set_fleet(
+                others, others, True, 1.0, len(self.vms)
+            )
 
     async def call_steadily(self, per_s, seconds):
         """Send calls at a steady rate; half of them reach the first VM.
@@ -48,10 +84,20 @@
 
     async def stop(self):
         """Stop all VMs and runners."""
+        for task in self.exchange_tasks:
+            task.cancel()
+        for socket in self.sockets:
+            socket.close()
         for vm in self.vms:
             await vm.stop()
 
 
+async def _exchange(vm):
+    while True:
+        await asyncio.sleep(runner_limits.EXCHANGE_INTERVAL_S)
+        await vm.upstreams.runner_limits.exchange()
+
+
 def most_within(times, seconds, since):
     """The greatest number of times within a sliding span.
 
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -45,13 +45,14 @@
 class RequestPath:
     """The request path, its runner stand-ins and a caller."""
 
-    def __init__(self):
+    def __init__(self, name="vm"):
+        self.name = name
         self.clock = clocks.ManualClock()
         self.directory = directories.RunnerDirectory(self.clock)
         self.upstreams = upstreams.Upstreams(
             clocks.SystemClock(),
             random.Random(1),
-            "vm",
+            name,
             "dc",
             self.directory,
         )
