--- a/tests/serving/fleet_paths.py
+++ b/tests/serving/fleet_paths.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from apricotlever import clock as clocks
+from apricotlever.contracts import limit_keepers
 from apricotlever.serving import configuration_model
 from apricotlever.serving import limit_protocol
 from apricotlever.serving import log_rate_limiter
@@ -79,8 +80,26 @@
             tasks.append(asyncio.ensure_future(self._call(vm, number)))
         await asyncio.gather(*tasks)
 
+    async def call_at_once(self, count):
+        """Send calls to the first VM, all at the same time."""
+        first = len(self.replies)
+        await asyncio.gather(
+            *(self._call(self.vms[0], f"{first}-{n}") for n in range(count))
+        )
+
+    def silence_keeper(self, runner):
+        """Let the keeper of a runner's limit drop all messages."""
+        keepers = limit_keepers.LimitKeepers(clocks.SystemClock(), "")
+        keepers.set_other_vms([vm.name for vm in self.vms], eligible=False)
+        names = [vm.name for vm in self.vms]
+        self.sockets[names.index(keepers.keeper(runner))].close()
+
     async def _call(self, vm, number):
-        self.replies.append(await vm.call_alone(f"call-{number}"))
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        reply = await vm.call_alone(f"call-{number}")
+        reply.took_s = loop.time() - sent_at
+        self.replies.append(reply)
 
     async def stop(self):
         """Stop all VMs and runners."""
