Let the soak's VMs hear of each other again

Symptom: in a soak no VM joins another one. Each writes a task_failed line five times a second: the soak's dialect has no roll_outs_kind. Cause: added a property to the dialects' interface; the type check covers src only, and the soak looked at answers and journals, not at logs. Since then each VM of a soak was alone: records, limits, crashes and outliers were soaked in fleets of one. Change: the property, and a check that no VM's log has a failed task. Ruled out: the users' platform; its dialect has the property, and its logs show members that join.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -86,6 +86,7 @@
         violations = checks.find_violations(
             caller_group.calls, test_fleet.executions(), quiet_since_s
         )
+        violations += checks.find_failed_tasks(sorted(folder.glob("vm-*.log")))
         return SoakResult(seed, caller_group.calls, schedule, violations)
     finally:
         test_fleet.close()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,6 +2,8 @@
 
 import collections
 import itertools
+import pathlib
+import typing
 
 from . import callers
 from . import fleet
@@ -35,6 +37,20 @@
     ]
 
 
+def find_failed_tasks(logs: typing.Iterable[pathlib.Path]) -> list[str]:
+    """Describe the first failed task in each VM's log.
+
+    :param logs: the logs of the VMs.
+    """
+    violations = []
+    for log in logs:
+        lines = log.read_text(errors="replace").splitlines()
+        failed = [line for line in lines if "event=task_failed" in line]
+        if failed:
+            violations.append(f"{log.name}: {len(failed)} times {failed[0]}")
+    return violations
+
+
 def _check_executions(
     calls: list[callers.Call],
     executions: callers.Executions,
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -41,6 +41,8 @@
     configuration_kind = CONFIGURATION_KIND
     configuration_name = CONFIGURATION_NAME
     runners_kind = RUNNERS_KIND
+    #: No order of a roll-out is ever written in a soak test.
+    roll_outs_kind = "roll_outs"
 
     def parse_configuration(
         self, spec: store.Json
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -25,5 +25,10 @@
     Given a recorded call to /safe/ that ran twice
     Then the checks report no violation
 
+  # Guards against a soak whose VMs hear nothing of each other.
+  Scenario: A task that fails in a VM's log is reported
+    Given a VM's log with a failed task
+    Then the failed task is reported
+
   Scenario: The fault plan depends only on the seed
     Then the plans of seed 7 are equal and that of seed 8 differs
--- a/tests/steps/soak_checks.py
+++ b/tests/steps/soak_checks.py
@@ -158,3 +158,17 @@
         for s in (first_seed, first_seed, other_seed)
     ]
     assert plans[0] == plans[1] != plans[2]
+
+
+@given("a VM's log with a failed task")
+def _write_log(context):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    context.log = pathlib.Path(folder.name) / "vm-0.log"
+    context.log.write_text("event=started\nevent=task_failed error=no\n")
+
+
+@then("the failed task is reported")
+def _check_failed_task(context):
+    found = checks.find_failed_tasks([context.log])
+    assert found == ["vm-0.log: 1 times event=task_failed error=no"], found
