Soak runners that name limits, with the count on the runners' side

Change: runners of a soak name a limit for some seconds and write down each call that arrives and each VM that they told, on the machine's monotonic clock. A check counts the calls of told VMs as the rule does: from 3 s after the first naming, in any 4 s, without VMs that were restarted or suspended since they were told. What runners say is planned by a random source of its own, so that the faults of a seed stay the same without it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 from . import checks
 from . import faults
 from . import fleet
+from . import statement_checks
 
 VM_COUNT = 3
 RUNNER_COUNT = 6
@@ -60,16 +61,24 @@
 
 
 async def run_soak_test(
-    seed: int, seconds: float, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    with_statements: bool = False,
 ) -> SoakResult:
     """Run one soak test.
 
     :param seconds: length of the period in which faults start.
     :param folder: for logs and the runners' journal.
+    :param with_statements: whether runners say things of themselves.
     """
     rng = random.Random(seed)
     test_fleet = fleet.Fleet(folder)
     schedule = faults.plan_faults(rng, seconds)
+    if with_statements:
+        statements_rng = random.Random(f"statements {seed}")
+        schedule += faults.plan_statements(statements_rng, seconds)
+        schedule.sort()
     try:
         await test_fleet.start(VM_COUNT, RUNNER_COUNT)
         caller_group = callers.CallerGroup(test_fleet, rng)
@@ -87,6 +96,9 @@
             caller_group.calls, test_fleet.executions(), quiet_since_s
         )
         violations += checks.find_failed_tasks(sorted(folder.glob("vm-*.log")))
+        violations += statement_checks.find_violations(
+            test_fleet.record.read(), test_fleet.disturbances
+        )
         return SoakResult(seed, caller_group.calls, schedule, violations)
     finally:
         test_fleet.close()
@@ -98,6 +110,7 @@
     rng: random.Random,
 ) -> None:
     """Start each fault at its scheduled time and wait for all to end."""
+    inject = {**faults.FAULTS, **faults.STATEMENTS}
     started_at = asyncio.get_running_loop().time()
     tasks = []
     for at, name in schedule:
@@ -105,7 +118,7 @@
         await asyncio.sleep(max(0.0, at - now))
         fault_rng = random.Random(rng.random())
         tasks.append(
-            asyncio.ensure_future(faults.FAULTS[name](test_fleet, fault_rng))
+            asyncio.ensure_future(inject[name](test_fleet, fault_rng))
         )
     await asyncio.gather(*tasks)
 
@@ -115,7 +128,7 @@
 ) -> SoakResult:
     """Run one soak test; keep its folder if a guarantee was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    result = asyncio.run(run_soak_test(seed, seconds, folder))
+    result = asyncio.run(run_soak_test(seed, seconds, folder, True))
     if result.violations:
         kept = keep_folder / f"seed-{seed}"
         shutil.rmtree(kept, ignore_errors=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,9 @@
 Fault = typing.Callable[[fleet.Fleet, random.Random], typing.Awaitable[None]]
 
 FAULTS: dict[str, Fault] = {}
+#: What runners say of themselves for some seconds. They are planned apart from
+#: the faults, so that a seed's faults stay the same with and without them.
+STATEMENTS: dict[str, Fault] = {}
 
 #: Time between a runner's crash and the removal of its entry, in seconds.
 ENTRY_REMOVAL_DELAY_S = 0.6
@@ -29,6 +32,12 @@
     {"service": 3, "port": "x", "leaving": "no"},
     {"service": "s", "host": None, "port": -1, "concurrency": 1e30},
 )
+#: Limits that runners name, in calls a second.
+LIMITS_PER_S = (1.0, 2.5, 6.0)
+#: Shortest and longest time for which a runner says something, in seconds.
+STATEMENT_DURATION_S = (4.0, 8.0)
+#: Shortest and longest time between two such beginnings, in seconds.
+STATEMENT_INTERVAL_S = (0.3, 2.5)
 LINK_FAULT_MODES = (
     proxy.Mode.DELAY,
     proxy.Mode.RESET,
@@ -47,28 +56,41 @@
     return register
 
 
+def register_statement(name: str) -> typing.Callable[[Fault], Fault]:
+    """Register a function that lets a runner say something, under a name."""
+
+    def register(function: Fault) -> Fault:
+        STATEMENTS[name] = function
+        return function
+
+    return register
+
+
 @register_fault("vm_kill")
 async def _kill_vm(test_fleet: fleet.Fleet, rng: random.Random) -> None:
     vm = rng.choice(test_fleet.vms)
-    vm.process.kill()
-    await asyncio.sleep(rng.uniform(0.2, 1.5))
-    _start_if_ended(vm.process)
+    with test_fleet.disturbance(vm.name):
+        vm.process.kill()
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        _start_if_ended(vm.process)
 
 
 @register_fault("vm_stop")
 async def _stop_vm(test_fleet: fleet.Fleet, rng: random.Random) -> None:
     vm = rng.choice(test_fleet.vms)
     vm.process.send_signal(signal.SIGTERM)
-    if not await vm.process.wait_until_ended(vms.SHUTDOWN_TIMEOUT_S + 1.0):
-        vm.process.kill()
-    _start_if_ended(vm.process)
+    ended = await vm.process.wait_until_ended(vms.SHUTDOWN_TIMEOUT_S + 1.0)
+    with test_fleet.disturbance(vm.name):
+        if not ended:
+            vm.process.kill()
+        _start_if_ended(vm.process)
 
 
 @register_fault("vm_pause")
 async def _pause_vm(test_fleet: fleet.Fleet, rng: random.Random) -> None:
-    await _pause_process(
-        rng.choice(test_fleet.vms).process, rng.uniform(0.3, 2.5)
-    )
+    vm = rng.choice(test_fleet.vms)
+    with test_fleet.disturbance(vm.name):
+        await _pause_process(vm.process, rng.uniform(0.3, 2.5))
 
 
 @register_fault("vm_reload")
@@ -152,7 +174,8 @@
 async def _pause_runner(test_fleet: fleet.Fleet, rng: random.Random) -> None:
     runner = _pick_replaceable_runner(test_fleet, rng)
     if runner is not None:
-        await _pause_process(runner.process, rng.uniform(0.3, 2.0))
+        with test_fleet.disturbance(runner.name):
+            await _pause_process(runner.process, rng.uniform(0.3, 2.0))
 
 
 @register_fault("runner_link")
@@ -161,7 +184,8 @@
 ) -> None:
     runner = _pick_replaceable_runner(test_fleet, rng)
     if runner is not None:
-        await _degrade_link(runner.link, rng)
+        with test_fleet.disturbance(runner.name):
+            await _degrade_link(runner.link, rng)
 
 
 @register_fault("store_pause")
@@ -183,6 +207,17 @@
     await test_fleet.write_configuration()
 
 
+@register_statement("runner_limited")
+async def _limit_runner(test_fleet: fleet.Fleet, rng: random.Random) -> None:
+    """A runner names a limit, and lifts it after some seconds."""
+    runner = rng.choice(test_fleet.runners)
+    await test_fleet.say(
+        runner, f"Limit-Per-S: {rng.choice(LIMITS_PER_S)}\r\n"
+    )
+    await asyncio.sleep(rng.uniform(*STATEMENT_DURATION_S))
+    await test_fleet.say(runner)
+
+
 def _pick_replaceable_runner(
     test_fleet: fleet.Fleet, rng: random.Random
 ) -> fleet.RunnerProcess | None:
@@ -228,3 +263,19 @@
         schedule.append((at, rng.choice(sorted(FAULTS))))
         at += rng.choice((0.1, 0.4, 1.0, 2.0))
     return schedule
+
+
+def plan_statements(
+    rng: random.Random, seconds: float
+) -> list[tuple[float, str]]:
+    """Draw when runners begin to say something of themselves, and what.
+
+    :param seconds: length of the period in which they begin.
+    :returns: start times, in seconds, with the names of the statements.
+    """
+    schedule = []
+    at = 0.2
+    while at < seconds:
+        schedule.append((at, rng.choice(sorted(STATEMENTS))))
+        at += rng.uniform(*STATEMENT_INTERVAL_S)
+    return schedule
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """Processes of a soak test: a store, runners and entry VMs on loopback."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -17,11 +18,14 @@
 
 from . import dialect
 from . import proxy
+from . import statements
 
 HOST = ports.HOST
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
+#: How long a runner, which may be suspended, has for a command, in seconds.
+SAY_TIMEOUT_S = 3.0
 CONCURRENCY = 16
 ROUTE_HOST = "soak.example"
 API_KEY = "key-of-clerks"
@@ -145,6 +149,9 @@
             ["standins.object_api", "--port", str(self._store_port)],
             folder / "store.log",
         )
+        self.record = statements.Record(folder / "statements.txt")
+        #: Times in which VMs and runners are excused from what they were told.
+        self.disturbances: list[statements.Disturbance] = []
         self.vms: list[VmProcess] = []
         self.runners: list[RunnerProcess] = []
 
@@ -195,7 +202,13 @@
         name = f"r-{next(self._runner_numbers)}"
         port = port or self._ports.reserve()
         process = ChildProcess(
-            ["soak.runner", name, str(port), str(self.journal)],
+            [
+                "soak.runner",
+                name,
+                str(port),
+                str(self.journal),
+                str(self._folder / "statements.txt"),
+            ],
             self._folder / f"{name}.log",
         )
         process.start()
@@ -232,6 +245,34 @@
         runner.reset_incarnation()
         await self.write_entry(runner, leaving=False)
 
+    @contextlib.contextmanager
+    def disturbance(self, name: str) -> typing.Iterator[None]:
+        """Note that a VM or runner is disturbed while the block runs."""
+        since = time.monotonic()
+        try:
+            yield
+        finally:
+            self.disturbances.append(
+                statements.Disturbance(name, since, time.monotonic())
+            )
+
+    async def say(self, runner: RunnerProcess, headers: str = "") -> None:
+        """Set what a runner says of itself from now on.
+
+        :param headers: header lines, each with its line end; "" for nothing.
+        """
+        with contextlib.suppress(OSError, EOFError):
+            reader, writer = await asyncio.open_connection(
+                HOST, runner.link.target
+            )
+            writer.write(
+                f"POST /say HTTP/1.1\r\n{headers}Content-Length: 0\r\n\r\n"
+                "".encode()
+            )
+            async with asyncio.timeout(SAY_TIMEOUT_S):
+                await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+
     async def delete_entry(self, runner: RunnerProcess) -> None:
         """Delete the entry of a runner, retrying while the store is down."""
         path = f"/v1/objects/{dialect.RUNNERS_KIND}/{runner.name}"
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -1,6 +1,9 @@
 """Runner process of a soak test.
 
-Usage: ``python -m soak.runner NAME PORT JOURNAL``
+Usage: ``python -m soak.runner NAME PORT JOURNAL STATEMENTS``
+
+A request for the path ``/say`` sets what the runner says of itself from then
+on: the limit in its header Limit-Per-S, or nothing without that header.
 
 Answers and events contain the id of the call, so that an answer delivered to
 the wrong caller is detectable. The runner records each call in its journal
@@ -10,9 +13,12 @@
 import asyncio
 import contextlib
 import hashlib
+import pathlib
 import sys
 import typing
 
+from . import statements
+
 HOST = "127.0.0.1"
 MAX_CONCURRENT_CALLS = 24
 #: Upper limit of the number of events in a stream, exclusive.
@@ -47,12 +53,21 @@
 
     :param name: the runner's name in the store.
     :param journal: receives a line for each call that runs.
+    :param record: receives what the runner says and to whom.
     """
 
-    def __init__(self, name: str, journal: typing.TextIO) -> None:
+    def __init__(
+        self,
+        name: str,
+        journal: typing.TextIO,
+        record: statements.Record,
+    ) -> None:
         self._name = name
         self._journal = journal
+        self._record = record
         self._running = 0
+        self._limit = ""
+        record.write(name, statements.Kind.STARTED)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -68,12 +83,19 @@
     async def _answer(
         self, path: str, headers: Headers, writer: asyncio.StreamWriter
     ) -> None:
+        if path == "/say":
+            self._say(headers)
+            writer.write(_response(200, "", ""))
+            return
         call_id = headers["call-id"]
         if headers["for-runner"] != self._name:
             writer.write(_response(421, call_id, "", "Other-Runner: yes"))
             return
+        vm = headers["sent-by"]
+        self._record.write(self._name, statements.Kind.ARRIVED, vm)
         if self._running >= MAX_CONCURRENT_CALLS:
-            writer.write(_response(503, call_id, "", "Not-Run: yes"))
+            says = self._tell(vm)
+            writer.write(_response(503, call_id, "", "Not-Run: yes", *says))
             return
         self._running += 1
         try:
@@ -82,13 +104,29 @@
             self._journal.flush()
             if path.startswith("/stream"):
                 after = int(headers.get("after", 0))
-                await _send_stream(call_id, after, writer)
+                await _send_stream(call_id, after, writer, self._tell(vm))
             else:
                 await asyncio.sleep(ANSWER_DELAY_S)
-                writer.write(_response(200, call_id, answer_text(call_id)))
+                says = self._tell(vm)
+                writer.write(
+                    _response(200, call_id, answer_text(call_id), *says)
+                )
         finally:
             self._running -= 1
 
+    def _say(self, headers: Headers) -> None:
+        self._limit = headers.get("limit-per-s", "")
+        self._record.write(
+            self._name, statements.Kind.SAYS, value=self._limit or "-"
+        )
+
+    def _tell(self, vm: str) -> list[str]:
+        """The headers by which a VM is told what the runner says."""
+        if not self._limit:
+            return []
+        self._record.write(self._name, statements.Kind.TOLD_LIMIT, vm)
+        return [f"Limit-Per-S: {self._limit}"]
+
 
 async def _read_request(reader: asyncio.StreamReader) -> tuple[str, Headers]:
     head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -114,9 +152,14 @@
 
 
 async def _send_stream(
-    call_id: str, after: int, writer: asyncio.StreamWriter
+    call_id: str,
+    after: int,
+    writer: asyncio.StreamWriter,
+    headers: typing.Sequence[str],
 ) -> None:
-    writer.write(_response_head(200, call_id, "Transfer-Encoding: chunked"))
+    writer.write(
+        _response_head(200, call_id, "Transfer-Encoding: chunked", *headers)
+    )
     for number in range(after + 1, event_count(call_id) + 1):
         data = format_event(call_id, number)
         writer.write(b"%x\r\n%b\r\n" % (len(data), data))
@@ -125,13 +168,13 @@
     writer.write(b"0\r\n\r\n")
 
 
-async def _main(name: str, port: int, journal: str) -> None:
+async def _main(name: str, port: int, journal: str, record: str) -> None:
     with open(journal, "a", encoding="utf-8") as file:
-        runner = Runner(name, file)
+        runner = Runner(name, file, statements.Record(pathlib.Path(record)))
         server = await asyncio.start_server(runner.serve, HOST, port)
         print(f"listening host={HOST} port={port}", flush=True)
         await server.serve_forever()
 
 
 if __name__ == "__main__":
-    asyncio.run(_main(sys.argv[1], int(sys.argv[2]), sys.argv[3]))
+    asyncio.run(_main(sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]))
--- /dev/null
+++ b/soak/statements.py
@@ -0,0 +1,84 @@
+"""What the runners of a soak test say of themselves, and who was told.
+
+The runners write one line for each event into one file. Their clock is the
+machine's monotonic one, which all processes share.
+"""
+
+import enum
+import pathlib
+import time
+
+
+class Kind(enum.Enum):
+    """The kinds of events."""
+
+    #: The runner's process has started and says nothing of itself.
+    STARTED = "started"
+    #: The runner begins to say something else in all its responses.
+    SAYS = "says"
+    #: A call of a VM has arrived.
+    ARRIVED = "arrived"
+    #: A VM was sent a response that names the runner's limit.
+    TOLD_LIMIT = "told_limit"
+
+
+class Event:
+    """One event at a runner.
+
+    :param at: when it happened, on the machine's monotonic clock.
+    :param vm: the VM concerned; "-" for none.
+    :param value: the limit in calls a second, or "-" for none.
+    """
+
+    __slots__ = ("at", "runner", "kind", "vm", "value")
+
+    def __init__(
+        self, at: float, runner: str, kind: Kind, vm: str, value: str
+    ) -> None:
+        self.at = at
+        self.runner = runner
+        self.kind = kind
+        self.vm = vm
+        self.value = value
+
+
+class Record:
+    """The file with the events of all runners.
+
+    :param path: the file; it is appended to.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+
+    def write(
+        self, runner: str, kind: Kind, vm: str = "-", value: str = "-"
+    ) -> None:
+        """Append an event."""
+        line = f"{time.monotonic():.6f} {runner} {kind.value} {vm} {value}\n"
+        with self._path.open("a", encoding="utf-8") as file:
+            file.write(line)
+
+    def read(self) -> list[Event]:
+        """All events in the order of their times."""
+        if not self._path.exists():
+            return []
+        events = []
+        for line in self._path.read_text().splitlines():
+            at, runner, kind, vm, value = line.split(" ")
+            events.append(Event(float(at), runner, Kind(kind), vm, value))
+        return sorted(events, key=lambda event: event.at)
+
+
+class Disturbance:
+    """A time in which a VM or runner was restarted, suspended or cut off.
+
+    :param name: the VM or runner.
+    """
+
+    __slots__ = ("name", "since", "until")
+
+    def __init__(self, name: str, since: float, until: float) -> None:
+        self.name = name
+        self.since = since
+        self.until = until
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import pathlib
 import sys
 import typing
@@ -11,7 +12,7 @@
 from apricotlever.serving import main
 from apricotlever.serving import settings
 
-from . import dialect  # noqa: F401 - registers the dialect
+from . import dialect
 
 HOST = "127.0.0.1"
 #: How long a VM may take to shut down, in seconds.
@@ -51,6 +52,7 @@
     :returns: exit code of the process.
     """
     path = pathlib.Path(arguments[0])
+    os.environ[dialect.VM_VARIABLE] = read_settings(path).vm
     return main.run("soak", lambda: read_settings(path))
 
 
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -30,5 +30,22 @@
     Given a VM's log with a failed task
     Then the failed task is reported
 
+  Scenario: A short soak in which runners name limits violates no guarantee
+    When a soak test with seed 11 injects faults and statements for 4.0 s
+    Then it made over 100 calls and violated no guarantee
+
+  Scenario Outline: The checks detect a limit that is not kept
+    Given a soak runner whose limit of 2 calls a second a VM was told
+    And <what>
+    Then the checks find that limit <outcome>
+
+    Examples:
+      | what                                               | outcome |
+      | the VM sends 17 calls in 4 seconds                 | kept    |
+      | the VM sends 18 calls in 4 seconds                 | broken  |
+      | the VM sends 18 calls in 4 seconds within 3 seconds | kept   |
+      | the VM sends 18 calls in 4 seconds after a restart | kept    |
+      | another VM sends 18 calls in 4 seconds             | kept    |
+
   Scenario: The fault plan depends only on the seed
     Then the plans of seed 7 are equal and that of seed 8 differs
--- a/tests/steps/soak_checks.py
+++ b/tests/steps/soak_checks.py
@@ -15,6 +15,8 @@
 from soak import faults
 from soak import fleet
 from soak import runner
+from soak import statement_checks
+from soak import statements
 
 OTHER_CALL_ID = "c-other"
 
@@ -172,3 +174,71 @@
 def _check_failed_task(context):
     found = checks.find_failed_tasks([context.log])
     assert found == ["vm-0.log: 1 times event=task_failed error=no"], found
+
+
+@when(
+    "a soak test with seed {seed:d} injects faults and statements for {s:f} s"
+)
+def _run_soak_with_statements(context, seed, s):
+    with tempfile.TemporaryDirectory() as folder:
+        context.result = asyncio.run(
+            soak_main.run_soak_test(seed, s, pathlib.Path(folder), True)
+        )
+
+
+def _event(at, kind, vm="-", value="-"):
+    return statements.Event(at, "r-1", kind, vm, value)
+
+
+@given("a soak runner whose limit of {limit:g} calls a second a VM was told")
+def _name_limit(context, limit):
+    context.disturbances = []
+    context.events = [
+        _event(0.0, statements.Kind.STARTED),
+        _event(1.0, statements.Kind.SAYS, value=f"{limit:g}"),
+        _event(1.1, statements.Kind.TOLD_LIMIT, "vm-1"),
+    ]
+
+
+def _send_calls(context, count, seconds, vm="vm-1", since=10.0):
+    context.events += [
+        _event(since + n * seconds / count, statements.Kind.ARRIVED, vm)
+        for n in range(count)
+    ]
+
+
+@given("the VM sends {count:d} calls in {seconds:g} seconds")
+def _send(context, count, seconds):
+    _send_calls(context, count, seconds)
+
+
+@given("another VM sends {count:d} calls in {seconds:g} seconds")
+def _send_from_other(context, count, seconds):
+    _send_calls(context, count, seconds, "vm-2")
+
+
+@given("the VM sends {count:d} calls in {seconds:g} seconds within 3 seconds")
+def _send_early(context, count, seconds):
+    _send_calls(context, count, 2.0, since=2.0)
+
+
+@given("the VM sends {count:d} calls in {seconds:g} seconds after a restart")
+def _send_after_restart(context, count, seconds):
+    context.disturbances = [statements.Disturbance("vm-1", 9.0, 9.5)]
+    _send_calls(context, count, seconds)
+
+
+@then("the checks find that limit kept")
+def _check_kept(context):
+    found = statement_checks.find_violations(
+        context.events, context.disturbances
+    )
+    assert not found, found
+
+
+@then("the checks find that limit broken")
+def _check_broken(context):
+    found = statement_checks.find_violations(
+        context.events, context.disturbances
+    )
+    assert len(found) == 1 and "takes 2 calls a second" in found[0], found
