--- a/src/apricotlever/data_centres/prefill_load.py
+++ b/src/apricotlever/data_centres/prefill_load.py
@@ -61,10 +61,17 @@
 class PrefillMeter:
     """Measures the prefill load that one VM sends to a service's runners."""
 
-    __slots__ = ("_peak_speed", "_latency_ratios", "_speeds", "_total")
+    __slots__ = (
+        "_peak_speed",
+        "_latency_ratios",
+        "_prompts",
+        "_speeds",
+        "_total",
+    )
 
     def __init__(self) -> None:
         self._total = 0
+        self._prompts = 0
         #: Highest speed observed, reduced slightly by each later prompt.
         self._peak_speed = 0.0
         self._latency_ratios: collections.deque[float] = collections.deque(
@@ -109,6 +116,17 @@
         :param tokens: its uncached tokens.
         """
         self._total += tokens
+        self._prompts += 1
+
+    def runner_share(self, calls_per_s: float) -> float:
+        """The share of a runner that a rate of calls keeps busy, at most 1.
+
+        It is 1 while the prefill speed is unknown.
+        """
+        speed = self.prefill_speed
+        if not speed or not self._prompts:
+            return 1.0
+        return min(1.0, calls_per_s * self._total / self._prompts / speed)
 
     def record_first_answer(
         self, tokens: int, took_s: float, objective_s: float = 0.0
--- a/src/apricotlever/serving/duty_roster.py
+++ b/src/apricotlever/serving/duty_roster.py
@@ -116,6 +116,7 @@
                 self._lease_manager,
                 self._heartbeat_s,
                 upstreams_.takes_regular_calls,
+                upstreams_.limited_away,
             )
 
     def add_usage_duty(
--- a/src/apricotlever/serving/runner_duty.py
+++ b/src/apricotlever/serving/runner_duty.py
@@ -181,12 +181,15 @@
         service: configuration_model.Service,
         present: int,
         in_flight: int,
+        limited_away: float,
         log_inputs: bool,
     ) -> float:
         """The number of runners that a service's load requires now.
 
         :param present: the number of runners that serve now.
         :param in_flight: the number of calls in flight at its runners.
+        :param limited_away: how many runners' worth is not to be had of those
+            that serve, as they name limits.
         :param log_inputs: whether to log the result and its inputs.
         """
         self._initial_runners.setdefault(service.name, present)
@@ -207,8 +210,9 @@
                 pressure=known.latency_ratio if known else None,
                 in_flight=in_flight,
                 present=present,
+                limited_away=limited_away or None,
             )
-        return measured
+        return measured + limited_away
 
     def startup_runners(self, service: str) -> float:
         """The number of runners assumed to be required at the start.
@@ -236,6 +240,8 @@
         seconds.
     :param serves: tells whether a runner serves regular calls; only these
         runners count towards the fleet size.
+    :param limited_away: how many runners' worth of a service is not to be had
+        because runners name limits.
     """
 
     __slots__ = (
@@ -245,6 +251,7 @@
         "_directory",
         "_in_flight",
         "_lease_manager",
+        "_limited_away",
         "_orders",
         "_serves",
         "_ready_at",
@@ -263,9 +270,11 @@
         lease_manager: duty_lease.LeaseManager,
         heartbeat_s: float,
         serves: typing.Callable[[runners.Runner], bool] = lambda runner: True,
+        limited_away: typing.Callable[[str], float] = lambda service: 0.0,
     ) -> None:
         self._clock = clock
         self._serves = serves
+        self._limited_away = limited_away
         # The VMs that follow the store begin only some time after their
         # start, so their delay is added.
         startup_s = (
@@ -319,7 +328,11 @@
         return _ServiceLoad(
             held,
             self._work.required_runners(
-                service, present, in_flight, log_inputs
+                service,
+                present,
+                in_flight,
+                self._limited_away(service.name),
+                log_inputs,
             ),
             self._work.startup_runners(service.name),
             not in_flight and self._work.has_no_load(service.name),
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -172,6 +172,21 @@
             if r.service == service
         )
 
+    def limited_away(self, service: str) -> float:
+        """How many runners' worth of a service its limited runners don't take.
+
+        A runner that names a limit is present, but most of it can't be used.
+        """
+        meter = self._meters.get(service)
+        limits = self._limits.stated.in_force
+        if meter is None or not limits:
+            return 0.0
+        return sum(
+            1.0 - meter.runner_share(limits[runner.runner_id])
+            for runner in self._directory.available_runners(service)
+            if runner.runner_id in limits
+        )
+
     @property
     def connections_opened(self) -> int:
         """The number of connections ever opened to the known runners."""
@@ -279,7 +294,10 @@
         if not query.can_copy:
             return None
         source = self._router.fetch_source(query, runner.runner_id)
-        return source.address if source is not None else None
+        if source is None or self._limits.stated.reading(source.name):
+            # A runner in need is not burdened with copies either.
+            return None
+        return source.address
 
     def choose(
         self, query: models.Query, full: frozenset[str] = frozenset()
--- a/tests/serving/runner_duty.feature
+++ b/tests/serving/runner_duty.feature
@@ -20,6 +20,15 @@
     When 2 seconds pass at the holder of the orders
     Then 0 on-demand and 15 reclaimable runners are ordered at the end
 
+  # Guards against runners in need that count as if they took all calls.
+  Scenario: What limited runners don't take is required besides
+    Given a holder that orders runners, in a fleet without any
+    When 2 seconds pass and 9 on-demand runners are listed
+    And the fleet has a load for 4 runners
+    And 10 seconds pass at the holder of the orders
+    Then the load requires 1.6 runners more if limits keep 1.6 away
+    And a runner of 100 calls a second that takes 25 counts as a quarter
+
   Scenario: Runners that the load requires are not released
     Given a holder that orders runners, in a fleet without any
     When 2 seconds pass and 9 on-demand runners are listed
--- a/tests/steps/serving_runner_duty.py
+++ b/tests/steps/serving_runner_duty.py
@@ -9,6 +9,7 @@
 
 from apricotlever import clock as clocks
 from apricotlever.data_centres import fleet_mix_planner
+from apricotlever.data_centres import prefill_load
 from apricotlever.serving import configuration_model
 from apricotlever.serving import runner_directory as directories
 from apricotlever.serving import runner_duty
@@ -188,3 +189,28 @@
         taken.get((data_centre, False), 3) for data_centre in DATA_CENTRES
     )
     assert held <= count, taken
+
+
+@then("the load requires {count:g} runners more if limits keep {away:g} away")
+def _check_required(context, count, away):
+    holder = context.holder
+    service = holder.duty.configuration.services[SERVICE]
+    required = [
+        holder.work.required_runners(service, 9, 4, each, False)
+        for each in (0.0, away)
+    ]
+    assert round(required[1] - required[0], 6) == count, required
+
+
+@then(
+    "a runner of {most:d} calls a second that takes {taken:d} counts as a "
+    "quarter"
+)
+def _check_share(context, most, taken):
+    meter = prefill_load.PrefillMeter()
+    assert meter.runner_share(taken) == 1.0
+    for _ in range(10):
+        meter.record_sent(1000)
+        meter.record_first_answer(1000, 1.0 / most)
+    assert round(meter.runner_share(taken), 6) == taken / most
+    assert meter.runner_share(2 * most) == 1.0
