Log the rests that runners ask VMs for

Callers saw refusals with a time of seconds while other runners served. Cause: Retry-After of a runner went only into what the caller is told. Change: the head of a response that turns a call away is read for it, with the limit's module (runners/statements), and each VM keeps the rests that it was asked for (runners/stated_rests), one log line for each and a gauge of the seconds left. No call is routed otherwise than before. Ruled out: sharing rests among VMs; the runner asked one VM. Measured: the tests of reading and of the end of a rest.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -118,6 +118,9 @@
         INFO,
         "A runner named, changed or lifted the limit of calls it takes.",
     ),
+    "runner_rest": Event(
+        INFO, "A runner turned a call away and asked this VM to stay away."
+    ),
     "runner_passed_over": Event(
         INFO, "A runner that a request would have gone to had no room for it."
     ),
--- a/src/apricotlever/runners/statements.py
+++ b/src/apricotlever/runners/statements.py
@@ -13,6 +13,7 @@
     """A statement that a runner may make of itself."""
 
     LIMIT = "limit"
+    REST = "rest"
 
 
 class Statement:
@@ -20,19 +21,23 @@
 
     :param limit_per_s: the calls a second that the runner takes from all VMs
         together; None if the response names no readable limit.
+    :param rest_s: the seconds for which the runner wants no calls of this VM;
+        None if the response asks for no readable rest.
     :param unreadable: values that could not be read, or that contradict each
         other, by field. A limit that is unreadable is neither named nor
         lifted.
     """
 
-    __slots__ = ("limit_per_s", "unreadable")
+    __slots__ = ("limit_per_s", "rest_s", "unreadable")
 
     def __init__(
         self,
         limit_per_s: float | None = None,
+        rest_s: float | None = None,
         unreadable: typing.Mapping[Field, str] | None = None,
     ) -> None:
         self.limit_per_s = limit_per_s
+        self.rest_s = rest_s
         self.unreadable = unreadable or {}
 
     @property
@@ -45,26 +50,44 @@
 NOTHING = Statement()
 
 
-def read_statement(limits: typing.Sequence[bytes] = ()) -> Statement:
+def read_statement(
+    limits: typing.Sequence[bytes] = (), rests: typing.Sequence[bytes] = ()
+) -> Statement:
     """Read what the head of a response says of its runner.
 
-    Of several different limits in one head, the least counts, as the runner
-    takes no harm from it.
+    Of several different values in one head, the least limit and the longest
+    rest count, as the runner takes no harm from them.
 
     :param limits: the values of the header that names the limit, one for each
         time that the head has it.
+    :param rests: the same for the seconds of rest, of a response that turns a
+        call away.
     """
-    if not limits:
+    if not limits and not rests:
         return NOTHING
-    numbers = [_parse_number(value) for value in limits]
-    readable = [number for number in numbers if number is not None]
-    is_clear = len(readable) == len(limits) and len(set(readable)) == 1
+    unreadable = {
+        field: _join(values)
+        for field, values in ((Field.LIMIT, limits), (Field.REST, rests))
+        if values and not _is_clear(values)
+    }
     return Statement(
-        min(readable, default=None),
-        None if is_clear else {Field.LIMIT: _join(limits)},
+        min(_readable(limits), default=None),
+        max(_readable(rests), default=None),
+        unreadable,
     )
 
 
+def _readable(values: typing.Sequence[bytes]) -> list[float]:
+    numbers = map(_parse_number, values)
+    return [number for number in numbers if number is not None]
+
+
+def _is_clear(values: typing.Sequence[bytes]) -> bool:
+    """Whether all values can be read, and are the same number."""
+    readable = _readable(values)
+    return len(readable) == len(values) and len(set(readable)) == 1
+
+
 def _parse_number(value: bytes) -> float | None:
     """Parse a finite number of at least 0; None for anything else."""
     try:
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -40,6 +40,7 @@
             ("runner_limit", "runner"): (
                 upstreams.runner_limits.stated.in_force
             ),
+            ("runner_rest_s", "runner"): upstreams.statements.rests.left_s,
             ("retries_left", "service"): {
                 service: relay_.budget.remaining(service)
                 for service in services
--- a/src/apricotlever/serving/runner_statements.py
+++ b/src/apricotlever/serving/runner_statements.py
@@ -2,6 +2,7 @@
 
 from .. import clock as clocks
 from .. import logs
+from ..runners import stated_rests
 from ..runners import statements
 
 from . import log_rate_limiter
@@ -22,14 +23,25 @@
     :param limits: keeps the limits that the runners name.
     """
 
-    __slots__ = ("_limits", "_unreadable")
+    __slots__ = ("_limits", "_rests", "_unreadable")
 
     def __init__(
         self, clock: clocks.Clock, limits: runner_limits.RunnerLimits
     ) -> None:
         self._limits = limits
+        self._rests = stated_rests.StatedRests(clock)
         self._unreadable = log_rate_limiter.LogRateLimiter(clock)
 
+    @property
+    def rests(self) -> stated_rests.StatedRests:
+        """The rests that runners have asked this VM for."""
+        return self._rests
+
+    def keep_only(self, runners: frozenset[str]) -> None:
+        """Set the known runners, and forget all others."""
+        self._limits.keep_only(runners)
+        self._rests.keep_only(runners)
+
     def record_response(
         self,
         runner: runners.Runner,
@@ -51,3 +63,5 @@
                     value=value[:MAX_LOGGED_CHARS],
                 )
         self._limits.record_statement(name, statement, sent_at)
+        if statement.rest_s and self._rests.record(name, statement.rest_s):
+            logs.event("runner_rest", runner=name, rest_s=statement.rest_s)
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -214,10 +214,10 @@
             if not runner.leaving and (pool := self._routing_pool(runner))
         )
         self._crashes.update_runners(listed)
-        present = {runner.runner_id for runner in listed}
+        present = frozenset(runner.runner_id for runner in listed)
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
-        self._limits.keep_only(present)
+        self._statements.keep_only(present)
         self._pools.retain_runners(listed)
 
     def set_fleet_size(self, count: int) -> None:
--- a/standins/plain_dialect.py
+++ b/standins/plain_dialect.py
@@ -16,6 +16,10 @@
     return {name.lower(): value for name, value in headers}
 
 
+def _header_values(headers, name):
+    return [value for key, value in headers if key.lower() == name]
+
+
 class PlainCallerDialect:
     """Caller dialect with the headers Call-Id, Wait-S, Key and After."""
 
@@ -66,7 +70,8 @@
     """Runner dialect with the headers Call-Id, Left-S and After.
 
     A runner marks its own answers with the header Signed, and names the calls
-    a second that it takes from all VMs in the header Limit-Per-S.
+    a second that it takes from all VMs in the header Limit-Per-S. With a
+    status of 503 it asks for rest by the header Rest-S.
     """
 
     def encode_request(self, call, parameters):
@@ -100,10 +105,7 @@
                 by_name.get(b"keep-alive", b"")
             ),
             statement=statements.read_statement(
-                [
-                    value
-                    for name, value in headers
-                    if name.lower() == b"limit-per-s"
-                ]
+                _header_values(headers, b"limit-per-s"),
+                _header_values(headers, b"rest-s") if status == 503 else [],
             ),
         )
--- a/tests/runners/statements.feature
+++ b/tests/runners/statements.feature
@@ -67,3 +67,31 @@
     And the runner is gone
     Then no limit is known
     And another VM's reading of it is ignored
+
+  Scenario Outline: A rest is read
+    When a head asks for a rest of <values>
+    Then the rest is <rest> and the values are <clear>
+
+    Examples:
+      | values   | rest     | clear      |
+      | 3        | 3        | readable   |
+      | 0.25     | 0.25     | readable   |
+      | 0        | 0        | readable   |
+      | 31536000 | 31536000 | readable   |
+      | 1 and 3  | 3        | unreadable |
+      | soon     | none     | unreadable |
+      | -1       | none     | unreadable |
+      | nan      | none     | unreadable |
+      | inf      | none     | unreadable |
+      | a date   | none     | unreadable |
+
+  Scenario Outline: A rest is kept for as long as it was asked for
+    Given a VM that a runner asked for a rest of <first> seconds
+    When <later> seconds later it asks for a rest of <second> seconds
+    Then the runner rests for <left> seconds, and no longer
+
+    Examples:
+      | first | later | second | left |
+      | 3     | 1     | 3      | 3    |
+      | 3     | 1     | 1      | 2    |
+      | 3     | 1     | 0      | 2    |
--- a/tests/steps/runners_statements.py
+++ b/tests/steps/runners_statements.py
@@ -6,6 +6,7 @@
 
 from apricotlever import clock as clocks
 from apricotlever.runners import stated_limits
+from apricotlever.runners import stated_rests
 from apricotlever.runners import statements
 
 RUNNER = "runner-1"
@@ -41,6 +42,42 @@
     assert not statements.read_statement([b"2"]).names_no_limit
 
 
+@when("a head asks for a rest of {values}")
+def _read_rest(context, values):
+    context.statement = statements.read_statement(
+        [], [TEXTS.get(each, each.encode()) for each in values.split(" and ")]
+    )
+
+
+@then("the rest is {rest} and the values are {clear}")
+def _check_rest(context, rest, clear):
+    statement = context.statement
+    assert statement.rest_s == _number(rest), statement.rest_s
+    is_unreadable = statements.Field.REST in statement.unreadable
+    assert is_unreadable == (clear == "unreadable"), statement.unreadable
+
+
+@given("a VM that a runner asked for a rest of {rest_s:g} seconds")
+def _rest(context, rest_s):
+    context.clock = clocks.ManualClock()
+    context.rests = stated_rests.StatedRests(context.clock)
+    context.rests.record(RUNNER, rest_s)
+
+
+@when("{seconds:g} seconds later it asks for a rest of {rest_s:g} seconds")
+def _rest_again(context, seconds, rest_s):
+    context.clock.advance(seconds)
+    context.rests.record(RUNNER, rest_s)
+
+
+@then("the runner rests for {seconds:g} seconds, and no longer")
+def _check_end(context, seconds):
+    context.clock.advance(seconds - 0.001)
+    assert context.rests.rests(RUNNER) and RUNNER in context.rests.left_s
+    context.clock.advance(0.002)
+    assert not context.rests.rests(RUNNER) and not context.rests.left_s
+
+
 @given("a VM that knows a runner")
 def _add_runner(context):
     context.clock = clocks.ManualClock()
