--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -7,7 +7,6 @@
 
 from apricotlever.serving import configuration_model
 from apricotlever.serving import dialects
-from apricotlever.serving import messages
 from apricotlever.serving import runners
 from apricotlever.serving import store
 from apricotlever import validation
@@ -109,26 +108,6 @@
         raise NotImplementedError
 
 
-class SoakRunnerDialect(plain_dialect.PlainRunnerDialect):
-    """Runner dialect that names the sending VM in the header Sent-By.
-
-    By it a runner tells the calls of the VMs apart, which all reach it through
-    one proxy.
-    """
-
-    def encode_request(
-        self,
-        call: messages.CallerCall,
-        parameters: messages.RunnerCallParameters,
-    ) -> bytes:
-        """Encode a request with its headers and body."""
-        line, _, rest = (
-            super().encode_request(call, parameters).partition(b"\r\n")
-        )
-        vm = os.environ[VM_VARIABLE].encode()
-        return b"%b\r\nSent-By: %b\r\n%b" % (line, vm, rest)
-
-
 def _route(document: dict[str, typing.Any]) -> configuration_model.Route:
     return configuration_model.Route(
         document["name"],
@@ -229,6 +208,6 @@
     """Make the dialect of the soak test."""
     return dialects.Dialect(
         plain_dialect.PlainCallerDialect(),
-        SoakRunnerDialect(),
+        plain_dialect.PlainRunnerDialect(os.environ[VM_VARIABLE]),
         SoakPlatformDialect(),
     )
--- a/standins/plain_dialect.py
+++ b/standins/plain_dialect.py
@@ -72,8 +72,14 @@
     A runner marks its own answers with the header Signed, and names the calls
     a second that it takes from all VMs in the header Limit-Per-S. With a
     status of 503 it asks for rest by the header Rest-S.
+
+    :param vm: name of the sending VM, which a runner is told in the header
+        Sent-By; "" to leave it out.
     """
 
+    def __init__(self, vm=""):
+        self._vm = vm
+
     def encode_request(self, call, parameters):
         """Encode a request with its headers and body."""
         lines = [
@@ -84,6 +90,8 @@
             f"Left-S: {parameters.remaining_s:.3f}",
             f"Content-Length: {len(call.body)}",
         ]
+        if self._vm:
+            lines.append(f"Sent-By: {self._vm}")
         if parameters.customer is not None:
             lines.append(f"Customer: {parameters.customer}")
         if parameters.resume_after is not None:
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -64,7 +64,7 @@
         self.relay = call_relay.CallRelay(
             dialects.Dialect(
                 plain_dialect.PlainCallerDialect(),
-                plain_dialect.PlainRunnerDialect(),
+                plain_dialect.PlainRunnerDialect(name),
                 None,
             ),
             self.upstreams,
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -1,6 +1,7 @@
 """A runner stand-in that handles calls as a test specifies."""
 
 import asyncio
+import collections
 import socket
 import struct
 
@@ -72,6 +73,9 @@
 @behaviour("rejects calls")
 async def _rejects(runner, writer, call):
     runner.executed_call_ids.pop()
+    runner.turned_away[call.get("sent-by")].append(
+        asyncio.get_running_loop().time()
+    )
     writer.write(_response(503, call, b"", "Not-Run: yes"))
 
 
@@ -215,6 +219,9 @@
         self.statements = []
         #: When each call arrived, on the event loop's clock.
         self.arrived_at = []
+        #: When calls arrived from each VM, and when VMs were turned away.
+        self.arrived_from = collections.defaultdict(list)
+        self.turned_away = collections.defaultdict(list)
         self.disconnects = 0
         self.connections = 0
         self.port = 0
@@ -234,7 +241,9 @@
         try:
             while True:
                 call = await self._read_call(reader)
-                self.arrived_at.append(asyncio.get_running_loop().time())
+                now = asyncio.get_running_loop().time()
+                self.arrived_at.append(now)
+                self.arrived_from[call.get("sent-by")].append(now)
                 self.executed_call_ids.append(call["call-id"])
                 call["statements"] = list(self.statements)
                 self.received_calls.append(call)
