Keep the rests that runners ask this VM for

Callers saw refusals that told them to return after 3 s while six other runners served, and runners that had asked for rest went on getting calls. Cause: the time that a runner asks for was read into the outcome of the attempt and from there only into the caller's Retry-After; neither the choice of runners nor the outlier detector heard of it. Its class: a word of a runner that is passed through instead of being read. Change: a runner that rests is left out of every choice of this VM, probes included, until the rest is over and no longer; a call that was about to be sent on a connection just opened is not sent. A rest is no rejection that counts towards giving up and no failure of the runner for the detector of outliers, which kept it away from VMs that it had not asked, for longer than asked. Callers are told when the first runner of the service may take a call; a call waits for a rest that ends within a quarter of its objective. Ruled out: probes as the cause; telling other VMs of a rest, as the runner asked one. A Retry-After that is a date raised in the attempt; it is an unreadable statement now.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -32,8 +32,6 @@
 FIRST_ATTEMPT_SHARE = 0.7
 #: Time left below which a failure is not retried, in seconds.
 MIN_RETRY_TIME_S = 0.05
-#: ``Retry-After`` of a call that no runner has accepted, in seconds.
-NO_RUNNER_RETRY_AFTER_S = 0.4
 #: Minimum time limit that a runner is given for a call, in seconds, so that no
 #: runner receives a limit of zero.
 MIN_RUNNER_TIME_S = 0.001
@@ -66,7 +64,6 @@
 
     __slots__ = (
         "_call",
-        "_runner_retry_after_s",
         "_usage_recorded",
         "_customer",
         "_deadline",
@@ -116,7 +113,6 @@
         self._tried_runners: set[str] = set()
         self._rejections = 0
         self._usage_recorded = False
-        self._runner_retry_after_s: float | None = None
         self._last_event_at: float | None = None
         #: Longest pause between two events of the stream so far, in seconds.
         self.longest_pause_s = 0.0
@@ -154,7 +150,7 @@
                 raise NotServed(504, "deadline") from None
             else:
                 raise NotServed(
-                    503, "deadline", NO_RUNNER_RETRY_AFTER_S
+                    503, "deadline", self._placement.retry_after_s()
                 ) from None
 
     async def _run_attempts(self) -> None:
@@ -198,6 +194,7 @@
             attempt=self.sends + 1,
             limit_per_s=limit.limit_per_s if limit else None,
             limit_source=(limit.source or None) if limit else None,
+            passed_over=self._placement.passed_over() or None,
         )
         attempt = attempts.Attempt(
             f"{self._call.request_id}.{self._relay.next_attempt_number()}",
@@ -232,10 +229,7 @@
                 self._deadline - self._loop.time(),
             )
         except call_placement.NoPlace as error:
-            refusal = self._not_served(error.reason)
-            if refusal.retry_after_s is not None and error.retry_after_s:
-                refusal.retry_after_s = error.retry_after_s
-            raise refusal from error
+            raise self._not_served(error.reason) from error
 
     async def _send(
         self,
@@ -243,6 +237,12 @@
         channel: client_channel.Channel,
         runner: runners.Runner,
     ) -> attempts.AttemptOutcome:
+        if self._relay.upstreams.statements.rests.rests(runner.runner_id):
+            # The runner has asked for rest while the connection was opened.
+            self._relay.upstreams.pool(runner).release(channel, False, None)
+            return attempts.AttemptOutcome(
+                attempts.AttemptStatus.NOT_SENT, reason="resting"
+            )
         if self.sends and not self._relay.budget.try_acquire(self._service):
             self._relay.upstreams.pool(runner).discard(channel)
             raise self._not_served("retry_budget")
@@ -349,9 +349,10 @@
             if self._can_repeat():
                 return
             raise self._not_served(outcome.reason)
-        self._rejections += 1
-        if outcome.retry_after_s is not None:
-            self._runner_retry_after_s = outcome.retry_after_s
+        if not outcome.asks_for_rest:
+            # A runner that rests gets no further call of this VM for a while,
+            # so it doesn't show that the service has no room.
+            self._rejections += 1
         if self._rejections >= MAX_REJECTIONS:
             raise self._not_served(outcome.reason)
 
@@ -359,9 +360,7 @@
         self.reason = reason
         if self.may_have_run:
             return NotServed(502, reason)
-        return NotServed(
-            503, reason, self._runner_retry_after_s or NO_RUNNER_RETRY_AFTER_S
-        )
+        return NotServed(503, reason, self._placement.retry_after_s())
 
     def _deliver(self, outcome: attempts.AttemptOutcome) -> None:
         assert outcome.head is not None
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -1,4 +1,7 @@
-"""Finds a runner for an attempt, and room there if the runner is limited."""
+"""Finds a runner that takes the call of an attempt by its own word.
+
+Runners that rest get none, and limited ones only as many as they take.
+"""
 
 import asyncio
 
@@ -11,8 +14,11 @@
 from . import runners
 from . import upstreams
 
-#: Part of the route's objective for which a call waits for room at a limited
-#: runner if no other runner can take it.
+#: ``Retry-After`` of a call that no runner has taken, in seconds, if there are
+#: runners that may take it.
+NO_RUNNER_RETRY_AFTER_S = 0.4
+#: Part of the route's objective for which a call waits for a runner's rest to
+#: end or for room at a limited runner, if no other runner can take it.
 ROOM_WAIT_OBJECTIVE_SHARE = 0.25
 
 
@@ -20,15 +26,11 @@
     """No runner can take the call now.
 
     :param reason: why, for the log and the metrics.
-    :param retry_after_s: when one may have room, in seconds; None if unknown.
     """
 
-    def __init__(
-        self, reason: str, retry_after_s: float | None = None
-    ) -> None:
+    def __init__(self, reason: str) -> None:
         super().__init__(reason)
         self.reason = reason
-        self.retry_after_s = retry_after_s
 
 
 class Placement:
@@ -57,7 +59,14 @@
     :param service: the service whose runners may run the call.
     """
 
-    __slots__ = ("_call", "_limits", "_route", "_service", "_upstreams")
+    __slots__ = (
+        "_call",
+        "_limits",
+        "_route",
+        "_service",
+        "_statements",
+        "_upstreams",
+    )
 
     def __init__(
         self,
@@ -68,6 +77,7 @@
     ) -> None:
         self._upstreams = upstreams_
         self._limits = upstreams_.runner_limits
+        self._statements = upstreams_.statements
         self._call = call
         self._route = route
         self._service = service
@@ -97,40 +107,69 @@
         """Give back the room of an attempt whose call was not sent."""
         self._limits.refund(placement.permit)
 
-    async def _wait_for_room(
-        self, query: models.Query, tried: frozenset[str], left_s: float
-    ) -> Placement:
-        """Wait for the first limited runner that has room soon.
+    def retry_after_s(self) -> float:
+        """When a caller whose call no runner took should return, in seconds.
 
-        :raises NoPlace: if none has, with the time at which one may have.
+        A runner that is free for other calls may take it then, too; else the
+        time is that of the first one to be available.
         """
-        limited = [
-            runner.runner_id
+        waits = self._waits(frozenset())
+        if None in waits.values():
+            return NO_RUNNER_RETRY_AFTER_S
+        known = [wait_s for wait_s in waits.values() if wait_s is not None]
+        if not known:
+            return NO_RUNNER_RETRY_AFTER_S
+        return self._limits.retry_after_s(self._service, waits, min(known))
+
+    def _waits(self, tried: frozenset[str]) -> dict[str, float | None]:
+        """Seconds until each runner of the service may take a call.
+
+        The value is None for a runner that says nothing of the kind.
+        """
+        return {
+            runner.runner_id: self._statements.wait_s(runner.runner_id)
             for runner in self._upstreams.directory.available_runners(
                 self._service
             )
             if runner.runner_id not in tried
-        ]
+        }
+
+    async def _wait_for_room(
+        self, query: models.Query, tried: frozenset[str], left_s: float
+    ) -> Placement:
+        """Wait for the first runner that takes a call soon.
+
+        :raises NoPlace: if none does.
+        """
+        waits = {
+            runner: wait_s
+            for runner, wait_s in self._waits(tried).items()
+            if wait_s is not None
+        }
+        if not waits:
+            raise NoPlace("no_runner")
         patience_s = min(
             left_s, ROOM_WAIT_OBJECTIVE_SHARE * self._route.objective_s
         )
-        soonest = self._limits.soonest_room(limited)
-        if soonest is None:
-            raise NoPlace("no_runner")
-        name, room_in_s = soonest
-        if room_in_s <= patience_s:
-            permit = await self._limits.admit(name, patience_s)
-            if permit is not None:
-                return await self._wait_for_turn(permit, query)
-            _, room_in_s = self._limits.soonest_room(limited) or soonest
-        raise NoPlace(
-            "runners_limited",
-            self._limits.retry_after_s(self._service, limited, room_in_s),
-        )
-
-    async def _wait_for_turn(
-        self, permit: runner_limits.Permit, query: models.Query
-    ) -> Placement:
+        name = min(waits, key=lambda runner: waits[runner])
+        if waits[name] <= patience_s:
+            placement = await self._take_turn(name, query, patience_s)
+            if placement is not None:
+                return placement
+        raise NoPlace("runners_unavailable")
+
+    async def _take_turn(
+        self, name: str, query: models.Query, patience_s: float
+    ) -> Placement | None:
+        """Wait for the end of a runner's rest, and for room there.
+
+        :returns: None if there is no room in time.
+        """
+        rest_s = self._statements.rests.left_s.get(name, 0.0)
+        await asyncio.sleep(rest_s)
+        permit = await self._limits.admit(name, patience_s - rest_s)
+        if permit is None:
+            return None
         try:
             await asyncio.sleep(permit.wait_s)
         except asyncio.CancelledError:
@@ -139,9 +178,15 @@
         runner = self._upstreams.directory.get(permit.runner)
         if runner is None or runner.leaving:
             self._limits.refund(permit)
-            raise NoPlace("no_runner")
+            return None
         return Placement(runner, query, permit)
 
+    def passed_over(self) -> str:
+        """The service's runners that take no call now, with the causes."""
+        runners_ = self._upstreams.directory.available_runners(self._service)
+        causes = self._statements.causes(r.runner_id for r in runners_)
+        return ",".join(f"{name}={cause}" for name, cause in causes.items())
+
     def _log_passed_over(self, runner: runners.Runner) -> None:
         name = runner.runner_id
         reading = self._limits.stated.reading(name)
--- a/src/apricotlever/serving/messages.py
+++ b/src/apricotlever/serving/messages.py
@@ -175,8 +175,6 @@
         response.
     :param keep_alive_s: how long the runner keeps an idle connection, in
         seconds; None if not sent.
-    :param retry_after_s: time until the call may be repeated, in seconds; None
-        if not sent.
     :param statement: what the runner says of itself.
     """
 
@@ -189,7 +187,6 @@
         "request_id",
         "closing",
         "keep_alive_s",
-        "retry_after_s",
         "statement",
     )
 
@@ -203,7 +200,6 @@
         request_id: str = "",
         closing: bool = False,
         keep_alive_s: float | None = None,
-        retry_after_s: float | None = None,
         statement: statements.Statement = statements.NOTHING,
     ) -> None:
         self.status = status
@@ -214,5 +210,4 @@
         self.request_id = request_id
         self.closing = closing
         self.keep_alive_s = keep_alive_s
-        self.retry_after_s = retry_after_s
         self.statement = statement
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -52,11 +52,18 @@
     :param body: body of the response; empty for a stream, whose events are
         already forwarded.
     :param reason: why there is no response, for the log.
-    :param retry_after_s: after how many seconds the runner may be tried again.
     :param reset: whether the runner closed or reset the connection midway.
+    :param asks_for_rest: whether the runner asked this VM to stay away.
     """
 
-    __slots__ = ("status", "head", "body", "reason", "retry_after_s", "reset")
+    __slots__ = (
+        "status",
+        "head",
+        "body",
+        "reason",
+        "reset",
+        "asks_for_rest",
+    )
 
     def __init__(
         self,
@@ -64,15 +71,15 @@
         head: messages.RunnerResponseHead | None = None,
         body: bytes = b"",
         reason: str = "",
-        retry_after_s: float | None = None,
         reset: bool = False,
+        asks_for_rest: bool = False,
     ) -> None:
         self.reset = reset
+        self.asks_for_rest = asks_for_rest
         self.status = status
         self.head = head
         self.body = body
         self.reason = reason
-        self.retry_after_s = retry_after_s
 
 
 class EventSink(typing.Protocol):
@@ -189,7 +196,11 @@
                 channel, first_response_timeout_s
             )
             result = _health_outcome(outcome)
-            outlier_failure = outcome.status is AttemptStatus.NOT_RUN
+            # A runner that asks this VM for rest is no outlier among others.
+            outlier_failure = (
+                outcome.status is AttemptStatus.NOT_RUN
+                and not outcome.asks_for_rest
+            )
             reusable = channel.idle
         except client_channel.Broken as error:
             result = models.Outcome.FAILED
@@ -277,7 +288,7 @@
             return AttemptOutcome(
                 AttemptStatus.NOT_RUN,
                 reason="replaced" if head.other_runner else "turned_away",
-                retry_after_s=head.retry_after_s,
+                asks_for_rest=bool(head.statement.rest_s),
             )
         if not head.signed:
             return AttemptOutcome(AttemptStatus.BROKEN, reason="unsigned")
--- a/src/apricotlever/serving/runner_limits.py
+++ b/src/apricotlever/serving/runner_limits.py
@@ -34,6 +34,9 @@
 CHANGE_BATCH_S = 0.01
 #: Seconds after which a VM asks again if no keeper has answered.
 UNANSWERED_RETRY_S = 0.2
+#: Time between the returns of two callers to runners without limits, in
+#: seconds.
+RETURN_INTERVAL_S = 0.05
 #: Upper limit of ``Retry-After`` for a call that finds no room, in seconds.
 MAX_RETRY_AFTER_S = 10.0
 
@@ -206,25 +209,6 @@
         """Seconds until a runner may have room for a call of this VM."""
         return self._full.room_in_s(runner)
 
-    def soonest_room(
-        self, runners: typing.Iterable[str]
-    ) -> tuple[str, float] | None:
-        """The limited runner that may have room first.
-
-        :param runners: the runners to select from.
-        :returns: the runner and the seconds until then; None if none of the
-            runners has a limit.
-        """
-        waits = {
-            runner: self._full.room_in_s(runner)
-            for runner in runners
-            if self._stated.reading(runner) is not None
-        }
-        if not waits:
-            return None
-        runner = min(waits, key=lambda each: waits[each])
-        return runner, waits[runner]
-
     def retry_after_s(
         self, service: str, runners: typing.Iterable[str], room_in_s: float
     ) -> float:
@@ -233,12 +217,16 @@
         Callers of one service are told different times, at the pace at which
         its runners take calls, so that they don't all return at once.
 
-        :param runners: the limited runners of the service.
-        :param room_in_s: seconds until the first of them may have room.
+        :param runners: the runners of the service that can't take the call.
+        :param room_in_s: seconds until the first of them may take one.
         """
         in_force = self._stated.in_force
-        per_s = sum(in_force.get(runner, 0.0) for runner in runners)
-        interval_s = 1.0 / max(per_s, limit_keeper.MIN_LIMIT_PER_S)
+        limits = [in_force[r] for r in runners if r in in_force]
+        interval_s = (
+            1.0 / max(sum(limits), limit_keeper.MIN_LIMIT_PER_S)
+            if limits
+            else RETURN_INTERVAL_S
+        )
         return min(
             MAX_RETRY_AFTER_S,
             self._refusal_times.schedule(service, room_in_s, interval_s),
--- a/src/apricotlever/serving/runner_statements.py
+++ b/src/apricotlever/serving/runner_statements.py
@@ -1,5 +1,7 @@
 """Takes what runners say of themselves from the responses to this VM."""
 
+import typing
+
 from .. import clock as clocks
 from .. import logs
 from ..runners import stated_rests
@@ -37,6 +39,40 @@
         """The rests that runners have asked this VM for."""
         return self._rests
 
+    @property
+    def unavailable(self) -> frozenset[str]:
+        """Runners that get no call of this VM now, by their own word."""
+        return self._limits.full_runners | self._rests.left_s.keys()
+
+    def wait_s(self, runner: str) -> float | None:
+        """Seconds until a runner may take a call of this VM again.
+
+        :returns: the seconds, 0 for a limited runner that may have room now;
+            None for a runner that neither rests nor names a limit.
+        """
+        rest_s = self._rests.left_s.get(runner)
+        is_limited = self._limits.stated.reading(runner) is not None
+        if rest_s is None and not is_limited:
+            return None
+        return max(rest_s or 0.0, self._limits.room_in_s(runner))
+
+    def causes(self, runners: typing.Iterable[str]) -> dict[str, str]:
+        """Why runners get no call of this VM now; without those that may.
+
+        :returns: the cause and the seconds that are left, by runner.
+        """
+        rests = self._rests.left_s
+        full = self._limits.full_runners
+        return {
+            runner: (
+                f"rest:{rests[runner]:.2f}"
+                if runner in rests
+                else f"limit:{self._limits.room_in_s(runner):.2f}"
+            )
+            for runner in runners
+            if runner in rests or runner in full
+        }
+
     def keep_only(self, runners: frozenset[str]) -> None:
         """Set the known runners, and forget all others."""
         self._limits.keep_only(runners)
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -308,9 +308,9 @@
         of the new version if one of them is available.
 
         :param full: limited runners that have no room for the call, besides
-            those that had none a moment ago.
+            those that take no call of this VM now by their own word.
         """
-        full |= self._limits.full_runners
+        full |= self._statements.unavailable
         service = query.pool
         repeated = bool(query.excluded)
         if self._roll_outs.should_use_new_version(
--- a/tests/adapter/callers.feature
+++ b/tests/adapter/callers.feature
@@ -27,6 +27,20 @@
   Scenario: Only a runner's marked answer guarantees that the call has not run
     Then only a marked answer guarantees that a call has not run
 
+  # Guards against calls that fail as a runner's header can't be read.
+  Scenario Outline: What a runner says of itself is decoded
+    When the adapter reads a runner's response <status> with <header>
+    Then the runner names the limit <limit> and asks for the rest <rest>
+
+    Examples:
+      | status | header                                     | limit | rest |
+      | 200    | Server-Limit: 1.5                          | 1.5   | none |
+      | 503    | Retry-After: 3                             | none  | 3    |
+      | 429    | Retry-After: 3                             | none  | none |
+      | 503    | Retry-After: Thu, 03 Dec 2026 10:00:00 GMT | none  | none |
+      | 503    | Retry-After: nan                           | none  | none |
+      | 200    | Server-Limit: -1                           | none  | none |
+
   Scenario: A configuration is decoded
     When the adapter reads a configuration with a split route
     Then the decoded configuration finds the longest prefix, the split and the customer
--- a/tests/serving/fleet_paths.py
+++ b/tests/serving/fleet_paths.py
@@ -87,6 +87,10 @@
             *(self._call(self.vms[0], f"{first}-{n}") for n in range(count))
         )
 
+    async def call_at(self, index):
+        """Send a call to one VM, which is given by its index."""
+        await self._call(self.vms[index], len(self.replies))
+
     def silence_keeper(self, runner):
         """Let the keeper of a runner's limit drop all messages."""
         keepers = limit_keepers.LimitKeepers(clocks.SystemClock(), "")
--- a/tests/steps/adapter.py
+++ b/tests/steps/adapter.py
@@ -146,10 +146,26 @@
     plain = dialect.parse_response_head(503, [(b"Retry-After", b"0.5")])
     moved = dialect.parse_response_head(421, [(b"Instance-Id", b"i-02d9e6b4")])
     assert marked.not_run and not plain.not_run
-    assert plain.retry_after_s == 0.5
+    assert plain.statement.rest_s == 0.5
     assert moved.other_runner and not plain.other_runner
 
 
+@when("the adapter reads a runner's response {status:d} with {header}")
+def _read_statement(context, status, header):
+    name, _, value = header.partition(": ")
+    head = upstreams.AdapterRunnerDialect().parse_response_head(
+        status, [(name.encode(), value.encode()), (b"Not-Executed", b"1")]
+    )
+    context.statement = head.statement
+
+
+@then("the runner names the limit {limit} and asks for the rest {rest}")
+def _check_statement(context, limit, rest):
+    found = context.statement.limit_per_s, context.statement.rest_s
+    expected = [None if t == "none" else float(t) for t in (limit, rest)]
+    assert list(found) == expected, found
+
+
 ROUTE = {
     "name": "r-1",
     "hostname": "Ficu95.example",
--- a/tests/steps/serving_runner_rests.py
+++ b/tests/steps/serving_runner_rests.py
@@ -1,7 +1,10 @@
 """Steps for tests/serving/runner_rests.feature."""
 
+import asyncio
+
 from behave import given
 from behave import then
+from behave import when
 
 #: A VM must keep a rest from this time after it was turned away.
 KEPT_AFTER_S = 0.5
@@ -37,3 +40,40 @@
 def _check_rests(context, most):
     found = _calls_in_rests(context)
     assert found and max(found) <= most, max(found, default=None)
+
+
+@when("VM {number:d} gets a call")
+def _call(context, number):
+    async def call():
+        context.fleet.replies.clear()
+        await context.fleet.call_at(number - 1)
+
+    context.loop.run(call())
+
+
+@when("{seconds:g} seconds pass")
+def _pass(context, seconds):
+    context.loop.run(asyncio.sleep(seconds))
+
+
+@then("the call is answered")
+def _check_answered(context):
+    assert context.fleet.replies[0].status == 200
+
+
+@then(
+    "the call is refused within {seconds:g} seconds, to return after "
+    "{least:g} to {most:g} seconds"
+)
+def _check_refused(context, seconds, least, most):
+    reply = context.fleet.replies[0]
+    assert reply.status == 503 and reply.took_s <= seconds, reply.took_s
+    retry_after_s = float(reply.headers["retry-after"])
+    assert least <= retry_after_s <= most, retry_after_s
+
+
+@then("VM {number:d} has counted no failure of runner {runner:d}")
+def _check_no_failure(context, number, runner):
+    vm = context.fleet.vms[number - 1]
+    counts = vm.upstreams.outcome_counts
+    assert counts.get(f"runner-{runner}", (0, 0))[0] == 0, counts
