Keep away from runners that say themselves that they leave

Callers' calls could reach a runner that leaves while the store, down or late, still lists it as ready. Cause: a runner's leaving was known from its entry alone; the header by which it says so in each response was not read. Change: the word of a runner binds the VM that read it: no choice, probe or resumed stream takes the runner, until its process is gone. Neither an older entry nor a later one of the same process undoes it; a new start does (another id, or heartbeats that count from the beginning). Streams that run there go on. Ruled out: marking the runner as leaving in the directory of the entries; VMs compare checksums of these and would fetch them again and again.

--- a/src/apricotlever/runners/statements.py
+++ b/src/apricotlever/runners/statements.py
@@ -14,6 +14,7 @@
 
     LIMIT = "limit"
     REST = "rest"
+    LEAVING = "leaving"
 
 
 class Statement:
@@ -23,21 +24,24 @@
         together; None if the response names no readable limit.
     :param rest_s: the seconds for which the runner wants no calls of this VM;
         None if the response asks for no readable rest.
+    :param leaves: whether the runner says that it leaves.
     :param unreadable: values that could not be read, or that contradict each
         other, by field. A limit that is unreadable is neither named nor
         lifted.
     """
 
-    __slots__ = ("limit_per_s", "rest_s", "unreadable")
+    __slots__ = ("limit_per_s", "rest_s", "leaves", "unreadable")
 
     def __init__(
         self,
         limit_per_s: float | None = None,
         rest_s: float | None = None,
+        leaves: bool = False,
         unreadable: typing.Mapping[Field, str] | None = None,
     ) -> None:
         self.limit_per_s = limit_per_s
         self.rest_s = rest_s
+        self.leaves = leaves
         self.unreadable = unreadable or {}
 
     @property
@@ -51,28 +55,36 @@
 
 
 def read_statement(
-    limits: typing.Sequence[bytes] = (), rests: typing.Sequence[bytes] = ()
+    limits: typing.Sequence[bytes] = (),
+    rests: typing.Sequence[bytes] = (),
+    leavings: typing.Sequence[bytes] = (),
 ) -> Statement:
     """Read what the head of a response says of its runner.
 
-    Of several different values in one head, the least limit and the longest
-    rest count, as the runner takes no harm from them.
+    Of several different values in one head, the least limit, the longest rest
+    and a leaving count, as the runner takes no harm from them.
 
     :param limits: the values of the header that names the limit, one for each
         time that the head has it.
     :param rests: the same for the seconds of rest, of a response that turns a
         call away.
+    :param leavings: the same for whether the runner leaves: 1 or 0.
     """
-    if not limits and not rests:
+    if not limits and not rests and not leavings:
         return NOTHING
     unreadable = {
         field: _join(values)
         for field, values in ((Field.LIMIT, limits), (Field.REST, rests))
         if values and not _is_clear(values)
     }
+    if leavings and (
+        not _is_clear(leavings) or _readable(leavings)[0] not in (0.0, 1.0)
+    ):
+        unreadable[Field.LEAVING] = _join(leavings)
     return Statement(
         min(_readable(limits), default=None),
         max(_readable(rests), default=None),
+        1.0 in _readable(leavings),
         unreadable,
     )
 
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -237,11 +237,11 @@
         channel: client_channel.Channel,
         runner: runners.Runner,
     ) -> attempts.AttemptOutcome:
-        if self._relay.upstreams.statements.rests.rests(runner.runner_id):
-            # The runner has asked for rest while the connection was opened.
+        if not self._relay.upstreams.statements.takes_calls(runner.runner_id):
+            # The runner has said so while the connection was opened.
             self._relay.upstreams.pool(runner).release(channel, False, None)
             return attempts.AttemptOutcome(
-                attempts.AttemptStatus.NOT_SENT, reason="resting"
+                attempts.AttemptStatus.NOT_SENT, reason="takes_no_calls"
             )
         if self.sends and not self._relay.budget.try_acquire(self._service):
             self._relay.upstreams.pool(runner).discard(channel)
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -124,14 +124,16 @@
     def _waits(self, tried: frozenset[str]) -> dict[str, float | None]:
         """Seconds until each runner of the service may take a call.
 
-        The value is None for a runner that says nothing of the kind.
+        The value is None for a runner that says nothing of the kind; those
+        that leave are left out.
         """
+        excluded = tried | self._statements.leavings.names
         return {
             runner.runner_id: self._statements.wait_s(runner.runner_id)
             for runner in self._upstreams.directory.available_runners(
                 self._service
             )
-            if runner.runner_id not in tried
+            if runner.runner_id not in excluded
         }
 
     async def _wait_for_room(
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -41,6 +41,9 @@
                 upstreams.runner_limits.stated.in_force
             ),
             ("runner_rest_s", "runner"): upstreams.statements.rests.left_s,
+            ("runner_says_leaving", "runner"): dict.fromkeys(
+                upstreams.statements.leavings.names, 1
+            ),
             ("retries_left", "service"): {
                 service: relay_.budget.remaining(service)
                 for service in services
--- a/src/apricotlever/serving/runner_statements.py
+++ b/src/apricotlever/serving/runner_statements.py
@@ -4,6 +4,7 @@
 
 from .. import clock as clocks
 from .. import logs
+from ..runners import stated_leavings
 from ..runners import stated_rests
 from ..runners import statements
 
@@ -25,12 +26,13 @@
     :param limits: keeps the limits that the runners name.
     """
 
-    __slots__ = ("_limits", "_rests", "_unreadable")
+    __slots__ = ("_leavings", "_limits", "_rests", "_unreadable")
 
     def __init__(
         self, clock: clocks.Clock, limits: runner_limits.RunnerLimits
     ) -> None:
         self._limits = limits
+        self._leavings = stated_leavings.StatedLeavings()
         self._rests = stated_rests.StatedRests(clock)
         self._unreadable = log_rate_limiter.LogRateLimiter(clock)
 
@@ -39,10 +41,28 @@
         """The rests that runners have asked this VM for."""
         return self._rests
 
+    @property
+    def leavings(self) -> stated_leavings.StatedLeavings:
+        """The runners that have said to this VM that they leave."""
+        return self._leavings
+
     @property
     def unavailable(self) -> frozenset[str]:
         """Runners that get no call of this VM now, by their own word."""
-        return self._limits.full_runners | self._rests.left_s.keys()
+        return (
+            self._limits.full_runners
+            | self._rests.left_s.keys()
+            | self._leavings.names
+        )
+
+    def takes_calls(self, runner: str) -> bool:
+        """Whether a runner neither rests nor leaves by its own word.
+
+        A limited runner does take calls, if there is a permit for each.
+        """
+        return runner not in self._leavings.names and not self._rests.rests(
+            runner
+        )
 
     def wait_s(self, runner: str) -> float | None:
         """Seconds until a runner may take a call of this VM again.
@@ -56,27 +76,26 @@
             return None
         return max(rest_s or 0.0, self._limits.room_in_s(runner))
 
-    def causes(self, runners: typing.Iterable[str]) -> dict[str, str]:
+    def causes(self, names: typing.Iterable[str]) -> dict[str, str]:
         """Why runners get no call of this VM now; without those that may.
 
         :returns: the cause and the seconds that are left, by runner.
         """
-        rests = self._rests.left_s
-        full = self._limits.full_runners
-        return {
-            runner: (
-                f"rest:{rests[runner]:.2f}"
-                if runner in rests
-                else f"limit:{self._limits.room_in_s(runner):.2f}"
-            )
-            for runner in runners
-            if runner in rests or runner in full
+        causes = {
+            runner: f"limit:{self._limits.room_in_s(runner):.2f}"
+            for runner in self._limits.full_runners
         }
+        for runner, left_s in self._rests.left_s.items():
+            causes[runner] = f"rest:{left_s:.2f}"
+        causes.update(dict.fromkeys(self._leavings.names, "leaving"))
+        return {name: causes[name] for name in names if name in causes}
 
-    def keep_only(self, runners: frozenset[str]) -> None:
+    def keep_only(self, listed: typing.Sequence[runners.Runner]) -> None:
         """Set the known runners, and forget all others."""
-        self._limits.keep_only(runners)
-        self._rests.keep_only(runners)
+        sequences = {runner.runner_id: runner.sequence for runner in listed}
+        self._limits.keep_only(sequences)
+        self._rests.keep_only(sequences)
+        self._leavings.keep_only(sequences)
 
     def record_response(
         self,
@@ -101,3 +120,5 @@
         self._limits.record_statement(name, statement, sent_at)
         if statement.rest_s and self._rests.record(name, statement.rest_s):
             logs.event("runner_rest", runner=name, rest_s=statement.rest_s)
+        if statement.leaves and self._leavings.record(name, runner.sequence):
+            logs.event("runner_leaving", runner=name, said_by="response")
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -217,7 +217,7 @@
         present = frozenset(runner.runner_id for runner in listed)
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
-        self._statements.keep_only(present)
+        self._statements.keep_only(listed)
         self._pools.retain_runners(listed)
 
     def set_fleet_size(self, count: int) -> None:
--- a/standins/plain_dialect.py
+++ b/standins/plain_dialect.py
@@ -71,7 +71,8 @@
 
     A runner marks its own answers with the header Signed, and names the calls
     a second that it takes from all VMs in the header Limit-Per-S. With a
-    status of 503 it asks for rest by the header Rest-S.
+    status of 503 it asks for rest by the header Rest-S. It says that it leaves
+    by the header Leaving: 1.
 
     :param vm: name of the sending VM, which a runner is told in the header
         Sent-By; "" to leave it out.
@@ -115,5 +116,6 @@
             statement=statements.read_statement(
                 _header_values(headers, b"limit-per-s"),
                 _header_values(headers, b"rest-s") if status == 503 else [],
+                _header_values(headers, b"leaving"),
             ),
         )
--- a/tests/adapter/callers.feature
+++ b/tests/adapter/callers.feature
@@ -41,6 +41,17 @@
       | 503    | Retry-After: nan                           | none  | none |
       | 200    | Server-Limit: -1                           | none  | none |
 
+  Scenario Outline: A runner's word that it leaves is decoded
+    When the adapter reads a runner's response <status> with <header>
+    Then the runner <says> that it leaves
+
+    Examples:
+      | status | header              | says         |
+      | 200    | Server-Leaving: 1   | says         |
+      | 503    | Server-Leaving: 1   | says         |
+      | 200    | Server-Leaving: 0   | does not say |
+      | 200    | Server-Leaving: yes | does not say |
+
   Scenario: A configuration is decoded
     When the adapter reads a configuration with a split route
     Then the decoded configuration finds the longest prefix, the split and the customer
--- a/tests/runners/statements.feature
+++ b/tests/runners/statements.feature
@@ -95,3 +95,29 @@
       | 3     | 1     | 3      | 3    |
       | 3     | 1     | 1      | 2    |
       | 3     | 1     | 0      | 2    |
+
+  Scenario Outline: A leaving is read
+    When a head says of leaving <values>
+    Then the runner <outcome> and the values are <clear>
+
+    Examples:
+      | values  | outcome | clear      |
+      | 1       | leaves  | readable   |
+      | 0       | stays   | readable   |
+      | 1 and 1 | leaves  | readable   |
+      | 1 and 0 | leaves  | unreadable |
+      | soon    | stays   | unreadable |
+      | 2       | stays   | unreadable |
+      | -1      | stays   | unreadable |
+
+  Scenario Outline: A runner's word that it leaves holds until its process ends
+    Given a VM that was told at heartbeat 7 that a runner leaves
+    When <what>
+    Then the runner <outcome> by its word
+
+    Examples:
+      | what                                  | outcome |
+      | it is listed with heartbeat 9         | leaves  |
+      | it is listed with heartbeat 7         | leaves  |
+      | it is listed with heartbeat 1         | stays   |
+      | it is not listed                      | stays   |
--- a/tests/steps/adapter.py
+++ b/tests/steps/adapter.py
@@ -38,7 +38,7 @@
 PLATFORM_NAMES = re.compile(
     r"Server-Signature|Prefix-Hash|Token-Usage|Deadline-Ms|Kv-(From|Hold|"
     r"Fetch|Backup)|Fencing-Token|Duty-Holder|Expect-Instance|Not-Executed|"
-    r"APRICOTLEVER_SETTINGS|Server-Limit|traffic_split|"
+    r"APRICOTLEVER_SETTINGS|Server-(Limit|Leaving)|traffic_split|"
     r"/-/(resolve|readyz|objects|kv-)|"
     r"\b(kv_capacity_tokens|window_id|desired_count|as_of|has_more|"
     r"target_latency_ms|usage_report|autoscale)\b"
@@ -159,9 +159,15 @@
     context.statement = head.statement
 
 
+@then("the runner {leaves} that it leaves")
+def _check_leaves(context, leaves):
+    assert context.statement.leaves == (leaves == "says"), leaves
+
+
 @then("the runner names the limit {limit} and asks for the rest {rest}")
 def _check_statement(context, limit, rest):
     found = context.statement.limit_per_s, context.statement.rest_s
+    assert not context.statement.leaves
     expected = [None if t == "none" else float(t) for t in (limit, rest)]
     assert list(found) == expected, found
 
--- a/tests/steps/runners_statements.py
+++ b/tests/steps/runners_statements.py
@@ -5,6 +5,7 @@
 from behave import when
 
 from apricotlever import clock as clocks
+from apricotlever.runners import stated_leavings
 from apricotlever.runners import stated_limits
 from apricotlever.runners import stated_rests
 from apricotlever.runners import statements
@@ -78,6 +79,43 @@
     assert not context.rests.rests(RUNNER) and not context.rests.left_s
 
 
+@when("a head says of leaving {values}")
+def _read_leaving(context, values):
+    context.statement = statements.read_statement(
+        [], [], [each.encode() for each in values.split(" and ")]
+    )
+
+
+@then("the runner {outcome} and the values are {clear}")
+def _check_leaving(context, outcome, clear):
+    statement = context.statement
+    assert statement.leaves == (outcome == "leaves")
+    is_unreadable = statements.Field.LEAVING in statement.unreadable
+    assert is_unreadable == (clear == "unreadable"), statement.unreadable
+
+
+@given("a VM that was told at heartbeat {number:d} that a runner leaves")
+def _tell_leaving(context, number):
+    context.leavings = stated_leavings.StatedLeavings()
+    assert context.leavings.record(RUNNER, number)
+    assert not context.leavings.record(RUNNER, number + 1)
+
+
+@when("it is listed with heartbeat {number:d}")
+def _list(context, number):
+    context.leavings.keep_only({RUNNER: number})
+
+
+@when("it is not listed")
+def _list_none(context):
+    context.leavings.keep_only({})
+
+
+@then("the runner {outcome} by its word")
+def _check_word(context, outcome):
+    assert (RUNNER in context.leavings.names) == (outcome == "leaves")
+
+
 @given("a VM that knows a runner")
 def _add_runner(context):
     context.clock = clocks.ManualClock()
