Soak runners that ask for rest and that say that they leave

Change: two more statements of the soak's runners: every second call is turned away with a rest for some seconds, and a runner says that it leaves while its entry doesn't, serves on for 4 s and ends. Checks on the runners' side: at most two calls of a VM from half a second after it was asked for rest to its end, and none later than 2 s after it was told of a leaving.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,10 @@
 )
 #: Limits that runners name, in calls a second.
 LIMITS_PER_S = (1.0, 2.5, 6.0)
+#: Rests that runners ask for, in seconds.
+RESTS_S = (0.8, 1.5, 3.0)
+#: How long a runner goes on serving after it said that it leaves, in seconds.
+LEAVING_DURATION_S = 4.0
 #: Shortest and longest time for which a runner says something, in seconds.
 STATEMENT_DURATION_S = (4.0, 8.0)
 #: Shortest and longest time between two such beginnings, in seconds.
@@ -218,6 +222,30 @@
     await test_fleet.say(runner)
 
 
+@register_statement("runner_asks_for_rest")
+async def _ask_for_rest(test_fleet: fleet.Fleet, rng: random.Random) -> None:
+    """A runner turns calls away and asks the VMs to stay away."""
+    runner = rng.choice(test_fleet.runners)
+    await test_fleet.say(runner, f"Rest-S: {rng.choice(RESTS_S)}\r\n")
+    await asyncio.sleep(rng.uniform(*STATEMENT_DURATION_S))
+    await test_fleet.say(runner)
+
+
+@register_statement("runner_says_leaving")
+async def _say_leaving(test_fleet: fleet.Fleet, rng: random.Random) -> None:
+    """A runner says that it leaves, and its entry doesn't, and then ends."""
+    runner = _pick_replaceable_runner(test_fleet, rng)
+    if runner is None:
+        return
+    test_fleet.runners.remove(runner)
+    await test_fleet.add_runner(runner.service)
+    await test_fleet.say(runner, "Leaving: 1\r\n")
+    await asyncio.sleep(LEAVING_DURATION_S)
+    await test_fleet.delete_entry(runner)
+    runner.process.kill()
+    runner.link.close()
+
+
 def _pick_replaceable_runner(
     test_fleet: fleet.Fleet, rng: random.Random
 ) -> fleet.RunnerProcess | None:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -3,7 +3,9 @@
 Usage: ``python -m soak.runner NAME PORT JOURNAL STATEMENTS``
 
 A request for the path ``/say`` sets what the runner says of itself from then
-on: the limit in its header Limit-Per-S, or nothing without that header.
+on: the limit in its header Limit-Per-S, the rest for which it asks the VMs of
+every second call in Rest-S, or that it leaves in Leaving. Without a header it
+says nothing of the kind.
 
 Answers and events contain the id of the call, so that an answer delivered to
 the wrong caller is detectable. The runner records each call in its journal
@@ -66,7 +68,8 @@
         self._journal = journal
         self._record = record
         self._running = 0
-        self._limit = ""
+        self._says: Headers = {}
+        self._arrivals = 0
         record.write(name, statements.Kind.STARTED)
 
     async def serve(
@@ -93,8 +96,9 @@
             return
         vm = headers["sent-by"]
         self._record.write(self._name, statements.Kind.ARRIVED, vm)
-        if self._running >= MAX_CONCURRENT_CALLS:
-            says = self._tell(vm)
+        self._arrivals += 1
+        if self._running >= MAX_CONCURRENT_CALLS or self._wants_rest:
+            says = [*self._tell(vm), *self._ask_for_rest(vm)]
             writer.write(_response(503, call_id, "", "Not-Run: yes", *says))
             return
         self._running += 1
@@ -115,17 +119,32 @@
             self._running -= 1
 
     def _say(self, headers: Headers) -> None:
-        self._limit = headers.get("limit-per-s", "")
-        self._record.write(
-            self._name, statements.Kind.SAYS, value=self._limit or "-"
-        )
+        self._says = headers
+        limit = headers.get("limit-per-s", "-")
+        self._record.write(self._name, statements.Kind.SAYS, value=limit)
+
+    @property
+    def _wants_rest(self) -> bool:
+        return "rest-s" in self._says and self._arrivals % 2 == 0
+
+    def _ask_for_rest(self, vm: str) -> list[str]:
+        """The header by which a VM that is turned away is asked for rest."""
+        rest = self._says.get("rest-s")
+        if rest is None:
+            return []
+        self._record.write(self._name, statements.Kind.ASKED_REST, vm, rest)
+        return [f"Rest-S: {rest}"]
 
     def _tell(self, vm: str) -> list[str]:
         """The headers by which a VM is told what the runner says."""
-        if not self._limit:
-            return []
-        self._record.write(self._name, statements.Kind.TOLD_LIMIT, vm)
-        return [f"Limit-Per-S: {self._limit}"]
+        told = []
+        if "limit-per-s" in self._says:
+            self._record.write(self._name, statements.Kind.TOLD_LIMIT, vm)
+            told.append(f"Limit-Per-S: {self._says['limit-per-s']}")
+        if "leaving" in self._says:
+            self._record.write(self._name, statements.Kind.TOLD_LEAVING, vm)
+            told.append("Leaving: 1")
+        return told
 
 
 async def _read_request(reader: asyncio.StreamReader) -> tuple[str, Headers]:
--- a/soak/statement_checks.py
+++ b/soak/statement_checks.py
@@ -19,6 +19,12 @@
 LIMIT_EXTRA_CALLS = 5.0
 #: A VM must keep what it was told from this time on.
 TOLD_FOR_S = 0.5
+#: A rest must be kept from this time after it was asked for, but for some
+#: calls.
+REST_KEPT_AFTER_S = 0.5
+REST_CALLS = 2
+#: A VM sends no call later than this after a runner told it that it leaves.
+LEAVING_KEPT_AFTER_S = 2.0
 #: Calls that wait at a disturbed runner or link arrive together up to this
 #: time after its end.
 BACKLOG_S = 1.0
@@ -38,8 +44,9 @@
         by_runner[event.runner].append(event)
     return list(
         itertools.chain.from_iterable(
-            _check_limits(runner_events, disturbances)
+            check(runner_events, disturbances)
             for runner_events in by_runner.values()
+            for check in (_check_limits, _check_rests, _check_leavings)
         )
     )
 
@@ -117,3 +124,65 @@
         f"{runner} takes {limit:g} calls a second and got {most} in "
         f"{LIMIT_SPAN_S:g} s, {allowed:g} allowed"
     ]
+
+
+def _check_rests(
+    events: list[statements.Event],
+    disturbances: list[statements.Disturbance],
+) -> list[str]:
+    """Check that each VM kept away for the rests that it was asked for."""
+    violations = []
+    for index, asked in enumerate(events):
+        if asked.kind is not statements.Kind.ASKED_REST:
+            continue
+        until = asked.at + float(asked.value)
+        calls = [
+            event.at
+            for event in _same_process(events[index:])
+            if event.kind is statements.Kind.ARRIVED
+            and event.vm == asked.vm
+            and asked.at + REST_KEPT_AFTER_S < event.at < until
+        ]
+        if len(calls) > REST_CALLS and not any(
+            _is_disturbed(name, asked.at - BACKLOG_S, until, disturbances)
+            for name in (asked.vm, asked.runner)
+        ):
+            violations.append(
+                f"{asked.runner} asked {asked.vm} for {asked.value} s of rest "
+                f"and got {len(calls)} calls, {REST_CALLS} allowed"
+            )
+    return violations
+
+
+def _check_leavings(
+    events: list[statements.Event],
+    disturbances: list[statements.Disturbance],
+) -> list[str]:
+    """Check that no VM sent calls long after it was told of a leaving."""
+    violations = []
+    told_at: dict[str, float] = {}
+    for event in events:
+        if event.kind is statements.Kind.STARTED:
+            told_at.clear()
+        elif event.kind is statements.Kind.TOLD_LEAVING:
+            told_at.setdefault(event.vm, event.at)
+        elif event.kind is statements.Kind.ARRIVED and event.vm in told_at:
+            since = told_at[event.vm]
+            if event.at - since > LEAVING_KEPT_AFTER_S and not any(
+                _is_disturbed(name, since, event.at, disturbances)
+                for name in (event.vm, event.runner)
+            ):
+                violations.append(
+                    f"{event.runner} told {event.vm} that it leaves and got a "
+                    f"call {event.at - since:.1f} s later"
+                )
+    return violations
+
+
+def _same_process(
+    events: typing.Iterable[statements.Event],
+) -> typing.Iterator[statements.Event]:
+    """The events until the runner starts again."""
+    return itertools.takewhile(
+        lambda event: event.kind is not statements.Kind.STARTED, events
+    )
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -20,6 +20,10 @@
     ARRIVED = "arrived"
     #: A VM was sent a response that names the runner's limit.
     TOLD_LIMIT = "told_limit"
+    #: A VM was turned away and asked for rest.
+    ASKED_REST = "asked_rest"
+    #: A VM was sent a response that says that the runner leaves.
+    TOLD_LEAVING = "told_leaving"
 
 
 class Event:
@@ -27,7 +31,8 @@
 
     :param at: when it happened, on the machine's monotonic clock.
     :param vm: the VM concerned; "-" for none.
-    :param value: the limit in calls a second, or "-" for none.
+    :param value: the limit in calls a second or the rest in seconds; "-" for
+        none.
     """
 
     __slots__ = ("at", "runner", "kind", "vm", "value")
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -30,7 +30,7 @@
     Given a VM's log with a failed task
     Then the failed task is reported
 
-  Scenario: A short soak in which runners name limits violates no guarantee
+  Scenario: A short soak in which runners say things violates no guarantee
     When a soak test with seed 11 injects faults and statements for 4.0 s
     Then it made over 100 calls and violated no guarantee
 
@@ -47,5 +47,21 @@
       | the VM sends 18 calls in 4 seconds after a restart | kept    |
       | another VM sends 18 calls in 4 seconds             | kept    |
 
+  Scenario Outline: The checks detect calls to a runner that rests or leaves
+    Given a soak runner that <said> a VM
+    And <calls> calls of <vm> arrive <at> seconds later
+    Then the checks find that word <outcome>
+
+    Examples:
+      | said                | calls | vm      | at  | outcome |
+      | asked rest of       | 2     | that VM | 1.0 | kept    |
+      | asked rest of       | 3     | that VM | 1.0 | broken  |
+      | asked rest of       | 3     | that VM | 0.4 | kept    |
+      | asked rest of       | 3     | that VM | 3.1 | kept    |
+      | asked rest of       | 3     | another | 1.0 | kept    |
+      | told of its leaving | 1     | that VM | 1.9 | kept    |
+      | told of its leaving | 1     | that VM | 2.1 | broken  |
+      | told of its leaving | 1     | another | 2.1 | kept    |
+
   Scenario: The fault plan depends only on the seed
     Then the plans of seed 7 are equal and that of seed 8 differs
--- a/tests/steps/soak_checks.py
+++ b/tests/steps/soak_checks.py
@@ -242,3 +242,33 @@
         context.events, context.disturbances
     )
     assert len(found) == 1 and "takes 2 calls a second" in found[0], found
+
+
+@given("a soak runner that {said} a VM")
+def _say_to_vm(context, said):
+    kind, value = {
+        "asked rest of": (statements.Kind.ASKED_REST, "3"),
+        "told of its leaving": (statements.Kind.TOLD_LEAVING, "-"),
+    }[said]
+    context.disturbances = []
+    context.events = [
+        _event(0.0, statements.Kind.STARTED),
+        _event(10.0, kind, "vm-1", value),
+    ]
+
+
+@given("{count:d} calls of {vm} arrive {at:g} seconds later")
+def _arrive_later(context, count, vm, at):
+    name = "vm-1" if vm == "that VM" else "vm-2"
+    context.events += [
+        _event(10.0 + at + 0.001 * n, statements.Kind.ARRIVED, name)
+        for n in range(count)
+    ]
+
+
+@then("the checks find that word {outcome}")
+def _check_word(context, outcome):
+    found = statement_checks.find_violations(
+        context.events, context.disturbances
+    )
+    assert bool(found) == (outcome == "broken"), found
