Keep rests and leavings on the daemon's path, too

Change: the exchange with an upstream reads its statement by the same module (runners/statements), and the dispatcher leaves resting runners out, marks those that leave, and tells a refused request the end of the first rest. Ruled out: reading the head in each kind of attempt; both kinds report through attempt_reports.

--- a/src/apricotlever/daemon/attempt_reports.py
+++ b/src/apricotlever/daemon/attempt_reports.py
@@ -10,8 +10,11 @@
 
 from .. import refusals
 from ..contracts import retry_policy
+from ..links import upstream_exchange
 from ..runners import crashes
+from ..runners import model as runners
 from ..runners import quarantine
+from ..runners import statements
 
 from . import context as contexts
 from . import dispatcher_messages
@@ -48,6 +51,42 @@
     return decision
 
 
+def report_statement(
+    context: contexts.Context,
+    runner: str,
+    exchange: upstream_exchange.Exchange,
+    request_id: str,
+) -> None:
+    """Tell the dispatcher what a runner says of itself in a response.
+
+    Nothing is taken from a response to another request.
+
+    :param context: the daemon's tasks.
+    :param runner: the name of the runner.
+    :param exchange: the exchange, whose response has begun.
+    :param request_id: the request that was sent.
+    """
+    echoed = exchange.header(upstream_exchange.REQUEST_HEADER)
+    statement = exchange.statement
+    if echoed in ("", request_id) and statement is not statements.NOTHING:
+        context.dispatcher.tell(
+            dispatcher_messages.RunnerStated(runner, statement)
+        )
+
+
+def failure_outcome(
+    error: upstream_exchange.UpstreamError,
+) -> runners.Outcome:
+    """The outcome of a failed attempt, as counted for the runner's health.
+
+    A runner that asks for rest has not failed.
+    """
+    if isinstance(error, upstream_exchange.UpstreamErrorResponse):
+        if error.asks_for_rest:
+            return runners.Outcome.CANCELLED
+    return runners.Outcome.FAILED
+
+
 def send_report(
     context: contexts.Context, report: crashes.Report | None, wait: bool
 ) -> None:
--- a/src/apricotlever/daemon/dispatcher.py
+++ b/src/apricotlever/daemon/dispatcher.py
@@ -24,6 +24,8 @@
 from ..runners import model as runners
 from ..runners import quarantine
 from ..runners import routing
+from ..runners import stated_rests
+from ..runners import statements
 
 from . import admission_refusals
 from . import dispatcher_messages
@@ -69,6 +71,9 @@
         self._pool_by_entry: dict[str, str] = {}
         self._waiting_admissions: dict[str, futures.Future[typing.Any]] = {}
         self._placements = placements.Placements(clock, self._router, vm)
+        self._rests = stated_rests.StatedRests(clock)
+        #: What runners said unreadably, each of which is logged once.
+        self._unreadable: set[tuple[str, statements.Field]] = set()
         self._suspects = suspect_requests.SuspectRequests(
             clock, self._router, self._placements, metrics, vm
         )
@@ -213,6 +218,28 @@
             logs.event("runner_gone", runner=name)
         self._update_pools()
 
+    @mailbox.handles(dispatcher_messages.RunnerStated)
+    def _record_statement(
+        self, message: dispatcher_messages.RunnerStated
+    ) -> None:
+        name, statement = message.runner, message.statement
+        for field, value in statement.unreadable.items():
+            if (name, field) in self._unreadable:
+                continue
+            self._unreadable.add((name, field))
+            logs.event(
+                "runner_statement_unreadable",
+                runner=name,
+                field=field.value,
+                value=value[: statements.MAX_LOGGED_CHARS],
+            )
+        if statement.rest_s and self._rests.record(name, statement.rest_s):
+            logs.event("runner_rest", runner=name, rest_s=statement.rest_s)
+        if statement.leaves and not self._router.is_leaving(name):
+            logs.event("runner_leaving", runner=name, said_by="response")
+            self._router.mark_leaving(name)
+            self._update_pools()
+
     @mailbox.handles(dispatcher_messages.RunnerLeaving)
     def _mark_runner_leaving(
         self, message: dispatcher_messages.RunnerLeaving
@@ -378,13 +405,27 @@
                 "this entry VM has not received the list of runners yet",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
-        route = self._router.choose(message.query)
+        query, rests = message.query, self._rests.left_s
+        tried = query.excluded
+        query.excluded = tried | rests.keys()
+        route = self._router.choose(query)
+        query.excluded = tried
         if isinstance(route, runners.NoRunner):
             self._metrics.count("routing.no_runner")
             raise refusals.Refusal(
                 refusals.NO_RUNNER,
                 f"no runner can take the request: {route.reason.value}",
-                retry_after_s=route.retry_after_s,
+                retry_after_s=min(
+                    [
+                        route.retry_after_s,
+                        *(
+                            rests[runner.name]
+                            for runner in self._router.runners
+                            if runner.pool == query.pool
+                            and runner.name in rests
+                        ),
+                    ]
+                ),
             )
         return route
 
--- a/src/apricotlever/daemon/dispatcher_messages.py
+++ b/src/apricotlever/daemon/dispatcher_messages.py
@@ -11,6 +11,7 @@
 from ..runners import crashes
 from ..runners import model as runners
 from ..runners import quarantine
+from ..runners import statements
 
 from . import model_request
 
@@ -373,6 +374,20 @@
         self.runners = listed
 
 
+class RunnerStated:
+    """A runner has said something of itself in a response to this VM.
+
+    :param runner: the name of the runner.
+    :param statement: what it said.
+    """
+
+    __slots__ = ("runner", "statement")
+
+    def __init__(self, runner: str, statement: statements.Statement) -> None:
+        self.runner = runner
+        self.statement = statement
+
+
 class RunnerLeaving:
     """A runner has a reclaim notice: its VM will end shortly.
 
--- a/src/apricotlever/daemon/model_attempts.py
+++ b/src/apricotlever/daemon/model_attempts.py
@@ -185,6 +185,7 @@
         self._disconnected_runner = runner if connection_broken else ""
         if isinstance(error, upstream_exchange.UpstreamErrorResponse):
             self._refuse_client_error(error)
+        outcome = attempt_reports.failure_outcome(error)
         timed_out = isinstance(error, upstream_exchange.UpstreamTimeout)
         if timed_out:
             self._silent_runner = request.runner
@@ -195,7 +196,7 @@
         report = self._context.wait_for_reply(
             self._context.dispatcher.ask(
                 dispatcher_messages.AttemptEnded(
-                    request.request_id, runners.Outcome.FAILED, crashed
+                    request.request_id, outcome, crashed
                 )
             )
         )
@@ -341,11 +342,18 @@
         self, exchange: upstream_exchange.Exchange
     ) -> upstream_exchange.Exchange:
         request = self._request
+        assert request.runner is not None
+        attempt_reports.report_statement(
+            self._context, request.runner.name, exchange, request.request_id
+        )
         if exchange.status != 200:
             status = exchange.status
+            asks_for_rest = bool(exchange.statement.rest_s)
             body = exchange.read_body()[:256]
             exchange.abandon()
-            raise upstream_exchange.UpstreamErrorResponse(status, body)
+            raise upstream_exchange.UpstreamErrorResponse(
+                status, body, asks_for_rest
+            )
         exchange.verify_echo(request.request_id, request.attempt)
         return exchange
 
--- a/src/apricotlever/daemon/service_attempts.py
+++ b/src/apricotlever/daemon/service_attempts.py
@@ -220,13 +220,18 @@
             upstream_exchange.ATTEMPT_HEADER: str(self._attempt),
         }
         exchange.send(request.method, request.path, headers, request.body)
+        attempt_reports.report_statement(
+            self._context, self._runner, exchange, request.request_id
+        )
         exchange.verify_echo(request.request_id, self._attempt)
         body = exchange.read_body(self._context.config.sizes.answer_bytes_max)
         status = exchange.status
         content_type = exchange.header("Content-Type")
         exchange.finish()
         if retry_errors and status in _TRANSIENT_STATUSES:
-            raise upstream_exchange.UpstreamErrorResponse(status, body[:256])
+            raise upstream_exchange.UpstreamErrorResponse(
+                status, body[:256], bool(exchange.statement.rest_s)
+            )
         return ledger_messages.Answer(
             status, (("Content-Type", content_type),), body
         )
@@ -248,7 +253,9 @@
         )
         uncharged = runner_ended or self._all_connections_fell_silent(error)
         self._tried_runners |= {self._runner}
-        self._report_attempt_end(runners.Outcome.FAILED, crashed)
+        self._report_attempt_end(
+            attempt_reports.failure_outcome(error), crashed
+        )
         logs.event(
             "request_retried",
             request=request.request_id,
--- a/src/apricotlever/links/upstream_errors.py
+++ b/src/apricotlever/links/upstream_errors.py
@@ -53,12 +53,22 @@
 
     :param status: the response's HTTP status.
     :param body: the beginning of the response's body.
+    :param asks_for_rest: whether the upstream wants no more calls of this VM
+        for a while.
     """
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(
+        self, status: int, body: bytes, asks_for_rest: bool = False
+    ) -> None:
         super().__init__(f"the upstream answered {status}", sent=True)
         self._status = status
         self._body = body
+        self._asks_for_rest = asks_for_rest
+
+    @property
+    def asks_for_rest(self) -> bool:
+        """Whether the upstream wants no more calls of this VM for a while."""
+        return self._asks_for_rest
 
     @property
     def status(self) -> int:
--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -11,6 +11,8 @@
 import threading
 import typing
 
+from ..runners import statements
+
 from . import upstream_errors
 from . import upstream_pool
 
@@ -23,6 +25,12 @@
 }
 REQUEST_HEADER = "Apricotlever-Request"
 ATTEMPT_HEADER = "Apricotlever-Attempt"
+#: Header by which a runner says that it leaves: 1 or 0.
+LEAVING_HEADER = "Apricotlever-Leaving"
+#: Header with the seconds for which a runner that turns a call away wants no
+#: more calls of this VM, and the status with which it does so.
+REST_HEADER = "Retry-After"
+TURNED_AWAY = 503
 
 ConnectionPool = upstream_pool.ConnectionPool
 UpstreamError = upstream_errors.UpstreamError
@@ -115,6 +123,20 @@
         """Return all headers of the response."""
         return self._response.getheaders() if self._response else []
 
+    @property
+    def statement(self) -> statements.Statement:
+        """What the upstream says of itself in the head of the response."""
+        if self._response is None:
+            return statements.NOTHING
+        return statements.read_statement(
+            rests=(
+                self._header_values(REST_HEADER)
+                if self.status == TURNED_AWAY
+                else []
+            ),
+            leavings=self._header_values(LEAVING_HEADER),
+        )
+
     def open(self) -> None:
         """Take a connection from the pool, or open a new one.
 
@@ -304,6 +326,12 @@
         assert self._connection is not None
         return self._connection
 
+    def _header_values(self, name: str) -> list[bytes]:
+        """All values of a header, one for each time that it occurs."""
+        assert self._response is not None
+        values = self._response.headers.get_all(name) or []
+        return [str(value).encode("latin-1", "replace") for value in values]
+
     def _check_complete(self, size: int) -> None:
         # http.client ends a read1 loop without an error when the connection
         # closes before Content-Length bytes arrived, so that a truncated body
--- a/src/apricotlever/runners/statements.py
+++ b/src/apricotlever/runners/statements.py
@@ -8,6 +8,9 @@
 import math
 import typing
 
+#: Longest part of an unreadable value that is logged, in characters.
+MAX_LOGGED_CHARS = 60
+
 
 class Field(enum.Enum):
     """A statement that a runner may make of itself."""
--- a/src/apricotlever/serving/runner_statements.py
+++ b/src/apricotlever/serving/runner_statements.py
@@ -12,9 +12,6 @@
 from . import runner_limits
 from . import runners
 
-#: Longest part of an unreadable value that is logged, in characters.
-MAX_LOGGED_CHARS = 60
-
 
 class RunnerStatements:
     """Passes each response's statement to the decisions that follow it.
@@ -115,7 +112,7 @@
                     "runner_statement_unreadable",
                     runner=name,
                     field=field.value,
-                    value=value[:MAX_LOGGED_CHARS],
+                    value=value[: statements.MAX_LOGGED_CHARS],
                 )
         self._limits.record_statement(name, statement, sent_at)
         if statement.rest_s and self._rests.record(name, statement.rest_s):
--- /dev/null
+++ b/tests/daemon/runner_statements.feature
@@ -0,0 +1,37 @@
+Feature: The daemon's path keeps what runners say of themselves
+
+  # Guards against calls to a runner that has asked this VM to stay away.
+  Scenario: A runner that rests gets no request until the rest is over
+    Given a dispatcher with 2 runners
+    When runner 1 asks for a rest of 0.4 seconds
+    Then 10 requests are all dispatched to runner 2
+    And after 0.5 seconds a request that excludes runner 2 goes to runner 1
+
+  Scenario: While all runners rest, requests are refused with the first end
+    Given a dispatcher with 2 runners
+    When runner 1 asks for a rest of 3 seconds
+    And runner 2 asks for a rest of 2 seconds
+    Then a request is refused, to return after 1.8 to 2 seconds
+
+  # Guards against requests to a leaving runner that is still listed as ready.
+  Scenario: A runner that says that it leaves gets no more requests
+    Given a dispatcher with 2 runners
+    When runner 1 says to the dispatcher that it leaves
+    And the runners are listed again
+    Then 10 requests are all dispatched to runner 2
+
+  Scenario Outline: What a runner says is read from its response
+    Given an upstream that answers <status> with <header>
+    When a request is sent to that upstream
+    Then its statement has the rest <rest> and <leaves>
+
+    Examples:
+      | status | header                   | rest | leaves |
+      | 503    | Retry-After: 1.5         | 1.5  | stays  |
+      | 200    | Retry-After: 1.5         | none | stays  |
+      | 503    | Retry-After: soon        | none | stays  |
+      | 200    | Apricotlever-Leaving: 1  | none | leaves |
+      | 500    | Apricotlever-Leaving: 1  | none | leaves |
+
+  Scenario: Asking for rest is no failure of a runner
+    Then an error response that asks for rest counts as cancelled, others as failed
