Keep a VM's part of the limits of runners on the daemon's path

Change: the exchange reads the limit with the rest, and the dispatcher asks a bucket of this VM's equal part before it chooses a limited runner (daemon/runner_availability, which keeps the rests, too).

--- a/src/apricotlever/daemon/attempt_reports.py
+++ b/src/apricotlever/daemon/attempt_reports.py
@@ -14,7 +14,6 @@
 from ..runners import crashes
 from ..runners import model as runners
 from ..runners import quarantine
-from ..runners import statements
 
 from . import context as contexts
 from . import dispatcher_messages
@@ -56,21 +55,25 @@
     runner: str,
     exchange: upstream_exchange.Exchange,
     request_id: str,
+    sent_at: float,
 ) -> None:
     """Tell the dispatcher what a runner says of itself in a response.
 
-    Nothing is taken from a response to another request.
+    Nothing is taken from a response to another request. A response that says
+    nothing counts as well: it may lift a limit.
 
     :param context: the daemon's tasks.
     :param runner: the name of the runner.
     :param exchange: the exchange, whose response has begun.
     :param request_id: the request that was sent.
+    :param sent_at: a time before it was sent, by this VM's clock.
     """
     echoed = exchange.header(upstream_exchange.REQUEST_HEADER)
-    statement = exchange.statement
-    if echoed in ("", request_id) and statement is not statements.NOTHING:
+    if echoed in ("", request_id):
         context.dispatcher.tell(
-            dispatcher_messages.RunnerStated(runner, statement)
+            dispatcher_messages.RunnerStated(
+                runner, exchange.statement, sent_at
+            )
         )
 
 
--- a/src/apricotlever/daemon/dispatcher.py
+++ b/src/apricotlever/daemon/dispatcher.py
@@ -24,13 +24,12 @@
 from ..runners import model as runners
 from ..runners import quarantine
 from ..runners import routing
-from ..runners import stated_rests
-from ..runners import statements
 
 from . import admission_refusals
 from . import dispatcher_messages
 from . import gossip_messages
 from . import placements
+from . import runner_availability
 from . import suspect_requests
 
 Announce = typing.Callable[[pb.Rumour], None]
@@ -71,9 +70,7 @@
         self._pool_by_entry: dict[str, str] = {}
         self._waiting_admissions: dict[str, futures.Future[typing.Any]] = {}
         self._placements = placements.Placements(clock, self._router, vm)
-        self._rests = stated_rests.StatedRests(clock)
-        #: What runners said unreadably, each of which is logged once.
-        self._unreadable: set[tuple[str, statements.Field]] = set()
+        self._availability = runner_availability.RunnerAvailability(clock)
         self._suspects = suspect_requests.SuspectRequests(
             clock, self._router, self._placements, metrics, vm
         )
@@ -212,6 +209,7 @@
         before = {runner.name for runner in self._router.runners}
         self._router.set_runners(message.runners)
         after = {runner.name for runner in self._router.runners}
+        self._availability.keep_only(after)
         for name in sorted(after - before):
             logs.event("runner_found", runner=name)
         for name in sorted(before - after):
@@ -222,20 +220,9 @@
     def _record_statement(
         self, message: dispatcher_messages.RunnerStated
     ) -> None:
-        name, statement = message.runner, message.statement
-        for field, value in statement.unreadable.items():
-            if (name, field) in self._unreadable:
-                continue
-            self._unreadable.add((name, field))
-            logs.event(
-                "runner_statement_unreadable",
-                runner=name,
-                field=field.value,
-                value=value[: statements.MAX_LOGGED_CHARS],
-            )
-        if statement.rest_s and self._rests.record(name, statement.rest_s):
-            logs.event("runner_rest", runner=name, rest_s=statement.rest_s)
-        if statement.leaves and not self._router.is_leaving(name):
+        name = message.runner
+        self._availability.record(name, message.statement, message.sent_at)
+        if message.statement.leaves and not self._router.is_leaving(name):
             logs.event("runner_leaving", runner=name, said_by="response")
             self._router.mark_leaving(name)
             self._update_pools()
@@ -334,7 +321,9 @@
     def _set_members(
         self, message: dispatcher_messages.MembersChanged
     ) -> None:
-        self._admission.set_members(message.vms | {self._vm})
+        vms = message.vms | {self._vm}
+        self._admission.set_members(vms)
+        self._availability.set_fleet_size(len(vms))
 
     @mailbox.handles(dispatcher_messages.DemandReported)
     def _record_reported_demand(
@@ -405,26 +394,16 @@
                 "this entry VM has not received the list of runners yet",
                 retry_after_s=NOT_READY_RETRY_AFTER_S,
             )
-        query, rests = message.query, self._rests.left_s
-        tried = query.excluded
-        query.excluded = tried | rests.keys()
-        route = self._router.choose(query)
-        query.excluded = tried
+        query = message.query
+        route = self._availability.choose(query, self._router)
         if isinstance(route, runners.NoRunner):
             self._metrics.count("routing.no_runner")
             raise refusals.Refusal(
                 refusals.NO_RUNNER,
                 f"no runner can take the request: {route.reason.value}",
                 retry_after_s=min(
-                    [
-                        route.retry_after_s,
-                        *(
-                            rests[runner.name]
-                            for runner in self._router.runners
-                            if runner.pool == query.pool
-                            and runner.name in rests
-                        ),
-                    ]
+                    route.retry_after_s,
+                    self._availability.wait_s(query.pool, self._router),
                 ),
             )
         return route
--- a/src/apricotlever/daemon/dispatcher_messages.py
+++ b/src/apricotlever/daemon/dispatcher_messages.py
@@ -375,17 +375,21 @@
 
 
 class RunnerStated:
-    """A runner has said something of itself in a response to this VM.
+    """What a runner says of itself in a response to this VM.
 
     :param runner: the name of the runner.
-    :param statement: what it said.
+    :param statement: what it says, which may be nothing.
+    :param sent_at: when the request was sent, by this VM's clock.
     """
 
-    __slots__ = ("runner", "statement")
+    __slots__ = ("runner", "statement", "sent_at")
 
-    def __init__(self, runner: str, statement: statements.Statement) -> None:
+    def __init__(
+        self, runner: str, statement: statements.Statement, sent_at: float
+    ) -> None:
         self.runner = runner
         self.statement = statement
+        self.sent_at = sent_at
 
 
 class RunnerLeaving:
--- a/src/apricotlever/daemon/model_attempts.py
+++ b/src/apricotlever/daemon/model_attempts.py
@@ -39,6 +39,7 @@
     __slots__ = (
         "_context",
         "_request",
+        "_connected_at",
         "_exchange",
         "_disconnected_runner",
         "_on_trial",
@@ -53,6 +54,7 @@
         self._context = context
         self._request = request
         self._exchange: upstream_exchange.Exchange | None = None
+        self._connected_at = 0.0
         self._disconnected_runner = ""
         self._on_trial = False
         self._sent = False
@@ -334,6 +336,7 @@
             stream=True,
         )
         self._exchange = exchange
+        self._connected_at = self._context.clock.now()
         self._request.set_runner(runner, exchange.interrupt)
         exchange.open()
         return exchange
@@ -344,7 +347,11 @@
         request = self._request
         assert request.runner is not None
         attempt_reports.report_statement(
-            self._context, request.runner.name, exchange, request.request_id
+            self._context,
+            request.runner.name,
+            exchange,
+            request.request_id,
+            self._connected_at,
         )
         if exchange.status != 200:
             status = exchange.status
--- a/src/apricotlever/daemon/service_attempts.py
+++ b/src/apricotlever/daemon/service_attempts.py
@@ -219,9 +219,10 @@
             upstream_exchange.REQUEST_HEADER: request.request_id,
             upstream_exchange.ATTEMPT_HEADER: str(self._attempt),
         }
+        sent_at = self._context.clock.now()
         exchange.send(request.method, request.path, headers, request.body)
         attempt_reports.report_statement(
-            self._context, self._runner, exchange, request.request_id
+            self._context, self._runner, exchange, request.request_id, sent_at
         )
         exchange.verify_echo(request.request_id, self._attempt)
         body = exchange.read_body(self._context.config.sizes.answer_bytes_max)
--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -25,6 +25,8 @@
 }
 REQUEST_HEADER = "Apricotlever-Request"
 ATTEMPT_HEADER = "Apricotlever-Attempt"
+#: Header with the requests a second that a runner takes from all VMs.
+LIMIT_HEADER = "Apricotlever-Limit"
 #: Header by which a runner says that it leaves: 1 or 0.
 LEAVING_HEADER = "Apricotlever-Leaving"
 #: Header with the seconds for which a runner that turns a call away wants no
@@ -129,6 +131,7 @@
         if self._response is None:
             return statements.NOTHING
         return statements.read_statement(
+            self._header_values(LIMIT_HEADER),
             rests=(
                 self._header_values(REST_HEADER)
                 if self.status == TURNED_AWAY
--- a/tests/daemon/runner_statements.feature
+++ b/tests/daemon/runner_statements.feature
@@ -35,3 +35,11 @@
 
   Scenario: Asking for rest is no failure of a runner
     Then an error response that asks for rest counts as cancelled, others as failed
+
+  # Guards against a runner in need that gets each VM's whole demand.
+  Scenario: Each VM keeps its part of a limit
+    Given a dispatcher with 1 runners
+    When runner 1 names a limit of 8 to 2 VMs
+    Then of 40 requests a second for 2 seconds runner 1 gets at most 12, if it takes them before the others
+    When runner 1 names no limit any more
+    Then 10 requests are all dispatched to runner 1
--- a/tests/steps/daemon_runner_statements.py
+++ b/tests/steps/daemon_runner_statements.py
@@ -74,7 +74,7 @@
 def _rest(context, number, rest_s):
     context.dispatcher.tell(
         dispatcher_messages.RunnerStated(
-            _name(number), statements.Statement(rest_s=rest_s)
+            _name(number), statements.Statement(rest_s=rest_s), 0.0
         )
     )
 
@@ -83,7 +83,7 @@
 def _leave(context, number):
     context.dispatcher.tell(
         dispatcher_messages.RunnerStated(
-            _name(number), statements.Statement(leaves=True)
+            _name(number), statements.Statement(leaves=True), 0.0
         )
     )
 
@@ -115,6 +115,45 @@
         raise AssertionError("not refused")
 
 
+@when("runner {number:d} names a limit of {limit:g} to {vms:d} VMs")
+def _name_limit(context, number, limit, vms):
+    context.dispatcher.tell(
+        dispatcher_messages.MembersChanged(
+            frozenset(f"vm-{n}" for n in range(1, vms + 1))
+        )
+    )
+    context.dispatcher.tell(
+        dispatcher_messages.RunnerStated(
+            _name(number), statements.Statement(limit), time.monotonic()
+        )
+    )
+
+
+@when("runner {number:d} names no limit any more")
+def _lift_limit(context, number):
+    sent_at = clocks.SystemClock().now()
+    context.dispatcher.tell(
+        dispatcher_messages.RunnerStated(
+            _name(number), statements.NOTHING, sent_at
+        )
+    )
+
+
+@then(
+    "of {count:d} requests a second for {seconds:d} seconds runner {number:d} "
+    "gets at most {most:d}, if it takes them before the others"
+)
+def _check_limited(context, count, seconds, number, most):
+    found = 0
+    for request in range(count * seconds):
+        time.sleep(1.0 / count)
+        try:
+            found += _dispatch(context, request) == _name(number)
+        except refusals.Refusal as refusal:
+            assert refusal.retry_after_s < 10.0, refusal.retry_after_s
+    assert 1 <= found <= most, found
+
+
 @given("an upstream that answers {status:d} with {header}")
 def _start_upstream(context, status, header):
     name, _, value = header.partition(": ")
