Split the runners' choice, prompts and queries from upstreams

Ruled out: a change of behaviour. The meter of a service is still made with its first call; one made by the plan would count as an observed load.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -6,6 +6,7 @@
 from .. import logs
 from ..runners import engine_priority
 
+from . import attempt_outcome
 from . import call_placement
 from . import client_channel
 from . import configuration_model
@@ -156,7 +157,7 @@
     async def _run_attempts(self) -> None:
         while True:
             outcome = await self._run_attempt()
-            if outcome.status is attempts.AttemptStatus.ANSWERED:
+            if outcome.status is attempt_outcome.AttemptStatus.ANSWERED:
                 if self._should_retry_failure(outcome):
                     continue
                 self._deliver(outcome)
@@ -171,7 +172,7 @@
                 sends=self.sends,
             )
 
-    async def _run_attempt(self) -> attempts.AttemptOutcome:
+    async def _run_attempt(self) -> attempt_outcome.AttemptOutcome:
         upstreams = self._relay.upstreams
         self._check_crash_blocklist(upstreams.crashes)
         placement = await self._place()
@@ -181,21 +182,7 @@
         parameters = self._runner_call_parameters(
             runner, upstreams.fetch_source(query, runner)
         )
-        limit = upstreams.runner_limits.stated.reading(runner.runner_id)
-        logs.event(
-            "request_routed",
-            request=self._call.request_id,
-            service=self._service,
-            runner=runner.runner_id,
-            in_flight=upstreams.in_flight.get(runner.runner_id, 0),
-            revision=runner.revision,
-            copy_from=parameters.copy_from,
-            left_s=parameters.remaining_s,
-            attempt=self.sends + 1,
-            limit_per_s=limit.limit_per_s if limit else None,
-            limit_source=(limit.source or None) if limit else None,
-            passed_over=self._placement.passed_over() or None,
-        )
+        self._placement.log_chosen(placement, parameters, self.sends + 1)
         attempt = attempts.Attempt(
             f"{self._call.request_id}.{self._relay.next_attempt_number()}",
             self._call,
@@ -236,12 +223,12 @@
         attempt: attempts.Attempt,
         channel: client_channel.Channel,
         runner: runners.Runner,
-    ) -> attempts.AttemptOutcome:
+    ) -> attempt_outcome.AttemptOutcome:
         if not self._relay.upstreams.statements.takes_calls(runner.runner_id):
             # The runner has said so while the connection was opened.
             self._relay.upstreams.pool(runner).release(channel, False, None)
-            return attempts.AttemptOutcome(
-                attempts.AttemptStatus.NOT_SENT, reason="takes_no_calls"
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.NOT_SENT, reason="takes_no_calls"
             )
         if self.sends and not self._relay.budget.try_acquire(self._service):
             self._relay.upstreams.pool(runner).discard(channel)
@@ -250,9 +237,9 @@
         ran_before, self.may_have_run = self.may_have_run, True
         self._splitter.discard_partial()
         outcome = await attempt.run(channel, self._first_response_timeout_s())
-        if outcome.status is attempts.AttemptStatus.NOT_RUN:
+        if outcome.status is attempt_outcome.AttemptStatus.NOT_RUN:
             self.may_have_run = ran_before
-        elif outcome.status is attempts.AttemptStatus.ANSWERED:
+        elif outcome.status is attempt_outcome.AttemptStatus.ANSWERED:
             self.mark_started()
         if outcome.reset:
             upstreams = self._relay.upstreams
@@ -331,7 +318,9 @@
             and self._relay.budget.remaining(self._service) >= 1.0
         )
 
-    def _should_retry_failure(self, outcome: attempts.AttemptOutcome) -> bool:
+    def _should_retry_failure(
+        self, outcome: attempt_outcome.AttemptOutcome
+    ) -> bool:
         """Whether to retry after a runner's error response."""
         assert outcome.head is not None
         if outcome.head.status < 500 or self._reply.started:
@@ -340,12 +329,12 @@
             return False
         return self._deadline - self._loop.time() > MIN_RETRY_TIME_S
 
-    def _check_retry(self, outcome: attempts.AttemptOutcome) -> None:
+    def _check_retry(self, outcome: attempt_outcome.AttemptOutcome) -> None:
         """Check that another runner may be tried.
 
         :raises NotServed: if the call must end here.
         """
-        if outcome.status is attempts.AttemptStatus.BROKEN:
+        if outcome.status is attempt_outcome.AttemptStatus.BROKEN:
             if self._can_repeat():
                 return
             raise self._not_served(outcome.reason)
@@ -362,7 +351,7 @@
             return NotServed(502, reason)
         return NotServed(503, reason, self._placement.retry_after_s())
 
-    def _deliver(self, outcome: attempts.AttemptOutcome) -> None:
+    def _deliver(self, outcome: attempt_outcome.AttemptOutcome) -> None:
         assert outcome.head is not None
         self.reason = ""
         if self._reply.started:
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -183,7 +183,35 @@
             return None
         return Placement(runner, query, permit)
 
-    def passed_over(self) -> str:
+    def log_chosen(
+        self,
+        placement: Placement,
+        parameters: messages.RunnerCallParameters,
+        attempt: int,
+    ) -> None:
+        """Log the runner of an attempt, and why others were passed over.
+
+        :param parameters: what the runner is told.
+        :param attempt: number of the attempt, from 1 on.
+        """
+        runner = placement.runner
+        limit = self._limits.stated.reading(runner.runner_id)
+        logs.event(
+            "request_routed",
+            request=self._call.request_id,
+            service=self._service,
+            runner=runner.runner_id,
+            in_flight=self._upstreams.in_flight.get(runner.runner_id, 0),
+            revision=runner.revision,
+            copy_from=parameters.copy_from,
+            left_s=parameters.remaining_s,
+            attempt=attempt,
+            limit_per_s=limit.limit_per_s if limit else None,
+            limit_source=(limit.source or None) if limit else None,
+            passed_over=self._passed_over() or None,
+        )
+
+    def _passed_over(self) -> str:
         """The service's runners that take no call now, with the causes."""
         runners_ = self._upstreams.directory.available_runners(self._service)
         causes = self._statements.causes(r.runner_id for r in runners_)
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextlib
-import enum
 import functools
 import typing
 
 from ..runners import model as models
 
+from . import attempt_outcome
 from . import client_channel
 from . import connection_pool as pools
 from . import dialects
@@ -32,56 +32,6 @@
 CONNECT_TIMEOUT_S = 0.35
 
 
-class AttemptStatus(enum.Enum):
-    """How far a call got in an attempt."""
-
-    #: The complete response was received or forwarded.
-    ANSWERED = "answered"
-    #: No byte of the call was sent.
-    NOT_SENT = "not_sent"
-    #: The runner guaranteed that it has not run the call and never will.
-    NOT_RUN = "not_run"
-    #: The call may have run, and no complete response will come.
-    BROKEN = "broken"
-
-
-class AttemptOutcome:
-    """The result of an attempt.
-
-    :param head: head of the response; None unless ``ANSWERED``.
-    :param body: body of the response; empty for a stream, whose events are
-        already forwarded.
-    :param reason: why there is no response, for the log.
-    :param reset: whether the runner closed or reset the connection midway.
-    :param asks_for_rest: whether the runner asked this VM to stay away.
-    """
-
-    __slots__ = (
-        "status",
-        "head",
-        "body",
-        "reason",
-        "reset",
-        "asks_for_rest",
-    )
-
-    def __init__(
-        self,
-        status: AttemptStatus,
-        head: messages.RunnerResponseHead | None = None,
-        body: bytes = b"",
-        reason: str = "",
-        reset: bool = False,
-        asks_for_rest: bool = False,
-    ) -> None:
-        self.reset = reset
-        self.asks_for_rest = asks_for_rest
-        self.status = status
-        self.head = head
-        self.body = body
-        self.reason = reason
-
-
 class EventSink(typing.Protocol):
     """Receives the events of a stream."""
 
@@ -157,25 +107,27 @@
 
     async def connect(
         self, timeout_s: float
-    ) -> client_channel.Channel | AttemptOutcome:
+    ) -> client_channel.Channel | attempt_outcome.AttemptOutcome:
         """Open a connection, or return the outcome if that fails."""
         try:
             return await self._pool.acquire(min(CONNECT_TIMEOUT_S, timeout_s))
         except pools.PoolFull:
-            return AttemptOutcome(
-                AttemptStatus.NOT_SENT, reason="connections_used_up"
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.NOT_SENT,
+                reason="connections_used_up",
             )
         except client_channel.NotConnected as error:
             self._upstreams.connect_failed(self._runner)
-            return AttemptOutcome(
-                AttemptStatus.NOT_SENT, reason=f"unreachable:{error}"
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.NOT_SENT,
+                reason=f"unreachable:{error}",
             )
 
     async def run(
         self,
         channel: client_channel.Channel,
         first_response_timeout_s: float | None,
-    ) -> AttemptOutcome:
+    ) -> attempt_outcome.AttemptOutcome:
         """Send the call and read the response.
 
         :param first_response_timeout_s: how long the response may take to
@@ -198,21 +150,22 @@
             result = _health_outcome(outcome)
             # A runner that asks this VM for rest is no outlier among others.
             outlier_failure = (
-                outcome.status is AttemptStatus.NOT_RUN
+                outcome.status is attempt_outcome.AttemptStatus.NOT_RUN
                 and not outcome.asks_for_rest
             )
             reusable = channel.idle
         except client_channel.Broken as error:
             result = models.Outcome.FAILED
-            outcome = AttemptOutcome(
-                AttemptStatus.BROKEN,
+            outcome = attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.BROKEN,
                 reason=f"broken:{error}",
                 reset=error.reset,
             )
         except event_splitter.EventOrderError as error:
             result = models.Outcome.FAILED
-            outcome = AttemptOutcome(
-                AttemptStatus.BROKEN, reason=f"disorder:{error}"
+            outcome = attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.BROKEN,
+                reason=f"disorder:{error}",
             )
         except asyncio.CancelledError:
             outlier_failure = self._is_hung(started_at)
@@ -260,7 +213,7 @@
         self,
         channel: client_channel.Channel,
         first_response_timeout_s: float | None,
-    ) -> AttemptOutcome:
+    ) -> attempt_outcome.AttemptOutcome:
         try:
             async with asyncio.timeout(first_response_timeout_s):
                 raw = await channel.read_head()
@@ -275,8 +228,9 @@
                         channel, head
                     )
         except TimeoutError:
-            return AttemptOutcome(
-                AttemptStatus.BROKEN, reason="no_answer_in_time"
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.BROKEN,
+                reason="no_answer_in_time",
             )
         if head.other_runner or head.not_run:
             # The head alone guarantees that the call has not run, even if
@@ -285,18 +239,22 @@
                 await _read_body(channel)
             if head.other_runner:
                 self._upstreams.runner_replaced(self._runner)
-            return AttemptOutcome(
-                AttemptStatus.NOT_RUN,
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.NOT_RUN,
                 reason="replaced" if head.other_runner else "turned_away",
                 asks_for_rest=bool(head.statement.rest_s),
             )
         if not head.signed:
-            return AttemptOutcome(AttemptStatus.BROKEN, reason="unsigned")
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.BROKEN, reason="unsigned"
+            )
         if self._is_stream(head):
             return await self._forward_stream(channel, head, expect_more)
         self._upstreams.response_started(self._attempt_id)
         body = await _read_body(channel)
-        return AttemptOutcome(AttemptStatus.ANSWERED, head, body)
+        return attempt_outcome.AttemptOutcome(
+            attempt_outcome.AttemptStatus.ANSWERED, head, body
+        )
 
     def _record_statement(self, head: messages.RunnerResponseHead) -> None:
         """Record what the runner says of itself, if it is the runner's word.
@@ -341,7 +299,7 @@
         channel: client_channel.Channel,
         head: messages.RunnerResponseHead,
         expect_more: bool,
-    ) -> AttemptOutcome:
+    ) -> attempt_outcome.AttemptOutcome:
         assert self._sink is not None
         while expect_more and (data := await channel.read_chunk()) is not None:
             if self._failure is not None:
@@ -352,10 +310,13 @@
                 functools.partial(self._on_body_bytes, head)
             )
         if self._sink.splitter.has_partial_event:
-            return AttemptOutcome(
-                AttemptStatus.BROKEN, reason="ends_within_an_event"
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.BROKEN,
+                reason="ends_within_an_event",
             )
-        return AttemptOutcome(AttemptStatus.ANSWERED, head)
+        return attempt_outcome.AttemptOutcome(
+            attempt_outcome.AttemptStatus.ANSWERED, head
+        )
 
     def _on_body_bytes(
         self, head: messages.RunnerResponseHead, data: bytes
@@ -393,11 +354,11 @@
     return b"".join(parts)
 
 
-def _health_outcome(outcome: AttemptOutcome) -> models.Outcome:
+def _health_outcome(outcome: attempt_outcome.AttemptOutcome) -> models.Outcome:
     """The outcome as recorded for the runner's health."""
-    if outcome.status is AttemptStatus.NOT_RUN:
+    if outcome.status is attempt_outcome.AttemptStatus.NOT_RUN:
         return models.Outcome.CANCELLED
-    if outcome.status is AttemptStatus.BROKEN:
+    if outcome.status is attempt_outcome.AttemptStatus.BROKEN:
         return models.Outcome.FAILED
     if outcome.head is not None and outcome.head.status >= 500:
         return models.Outcome.FAILED
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -9,21 +9,22 @@
 
 from .. import clock as clocks
 from .. import logs
-from ..data_centres import prefill_load
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
 from ..runners import model as models
 from ..runners import outlier_detector
-from ..runners import prefix
 from ..runners import routing
 from ..runners import silence_detector
 from ..vms import peer_loads
 
+from . import call_queries
 from . import call_sampling
 from . import configuration_model
 from . import connection_pool as pools
 from . import crash_watch
 from . import messages
+from . import prompt_meters
+from . import runner_choice
 from . import runner_directory as directories
 from . import runner_limits
 from . import runner_pools
@@ -51,6 +52,7 @@
     """
 
     __slots__ = (
+        "_choice",
         "_clock",
         "_configuration",
         "_crashes",
@@ -61,13 +63,12 @@
         "_outliers",
         "_own_in_flight",
         "_pools",
-        "_prefills",
+        "_prompts",
         "_roll_outs",
         "_router",
         "_silence",
         "_statements",
         "_trials",
-        "_meters",
     )
 
     def __init__(
@@ -101,13 +102,11 @@
         self._statements = runner_statements.RunnerStatements(
             clock, self._limits
         )
+        self._choice = runner_choice.RunnerChoice(
+            self._router, self._roll_outs, self._silence, self._outliers
+        )
         self._peer_in_flight: dict[str, int] = {}
-        self._meters: dict[str, prefill_load.PrefillMeter] = {}
-        #: Attempts without a response yet, by name: meter, query, prompt
-        #: tokens to process, and start on the clock in seconds.
-        self._prefills: dict[
-            str, tuple[prefill_load.PrefillMeter, models.Query, int, float]
-        ] = {}
+        self._prompts = prompt_meters.PromptMeters(clock)
 
     @property
     def directory(self) -> directories.RunnerDirectory:
@@ -153,16 +152,8 @@
 
     @property
     def prefill_meters(self) -> dict[str, tuple[int, float, float]]:
-        """How runners process this VM's prompts (prefill), by service.
-
-        :returns: uncached prompt tokens sent since the start, a runner's
-            prefill speed in tokens per second, and the mean ratio of the time
-            to the first byte to the route's objective for it.
-        """
-        return {
-            name: (work.total_tokens, work.prefill_speed, work.latency_ratio)
-            for name, work in self._meters.items()
-        }
+        """See :attr:`.prompt_meters.PromptMeters.measurements`."""
+        return self._prompts.measurements
 
     def all_in_flight(self, service: str) -> int:
         """The number of all VMs' calls in flight at a service's runners."""
@@ -177,14 +168,14 @@
 
         A runner that names a limit is present, but most of it can't be used.
         """
-        meter = self._meters.get(service)
         limits = self._limits.stated.in_force
-        if meter is None or not limits:
-            return 0.0
-        return sum(
-            1.0 - meter.runner_share(limits[runner.runner_id])
-            for runner in self._directory.available_runners(service)
-            if runner.runner_id in limits
+        return self._prompts.limited_away(
+            service,
+            [
+                limits[runner.runner_id]
+                for runner in self._directory.available_runners(service)
+                if runner.runner_id in limits
+            ],
         )
 
     @property
@@ -209,9 +200,10 @@
         listed = self._directory.runners
         self._roll_outs.set_runners(listed)
         self._router.set_runners(
-            _routing_view(runner, pool)
+            runner_choice.routing_view(runner, pool)
             for runner in listed
-            if not runner.leaving and (pool := self._routing_pool(runner))
+            if not runner.leaving
+            and (pool := self._choice.routing_pool(runner))
         )
         self._crashes.update_runners(listed)
         present = frozenset(runner.runner_id for runner in listed)
@@ -240,7 +232,13 @@
             self._router.observe_load(
                 name,
                 models.LoadReport(
-                    total, 0, runner.concurrency, 0, self._cache_blocks(runner)
+                    total,
+                    0,
+                    runner.concurrency,
+                    0,
+                    call_queries.cache_blocks(
+                        self._service_named(runner.service)
+                    ),
                 ),
             )
 
@@ -255,32 +253,8 @@
 
         :param excluded: runners that must not be chosen.
         """
-        prompt = call.prompt
-        if prompt is None:
-            return models.Query(
-                route.name,
-                service,
-                "",
-                excluded=excluded,
-                wanted_first_token_s=route.objective_s,
-            )
-        shared = prefix.part_block_hashes(
-            (part.part_id, part.tokens) for part in prompt.parts[:-1]
-        )
-        return models.Query(
-            route.name,
-            service,
-            "",
-            prefix.part_block_hashes(
-                ((part.part_id, part.tokens) for part in prompt.parts[-1:]),
-                shared,
-            ),
-            prompt.tokens_in,
-            prompt.tokens_out,
-            excluded=excluded,
-            wanted_first_token_s=route.objective_s,
-            shared_blocks=len(shared),
-            can_copy=self._can_copy(service),
+        return call_queries.query_of(
+            call, route, self._service_named(service), service, excluded
         )
 
     def fetch_source(
@@ -304,41 +278,15 @@
     ) -> runners.Runner | None:
         """Choose a runner for a query; None if none is available.
 
-        During a roll-out of the service, a share of the calls goes to runners
-        of the new version if one of them is available.
-
         :param full: limited runners that have no room for the call, besides
             those that take no call of this VM now by their own word.
         """
-        full |= self._statements.unavailable
-        service = query.pool
-        repeated = bool(query.excluded)
-        if self._roll_outs.should_use_new_version(
-            service, query.entry, repeated
-        ):
-            query.pool = call_sampling.pool_name(
-                service, roll_outs_model.RunnerRole.CANARY
-            )
-            choice = self._choose_healthy(query, full)
-            if not isinstance(choice, models.NoRunner):
-                return self._directory.get(choice.runner.name)
-            query.pool = service
-        choice = self._choose_healthy(query, full)
-        if isinstance(choice, models.NoRunner):
-            logs.event(
-                "no_runner", service=query.pool, reason=choice.reason.value
-            )
-            return None
-        return self._directory.get(choice.runner.name)
+        name = self._choice.choose(query, full | self._statements.unavailable)
+        return None if name is None else self._directory.get(name)
 
     def takes_regular_calls(self, runner: runners.Runner) -> bool:
-        """Whether a runner takes its service's regular calls.
-
-        In a roll-out, runners of the new version do so only at its end.
-        """
-        return (
-            self._roll_outs.role(runner) is roll_outs_model.RunnerRole.SERVING
-        )
+        """Whether a runner takes its service's regular calls."""
+        return self._choice.takes_regular_calls(runner)
 
     def in_flight_at(self, names: typing.Iterable[str]) -> int:
         """The number of all VMs' calls in flight at the given runners."""
@@ -365,15 +313,17 @@
         self._own_in_flight[name] = self._own_in_flight.get(name, 0) + 1
         self._silence.call_sent(name)
         tokens = self._router.request_started(attempt, name, query)
-        meter = self._meter(runner.service)
         self._trials.record_sent(
-            attempt, runner, query.entry, tokens, meter.prefill_speed
+            attempt,
+            runner,
+            query.entry,
+            tokens,
+            self._prompts.meter(runner.service).prefill_speed,
         )
         if query.prompt_tokens:
-            meter.record_sent(tokens)
+            self._prompts.record_sent(attempt, runner.service, query, tokens)
             if self._on_prompt_sent is not None:
                 self._on_prompt_sent()
-            self._prefills[attempt] = (meter, query, tokens, now)
         return now
 
     def bytes_received(self, runner: runners.Runner) -> None:
@@ -384,14 +334,7 @@
         """Record that an attempt's response has begun."""
         self._router.first_token(attempt)
         self._trials.record_first_byte(attempt)
-        prefill = self._prefills.pop(attempt, None)
-        if prefill is not None:
-            meter, query, tokens, since = prefill
-            meter.record_first_answer(
-                tokens,
-                self._clock.now() - since,
-                query.wanted_first_token_s,
-            )
+        self._prompts.record_response(attempt)
 
     def call_finished(
         self,
@@ -408,7 +351,7 @@
             respond. An overloaded runner does so too, so this counts only in
             outlier detection, which compares the runners of a service.
         """
-        self._prefills.pop(attempt, None)
+        self._prompts.record_end(attempt)
         self._trials.record_end(attempt, outcome)
         name = runner.runner_id
         self._silence.call_ended(name)
@@ -454,72 +397,13 @@
     def _detect_outliers(self) -> None:
         by_service: dict[str, list[str]] = {}
         for runner in self._directory.runners:
-            pool = "" if runner.leaving else self._routing_pool(runner)
+            pool = "" if runner.leaving else self._choice.routing_pool(runner)
             if pool:
                 by_service.setdefault(pool, []).append(runner.runner_id)
         for found in self._outliers.detect(by_service.values()):
             logs.event("runner_outlier", **found.inputs)
 
-    def _choose_healthy(
-        self, query: models.Query, full: frozenset[str]
-    ) -> models.Route | models.NoRunner:
-        """Choose a runner from the query's pool, preferring healthy ones.
-
-        A runner that is silent or ejected as an outlier is chosen only if no
-        other one is available.
-        """
-        tried = query.excluded
-        avoided = self._silence.silent | self._outliers.ejected
-        query.excluded = tried | full | avoided
-        choice = self._router.choose(query)
-        if isinstance(choice, models.NoRunner) and avoided:
-            query.excluded = tried | full
-            choice = self._router.choose(query)
-        query.excluded = tried
-        return choice
-
-    def _routing_pool(self, runner: runners.Runner) -> str:
-        """The routing pool of a runner; "" for none.
-
-        Each version has its own pool, so that prompts are neither placed nor
-        copied across versions.
-        """
-        return call_sampling.pool_name(
-            runner.service, self._roll_outs.role(runner)
-        )
-
-    def _can_copy(self, name: str) -> bool:
-        configuration = self._configuration
-        service = configuration and configuration.services.get(name)
-        return bool(
-            service and service.engine and service.engine.can_copy_cache
-        )
-
-    def _meter(self, service: str) -> prefill_load.PrefillMeter:
-        return self._meters.setdefault(service, prefill_load.PrefillMeter())
-
-    def _cache_blocks(self, runner: runners.Runner) -> int:
-        service = self._service_of(runner)
-        if service is None or service.engine is None:
-            return 0
-        return service.engine.cache_tokens // prefix.TOKENS_PER_BLOCK
-
-    def _service_of(
-        self, runner: runners.Runner
-    ) -> configuration_model.Service | None:
+    def _service_named(self, name: str) -> configuration_model.Service | None:
         if self._configuration is None:
             return None
-        return self._configuration.services.get(runner.service)
-
-
-def _routing_view(runner: runners.Runner, pool: str) -> models.Runner:
-    return models.Runner(
-        runner.runner_id,
-        runner.address,
-        runner.data_centre,
-        pool,
-        "reclaimable" if runner.reclaimable else "on_demand",
-        "",
-        1.0,
-        runner.concurrency,
-    )
+        return self._configuration.services.get(name)
