Let all stand-ins turn requests away and say things of themselves

Change: engines, services and the other stand-ins have two more faults, a number of requests that are turned away and headers of each response. A fleet of real processes looks up 40 values while one service asks for rest.

--- a/src/apricotlever/runners/stated_limits.py
+++ b/src/apricotlever/runners/stated_limits.py
@@ -73,6 +73,11 @@
             if reading.limit_per_s is not None
         }
 
+    @property
+    def has_readings(self) -> bool:
+        """Whether any runner has a limit, or had one until lately."""
+        return bool(self._readings)
+
     @property
     def readings(self) -> dict[str, Reading]:
         """The latest readings by runner, lifted limits included."""
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -568,13 +568,14 @@
         )
         keepers = self._fleet.limit_keepers
         self._limits.set_keepers(keepers)
-        self._upstreams.runner_limits.set_fleet(
-            keepers,
-            self._fleet.limit_addresses,
-            self.ready,
-            self._limits.heard_share,
-            len(members) + 1,
-        )
+        if self._upstreams.runner_limits.wants_fleet:
+            self._upstreams.runner_limits.set_fleet(
+                keepers,
+                self._fleet.limit_addresses,
+                self.ready,
+                self._limits.heard_share,
+                len(members) + 1,
+            )
         self._work.merge_counters(
             self._process, self._upstreams.prefill_meters
         )
--- a/src/apricotlever/serving/runner_limits.py
+++ b/src/apricotlever/serving/runner_limits.py
@@ -32,6 +32,8 @@
 CHANGE_FANOUT = 4
 #: Seconds for which changes are collected before they are passed on.
 CHANGE_BATCH_S = 0.01
+#: Seconds between two updates of the other VMs while no limit is known.
+IDLE_FLEET_INTERVAL_S = 1.0
 #: Seconds after which a VM asks again if no keeper has answered.
 UNANSWERED_RETRY_S = 0.2
 #: Time between the returns of two callers to runners without limits, in
@@ -69,6 +71,7 @@
         "_addresses",
         "_changed",
         "_clock",
+        "_fleet_set_at",
         "_full",
         "_keeper",
         "_keepers",
@@ -96,6 +99,8 @@
         self._protocol: protocols.RunnerLimitProtocol | None = None
         #: Addresses of the other VMs, by name.
         self._addresses: dict[str, limit_protocol.Address] = {}
+        #: When the other VMs were last set.
+        self._fleet_set_at = float("-inf")
         #: Runners whose changed limits are about to be passed on.
         self._changed: set[str] = set()
         #: How many calls were asked about, how many of them a keeper refused,
@@ -130,6 +135,15 @@
         """
         self._protocol = protocols.RunnerLimitProtocol(transport, self)
 
+    @property
+    def wants_fleet(self) -> bool:
+        """Whether :meth:`set_fleet` is due.
+
+        While no limit is known it is rarely, as each call looks at all VMs.
+        """
+        since_s = self._clock.now() - self._fleet_set_at
+        return since_s >= IDLE_FLEET_INTERVAL_S or self._stated.has_readings
+
     def set_fleet(
         self,
         keepers: typing.Iterable[str],
@@ -138,7 +152,7 @@
         heard_share: float,
         fleet_size: int,
     ) -> None:
-        """Set which VMs there are; the caller does so several times a second.
+        """Set which VMs there are; the caller does so when it is due.
 
         :param keepers: the other VMs that may be keepers.
         :param addresses: addresses of all other VMs that are alive, by name.
@@ -146,6 +160,7 @@
         :param heard_share: part of the fleet that this VM hears from.
         :param fleet_size: number of VMs, this one and silent ones included.
         """
+        self._fleet_set_at = self._clock.now()
         self._addresses = dict(addresses)
         if self._protocol is None:
             # Without messages, each VM keeps a part of its own.
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -32,6 +32,8 @@
 }
 CONTROL_PREFIX = "/control/"
 SILENCE_POLL_S = 0.05
+#: Beginnings of the paths that entry VMs ask for by themselves.
+POLLED_PATHS = ("/v1/load", "/v1/health", "/v1/cache", "/v1/orders")
 COMMON_FAULTS: dict[str, typing.Any] = {
     "down": False,
     "refuse": False,
@@ -40,6 +42,10 @@
     "lose_request": 0,
     "lose_answer": 0,
     "lose_answer_probability": 0.0,
+    #: How many requests are answered 503 without being handled.
+    "turn_away": 0,
+    #: Headers by which the stand-in says something of itself, by name.
+    "statements": {},
 }
 
 
@@ -197,7 +203,15 @@
         self._apply_request_faults(request)
         if self._faults["down"]:
             return Response(503, {"error": "unavailable"})
-        response = self.before_dispatch(request) or self._dispatch(request)
+        is_polled = request.path.startswith(POLLED_PATHS)
+        if not is_polled and self._faults.consume("turn_away"):
+            response = Response(503, {"error": "turned_away"})
+        else:
+            response = self.before_dispatch(request) or self._dispatch(request)
+        response.headers = [
+            *response.headers,
+            *self._faults["statements"].items(),
+        ]
         if (
             request.method in self.response_loss_methods
             and self._response_is_lost()
--- a/tests/daemon/runner_statements.feature
+++ b/tests/daemon/runner_statements.feature
@@ -43,3 +43,11 @@
     Then of 40 requests a second for 2 seconds runner 1 gets at most 12, if it takes them before the others
     When runner 1 names no limit any more
     Then 10 requests are all dispatched to runner 1
+
+  # Guards against a path of real requests on which a rest is not read.
+  Scenario: A service that asks for rest gets few requests of a real VM
+    Given direct connections to 1 engines and 3 services, and 1 entry VMs
+    And service-0 turns requests away and asks for a rest of 60 seconds
+    When 40 lookups are made one after the other
+    Then service-0 has turned away at most 1 of them
+    And each lookup got its own answer within 6.0 s
--- a/tests/steps/daemon_runner_statements.py
+++ b/tests/steps/daemon_runner_statements.py
@@ -22,6 +22,9 @@
 
 POOL = "pool"
 REPLY_TIMEOUT_S = 5.0
+#: More requests than any scenario sends.
+TURNED_AWAY_MOST = 1000
+LOOKUP_S = 6.0
 
 
 def _name(number):
@@ -202,3 +205,29 @@
     outcome = attempt_reports.failure_outcome
     assert outcome(error(503, b"", True)) is runners.Outcome.CANCELLED
     assert outcome(error(503, b"")) is runners.Outcome.FAILED
+
+
+@given(
+    "service-0 turns requests away and asks for a rest of {rest_s:d} seconds"
+)
+def _turn_away(context, rest_s):
+    context.scene.fleet.set_faults(
+        "service-0",
+        turn_away=TURNED_AWAY_MOST,
+        statements={"Retry-After": str(rest_s)},
+    )
+
+
+@when("{count:d} lookups are made one after the other")
+def _look_up(context, count):
+    context.lookup_problems = []
+    for _ in range(count):
+        context.lookups.start(1)
+        context.lookup_problems += context.lookups.problems(LOOKUP_S)
+    assert not context.lookup_problems, context.lookup_problems
+
+
+@then("service-0 has turned away at most {most:d} of them")
+def _check_turned_away(context, most):
+    left = context.scene.fleet.control("service-0", "faults")["turn_away"]
+    assert TURNED_AWAY_MOST - left <= most, TURNED_AWAY_MOST - left
