Give back no room for calls that nobody counted

Cause: a call that was let through before its runner named a limit had a permit of this VM's, and when it could not be sent, the permit added room to the count that had begun meanwhile. And a limit that was lifted was passed on until a runner came or went, as only that forgot it. Change: a permit says that nobody counts it; old lifted limits are forgotten before each exchange.

--- a/src/apricotlever/runners/stated_limits.py
+++ b/src/apricotlever/runners/stated_limits.py
@@ -98,12 +98,20 @@
     def keep_only(self, runners: typing.Iterable[str]) -> None:
         """Set the known runners, and forget the limits of all others."""
         self._runners = frozenset(runners)
-        oldest = self._clock.now() - LIFTED_KEPT_S
         self._readings = {
             runner: reading
             for runner, reading in self._readings.items()
             if runner in self._runners
-            and (reading.limit_per_s is not None or reading.read_at > oldest)
+        }
+        self.forget_lifted()
+
+    def forget_lifted(self) -> None:
+        """Forget the limits that were lifted long ago."""
+        oldest = self._clock.now() - LIFTED_KEPT_S
+        self._readings = {
+            runner: reading
+            for runner, reading in self._readings.items()
+            if reading.limit_per_s is not None or reading.read_at > oldest
         }
 
     def record_named(self, runner: str, limit_per_s: float) -> Change | None:
--- a/src/apricotlever/serving/runner_limits.py
+++ b/src/apricotlever/serving/runner_limits.py
@@ -48,12 +48,15 @@
 
     :param runner: the runner's ID.
     :param wait_s: seconds to wait before the call is sent.
-    :param keeper: the VM that counts the call; "" for this VM.
+    :param keeper: the VM that counts the call; "" for this VM, None if nobody
+        does, as the runner has no limit.
     """
 
     __slots__ = ("runner", "wait_s", "keeper")
 
-    def __init__(self, runner: str, wait_s: float, keeper: str) -> None:
+    def __init__(
+        self, runner: str, wait_s: float, keeper: str | None = None
+    ) -> None:
         self.runner = runner
         self.wait_s = wait_s
         self.keeper = keeper
@@ -202,7 +205,7 @@
         """
         reading = self._stated.reading(runner)
         if reading is None:
-            return Permit(runner, 0.0, "")
+            return Permit(runner, 0.0)
         self.ask_count += 1
         admission, keeper = await self._ask(runner, reading, patience_s)
         if admission.admitted:
@@ -213,6 +216,8 @@
 
     def refund(self, permit: Permit) -> None:
         """Give back a permit whose call was not sent."""
+        if permit.keeper is None:
+            return
         if not permit.keeper:
             self._keeper.refund(permit.runner)
             return
@@ -254,6 +259,7 @@
         :data:`EXCHANGE_INTERVAL_S`.
         """
         self._refusal_times.tick()
+        self._stated.forget_lifted()
         readings = [
             self._reading_record(runner) for runner in self._stated.readings
         ]
--- a/tests/runners/statements.feature
+++ b/tests/runners/statements.feature
@@ -121,3 +121,11 @@
       | it is listed with heartbeat 7         | leaves  |
       | it is listed with heartbeat 1         | stays   |
       | it is not listed                      | stays   |
+
+  # Guards against VMs that pass on a limit for good that was lifted once.
+  Scenario: A lifted limit is forgotten in the end
+    Given a VM that knows a runner
+    When the runner names 2 calls a second
+    And a response names no limit to a call sent since
+    And 16 seconds pass for the limits
+    Then no limit is known
--- a/tests/serving/runner_limits.feature
+++ b/tests/serving/runner_limits.feature
@@ -73,3 +73,10 @@
     When the VMs get 40 calls a second for 6 seconds
     Then all calls are answered
     And runner 1 gets some calls, and at most 29 in any 4 seconds
+
+  # Guards against room that is given back for calls that nobody counted.
+  Scenario: A call that was admitted without a limit gives nothing back
+    Given 1 VMs that share 1 runners
+    When VM 1 takes a permit, and the runner names a limit of 1 calls a second
+    And the permit is given back 10 times
+    Then VM 1 admits at most 0 calls at once
--- a/tests/steps/runners_statements.py
+++ b/tests/steps/runners_statements.py
@@ -164,6 +164,13 @@
     assert context.change is None, context.change
 
 
+@when("{seconds:d} seconds pass for the limits")
+def _pass(context, seconds):
+    assert context.limits.has_readings
+    context.clock.advance(seconds)
+    context.limits.forget_lifted()
+
+
 @then("no limit is known")
 def _check_none(context):
     assert not context.limits.in_force and not context.limits.readings
--- a/tests/steps/serving_runner_limits.py
+++ b/tests/steps/serving_runner_limits.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from apricotlever.runners import statements
 from tests.serving import fleet_paths
 
 #: Longer than any scenario's calls, in seconds.
@@ -181,3 +182,36 @@
     times = context.fleet.runners[number - 1].arrived_at
     found = fleet_paths.most_within(times, span, times[0] + 1.0)
     assert 2 <= found <= most, found
+
+
+@when(
+    "VM 1 takes a permit, and the runner names a limit of {limit:g} calls a "
+    "second"
+)
+def _take_permit(context, limit):
+    context.limits = context.fleet.vms[0].upstreams.runner_limits
+    context.permit = _run(context, context.limits.admit("runner-1"))
+
+    async def name_limit():
+        context.limits.record_statement(
+            "runner-1", statements.Statement(limit), 0.0
+        )
+
+    _run(context, name_limit())
+    # The bucket is made with the first call that is counted.
+    assert _run(context, context.limits.admit("runner-1")) is not None
+
+
+@when("the permit is given back {count:d} times")
+def _give_back(context, count):
+    for _ in range(count):
+        context.limits.refund(context.permit)
+
+
+@then("VM 1 admits at most {most:d} calls at once")
+def _check_admitted(context, most):
+    permits = [
+        _run(context, context.limits.admit("runner-1")) for _ in range(10)
+    ]
+    found = sum(permit is not None for permit in permits)
+    assert found <= most, found
