Explain requests whose runners wanted no calls

Change: a call that finds no runner logs each runner of the service with its cause and the seconds left, and explain prints the words of runners that a request was kept from as background. Measured: tests/client/explain.feature, with a scenario for it.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -23,6 +23,8 @@
         "runner_crashed",
         "runner_gone",
         "runner_leaving",
+        "runner_limit",
+        "runner_rest",
         "started",
         "stopping",
         "stop_cut_off",
@@ -37,6 +39,11 @@
     ("leaving", "its VM was shutting down, so it was not run"),
     ("no_configuration", "its VM had no configuration yet"),
     ("no_runner", "no runner of the service was available for it"),
+    (
+        "runners_unavailable",
+        "its service's runners rested, left or had no room, by their own word",
+    ),
+    ("takes_no_calls", "the runner had just said that it takes no calls"),
     ("retry_budget", "the retry budget of the service was exhausted"),
     ("turned_away", "the runners that were tried rejected it"),
     ("replaced", "another runner had taken over the runner's address"),
@@ -154,6 +161,11 @@
         return None
     vms = {line.vm for line in request_lines}
     runners = {r for line in request_lines if (r := line.fields.get("runner"))}
+    runners.update(
+        each.partition("=")[0]
+        for line in request_lines
+        for each in line.fields.get("passed_over", "").split(",")
+    )
     since = _shift_time(
         request_lines[0].time,
         -_longest_duration_s(request_lines) - BACKGROUND_MARGIN_S,
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -124,6 +124,9 @@
     "runner_passed_over": Event(
         INFO, "A runner that a request would have gone to had no room for it."
     ),
+    "runners_unavailable": Event(
+        INFO, "All runners for a request rest, leave or have no room."
+    ),
     "runner_statement_unreadable": Event(
         WARNING, "A runner said something of itself that can't be read."
     ),
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -158,6 +158,12 @@
             placement = await self._take_turn(name, query, patience_s)
             if placement is not None:
                 return placement
+        logs.event(
+            "runners_unavailable",
+            request=self._call.request_id,
+            service=self._service,
+            passed_over=self._passed_over(),
+        )
         raise NoPlace("runners_unavailable")
 
     async def _take_turn(
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -18,6 +18,13 @@
     When the operator explains "gg77"
     Then the command succeeds and prints "sent what is no answer"
 
+  Scenario: A request is explained whose runners wanted no calls
+    Given logs of two VMs with a request broken by a reclaimed runner
+    And a log of a request whose runners rested
+    When the operator explains "hh88"
+    Then the command succeeds and prints "rested, left or had no room"
+    And the command succeeds and prints "runner_rest"
+
   Scenario: A request that no log line names is reported as an error
     Given logs of two VMs with a request broken by a reclaimed runner
     When the operator explains "cc33"
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -53,6 +53,14 @@
 time=2026-03-01T03:12:16.300100Z level=INFO event=request_refused vm=vm-1 \
 request=gg77 status=502 reason="broken:not an answer: HttpParserError"
 """
+RESTED_LOG = """\
+time=2026-03-01T03:12:14.300100Z level=INFO event=runner_rest vm=vm-1 \
+runner=r-5 rest_s=3
+time=2026-03-01T03:12:16.300100Z level=INFO event=runners_unavailable vm=vm-1 \
+request=hh88 service=s passed_over="r-5=rest:1.00,r-6=limit:0.40"
+time=2026-03-01T03:12:16.300100Z level=INFO event=request_refused vm=vm-1 \
+request=hh88 status=503 reason=runners_unavailable retry_after_s=0.4
+"""
 
 
 def _write_log(context, name, text):
@@ -87,6 +95,11 @@
     _write_log(context, "garbled.log", INVALID_RESPONSE_LOG)
 
 
+@given("a log of a request whose runners rested")
+def _rested_log(context):
+    _write_log(context, "rested.log", RESTED_LOG)
+
+
 @given("a log of a late stream")
 def _late_stream_log(context):
     _write_log(context, "vm-3.log", LATE_STREAM_LOG)
