--- a/bench/_record_exchange_simulation.py
+++ b/bench/_record_exchange_simulation.py
@@ -9,9 +9,11 @@
 
 from apricotlever import clock as clocks
 from apricotlever.serving import peer_datagrams
+from apricotlever.vms import aggregates
 from apricotlever.vms import peer_table
 from apricotlever.vms import record_aggregation
 from apricotlever.vms import record_exchange
+from apricotlever.vms import shared_samples
 from apricotlever.vms import vm_records
 
 STEP_S = 0.01
@@ -60,6 +62,8 @@
         self.publish_at = None
         #: Used units by customer, as received from each process.
         self.received_used = {}
+        #: Samples of other VMs, as received.
+        self.received_samples = shared_samples.SampleBuffer()
         self.table = world.table_class(
             world.clock,
             random.Random(number),
@@ -154,6 +158,8 @@
         if isinstance(message, vm_records.VmRecord):
             self.table.receive_record(message)
             self.record_used(message.process, message.used)
+            if not message.aggregator:
+                self.received_samples.merge(message.samples)
             self.send(self.exchange.receive_record(message))
             return
         for entry in message.entries:
@@ -167,6 +173,12 @@
         for process, used in message.used.items():
             self.record_used(process, used)
         self.send(self.exchange.receive_aggregate(message))
+        self._receive_samples(message)
+
+    def _receive_samples(self, message):
+        """Add up the samples in an aggregate of the VM's own aggregator."""
+        if self.exchange.takes_loads_from(message):
+            self.received_samples.merge(message.samples)
 
     def record_used(self, process, used):
         """Store the used units that a process reported."""
@@ -175,6 +187,8 @@
     def send(self, outgoing):
         """Send messages to their receivers over the network."""
         for outgoing_message in outgoing:
+            if isinstance(outgoing_message.message, aggregates.Aggregate):
+                self._receive_samples(outgoing_message.message)
             if outgoing_message.receivers:
                 data = peer_datagrams.pack(outgoing_message.message)
                 for receiver in outgoing_message.receivers:
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -24,6 +24,7 @@
 from ..vms import peer_table
 from ..vms import record_aggregation
 from ..vms import record_exchange
+from ..vms import shared_samples
 from ..vms import vm_records
 
 from . import peer_datagrams
@@ -120,6 +121,12 @@
     def observe_loads(self, loads: peer_loads.PeerLoads) -> None:
         """Apply the loads that the other VMs put on the runners."""
 
+    def merge_samples(self, samples: shared_samples.Samples) -> None:
+        """Add the counts that other VMs have observed to this VM's sums.
+
+        In a large fleet they include this VM's own counts.
+        """
+
     def configure(self, spec: store.Json) -> bool:
         """Activate a configuration if it is newer than the active one.
 
@@ -264,6 +271,11 @@
         """Loads that the other VMs put on the runners."""
         return self._record_exchange.loads
 
+    @property
+    def samples(self) -> shared_samples.SampleBuffer:
+        """What this VM has counted and will send to the other VMs."""
+        return self._record_exchange.samples
+
     @property
     def aggregator(self) -> str:
         """Name of the VM that relays this VM's status records.
@@ -362,6 +374,8 @@
         """Process a status record, aggregate or tally of another VM."""
         if isinstance(message, vm_records.VmRecord):
             self._receive_record(message)
+            if message.samples and not message.aggregator:
+                self._local.merge_samples(message.samples)
             self._send(self._record_exchange.receive_record(message))
         elif isinstance(message, aggregates.Aggregate):
             self._receive_aggregate(message)
@@ -391,6 +405,8 @@
         self._send(self._record_exchange.receive_aggregate(aggregate))
         if self._record_exchange.takes_loads_from(aggregate):
             self._local.observe_loads(self._record_exchange.loads)
+            if aggregate.samples:
+                self._local.merge_samples(aggregate.samples)
 
     def _send(
         self, outgoing: typing.Iterable[record_exchange.OutgoingMessage]
@@ -400,7 +416,17 @@
 
     def _pending_aggregates(self) -> list[record_exchange.OutgoingMessage]:
         runners = {r.runner_id for r in self._directory.runners}
-        return self._record_exchange.publish_aggregates(runners)
+        outgoing = self._record_exchange.publish_aggregates(runners)
+        for each in outgoing:
+            message = each.message
+            if (
+                isinstance(message, aggregates.Aggregate)
+                and message.samples
+                and self._record_exchange.takes_loads_from(message)
+            ):
+                # No message of this VM comes back to itself.
+                self._local.merge_samples(message.samples)
+        return outgoing
 
     def _publish_change(self) -> None:
         self._publish_scheduled = False
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -19,6 +19,7 @@
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
 from ..vms import peer_loads
+from ..vms import shared_samples
 from ..vms import vm_records
 
 from . import call_relay
@@ -410,6 +411,13 @@
         self._upstreams.update_peer_loads(loads)
         self._roll_outs.update_fleet_counts(loads.trials, loads.from_aggregate)
 
+    def merge_samples(self, samples: shared_samples.Samples) -> None:
+        """Add the counts that other VMs have observed to this VM's sums.
+
+        :param samples: counts by topic and key; topics that no component
+            handles are ignored.
+        """
+
     def configuration_after(self, version: int) -> store.Json | None:
         """The active configuration's document, if it is newer than a version.
 
--- a/src/apricotlever/serving/settings.py
+++ b/src/apricotlever/serving/settings.py
@@ -5,6 +5,8 @@
 from .. import addresses
 from ..roll_outs import model as roll_outs_model
 
+from . import modes as modes_
+
 Address = addresses.Address
 
 
@@ -108,6 +110,7 @@
     :param reports_usage: whether this fleet reports usage.
     :param orders_runners: whether this fleet orders runners.
     :param bounds: bounds that the fleet guarantees.
+    :param modes: the modes of the parts of the request path.
     """
 
     __slots__ = (
@@ -126,6 +129,7 @@
         "reports_usage",
         "orders_runners",
         "bounds",
+        "modes",
     )
 
     def __init__(
@@ -145,8 +149,10 @@
         orders_runners: bool,
         bounds: FleetBounds,
         limits: Address | None = None,
+        modes: modes_.PartModes | None = None,
     ) -> None:
         self.limits = limits
+        self.modes = modes or modes_.PartModes()
         self.vm = vm
         self.data_centre = data_centre
         self.data_centres = data_centres
--- a/src/apricotlever/validation.py
+++ b/src/apricotlever/validation.py
@@ -49,6 +49,11 @@
     return type(value) is int and 0 <= value <= MAX_SAFE_INTEGER
 
 
+def is_int(value: typing.Any) -> bool:
+    """Whether a value is an integer up to ``MAX_SAFE_INTEGER`` either way."""
+    return type(value) is int and abs(value) <= MAX_SAFE_INTEGER
+
+
 def is_non_negative_number(value: typing.Any) -> bool:
     """Whether a value is a finite number from 0 upwards."""
     if type(value) is float:
--- a/src/apricotlever/vms/aggregates.py
+++ b/src/apricotlever/vms/aggregates.py
@@ -9,8 +9,9 @@
 import typing
 
 from .. import validation
-from ..roll_outs import samples
+from ..roll_outs import samples as trial_samples
 
+from . import shared_samples
 from . import vm_records
 
 #: Calls in flight and waiting prompt tokens at one runner.
@@ -45,6 +46,8 @@
         loads include. By it a VM finds its own part of the loads.
     :param trials: summed counts of calls at the old and new versions of
         roll-outs.
+    :param samples: summed counts that VMs have sent since the last aggregate
+        with such counts; empty in most messages.
     """
 
     __slots__ = (
@@ -61,6 +64,7 @@
         "failures",
         "included",
         "trials",
+        "samples",
     )
 
     def __init__(
@@ -77,7 +81,8 @@
         silent: dict[str, int] | None = None,
         failures: Failures | None = None,
         included: dict[str, int] | None = None,
-        trials: samples.Records | None = None,
+        trials: trial_samples.Records | None = None,
+        samples: shared_samples.Samples | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -92,6 +97,7 @@
         self.failures = failures or {}
         self.included = included or {}
         self.trials = trials or {}
+        self.samples = samples or {}
 
     @property
     def process(self) -> str:
@@ -161,7 +167,8 @@
             validation.is_non_empty_string, validation.is_non_negative_int
         ),
     ),
-    ("trials", samples.is_records),
+    ("trials", trial_samples.is_records),
+    ("samples", shared_samples.is_samples),
 )
 
 
--- a/src/apricotlever/vms/record_aggregation.py
+++ b/src/apricotlever/vms/record_aggregation.py
@@ -10,12 +10,13 @@
 import typing
 
 from .. import clock as clocks
-from ..roll_outs import samples
+from ..roll_outs import samples as trial_samples
 from ..runners import call_totals
 
 from . import aggregates
 from . import peer_loads
 from . import record_relay
+from . import shared_samples
 from . import vm_records
 
 #: Seconds between two aggregates.
@@ -23,7 +24,9 @@
 #: One aggregate in this many is sent even without changes. It has the age of
 #: the last sign of life of each VM, so that the receivers know who is alive.
 KEEPALIVE_EVERY = 3
-#: One aggregate in this many includes the counts of failed calls.
+#: One aggregate in this many includes the counts of failed calls and the
+#: samples. It is a multiple of :data:`KEEPALIVE_EVERY`, so that an aggregate
+#: with them is always sent.
 FAILURES_EVERY = 6
 #: Seconds for which the loads reported by another aggregator count. If that
 #: aggregator has ended, its VMs use another one by this time.
@@ -79,7 +82,7 @@
     def __init__(self) -> None:
         self._loads: aggregates.Loads = {}
         self._silent: dict[str, int] = {}
-        self._trials: samples.Records = {}
+        self._trials: trial_samples.Records = {}
 
     def if_changed(
         self, aggregate: aggregates.Aggregate, keepalive: bool
@@ -117,6 +120,8 @@
         "_flushes",
         "_members",
         "_remote_failures",
+        "_samples_for_aggregators",
+        "_samples_for_served",
         "_trials",
         "_vm",
         "_sent_to_served",
@@ -131,7 +136,11 @@
         self._failures = call_totals.CallTotals()
         self._remote_failures = call_totals.CallTotals()
         #: Last trial counts of each process that uses this VM as aggregator.
-        self._trials: dict[str, samples.Records] = {}
+        self._trials: dict[str, trial_samples.Records] = {}
+        #: Samples of the served VMs, and those of all VMs, that were not
+        #: passed on yet.
+        self._samples_for_aggregators = shared_samples.SampleBuffer()
+        self._samples_for_served = shared_samples.SampleBuffer()
         self._flushes = 0
         #: Sums last sent to the other aggregators and to the served VMs.
         self._sent_to_aggregators = _LastSent()
@@ -195,6 +204,9 @@
         self._failures.add_process_counts(
             record.process, record.failures, serves
         )
+        if serves and record.samples:
+            self._samples_for_aggregators.merge(record.samples)
+            self._samples_for_served.merge(record.samples)
         self._update_trials(record)
         self._relay.merge_record(record, now)
         return serves and not (known is not None and self._serves(known))
@@ -213,6 +225,7 @@
         self._remote_failures.add_process_counts(
             aggregate.process, aggregate.failures
         )
+        self._samples_for_served.merge(aggregate.samples)
         for record in aggregate.entries:
             age_s = aggregate.ages.get(
                 record.vm, record_relay.LIVENESS_TIMEOUT_S
@@ -252,7 +265,7 @@
         own_processes = {m.record.process for m in self._members.values()}
         failures = self._flushes % FAILURES_EVERY == 0
         loads, silent = _sum_loads(served), _count_silent(served)
-        trials = samples.sum_records(self._trials.values())
+        trials = trial_samples.sum_records(self._trials.values())
         report = aggregates.Aggregate(
             own.vm,
             own.incarnation,
@@ -266,6 +279,13 @@
             silent,
             dict(self._failures.sums) if failures else None,
             trials=trials,
+            samples=(
+                self._samples_for_aggregators.take(
+                    shared_samples.MAX_KEYS_PER_AGGREGATE
+                )
+                if failures
+                else None
+            ),
         )
         reports = list(self._reports.values())
         whole = aggregates.Aggregate(
@@ -283,7 +303,16 @@
             ),
             self._all_failures() if failures else None,
             {record.vm: record.number for record in served},
-            samples.sum_records([trials, *(each.trials for each in reports)]),
+            trial_samples.sum_records(
+                [trials, *(each.trials for each in reports)]
+            ),
+            (
+                self._samples_for_served.take(
+                    shared_samples.MAX_KEYS_PER_AGGREGATE
+                )
+                if failures
+                else None
+            ),
         )
         return (
             self._sent_to_aggregators.if_changed(report, keepalive),
--- a/src/apricotlever/vms/record_exchange.py
+++ b/src/apricotlever/vms/record_exchange.py
@@ -18,6 +18,7 @@
 from . import peer_loads
 from . import peer_table
 from . import record_aggregation
+from . import shared_samples
 from . import vm_records
 
 #: Ticks of :data:`vm_records.RECORD_INTERVAL_S` between two records of a VM
@@ -86,6 +87,7 @@
         "_number",
         "_rng",
         "_published",
+        "_samples",
         "_source",
         "_table",
         "_vm",
@@ -109,6 +111,7 @@
         self._selector = aggregator_selection.AggregatorSelector(clock, vm)
         self._aggregation = record_aggregation.RecordAggregator(clock, vm)
         self._loads = peer_loads.PeerLoadTracker(clock, vm)
+        self._samples = shared_samples.SampleBuffer()
         self._is_large = False
         self._number = 0
         self._ticks = 0
@@ -133,6 +136,11 @@
         """Whether this VM is an aggregator in a large fleet."""
         return self._is_large and self._selector.is_aggregator
 
+    @property
+    def samples(self) -> shared_samples.SampleBuffer:
+        """What this VM has counted and will send with its full records."""
+        return self._samples
+
     @property
     def directory_sources(self) -> frozenset[str] | None:
         """VMs whose directory of runners this VM compares its own with.
@@ -221,7 +229,10 @@
         if not self._is_large or not tells:
             return []
         self._flushes += 1
-        own = self._next_record(self._flushes % FULL_OWN_RECORD_EVERY == 0)
+        whole_own = self._flushes % FULL_OWN_RECORD_EVERY == 0
+        own = self._next_record(whole_own)
+        if whole_own and self._selector.current == self._vm:
+            self._add_samples(own)
         for_aggregators, whole = self._aggregation.build_aggregates(
             own, own.number, runners
         )
@@ -309,9 +320,10 @@
 
     def _record_for_all(self) -> OutgoingMessage:
         whole = self._number % vm_records.FULL_RECORD_EVERY == 0
-        return OutgoingMessage(
-            self._next_record(whole), self._table.receivers()
-        )
+        record = self._next_record(whole)
+        if whole:
+            self._add_samples(record)
+        return OutgoingMessage(record, self._table.receivers())
 
     def _records_for_aggregators(
         self, former: str = ""
@@ -332,9 +344,10 @@
         outgoing = []
         if receiving_vms:
             receivers = self._addresses(sorted(receiving_vms))
-            outgoing.append(
-                OutgoingMessage(self._next_record(whole), receivers)
-            )
+            record = self._next_record(whole)
+            if whole and self._selector.current != self._vm:
+                self._add_samples(record)
+            outgoing.append(OutgoingMessage(record, receivers))
         silent = self._table.silent_addresses()
         if silent:
             # A record without an aggregator is answered. By this exchange the
@@ -358,6 +371,14 @@
         self._loads.record_sent(record)
         return record
 
+    def _add_samples(self, record: vm_records.VmRecord) -> None:
+        """Move the samples into a record; each is sent in one record only.
+
+        The receiver that adds them up is the aggregator named in the record
+        or, without an aggregator, every receiver.
+        """
+        record.samples = self._samples.take(shared_samples.MAX_KEYS_PER_RECORD)
+
     def _answer_served(
         self, record: vm_records.VmRecord, is_new: bool
     ) -> list[OutgoingMessage]:
--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -9,9 +9,11 @@
 
 from .. import validation
 from ..roll_outs import model as roll_outs_model
-from ..roll_outs import samples
+from ..roll_outs import samples as trial_samples
 from ..runners import crash_blocklist
 
+from . import shared_samples
+
 #: Seconds between two records. Limits that are enforced by counters overshoot
 #: by what is admitted in this time.
 RECORD_INTERVAL_S = 0.2
@@ -22,8 +24,8 @@
 class VmRecord:
     """Status record of one VM: its state, loads, counts and versions.
 
-    An empty field carries no information. ``levels``, ``failures`` and
-    ``known`` are filled in only in full records, one in
+    An empty field carries no information. ``levels``, ``failures``,
+    ``known`` and ``samples`` are filled in only in full records, one in
     :data:`FULL_RECORD_EVERY`.
 
     :param vm: name of the VM.
@@ -65,6 +67,7 @@
     :param hears: number of other VMs that are alive as known to the VM.
     :param roll_outs: records of the roll-out orders known to the VM.
     :param trials: its own counts of calls at old and new versions.
+    :param samples: what it has counted since its last full record.
     """
 
     __slots__ = (
@@ -98,6 +101,7 @@
         "hears",
         "roll_outs",
         "trials",
+        "samples",
     )
 
     def __init__(
@@ -131,7 +135,8 @@
         aggregator: str = "",
         hears: int = 0,
         roll_outs: list[list[typing.Any]] | None = None,
-        trials: samples.Records | None = None,
+        trials: trial_samples.Records | None = None,
+        samples: shared_samples.Samples | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -163,6 +168,7 @@
         self.hears = hears
         self.roll_outs = roll_outs or []
         self.trials = trials or {}
+        self.samples = samples or {}
 
     @property
     def limits_address(self) -> tuple[str, int] | None:
@@ -192,7 +198,7 @@
         copy.in_flight, copy.pending, copy.failures = {}, {}, {}
         copy.levels, copy.usage, copy.work = {}, {}, {}
         copy.silent, copy.known, copy.aggregator = [], [], ""
-        copy.used, copy.trials = {}, {}
+        copy.used, copy.trials, copy.samples = {}, {}, {}
         return copy
 
     def differs_from(self, other: "VmRecord", versions: bool) -> bool:
@@ -302,5 +308,6 @@
     ("aggregator", validation.is_string),
     ("hears", validation.is_non_negative_int),
     ("roll_outs", validation.is_list_of(roll_outs_model.is_order_record)),
-    ("trials", samples.is_records),
+    ("trials", trial_samples.is_records),
+    ("samples", shared_samples.is_samples),
 )
