Estimate the time to the first event from the shared performance

Cause: the router's estimates use what one VM has learned of a runner, and the policy home_or_faster compares two runners even for a prompt that only few of them can prefill in time. Change: a router with a RunnerPerformance takes base, time per token and slowness from it, with the slowdown by a batch relative to the pool's usual fill, which the learned line includes. The policy expected_time compares more runners for long prompts. Without a RunnerPerformance nothing changes.

--- a/src/apricotlever/runners/candidates.py
+++ b/src/apricotlever/runners/candidates.py
@@ -13,6 +13,7 @@
 from . import latency_model as latency_model
 from . import load
 from . import model as models
+from . import performance as performances
 
 SECONDS_PER_HOUR = 3600.0
 #: How long the parts of a runner's estimates that don't depend on the query
@@ -23,6 +24,30 @@
 FILL_UNCERTAINTY = 0.05
 
 
+class MeanFill:
+    """The moving average of the fill with which a pool's requests are sent.
+
+    The learned latency of a service includes the slowdown by its usual batch,
+    so only the difference from that is estimated for a runner.
+    """
+
+    __slots__ = ("_mean",)
+
+    def __init__(self) -> None:
+        self._mean = 0.0
+
+    def observe(self, fill: float) -> None:
+        """Add the fill of a runner to which a request is sent."""
+        self._mean += latency_model.LEARNING_RATE * (
+            min(1.0, fill) - self._mean
+        )
+
+    def slowdown(self, fill: float) -> float:
+        """How much slower a batch is than the pool's usual one."""
+        share = latency_model.BATCH_SLOWDOWN
+        return (1.0 + share * min(1.0, fill)) / (1.0 + share * self._mean)
+
+
 class Candidate:
     """A runner with its load, circuit breaker and latency model.
 
@@ -38,6 +63,9 @@
     :param warm: whether the runner skips its slow start.
     :param peers: the ratio of other VMs' requests to this VM's, which the
         runners of a pool share.
+    :param performance: what all VMs have learned of the runners' speed; None
+        if the estimates use what this VM has learned alone.
+    :param mean_fill: the usual fill of the pool's runners, which these share.
     """
 
     __slots__ = (
@@ -52,7 +80,10 @@
         "others_pending",
         "is_home",
         "is_local",
+        "mean_fill",
         "slowness",
+        "token_s",
+        "uncached_tokens",
         "first_token_s",
         "cost",
         "cached_blocks",
@@ -62,6 +93,7 @@
         "_base_price",
         "_fixed_s",
         "_fresh_until",
+        "_performance",
         "_prefill_s_per_token",
         "_price_per_s",
         "_token_price",
@@ -75,6 +107,8 @@
         rng: random.Random,
         warm: bool,
         peers: load.PeerRatio | None = None,
+        performance: performances.RunnerPerformance | None = None,
+        mean_fill: MeanFill | None = None,
     ) -> None:
         self.name = runner.name
         self.name_bytes = runner.name.encode()
@@ -99,6 +133,11 @@
         #: to the modelled one; above 1.0 if the runner is slower than the
         #: model of its pool and machine class predicts.
         self.slowness = 1.0
+        self.mean_fill = mean_fill or MeanFill()
+        #: Seconds of a prompt token at a runner of mean speed.
+        self.token_s = latency.prefill_s_per_token
+        #: Tokens of the query's prompt that the runner does not have cached.
+        self.uncached_tokens = 0.0
         self.first_token_s = 0.0
         self.cost = 0.0
         self.cached_blocks = 0.0
@@ -107,6 +146,7 @@
         self._answer_price = 0.0
         self._base_price = 0.0
         self._fixed_s = 0.0
+        self._performance = performance
         self._prefill_s_per_token = 0.0
         self._token_price = 0.0
         self.update_runner(runner)
@@ -136,7 +176,7 @@
         """
         if now > self._fresh_until:
             self._refresh(now)
-        uncached = tokens - cached_tokens
+        self.uncached_tokens = uncached = tokens - cached_tokens
         self.first_token_s = (
             self._fixed_s + uncached * self._prefill_s_per_token
         )
@@ -158,14 +198,20 @@
         usable_slots = slots * self.circuit.slot_share(now)
         fill = (self.load.in_flight(now) + 1.0) / usable_slots
         pending = self.pending_tokens + self.others_pending
-        wait_s = pending * latency.prefill_s_per_token
+        if self._performance is None:
+            base_s, token_s = latency.base_s, latency.prefill_s_per_token
+            slowdown = 1.0 + latency_model.BATCH_SLOWDOWN * min(1.0, fill)
+            factor = slowdown * self.slowness
+        else:
+            base_s, token_s, slowness = self._performance.estimate(self.name)
+            factor = self.mean_fill.slowdown(fill) * slowness
+        wait_s = pending * token_s
         wait_s += _expected_excess(fill - 1.0) * latency.hold_s
-        slowdown = 1.0 + latency_model.BATCH_SLOWDOWN * min(1.0, fill)
-        factor = slowdown * self.slowness
+        self.token_s = token_s
         self.fill = fill
         self.usable = self.circuit.allows(now)
-        self._fixed_s = (latency.base_s + wait_s) * factor
-        self._prefill_s_per_token = latency.prefill_s_per_token * factor
+        self._fixed_s = (base_s + wait_s) * factor
+        self._prefill_s_per_token = token_s * factor
         self._base_price = latency.base_s * self._price_per_s
         self._token_price = latency.prefill_s_per_token * self._price_per_s
         self._answer_price = (
--- a/src/apricotlever/runners/in_flight.py
+++ b/src/apricotlever/runners/in_flight.py
@@ -77,6 +77,7 @@
             candidate, self._clock.now(), uncached
         )
         candidate.pending_tokens += uncached
+        candidate.mean_fill.observe(candidate.fill)
         candidate.load.started()
         candidate.circuit.started()
         candidate.invalidate()
--- a/src/apricotlever/runners/performance.py
+++ b/src/apricotlever/runners/performance.py
@@ -28,7 +28,7 @@
 #: Limit of the logarithm of a sample's observed to expected seconds.
 MAX_LOG_RATIO = math.log(4.0)
 #: From this weight on, samples are limited to :data:`NEAR_LOG_RATIO` around
-#: the runner's mean, so that moments of slowness don't move the mean at random.
+#: the runner's mean, so that moments of slowness don't move it at random.
 #: Before, the mean itself is too uncertain.
 NEAR_FROM_SAMPLES = 12.0
 NEAR_LOG_RATIO = math.log(1.5)
@@ -75,17 +75,39 @@
     samples: float
 
 
+class Estimate(typing.NamedTuple):
+    """What is expected of calls at one runner.
+
+    :param base_s: seconds to the first event of a fully cached prompt at the
+        median runner, or to the answer of a call without a prompt.
+    :param token_s: seconds for an uncached prompt token there.
+    :param slowness: the runner's seconds relative to these.
+    """
+
+    base_s: float
+    token_s: float
+    slowness: float
+
+
 class _Service:
     """What is known of one service, apart from its runners' sums.
 
-    ``slowness`` and ``reported`` are by runner and phase; ``routes`` are the
-    means of this VM's calls by route and phase.
+    ``slowness`` is by runner and phase. ``routes`` are the means of this VM's
+    calls by route and phase, and ``plain`` that of all calls without a prompt.
     """
 
-    __slots__ = ("line", "routes", "runners", "slowness", "fresh_until")
+    __slots__ = (
+        "line",
+        "plain",
+        "routes",
+        "runners",
+        "slowness",
+        "fresh_until",
+    )
 
     def __init__(self) -> None:
         self.line = latency_sums.LatencyLine()
+        self.plain = latency_sums.DecayedMean()
         self.routes: dict[tuple[str, Phase], latency_sums.DecayedMean] = {}
         self.runners: set[str] = set()
         self.slowness: dict[tuple[str, Phase], float] = {}
@@ -269,21 +291,20 @@
             return latency_sums.DEFAULT_LATENCY
         return known.line.latency(self._clock.now())
 
-    def service_of(self, runner: str) -> str:
-        """The service of a runner; "" for an unknown runner."""
-        return self._service_of.get(runner, "")
-
-    def phase_of(self, service: str) -> Phase:
-        """The phase that decides when a service's calls begin to be answered.
+    def estimate(self, runner: str) -> Estimate:
+        """What is expected of calls at a runner.
 
         A service that has answered calls without prompts only is a plain one.
         """
-        known = self._services.get(service)
-        is_plain = known is not None and (
-            not known.line.has_samples
-            and any(phase is Phase.PLAIN for _, phase in known.routes)
-        )
-        return Phase.PLAIN if is_plain else Phase.PREFILL
+        known = self._services.get(self._service_of.get(runner, ""))
+        if known is None:
+            return Estimate(*latency_sums.DEFAULT_LATENCY[:2], 1.0)
+        now = self._clock.now()
+        if known.plain.weight(now) and not known.line.has_samples:
+            slowness = self.slowness(runner, Phase.PLAIN)
+            return Estimate(known.plain.mean, 0.0, slowness)
+        slowness = self.slowness(runner, Phase.PREFILL)
+        return Estimate(*known.line.latency(now)[:2], slowness)
 
     def changes(self) -> list[SlownessChange]:
         """Slownesses that have changed by a quarter since they were reported.
@@ -329,6 +350,8 @@
             self._add(runner, phase, seconds, mean.mean)
             alike_s = min(alike_s, latency_model.MAX_SAMPLE_RATIO * mean.mean)
         mean.add(now, 1, alike_s)
+        if phase is Phase.PLAIN:
+            known.plain.add(now, 1, alike_s)
 
     def _add(
         self, runner: str, phase: Phase, seconds: float, expected_s: float
--- a/src/apricotlever/runners/policies.py
+++ b/src/apricotlever/runners/policies.py
@@ -66,6 +66,15 @@
 #: ones elsewhere. At this share, the own data centre's runners become only
 #: slightly busier than the others.
 LOCAL_TARGET_SHARE = 0.25
+#: Shares of the target from which the policy ``expected_time`` compares more
+#: runners, if the prefill of the uncached part of the prompt takes them at a
+#: runner of mean speed. A prompt that takes a quarter meets its target at a
+#: runner of a third of the mean speed that is a little busy; one that takes
+#: half of it may not do so even at an idle one.
+LONG_PREFILL_SHARE = 0.25
+VERY_LONG_PREFILL_SHARE = 0.5
+#: Runners that the policy then samples in addition to the home runner.
+LONG_PREFILL_SAMPLE_SIZE = 4
 #: Number of leading blocks that the policy ``prefix_hash`` hashes.
 HASHED_BLOCKS = 20
 
@@ -178,6 +187,54 @@
         return min(compared, key=lambda c: c.first_token_s)
 
 
+@policy("expected_time")
+class ExpectedTime(_RandomizedPolicy):
+    """Picks the home runner of the prefix, unless a compared one is faster.
+
+    It works like ``home_or_faster``, but compares more runners for a prompt
+    whose prefill takes a large share of the target: of two random runners,
+    both may be too slow for it. A prompt that takes half of its target is
+    compared at all runners. Those within a tolerance of the fastest are then
+    equal, since other VMs choose by the same outdated figures.
+    """
+
+    __slots__ = ()
+
+    def pick(
+        self, query: models.Query, candidates: Candidates, key: int | None
+    ) -> candidates_.Candidate:
+        """Pick the runner for a query."""
+        homes = [c for c in candidates if c.is_home]
+        usual = homes[0] if homes else self._rng.choice(candidates)
+        target_s = query.wanted_first_token_s
+        prefill_s = usual.uncached_tokens * usual.token_s
+        if prefill_s >= VERY_LONG_PREFILL_SHARE * target_s:
+            return self._among_fastest(candidates)
+        size = (
+            SAMPLE_SIZE
+            if prefill_s < LONG_PREFILL_SHARE * target_s
+            else LONG_PREFILL_SAMPLE_SIZE
+        )
+        compared = homes
+        near = [c for c in candidates if c.is_local]
+        if len(near) >= size:
+            compared = homes + self._rng.sample(near, size)
+            best = min(compared, key=_first_token_s)
+            if best.first_token_s <= LOCAL_TARGET_SHARE * target_s:
+                return best
+        count = min(size, len(candidates))
+        compared = compared + self._rng.sample(list(candidates), count)
+        return min(compared, key=_first_token_s)
+
+    def _among_fastest(self, candidates: Candidates) -> candidates_.Candidate:
+        """A random one of the runners that are nearly the fastest."""
+        limit_s = min(c.first_token_s for c in candidates)
+        limit_s *= 1 + LATENCY_TOLERANCE
+        return self._rng.choice(
+            [c for c in candidates if c.first_token_s <= limit_s]
+        )
+
+
 @policy("random")
 class Random(_RandomizedPolicy):
     """Picks a random runner."""
@@ -241,6 +298,10 @@
         return rendezvous(query.blocks[last], candidates)
 
 
+def _first_token_s(candidate: candidates_.Candidate) -> float:
+    return candidate.first_token_s
+
+
 def _meeting_target(target_s: float, candidates: Candidates) -> Candidates:
     """The candidates that meet the target with a margin.
 
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -15,6 +15,7 @@
 from . import latency_model as latency_model
 from . import load
 from . import model as models
+from . import performance as performances
 from . import policies
 from . import prefix
 
@@ -43,6 +44,8 @@
     :param vm: the name of this entry VM.
     :param data_centre: the data centre of this VM.
     :param policy: the name of a policy registered in :mod:`.policies`.
+    :param performance: what all VMs have learned of the runners' speed, which
+        the estimates use; None if they use what this VM has learned alone.
     """
 
     __slots__ = (
@@ -54,7 +57,9 @@
         "_in_flight",
         "_index",
         "_latency_models",
+        "_mean_fills",
         "_peer_ratios",
+        "_performance",
         "_policy",
         "_rng",
         "_vm",
@@ -67,6 +72,7 @@
         vm: str,
         data_centre: str,
         policy: str = DEFAULT_POLICY,
+        performance: performances.RunnerPerformance | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -77,7 +83,9 @@
         self._latency_models: dict[
             tuple[str, str], latency_model.LatencyModel
         ] = {}
+        self._mean_fills: dict[str, candidates_.MeanFill] = {}
         self._peer_ratios: dict[str, load.PeerRatio] = {}
+        self._performance = performance
         self._candidates: dict[str, candidates_.Candidate] = {}
         self._by_pool: dict[str, list[candidates_.Candidate]] = {}
         self._removed_until: dict[str, float] = {}
@@ -253,6 +261,18 @@
         home = self._home_runner(query, others)
         return home.runner if home is not None else None
 
+    def backlog(self, name: str) -> tuple[int, float]:
+        """What a request would find at a runner, as far as is known.
+
+        :returns: all VMs' uncached prompt tokens that await a first token, and
+            the runner's fill with the request.
+        """
+        found = self._candidates.get(name)
+        if found is None:
+            return 0, 0.0
+        fill = (found.load.in_flight(self._clock.now()) + 1) / found.load.slots
+        return found.pending_tokens + found.others_pending, fill
+
     def pending_tokens(self) -> dict[str, int]:
         """Uncached prompt tokens of this VM's requests, by runner.
 
@@ -326,8 +346,16 @@
             (runner.pool, runner.machine), latency_model.LatencyModel()
         )
         peers = self._peer_ratios.setdefault(runner.pool, load.PeerRatio())
+        fill = self._mean_fills.setdefault(runner.pool, candidates_.MeanFill())
         candidate = candidates_.Candidate(
-            runner, latency, self._clock, self._rng, warm, peers
+            runner,
+            latency,
+            self._clock,
+            self._rng,
+            warm,
+            peers,
+            self._performance,
+            fill,
         )
         candidate.is_local = runner.data_centre == self._data_centre
         self._candidates[name] = candidate
