Learn the speed of runners on the path of calls

Cause: nothing recorded how fast runners answer for the other VMs. Change: serving/performance_meters records first events, paces and plain answers in the mode performance, exchanges them in the shared samples, exports metrics and logs changed slownesses. In mode on the router uses them with the policy expected_time; in the modes off and observe it routes as before. Calls to full runners, copied prefixes, resumed streams, failures, and streams that their caller takes slowly show nothing of the runner and are left out.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -114,6 +114,9 @@
     "runner_outlier": Event(
         WARNING, "A runner fails more often than others of its service."
     ),
+    "runner_slowness": Event(
+        INFO, "A runner's speed relative to others changed by a quarter."
+    ),
     "runner_limit": Event(
         INFO,
         "A runner named, changed or lifted the limit of calls it takes.",
--- a/src/apricotlever/runners/performance.py
+++ b/src/apricotlever/runners/performance.py
@@ -291,6 +291,10 @@
             return latency_sums.DEFAULT_LATENCY
         return known.line.latency(self._clock.now())
 
+    def service_of(self, runner: str) -> str:
+        """The service of a runner; "" for an unknown runner."""
+        return self._service_of.get(runner, "")
+
     def estimate(self, runner: str) -> Estimate:
         """What is expected of calls at a runner.
 
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -44,6 +44,7 @@
             ("runner_says_leaving", "runner"): dict.fromkeys(
                 upstreams.statements.leavings.names, 1
             ),
+            **upstreams.performance.labelled_metrics,
             ("retries_left", "service"): {
                 service: relay_.budget.remaining(service)
                 for service in services
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -112,6 +112,7 @@
             self._process,
             lambda: self._fleet.publish_soon(),
             self._roll_outs,
+            config.modes.performance,
         )
         self._limits = customer_limits.CustomerLimits(
             clock,
@@ -417,6 +418,7 @@
         :param samples: counts by topic and key; topics that no component
             handles are ignored.
         """
+        self._upstreams.performance.merge(samples)
 
     def configuration_after(self, version: int) -> store.Json | None:
         """The active configuration's document, if it is newer than a version.
@@ -463,6 +465,9 @@
             "limit_asks_total": self._limit_calls.request_count,
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
             **self._upstreams.runner_limits.counters,
+            "runner_samples_ignored_total": (
+                self._upstreams.performance.performance.ignored
+            ),
         }
         return metrics.format_metrics(
             self._relay,
@@ -588,6 +593,9 @@
             self._process, self._upstreams.prefill_meters
         )
         self._work.retain_processes(processes | {self._process})
+        self._fleet.samples.merge(
+            self._upstreams.performance.performance.take_samples()
+        )
         self._retry_allowance.set_members(len(members) + 1)
         self._upstreams.set_fleet_size(len(members) + 1)
         if not self._fleet.aggregator:
--- /dev/null
+++ b/src/apricotlever/serving/performance_meters.py
@@ -0,0 +1,215 @@
+"""Measures how fast runners answer this VM's calls."""
+
+import typing
+
+from .. import clock as clocks
+from .. import logs
+from ..runners import performance as performances
+from ..vms import shared_samples
+
+from . import modes
+from . import runners
+
+#: Time between two searches for changed slownesses to be logged, in seconds.
+CHANGES_INTERVAL_S = 1.0
+
+
+class Backlog(typing.NamedTuple):
+    """What a call finds at its runner, as far as this VM knows.
+
+    :param tokens: uncached prompt tokens of the calls that await an answer.
+    :param fill: calls at the runner with this one, as a share of its slots.
+    """
+
+    tokens: int
+    fill: float
+
+
+class _Call:
+    """A call in flight, from whose times the speed of its runner is learned.
+
+    ``first_at`` is the time of the first event, None before it.
+    """
+
+    __slots__ = (
+        "runner",
+        "route",
+        "tokens",
+        "has_prompt",
+        "backlog",
+        "sent_at",
+        "first_at",
+    )
+
+    def __init__(
+        self,
+        runner: runners.Runner,
+        route: str,
+        tokens: int,
+        has_prompt: bool,
+        backlog: Backlog,
+        sent_at: float,
+    ) -> None:
+        self.runner = runner
+        self.route = route
+        self.tokens = tokens
+        self.has_prompt = has_prompt
+        self.backlog = backlog
+        self.sent_at = sent_at
+        self.first_at: float | None = None
+
+
+class PerformanceMeters:
+    """Records the times of this VM's calls in the performance of runners.
+
+    :param mode: with ``off`` nothing is recorded.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_checked_at",
+        "_clock",
+        "_mode",
+        "_performance",
+    )
+
+    def __init__(self, clock: clocks.Clock, mode: modes.Mode) -> None:
+        self._clock = clock
+        self._mode = mode
+        self._performance = performances.RunnerPerformance(clock)
+        self._calls: dict[str, _Call] = {}
+        self._checked_at = clock.now()
+
+    @property
+    def performance(self) -> performances.RunnerPerformance:
+        """What is known of the runners' speed; only defaults if off."""
+        return self._performance
+
+    @property
+    def for_routing(self) -> performances.RunnerPerformance | None:
+        """What the router is to use; None unless the mode is ``on``."""
+        return self._performance if self._mode is modes.Mode.ON else None
+
+    @property
+    def labelled_metrics(
+        self,
+    ) -> dict[tuple[str, str], dict[str, float]]:
+        """The metrics by name and label, and value of the label.
+
+        Runners without samples are left out: the fleet may have thousands.
+        """
+        if self._mode is modes.Mode.OFF:
+            return {}
+        known = self._performance
+        found: dict[tuple[str, str], dict[str, float]] = {}
+        for phase in performances.PHASES:
+            label = f'phase="{phase.value}",runner'
+            samples = {
+                runner: confidence
+                for runner in known.runners
+                if (confidence := known.confidence(runner, phase))
+            }
+            found["runner_slowness", label] = {
+                runner: known.slowness(runner, phase) for runner in samples
+            }
+            found["runner_slowness_samples", label] = samples
+        latencies = {name: known.latency(name) for name in known.services}
+        found["service_base_s", "service"] = {
+            name: latency.base_s for name, latency in latencies.items()
+        }
+        found["service_token_s", "service"] = {
+            name: latency.token_s for name, latency in latencies.items()
+        }
+        return found
+
+    def keep_only(self, listed: typing.Iterable[runners.Runner]) -> None:
+        """Set the known runners."""
+        if self._mode is not modes.Mode.OFF:
+            self._performance.keep_only(
+                {runner.runner_id: runner.service for runner in listed}
+            )
+
+    def record_sent(
+        self,
+        attempt: str,
+        runner: runners.Runner,
+        route: str,
+        tokens: int,
+        has_prompt: bool,
+        backlog: Backlog,
+    ) -> None:
+        """Record that a call is sent.
+
+        A call to a full runner says nothing of the runner's speed: it waits
+        for a slot, for a time that is not known.
+
+        :param attempt: name of the attempt.
+        :param tokens: uncached tokens of its prompt.
+        :param has_prompt: whether it has one; the tokens may all be cached.
+        """
+        if self._mode is not modes.Mode.OFF and backlog.fill <= 1.0:
+            self._calls[attempt] = _Call(
+                runner, route, tokens, has_prompt, backlog, self._clock.now()
+            )
+
+    def record_first_event(self, attempt: str) -> None:
+        """Record the first event of a stream."""
+        call = self._calls.get(attempt)
+        if call is None or call.first_at is not None:
+            return
+        call.first_at = now = self._clock.now()
+        if not call.has_prompt:
+            return
+        service = call.runner.service
+        waiting = call.backlog.tokens
+        self._performance.record_first_event(
+            service,
+            call.runner.runner_id,
+            call.tokens,
+            now - call.sent_at,
+            waiting * self._performance.latency(service).token_s,
+            not waiting,
+        )
+
+    def record_end(self, attempt: str, answered: bool, events: int) -> None:
+        """Record the end of a call.
+
+        :param answered: whether the runner answered it completely and with
+            success.
+        :param events: number of events after the first, 0 if the caller could
+            not take them as fast as they came.
+        """
+        call = self._calls.pop(attempt, None)
+        if call is None or not answered:
+            return
+        now = self._clock.now()
+        service, runner = call.runner.service, call.runner.runner_id
+        if call.first_at is not None:
+            self._performance.record_pace(
+                service, call.route, runner, now - call.first_at, events
+            )
+        elif not call.has_prompt:
+            self._performance.record_plain(
+                service, call.route, runner, now - call.sent_at
+            )
+
+    def merge(self, samples: shared_samples.Samples) -> None:
+        """Add what other VMs have recorded."""
+        if self._mode is not modes.Mode.OFF:
+            self._performance.merge(samples)
+
+    def log_changes(self) -> None:
+        """Log the slownesses that have changed by a quarter."""
+        now = self._clock.now()
+        if (
+            self._mode is modes.Mode.OFF
+            or now - self._checked_at < CHANGES_INTERVAL_S
+        ):
+            return
+        self._checked_at = now
+        for change in self._performance.changes():
+            logs.event(
+                "runner_slowness",
+                service=self._performance.service_of(change.runner),
+                **change._asdict(),
+            )
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -68,7 +68,9 @@
         "_dialect",
         "_parameters",
         "_call",
+        "_caller_is_slow",
         "_failure",
+        "_first_event_id",
         "_head",
         "_attempt_id",
         "_pool",
@@ -102,6 +104,11 @@
         self._head: messages.RunnerResponseHead | None = None
         #: When the call was sent, by the clock of the upstreams.
         self._sent_at = 0.0
+        #: Id of the last event that came with the first one.
+        self._first_event_id: int | None = None
+        #: Whether the caller took events more slowly than they came, so that
+        #: their pace may be the caller's.
+        self._caller_is_slow = False
         #: Exception raised in the body callback, to be raised in the task.
         self._failure: Exception | None = None
 
@@ -134,10 +141,13 @@
             begin, in seconds; None for no limit.
         """
         result = models.Outcome.CANCELLED
-        outlier_failure = reusable = False
+        outlier_failure = reusable = shows_speed = False
         started_at = asyncio.get_running_loop().time()
         self._sent_at = self._upstreams.call_started(
-            self._attempt_id, self._runner, self._query
+            self._attempt_id,
+            self._runner,
+            self._query,
+            self._shows_speed_of_runner(),
         )
         try:
             channel.send(
@@ -154,6 +164,11 @@
                 and not outcome.asks_for_rest
             )
             reusable = channel.idle
+            shows_speed = (
+                outcome.head is not None
+                and outcome.status is attempt_outcome.AttemptStatus.ANSWERED
+                and 200 <= outcome.head.status < 300
+            )
         except client_channel.Broken as error:
             result = models.Outcome.FAILED
             outcome = attempt_outcome.AttemptOutcome(
@@ -176,10 +191,28 @@
                 self._runner,
                 result,
                 outlier_failure=outlier_failure,
+                events=self._later_events(),
+                shows_speed=shows_speed,
             )
             self._return_channel(channel, reusable)
         return outcome
 
+    def _shows_speed_of_runner(self) -> bool:
+        """Whether the times of the call depend on the runner alone.
+
+        Those of a copied prefix depend on another runner, too. A stream that
+        is resumed computes tokens again before its first event.
+        """
+        parameters = self._parameters
+        return parameters.copy_from is None and parameters.resume_after is None
+
+    def _later_events(self) -> int:
+        """The events after the first one; 0 if their pace is the caller's."""
+        if self._first_event_id is None or self._caller_is_slow:
+            return 0
+        assert self._sink is not None
+        return (self._sink.splitter.last_id or 0) - self._first_event_id
+
     def _is_hung(self, started_at: float) -> bool:
         """Whether a cancelled call counts as a hang of the runner.
 
@@ -290,7 +323,8 @@
             before = self._sink.splitter.last_id
             self._forward(head, data)
             if self._sink.splitter.last_id != before:
-                self._upstreams.response_started(self._attempt_id)
+                self._first_event_id = self._sink.splitter.last_id
+                self._upstreams.first_event_received(self._attempt_id)
                 return True
         return False
 
@@ -340,7 +374,9 @@
         assert self._sink is not None
         self._upstreams.bytes_received(self._runner)
         events, count = self._sink.splitter.feed(data)
-        return not count or self._sink.write_events(head, events, count)
+        taken = not count or self._sink.write_events(head, events, count)
+        self._caller_is_slow |= not taken
+        return taken
 
 
 async def _read_body(channel: client_channel.Channel) -> bytes:
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -23,6 +23,8 @@
 from . import connection_pool as pools
 from . import crash_watch
 from . import messages
+from . import modes
+from . import performance_meters
 from . import prompt_meters
 from . import runner_choice
 from . import runner_directory as directories
@@ -49,6 +51,8 @@
     :param news: called when a prompt was sent to a runner.
     :param roll_outs: determines the roles of runners in roll-outs; None
         without roll-outs.
+    :param performance_mode: whether runners are chosen by what all VMs have
+        learned of their speed.
     """
 
     __slots__ = (
@@ -62,6 +66,7 @@
         "_peer_in_flight",
         "_outliers",
         "_own_in_flight",
+        "_performance",
         "_pools",
         "_prompts",
         "_roll_outs",
@@ -81,6 +86,7 @@
         process: str = "",
         news: typing.Callable[[], None] | None = None,
         roll_outs: roll_outs_controller.RollOutController | None = None,
+        performance_mode: modes.Mode = modes.Mode.ON,
     ) -> None:
         self._clock = clock
         self._on_prompt_sent = news
@@ -91,8 +97,17 @@
         self._outliers = outlier_detector.OutlierDetector(clock, process)
         self._crashes = crash_watch.CrashWatch(clock, vm)
         self._directory = directory
+        self._performance = performance_meters.PerformanceMeters(
+            clock, performance_mode
+        )
+        learned = self._performance.for_routing
         self._router = routing.Router(
-            clock, rng, vm, data_centre, "home_or_faster"
+            clock,
+            rng,
+            vm,
+            data_centre,
+            "home_or_faster" if learned is None else "expected_time",
+            learned,
         )
         self._pools = runner_pools.RunnerPools()
         self._configuration: configuration_model.Configuration | None = None
@@ -128,6 +143,11 @@
         """The limits that runners name, kept together with the other VMs."""
         return self._limits
 
+    @property
+    def performance(self) -> performance_meters.PerformanceMeters:
+        """Measures how fast the runners are."""
+        return self._performance
+
     @property
     def in_flight(self) -> dict[str, int]:
         """This VM's calls in progress by runner, without zeros."""
@@ -199,6 +219,7 @@
         """
         listed = self._directory.runners
         self._roll_outs.set_runners(listed)
+        self._performance.keep_only(listed)
         self._router.set_runners(
             runner_choice.routing_view(runner, pool)
             for runner in listed
@@ -301,18 +322,33 @@
         return self._pools.pool_of(runner)
 
     def call_started(
-        self, attempt: str, runner: runners.Runner, query: models.Query
+        self,
+        attempt: str,
+        runner: runners.Runner,
+        query: models.Query,
+        shows_speed: bool = True,
     ) -> float:
         """Record that a call is sent to a runner.
 
         :param attempt: name of the attempt, unique on this VM.
+        :param shows_speed: whether its times depend on the runner alone.
         :returns: the time, by this VM's clock.
         """
         now = self._clock.now()
         name = runner.runner_id
         self._own_in_flight[name] = self._own_in_flight.get(name, 0) + 1
         self._silence.call_sent(name)
+        backlog = performance_meters.Backlog(*self._router.backlog(name))
         tokens = self._router.request_started(attempt, name, query)
+        if shows_speed:
+            self._performance.record_sent(
+                attempt,
+                runner,
+                query.entry,
+                tokens,
+                bool(query.prompt_tokens),
+                backlog,
+            )
         self._trials.record_sent(
             attempt,
             runner,
@@ -330,6 +366,11 @@
         """Record that bytes of a response came from a runner."""
         self._silence.bytes_received(runner.runner_id)
 
+    def first_event_received(self, attempt: str) -> None:
+        """Record the first event of an attempt's stream."""
+        self._performance.record_first_event(attempt)
+        self.response_started(attempt)
+
     def response_started(self, attempt: str) -> None:
         """Record that an attempt's response has begun."""
         self._router.first_token(attempt)
@@ -343,6 +384,8 @@
         outcome: models.Outcome,
         tokens: int = NO_OUTPUT_TOKENS,
         outlier_failure: bool = False,
+        events: int = 0,
+        shows_speed: bool = False,
     ) -> None:
         """Record the end of a call at its runner.
 
@@ -350,8 +393,12 @@
         :param outlier_failure: whether the runner rejected the call or did not
             respond. An overloaded runner does so too, so this counts only in
             outlier detection, which compares the runners of a service.
+        :param events: number of events after the first one of a stream.
+        :param shows_speed: whether the call was answered completely and with
+            success, so that its duration is that of its work.
         """
         self._prompts.record_end(attempt)
+        self._performance.record_end(attempt, shows_speed, events)
         self._trials.record_end(attempt, outcome)
         name = runner.runner_id
         self._silence.call_ended(name)
@@ -393,6 +440,7 @@
         """
         self._pools.close_idle(now)
         self._crashes.tick()
+        self._performance.log_changes()
 
     def _detect_outliers(self) -> None:
         by_service: dict[str, list[str]] = {}
