Compute the required runners from the learned prefill time

Cause: the observed peak of tokens per second contains the part of the time to the first event that does not depend on the prompt, and a fifth of the slots is kept as target whatever their number.

Change: data_centres/latency_sizing computes the number from the learned line, the mean speed of the serving runners, the sizes of the prompts (shared as samples) and the objectives of the routes. Without learned speeds, which the node does not pass yet, the observed peak is used as before.

Ruled out: switching between the two estimates at a threshold, which makes the number of runners jump; the results are blended between two ratios.

--- a/src/apricotlever/data_centres/prefill_load.py
+++ b/src/apricotlever/data_centres/prefill_load.py
@@ -218,6 +218,12 @@
         ]
         return sum(reported) / len(reported) if reported else 0.0
 
+    @property
+    def latency_factor(self) -> float:
+        """Factor by which late first answers raise the prefill's need."""
+        factor = self.latency_ratio / TARGET_LATENCY_RATIO
+        return min(MAX_LATENCY_FACTOR, max(1.0, factor))
+
     def receive_report(
         self,
         process: str,
@@ -261,8 +267,7 @@
             if speed
             else 0.0
         )
-        factor = self.latency_ratio / TARGET_LATENCY_RATIO
-        by_prefill *= min(MAX_LATENCY_FACTOR, max(1.0, factor))
+        by_prefill *= self.latency_factor
         return math.ceil(max(1.0, by_slots, by_prefill) - 1e-9)
 
 
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -40,6 +40,7 @@
 from . import runner_directory as directories
 from . import runner_duty
 from . import runner_limits
+from . import runner_sizing
 from . import runners
 from . import servers
 from . import settings
@@ -158,7 +159,10 @@
             self._store,
             dialect.platform,
         )
-        self._work = runner_duty.FleetWorkload(clock)
+        self._sizing = runner_sizing.RunnerSizing(
+            config.modes.sizing, self._upstreams.prompt_sizes
+        )
+        self._work = runner_duty.FleetWorkload(clock, self._sizing)
         self._watchers: list[store_watch.Watcher] = []
         self._leaving_since: float | None = None
         self._started_at = clock.now()
@@ -417,6 +421,7 @@
         :param samples: counts by topic and key; topics that no component
             handles are ignored.
         """
+        self._sizing.merge_samples(samples, self._configuration)
 
     def configuration_after(self, version: int) -> store.Json | None:
         """The active configuration's document, if it is newer than a version.
@@ -588,6 +593,7 @@
             self._process, self._upstreams.prefill_meters
         )
         self._work.retain_processes(processes | {self._process})
+        self._sizing.send_samples(self._fleet.samples, self._configuration)
         self._retry_allowance.set_members(len(members) + 1)
         self._upstreams.set_fleet_size(len(members) + 1)
         if not self._fleet.aggregator:
--- a/src/apricotlever/serving/prompt_meters.py
+++ b/src/apricotlever/serving/prompt_meters.py
@@ -4,6 +4,7 @@
 
 from .. import clock as clocks
 from ..data_centres import prefill_load
+from ..data_centres import prompt_sizes
 from ..runners import model as models
 
 
@@ -35,14 +36,20 @@
     :param clock: the source of time.
     """
 
-    __slots__ = ("_clock", "_meters", "_waiting")
+    __slots__ = ("_clock", "_meters", "_sizes", "_waiting")
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._meters: dict[str, prefill_load.PrefillMeter] = {}
+        self._sizes = prompt_sizes.PromptSizes(clock)
         #: Prompts without a response, by the name of the attempt.
         self._waiting: dict[str, _WaitingPrompt] = {}
 
+    @property
+    def sizes(self) -> prompt_sizes.PromptSizes:
+        """Sizes of the prompts of all VMs, including this one."""
+        return self._sizes
+
     @property
     def measurements(self) -> dict[str, tuple[int, float, float]]:
         """How runners process this VM's prompts (prefill), by service.
@@ -83,6 +90,7 @@
         """
         meter = self.meter(service)
         meter.record_sent(tokens)
+        self._sizes.record(service, tokens)
         self._waiting[attempt] = _WaitingPrompt(
             meter, query.wanted_first_token_s, tokens, self._clock.now()
         )
--- a/src/apricotlever/serving/runner_duty.py
+++ b/src/apricotlever/serving/runner_duty.py
@@ -12,6 +12,7 @@
 from .. import clock as clocks
 from .. import logs
 from ..data_centres import fleet_mix_planner
+from ..data_centres import latency_sizing
 from ..data_centres import prefill_load
 from ..vms import follower_selection
 
@@ -19,6 +20,7 @@
 from . import dialects
 from . import duty_lease
 from . import runner_directory as directories
+from . import runner_sizing
 from . import runners
 
 #: Interval between two steps, in seconds.
@@ -130,12 +132,26 @@
 
     The loads combine the counters of all VMs. VMs that do not hold the lease
     keep them, too, so that a new holder knows them at once.
+
+    :param sizing: estimates by the learned speeds of runners; None to use the
+        observed peak speed alone.
     """
 
-    __slots__ = ("_clock", "_loads", "_planners", "_initial_runners")
+    __slots__ = (
+        "_clock",
+        "_initial_runners",
+        "_loads",
+        "_planners",
+        "_sizing",
+    )
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        sizing: runner_sizing.RunnerSizing | None = None,
+    ) -> None:
         self._clock = clock
+        self._sizing = sizing
         self._loads: dict[str, prefill_load.PrefillLoad] = {}
         self._planners: dict[str, fleet_mix_planner.FleetMixPlanner] = {}
         self._initial_runners: dict[str, int] = {}
@@ -183,6 +199,8 @@
         in_flight: int,
         limited_away: float,
         log_inputs: bool,
+        serving: typing.Sequence[str] = (),
+        objective_s: float = 0.0,
     ) -> float:
         """The number of runners that a service's load requires now.
 
@@ -191,15 +209,27 @@
         :param limited_away: how many runners' worth is not to be had of those
             that serve, as they name limits.
         :param log_inputs: whether to log the result and its inputs.
+        :param serving: IDs of the runners that serve now.
+        :param objective_s: smallest objective of the service's routes, in
+            seconds; 0 if it has none.
         """
         self._initial_runners.setdefault(service.name, present)
         known = self._loads.get(service.name)
         slots_per_runner = service.engine.concurrency if service.engine else 1
-        measured = (
+        by_peak = measured = (
             known.required_runners(in_flight, slots_per_runner)
             if known
             else 1.0
         )
+        inputs = estimate = None
+        if self._sizing is not None and known is not None:
+            inputs = self._sizing.inputs(service.name, objective_s, serving)
+            if inputs is not None:
+                estimate = latency_sizing.estimate(
+                    known, in_flight, slots_per_runner, inputs
+                )
+            if estimate is not None and self._sizing.takes_effect:
+                measured = estimate.runners
         if log_inputs:
             logs.event(
                 "runners_needed",
@@ -211,6 +241,7 @@
                 in_flight=in_flight,
                 present=present,
                 limited_away=limited_away or None,
+                **runner_sizing.log_fields(inputs, estimate, by_peak),
             )
         return measured + limited_away
 
@@ -305,7 +336,14 @@
         for service in configuration.services.values():
             if service.scaling is None:
                 continue
-            load = self._load(service, service.scaling, log_inputs=holds)
+            load = self._load(
+                service,
+                service.scaling,
+                runner_sizing.smallest_objective_s(
+                    configuration, service.name
+                ),
+                log_inputs=holds,
+            )
             if not holds:
                 planner = self._work.planner_of(service.name)
                 planner.observe(
@@ -320,6 +358,7 @@
         self,
         service: configuration_model.Service,
         terms: fleet_mix_planner.ScalingTerms,
+        objective_s: float,
         log_inputs: bool,
     ) -> _ServiceLoad:
         held = self._count_runners(service.name, terms)
@@ -333,6 +372,14 @@
                 in_flight,
                 self._limited_away(service.name),
                 log_inputs,
+                [
+                    runner.runner_id
+                    for runner in self._directory.available_runners(
+                        service.name
+                    )
+                    if self._serves(runner)
+                ],
+                objective_s,
             ),
             self._work.startup_runners(service.name),
             not in_flight and self._work.has_no_load(service.name),
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -9,6 +9,7 @@
 
 from .. import clock as clocks
 from .. import logs
+from ..data_centres import prompt_sizes
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
 from ..runners import model as models
@@ -155,6 +156,11 @@
         """See :attr:`.prompt_meters.PromptMeters.measurements`."""
         return self._prompts.measurements
 
+    @property
+    def prompt_sizes(self) -> prompt_sizes.PromptSizes:
+        """See :attr:`.prompt_meters.PromptMeters.sizes`."""
+        return self._prompts.sizes
+
     def all_in_flight(self, service: str) -> int:
         """The number of all VMs' calls in flight at a service's runners."""
         return self.in_flight_at(
--- a/tests/steps/serving_runner_duty.py
+++ b/tests/steps/serving_runner_duty.py
@@ -120,6 +120,7 @@
 class _Configuration:
     def __init__(self, service):
         self.services = {service.name: service}
+        self.routes = ()
 
 
 @given("a holder that orders runners, in a fleet without any")
