--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -31,6 +31,7 @@
 from . import duty_lease
 from . import duty_roster
 from . import fleet_link
+from . import fleet_workload
 from . import limit_protocol
 from . import listening_sockets
 from . import log_rate_limiter
@@ -38,8 +39,8 @@
 from . import peer_http
 from . import roll_out_orders
 from . import runner_directory as directories
-from . import runner_duty
 from . import runner_limits
+from . import runner_sizing
 from . import runners
 from . import servers
 from . import settings
@@ -159,7 +160,12 @@
             self._store,
             dialect.platform,
         )
-        self._work = runner_duty.FleetWorkload(clock)
+        self._sizing = runner_sizing.RunnerSizing(
+            config.modes.sizing,
+            self._upstreams.prompt_sizes,
+            self._upstreams.performance.learned,
+        )
+        self._work = fleet_workload.FleetWorkload(clock, self._sizing)
         self._watchers: list[store_watch.Watcher] = []
         self._leaving_since: float | None = None
         self._started_at = clock.now()
@@ -419,6 +425,7 @@
             handles are ignored.
         """
         self._upstreams.performance.merge(samples)
+        self._sizing.merge_samples(samples, self._configuration)
 
     def configuration_after(self, version: int) -> store.Json | None:
         """The active configuration's document, if it is newer than a version.
@@ -596,6 +603,7 @@
         self._fleet.samples.merge(
             self._upstreams.performance.performance.take_samples()
         )
+        self._sizing.send_samples(self._fleet.samples, self._configuration)
         self._retry_allowance.set_members(len(members) + 1)
         self._upstreams.set_fleet_size(len(members) + 1)
         if not self._fleet.aggregator:
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -90,6 +90,11 @@
         """What the router is to use; None unless the mode is ``on``."""
         return self._performance if self._mode is modes.Mode.ON else None
 
+    @property
+    def learned(self) -> performances.RunnerPerformance | None:
+        """What has been learned of the runners' speed; None if off."""
+        return None if self._mode is modes.Mode.OFF else self._performance
+
     @property
     def labelled_metrics(
         self,
