Compare few queues even for long prompts, and learn speed from short waits

Cause: on a model of 83 VMs with news up to a second old, comparing the queues of all runners for long prompts made VMs send to the same runner, and calls that wait behind unknown calls made a base of 53 ms look like 300 ms. Change: expected_time finds the runners that would be fast enough for a very long prompt if idle, and compares the queues of four of them. It prefers its own data centre up to a tenth of the target.

--- a/src/apricotlever/runners/candidates.py
+++ b/src/apricotlever/runners/candidates.py
@@ -84,6 +84,7 @@
         "slowness",
         "token_s",
         "uncached_tokens",
+        "wait_s",
         "first_token_s",
         "cost",
         "cached_blocks",
@@ -138,6 +139,8 @@
         self.token_s = latency.prefill_s_per_token
         #: Tokens of the query's prompt that the runner does not have cached.
         self.uncached_tokens = 0.0
+        #: The part of ``first_token_s`` that is due to other requests.
+        self.wait_s = 0.0
         self.first_token_s = 0.0
         self.cost = 0.0
         self.cached_blocks = 0.0
@@ -208,6 +211,7 @@
         wait_s = pending * token_s
         wait_s += _expected_excess(fill - 1.0) * latency.hold_s
         self.token_s = token_s
+        self.wait_s = wait_s * factor
         self.fill = fill
         self.usable = self.circuit.allows(now)
         self._fixed_s = (base_s + wait_s) * factor
--- a/src/apricotlever/runners/latency_sums.py
+++ b/src/apricotlever/runners/latency_sums.py
@@ -13,6 +13,11 @@
 #: seconds of a token can be told from those of a whole prompt. At a tenth of
 #: this, seconds that vary by a quarter give the line an error of its own size.
 MIN_SPREAD = 0.2
+#: Multiple of the line to which a sample is limited. A runner that was seen
+#: idle may have calls of other VMs that are not known here yet; while a third
+#: of the samples is from idle runners, the line stays under half as much above
+#: these.
+MAX_LINE_RATIO = 1.25
 #: How long a line is kept that can't be computed again for lack of samples, in
 #: seconds. The defaults are off by a multiple, and a service whose calls come
 #: in bursts would alternate between them and the line.
@@ -128,9 +133,12 @@
         """
         latency = self.latency(now)
         estimate_s = latency.base_s + tokens * latency.token_s
-        seconds = min(
-            seconds, latency_model.MAX_SAMPLE_RATIO * estimate_s, MAX_SECONDS
+        ratio = (
+            latency_model.MAX_SAMPLE_RATIO
+            if latency is DEFAULT_LATENCY
+            else MAX_LINE_RATIO
         )
+        seconds = min(seconds, ratio * estimate_s, MAX_SECONDS)
         tokens = max(0, min(tokens, MAX_TOKENS))
         units = round(seconds / SECOND_UNIT)
         return [1, tokens, units, tokens * tokens, tokens * units]
--- a/src/apricotlever/runners/performance.py
+++ b/src/apricotlever/runners/performance.py
@@ -7,7 +7,6 @@
 as :mod:`..vms.shared_samples`: a VM alone calls a given runner too rarely.
 """
 
-import enum
 import math
 import statistics
 import typing
@@ -17,21 +16,23 @@
 
 from . import latency_model
 from . import latency_sums
+from . import performance_samples
 
-#: Topics of the shared samples; the keys are runner IDs and service names.
-RUNNER_TOPIC = "performance"
-SERVICE_TOPIC = "service_latency"
 #: Weight of the prior, a slowness of 1.0, in samples. A sample's logarithm has
 #: a standard deviation of up to 0.4 if a runner is at times 2.5 times slower,
 #: so with fewer samples the mean may be off by more than a sixth.
 PRIOR_SAMPLES = 6.0
-#: Limit of the logarithm of a sample's observed to expected seconds.
-MAX_LOG_RATIO = math.log(4.0)
 #: From this weight on, samples are limited to :data:`NEAR_LOG_RATIO` around
 #: the runner's mean, so that moments of slowness don't move it at random.
 #: Before, the mean itself is too uncertain.
 NEAR_FROM_SAMPLES = 12.0
 NEAR_LOG_RATIO = math.log(1.5)
+#: The same above the mean. It is smaller because calls of other VMs that are
+#: not known here yet only lengthen a wait.
+NEAR_LOG_EXCESS = math.log(1.22)
+#: Longest estimated wait of a sample as a share of its seconds at an idle
+#: runner. A longer one says more of the queue than of the runner's speed.
+MAX_WAIT_SHARE = 0.5
 #: Weight from which a runner's mean counts in the median of its service.
 MEDIAN_SAMPLES = 3.0
 #: Samples of a route after which its mean is known well enough to compare
@@ -39,40 +40,10 @@
 MIN_ROUTE_SAMPLES = 5.0
 #: Lower limit of expected seconds, as a ratio to nothing means nothing.
 MIN_EXPECTED_S = 1e-4
-#: Units of the shared logarithms.
-LOG_UNIT = 1e-3
-#: Most samples of one runner and phase in a message, which stands for one
-#: second. A runner ends fewer calls.
-MAX_RUNNER_SAMPLES = 5_000
 #: How long the slownesses of a service are reused, in seconds, and the same
 #: for each of its runners, so that 10,000 runners cost under 1% of a core.
 REFRESH_S = 0.25
 REFRESH_S_PER_RUNNER = 5e-4
-#: Relative change of a slowness that is reported, and the weight from which
-#: changes are.
-REPORTED_CHANGE = 1.25
-REPORTED_SAMPLES = 6.0
-
-
-class Phase(enum.StrEnum):
-    """The kind of work whose speed is compared."""
-
-    PREFILL = "prefill"
-    DECODE = "decode"
-    PLAIN = "plain"
-
-
-PHASES = tuple(Phase)
-
-
-class SlownessChange(typing.NamedTuple):
-    """A runner's slowness that differs from the one reported before."""
-
-    runner: str
-    phase: str
-    slowness: float
-    before: float
-    samples: float
 
 
 class Estimate(typing.NamedTuple):
@@ -108,9 +79,11 @@
     def __init__(self) -> None:
         self.line = latency_sums.LatencyLine()
         self.plain = latency_sums.DecayedMean()
-        self.routes: dict[tuple[str, Phase], latency_sums.DecayedMean] = {}
+        self.routes: dict[
+            tuple[str, performance_samples.Phase], latency_sums.DecayedMean
+        ] = {}
         self.runners: set[str] = set()
-        self.slowness: dict[tuple[str, Phase], float] = {}
+        self.slowness: dict[tuple[str, performance_samples.Phase], float] = {}
         self.fresh_until = float("-inf")
 
 
@@ -124,7 +97,6 @@
         "_buffer",
         "_clock",
         "_ignored",
-        "_reported",
         "_runners",
         "_service_of",
         "_services",
@@ -134,8 +106,9 @@
         self._clock = clock
         self._buffer = shared_samples.SampleBuffer()
         self._ignored = 0
-        self._reported: dict[tuple[str, Phase], float] = {}
-        self._runners: dict[tuple[str, Phase], latency_sums.DecayedMean] = {}
+        self._runners: dict[
+            tuple[str, performance_samples.Phase], latency_sums.DecayedMean
+        ] = {}
         self._service_of: dict[str, str] = {}
         self._services: dict[str, _Service] = {}
 
@@ -170,8 +143,6 @@
             self._services.setdefault(service, _Service()).runners.add(runner)
         for gone in [k for k in self._runners if k[0] not in runners]:
             del self._runners[gone]
-        for gone in [k for k in self._reported if k[0] not in runners]:
-            del self._reported[gone]
 
     def record_first_event(
         self,
@@ -195,13 +166,22 @@
             return
         now = self._clock.now()
         expected_s = known.line.expected_s(now, tokens)
-        if expected_s is not None:
-            self._add(runner, Phase.PREFILL, seconds, expected_s + wait_s)
+        if expected_s is not None and wait_s <= MAX_WAIT_SHARE * expected_s:
+            self._add(
+                runner,
+                performance_samples.Phase.PREFILL,
+                seconds,
+                expected_s + wait_s,
+            )
         if found_idle:
-            alike_s = seconds / self.slowness(runner, Phase.PREFILL)
+            alike_s = seconds / self.slowness(
+                runner, performance_samples.Phase.PREFILL
+            )
             counts = known.line.counts(now, tokens, alike_s)
             known.line.add(now, counts)
-            self._buffer.add(SERVICE_TOPIC, service, counts)
+            self._buffer.add(
+                performance_samples.SERVICE_TOPIC, service, counts
+            )
 
     def record_pace(
         self,
@@ -218,7 +198,13 @@
         """
         if events > 0:
             each_s = seconds / events
-            self._record_of_route(service, route, runner, Phase.DECODE, each_s)
+            self._record_of_route(
+                service,
+                route,
+                runner,
+                performance_samples.Phase.DECODE,
+                each_s,
+            )
 
     def record_plain(
         self, service: str, route: str, runner: str, seconds: float
@@ -227,7 +213,9 @@
 
         :param seconds: time from sending to the end of the answer.
         """
-        self._record_of_route(service, route, runner, Phase.PLAIN, seconds)
+        self._record_of_route(
+            service, route, runner, performance_samples.Phase.PLAIN, seconds
+        )
 
     def merge(self, samples: shared_samples.Samples) -> None:
         """Add the samples that other VMs have sent.
@@ -236,19 +224,20 @@
         different times; invalid values are ignored and counted.
         """
         now = self._clock.now()
-        for runner, counts in samples.get(RUNNER_TOPIC, {}).items():
+        for runner, counts in samples.get(
+            performance_samples.RUNNER_TOPIC, {}
+        ).items():
             if runner not in self._service_of:
                 continue
-            if not _are_runner_counts(counts):
+            sums = performance_samples.sums_by_phase(counts)
+            if sums is None:
                 self._ignored += 1
                 continue
-            for index, phase in enumerate(PHASES):
-                weight, log_sum = counts[2 * index : 2 * index + 2]
-                if weight:
-                    self._sums(runner, phase).add(
-                        now, weight, log_sum * LOG_UNIT
-                    )
-        for service, counts in samples.get(SERVICE_TOPIC, {}).items():
+            for phase, number, log_sum in sums:
+                self._sums(runner, phase).add(now, number, log_sum)
+        for service, counts in samples.get(
+            performance_samples.SERVICE_TOPIC, {}
+        ).items():
             known = self._services.get(service)
             if known is None:
                 continue
@@ -262,7 +251,7 @@
         taken, self._buffer = self._buffer, shared_samples.SampleBuffer()
         return taken.take(len(self._service_of) + len(self._services))
 
-    def slowness(self, runner: str, phase: Phase) -> float:
+    def slowness(self, runner: str, phase: performance_samples.Phase) -> float:
         """A runner's seconds relative to those of its service's median runner.
 
         :returns: 1.0 for an unknown runner.
@@ -275,14 +264,16 @@
             self._refresh(known, now)
         return known.slowness.get((runner, phase), 1.0)
 
-    def confidence(self, runner: str, phase: Phase) -> float:
+    def confidence(
+        self, runner: str, phase: performance_samples.Phase
+    ) -> float:
         """The decayed number of samples behind a slowness."""
         sums = self._runners.get((runner, phase))
         return sums.weight(self._clock.now()) if sums else 0.0
 
     def speed(self, runner: str) -> float:
         """The prefill speed of a runner; 1.0 for the median one."""
-        return 1.0 / self.slowness(runner, Phase.PREFILL)
+        return 1.0 / self.slowness(runner, performance_samples.Phase.PREFILL)
 
     def latency(self, service: str) -> latency_sums.ServiceLatency:
         """The latency of a service's median runner."""
@@ -305,40 +296,17 @@
             return Estimate(*latency_sums.DEFAULT_LATENCY[:2], 1.0)
         now = self._clock.now()
         if known.plain.weight(now) and not known.line.has_samples:
-            slowness = self.slowness(runner, Phase.PLAIN)
+            slowness = self.slowness(runner, performance_samples.Phase.PLAIN)
             return Estimate(known.plain.mean, 0.0, slowness)
-        slowness = self.slowness(runner, Phase.PREFILL)
+        slowness = self.slowness(runner, performance_samples.Phase.PREFILL)
         return Estimate(*known.line.latency(now)[:2], slowness)
 
-    def changes(self) -> list[SlownessChange]:
-        """Slownesses that have changed by a quarter since they were reported.
-
-        :returns: the changes, which count as reported from now on.
-        """
-        found = []
-        for key in self._runners:
-            runner, phase = key
-            before = self._reported.get(key, 1.0)
-            slowness = self.slowness(runner, phase)
-            ratio = max(slowness / before, before / slowness)
-            if ratio < REPORTED_CHANGE:
-                continue
-            weight = self.confidence(runner, phase)
-            if weight >= REPORTED_SAMPLES or key in self._reported:
-                self._reported[key] = slowness
-                found.append(
-                    SlownessChange(
-                        runner, phase.value, slowness, before, weight
-                    )
-                )
-        return found
-
     def _record_of_route(
         self,
         service: str,
         route: str,
         runner: str,
-        phase: Phase,
+        phase: performance_samples.Phase,
         seconds: float,
     ) -> None:
         """Compare seconds with the mean of this VM's calls of a route."""
@@ -354,27 +322,35 @@
             self._add(runner, phase, seconds, mean.mean)
             alike_s = min(alike_s, latency_model.MAX_SAMPLE_RATIO * mean.mean)
         mean.add(now, 1, alike_s)
-        if phase is Phase.PLAIN:
+        if phase is performance_samples.Phase.PLAIN:
             known.plain.add(now, 1, alike_s)
 
     def _add(
-        self, runner: str, phase: Phase, seconds: float, expected_s: float
+        self,
+        runner: str,
+        phase: performance_samples.Phase,
+        seconds: float,
+        expected_s: float,
     ) -> None:
         """Add one sample to a runner's sums and to those to be sent."""
         now = self._clock.now()
         sums = self._sums(runner, phase)
         log_ratio = math.log(seconds / max(MIN_EXPECTED_S, expected_s))
         if sums.weight(now) >= NEAR_FROM_SAMPLES:
-            low, high = sums.mean - NEAR_LOG_RATIO, sums.mean + NEAR_LOG_RATIO
+            low, high = sums.mean - NEAR_LOG_RATIO, sums.mean + NEAR_LOG_EXCESS
             log_ratio = min(high, max(low, log_ratio))
-        log_ratio = min(MAX_LOG_RATIO, max(-MAX_LOG_RATIO, log_ratio))
+        limit = performance_samples.MAX_LOG_RATIO
+        log_ratio = min(limit, max(-limit, log_ratio))
         sums.add(now, 1, log_ratio)
-        counts = [0] * (2 * len(PHASES))
-        index = 2 * PHASES.index(phase)
-        counts[index : index + 2] = 1, round(log_ratio / LOG_UNIT)
-        self._buffer.add(RUNNER_TOPIC, runner, counts)
+        self._buffer.add(
+            performance_samples.RUNNER_TOPIC,
+            runner,
+            performance_samples.runner_counts(phase, log_ratio),
+        )
 
-    def _sums(self, runner: str, phase: Phase) -> latency_sums.DecayedMean:
+    def _sums(
+        self, runner: str, phase: performance_samples.Phase
+    ) -> latency_sums.DecayedMean:
         return self._runners.setdefault(
             (runner, phase), latency_sums.DecayedMean()
         )
@@ -392,7 +368,7 @@
             now + REFRESH_S + REFRESH_S_PER_RUNNER * len(known.runners)
         )
         known.slowness = {}
-        for phase in PHASES:
+        for phase in performance_samples.PHASES:
             found = [
                 (runner, sums.weight(now), sums.mean)
                 for runner in known.runners
@@ -408,18 +384,3 @@
                 known.slowness[runner, phase] = math.exp(
                     share * (mean - median)
                 )
-
-
-def _are_runner_counts(counts: typing.Sequence[int]) -> bool:
-    """Whether counts of a runner are a number and a sum for each phase."""
-    if len(counts) != 2 * len(PHASES):
-        return False
-    if not latency_sums.are_ints(counts):
-        return False
-    # Rounding may add half a unit for each sample.
-    largest = MAX_LOG_RATIO / LOG_UNIT + 1
-    return all(
-        0 <= counts[i] <= MAX_RUNNER_SAMPLES
-        and abs(counts[i + 1]) <= counts[i] * largest
-        for i in range(0, len(counts), 2)
-    )
--- a/src/apricotlever/runners/policies.py
+++ b/src/apricotlever/runners/policies.py
@@ -75,6 +75,13 @@
 VERY_LONG_PREFILL_SHARE = 0.5
 #: Runners that the policy then samples in addition to the home runner.
 LONG_PREFILL_SAMPLE_SIZE = 4
+#: Shares of the target within which a runner of a very long prompt would be if
+#: nothing waited there. The first share that any runner meets applies.
+IDLE_TARGET_SHARES = (0.75, 1.0)
+#: Share of the target by which a runner elsewhere must be faster than the
+#: home runner and those of the VM's own data centre. Traffic between data
+#: centres is charged, and callers do not notice a tenth of their target.
+REMOTE_TARGET_SHARE = 0.1
 #: Number of leading blocks that the policy ``prefix_hash`` hashes.
 HASHED_BLOCKS = 20
 
@@ -189,13 +196,16 @@
 
 @policy("expected_time")
 class ExpectedTime(_RandomizedPolicy):
-    """Picks the home runner of the prefix, unless a compared one is faster.
-
-    It works like ``home_or_faster``, but compares more runners for a prompt
-    whose prefill takes a large share of the target: of two random runners,
-    both may be too slow for it. A prompt that takes half of its target is
-    compared at all runners. Those within a tolerance of the fastest are then
-    equal, since other VMs choose by the same outdated figures.
+    """Picks a runner with a low expected time to the first token.
+
+    It compares the home runner of the prefix and random runners, those of the
+    VM's own data centre first, like ``home_or_faster``. The longer the
+    prompt's prefill takes, the more runners are compared, since of two random
+    runners both may be too slow. For a prompt whose prefill takes half of the target,
+    the runners that would be fast enough if nothing waited there are found
+    among all of them. Even then only some of these are compared by their
+    queues: the figures of queues are outdated, and VMs that compared them all
+    would send to the same runner.
     """
 
     __slots__ = ()
@@ -208,32 +218,30 @@
         usual = homes[0] if homes else self._rng.choice(candidates)
         target_s = query.wanted_first_token_s
         prefill_s = usual.uncached_tokens * usual.token_s
+        size = SAMPLE_SIZE
+        if prefill_s >= LONG_PREFILL_SHARE * target_s:
+            size = LONG_PREFILL_SAMPLE_SIZE
         if prefill_s >= VERY_LONG_PREFILL_SHARE * target_s:
-            return self._among_fastest(candidates)
-        size = (
-            SAMPLE_SIZE
-            if prefill_s < LONG_PREFILL_SHARE * target_s
-            else LONG_PREFILL_SAMPLE_SIZE
-        )
-        compared = homes
+            candidates = _fast_enough(target_s, candidates)
+            homes = [c for c in homes if c in candidates]
+        best = self._fastest(candidates, size)
         near = [c for c in candidates if c.is_local]
-        if len(near) >= size:
-            compared = homes + self._rng.sample(near, size)
-            best = min(compared, key=_first_token_s)
-            if best.first_token_s <= LOCAL_TARGET_SHARE * target_s:
-                return best
+        local = homes + ([self._fastest(near, size)] if near else [])
+        if local:
+            best_local = min(local, key=_first_token_s)
+            limit_s = best.first_token_s + REMOTE_TARGET_SHARE * target_s
+            if best_local.first_token_s <= limit_s:
+                return best_local
+        return best
+
+    def _fastest(
+        self, candidates: Candidates, size: int
+    ) -> candidates_.Candidate:
+        """The fastest of some random runners."""
         count = min(size, len(candidates))
-        compared = compared + self._rng.sample(list(candidates), count)
+        compared = self._rng.sample(candidates, count)
         return min(compared, key=_first_token_s)
 
-    def _among_fastest(self, candidates: Candidates) -> candidates_.Candidate:
-        """A random one of the runners that are nearly the fastest."""
-        limit_s = min(c.first_token_s for c in candidates)
-        limit_s *= 1 + LATENCY_TOLERANCE
-        return self._rng.choice(
-            [c for c in candidates if c.first_token_s <= limit_s]
-        )
-
 
 @policy("random")
 class Random(_RandomizedPolicy):
@@ -298,6 +306,20 @@
         return rendezvous(query.blocks[last], candidates)
 
 
+def _fast_enough(target_s: float, candidates: Candidates) -> Candidates:
+    """The runners that would meet the target if nothing waited there.
+
+    Without such a runner, those that would be nearly as fast as the fastest.
+    """
+    idle = [(c.first_token_s - c.wait_s, c) for c in candidates]
+    limit_s = (1 + LATENCY_TOLERANCE) * min(idle_s for idle_s, _ in idle)
+    for share in IDLE_TARGET_SHARES:
+        if limit_s <= share * target_s:
+            limit_s = share * target_s
+            break
+    return [c for idle_s, c in idle if idle_s <= limit_s]
+
+
 def _first_token_s(candidate: candidates_.Candidate) -> float:
     return candidate.first_token_s
 
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -5,6 +5,8 @@
 from .. import clock as clocks
 from .. import logs
 from ..runners import performance as performances
+from ..runners import performance_samples
+from ..runners import slowness_changes
 from ..vms import shared_samples
 
 from . import modes
@@ -67,6 +69,7 @@
 
     __slots__ = (
         "_calls",
+        "_changes",
         "_checked_at",
         "_clock",
         "_mode",
@@ -77,6 +80,7 @@
         self._clock = clock
         self._mode = mode
         self._performance = performances.RunnerPerformance(clock)
+        self._changes = slowness_changes.SlownessChanges(self._performance)
         self._calls: dict[str, _Call] = {}
         self._checked_at = clock.now()
 
@@ -102,7 +106,7 @@
             return {}
         known = self._performance
         found: dict[tuple[str, str], dict[str, float]] = {}
-        for phase in performances.PHASES:
+        for phase in performance_samples.PHASES:
             label = f'phase="{phase.value}",runner'
             samples = {
                 runner: confidence
@@ -207,7 +211,7 @@
         ):
             return
         self._checked_at = now
-        for change in self._performance.changes():
+        for change in self._changes.take():
             logs.event(
                 "runner_slowness",
                 service=self._performance.service_of(change.runner),
