--- a/tests/serving/runner_sizing.feature
+++ b/tests/serving/runner_sizing.feature
@@ -88,3 +88,16 @@
       | the speeds     |
       | the sizes      |
       | usable numbers |
+
+  # Guards against messages of fleets that have no use for the sizes.
+  Scenario Outline: Sizes of prompts are sent only where they are used
+    Given a service with 53 ms before each first event
+    When a VM in mode <mode> sends a prompt to a service <kind>
+    Then it sends the sizes of <count> prompts to the other VMs
+
+    Examples:
+      | mode    | kind                          | count |
+      | on      | with runners that are ordered | 1     |
+      | observe | with runners that are ordered | 1     |
+      | off     | with runners that are ordered | 0     |
+      | on      | with fixed runners            | 0     |
--- a/tests/steps/serving_runner_sizing.py
+++ b/tests/steps/serving_runner_sizing.py
@@ -7,8 +7,13 @@
 from behave import then
 from behave import when
 
+from apricotlever.data_centres import prompt_sizes
 from apricotlever import logs
+from apricotlever.runners import model as models
 from apricotlever.serving import modes
+from apricotlever.serving import prompt_meters
+from apricotlever.serving import runner_sizing
+from apricotlever.vms import shared_samples
 from tests.serving import planner_play
 
 #: Own prompt tokens: most calls share nearly all of their prompt.
@@ -205,3 +210,25 @@
     play.run(gap)
     play.reclaim("b")
     play.run(30)
+
+
+@when("a VM in mode {mode} sends a prompt to a service {kind}")
+def _sends(context, mode, kind):
+    play = context.service.play(modes.Mode(mode))
+    fixed = "fixed" in kind
+    service = "fixed" if fixed else planner_play.SERVICE
+    meters = prompt_meters.PromptMeters(play.clock)
+    query = models.Query(service, service, "", prompt_tokens=500)
+    meters.record_sent("attempt", service, query, 400)
+    sizing = runner_sizing.RunnerSizing(
+        modes.Mode(mode), meters.sizes, play.performance
+    )
+    context.buffer = shared_samples.SampleBuffer()
+    sizing.send_samples(context.buffer, play.configuration)
+
+
+@then("it sends the sizes of {count:d} prompts to the other VMs")
+def _sent(context, count):
+    sent = context.buffer.take(64).get(prompt_sizes.TOPIC, {})
+    expected = {planner_play.SERVICE: [1, 400, 160_000]} if count else {}
+    assert sent == expected, sent
