Limit what scattered samples of the prefill time may change

Cause: a learned time per token near 0, or one of seconds, would remove nearly all runners or ask for all. Sizes that callers state could make a record's counts too large to be carried.

Change: the learned speed is at most 8 times the observed peak; a time per token above 0.1 s is not used; a prompt counts with at most 1,000,000 tokens.

--- a/src/apricotlever/data_centres/latency_sizing.py
+++ b/src/apricotlever/data_centres/latency_sizing.py
@@ -22,6 +22,14 @@
 #: Ratio from which the learned line alone counts. Between the two ratios the
 #: results are blended, so that the required number has no steps.
 WRONG_SPEED_RATIO = 1.5
+#: Upper limit of a usable time for a token, in seconds. No prompt meets an
+#: objective with a slower one, so that it is a fault of the samples.
+MAX_TOKEN_S = 0.1
+#: Upper limit of the learned speed, as a multiple of the observed peak. At
+#: this ratio the prefill is only an eighth of a long prompt's first event; a
+#: learned time per token that is near 0 by chance would leave no runners for
+#: the prompts.
+MAX_SPEED_RATIO = 8.0
 #: Bounds of a runner's relative speed, which exclude invalid values.
 MIN_SPEED = 0.25
 MAX_SPEED = 4.0
@@ -98,20 +106,10 @@
         return (
             self.samples >= MIN_LATENCY_SAMPLES
             and self.sizes.is_known
-            and 0.0 < self.token_s < math.inf
+            and 0.0 < self.token_s <= MAX_TOKEN_S
             and 0.0 <= self.base_s < math.inf
         )
 
-    @property
-    def prefill_speed(self) -> float:
-        """Tokens per second of a runner of mean speed."""
-        return self.mean_speed / self.token_s
-
-    @property
-    def prompt_s(self) -> float:
-        """Mean time of a prompt's prefill at a runner of mean speed."""
-        return self.sizes.mean_tokens / self.prefill_speed
-
 
 class Estimate:
     """A required number of runners and the targets behind it.
@@ -166,18 +164,22 @@
     """
     if not inputs.are_known:
         return None
+    peak_speed = load.prefill_speed
+    line_speed = inputs.mean_speed / inputs.token_s
+    if peak_speed > 0.0:
+        line_speed = min(line_speed, MAX_SPEED_RATIO * peak_speed)
     prefill_target = utilization_targets.prefill_utilization(
         inputs.objective_s,
         inputs.base_s,
-        inputs.prompt_s,
+        inputs.sizes.mean_tokens / line_speed,
         inputs.sizes.variation,
     )
     slot_target = utilization_targets.calls_per_runner(slots)
     by_prefill = load.latency_factor * (
-        load.tokens_per_s / (prefill_target * inputs.prefill_speed)
+        load.tokens_per_s / (prefill_target * line_speed)
     )
     by_line = max(1.0, in_flight / slot_target, by_prefill)
-    weight = _weight(load.prefill_speed, inputs.prefill_speed)
+    weight = _weight(peak_speed, line_speed)
     by_peak = load.required_runners(in_flight, slots)
     blended = by_peak + weight * (by_line - by_peak)
     return Estimate(
--- a/src/apricotlever/data_centres/prompt_sizes.py
+++ b/src/apricotlever/data_centres/prompt_sizes.py
@@ -17,8 +17,9 @@
 HALF_LIFE_S = 20.0
 #: Weight of the samples of a service from which its sizes count as known.
 MIN_SAMPLES = 20.0
-#: Upper limit of a prompt's uncached tokens, to recognise invalid counts.
-MAX_TOKENS = 10_000_000
+#: Upper limit of a prompt's uncached tokens. Callers state the size; the sum
+#: of the squares of a second must remain an integer that a record may carry.
+MAX_TOKENS = 1_000_000
 #: Upper limit of the prompts in one count, to recognise invalid counts.
 MAX_PROMPTS = 1_000_000
 
--- a/tests/serving/runner_sizing.feature
+++ b/tests/serving/runner_sizing.feature
@@ -89,6 +89,13 @@
       | the sizes      |
       | usable numbers |
 
+  # Guards against a fleet without runners for its prompts, while a few scattered
+  # samples suggest that a token takes no time.
+  Scenario: A learned time per token near 0 does not remove the prefill's need
+    Given a service without calls in flight whose tokens seem to take no time
+    When its fleet is played for 60 seconds in mode on
+    Then at least an eighth of what the observed peak asks for is required
+
   # Guards against messages of fleets that have no use for the sizes.
   Scenario Outline: Sizes of prompts are sent only where they are used
     Given a service with 53 ms before each first event
--- a/tests/steps/serving_runner_sizing.py
+++ b/tests/steps/serving_runner_sizing.py
@@ -77,6 +77,23 @@
     )
 
 
+@given("a service without calls in flight whose tokens seem to take no time")
+def _no_time(context):
+    context.service = _Service(
+        planner_play.Load(1_600_000, 0, 24, SIZES, 20_000),
+        planner_play.Line(0.053, 1e-12),
+        0.535,
+    )
+
+
+@then("at least an eighth of what the observed peak asks for is required")
+def _at_least_eighth(context):
+    (play,) = context.plays
+    load = play.load
+    least = load.tokens_per_s / load.peak_speed / 8
+    assert play.required() >= least, (play.required(), least)
+
+
 @given("at most {most:d} runners in each data centre")
 def _most(context, most):
     context.service.most = most
