Grant the slots of plain services by a keeper

Cause: VMs choose among few runners by load figures that are older than a call lasts, so calls wait or are rejected at one runner while another is free.

Change: for services without an engine that have fewer slots than the fleet has VMs, a VM asks the service's keeper for a slot before each attempt. runners/slot_ledger records the leases, serving/slot_keepers asks and releases, serving/slot_grants answers, serving/slot_protocol carries the messages. A call that its VM places itself is recorded at its runner, so the ledger stays right beyond the capacity; a request lists the calls that have not ended, which shows the keeper what releases were lost.

Ruled out: adding up reported calls and own leases at a takeover; reports include the new leases after a record, and calls are shorter than that.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -124,6 +124,10 @@
     "runner_passed_over": Event(
         INFO, "A runner that a request would have gone to had no room for it."
     ),
+    "slot_not_granted": Event(
+        INFO,
+        "The keeper of a service's slots had none for a request in time.",
+    ),
     "runners_unavailable": Event(
         INFO, "All runners for a request rest, leave or have no room."
     ),
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -113,6 +113,18 @@
         candidate = self._candidates.get(name)
         return candidate.load.own if candidate else 0
 
+    def blocked(self, pool: str) -> list[str]:
+        """The runners of a pool that get no request now.
+
+        They are about to end, or their circuits let no request through.
+        """
+        now = self._clock.now()
+        return [
+            candidate.name
+            for candidate in self._by_pool.get(pool, ())
+            if candidate.leaving or not candidate.circuit.allows(now)
+        ]
+
     def set_runners(self, runners: typing.Iterable[models.Runner]) -> None:
         """Set the list of live runners.
 
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -203,11 +203,17 @@
                 self._deadline - self._loop.time()
             )
             if not isinstance(connected, client_channel.Channel):
+                placement.rejected = connected.unreachable
                 return connected
-            return await self._send(attempt, connected, runner)
+            outcome = await self._send(attempt, connected, runner)
+            placement.rejected = (
+                outcome.status is attempt_outcome.AttemptStatus.NOT_RUN
+            )
+            return outcome
         finally:
             if self.sends == sends_before:
                 self._placement.refund(placement)
+            self._placement.end(placement)
 
     async def _place(self) -> call_placement.Placement:
         try:
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -12,6 +12,7 @@
 from . import messages
 from . import runner_limits
 from . import runners
+from . import slot_leases
 from . import upstreams
 
 #: ``Retry-After`` of a call that no runner has taken, in seconds, if there are
@@ -40,7 +41,7 @@
     :param permit: the room at a limited runner.
     """
 
-    __slots__ = ("runner", "query", "permit")
+    __slots__ = ("runner", "query", "permit", "slot", "rejected")
 
     def __init__(
         self,
@@ -51,6 +52,10 @@
         self.runner = runner
         self.query = query
         self.permit = permit
+        #: The lease of a slot at a plain service's runner, if there is one.
+        self.slot: slot_leases.SlotLease | None = None
+        #: Whether the runner did not take the call.
+        self.rejected = False
 
 
 class CallPlacement:
@@ -64,6 +69,7 @@
         "_limits",
         "_route",
         "_service",
+        "_slot_call",
         "_statements",
         "_upstreams",
     )
@@ -81,6 +87,7 @@
         self._call = call
         self._route = route
         self._service = service
+        self._slot_call = slot_leases.SlotCall(call.request_id, service, route)
 
     async def place(self, tried: frozenset[str], left_s: float) -> Placement:
         """Choose a runner and take room there.
@@ -89,12 +96,45 @@
         :param left_s: seconds until the call's deadline.
         :raises NoPlace: if no runner can take the call now.
         """
+        slots = self._upstreams.slots
+        slot = None
+        if slots.grants_slots_of(self._service):
+            slot = await slots.ask(
+                self._slot_call,
+                tried | self._upstreams.avoided_runners(self._service),
+                left_s,
+            )
+        try:
+            placement = await self._find(
+                tried, left_s, slot.runner if slot is not None else ""
+            )
+        except BaseException:
+            slots.release(slot)
+            raise
+        slots.settle(slot, placement.runner.runner_id)
+        placement.slot = slot
+        return placement
+
+    async def _find(
+        self, tried: frozenset[str], left_s: float, granted: str
+    ) -> Placement:
+        """Find a runner that has room for the call.
+
+        :param granted: the runner that the keeper of the service's slots has
+            granted; "" for none.
+        :raises NoPlace: if no runner can take the call now.
+        """
         full: frozenset[str] = frozenset()
         while True:
             query = self._upstreams.query(
                 self._call, self._route, self._service, tried
             )
-            runner = self._upstreams.choose(query, full)
+            runner = None
+            if granted:
+                runner = self._upstreams.granted_runner(query, granted)
+                granted = ""
+            if runner is None:
+                runner = self._upstreams.choose(query, full)
             if runner is None:
                 return await self._wait_for_room(query, tried, left_s)
             permit = await self._limits.admit(runner.runner_id)
@@ -107,6 +147,10 @@
         """Give back the room of an attempt whose call was not sent."""
         self._limits.refund(placement.permit)
 
+    def end(self, placement: Placement) -> None:
+        """Give back the slot of an attempt that has ended."""
+        self._upstreams.slots.release(placement.slot, placement.rejected)
+
     def retry_after_s(self) -> float:
         """When a caller whose call no runner took should return, in seconds.
 
@@ -215,6 +259,9 @@
             limit_per_s=limit.limit_per_s if limit else None,
             limit_source=(limit.source or None) if limit else None,
             passed_over=self._passed_over() or None,
+            slot_keeper=(
+                placement.slot.keeper if placement.slot is not None else None
+            ),
         )
 
     def _passed_over(self) -> str:
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -112,6 +112,7 @@
             self._process,
             lambda: self._fleet.publish_soon(),
             self._roll_outs,
+            slots_mode=config.modes.slots,
         )
         self._limits = customer_limits.CustomerLimits(
             clock,
@@ -463,6 +464,7 @@
             "limit_asks_total": self._limit_calls.request_count,
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
             **self._upstreams.runner_limits.counters,
+            **self._upstreams.slots.counters,
         }
         return metrics.format_metrics(
             self._relay,
@@ -492,6 +494,7 @@
             self._limits.enable_keepers(self._limit_calls)
             limits = self._upstreams.runner_limits
             limits.enable_protocol(self._limit_calls)
+            self._upstreams.slots.enable_protocol(self._limit_calls)
             self._tasks.repeat(
                 runner_limits.EXCHANGE_INTERVAL_S, limits.exchange
             )
@@ -584,6 +587,14 @@
                 self._limits.heard_share,
                 len(members) + 1,
             )
+        if self._upstreams.slots.wants_fleet:
+            self._upstreams.slots.set_fleet(
+                keepers,
+                self._fleet.limit_addresses,
+                processes,
+                self.ready,
+                len(members) + 1,
+            )
         self._work.merge_counters(
             self._process, self._upstreams.prefill_meters
         )
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -121,6 +121,7 @@
             return attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.NOT_SENT,
                 reason=f"unreachable:{error}",
+                unreachable=True,
             )
 
     async def run(
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -23,6 +23,7 @@
 from . import connection_pool as pools
 from . import crash_watch
 from . import messages
+from . import modes
 from . import prompt_meters
 from . import runner_choice
 from . import runner_directory as directories
@@ -30,6 +31,8 @@
 from . import runner_pools
 from . import runner_statements
 from . import runners
+from . import slot_keepers
+from . import slot_leases
 
 #: Output tokens reported for a response whose tokens are not counted.
 NO_OUTPUT_TOKENS = 0
@@ -49,6 +52,7 @@
     :param news: called when a prompt was sent to a runner.
     :param roll_outs: determines the roles of runners in roll-outs; None
         without roll-outs.
+    :param slots_mode: whether slots of plain services are asked for.
     """
 
     __slots__ = (
@@ -67,6 +71,7 @@
         "_roll_outs",
         "_router",
         "_silence",
+        "_slots",
         "_statements",
         "_trials",
     )
@@ -81,6 +86,7 @@
         process: str = "",
         news: typing.Callable[[], None] | None = None,
         roll_outs: roll_outs_controller.RollOutController | None = None,
+        slots_mode: modes.Mode = modes.Mode.ON,
     ) -> None:
         self._clock = clock
         self._on_prompt_sent = news
@@ -107,6 +113,14 @@
         )
         self._peer_in_flight: dict[str, int] = {}
         self._prompts = prompt_meters.PromptMeters(clock)
+        self._slots = slot_keepers.SlotKeepers(
+            clock,
+            vm,
+            process,
+            data_centre,
+            slots_mode,
+            reported=lambda runner: self.in_flight_at((runner,)),
+        )
 
     @property
     def directory(self) -> directories.RunnerDirectory:
@@ -128,6 +142,11 @@
         """The limits that runners name, kept together with the other VMs."""
         return self._limits
 
+    @property
+    def slots(self) -> slot_keepers.SlotKeepers:
+        """Asks for slots of plain services, and grants them."""
+        return self._slots
+
     @property
     def in_flight(self) -> dict[str, int]:
         """This VM's calls in progress by runner, without zeros."""
@@ -211,6 +230,12 @@
         self._outliers.keep_only(present)
         self._statements.keep_only(listed)
         self._pools.retain_runners(listed)
+        if self._configuration is not None:
+            self._slots.set_runners(
+                slot_leases.plain_slots(
+                    listed, self._configuration, self._choice
+                )
+            )
 
     def set_fleet_size(self, count: int) -> None:
         """Set how many VMs share each runner's connection limit."""
@@ -284,6 +309,38 @@
         name = self._choice.choose(query, full | self._statements.unavailable)
         return None if name is None else self._directory.get(name)
 
+    def avoided_runners(self, service: str) -> frozenset[str]:
+        """The runners of a service that get no call of this VM now.
+
+        Unlike in :meth:`choose`, runners that are silent or fail more than
+        others count, even if no other runner is available.
+        """
+        avoided = (
+            self._statements.unavailable
+            | self._silence.silent
+            | self._outliers.ejected
+        )
+        if avoided:
+            avoided &= {
+                runner.runner_id
+                for runner in self._directory.available_runners(service)
+            }
+        return avoided.union(self._router.blocked(service))
+
+    def granted_runner(
+        self, query: models.Query, name: str
+    ) -> runners.Runner | None:
+        """A runner whose slot was granted; None if it must not be used."""
+        runner = self._directory.get(name)
+        if (
+            runner is None
+            or runner.leaving
+            or name in query.excluded
+            or name in self.avoided_runners(query.pool)
+        ):
+            return None
+        return runner
+
     def takes_regular_calls(self, runner: runners.Runner) -> bool:
         """Whether a runner takes its service's regular calls."""
         return self._choice.takes_regular_calls(runner)
