--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -97,13 +97,7 @@
         :raises NoPlace: if no runner can take the call now.
         """
         slots = self._upstreams.slots
-        slot = None
-        if slots.grants_slots_of(self._service):
-            slot = await slots.ask(
-                self._slot_call,
-                tried | self._upstreams.avoided_runners(self._service),
-                left_s,
-            )
+        slot = await self._ask_for_slot(tried, left_s)
         try:
             placement = await self._find(
                 tried, left_s, slot.runner if slot is not None else ""
@@ -115,6 +109,23 @@
         placement.slot = slot
         return placement
 
+    async def _ask_for_slot(
+        self, tried: frozenset[str], left_s: float
+    ) -> slot_leases.SlotLease | None:
+        """Ask for a slot, unless no runner might use one for the call."""
+        slots = self._upstreams.slots
+        if not slots.grants_slots_of(self._service):
+            return None
+        excluded = tried | self._upstreams.avoided_runners(self._service)
+        if all(
+            runner.runner_id in excluded
+            for runner in self._upstreams.directory.available_runners(
+                self._service
+            )
+        ):
+            return None
+        return await slots.ask(self._slot_call, excluded, left_s)
+
     async def _find(
         self, tried: frozenset[str], left_s: float, granted: str
     ) -> Placement:
--- a/tests/serving/fleet_paths.py
+++ b/tests/serving/fleet_paths.py
@@ -54,6 +54,19 @@
         vm.upstreams.runner_limits.enable_protocol(socket)
         self.exchange_tasks.append(asyncio.ensure_future(_exchange(vm)))
 
+    def grant_slots(self):
+        """Let the VMs ask each other for the slots of the runners."""
+        for vm, socket in zip(self.vms, self.sockets):
+            vm.upstreams.slots.enable_protocol(socket)
+            others = {
+                other.name: (HOST, peer.port)
+                for other, peer in zip(self.vms, self.sockets)
+                if other is not vm
+            }
+            vm.upstreams.slots.set_fleet(
+                others, others, others, True, len(self.vms)
+            )
+
     def _connect(self):
         """Tell each VM of all others."""
         addresses = {
--- a/tests/serving/slot_keepers.feature
+++ b/tests/serving/slot_keepers.feature
@@ -82,6 +82,22 @@
     And all VMs send a call
     Then no lease is left
 
+  # Guards against leases that are kept on one of the paths of a call's end.
+  Scenario Outline: Leases come back when the runners <fault>
+    Given 9 VMs that share 2 runners
+    And the VMs grant slots, and the runners <fault>
+    When each VM gets a call whose caller waits for 0.4 seconds
+    Then slots were granted, and none is kept for a call
+
+    Examples:
+      | fault                    |
+      | answers                  |
+      | fails                    |
+      | rejects calls            |
+      | resets                   |
+      | hangs                    |
+      | are gone                 |
+
   Scenario: Services with slots for each VM are left alone
     Given 6 VMs that share 2 runners with 3 slots
     When a call arrives at another VM
--- a/tests/steps/serving_slot_keepers.py
+++ b/tests/steps/serving_slot_keepers.py
@@ -52,6 +52,16 @@
         fleet.lose(slot_fleet.GRANT)
 
 
+@given("the VMs grant slots, and the runners {fault}")
+def _grant_slots(context, fault):
+    context.fleet.grant_slots()
+    for runner in context.fleet.runners:
+        if fault == "are gone":
+            runner.stop()
+        else:
+            runner.behaviour_names = [fault]
+
+
 @given("the VMs are split in two parts")
 def _split(context):
     fleet = context.fleet
@@ -103,6 +113,32 @@
     _run(context, context.fleet.call(context.name, 0.001))
 
 
+@when("each VM gets a call whose caller waits for {seconds:g} seconds")
+def _call_each(context, seconds):
+    fleet = context.fleet
+
+    async def call():
+        _, pending = await asyncio.wait(
+            [
+                asyncio.ensure_future(fleet.call_at(index))
+                for index in range(len(fleet.vms))
+            ],
+            timeout=seconds,
+        )
+        for task in pending:
+            task.cancel()
+        await asyncio.sleep(0.2)
+
+    _run(context, call())
+
+
+@then("slots were granted, and none is kept for a call")
+def _check_all_released(context):
+    parts = [vm.upstreams.slots for vm in context.fleet.vms]
+    assert sum(part.grant_count for part in parts)
+    assert not any(part.ledger.call_count for part in parts)
+
+
 @when("releases are lost for 2 calls of a VM")
 def _lose_releases(context):
     context.name = context.fleet.others[0]
