--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -113,7 +113,7 @@
             self._process,
             lambda: self._fleet.publish_soon(),
             self._roll_outs,
-            config.modes.performance,
+            config.modes,
         )
         self._limits = customer_limits.CustomerLimits(
             clock,
@@ -475,6 +475,7 @@
             "runner_samples_ignored_total": (
                 self._upstreams.performance.performance.ignored
             ),
+            **self._upstreams.slots.counters,
         }
         return metrics.format_metrics(
             self._relay,
@@ -504,6 +505,7 @@
             self._limits.enable_keepers(self._limit_calls)
             limits = self._upstreams.runner_limits
             limits.enable_protocol(self._limit_calls)
+            self._upstreams.slots.enable_protocol(self._limit_calls)
             self._tasks.repeat(
                 runner_limits.EXCHANGE_INTERVAL_S, limits.exchange
             )
@@ -596,6 +598,14 @@
                 self._limits.heard_share,
                 len(members) + 1,
             )
+        if self._upstreams.slots.wants_fleet:
+            self._upstreams.slots.set_fleet(
+                keepers,
+                self._fleet.limit_addresses,
+                processes,
+                self.ready,
+                len(members) + 1,
+            )
         self._work.merge_counters(
             self._process, self._upstreams.prefill_meters
         )
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -94,6 +94,12 @@
         """What the router is to use; None unless the mode is ``on``."""
         return self._performance if self._mode is modes.Mode.ON else None
 
+    def plain_slowness(self, runner: str) -> float:
+        """How slow a runner is at calls without a prompt; 1.0 if not on."""
+        if self._mode is not modes.Mode.ON:
+            return 1.0
+        return self._performance.slowness(runner, performances.Phase.PLAIN)
+
     @property
     def learned(self) -> performances.RunnerPerformance | None:
         """What has been learned of the runners' speed; None if off."""
