Repeat notices of leaving runners in every message to peers

Cause: a VM learns that a runner is leaving by fetching the directory from the VM that relays its records. On a saturated link, or while that VM ends, this takes seconds, and calls reach the runner after its drain time.

Change: vms/notices decides which notices a VM applies and sends. A VM that applies a leaving or a removal from an entry repeats a notice of it for 4 s; receivers mark the runner and repeat the notice. serving/runner_marks keeps the marks apart from the entries, so the revision and the checksum that decide what is fetched do not change, and the entry decides once it arrives. A restart or an entry as new as the notice ends the mark, and so do 20 s without either.

Ruled out: marking the entry itself as leaving. The precedence of entries compares sequences if the leaving differs, so the newer entry of a runner that was marked wrongly could be rejected.

--- a/bench/_record_exchange_simulation.py
+++ b/bench/_record_exchange_simulation.py
@@ -9,6 +9,8 @@
 
 from apricotlever import clock as clocks
 from apricotlever.serving import peer_datagrams
+from apricotlever.serving import runner_directory
+from apricotlever.serving import runners
 from apricotlever.vms import aggregates
 from apricotlever.vms import peer_table
 from apricotlever.vms import record_aggregation
@@ -32,6 +34,8 @@
 SAMPLE_INTERVAL_S = 0.05
 #: Prefix of the names of the runners that count the changes of probed VMs.
 PROBE_PREFIX = "probe-"
+#: When each runner started, in milliseconds since 1970.
+BORN = 1_700_000_000_000
 #: Number of probed VMs.
 PROBED_VMS = 12
 
@@ -79,6 +83,10 @@
             self.table,
             self,
         )
+        self.directory = runner_directory.RunnerDirectory(world.clock)
+        self.directory.apply_list(world.entries, world.revision)
+        if world.has_notices:
+            self.exchange.notices.connect(self.directory)
 
     @property
     def process(self):
@@ -101,7 +109,7 @@
             self.data_centre,
             ready=True,
             configuration=3,
-            directory=self.world.revision,
+            directory=max(self.world.revision, self.directory.revision),
             runners=123456789 + self.world.revision,
             in_flight=dict(self.in_flight),
             pending={r: 2000 for r in list(self.in_flight)[:1]},
@@ -155,8 +163,11 @@
 
     def handle_message(self, message):
         """Process a message in the way of a VM's peer link."""
+        for notice in self.exchange.notices.receive(message.notices):
+            self.directory_changed(self.directory.mark_leaving(notice))
         if isinstance(message, vm_records.VmRecord):
             self.table.receive_record(message)
+            self.fetch_runners(message)
             self.record_used(message.process, message.used)
             if not message.aggregator:
                 self.received_samples.merge(message.samples)
@@ -167,6 +178,7 @@
                 self.table.receive_record(
                     entry, message.ages.get(entry.vm, 0.0)
                 )
+                self.fetch_runners(entry)
                 self.record_used(entry.process, entry.used)
         for vm, age_s in message.ages.items():
             self.table.note_heard(vm, age_s)
@@ -175,6 +187,27 @@
         self.send(self.exchange.receive_aggregate(message))
         self._receive_samples(message)
 
+    def fetch_runners(self, record):
+        """Merge the directory of a peer that has later changes, at once."""
+        peer = self.world.vms.get(record.vm)
+        if (
+            peer is not None
+            and record.directory > self.directory.revision
+            and self.world.clock.now() >= self.world.fetches_fail_until
+        ):
+            changes = peer.directory.changes_after(self.directory.revision)
+            self.directory_changed(self.directory.merge_changes(*changes))
+
+    def directory_changed(self, ended):
+        """Publish a change if it marked runners as leaving."""
+        if ended and self.publish_at is None:
+            self.publish_at = self.world.clock.now() + PUBLISH_DELAY_S
+
+    def knows_leaving(self, runner_id):
+        """Whether the VM sends no new calls to a runner."""
+        runner = self.directory.get(runner_id)
+        return runner is None or runner.leaving
+
     def _receive_samples(self, message):
         """Add up the samples in an aggregate of the VM's own aggregator."""
         if self.exchange.takes_loads_from(message):
@@ -208,6 +241,7 @@
     :param runner_count: number of runners.
     :param table_class: class of a VM's table of its peers.
     :param exchange_class: class that decides which messages a VM sends.
+    :param has_notices: whether VMs exchange notices of leaving runners.
     """
 
     def __init__(
@@ -218,7 +252,9 @@
         runner_count=44,
         table_class=peer_table.PeerTable,
         exchange_class=record_exchange.RecordExchange,
+        has_notices=True,
     ):
+        self.has_notices = has_notices
         self.table_class = table_class
         self.exchange_class = exchange_class
         self.rng = random.Random(seed)
@@ -233,6 +269,15 @@
         self.customers = [f"customer-{n}" for n in range(19)]
         #: Revision of the latest change of a runner.
         self.revision = 400
+        #: Entries of the runners in the store.
+        self.entries = [
+            runners.Runner(
+                name, "llm", "10.9.0.1", 80, "dc-0", 24, revision=1, born=BORN
+            )
+            for name in sorted(self.runners)
+        ]
+        #: Time until which VMs can't fetch directories from each other.
+        self.fetches_fail_until = 0.0
         self.vms = {}
         self.vms_by_address = {}
         #: Pairs of sender and receiver between which all datagrams are lost.
@@ -266,6 +311,24 @@
         self.kill(vm)
         return self.add(vm.number, vm.incarnation + 1)
 
+    def announce_leaving(self, count, followers):
+        """Write that runners are leaving, and let VMs read it in the store.
+
+        :param count: number of leaving runners.
+        :param followers: the VMs that read it.
+        :returns: the incarnations.
+        """
+        leaving = []
+        for entry in self.entries[:count]:
+            copy = entry.as_leaving()
+            copy.revision = self.revision + 1 + len(leaving)
+            copy.sequence = 1
+            leaving.append(copy)
+        for vm in followers:
+            for entry in leaving:
+                vm.directory_changed(vm.directory.apply_entry(entry))
+        return [entry.runner_id for entry in leaving]
+
     def transmit(self, sender, receiver, data):
         """Send a datagram, which may be lost."""
         size = len(data) + HEADER_BYTES
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -105,6 +105,9 @@
     "runner_leaving": Event(
         INFO, "A runner is being reclaimed; it gets no new work."
     ),
+    "runner_notice": Event(
+        INFO, "Another VM told that a runner leaves, ahead of its entry."
+    ),
     "runner_gone": Event(
         INFO, "A runner is no longer listed by the platform."
     ),
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -20,6 +20,7 @@
 from ..vms import aggregates
 from ..vms import catch_up
 from ..vms import follower_selection
+from ..vms import notices
 from ..vms import peer_loads
 from ..vms import peer_table
 from ..vms import record_aggregation
@@ -27,6 +28,7 @@
 from ..vms import shared_samples
 from ..vms import vm_records
 
+from . import modes
 from . import peer_datagrams
 from . import peer_http
 from . import runner_directory as directories
@@ -161,6 +163,7 @@
         "_following_since",
         "_catch_up_timers",
         "_local",
+        "_marks_by_notices",
         "_record_exchange",
         "_publish_scheduled",
         "_table",
@@ -189,6 +192,12 @@
         self._record_exchange = record_exchange.RecordExchange(
             clock, rng, config.vm, config.data_centre, self._table, local
         )
+        mode = config.modes.notices
+        self._marks_by_notices = mode is modes.Mode.ON
+        if mode is not modes.Mode.OFF:
+            # A VM that only observes sends notices, too: without them there
+            # would be nothing to observe.
+            self._record_exchange.notices.connect(directory)
         self._datagrams = peer_datagrams.PeerSocket(self)
         self._client = peer_http.PeerClient()
         self._catch_up_timers = catch_up.CatchUpTimers(clock)
@@ -359,6 +368,8 @@
         for vm in sorted(self._alive - names):
             logs.event("member_dead", member=vm, alive=len(names) + 1)
         self._alive = names
+        if self._directory.expire_marks():
+            self._local.runners_changed([])
         if self._record_exchange.directory_sources is not None:
             # In a large fleet, records without changes arrive rarely, so
             # differences must also be detected between two records.
@@ -373,15 +384,38 @@
     def receive_message(self, message: record_exchange.Message) -> None:
         """Process a status record, aggregate or tally of another VM."""
         if isinstance(message, vm_records.VmRecord):
+            self._receive_notices(message.notices, message.vm)
             self._receive_record(message)
             if message.samples and not message.aggregator:
                 self._local.merge_samples(message.samples)
             self._send(self._record_exchange.receive_record(message))
         elif isinstance(message, aggregates.Aggregate):
+            self._receive_notices(message.notices, message.vm)
             self._receive_aggregate(message)
         else:
             self._local.merge_counts(message.counts)
 
+    def _receive_notices(
+        self, records: list[notices.Record], peer: str
+    ) -> None:
+        """Mark the runners that are leaving by the notices of a peer."""
+        if not records:
+            return
+        ended = []
+        for notice in self._record_exchange.notices.receive(records):
+            if self._marks_by_notices:
+                ended += self._directory.mark_leaving(notice)
+            logs.event(
+                "runner_notice",
+                runner=notice.name,
+                born=notice.born,
+                revision=notice.revision,
+                peer=peer,
+                marked=self._marks_by_notices,
+            )
+        if ended:
+            self._local.runners_changed(ended)
+
     def _receive_record(
         self, record: vm_records.VmRecord, age_s: float = 0.0
     ) -> None:
--- a/src/apricotlever/serving/runner_directory.py
+++ b/src/apricotlever/serving/runner_directory.py
@@ -7,12 +7,16 @@
 leaving.
 """
 
+import collections
 import typing
 
 import xxhash
 
 from .. import clock as clocks
+from ..vms import notices
 
+from . import entry_precedence
+from . import runner_marks
 from . import runners as runners_
 
 #: After an outage of the store, a runner whose entry is missing is kept for
@@ -61,8 +65,10 @@
     Updates arrive from the store and from peers in any order. Of two entries
     with the same name the one with the later start takes precedence, and of
     two entries of one incarnation the one with the higher revision;
-    :func:`_supersedes` has the exceptions. A revision is the store's number of
-    a change.
+    :func:`.entry_precedence.supersedes` has the exceptions. A revision is the
+    store's number of a change. A notice of another VM marks a runner as
+    leaving until its entry arrives. Marks change neither the entries nor the
+    revision and checksum, so that the entry is fetched and decides.
 
     :param drain_s: the time within which a runner that has left must stop
         receiving work, in seconds.
@@ -74,7 +80,9 @@
         "_clock",
         "_pending_removals",
         "_tombstones",
+        "_marks",
         "_mass_removal_hold_s",
+        "_new_notices",
         "_grace_until",
         "_revision",
         "_runners",
@@ -95,6 +103,12 @@
         self._tombstones: dict[str, int] = {}
         #: Removals that are not applied yet, by the name of the runner.
         self._pending_removals: dict[str, _PendingRemoval] = {}
+        #: Runners that are leaving by notices.
+        self._marks = runner_marks.RunnerMarks(clock)
+        #: Notices of runners that entries showed to be leaving or removed.
+        self._new_notices: collections.deque[notices.Notice] = (
+            collections.deque(maxlen=notices.MAX_PER_MESSAGE)
+        )
         self._checksum: int | None = None
         self._revision = 0
         self._grace_until = float("-inf")
@@ -121,19 +135,26 @@
     @property
     def runners(self) -> list[runners_.Runner]:
         """All known runners, including those that are leaving."""
-        return [r for r in self._runners.values() if not r.is_placeholder]
+        return [
+            self._marks.shown(r)
+            for r in self._runners.values()
+            if not r.is_placeholder
+        ]
 
     def available_runners(self, service: str) -> list[runners_.Runner]:
         """The runners of a service that accept new work."""
         return [
             runner
             for runner in self._runners.values()
-            if runner.service == service and not runner.leaving
+            if runner.service == service
+            and not runner.leaving
+            and runner.name not in self._marks
         ]
 
     def get(self, runner_id: str) -> runners_.Runner | None:
         """The incarnation with this id; None if unknown or removed."""
-        return self._by_id.get(runner_id)
+        runner = self._by_id.get(runner_id)
+        return None if runner is None else self._marks.shown(runner)
 
     def extend_removal_grace(self) -> None:
         """Keep runners with missing entries for a while, after a store outage.
@@ -177,8 +198,10 @@
             return []
         self._revision = max(self._revision, entry.revision)
         known = self._runners.get(entry.name)
-        runner = _resolve_entry(known, entry)
-        if known is not None and not _supersedes(known, runner):
+        runner = entry_precedence.resolve(known, entry)
+        if known is not None and not entry_precedence.supersedes(
+            known, runner
+        ):
             # An entry with the known revision does not cancel a pending
             # removal: a peer that has not received the removal sends the
             # entry from before it.
@@ -188,13 +211,22 @@
         self._runners[entry.name] = runner
         self._by_id[runner.runner_id] = runner
         self._checksum = None
+        was_marked = self._marks.entry_changed(runner)
+        if (
+            known is not None
+            and not (known.leaving or was_marked)
+            and (runner.leaving or known.runner_id != runner.runner_id)
+        ):
+            self._add_notice(known, runner.revision)
         ended = []
         if known is not None and known.runner_id != runner.runner_id:
             # The runner restarted, so the previous incarnation has ended.
             del self._by_id[known.runner_id]
             ended.append(known.runner_id)
             known = None
-        if runner.leaving and not (known is not None and known.leaving):
+        if runner.leaving and not (
+            known is not None and (known.leaving or was_marked)
+        ):
             ended.append(runner.runner_id)
         return ended
 
@@ -244,6 +276,55 @@
             return []
         return self._remove(runner.name, runner.revision)
 
+    def is_applicable(self, notice: notices.Notice) -> bool:
+        """Whether a notice tells something new of a known incarnation."""
+        known = self._runners.get(notice.name)
+        return self._marks.is_applicable(known, notice)
+
+    def is_outdated(self, notice: notices.Notice) -> bool:
+        """Whether a newer entry shows that the runner takes work again.
+
+        Such a notice must not reach VMs that don't have the entry yet.
+        """
+        known = self._runners.get(notice.name)
+        return (
+            known is not None
+            and known.born == notice.born
+            and not known.leaving
+            and known.revision > notice.revision
+        )
+
+    def take_notices(self) -> list[notices.Notice]:
+        """Take the notices for the other VMs of what entries have shown."""
+        taken = list(self._new_notices)
+        self._new_notices.clear()
+        return taken
+
+    def mark_leaving(self, notice: notices.Notice) -> list[str]:
+        """Mark a runner as leaving until its entry arrives.
+
+        An entry with the revision of the notice or a higher one ends the
+        mark, as do a restart and :data:`notices.MARK_S`.
+
+        :returns: the incarnation, if it was not marked or leaving before.
+        """
+        if not self.is_applicable(notice):
+            return []
+        known = self._runners[notice.name]
+        return [known.runner_id] if self._marks.add(known, notice) else []
+
+    def expire_marks(self) -> bool:
+        """End the marks that no entry has confirmed in time.
+
+        :returns: whether there were any; their runners take work again.
+        """
+        return self._marks.expire()
+
+    def _add_notice(self, known: runners_.Runner, revision: int) -> None:
+        self._new_notices.append(
+            notices.Notice(known.name, known.born, revision)
+        )
+
     def tick(self) -> list[str]:
         """Remove the runners whose delayed removal is due.
 
@@ -309,49 +390,12 @@
         if runner is None:
             return []
         del self._by_id[runner.runner_id]
+        was_marked = self._marks.remove(name)
+        if not (runner.leaving or was_marked):
+            self._add_notice(runner, max(revision, runner.revision))
         self._tombstones[name] = max(revision, runner.revision)
         self._revision = max(self._revision, revision)
         self._checksum = None
         while len(self._tombstones) > MAX_TOMBSTONES:
             self._tombstones.pop(next(iter(self._tombstones)))
         return [runner.runner_id]
-
-
-def _resolve_entry(
-    known: runners_.Runner | None, entry: runners_.RunnerEntry
-) -> runners_.Runner:
-    """The state of a runner after its entry has changed.
-
-    :param known: the state before; None for an unknown runner.
-    """
-    if isinstance(entry, runners_.UnreadableEntry):
-        if known is None:
-            return runners_.Runner.placeholder(entry.name, entry.revision)
-        return known.withdraw(entry.revision)
-    if known is None:
-        return entry
-    if entry.withdrawn or (known.born and not entry.born):
-        # A runner that reports its start always reports it, so another
-        # program wrote this entry.
-        return known.withdraw(entry.revision)
-    return entry
-
-
-def _supersedes(known: runners_.Runner, update: runners_.Runner) -> bool:
-    """Whether an update takes precedence over the known state of a runner.
-
-    The store may apply a write long after it was sent. A late heartbeat has a
-    higher revision than the entry that it overwrites. Comparing revisions
-    alone would restore an incarnation that has ended, or send work to one
-    that has announced that it is leaving.
-    """
-    later = update.revision > known.revision
-    if update.withdrawn:
-        return later
-    if known.withdrawn:
-        return later and update.born >= known.born
-    if known.born != update.born:
-        return update.born > known.born if known.born else later
-    if known.leaving != update.leaving and known.sequence != update.sequence:
-        return update.sequence > known.sequence
-    return later
--- a/src/apricotlever/serving/runners.py
+++ b/src/apricotlever/serving/runners.py
@@ -135,12 +135,17 @@
 
         :param revision: the store's revision of the unreadable entry.
         """
-        record = self.to_record()
-        known = Runner.from_record(record)
-        known.leaving = known.withdrawn = True
+        known = self.as_leaving()
+        known.withdrawn = True
         known.revision = revision
         return known
 
+    def as_leaving(self) -> "Runner":
+        """A copy of this runner that is marked as leaving."""
+        copy = Runner.from_record(self.to_record())
+        copy.leaving = True
+        return copy
+
     def to_record(self) -> list[typing.Any]:
         """The values of all fields in order, to send to another entry VM."""
         return [getattr(self, name) for name, _ in _FIELDS]
--- a/src/apricotlever/vms/aggregates.py
+++ b/src/apricotlever/vms/aggregates.py
@@ -11,6 +11,7 @@
 from .. import validation
 from ..roll_outs import samples as trial_samples
 
+from . import notices as notices_
 from . import shared_samples
 from . import vm_records
 
@@ -48,6 +49,8 @@
         roll-outs.
     :param samples: summed counts that VMs have sent since the last aggregate
         with such counts; empty in most messages.
+    :param notices: what the aggregator has learned of leaving runners in the
+        last seconds.
     """
 
     __slots__ = (
@@ -65,6 +68,7 @@
         "included",
         "trials",
         "samples",
+        "notices",
     )
 
     def __init__(
@@ -83,6 +87,7 @@
         included: dict[str, int] | None = None,
         trials: trial_samples.Records | None = None,
         samples: shared_samples.Samples | None = None,
+        notices: list[notices_.Record] | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -98,6 +103,7 @@
         self.included = included or {}
         self.trials = trials or {}
         self.samples = samples or {}
+        self.notices = notices or []
 
     @property
     def process(self) -> str:
@@ -169,6 +175,7 @@
     ),
     ("trials", trial_samples.is_records),
     ("samples", shared_samples.is_samples),
+    ("notices", notices_.is_notices),
 )
 
 
--- a/src/apricotlever/vms/record_aggregation.py
+++ b/src/apricotlever/vms/record_aggregation.py
@@ -14,6 +14,7 @@
 from ..runners import call_totals
 
 from . import aggregates
+from . import notices
 from . import peer_loads
 from . import record_relay
 from . import shared_samples
@@ -77,12 +78,13 @@
     An aggregate that has nothing new compared with it need not be sent.
     """
 
-    __slots__ = ("_loads", "_silent", "_trials")
+    __slots__ = ("_loads", "_notices", "_silent", "_trials")
 
     def __init__(self) -> None:
         self._loads: aggregates.Loads = {}
         self._silent: dict[str, int] = {}
         self._trials: trial_samples.Records = {}
+        self._notices: list[notices.Record] = []
 
     def if_changed(
         self, aggregate: aggregates.Aggregate, keepalive: bool
@@ -98,10 +100,15 @@
             self._silent,
             self._trials,
         )
-        if same and not (keepalive or aggregate.entries or aggregate.used):
+        # Notices that are no longer repeated are nothing new.
+        has_notices = aggregate.notices and aggregate.notices != self._notices
+        if same and not (
+            keepalive or aggregate.entries or aggregate.used or has_notices
+        ):
             return None
         self._loads, self._silent = aggregate.loads, aggregate.silent
         self._trials = aggregate.trials
+        self._notices = aggregate.notices
         return aggregate
 
 
@@ -286,6 +293,7 @@
                 if failures
                 else None
             ),
+            notices=own.notices,
         )
         reports = list(self._reports.values())
         whole = aggregates.Aggregate(
@@ -313,6 +321,7 @@
                 if failures
                 else None
             ),
+            own.notices,
         )
         return (
             self._sent_to_aggregators.if_changed(report, keepalive),
@@ -346,6 +355,7 @@
             own.peer_address,
             True,
             ages=self._relay.ages(),
+            notices=own.notices,
         )
 
     def full_state(
@@ -372,6 +382,7 @@
                 True,
                 entries,
                 self._relay.ages(entries),
+                notices=own.notices,
             )
             for entries in _batches(
                 records, record_relay.MAX_RECORDS_PER_MESSAGE
--- a/src/apricotlever/vms/record_exchange.py
+++ b/src/apricotlever/vms/record_exchange.py
@@ -15,6 +15,7 @@
 
 from . import aggregates
 from . import aggregator_selection
+from . import notices
 from . import peer_loads
 from . import peer_table
 from . import record_aggregation
@@ -84,6 +85,7 @@
         "_is_large",
         "_loads",
         "_ticks",
+        "_notices",
         "_number",
         "_rng",
         "_published",
@@ -112,6 +114,7 @@
         self._aggregation = record_aggregation.RecordAggregator(clock, vm)
         self._loads = peer_loads.PeerLoadTracker(clock, vm)
         self._samples = shared_samples.SampleBuffer()
+        self._notices = notices.NoticeBoard(clock)
         self._is_large = False
         self._number = 0
         self._ticks = 0
@@ -141,6 +144,11 @@
         """What this VM has counted and will send with its full records."""
         return self._samples
 
+    @property
+    def notices(self) -> notices.NoticeBoard:
+        """The notices of leaving runners, which each message includes."""
+        return self._notices
+
     @property
     def directory_sources(self) -> frozenset[str] | None:
         """VMs whose directory of runners this VM compares its own with.
@@ -368,6 +376,7 @@
             self.aggregator,
         )
         record.hears = self._peer_count
+        record.notices = self._notices.due()
         self._loads.record_sent(record)
         return record
 
--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -12,6 +12,7 @@
 from ..roll_outs import samples as trial_samples
 from ..runners import crash_blocklist
 
+from . import notices as notices_
 from . import shared_samples
 
 #: Seconds between two records. Limits that are enforced by counters overshoot
@@ -68,6 +69,7 @@
     :param roll_outs: records of the roll-out orders known to the VM.
     :param trials: its own counts of calls at old and new versions.
     :param samples: what it has counted since its last full record.
+    :param notices: what it has learned of leaving runners in the last seconds.
     """
 
     __slots__ = (
@@ -102,6 +104,7 @@
         "roll_outs",
         "trials",
         "samples",
+        "notices",
     )
 
     def __init__(
@@ -137,6 +140,7 @@
         roll_outs: list[list[typing.Any]] | None = None,
         trials: trial_samples.Records | None = None,
         samples: shared_samples.Samples | None = None,
+        notices: list[notices_.Record] | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -169,6 +173,7 @@
         self.roll_outs = roll_outs or []
         self.trials = trials or {}
         self.samples = samples or {}
+        self.notices = notices or []
 
     @property
     def limits_address(self) -> tuple[str, int] | None:
@@ -199,6 +204,7 @@
         copy.levels, copy.usage, copy.work = {}, {}, {}
         copy.silent, copy.known, copy.aggregator = [], [], ""
         copy.used, copy.trials, copy.samples = {}, {}, {}
+        copy.notices = []
         return copy
 
     def differs_from(self, other: "VmRecord", versions: bool) -> bool:
@@ -310,4 +316,5 @@
     ("roll_outs", validation.is_list_of(roll_outs_model.is_order_record)),
     ("trials", trial_samples.is_records),
     ("samples", shared_samples.is_samples),
+    ("notices", notices_.is_notices),
 )
--- a/tests/serving/directory_simulation.py
+++ b/tests/serving/directory_simulation.py
@@ -10,6 +10,7 @@
 from apricotlever.serving import runners
 from apricotlever.serving import store
 from apricotlever.serving import store_listeners
+from apricotlever.vms import notices
 
 STEP_S = 0.1
 #: How long two directories differ before one fetches all changes of the
@@ -131,6 +132,10 @@
 
     def __init__(self, clock, history, platform):
         self.directory = directories.RunnerDirectory(clock)
+        self.notices = notices.NoticeBoard(clock)
+        self.notices.connect(self.directory)
+        #: Number of times at which a notice marked a runner.
+        self.marked_count = 0
         self._platform = platform
         self._entries = store_listeners.RunnerEntryListener(
             self.directory, self._platform, lambda ended: None, clock
@@ -140,6 +145,8 @@
         self.incarnation_states = {}
         self._history = history
         self._revision = 0
+        #: Until when the VM can't fetch changes from the others.
+        self.fetches_fail_until = 0.0
         #: When the directory began to differ from that of another VM.
         self._differs_since = {}
 
@@ -159,8 +166,15 @@
         }
 
     def merge_from(self, other, now):
-        """Receive another VM's record, and fetch missing changes."""
+        """Receive another VM's record, and fetch missing changes.
+
+        As long as fetches fail, only notices arrive.
+        """
         mine, theirs = self.directory, other.directory
+        for notice in self.notices.receive(other.notices.due()):
+            self.marked_count += len(mine.mark_leaving(notice))
+        if now < self.fetches_fail_until:
+            return
         if theirs.revision > mine.revision:
             mine.merge_changes(*theirs.changes_after(mine.revision))
         if theirs.checksum == mine.checksum:
@@ -236,6 +250,9 @@
         elif draw < 0.12:
             vm = rng.choice(self.vms)
             self._resumes_at[vm] = self._clock.now() + rng.uniform(0.5, 6.0)
+        elif draw < 0.14:
+            vm = rng.choice(self.vms)
+            vm.fetches_fail_until = self._clock.now() + rng.uniform(0.5, 3.0)
 
     def _restart_runners(self):
         """Restart runners, some twice, and corrupt some entries.
--- a/tests/serving/runner_directory.feature
+++ b/tests/serving/runner_directory.feature
@@ -124,3 +124,52 @@
     Given a directory with the runners r1 and r2
     When a watch delivers the rewritten entry of r1 and its removal
     Then after 2.1 seconds new work goes to r2 alone
+
+  Scenario: A runner gets no new work from a notice on
+    Given a directory with the runners r1 and r2
+    When a notice says that r1 is leaving at revision 5
+    Then new work goes to r2 alone
+    And the revision and the checksum are as before
+
+  # Guards against a runner that gets no work although its entry says that it
+  # takes some, as a notice was wrong or outdated.
+  Scenario Outline: An entry as new as the notice decides
+    Given a directory with the runners r1 and r2
+    When a notice says that r1 is leaving at revision 5
+    And a peer sends the entry of r1 with revision <revision>
+    Then new work goes to <names>
+
+    Examples:
+      | revision | names     |
+      | 4        | r2 alone  |
+      | 5        | r1 and r2 |
+      | 8        | r1 and r2 |
+
+  Scenario: A notice that is older than the entry is ignored
+    Given a directory with the runners r1 and r2
+    When a peer sends the entry of r1 with revision 8
+    And a notice says that r1 is leaving at revision 5
+    Then new work goes to r1 and r2
+
+  Scenario: An entry that is readable again ends a notice of its fault
+    Given a directory with the runners r1 and r2
+    And another VM's directory in which the entry of r1 is unreadable
+    When the notices of the other VM arrive
+    Then new work goes to r2 alone
+    When the entry of r1 becomes readable again at both VMs
+    And the notices of the other VM arrive
+    Then new work goes to r1 and r2
+
+  Scenario: A restarted runner is not marked by notices of its last start
+    Given a directory with the runners r1 and r2
+    When a notice says that r1 is leaving at revision 5
+    And r1 restarts under its name with revision 6
+    And a notice says that r1 is leaving at revision 9
+    Then new work goes to r2 and r1@70
+
+  Scenario: A notice that no entry confirms expires
+    Given a directory with the runners r1 and r2
+    When a notice says that r1 is leaving at revision 900
+    Then after 19.0 seconds marks expired are no
+    And after 1.5 seconds marks expired are yes
+    And new work goes to r1 and r2
--- a/tests/steps/serving_directory_fuzz.py
+++ b/tests/steps/serving_directory_fuzz.py
@@ -28,6 +28,10 @@
 @then("{seconds:d} seconds later each VM's runners are those of the store")
 def _converged(context, seconds):
     wrong = {}
+    # Otherwise the test would not cover notices.
+    assert sum(
+        vm.marked_count for f in context.fleets.values() for vm in f.vms
+    )
     for seed, fleet in context.fleets.items():
         fleet.restore_entries()
         fleet.run(seconds, random_changes=False)
--- a/tests/steps/serving_runner_directory.py
+++ b/tests/steps/serving_runner_directory.py
@@ -10,6 +10,7 @@
 from apricotlever.serving import runners
 from apricotlever.serving import store
 from apricotlever.serving import store_listeners
+from apricotlever.vms import notices
 
 
 def _runner(name, revision, leaving=False):
@@ -239,3 +240,58 @@
 def _removes_one_more(context, seconds):
     _wait(context, seconds)
     context.directory.apply_removal("r2", 80)
+
+
+@step("a notice says that r1 is leaving at revision {revision:d}")
+def _notice(context, revision):
+    directory = context.directory
+    context.before = directory.revision, directory.checksum
+    directory.mark_leaving(notices.Notice("r1", 0, revision))
+
+
+@then("the revision and the checksum are as before")
+def _unchanged(context):
+    directory = context.directory
+    assert (directory.revision, directory.checksum) == context.before
+
+
+@step("a peer sends the entry of r1 with revision {revision:d}")
+def _entry_at(context, revision):
+    context.directory.merge_changes([_runner("r1", revision)], {})
+
+
+@given("another VM's directory in which the entry of r1 is unreadable")
+def _unreadable(context):
+    context.other = directories.RunnerDirectory(context.clock)
+    context.other.apply_list([_runner("r1", 1), _runner("r2", 2)], 2)
+    context.other.apply_entry(runners.UnreadableEntry("r1", 5, "spoiled"))
+    context.board = notices.NoticeBoard(context.clock)
+    context.board.connect(context.other)
+
+
+@step("the notices of the other VM arrive")
+def _notices_arrive(context):
+    own = notices.NoticeBoard(context.clock)
+    own.connect(context.directory)
+    for notice in own.receive(context.board.due()):
+        context.directory.mark_leaving(notice)
+
+
+@when("the entry of r1 becomes readable again at both VMs")
+def _readable(context):
+    for directory in (context.directory, context.other):
+        directory.apply_entry(_runner("r1", 6))
+
+
+@step("r1 restarts under its name with revision {revision:d}")
+def _restarts(context, revision):
+    runner = runners.Runner(
+        "r1", "s", "10.0.0.1", 80, "dc", 4, revision=revision, born=70
+    )
+    context.directory.apply_entry(runner)
+
+
+@step("after {seconds:f} seconds marks expired are {answer}")
+def _expired(context, seconds, answer):
+    context.clock.advance(seconds)
+    assert context.directory.expire_marks() == (answer == "yes")
