Ask other VMs while one does not answer a fetch of runners

Cause: one fetch of each subject ran at a time. A VM that had just ended held it for 0.8 s; meanwhile the turn of every other VM was used up, and one with a tolerated time of 1 s waited that long again. A configuration and the whole directory took both connections to a peer, so that a fetch of changes failed at once.

Change: vms/catch_up.RunningFetches allows up to three fetches of changes from different peers, a further one after 0.2 s without an answer, and skips a peer for 0.4 s after a slow failure. A peer keeps its turn while it cannot be asked. Configurations have connections of their own.

Ruled out: several fetches of the whole directory at once, which would load a saturated link with 10,000 entries each.

Measured: the tests of the turn, of the connections and of the link fail on the former code and pass now; modes on, observe and off pass.

--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -54,6 +54,9 @@
 #: How long changes are collected into one status record, in seconds. Calls
 #: arrive in bursts, and each call changes this VM's record.
 CHANGE_BATCH_S = 0.01
+#: Most fetches of each kind of data at the same time, each from another VM;
+#: others are limited to one. The changes of runners are short.
+MAX_FETCHES = {"runners": 3}
 #: A revision before the first one, to request the whole runner directory.
 ALL_REVISIONS = -1
 #: How long a VM must have followed the store without interruption to count
@@ -158,7 +161,7 @@
         "_client",
         "_datagrams",
         "_directory",
-        "_fetching",
+        "_fetches",
         "_followers",
         "_following_since",
         "_catch_up_timers",
@@ -201,7 +204,7 @@
         self._datagrams = peer_datagrams.PeerSocket(self)
         self._client = peer_http.PeerClient()
         self._catch_up_timers = catch_up.CatchUpTimers(clock)
-        self._fetching: set[str] = set()
+        self._fetches = catch_up.RunningFetches(clock)
         self._alive: set[str] = set()
         self._followers = follower_selection.FollowerSelection(
             clock, config.vm
@@ -531,35 +534,46 @@
         record: vm_records.VmRecord,
         grace_s: float,
     ) -> None:
+        address = record.peer_address
         due = self._catch_up_timers.should_ask(
-            subject, record.vm, is_outdated, grace_s
+            subject,
+            record.vm,
+            is_outdated,
+            grace_s,
+            is_outdated
+            and self._fetches.may_begin(
+                subject, address, MAX_FETCHES.get(subject, 1)
+            ),
         )
-        if due and subject not in self._fetching:
-            self._fetching.add(subject)
-            self._tasks.spawn(self._fetch(subject, record.peer_address))
+        if due:
+            self._fetches.begin(subject, address)
+            self._tasks.spawn(self._fetch(subject, address))
 
     async def _fetch(self, subject: str, address: str) -> None:
+        is_answered = False
         try:
             if subject == "configuration":
-                await self._fetch_configuration(address)
+                is_answered = await self._fetch_configuration(address)
             else:
                 fetch_all = subject == "all_runners"
-                await self._fetch_runners(
+                is_answered = await self._fetch_runners(
                     address,
                     ALL_REVISIONS if fetch_all else self._directory.revision,
                 )
         finally:
-            self._fetching.discard(subject)
+            self._fetches.end(subject, address, is_answered)
 
-    async def _fetch_configuration(self, address: str) -> None:
+    async def _fetch_configuration(self, address: str) -> bool:
         version = self._local.version
         spec = await self._client.configuration(address, version)
         if spec is not None and self._local.configure(spec):
             logs.event("fetched_from_peer", what="configuration", peer=address)
+        return spec is not None
 
-    async def _fetch_runners(self, address: str, above: int) -> None:
+    async def _fetch_runners(self, address: str, above: int) -> bool:
         changes = await self._client.runners(address, above)
         if changes is not None:
             self._local.runners_changed(
                 self._directory.merge_changes(*changes)
             )
+        return changes is not None
--- a/src/apricotlever/serving/peer_http.py
+++ b/src/apricotlever/serving/peer_http.py
@@ -53,7 +53,10 @@
     __slots__ = ("_pools",)
 
     def __init__(self) -> None:
-        self._pools: dict[str, pools.ConnectionPool] = {}
+        #: Pools by address and timeout of a fetch. Configurations have pools
+        #: of their own: on a slow link they would hold for seconds the
+        #: connections that fetches of runners need.
+        self._pools: dict[tuple[str, float], pools.ConnectionPool] = {}
 
     async def configuration(
         self, address: str, above: int
@@ -108,7 +111,7 @@
     ) -> bytes | None:
         host, _, port = address.rpartition(":")
         pool = self._pools.setdefault(
-            address, pools.ConnectionPool(host, int(port), 2)
+            (address, timeout_s), pools.ConnectionPool(host, int(port), 2)
         )
         request = pools.encode_request("GET", target, address)
         try:
--- a/tests/serving/peer_datagrams.feature
+++ b/tests/serving/peer_datagrams.feature
@@ -59,3 +59,22 @@
     Given a VM whose fleet link has received records of 30 other VMs
     When 3 prompts are sent to runners at once
     Then 1 record is sent within 0.1 seconds to 1 receivers
+
+  # Guards against a directory that is late by 0.8 s for each VM that ended
+  # just before it was asked.
+  Scenario: A VM that does not answer does not keep others from being asked
+    Given a VM with a fleet link
+    When two peers with newer runners send records and the first never answers
+    Then changes of runners are fetched from both
+
+  Scenario Outline: Notices of leaving runners in each mode
+    Given a VM with a fleet link and the notices <mode>
+    When a peer's record has a notice of a known runner
+    Then the runner takes work: <takes>, and the VM repeats it: <repeats>
+    And the event runner_notice is logged: <logged>
+
+    Examples:
+      | mode    | takes | repeats | logged |
+      | on      | no    | yes     | yes    |
+      | observe | yes   | yes     | yes    |
+      | off     | yes   | no      | no     |
--- a/tests/serving/peer_http.feature
+++ b/tests/serving/peer_http.feature
@@ -14,3 +14,11 @@
     Given a VM with a configuration of 3 routes
     When a VM that has the same version fetches it
     Then no configuration is returned
+
+  # Guards against fetches of runners that fail at once, as the connections to
+  # the peer are taken by a configuration and the whole directory, which take
+  # seconds on a slow link.
+  Scenario: A configuration takes no connection from fetches of runners
+    Given a peer that answers nothing but the changes of runners after 7
+    When a VM fetches its configuration, its whole directory and those changes
+    Then the changes arrive
--- a/tests/steps/serving_peer_datagrams.py
+++ b/tests/steps/serving_peer_datagrams.py
@@ -16,8 +16,10 @@
 from apricotlever import clock as clocks
 from apricotlever import logs
 from apricotlever.serving import fleet_link
+from apricotlever.serving import modes
 from apricotlever.serving import peer_datagrams
 from apricotlever.serving import runner_directory as directories
+from apricotlever.serving import runners
 from apricotlever.serving import settings
 from apricotlever.serving import task_supervisor
 from apricotlever.vms import vm_records
@@ -50,6 +52,9 @@
         """Create an empty record."""
         return _record()
 
+    def runners_changed(self, ended):
+        """Ignore changes of the runners."""
+
 
 def _record(number=1, host=HOST):
     return vm_records.VmRecord(f"vm-{number}", 1, 1, f"{host}:9", "", "dc")
@@ -168,7 +173,7 @@
     )
 
 
-def _node_settings():
+def _node_settings(mode="on"):
     here = addresses.Address(HOST, 0)
     return settings.NodeSettings(
         "vm-0",
@@ -185,18 +190,20 @@
         False,
         False,
         settings.FleetBounds(),
+        modes=modes.PartModes.from_setting({"notices": mode}),
     )
 
 
 @given("a VM with a fleet link")
-def _fleet_vm(context):
-    clock = clocks.ManualClock()
+def _fleet_vm(context, mode="on"):
+    clock = context.clock = clocks.ManualClock()
+    context.directory = directories.RunnerDirectory(clock)
     context.link = fleet_link.FleetLink(
         clock,
         random.Random(1),
-        _node_settings(),
+        _node_settings(mode),
         LocalVm(),
-        directories.RunnerDirectory(clock),
+        context.directory,
         task_supervisor.TaskSupervisor(),
     )
     context.link._datagrams.listen(HOST, 0)
@@ -308,3 +315,66 @@
         msgpack.packb(context.record.to_record()), strict_map_key=False
     )
     assert decoded.to_record() == expected
+
+
+@when("two peers with newer runners send records and the first never answers")
+def _slow_peer(context):
+    context.asked = []
+
+    class Client:
+        """Fetches from peers of which the first never answers."""
+
+        async def runners(self, address, above):
+            """Fetch changes."""
+            context.asked.append(address)
+            if len(context.asked) == 1:
+                await asyncio.sleep(ARRIVAL_TIMEOUT_S)
+            return [], {}
+
+    async def receive():
+        context.link._client = Client()
+        for number in (1, 2):
+            record = _record(number, f"10.0.0.{number}")
+            record.directory = 9
+            record.runners = context.directory.checksum
+            context.link.receive_message(record)
+            context.clock.advance(0.25)
+            await asyncio.sleep(0.01)
+
+    asyncio.run(receive())
+
+
+@then("changes of runners are fetched from both")
+def _both_asked(context):
+    assert context.asked == ["10.0.0.1:9", "10.0.0.2:9"], context.asked
+
+
+@given("a VM with a fleet link and the notices {mode}")
+def _fleet_vm_with_mode(context, mode):
+    _fleet_vm(context, mode)
+    context.logged = []
+    logs.setup_writer("vm-0", lambda name, text: context.logged.append(name))
+    context.closers.append(logs.teardown)
+
+
+@when("a peer's record has a notice of a known runner")
+def _notice(context):
+    runner = runners.Runner("r1", "s", "h", 80, "dc", 4, revision=3, born=7)
+    context.directory.apply_entry(runner)
+    record = _record()
+    record.runners = context.directory.checksum
+    record.notices = [["r1", 7, 4]]
+    context.link.receive_message(record)
+
+
+@then("the runner takes work: {takes}, and the VM repeats it: {repeats}")
+def _marked(context, takes, repeats):
+    available = context.directory.available_runners("s")
+    assert bool(available) == (takes == "yes"), available
+    sent = context.link._record_exchange.notices.due()
+    assert bool(sent) == (repeats == "yes"), sent
+
+
+@then("the event runner_notice is logged: {logged}")
+def _notice_logged(context, logged):
+    assert ("runner_notice" in context.logged) == (logged == "yes")
--- a/tests/steps/serving_peer_http.py
+++ b/tests/steps/serving_peer_http.py
@@ -109,3 +109,39 @@
 @then("no configuration is returned")
 def _none(context):
     assert context.fetched == [None]
+
+
+@given("a peer that answers nothing but the changes of runners after 7")
+def _mostly_silent(context):
+    async def answer(raw, reply):
+        if raw.target == f"{peer_http.RUNNERS_PATH}?7":
+            reply.send_whole(200, (), msgpack.packb([[], {"r1": 8}]))
+        else:
+            await asyncio.sleep(TIMEOUT_S)
+
+    context.server = mock.Mock(answer=answer)
+
+
+@when("a VM fetches its configuration, its whole directory and those changes")
+def _fetches(context):
+    async def fetch():
+        server = caller_server.CallerServer(context.server.answer)
+        port = await server.listen("127.0.0.1", 0)
+        client, address = peer_http.PeerClient(), f"127.0.0.1:{port}"
+        slow = [
+            asyncio.ensure_future(client.configuration(address, 0)),
+            asyncio.ensure_future(client.runners(address, -1)),
+        ]
+        # Both have taken their connections.
+        await asyncio.sleep(0.1)
+        context.fetched = await client.runners(address, 7)
+        for task in slow:
+            task.cancel()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(fetch(), TIMEOUT_S))
+
+
+@then("the changes arrive")
+def _changes(context):
+    assert context.fetched == ([], {"r1": 8}), context.fetched
--- a/tests/vms/catch_up.feature
+++ b/tests/vms/catch_up.feature
@@ -17,3 +17,41 @@
     Given a VM that tolerates peers being ahead for 0 seconds
     When one peer is ahead and three are not for 0.1 seconds
     Then the VM asks the peer that is ahead
+
+  # Guards against a VM that waits its whole tolerated time again, as the
+  # peer's turn came while another peer, which has ended, was being asked.
+  Scenario: A peer keeps its turn while another fetch is running
+    Given a VM that tolerates peers being ahead for 0.3 seconds
+    When one peer is ahead for 0.5 seconds while another fetch is running
+    And one peer is ahead and three are not for 0.1 seconds
+    Then the VM asks the peer that is ahead
+
+  # Guards against a directory that is 0.8 s late for each VM that ended just
+  # before it was asked.
+  Scenario: Changes of runners are fetched elsewhere if a peer is slow
+    Given a VM that fetches changes of runners from one
+    Then it may not fetch them from one
+    And it may not fetch them from two
+    When 0.25 seconds pass without an answer
+    Then it may not fetch them from one
+    And it may fetch them from two
+    When one fails and two begins
+    Then it may not fetch them from one
+    When 0.25 seconds pass without an answer
+    Then it may fetch them from three
+    And it may not fetch them from one
+    When 0.25 seconds pass without an answer
+    Then it may fetch them from one
+
+  # Guards against a delay after a kept connection that the peer had closed.
+  Scenario: A fetch that failed at once is repeated at once
+    Given a VM that fetches changes of runners from one
+    When the fetch from one fails
+    Then it may fetch them from one
+
+  Scenario: A configuration is fetched from one peer at a time
+    Given a VM that fetches a configuration from one
+    When 0.25 seconds pass without an answer
+    Then it may not fetch it from two
+    When the fetch from one succeeds
+    Then it may fetch it from two
