--- a/src/apricotlever/serving/runner_directory.py
+++ b/src/apricotlever/serving/runner_directory.py
@@ -314,10 +314,7 @@
         return [known.runner_id] if self._marks.add(known, notice) else []
 
     def expire_marks(self) -> bool:
-        """End the marks that no entry has confirmed in time.
-
-        :returns: whether there were any; their runners take work again.
-        """
+        """End the marks that no entry confirmed; return whether any ended."""
         return self._marks.expire()
 
     def _add_notice(self, known: runners_.Runner, revision: int) -> None:
