--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -20,6 +20,7 @@
 from ..vms import aggregates
 from ..vms import catch_up
 from ..vms import follower_selection
+from ..vms import notices
 from ..vms import peer_loads
 from ..vms import peer_table
 from ..vms import record_aggregation
@@ -27,6 +28,7 @@
 from ..vms import shared_samples
 from ..vms import vm_records
 
+from . import modes
 from . import peer_datagrams
 from . import peer_http
 from . import runner_directory as directories
@@ -52,6 +54,9 @@
 #: How long changes are collected into one status record, in seconds. Calls
 #: arrive in bursts, and each call changes this VM's record.
 CHANGE_BATCH_S = 0.01
+#: Most fetches of each kind of data at the same time, each from another VM;
+#: others are limited to one. The changes of runners are short.
+MAX_FETCHES = {"runners": 3}
 #: A revision before the first one, to request the whole runner directory.
 ALL_REVISIONS = -1
 #: How long a VM must have followed the store without interruption to count
@@ -156,11 +161,12 @@
         "_client",
         "_datagrams",
         "_directory",
-        "_fetching",
+        "_fetches",
         "_followers",
         "_following_since",
         "_catch_up_timers",
         "_local",
+        "_marks_by_notices",
         "_record_exchange",
         "_publish_scheduled",
         "_table",
@@ -189,10 +195,16 @@
         self._record_exchange = record_exchange.RecordExchange(
             clock, rng, config.vm, config.data_centre, self._table, local
         )
+        mode = config.modes.notices
+        self._marks_by_notices = mode is modes.Mode.ON
+        if mode is not modes.Mode.OFF:
+            # A VM that only observes sends notices, too: without them there
+            # would be nothing to observe.
+            self._record_exchange.notices.connect(directory)
         self._datagrams = peer_datagrams.PeerSocket(self)
         self._client = peer_http.PeerClient()
         self._catch_up_timers = catch_up.CatchUpTimers(clock)
-        self._fetching: set[str] = set()
+        self._fetches = catch_up.RunningFetches(clock)
         self._alive: set[str] = set()
         self._followers = follower_selection.FollowerSelection(
             clock, config.vm
@@ -359,6 +371,8 @@
         for vm in sorted(self._alive - names):
             logs.event("member_dead", member=vm, alive=len(names) + 1)
         self._alive = names
+        if self._directory.expire_marks():
+            self._local.runners_changed([])
         if self._record_exchange.directory_sources is not None:
             # In a large fleet, records without changes arrive rarely, so
             # differences must also be detected between two records.
@@ -373,15 +387,38 @@
     def receive_message(self, message: record_exchange.Message) -> None:
         """Process a status record, aggregate or tally of another VM."""
         if isinstance(message, vm_records.VmRecord):
+            self._receive_notices(message.notices, message.vm)
             self._receive_record(message)
             if message.samples and not message.aggregator:
                 self._local.merge_samples(message.samples)
             self._send(self._record_exchange.receive_record(message))
         elif isinstance(message, aggregates.Aggregate):
+            self._receive_notices(message.notices, message.vm)
             self._receive_aggregate(message)
         else:
             self._local.merge_counts(message.counts)
 
+    def _receive_notices(
+        self, records: list[notices.Record], peer: str
+    ) -> None:
+        """Mark the runners that are leaving by the notices of a peer."""
+        if not records:
+            return
+        ended = []
+        for notice in self._record_exchange.notices.receive(records):
+            if self._marks_by_notices:
+                ended += self._directory.mark_leaving(notice)
+            logs.event(
+                "runner_notice",
+                runner=notice.name,
+                born=notice.born,
+                revision=notice.revision,
+                peer=peer,
+                marked=self._marks_by_notices,
+            )
+        if ended:
+            self._local.runners_changed(ended)
+
     def _receive_record(
         self, record: vm_records.VmRecord, age_s: float = 0.0
     ) -> None:
@@ -497,35 +534,46 @@
         record: vm_records.VmRecord,
         grace_s: float,
     ) -> None:
+        address = record.peer_address
         due = self._catch_up_timers.should_ask(
-            subject, record.vm, is_outdated, grace_s
+            subject,
+            record.vm,
+            is_outdated,
+            grace_s,
+            is_outdated
+            and self._fetches.may_begin(
+                subject, address, MAX_FETCHES.get(subject, 1)
+            ),
         )
-        if due and subject not in self._fetching:
-            self._fetching.add(subject)
-            self._tasks.spawn(self._fetch(subject, record.peer_address))
+        if due:
+            self._fetches.begin(subject, address)
+            self._tasks.spawn(self._fetch(subject, address))
 
     async def _fetch(self, subject: str, address: str) -> None:
+        is_answered = False
         try:
             if subject == "configuration":
-                await self._fetch_configuration(address)
+                is_answered = await self._fetch_configuration(address)
             else:
                 fetch_all = subject == "all_runners"
-                await self._fetch_runners(
+                is_answered = await self._fetch_runners(
                     address,
                     ALL_REVISIONS if fetch_all else self._directory.revision,
                 )
         finally:
-            self._fetching.discard(subject)
+            self._fetches.end(subject, address, is_answered)
 
-    async def _fetch_configuration(self, address: str) -> None:
+    async def _fetch_configuration(self, address: str) -> bool:
         version = self._local.version
         spec = await self._client.configuration(address, version)
         if spec is not None and self._local.configure(spec):
             logs.event("fetched_from_peer", what="configuration", peer=address)
+        return spec is not None
 
-    async def _fetch_runners(self, address: str, above: int) -> None:
+    async def _fetch_runners(self, address: str, above: int) -> bool:
         changes = await self._client.runners(address, above)
         if changes is not None:
             self._local.runners_changed(
                 self._directory.merge_changes(*changes)
             )
+        return changes is not None
