Open a runner's circuit at its first refused connection and tell the others

Cause: a refused connection shows that no process listens, but each VM needed three of them to avoid the runner, and three unreachable runners ended a call although others were free.

Change: runners/refused_connections keeps the runners that refused this VM and the reports of others. A VM's own refused connection opens its circuit at once; a report of one other VM makes the next failure of any kind open it, reports of two open it for 0.5 to 1.0 s, renewed while they last. A VM reports for 1 s, in each record (field `refused`), and aggregators count the reporters. Reports on a runner that answered this VM in the last 2 s are ignored. contracts/rejection_limit does not count unreachable runners in the first eighth of the objective. Mode `priorities`: off is as before; observe reports and logs, but opens no circuit and limits as before.

Ruled out: the samples topic, which is sent once a second and by aggregators every 0.6 s; a field is in each record.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -24,6 +24,7 @@
         "runner_gone",
         "runner_leaving",
         "runner_limit",
+        "runner_refuses",
         "runner_rest",
         "started",
         "stopping",
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -114,6 +114,9 @@
     "runner_outlier": Event(
         WARNING, "A runner fails more often than others of its service."
     ),
+    "runner_refuses": Event(
+        INFO, "A runner refuses connections of this VM or of several others."
+    ),
     "runner_limit": Event(
         INFO,
         "A runner named, changed or lifted the limit of calls it takes.",
--- a/src/apricotlever/runners/circuit_breaker.py
+++ b/src/apricotlever/runners/circuit_breaker.py
@@ -3,7 +3,8 @@
 While the circuit of a runner is closed, the VM sends requests to it; while it
 is open, the VM sends none. A failing runner attracts more requests than a
 healthy one, because each failure frees its slot at once and makes it look
-idle. The circuit opens after a few consecutive failures. It then lets one
+idle. The circuit opens after a few consecutive failures, or at once if no
+process listens at the runner's address. It then lets one
 probe through at a time and closes again when a probe succeeds.
 
 A runner that is new or has recovered starts slowly: for some seconds it gets
@@ -24,6 +25,9 @@
 MAX_OPEN_S = 30.0
 #: A probe whose end was not reported expires after this time.
 PROBE_TIMEOUT_S = 30.0
+#: How long a report of other VMs keeps the circuit open, in seconds, before it
+#: is randomised. VMs repeat their reports within 0.3 s.
+REPORT_HOLD_S = 0.5
 #: Duration of the slow start.
 SLOW_START_S = 10.0
 #: The share of its slots that a runner may use when its slow start begins.
@@ -56,6 +60,7 @@
         "_probe_until",
         "_rng",
         "_slow_start_until",
+        "suspected",
     )
 
     def __init__(
@@ -64,6 +69,9 @@
         self._clock = clock
         self._rng = rng
         self._failures = 0
+        #: Whether another VM reports that the runner refuses connections, so
+        #: that a single failure opens the circuit.
+        self.suspected = False
         self._open_duration_s = 0.0
         self._open_until = 0.0
         self._probe_until = 0.0
@@ -144,13 +152,34 @@
         self._probe_until = 0.0
         self._trip()
 
+    def refused(self) -> None:
+        """Record a refused connection, which opens the circuit at once."""
+        self.crashed()
+
+    def reported(self, confirmed: bool) -> None:
+        """Apply a report that the runner refuses connections of other VMs.
+
+        A report extends the open time of an open or half-open circuit, so that
+        not each VM of a large fleet probes the runner. It does not double the
+        time: when the reports end, the runner is soon probed.
+
+        :param confirmed: whether there are enough reports to open a circuit
+            that is closed.
+        """
+        if not (confirmed or self._open_duration_s):
+            return
+        hold_s = REPORT_HOLD_S * self._rng.uniform(1.0, 2.0)
+        self._open_duration_s = self._open_duration_s or INITIAL_OPEN_S
+        self._open_until = max(self._open_until, self._clock.now() + hold_s)
+
     def _trip(self) -> None:
         """Open the circuit if there were enough failures.
 
         Failures while it is open are of requests that were sent before. They
         don't extend the open time.
         """
-        if not self._open_duration_s and self._failures < FAILURES_TO_OPEN:
+        needed = 1 if self.suspected else FAILURES_TO_OPEN
+        if not self._open_duration_s and self._failures < needed:
             return
         if self._open_duration_s and self._clock.now() < self._open_until:
             return
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -51,6 +51,7 @@
         "_clock",
         "_data_centre",
         "_removed_until",
+        "_reported",
         "_in_flight",
         "_index",
         "_latency_models",
@@ -80,6 +81,7 @@
         self._peer_ratios: dict[str, load.PeerRatio] = {}
         self._candidates: dict[str, candidates_.Candidate] = {}
         self._by_pool: dict[str, list[candidates_.Candidate]] = {}
+        self._reported: frozenset[str] = frozenset()
         self._removed_until: dict[str, float] = {}
         self._in_flight = in_flight.InFlight(clock)
 
@@ -190,6 +192,31 @@
             candidate.circuit.failed()
             candidate.invalidate()
 
+    def record_refused(self, name: str) -> None:
+        """Record that no process listens at the runner's address."""
+        candidate = self._candidates.get(name)
+        if candidate is not None:
+            candidate.circuit.refused()
+            candidate.invalidate()
+
+    def set_reported(
+        self, names: frozenset[str], confirmed: frozenset[str]
+    ) -> None:
+        """Set the runners that refuse connections of other VMs.
+
+        :param names: runners whose next failure opens their circuits.
+        :param confirmed: those that are avoided without a failure.
+        """
+        for name in self._reported - names:
+            if (candidate := self._candidates.get(name)) is not None:
+                candidate.circuit.suspected = False
+        self._reported = names
+        for name in names:
+            if (candidate := self._candidates.get(name)) is not None:
+                candidate.circuit.suspected = True
+                candidate.circuit.reported(name in confirmed)
+                candidate.invalidate()
+
     def runner_crashed(self, name: str) -> None:
         """Record the end of a runner's process, which empties its cache."""
         self._index.clear_runner(name)
--- a/src/apricotlever/serving/attempt_outcome.py
+++ b/src/apricotlever/serving/attempt_outcome.py
@@ -27,6 +27,7 @@
     :param reason: why there is no response, for the log.
     :param reset: whether the runner closed or reset the connection midway.
     :param asks_for_rest: whether the runner asked this VM to stay away.
+    :param unreachable: whether no connection could be opened.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "reason",
         "reset",
         "asks_for_rest",
+        "unreachable",
     )
 
     def __init__(
@@ -46,9 +48,11 @@
         reason: str = "",
         reset: bool = False,
         asks_for_rest: bool = False,
+        unreachable: bool = False,
     ) -> None:
         self.reset = reset
         self.asks_for_rest = asks_for_rest
+        self.unreachable = unreachable
         self.status = status
         self.head = head
         self.body = body
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -4,6 +4,7 @@
 import typing
 
 from .. import logs
+from ..contracts import rejection_limit
 from ..runners import engine_priority
 
 from . import attempt_outcome
@@ -13,6 +14,7 @@
 from . import crash_watch
 from . import event_splitter
 from . import messages
+from . import modes
 from . import reply_writer
 from . import runner_attempt as attempts
 from . import runners
@@ -20,9 +22,6 @@
 if typing.TYPE_CHECKING:
     from . import call_relay
 
-#: Number of runners that may be unreachable or reject a call before the call
-#: is refused.
-MAX_REJECTIONS = 3
 #: A call that may be repeated waits for a runner's response to begin for this
 #: multiple of the route's objective, and at least for this many seconds.
 FIRST_RESPONSE_OBJECTIVE_FACTOR = 2.5
@@ -77,6 +76,7 @@
         "_splitter",
         "_tried_runners",
         "_rejections",
+        "_attempt_started_at",
         "_last_event_at",
         "first_s",
         "longest_pause_s",
@@ -112,7 +112,11 @@
         self._deadline = call.received_at + wait_s
         self._splitter = event_splitter.EventSplitter(call.last_event_id)
         self._tried_runners: set[str] = set()
-        self._rejections = 0
+        self._rejections = rejection_limit.RejectionLimit(
+            route.objective_s,
+            relay_.upstreams.part_modes.priorities is not modes.Mode.ON,
+        )
+        self._attempt_started_at = 0.0
         self._usage_recorded = False
         self._last_event_at: float | None = None
         #: Longest pause between two events of the stream so far, in seconds.
@@ -198,6 +202,7 @@
             ),
         )
         sends_before = self.sends
+        self._attempt_started_at = self._loop.time()
         try:
             connected = await attempt.connect(
                 self._deadline - self._loop.time()
@@ -338,11 +343,15 @@
             if self._can_repeat():
                 return
             raise self._not_served(outcome.reason)
-        if not outcome.asks_for_rest:
+        if outcome.unreachable:
+            self._rejections.unreachable(
+                self._attempt_started_at, self._loop.time()
+            )
+        elif not outcome.asks_for_rest:
             # A runner that rests gets no further call of this VM for a while,
             # so it doesn't show that the service has no room.
-            self._rejections += 1
-        if self._rejections >= MAX_REJECTIONS:
+            self._rejections.rejected()
+        if self._rejections.exhausted:
             raise self._not_served(outcome.reason)
 
     def _not_served(self, reason: str) -> NotServed:
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -112,6 +112,7 @@
             self._process,
             lambda: self._fleet.publish_soon(),
             self._roll_outs,
+            config.modes,
         )
         self._limits = customer_limits.CustomerLimits(
             clock,
@@ -350,6 +351,7 @@
             aggregator=aggregator,
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
+            refused=calls.refused_runners,
         )
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -117,10 +117,11 @@
                 reason="connections_used_up",
             )
         except client_channel.NotConnected as error:
-            self._upstreams.connect_failed(self._runner)
+            self._upstreams.connect_failed(self._runner, error.refused)
             return attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.NOT_SENT,
                 reason=f"unreachable:{error}",
+                unreachable=True,
             )
 
     async def run(
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -13,6 +13,7 @@
 from ..roll_outs import model as roll_outs_model
 from ..runners import model as models
 from ..runners import outlier_detector
+from ..runners import refused_connections
 from ..runners import routing
 from ..runners import silence_detector
 from ..vms import peer_loads
@@ -23,6 +24,7 @@
 from . import connection_pool as pools
 from . import crash_watch
 from . import messages
+from . import modes
 from . import prompt_meters
 from . import runner_choice
 from . import runner_directory as directories
@@ -46,9 +48,11 @@
     :param directory: the known runners.
     :param process: the name of this VM's process, which changes when it
         restarts.
-    :param news: called when a prompt was sent to a runner.
+    :param news: called when a prompt was sent to a runner, or when a runner
+        refused a connection.
     :param roll_outs: determines the roles of runners in roll-outs; None
         without roll-outs.
+    :param part_modes: the modes of the parts of the request path.
     """
 
     __slots__ = (
@@ -58,12 +62,14 @@
         "_crashes",
         "_directory",
         "_limits",
-        "_on_prompt_sent",
+        "_on_news",
+        "_modes",
         "_peer_in_flight",
         "_outliers",
         "_own_in_flight",
         "_pools",
         "_prompts",
+        "_refused",
         "_roll_outs",
         "_router",
         "_silence",
@@ -81,9 +87,12 @@
         process: str = "",
         news: typing.Callable[[], None] | None = None,
         roll_outs: roll_outs_controller.RollOutController | None = None,
+        part_modes: modes.PartModes | None = None,
     ) -> None:
+        self._modes = part_modes or modes.PartModes()
+        self._refused = refused_connections.RefusedConnections(clock)
         self._clock = clock
-        self._on_prompt_sent = news
+        self._on_news = news
         self._roll_outs = roll_outs or roll_outs_controller.RollOutController(
             clock, rng, roll_outs_model.RollOutLimits()
         )
@@ -140,6 +149,16 @@
         """Runners from which this VM's waiting calls receive no bytes."""
         return self._silence.silent_here
 
+    @property
+    def refused_runners(self) -> list[str]:
+        """Runners that have just refused a connection of this VM."""
+        return self._refused.refused_here
+
+    @property
+    def part_modes(self) -> modes.PartModes:
+        """The modes of the parts of the request path."""
+        return self._modes
+
     @property
     def outcome_counts(self) -> outlier_detector.Counts:
         """This VM's counts of failed and of all calls, by runner."""
@@ -209,6 +228,7 @@
         present = frozenset(runner.runner_id for runner in listed)
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
+        self._refused.keep_only(present)
         self._statements.keep_only(listed)
         self._pools.retain_runners(listed)
 
@@ -219,6 +239,7 @@
     def update_peer_loads(self, loads: peer_loads.PeerLoads) -> None:
         """Apply the other VMs' loads on runners and observations of them."""
         self._silence.set_peer_counts(loads.silent)
+        self._apply_refusal_reports(loads.refused)
         for source, counts in loads.failures.items():
             self._outliers.add_peer_counts(
                 source, counts, loads.from_aggregate
@@ -322,13 +343,14 @@
         )
         if query.prompt_tokens:
             self._prompts.record_sent(attempt, runner.service, query, tokens)
-            if self._on_prompt_sent is not None:
-                self._on_prompt_sent()
+            if self._on_news is not None:
+                self._on_news()
         return now
 
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
         self._silence.bytes_received(runner.runner_id)
+        self._refused.answered(runner.runner_id)
 
     def response_started(self, attempt: str) -> None:
         """Record that an attempt's response has begun."""
@@ -365,9 +387,22 @@
             self._own_in_flight.pop(name, None)
         self._router.request_finished(attempt, outcome, tokens)
 
-    def connect_failed(self, runner: runners.Runner) -> None:
-        """Record that no connection to a runner could be opened."""
-        self._router.record_failure(runner.runner_id)
+    def connect_failed(self, runner: runners.Runner, refused: bool) -> None:
+        """Record that no connection to a runner could be opened.
+
+        :param refused: whether the runner's host refused it, as no process
+            listens there.
+        """
+        name = runner.runner_id
+        mode = self._modes.priorities
+        if refused and mode is not modes.Mode.OFF:
+            if name not in self._refused.refused_here:
+                self._report_refused(name, mode)
+            self._refused.refused(name)
+        if refused and mode is modes.Mode.ON:
+            self._router.record_refused(name)
+        else:
+            self._router.record_failure(name)
         self._crashes.runner_lost(runner)
 
     async def check_runner_crash(self, runner: runners.Runner) -> None:
@@ -379,7 +414,7 @@
             # The runner has already been replaced or removed.
             return
         if await self._crashes.refuses(runner, self.pool(runner)):
-            self.connect_failed(runner)
+            self.connect_failed(runner, True)
 
     def runner_replaced(self, runner: runners.Runner) -> None:
         """Remove a runner whose address now belongs to another runner."""
@@ -394,6 +429,27 @@
         self._pools.close_idle(now)
         self._crashes.tick()
 
+    def _report_refused(self, name: str, mode: modes.Mode) -> None:
+        logs.event("runner_refuses", runner=name, reporters=0, mode=mode.value)
+        if mode is modes.Mode.ON and self._on_news is not None:
+            self._on_news()
+
+    def _apply_refusal_reports(self, counts: typing.Mapping[str, int]) -> None:
+        mode = self._modes.priorities
+        if mode is modes.Mode.OFF:
+            return
+        for name in self._refused.set_reports(counts):
+            logs.event(
+                "runner_refuses",
+                runner=name,
+                reporters=counts[name],
+                mode=mode.value,
+            )
+        if mode is modes.Mode.ON:
+            self._router.set_reported(
+                self._refused.reported, self._refused.confirmed
+            )
+
     def _detect_outliers(self) -> None:
         by_service: dict[str, list[str]] = {}
         for runner in self._directory.runners:
--- a/src/apricotlever/vms/aggregates.py
+++ b/src/apricotlever/vms/aggregates.py
@@ -48,6 +48,8 @@
         roll-outs.
     :param samples: summed counts that VMs have sent since the last aggregate
         with such counts; empty in most messages.
+    :param refused: number of VMs whose connections a runner has just refused,
+        by runner.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "included",
         "trials",
         "samples",
+        "refused",
     )
 
     def __init__(
@@ -83,6 +86,7 @@
         included: dict[str, int] | None = None,
         trials: trial_samples.Records | None = None,
         samples: shared_samples.Samples | None = None,
+        refused: dict[str, int] | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -98,6 +102,7 @@
         self.included = included or {}
         self.trials = trials or {}
         self.samples = samples or {}
+        self.refused = refused or {}
 
     @property
     def process(self) -> str:
@@ -169,6 +174,12 @@
     ),
     ("trials", trial_samples.is_records),
     ("samples", shared_samples.is_samples),
+    (
+        "refused",
+        validation.is_map_of(
+            validation.is_non_empty_string, validation.is_non_negative_int
+        ),
+    ),
 )
 
 
--- a/src/apricotlever/vms/peer_loads.py
+++ b/src/apricotlever/vms/peer_loads.py
@@ -33,6 +33,8 @@
         failures are then those of all VMs, this one included.
     :param trials: counts of calls at old and new versions; includes those of
         this VM if ``from_aggregate`` is set.
+    :param refused: number of VMs whose connections a runner has just refused,
+        by runner; counts this VM, too, if ``from_aggregate`` is set.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "failures",
         "from_aggregate",
         "trials",
+        "refused",
     )
 
     def __init__(
@@ -52,6 +55,7 @@
         failures: dict[str, aggregates.Failures],
         from_aggregate: bool = False,
         trials: samples.Records | None = None,
+        refused: Counts | None = None,
     ) -> None:
         self.in_flight = in_flight
         self.pending = pending
@@ -59,6 +63,7 @@
         self.failures = failures
         self.from_aggregate = from_aggregate
         self.trials = trials or {}
+        self.refused = refused or {}
 
 
 def loads_of_records(
@@ -71,6 +76,9 @@
         sum_counts(dict.fromkeys(record.silent, 1) for record in records),
         {record.process: record.failures for record in records},
         trials=samples.sum_records(record.trials for record in records),
+        refused=sum_counts(
+            dict.fromkeys(record.refused, 1) for record in records
+        ),
     )
 
 
@@ -158,6 +166,7 @@
             {aggregate.process: aggregate.failures},
             from_aggregate=True,
             trials=aggregate.trials,
+            refused=aggregate.refused,
         )
 
 
--- a/src/apricotlever/vms/record_aggregation.py
+++ b/src/apricotlever/vms/record_aggregation.py
@@ -56,6 +56,7 @@
         "process",
         "loads",
         "silent",
+        "refused",
         "trials",
         "heard_at",
     )
@@ -67,6 +68,7 @@
         self.process = aggregate.process
         self.loads = aggregate.loads
         self.silent = aggregate.silent
+        self.refused = aggregate.refused
         self.trials = aggregate.trials
         self.heard_at = heard_at
 
@@ -77,11 +79,12 @@
     An aggregate that has nothing new compared with it need not be sent.
     """
 
-    __slots__ = ("_loads", "_silent", "_trials")
+    __slots__ = ("_loads", "_refused", "_silent", "_trials")
 
     def __init__(self) -> None:
         self._loads: aggregates.Loads = {}
         self._silent: dict[str, int] = {}
+        self._refused: dict[str, int] = {}
         self._trials: trial_samples.Records = {}
 
     def if_changed(
@@ -93,14 +96,16 @@
 
         :param keepalive: whether to send it even without changes.
         """
-        same = (aggregate.loads, aggregate.silent, aggregate.trials) == (
-            self._loads,
-            self._silent,
-            self._trials,
-        )
+        same = (
+            aggregate.loads,
+            aggregate.silent,
+            aggregate.refused,
+            aggregate.trials,
+        ) == (self._loads, self._silent, self._refused, self._trials)
         if same and not (keepalive or aggregate.entries or aggregate.used):
             return None
         self._loads, self._silent = aggregate.loads, aggregate.silent
+        self._refused = aggregate.refused
         self._trials = aggregate.trials
         return aggregate
 
@@ -265,6 +270,7 @@
         own_processes = {m.record.process for m in self._members.values()}
         failures = self._flushes % FAILURES_EVERY == 0
         loads, silent = _sum_loads(served), _count_silent(served)
+        refused = _count_refused(served)
         trials = trial_samples.sum_records(self._trials.values())
         report = aggregates.Aggregate(
             own.vm,
@@ -286,6 +292,7 @@
                 if failures
                 else None
             ),
+            refused=refused,
         )
         reports = list(self._reports.values())
         whole = aggregates.Aggregate(
@@ -313,6 +320,9 @@
                 if failures
                 else None
             ),
+            peer_loads.sum_counts(
+                [refused, *(each.refused for each in reports)]
+            ),
         )
         return (
             self._sent_to_aggregators.if_changed(report, keepalive),
@@ -466,6 +476,14 @@
     )
 
 
+def _count_refused(
+    records: typing.Sequence[vm_records.VmRecord],
+) -> dict[str, int]:
+    return peer_loads.sum_counts(
+        dict.fromkeys(record.refused, 1) for record in records
+    )
+
+
 def _sum_pairs(
     parts: typing.Iterable[typing.Mapping[str, tuple[int, int]]],
 ) -> dict[str, tuple[int, int]]:
--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -68,6 +68,7 @@
     :param roll_outs: records of the roll-out orders known to the VM.
     :param trials: its own counts of calls at old and new versions.
     :param samples: what it has counted since its last full record.
+    :param refused: runners that have just refused a connection of the VM.
     """
 
     __slots__ = (
@@ -102,6 +103,7 @@
         "roll_outs",
         "trials",
         "samples",
+        "refused",
     )
 
     def __init__(
@@ -137,6 +139,7 @@
         roll_outs: list[list[typing.Any]] | None = None,
         trials: trial_samples.Records | None = None,
         samples: shared_samples.Samples | None = None,
+        refused: list[str] | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -169,6 +172,7 @@
         self.roll_outs = roll_outs or []
         self.trials = trials or {}
         self.samples = samples or {}
+        self.refused = refused or []
 
     @property
     def limits_address(self) -> tuple[str, int] | None:
@@ -199,6 +203,7 @@
         copy.levels, copy.usage, copy.work = {}, {}, {}
         copy.silent, copy.known, copy.aggregator = [], [], ""
         copy.used, copy.trials, copy.samples = {}, {}, {}
+        copy.refused = []
         return copy
 
     def differs_from(self, other: "VmRecord", versions: bool) -> bool:
@@ -310,4 +315,5 @@
     ("roll_outs", validation.is_list_of(roll_outs_model.is_order_record)),
     ("trials", trial_samples.is_records),
     ("samples", shared_samples.is_samples),
+    ("refused", validation.is_list_of(validation.is_non_empty_string)),
 )
--- a/tests/serving/call_relay.feature
+++ b/tests/serving/call_relay.feature
@@ -138,6 +138,23 @@
     Then all responses have status 200
     And runners ran 4 calls
 
+  # Guards against calls that are refused while a runner is free, because three
+  # crashed runners are tried first.
+  Scenario Outline: Unreachable runners do not use up a call's attempts
+    Given the mode of priorities is <mode>
+    And a route for non-idempotent calls
+    And 8 runners that do not listen
+    And a runner that answers
+    When 6 calls are made
+    Then <served> of the calls have status 200 and the others 503
+    And <reported> runners are reported, and <open> are avoided at once
+
+    Examples:
+      | mode    | served | reported | open |
+      | on      | 6      | some     | all  |
+      | observe | 4      | some     | none |
+      | off     | 4      | no       | none |
+
   # Guards against a call to a hanging runner that waits for the caller's own
   # deadline, because the entry VM does not enforce the route's timeout.
   Scenario: A call ends at the route's timeout
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -45,7 +45,7 @@
 class RequestPath:
     """The request path, its runner stand-ins and a caller."""
 
-    def __init__(self, name="vm"):
+    def __init__(self, name="vm", part_modes=None):
         self.name = name
         self.clock = clocks.ManualClock()
         self.directory = directories.RunnerDirectory(self.clock)
@@ -55,6 +55,7 @@
             name,
             "dc",
             self.directory,
+            part_modes=part_modes,
         )
         self.limits = customer_limits.CustomerLimits(clocks.SystemClock())
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
--- a/tests/steps/adapter_entries.py
+++ b/tests/steps/adapter_entries.py
@@ -455,6 +455,7 @@
     known=["10.0.0.3:9"],
     crashes=([("r@1", "dc", 0.5, False, ["f"])], ["g"], {"f": 9.0}),
     lease=(4, 2),
+    refused=["r@1"],
 ).to_record()
 
 
--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -8,8 +8,10 @@
 from behave import when
 
 from apricotlever import clock as clocks
+from apricotlever.runners import model as models
 from apricotlever.serving import configuration_model
 from apricotlever.serving import customer_limits
+from apricotlever.serving import modes
 from tests.serving import request_path
 
 KINDS = {
@@ -34,7 +36,9 @@
 def _world(context):
     if not hasattr(context, "world"):
         context.loop = asyncio.Runner()
-        context.world = request_path.RequestPath()
+        context.world = request_path.RequestPath(
+            part_modes=getattr(context, "part_modes", None)
+        )
         _run(context, context.world.start())
         context.closers.append(context.loop.close)
         context.closers.append(lambda: _run(context, context.world.stop()))
@@ -64,6 +68,17 @@
     _configure(context, kind.partition(" with ")[0], **more)
 
 
+@given("the mode of priorities is {mode}")
+def _set_mode(context, mode):
+    context.part_modes = modes.PartModes.from_setting({"priorities": mode})
+
+
+@given("{count:d} runners that do not listen")
+def _add_unreachable(context, count):
+    for _ in range(count):
+        _add_named_runner(context, "does not listen")
+
+
 @given("a runner that {names}")
 def _add_named_runner(context, names):
     world = _world(context)
@@ -282,6 +297,23 @@
     assert float(reply.headers["retry-after"]) > 0
 
 
+@then("{count:d} of the calls have status 200 and the others 503")
+def _check_served(context, count):
+    statuses = sorted(reply.status for reply in context.replies)
+    others = len(statuses) - count
+    assert statuses == [200] * count + [503] * others, statuses
+
+
+@then("{reported} runners are reported, and {opened} are avoided at once")
+def _check_reported(context, reported, opened):
+    upstreams = context.world.upstreams
+    names = upstreams.refused_runners
+    assert bool(names) == (reported == "some"), names
+    query = models.Query("r", "service", "")
+    chosen = {upstreams.choose(query).runner_id for _ in range(100)}
+    assert chosen.isdisjoint(names) == (opened == "all" or not names), chosen
+
+
 @then("all responses have status {status:d}")
 def _check_all(context, status):
     statuses = [reply.status for reply in context.replies]
