Order calls by rank and fair share while a service is contended

Cause: each prompt under 2,000 tokens passed all longer ones, so a burst of the least urgent route was read first; a customer far beyond the others delayed all.

Change: runners/engine_priority.LevelPlan spreads the classes (customer priority, then rank) over the ten levels once for each configuration. contracts/call_priorities decides by the mean expected wait of all VMs whether a service is contended; contracts/demand_shares finds customers over their weighted max-min share from the topic `demand`. serving/service_priorities connects them; token_s and the runners' speeds are callables. Services with one rank or without an engine keep no state and send nothing. Mode off is as before; observe counts levels that would differ, sends and logs.

Ruled out: the max-min share of all tokens sent: as the capacity is then the whole demand, no customer is ever over it. The capacity is what was sent less what still waits, so that nobody is over while the runners keep up.

Measured: levels of any configuration keep the order of priority, rank and size (hypothesis); modes off and observe give today's levels (tests/serving/service_priorities.feature).

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -117,6 +117,12 @@
     "runner_refuses": Event(
         INFO, "A runner refuses connections of this VM or of several others."
     ),
+    "service_contention": Event(
+        INFO, "A service's prompts began or ceased to wait for long."
+    ),
+    "customer_over_share": Event(
+        INFO, "A customer uses more than its fair share of a busy service."
+    ),
     "runner_limit": Event(
         INFO,
         "A runner named, changed or lifted the limit of calls it takes.",
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -292,6 +292,18 @@
             if candidate.pending_tokens > 0
         }
 
+    def waiting_tokens(self, pool: str) -> dict[str, int]:
+        """Uncached prompt tokens of all VMs that await a prefill, by runner.
+
+        :returns: tokens for each runner of the pool that takes requests.
+        """
+        now = self._clock.now()
+        return {
+            candidate.name: candidate.pending_tokens + candidate.others_pending
+            for candidate in self._by_pool.get(pool, [])
+            if candidate.circuit.allows(now)
+        }
+
     def observe_pending(self, tokens: typing.Mapping[str, int]) -> None:
         """Set the other VMs' part of the prompt tokens that await a prefill.
 
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -5,7 +5,6 @@
 
 from .. import logs
 from ..contracts import rejection_limit
-from ..runners import engine_priority
 
 from . import attempt_outcome
 from . import call_placement
@@ -77,6 +76,7 @@
         "_tried_runners",
         "_rejections",
         "_attempt_started_at",
+        "_level_cause",
         "_last_event_at",
         "first_s",
         "longest_pause_s",
@@ -117,6 +117,7 @@
             relay_.upstreams.part_modes.priorities is not modes.Mode.ON,
         )
         self._attempt_started_at = 0.0
+        self._level_cause: str | None = None
         self._usage_recorded = False
         self._last_event_at: float | None = None
         #: Longest pause between two events of the stream so far, in seconds.
@@ -186,7 +187,9 @@
         parameters = self._runner_call_parameters(
             runner, upstreams.fetch_source(query, runner)
         )
-        self._placement.log_chosen(placement, parameters, self.sends + 1)
+        self._placement.log_chosen(
+            placement, parameters, self.sends + 1, self._level_cause
+        )
         attempt = attempts.Attempt(
             f"{self._call.request_id}.{self._relay.next_attempt_number()}",
             self._call,
@@ -292,12 +295,11 @@
         prompt = self._call.prompt
         if prompt is None:
             return None
-        customer = self._customer
-        return engine_priority.queue_level(
-            customer.priority if customer is not None else None,
-            self._route.priority,
-            prompt.tokens_in,
+        found = self._relay.upstreams.priorities.level(
+            self._service, self._route, self._customer, prompt.tokens_in
         )
+        self._level_cause = found.cause
+        return found.level
 
     def _first_response_timeout_s(self) -> float | None:
         """How long to wait for the response to begin, in seconds.
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -194,11 +194,14 @@
         placement: Placement,
         parameters: messages.RunnerCallParameters,
         attempt: int,
+        level_cause: str | None,
     ) -> None:
         """Log the runner of an attempt, and why others were passed over.
 
         :param parameters: what the runner is told.
         :param attempt: number of the attempt, from 1 on.
+        :param level_cause: why the call has its level in the engine's queue;
+            None for the usual one.
         """
         runner = placement.runner
         limit = self._limits.stated.reading(runner.runner_id)
@@ -212,6 +215,8 @@
             copy_from=parameters.copy_from,
             left_s=parameters.remaining_s,
             attempt=attempt,
+            level=parameters.priority if level_cause else None,
+            level_cause=level_cause,
             limit_per_s=limit.limit_per_s if limit else None,
             limit_source=(limit.source or None) if limit else None,
             passed_over=self._passed_over() or None,
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -50,5 +50,6 @@
             },
             ("limit_left", "customer"): limits_.levels,
             ("limit_part", "customer"): limits_.usable_fractions,
+            **upstreams.priorities.metrics(),
         },
     )
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -145,6 +145,7 @@
         self._fleet = fleet_link.FleetLink(
             clock, rng, config, self, self._directory, self._tasks
         )
+        self._upstreams.priorities.send_samples(self._fleet.samples)
         self._store = store.Store(
             dialect.platform.store_codec(),
             config.store.host,
@@ -419,6 +420,7 @@
         :param samples: counts by topic and key; topics that no component
             handles are ignored.
         """
+        self._upstreams.priorities.merge_samples(samples)
 
     def configuration_after(self, version: int) -> store.Json | None:
         """The active configuration's document, if it is newer than a version.
--- a/src/apricotlever/serving/prompt_meters.py
+++ b/src/apricotlever/serving/prompt_meters.py
@@ -60,6 +60,13 @@
         """The meter of a service's runners."""
         return self._meters.setdefault(service, prefill_load.PrefillMeter())
 
+    def token_s(self, service: str) -> float:
+        """Seconds of a token's prefill by a runner; 0 while unknown."""
+        meter = self._meters.get(service)
+        if meter is None or not meter.prefill_speed:
+            return 0.0
+        return 1.0 / meter.prefill_speed
+
     def limited_away(
         self, service: str, limits: typing.Sequence[float]
     ) -> float:
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -138,7 +138,10 @@
         outlier_failure = reusable = False
         started_at = asyncio.get_running_loop().time()
         self._sent_at = self._upstreams.call_started(
-            self._attempt_id, self._runner, self._query
+            self._attempt_id,
+            self._runner,
+            self._query,
+            self._parameters.customer,
         )
         try:
             channel.send(
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -32,6 +32,7 @@
 from . import runner_pools
 from . import runner_statements
 from . import runners
+from . import service_priorities
 
 #: Output tokens reported for a response whose tokens are not counted.
 NO_OUTPUT_TOKENS = 0
@@ -68,6 +69,7 @@
         "_outliers",
         "_own_in_flight",
         "_pools",
+        "_priorities",
         "_prompts",
         "_refused",
         "_roll_outs",
@@ -116,6 +118,13 @@
         )
         self._peer_in_flight: dict[str, int] = {}
         self._prompts = prompt_meters.PromptMeters(clock)
+        self._priorities = service_priorities.ServicePriorities(
+            clock,
+            self._router,
+            self._prompts.token_s,
+            lambda runner: 1.0,
+            self._modes.priorities,
+        )
 
     @property
     def directory(self) -> directories.RunnerDirectory:
@@ -154,6 +163,11 @@
         """Runners that have just refused a connection of this VM."""
         return self._refused.refused_here
 
+    @property
+    def priorities(self) -> service_priorities.ServicePriorities:
+        """Decides the levels of calls in the engines' queues."""
+        return self._priorities
+
     @property
     def part_modes(self) -> modes.PartModes:
         """The modes of the parts of the request path."""
@@ -208,6 +222,7 @@
         """Use a new version of the configuration from now on."""
         self._configuration = configuration
         self._pools.configure(configuration.services)
+        self._priorities.configure(configuration)
         self.refresh()
 
     def refresh(self) -> None:
@@ -247,6 +262,7 @@
         self._detect_outliers()
         self._peer_in_flight = others = loads.in_flight
         self._router.observe_pending(loads.pending)
+        self._priorities.update()
         for runner in self._directory.runners:
             name = runner.runner_id
             total = others.get(name, 0) + self._router.own_in_flight(name)
@@ -322,11 +338,16 @@
         return self._pools.pool_of(runner)
 
     def call_started(
-        self, attempt: str, runner: runners.Runner, query: models.Query
+        self,
+        attempt: str,
+        runner: runners.Runner,
+        query: models.Query,
+        customer: str | None = None,
     ) -> float:
         """Record that a call is sent to a runner.
 
         :param attempt: name of the attempt, unique on this VM.
+        :param customer: name of the call's customer; None without one.
         :returns: the time, by this VM's clock.
         """
         now = self._clock.now()
@@ -343,6 +364,7 @@
         )
         if query.prompt_tokens:
             self._prompts.record_sent(attempt, runner.service, query, tokens)
+            self._priorities.record_sent(runner.service, customer, tokens)
             if self._on_news is not None:
                 self._on_news()
         return now
--- a/tests/runners/engine_priority.feature
+++ b/tests/runners/engine_priority.feature
@@ -27,3 +27,22 @@
   Scenario: Many short prompts do not starve long ones
     When an engine reads prompts of 700 and of 9000 tokens for 2000 seconds, 0.85 busy
     Then long prompts wait at most 0.3 longer on average
+
+  Scenario Outline: While a service is contended, the rank counts before the size
+    Given levels for customer priorities <priorities> and ranks <ranks>
+    Then a prompt of <tokens> tokens, priority <priority> and rank <rank> has level <level>, and <behind> over its share
+
+    Examples:
+      | priorities  | ranks       | tokens | priority | rank | level | behind |
+      | 0           | 0,1,2       | 700    | 0        | 0    | 0     | 1      |
+      | 0           | 0,1,2       | 9000   | 0        | 0    | 1     | 2      |
+      | 0           | 0,1,2       | 700    | 0        | 2    | 6     | 7      |
+      | 0           | 0,1,2       | 9000   | none     | 1    | 4     | 5      |
+      | 0           | 0,1,2,3,4   | 9000   | 0        | 4    | 9     | 9      |
+      | 0,1         | 0,1,2       | 9000   | 1        | 0    | 5     | 5      |
+      | 0,1         | 0,1,2,3     | 700    | 0        | 1    | 1     | 1      |
+      | 0,1,2,3     | 0,1,2       | 9000   | 3        | 2    | 9     | 9      |
+
+  # Guards against a less urgent call that passes a more urgent one.
+  Scenario: No class passes a more urgent one, for any configuration
+    Then levels of any configuration follow customer priority, rank and size
--- a/tests/steps/runners_engine_priority.py
+++ b/tests/steps/runners_engine_priority.py
@@ -5,8 +5,11 @@
 import random
 import statistics
 
+from behave import given
 from behave import then
 from behave import when
+import hypothesis
+from hypothesis import strategies
 
 from apricotlever.runners import engine_priority
 
@@ -101,3 +104,49 @@
     ours = statistics.mean(context.ours[False])
     naive = statistics.mean(context.naive[False])
     assert ours <= (1.0 + part) * naive, (ours, naive)
+
+
+@given("levels for customer priorities {priorities} and ranks {ranks}")
+def _plan(context, priorities, ranks):
+    context.plan = engine_priority.LevelPlan(
+        map(int, priorities.split(",")), map(int, ranks.split(","))
+    )
+
+
+@then(
+    "a prompt of {tokens:d} tokens, priority {priority} and rank {rank:d} has "
+    "level {level:d}, and {behind:d} over its share"
+)
+def _planned_level(context, tokens, priority, rank, level, behind):
+    customer = None if priority == "none" else int(priority)
+    found = [
+        context.plan.level(customer, rank, tokens, over)
+        for over in (False, True)
+    ]
+    assert found == [level, behind], found
+
+
+@then("levels of any configuration follow customer priority, rank and size")
+def _plan_in_order(context):
+    distinct = strategies.sets(strategies.integers(0, 9), min_size=1)
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(distinct, distinct)
+    def check(priorities, ranks):
+        plan = engine_priority.LevelPlan(priorities, ranks)
+        classes = list(itertools.product(sorted(priorities), sorted(ranks)))
+        last = -1
+        for priority, rank in classes:
+            levels = [
+                plan.level(priority, rank, tokens, over)
+                for over in (False, True)
+                for tokens in (700, 9000)
+            ]
+            # A full set of levels may end with shared ones; otherwise each
+            # class begins behind the whole class before it.
+            assert min(levels) > last or min(levels) == 9, levels
+            assert levels[0] <= levels[1] and levels[2] <= levels[3]
+            assert 0 <= min(levels) and max(levels) <= 9
+            last = max(levels)
+
+    check()
