--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -146,6 +146,7 @@
         self._fleet = fleet_link.FleetLink(
             clock, rng, config, self, self._directory, self._tasks
         )
+        self._upstreams.priorities.send_samples(self._fleet.samples)
         self._store = store.Store(
             dialect.platform.store_codec(),
             config.store.host,
@@ -357,6 +358,7 @@
             aggregator=aggregator,
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
+            refused=calls.refused_runners,
         )
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
@@ -426,6 +428,7 @@
         """
         self._upstreams.performance.merge(samples)
         self._sizing.merge_samples(samples, self._configuration)
+        self._upstreams.priorities.merge_samples(samples)
 
     def configuration_after(self, version: int) -> store.Json | None:
         """The active configuration's document, if it is newer than a version.
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -4,6 +4,7 @@
 
 from .. import clock as clocks
 from .. import logs
+from ..runners import latency_sums
 from ..runners import performance as performances
 from ..runners import performance_samples
 from ..runners import slowness_changes
@@ -98,7 +99,23 @@
         """How slow a runner is at calls without a prompt; 1.0 if not on."""
         if self._mode is not modes.Mode.ON:
             return 1.0
-        return self._performance.slowness(runner, performances.Phase.PLAIN)
+        phase = performance_samples.Phase.PLAIN
+        return self._performance.slowness(runner, phase)
+
+    def prefill_speed(self, runner: str) -> float:
+        """A runner's relative speed at prompts; 1.0 if not on."""
+        if self._mode is not modes.Mode.ON:
+            return 1.0
+        return self._performance.speed(runner)
+
+    def token_s(self, service: str) -> float:
+        """Seconds of the prefill of a token; 0 if unknown or not on."""
+        if self._mode is not modes.Mode.ON:
+            return 0.0
+        latency = self._performance.latency(service)
+        if latency.samples < latency_sums.MIN_SAMPLES:
+            return 0.0
+        return latency.token_s
 
     @property
     def learned(self) -> performances.RunnerPerformance | None:
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -124,7 +124,7 @@
                 reason="connections_used_up",
             )
         except client_channel.NotConnected as error:
-            self._upstreams.connect_failed(self._runner)
+            self._upstreams.connect_failed(self._runner, error.refused)
             return attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.NOT_SENT,
                 reason=f"unreachable:{error}",
@@ -148,6 +148,7 @@
             self._attempt_id,
             self._runner,
             self._query,
+            self._parameters.customer,
             self._shows_speed_of_runner(),
         )
         try:
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -14,6 +14,7 @@
 from ..roll_outs import model as roll_outs_model
 from ..runners import model as models
 from ..runners import outlier_detector
+from ..runners import refused_connections
 from ..runners import routing
 from ..runners import silence_detector
 from ..vms import peer_loads
@@ -33,6 +34,7 @@
 from . import runner_pools
 from . import runner_statements
 from . import runners
+from . import service_priorities
 from . import slot_keepers
 from . import slot_leases
 
@@ -51,7 +53,8 @@
     :param directory: the known runners.
     :param process: the name of this VM's process, which changes when it
         restarts.
-    :param news: called when a prompt was sent to a runner.
+    :param news: called when a prompt was sent to a runner, or when a runner
+        refused a connection.
     :param roll_outs: determines the roles of runners in roll-outs; None
         without roll-outs.
     :param part_modes: the modes of the parts of the request path; all are on
@@ -66,13 +69,15 @@
         "_directory",
         "_limits",
         "_modes",
-        "_on_prompt_sent",
+        "_on_news",
         "_peer_in_flight",
         "_outliers",
         "_own_in_flight",
         "_performance",
         "_pools",
+        "_priorities",
         "_prompts",
+        "_refused",
         "_roll_outs",
         "_router",
         "_silence",
@@ -93,8 +98,10 @@
         roll_outs: roll_outs_controller.RollOutController | None = None,
         part_modes: modes.PartModes | None = None,
     ) -> None:
+        self._modes = part_modes or modes.PartModes()
+        self._refused = refused_connections.RefusedConnections(clock)
         self._clock = clock
-        self._on_prompt_sent = news
+        self._on_news = news
         self._roll_outs = roll_outs or roll_outs_controller.RollOutController(
             clock, rng, roll_outs_model.RollOutLimits()
         )
@@ -102,7 +109,6 @@
         self._outliers = outlier_detector.OutlierDetector(clock, process)
         self._crashes = crash_watch.CrashWatch(clock, vm)
         self._directory = directory
-        self._modes = part_modes or modes.PartModes()
         self._performance = performance_meters.PerformanceMeters(
             clock, self._modes.performance
         )
@@ -137,6 +143,13 @@
             self._performance.plain_slowness,
             lambda runner: self.in_flight_at((runner,)),
         )
+        self._priorities = service_priorities.ServicePriorities(
+            clock,
+            self._router,
+            self._token_s,
+            self._performance.prefill_speed,
+            self._modes.priorities,
+        )
 
     @property
     def directory(self) -> directories.RunnerDirectory:
@@ -180,6 +193,21 @@
         """Runners from which this VM's waiting calls receive no bytes."""
         return self._silence.silent_here
 
+    @property
+    def refused_runners(self) -> list[str]:
+        """Runners that have just refused a connection of this VM."""
+        return self._refused.refused_here
+
+    @property
+    def priorities(self) -> service_priorities.ServicePriorities:
+        """Decides the levels of calls in the engines' queues."""
+        return self._priorities
+
+    @property
+    def part_modes(self) -> modes.PartModes:
+        """The modes of the parts of the request path."""
+        return self._modes
+
     @property
     def outcome_counts(self) -> outlier_detector.Counts:
         """This VM's counts of failed and of all calls, by runner."""
@@ -234,6 +262,7 @@
         """Use a new version of the configuration from now on."""
         self._configuration = configuration
         self._pools.configure(configuration.services)
+        self._priorities.configure(configuration)
         self.refresh()
 
     def refresh(self) -> None:
@@ -255,6 +284,7 @@
         present = frozenset(runner.runner_id for runner in listed)
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
+        self._refused.keep_only(present)
         self._statements.keep_only(listed)
         self._pools.retain_runners(listed)
         if self._configuration is not None:
@@ -271,6 +301,7 @@
     def update_peer_loads(self, loads: peer_loads.PeerLoads) -> None:
         """Apply the other VMs' loads on runners and observations of them."""
         self._silence.set_peer_counts(loads.silent)
+        self._apply_refusal_reports(loads.refused)
         for source, counts in loads.failures.items():
             self._outliers.add_peer_counts(
                 source, counts, loads.from_aggregate
@@ -278,6 +309,7 @@
         self._detect_outliers()
         self._peer_in_flight = others = loads.in_flight
         self._router.observe_pending(loads.pending)
+        self._priorities.update()
         for runner in self._directory.runners:
             name = runner.runner_id
             total = others.get(name, 0) + self._router.own_in_flight(name)
@@ -389,11 +421,13 @@
         attempt: str,
         runner: runners.Runner,
         query: models.Query,
+        customer: str | None = None,
         shows_speed: bool = True,
     ) -> float:
         """Record that a call is sent to a runner.
 
         :param attempt: name of the attempt, unique on this VM.
+        :param customer: name of the call's customer; None without one.
         :param shows_speed: whether its times depend on the runner alone.
         :returns: the time, by this VM's clock.
         """
@@ -421,13 +455,17 @@
         )
         if query.prompt_tokens:
             self._prompts.record_sent(attempt, runner.service, query, tokens)
-            if self._on_prompt_sent is not None:
-                self._on_prompt_sent()
+            self._priorities.record_sent(
+                runner.service, customer, query, tokens
+            )
+            if self._on_news is not None:
+                self._on_news()
         return now
 
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
         self._silence.bytes_received(runner.runner_id)
+        self._refused.answered(runner.runner_id)
 
     def first_event_received(self, attempt: str) -> None:
         """Record the first event of an attempt's stream."""
@@ -475,9 +513,22 @@
             self._own_in_flight.pop(name, None)
         self._router.request_finished(attempt, outcome, tokens)
 
-    def connect_failed(self, runner: runners.Runner) -> None:
-        """Record that no connection to a runner could be opened."""
-        self._router.record_failure(runner.runner_id)
+    def connect_failed(self, runner: runners.Runner, refused: bool) -> None:
+        """Record that no connection to a runner could be opened.
+
+        :param refused: whether the runner's host refused it, as no process
+            listens there.
+        """
+        name = runner.runner_id
+        mode = self._modes.priorities
+        if refused and mode is not modes.Mode.OFF:
+            if name not in self._refused.refused_here:
+                self._report_refused(name, mode)
+            self._refused.refused(name)
+        if refused and mode is modes.Mode.ON:
+            self._router.record_refused(name)
+        else:
+            self._router.record_failure(name)
         self._crashes.runner_lost(runner)
 
     async def check_runner_crash(self, runner: runners.Runner) -> None:
@@ -489,7 +540,7 @@
             # The runner has already been replaced or removed.
             return
         if await self._crashes.refuses(runner, self.pool(runner)):
-            self.connect_failed(runner)
+            self.connect_failed(runner, True)
 
     def runner_replaced(self, runner: runners.Runner) -> None:
         """Remove a runner whose address now belongs to another runner."""
@@ -505,6 +556,32 @@
         self._crashes.tick()
         self._performance.log_changes()
 
+    def _token_s(self, service: str) -> float:
+        """Seconds of the prefill of a token; 0 while unknown."""
+        learned_s = self._performance.token_s(service)
+        return learned_s or self._prompts.token_s(service)
+
+    def _report_refused(self, name: str, mode: modes.Mode) -> None:
+        logs.event("runner_refuses", runner=name, reporters=0, mode=mode.value)
+        if mode is modes.Mode.ON and self._on_news is not None:
+            self._on_news()
+
+    def _apply_refusal_reports(self, counts: typing.Mapping[str, int]) -> None:
+        mode = self._modes.priorities
+        if mode is modes.Mode.OFF:
+            return
+        for name in self._refused.set_reports(counts):
+            logs.event(
+                "runner_refuses",
+                runner=name,
+                reporters=counts[name],
+                mode=mode.value,
+            )
+        if mode is modes.Mode.ON:
+            self._router.set_reported(
+                self._refused.reported, self._refused.confirmed
+            )
+
     def _detect_outliers(self) -> None:
         by_service: dict[str, list[str]] = {}
         for runner in self._directory.runners:
--- a/src/apricotlever/vms/aggregates.py
+++ b/src/apricotlever/vms/aggregates.py
@@ -51,6 +51,8 @@
         with such counts; empty in most messages.
     :param notices: what the aggregator has learned of leaving runners in the
         last seconds.
+    :param refused: number of VMs whose connections a runner has just refused,
+        by runner.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "trials",
         "samples",
         "notices",
+        "refused",
     )
 
     def __init__(
@@ -88,6 +91,7 @@
         trials: trial_samples.Records | None = None,
         samples: shared_samples.Samples | None = None,
         notices: list[notices_.Record] | None = None,
+        refused: dict[str, int] | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -104,6 +108,7 @@
         self.trials = trials or {}
         self.samples = samples or {}
         self.notices = notices or []
+        self.refused = refused or {}
 
     @property
     def process(self) -> str:
@@ -176,6 +181,12 @@
     ("trials", trial_samples.is_records),
     ("samples", shared_samples.is_samples),
     ("notices", notices_.is_notices),
+    (
+        "refused",
+        validation.is_map_of(
+            validation.is_non_empty_string, validation.is_non_negative_int
+        ),
+    ),
 )
 
 
--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -70,6 +70,7 @@
     :param trials: its own counts of calls at old and new versions.
     :param samples: what it has counted since its last full record.
     :param notices: what it has learned of leaving runners in the last seconds.
+    :param refused: runners that have just refused a connection of the VM.
     """
 
     __slots__ = (
@@ -105,6 +106,7 @@
         "trials",
         "samples",
         "notices",
+        "refused",
     )
 
     def __init__(
@@ -141,6 +143,7 @@
         trials: trial_samples.Records | None = None,
         samples: shared_samples.Samples | None = None,
         notices: list[notices_.Record] | None = None,
+        refused: list[str] | None = None,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -174,6 +177,7 @@
         self.trials = trials or {}
         self.samples = samples or {}
         self.notices = notices or []
+        self.refused = refused or []
 
     @property
     def limits_address(self) -> tuple[str, int] | None:
@@ -205,6 +209,7 @@
         copy.silent, copy.known, copy.aggregator = [], [], ""
         copy.used, copy.trials, copy.samples = {}, {}, {}
         copy.notices = []
+        copy.refused = []
         return copy
 
     def differs_from(self, other: "VmRecord", versions: bool) -> bool:
@@ -317,4 +322,5 @@
     ("trials", trial_samples.is_records),
     ("samples", shared_samples.is_samples),
     ("notices", notices_.is_notices),
+    ("refused", validation.is_list_of(validation.is_non_empty_string)),
 )
