Reserve units of a customer's limit for refused calls that return

Cause: each refused caller of a customer over its limit is told when the bucket has room for this call alone. All of them return at nearly the same time, behind the new calls, and are refused again.

The keeper of the limit recognises a retry by a 64-bit hash, which requests to it carry as an optional last field, with the longest delay that the caller honours before it. A keeper of a build without hashes ignores such requests, so one that leaves them unanswered is asked without a hash for 10 s. Mode off sends none and decides as before; observe only counts.

Ruled out: reserving for calls that cannot honour the time, and for calls beyond the burst, which need a full bucket and would hold up all others.

--- a/src/apricotlever/contracts/fleet_rate_limit.py
+++ b/src/apricotlever/contracts/fleet_rate_limit.py
@@ -332,20 +332,45 @@
         self._early_at.pop(member, None)
         self._presence.last_contact.pop(member, None)
 
-    def take(self, units: float, for_all: bool = False) -> float:
+    @property
+    def refill_rate(self) -> float:
+        """Units per second that are not reserved for silent VMs."""
+        return self._bucket.rate
+
+    @property
+    def usable_burst(self) -> float:
+        """The part of the burst that is not reserved for silent VMs."""
+        return self._burst * self._usable_fraction
+
+    def backlog_s(self, units: float) -> float:
+        """Return the seconds until units of several calls have been refilled.
+
+        :param units: the units of all these calls.
+        """
+        return max(
+            self._bucket.backlog_s(units), self._ceiling.backlog_s(units)
+        )
+
+    def take(
+        self, units: float, for_all: bool = False, reserved: float = 0.0
+    ) -> float:
         """Admit a call if the limit allows it.
 
         :param units: the units of the call.
         :param for_all: whether this VM decides for all VMs, as the keeper of
             the limit (see :mod:`.limit_keepers`). Then it need not leave the
             others a share of the level.
+        :param reserved: units that this call must leave to others.
         :returns: 0 if the call was admitted, else the seconds until it may
             be.
         """
         if self._rate <= 0.0:
             self._admitted_units += units
             return 0.0
-        wait_s = max(self._bucket.wait_s(units), self._ceiling.wait_s(units))
+        wait_s = max(
+            self._bucket.wait_s(units, reserved),
+            self._ceiling.wait_s(units, reserved),
+        )
         if wait_s > 0.0:
             return wait_s
         is_tick_limited = self._tick_admitted and not for_all
--- a/src/apricotlever/contracts/token_bucket.py
+++ b/src/apricotlever/contracts/token_bucket.py
@@ -51,14 +51,17 @@
         self._burst = burst
         self._level = min(self._level, burst)
 
-    def wait_s(self, units: float) -> float:
+    def wait_s(self, units: float, reserved: float = 0.0) -> float:
         """Return the seconds until ``units`` can be taken; inf if never.
 
         More units than the burst can be taken from a full bucket, because
         they could never be taken otherwise.
+
+        :param units: the units to take.
+        :param reserved: units that must be left.
         """
         self._refill()
-        missing = min(units, self._burst) - self._level
+        missing = min(units, self._burst) + reserved - self._level
         # Without this tolerance, a caller that returns exactly at the promised
         # time could be refused again because of a rounding error.
         if missing <= 1e-9 * max(1.0, self._burst):
--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -12,6 +12,7 @@
 
 from .. import logs
 from ..contracts import retry_allowance
+from ..contracts import return_slots
 from ..contracts import usage_windows
 
 from . import call_execution
@@ -35,6 +36,9 @@
 MIN_RETRY_AFTER_S = 0.01
 #: Upper limit of ``Retry-After`` for a customer over its limit, in seconds.
 MAX_LIMIT_RETRY_AFTER_S = 10.0
+#: Part of the time that a caller has left by which it delays a retry at most.
+#: It needs the rest for the retry itself.
+HONOURED_SHARE = 1.0 / 3.0
 
 
 class Refusal(Exception):
@@ -184,7 +188,7 @@
         if route is None:
             raise Refusal(404, "no_route")
         customer = self._authenticate(configuration, route, call)
-        permit = await self._apply_limit(customer, call)
+        permit = await self._apply_limit(customer, call, route)
         point = self._rng.random()
         execution = call_execution.CallExecution(
             self, call, route, customer, route.select_service(point), reply
@@ -250,6 +254,7 @@
         self,
         customer: configuration_model.Customer | None,
         call: messages.CallerCall,
+        route: configuration_model.Route,
     ) -> customer_limits.AdmissionResult | None:
         if customer is None:
             return None
@@ -261,7 +266,10 @@
                 if prompt is not None
                 else customer.default_tokens
             )
-        permit = await self._limits.admit(customer.name, units)
+        returning = None
+        if self._limits.recognises_returns(customer.name):
+            returning = _returning_call(customer, call, route)
+        permit = await self._limits.admit(customer.name, units, returning)
         if permit.wait_s > 0.0:
             raise Refusal(
                 429,
@@ -272,6 +280,7 @@
                 rate=customer.rate,
                 part=self._limits.rate_limit(customer).usable_fraction,
                 keeper=permit.keeper or None,
+                call_hash=f"{returning.call_hash:016x}" if returning else None,
             )
         return permit
 
@@ -305,3 +314,22 @@
                 )
             )
         reply.send_whole(refusal.status, headers)
+
+
+def _returning_call(
+    customer: configuration_model.Customer,
+    call: messages.CallerCall,
+    route: configuration_model.Route,
+) -> return_slots.ReturningCall:
+    """Describe a call to the keeper of its customer's limit."""
+    left_s = route.timeout_s
+    if call.caller_timeout_s is not None:
+        left_s = min(left_s, call.caller_timeout_s)
+    left_s -= asyncio.get_running_loop().time() - call.received_at
+    longest_s = min(MAX_LIMIT_RETRY_AFTER_S, HONOURED_SHARE * left_s)
+    return return_slots.ReturningCall(
+        return_slots.call_hash(
+            customer.name, call.method, call.target, call.body
+        ),
+        max(0.0, longest_s - LIMIT_MARGIN_S),
+    )
--- a/src/apricotlever/serving/customer_limits.py
+++ b/src/apricotlever/serving/customer_limits.py
@@ -16,9 +16,11 @@
 from .. import clock as clocks
 from ..contracts import fleet_rate_limit
 from ..contracts import limit_keepers
+from ..contracts import return_slots
 
 from . import configuration_model
 from . import limit_protocol
+from . import modes
 
 
 class AdmissionResult:
@@ -51,6 +53,8 @@
         time.
     :param process: the name of this VM's process.
     :param vm: this VM's name.
+    :param returns: whether refused calls are given retry times at which units
+        are reserved for them.
     """
 
     __slots__ = (
@@ -63,6 +67,9 @@
         "_liveness",
         "_process",
         "_rates",
+        "_return_counts",
+        "_return_slots",
+        "_returns",
         "_silent_count",
         "_slack",
         "_initial_levels",
@@ -75,7 +82,12 @@
         overshoot: float = 0.0,
         process: str = "",
         vm: str = "",
+        returns: modes.Mode = modes.Mode.ON,
     ) -> None:
+        self._returns = returns
+        self._return_counts = return_slots.ReturnCounts()
+        #: Retry times by customer, of the limits that this VM keeps.
+        self._return_slots: dict[str, return_slots.ReturnSlots] = {}
         self._process = process
         self._clock = clock
         self._keepers = limit_keepers.LimitKeepers(clock, vm)
@@ -122,6 +134,11 @@
             name: rate.usable_fraction for name, rate in self._rates.items()
         }
 
+    @property
+    def return_metrics(self) -> typing.Mapping[str, float]:
+        """Counts of the retry times that this VM gave, by metric."""
+        return return_slots.counts_metrics(self._return_counts)
+
     @property
     def heard_share(self) -> float:
         """The part of the fleet's processes that this VM hears from.
@@ -253,13 +270,27 @@
         self._addresses = dict(others)
         self._keepers.set_other_vms(others)
 
-    async def admit(self, customer: str, units: float) -> AdmissionResult:
+    def recognises_returns(self, customer: str) -> bool:
+        """Whether the keeper wants to recognise the retries of a customer."""
+        return (
+            self._returns is not modes.Mode.OFF
+            and self._rates[customer].is_limited
+        )
+
+    async def admit(
+        self,
+        customer: str,
+        units: float,
+        call: return_slots.ReturningCall | None = None,
+    ) -> AdmissionResult:
         """Admit a call of a customer if the customer's limit allows it.
 
         The limit's keeper decides. If the keeper can't, or does not answer in
         time, this VM decides by itself.
 
         :param units: the units of the call.
+        :param call: how the keeper recognises the call's retry; None if it
+            need not.
         """
         rate = self._rates[customer]
         if self._protocol is None or not rate.is_limited:
@@ -268,11 +299,11 @@
         address = self._addresses.get(keeper)
         if address is None:
             return AdmissionResult(
-                customer, units, rate.take(units, for_all=True)
+                customer, units, self._decide(customer, units, call)
             )
         try:
             keeper_wait_s = await self._protocol.request_admission(
-                address, customer, units
+                address, customer, units, call
             )
         except TimeoutError:
             self._keepers.record_timeout(keeper)
@@ -309,17 +340,45 @@
                 address, admission.customer, admission.units
             )
 
-    def admit_for_peer(self, customer: str, units: float) -> float | None:
+    def admit_for_peer(
+        self,
+        customer: str,
+        units: float,
+        call: return_slots.ReturningCall | None = None,
+    ) -> float | None:
         """Decide on a call of another VM, as the keeper of the limit.
 
         :param units: the units of the call.
+        :param call: how the call's retry is recognised; None if the other VM
+            does not tell.
         :returns: 0 if the call was admitted, else the seconds until it may
             be admitted; None if this process does not know the limit's level.
         """
         rate = self._rates.get(customer)
         if rate is None or rate.level is None:
             return None
-        return rate.take(units, for_all=True)
+        return self._decide(customer, units, call)
+
+    def _decide(
+        self,
+        customer: str,
+        units: float,
+        call: return_slots.ReturningCall | None,
+    ) -> float:
+        """Decide on a call as the keeper of its limit; see :meth:`admit`."""
+        rate = self._rates[customer]
+        if self._returns is modes.Mode.OFF:
+            return rate.take(units, for_all=True)
+        slots = self._return_slots.get(customer)
+        if slots is None:
+            slots = self._return_slots[customer] = return_slots.ReturnSlots(
+                self._clock, self._return_counts
+            )
+        if self._returns is modes.Mode.ON:
+            return slots.admit(rate, units, call)
+        wait_s = rate.take(units, for_all=True)
+        slots.observe(rate, units, call, wait_s)
+        return wait_s
 
     def refund_units(self, customer: str, units: float) -> None:
         """Refund the units of a call that this VM counted.
--- a/src/apricotlever/serving/limit_protocol.py
+++ b/src/apricotlever/serving/limit_protocol.py
@@ -14,6 +14,7 @@
 
 from .. import logs
 from .. import validation
+from ..contracts import return_slots
 
 from . import log_rate_limiter
 
@@ -24,6 +25,9 @@
 #: answer after the timeout may admit a call that the asking VM has counted
 #: already; the units of that call must be refunded.
 LATE_ANSWER_S = 2.0
+#: How long a request to a VM has no hash after requests with one were not
+#: answered, in seconds. VMs of builds that know no hash ignore such requests.
+NO_HASH_S = 10.0
 #: Kinds of messages, the first field of each message: a request to admit a
 #: call, its answer, a refund, and the units that the sender has admitted.
 ASK = 0
@@ -37,6 +41,14 @@
     validation.is_non_empty_string,
     validation.is_non_negative_number,
 )
+_IS_ASK_OF_RETURNING_CALL = validation.is_tuple_of(
+    validation.is_non_negative_int,
+    validation.is_non_negative_int,
+    validation.is_non_empty_string,
+    validation.is_non_negative_number,
+    validation.is_non_negative_number,
+    validation.is_non_negative_int,
+)
 _IS_ANSWER = validation.is_tuple_of(
     validation.is_non_negative_int,
     validation.is_non_negative_int,
@@ -53,6 +65,13 @@
     validation.is_non_empty_string,
     validation.is_non_negative_number,
 )
+
+
+def _is_ask(message: typing.Any) -> bool:
+    """Check a request, which may end with a patience and a hash."""
+    return _IS_ASK(message) or _IS_ASK_OF_RETURNING_CALL(message)
+
+
 #: IP address and UDP port.
 Address = tuple[str, int]
 #: Processes a valid message, given with its sender's address.
@@ -62,10 +81,17 @@
 class Keeper(typing.Protocol):
     """Decides on calls of other VMs, for the limits that this VM keeps."""
 
-    def admit_for_peer(self, customer: str, units: float) -> float | None:
+    def admit_for_peer(
+        self,
+        customer: str,
+        units: float,
+        call: return_slots.ReturningCall | None = None,
+    ) -> float | None:
         """Admit a call of another VM if the customer's limit allows it.
 
         :param units: the units of the call.
+        :param call: how the call's retry is recognised; None if the other VM
+            does not tell.
         :returns: 0 if the call was admitted, else the seconds until it may
             be admitted; None if this VM does not know the level of the limit,
             the units left.
@@ -112,8 +138,10 @@
 
     __slots__ = (
         "_handlers",
+        "_hash_aware",
         "_is_peer",
         "_keeper",
+        "_no_hash_until",
         "_numbers",
         "_pending",
         "_refusals",
@@ -136,13 +164,18 @@
         #: Requests by number, until they are answered in time or
         #: LATE_ANSWER_S have passed.
         self._pending: dict[int, _PendingRequest] = {}
+        #: Keepers that have answered a request with a hash since they last
+        #: left one unanswered.
+        self._hash_aware: set[Address] = set()
+        #: Until when requests to a keeper have no hash.
+        self._no_hash_until: dict[Address, float] = {}
         #: How many requests were sent, and how many of them were not answered
         #: in time.
         self.request_count = 0
         self.timeout_count = 0
         #: The check and the handler of each kind of message.
         self._handlers: dict[int, tuple[validation.Predicate, Handler]] = {
-            ASK: (_IS_ASK, self._receive_request),
+            ASK: (_is_ask, self._receive_request),
             ANSWER: (_IS_ANSWER, self._receive_answer),
             REFUND: (_IS_REFUND, self._receive_refund),
             LOCAL_TOTAL: (_IS_LOCAL_TOTAL, self._receive_local_total),
@@ -179,12 +212,18 @@
             self._transport = None
 
     async def request_admission(
-        self, address: Address, customer: str, units: float
+        self,
+        address: Address,
+        customer: str,
+        units: float,
+        call: return_slots.ReturningCall | None = None,
     ) -> float | None:
         """Ask the keeper of a customer's limit to admit a call.
 
         :param address: the keeper's address.
         :param units: the units of the call.
+        :param call: how the call's retry is recognised; None if it need not
+            be.
         :returns: as :meth:`Keeper.admit_for_peer`.
         :raises TimeoutError: if the keeper did not answer in time.
         """
@@ -196,16 +235,41 @@
         )
         self._pending[number] = request
         self.request_count += 1
-        self.send([ASK, number, customer, units], address)
+        message = [ASK, number, customer, units]
+        has_hash = call is not None and (
+            self._no_hash_until.get(address, 0.0) <= loop.time()
+        )
+        if has_hash and call is not None:
+            message += [call.patience_s, call.call_hash]
+        self.send(message, address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 wait_s = await request.answer
         except TimeoutError:
             self.timeout_count += 1
+            if has_hash:
+                self._record_unanswered_hash(address, loop.time())
             raise
         self._pending.pop(number, None)
+        if has_hash:
+            self._hash_aware.add(address)
         return wait_s
 
+    def _record_unanswered_hash(self, address: Address, now: float) -> None:
+        """Omit the hash for a while if the keeper may not know it.
+
+        A single lost answer of a keeper that knows it changes nothing.
+        """
+        if address in self._hash_aware:
+            self._hash_aware.remove(address)
+            return
+        self._no_hash_until = {
+            each: until
+            for each, until in self._no_hash_until.items()
+            if until > now
+        }
+        self._no_hash_until[address] = now + NO_HASH_S
+
     def send_refund(
         self, address: Address, customer: str, units: float
     ) -> None:
@@ -260,8 +324,13 @@
     def _receive_request(
         self, message: list[typing.Any], address: Address
     ) -> None:
-        _, number, customer, units = message
-        wait_s = self._keeper.admit_for_peer(customer, units)
+        _, number, customer, units, *more = message
+        if more:
+            patience_s, call_hash = more
+            call = return_slots.ReturningCall(call_hash, patience_s)
+            wait_s = self._keeper.admit_for_peer(customer, units, call)
+        else:
+            wait_s = self._keeper.admit_for_peer(customer, units)
         self.send([ANSWER, number, wait_s], address)
 
     def _receive_refund(
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -119,6 +119,7 @@
             config.bounds.limit_overshoot,
             self._process,
             config.vm,
+            config.modes.returns,
         )
         self._limit_calls = limit_protocol.LimitProtocol(
             self._limits, self.is_peer, log_rate_limiter.LogRateLimiter(clock)
@@ -462,6 +463,7 @@
             "cloud_calls_total": self._duties.cloud_calls,
             "limit_asks_total": self._limit_calls.request_count,
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
+            **self._limits.return_metrics,
             **self._upstreams.runner_limits.counters,
         }
         return metrics.format_metrics(
