Measure and test the retry times of customers over their limits

Cause: the reservation for returning calls had no tests, and no comparison with today's retry times.

A queue of reservations is limited to half of a caller's patience and 0.75 s, and an early return of a call without a reservation moves its time.

Ruled out: a queue as long as the patience.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -23,9 +23,9 @@
 from apricotlever.serving import limit_protocol
 from apricotlever.serving import log_rate_limiter
 
-#: The limit in tokens per second, and its burst in tokens.
-RATE_TOKENS_PER_S = 150000.0
-BURST_TOKENS = 150000.0
+from . import _limit_calls
+from . import _limit_returns
+
 #: The permitted overshoot of a window, in tokens and as a fraction of the
 #: limit; the two add up.
 OVERSHOOT_TOKENS = 140000.0
@@ -36,43 +36,14 @@
 TICK_S = 0.1
 #: Time in which the VMs learn of each other before the first call.
 WARM_UP_S = 12.0
-#: Fraction of the calls that have a short prompt.
-SHORT_FRACTION = 0.78
-#: Tokens of a call with a short and with a long prompt: the mean of a
-#: log-normal variable, the standard deviation of its logarithm, and a constant
-#: that is added to it.
-SHORT_PROMPT = (1700.0, 0.8, 100.0)
-LONG_PROMPT = (6500.0, 1.0, 5700.0)
-MAX_TOKENS = 56000.0
-#: Calls arrive in clusters of this many calls within this many seconds.
-CALLS_PER_CLUSTER = 3
-CLUSTER_S = 0.01
-#: A call with this many tokens or more counts as large.
-LARGE_PROMPT_TOKENS = 12000.0
-
 HOST = "127.0.0.1"
 #: Number of requests to a keeper whose cost is measured.
 COST_REQUEST_COUNT = 5000
-
 #: The compared ways. With "together" each VM counts, and sends its totals to
 #: the others. With "keeper" one VM decides for all.
 WAYS = ("together", "keeper")
 
 
-class Call:
-    """A call of the customer.
-
-    :param at: the time of the call, in seconds after the warm-up.
-    :param units: the tokens of the call.
-    """
-
-    __slots__ = ("at", "units")
-
-    def __init__(self, at: float, units: float) -> None:
-        self.at = at
-        self.units = units
-
-
 class Result:
     """The result of one simulation.
 
@@ -111,33 +82,6 @@
         self.busiest_window = busiest_window
 
 
-def _draw_tokens(rng: random.Random) -> float:
-    mean, sigma, offset = (
-        SHORT_PROMPT if rng.random() < SHORT_FRACTION else LONG_PROMPT
-    )
-    varying = mean * rng.lognormvariate(-sigma * sigma / 2.0, sigma)
-    return min(MAX_TOKENS, varying + offset)
-
-
-def generate_calls(
-    load: float, seconds: float, rng: random.Random
-) -> list[Call]:
-    """Generate calls for a multiple of the limit, ordered by time."""
-    mean = SHORT_FRACTION * (SHORT_PROMPT[0] + SHORT_PROMPT[2])
-    mean += (1.0 - SHORT_FRACTION) * (LONG_PROMPT[0] + LONG_PROMPT[2])
-    calls = []
-    at = 0.0
-    while at < seconds:
-        at += rng.expovariate(
-            load * RATE_TOKENS_PER_S / mean / CALLS_PER_CLUSTER
-        )
-        for _ in range(CALLS_PER_CLUSTER):
-            calls.append(
-                Call(at + CLUSTER_S * rng.random(), _draw_tokens(rng))
-            )
-    return sorted(calls, key=lambda call: call.at)
-
-
 class SimulatedFleet:
     """VMs that enforce one customer's limit.
 
@@ -153,8 +97,8 @@
         self._rates = {
             name: fleet_rate_limit.FleetRateLimit(
                 self.clock,
-                RATE_TOKENS_PER_S,
-                BURST_TOKENS,
+                _limit_calls.RATE_TOKENS_PER_S,
+                _limit_calls.BURST_TOKENS,
                 OVERSHOOT_TOKENS,
                 overshoot=OVERSHOOT_FRACTION,
             )
@@ -218,18 +162,18 @@
 ) -> Result:
     """Simulate one customer's calls."""
     rng = random.Random(seed)
-    plan = generate_calls(load, seconds, rng)
+    plan = _limit_calls.generate_calls(load, seconds, rng)
     fleet = SimulatedFleet(way, vms, rng)
     for _ in range(round(WARM_UP_S / TICK_S)):
         fleet.advance_to(fleet.clock.now() + TICK_S)
         fleet.tick()
     start = fleet.clock.now()
     exact_counter = token_bucket.TokenBucket(
-        fleet.clock, RATE_TOKENS_PER_S, BURST_TOKENS
+        fleet.clock, _limit_calls.RATE_TOKENS_PER_S, _limit_calls.BURST_TOKENS
     )
     last_tick = start
     owed = refused = 0
-    admitted: list[Call] = []
+    admitted: list[_limit_calls.Call] = []
     large_counts: collections.Counter[str] = collections.Counter()
     for call in plan:
         at = start + call.at
@@ -245,7 +189,7 @@
         refused += is_owed and not is_admitted
         if is_admitted:
             admitted.append(call)
-        if call.units >= LARGE_PROMPT_TOKENS:
+        if call.units >= _limit_calls.LARGE_PROMPT_TOKENS:
             large_counts["all"] += 1
             large_counts["owed"] += is_owed
             large_counts["in"] += is_admitted
@@ -257,18 +201,23 @@
             large_counts["owed"] / large_counts["all"],
         ),
         sum(call.units for call in admitted)
-        / (RATE_TOKENS_PER_S * seconds + BURST_TOKENS),
+        / (
+            _limit_calls.RATE_TOKENS_PER_S * seconds
+            + _limit_calls.BURST_TOKENS
+        ),
         _busiest_window_units(admitted) / _allowed_units(),
     )
 
 
 def _allowed_units() -> float:
-    return (RATE_TOKENS_PER_S * WINDOW_S + BURST_TOKENS) * (
-        1.0 + OVERSHOOT_FRACTION
-    ) + OVERSHOOT_TOKENS
+    return (
+        _limit_calls.RATE_TOKENS_PER_S * WINDOW_S + _limit_calls.BURST_TOKENS
+    ) * (1.0 + OVERSHOOT_FRACTION) + OVERSHOOT_TOKENS
 
 
-def _busiest_window_units(admitted: typing.Sequence[Call]) -> float:
+def _busiest_window_units(
+    admitted: typing.Sequence[_limit_calls.Call],
+) -> float:
     """Return the units of the window with the most admitted units."""
     busiest = in_window = 0.0
     first = 0
@@ -332,7 +281,11 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--cost", action="store_true")
+    parser.add_argument("--returns", action="store_true")
     options = parser.parse_args(arguments)
+    if options.returns:
+        _limit_returns.print_rows(options.seeds)
+        return 0
     if options.cost:
         print(
             json.dumps(
--- a/src/apricotlever/contracts/return_slots.py
+++ b/src/apricotlever/contracts/return_slots.py
@@ -37,6 +37,14 @@
 #: Seconds after its retry time for which a call's units stay set aside. It
 #: covers a new connection and a busy caller.
 GRACE_S = 1.0
+#: Part of a caller's patience for which earlier reservations may occupy the
+#: rate. The rest is left for the call's own units, because otherwise only the
+#: smallest calls would fit while callers compete.
+QUEUE_SHARE = 0.5
+#: The longest time in seconds for which earlier reservations may occupy the
+#: rate. A longer queue admits no more calls, but shuts out impatient callers,
+#: whose routes are usually the more urgent ones.
+MAX_QUEUE_S = 0.75
 #: The most reservations of one limit, to bound the memory of its keeper.
 MAX_RESERVATIONS = 256
 #: The most calls without a reservation whose retry times are remembered.
@@ -45,6 +53,9 @@
 #: others compete for the limit, so much is not left, and returning early gains
 #: nothing; without competition, the call need not wait.
 EARLY_BURST_SHARE = 0.5
+#: By how many seconds the retry time of a call without a reservation moves
+#: when it returns too early.
+EARLY_DELAY_S = 0.1
 #: Tolerance for rounding errors of times, in seconds.
 ROUNDING_S = 1e-6
 
@@ -163,12 +174,6 @@
         self._advance()
         return len(self._reservations)
 
-    @property
-    def outstanding_units(self) -> float:
-        """The units of all open reservations, set aside or not yet."""
-        self._advance()
-        return self._outstanding_units
-
     def reserved_units(self, burst: float) -> float:
         """Return the units set aside now, which new calls cannot use.
 
@@ -180,10 +185,7 @@
             first = self._upcoming[0]
             elapsed_s = max(0.0, self._clock.now() - first.starts_at)
             units += first.units * elapsed_s / (first.due_at - first.starts_at)
-        return min(
-            units,
-            max([BURST_SHARE * burst, *self._large.values()]),
-        )
+        return min(units, max([BURST_SHARE * burst, *self._large.values()]))
 
     def admit(
         self,
@@ -220,9 +222,7 @@
             return wait_s
         self._unreserved.pop(call.call_hash, None)
         wait_s = rate.take(units, True, reserved)
-        if wait_s > 0.0:
-            return self._give_time(rate, units, call, wait_s)
-        return 0.0
+        return wait_s and self._give_time(rate, units, call, wait_s)
 
     def observe(
         self,
@@ -268,6 +268,9 @@
         elif reservation is None:
             self._unreserved.pop(call.call_hash, None)
             if not admitted:
+                # It goes behind the calls refused since, so that repeated
+                # calls are not more often treated as new ones.
+                due_at = max(due_at, self._next_start_at) + EARLY_DELAY_S
                 self._unreserved[call.call_hash] = due_at
         return 0.0 if admitted else due_at - self._clock.now()
 
@@ -310,7 +313,14 @@
             # After a network partition the limit may be in debt.
             now + rate.backlog_s(self._outstanding_units + units),
         )
-        if due_at - now > call.patience_s:
+        if due_at - now > call.patience_s or starts_at - now > min(
+            MAX_QUEUE_S, QUEUE_SHARE * call.patience_s
+        ):
+            # No units are there for it within its patience, so the caller
+            # must not be told to return before that.
+            due_at = max(
+                due_at, now + call.patience_s + units / reserved_per_s
+            )
             self._remember_unreserved(call.call_hash, due_at)
             return due_at - now
         self._next_start_at = due_at
