--- a/tests/contracts/return_slots.feature
+++ b/tests/contracts/return_slots.feature
@@ -21,6 +21,11 @@
     When none returns
     Then new calls have at least 0.9 of the limit
 
+  Scenario: A call that does not return loses its units
+    Given a limit of 100 units a second without units
+    When a call of 20 units is refused and does not return
+    Then its units are reserved for 1.0 s after its time and no longer
+
   # Guards against a new keeper that admits a burst, or nothing for a while.
   Scenario: The callers of a keeper that ends compete like new ones
     Given callers of 3 times the limit for 10 seconds
--- a/tests/steps/contracts_return_slots.py
+++ b/tests/steps/contracts_return_slots.py
@@ -217,6 +217,20 @@
     assert (limit.counts.given, limit.counts.kept) == (1, 1)
 
 
+@when("a call of 20 units is refused and does not return")
+def _missing(context):
+    context.limit.clock.advance(context.limit.admit(20.0))
+
+
+@then("its units are reserved for {seconds:f} s after its time and no longer")
+def _held(context, seconds):
+    limit = context.limit
+    for pause_s, expected in ((seconds - 0.01, 20.0), (0.02, 0.0)):
+        limit.clock.advance(pause_s)
+        assert abs(limit.slots.reserved_units(RATE) - expected) < 1e-6
+    assert limit.counts.missed == 1
+
+
 @when("a call of 20 units returns after another VM has used 40 units")
 def _used_elsewhere(context):
     limit = context.limit
@@ -278,6 +292,8 @@
             limit.clock.advance(pause_s)
             gained = limit.slots.reserved_units(RATE) - before
             assert gained <= 0.5 * RATE * pause_s + 1e-6, gained
+            held = limit.slots._reservations.values()
+            assert before + gained <= sum(r.units for r in held) + 1e-6
             excess = max(0.0, excess - RATE * pause_s)
             if kind == "refund":
                 limit.rate.refund(units)
