Test the modes and the messages of the retry times

Cause: nothing showed that mode off leaves requests and decisions as they were, that observe only counts, and that VMs of builds with and without hashes answer each other.

Change: features of the limit protocol and the relay show it. The patience of a returning call is required, because an infinite one is no valid field of a request and would have been ignored by the keeper.

--- a/src/apricotlever/contracts/return_slots.py
+++ b/src/apricotlever/contracts/return_slots.py
@@ -18,7 +18,6 @@
 import collections
 import heapq
 import itertools
-import math
 import typing
 
 import xxhash
@@ -80,7 +79,7 @@
 
     __slots__ = ("call_hash", "patience_s")
 
-    def __init__(self, call_hash: int, patience_s: float = math.inf) -> None:
+    def __init__(self, call_hash: int, patience_s: float) -> None:
         self.call_hash = call_hash
         self.patience_s = patience_s
 
--- a/tests/serving/call_relay.feature
+++ b/tests/serving/call_relay.feature
@@ -37,6 +37,22 @@
     When 2 calls are made
     Then the status is 429 with a time to come back
 
+  # Guards against hashing the bodies of customers without a limit, and against
+  # an effect of a part that is off.
+  Scenario Outline: A call is described to the keeper of a limit, if there is one
+    Given a route for idempotent calls with <limit>
+    And mode <mode> of the retry times
+    And a runner that answers
+    When 2 calls are made
+    Then <hashes> hashes of calls are computed, and the refusal names <named>
+
+    Examples:
+      | limit                | mode    | hashes | named  |
+      | 1 call in 10 seconds | on      | 2      | a hash |
+      | 1 call in 10 seconds | observe | 2      | a hash |
+      | 1 call in 10 seconds | off     | 0      | none   |
+      | no limit             | on      | 0      | none   |
+
   # Guards against a non-idempotent call that runs twice, because it is sent to
   # another runner after its connection broke before the response, although
   # the first runner may have run it.
--- a/tests/serving/limit_protocol.feature
+++ b/tests/serving/limit_protocol.feature
@@ -39,6 +39,39 @@
     When the keeper's answer arrives late
     Then the keeper has counted 0 units and the asking VM 100
 
+  # Guards against a changed message of a part that is off: VMs of other builds
+  # and their decisions must not depend on it.
+  Scenario: Without a hash, a request is that of builds that know none
+    Given two VMs of which the other one keeps a customer's limit
+    When a call of 100 units without a hash arrives
+    Then the request on the wire has 4 fields and is answered
+
+  Scenario Outline: The mode decides whether a retry finds its units
+    Given two VMs of which the other one keeps a customer's limit
+    When a refused call returns at its time, behind a new call, in mode <mode>
+    Then the <first> is admitted by the keeper, which counts <given> retry times
+
+    Examples:
+      | mode    | first         | given |
+      | on      | returning one | 1     |
+      | observe | new one       | 1     |
+      | off     | new one       | 0     |
+
+  Scenario: In modes off and observe the decisions are those of the limit
+    Then 2000 calls and retries in modes off and observe get the limit's answers
+
+  # Guards against a roll-out in which each call of a new VM waits for the answer
+  # of an old keeper that ignores requests with a hash.
+  Scenario: A keeper of a build without hashes is asked without one
+    Given two VMs of which the other one keeps a customer's limit
+    When two calls with a hash arrive while the keeper knows no hashes
+    Then the first is decided by the asking VM and the second by the keeper
+
+  Scenario: A lost answer does not stop requests with hashes
+    Given two VMs of which the other one keeps a customer's limit
+    When a keeper that has answered leaves a request with a hash unanswered
+    Then the next request has 6 fields
+
   Scenario Outline: An invalid request is not answered
     Given two VMs of which the other one keeps a customer's limit
     When the keeper is sent <what>
@@ -49,5 +82,6 @@
       | malformed bytes            |
       | a list with wrong types    |
       | negative units             |
+      | a hash that is no number   |
       | an unknown kind of message |
       | a request of a stranger    |
--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import re
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 
 from apricotlever import clock as clocks
+from apricotlever.contracts import return_slots
+from apricotlever.serving import call_relay
 from apricotlever.serving import configuration_model
 from apricotlever.serving import customer_limits
+from apricotlever.serving import modes
 from tests.serving import request_path
 
 KINDS = {
@@ -64,6 +68,32 @@
     _configure(context, kind.partition(" with ")[0], **more)
 
 
+@given("mode {mode} of the retry times")
+def _set_mode(context, mode):
+    world = _world(context)
+    world.limits._returns = modes.Mode(mode)
+    patches = (
+        mock.patch.object(
+            return_slots, "call_hash", wraps=return_slots.call_hash
+        ),
+        mock.patch.object(call_relay.logs, "event"),
+    )
+    context.hashes, context.events = (each.start() for each in patches)
+    context.closers += [each.stop for each in patches]
+
+
+@then("{count:d} hashes of calls are computed, and the refusal names {named}")
+def _check_hashes(context, count, named):
+    assert context.hashes.call_count == count
+    names = {
+        call.kwargs.get("call_hash")
+        for call in context.events.call_args_list
+        if call.args[0] == "request_refused"
+    } - {None}
+    expected = return_slots.call_hash("clerks", "POST", "/s/x", b"hello")
+    assert names == ({f"{expected:016x}"} if named == "a hash" else set())
+
+
 @given("a runner that {names}")
 def _add_named_runner(context, names):
     world = _world(context)
--- a/tests/steps/serving_limit_protocol.py
+++ b/tests/steps/serving_limit_protocol.py
@@ -1,6 +1,7 @@
 """Steps for tests/serving/limit_protocol.feature."""
 
 import asyncio
+import random
 import socket
 from unittest import mock
 
@@ -10,10 +11,13 @@
 import msgpack
 
 from apricotlever import clock as clocks
+from apricotlever.contracts import fleet_rate_limit
+from apricotlever.contracts import return_slots
 from apricotlever.serving import configuration_model
 from apricotlever.serving import customer_limits
 from apricotlever.serving import limit_protocol
 from apricotlever.serving import log_rate_limiter
+from apricotlever.serving import modes
 
 HOST = "127.0.0.1"
 #: The limit in units per second and its burst in units. The rate is so low
@@ -24,6 +28,7 @@
     "malformed bytes": b"\xc1\xff",
     "a list with wrong types": msgpack.packb([0, "x", 3, 4]),
     "negative units": msgpack.packb([0, 1, "clerks", -5.0]),
+    "a hash that is no number": msgpack.packb([0, 1, "clerks", 5.0, 1, "x"]),
     "an unknown kind of message": msgpack.packb([9, 1, "clerks", 5.0]),
     "a request of a stranger": msgpack.packb([0, 1, "clerks", 5.0]),
 }
@@ -32,10 +37,10 @@
 class _Vm:
     """One VM's limits and protocol."""
 
-    def __init__(self, name, clock):
+    def __init__(self, name, clock, mode=modes.Mode.ON):
         self.name = name
         self.limits = customer_limits.CustomerLimits(
-            clock, 0.0, 0.0, f"{name}#1", name
+            clock, 0.0, 0.0, f"{name}#1", name, mode
         )
         self.calls = limit_protocol.LimitProtocol(
             self, self.is_peer, log_rate_limiter.LogRateLimiter(clock)
@@ -52,9 +57,9 @@
             )
         )
 
-    def admit_for_peer(self, customer, units):
+    def admit_for_peer(self, customer, units, call=None):
         """Admit a call of another VM."""
-        return self.limits.admit_for_peer(customer, units)
+        return self.limits.admit_for_peer(customer, units, call)
 
     def refund_units(self, customer, units):
         """Refund the units of a call."""
@@ -212,6 +217,148 @@
     _run(context, work)
 
 
+def _sent_requests(context, work):
+    """Run the work and return the requests that were sent."""
+    with mock.patch.object(
+        limit_protocol.msgpack, "packb", wraps=msgpack.packb
+    ) as packb:
+        _run(context, work)
+    messages = [call.args[0] for call in packb.call_args_list]
+    return [each for each in messages if each[0] == limit_protocol.ASK]
+
+
+@when("a call of {units:d} units without a hash arrives")
+def _without_hash(context, units):
+    async def work():
+        context.permit = await context.asker.limits.admit("clerks", units)
+
+    context.requests = _sent_requests(context, work)
+
+
+@then("the request on the wire has 4 fields and is answered")
+def _four_fields(context):
+    assert context.requests == [[limit_protocol.ASK, 0, "clerks", 100]]
+    assert context.permit.keeper == context.keeper.name
+
+
+@when("a refused call returns at its time, behind a new call, in mode {mode}")
+def _return_in_mode(context, mode):
+    keeper = context.keeper.name
+    context.keeper = _Vm(keeper, context.clock, modes.Mode(mode))
+    _initialize(context, 0.0)
+    call = return_slots.ReturningCall(7, 1e6)
+    admit = context.asker.limits.admit
+
+    async def work():
+        permit = await admit("clerks", 100.0, call)
+        assert permit.wait_s > 0.0 and permit.keeper == keeper
+        context.clock.advance(permit.wait_s)
+        # The last record of the third VM is old by now.
+        context.keeper.limits.receive_totals("other#1", {})
+        level = context.keeper.limits.rate_limit(_customer()).level
+        context.permits = {
+            "new one": await admit(
+                "clerks", level, return_slots.ReturningCall(8, 1e6)
+            ),
+            "returning one": await admit("clerks", 100.0, call),
+        }
+
+    _run(context, work)
+
+
+@then(
+    "the {first} is admitted by the keeper, which counts {given:d} retry times"
+)
+def _first_admitted(context, first, given):
+    admitted = {k for k, v in context.permits.items() if v.wait_s == 0.0}
+    assert admitted == {first}, admitted
+    assert {v.keeper for v in context.permits.values()} == {
+        context.keeper.name
+    }
+    metrics = context.keeper.limits.return_metrics
+    assert metrics["return_times_given_total"] >= given
+    assert given or not any(metrics.values())
+
+
+@then(
+    "{count:d} calls and retries in modes off and observe get the limit's "
+    "answers"
+)
+def _same_decisions(context, count):
+    rng = random.Random(5)
+    clock = clocks.ManualClock()
+    vms = [_Vm("vm", clock, modes.Mode(mode)) for mode in ("off", "observe")]
+    plain = fleet_rate_limit.FleetRateLimit(clock, 100.0, 100.0)
+    rates = [vm.limits.rate_limit(_customer()) for vm in vms]
+    clock.advance(20.0)
+    for rate in [plain, *rates]:
+        rate.set_limit(100.0, 100.0)
+        rate.tick()
+    # The buckets fill, as all processes use the whole limit by now.
+    clock.advance(20.0)
+    for _ in range(count):
+        clock.advance(rng.expovariate(30.0))
+        units, key = rng.uniform(1.0, 20.0), rng.randrange(40)
+        call = return_slots.ReturningCall(key, rng.choice([0.5, 5.0]))
+        wait_s = plain.take(units, for_all=True)
+        for vm in vms:
+            got = vm.admit_for_peer("clerks", units, call)
+            assert got == wait_s, (got, wait_s)
+    observed = vms[1].limits.return_metrics
+    assert observed["return_times_given_total"] > 100, observed
+
+
+@when("two calls with a hash arrive while the keeper knows no hashes")
+def _old_keeper(context):
+    keeper, asker = context.keeper, context.asker
+    keeper.calls.add_handler(
+        limit_protocol.ASK,
+        limit_protocol._IS_ASK,
+        keeper.calls._receive_request,
+    )
+    call = return_slots.ReturningCall(7, 1e6)
+    context.permits = []
+
+    async def work():
+        for _ in range(2):
+            context.permits.append(
+                await asker.limits.admit("clerks", 100.0, call)
+            )
+            # A keeper that did not answer is skipped for a second.
+            context.clock.advance(limit_protocol.ANSWER_TIMEOUT_S + 1.0)
+            asker.limits.set_keepers({keeper.name: (HOST, keeper.calls.port)})
+
+    _run(context, work)
+
+
+@then("the first is decided by the asking VM and the second by the keeper")
+def _decided_by(context):
+    names = [permit.keeper for permit in context.permits]
+    assert names == ["", context.keeper.name], names
+
+
+@when("a keeper that has answered leaves a request with a hash unanswered")
+def _one_lost(context):
+    keeper, calls = context.keeper, context.asker.calls
+    call = return_slots.ReturningCall(7, 1.0)
+
+    async def work():
+        address = (HOST, keeper.calls.port)
+        for accepts in (True, False, True):
+            keeper.accepts_peers = accepts
+            try:
+                await calls.request_admission(address, "clerks", 1.0, call)
+            except TimeoutError:
+                assert not accepts
+
+    context.requests = _sent_requests(context, work)
+
+
+@then("the next request has 6 fields")
+def _six_fields(context):
+    assert context.requests[-1] == [0, 2, "clerks", 1.0, 1.0, 7]
+
+
 @when("the keeper's answer arrives late")
 def _late(context):
     context.before = 0.0
