Reserve units as far ahead as the caller's patience allows

Cause: the shorter queue of reservations served large calls at the cost of all others.

Change: nothing is reserved beyond the caller's patience alone, and a call beyond it is told its true retry time.

Ruled out: a queue of half the patience.

--- a/src/apricotlever/contracts/return_slots.py
+++ b/src/apricotlever/contracts/return_slots.py
@@ -36,14 +36,6 @@
 #: Seconds after its retry time for which a call's units stay set aside. It
 #: covers a new connection and a busy caller.
 GRACE_S = 1.0
-#: Part of a caller's patience for which earlier reservations may occupy the
-#: rate. The rest is left for the call's own units, because otherwise only the
-#: smallest calls would fit while callers compete.
-QUEUE_SHARE = 0.5
-#: The longest time in seconds for which earlier reservations may occupy the
-#: rate. A longer queue admits no more calls, but shuts out impatient callers,
-#: whose routes are usually the more urgent ones.
-MAX_QUEUE_S = 0.75
 #: The most reservations of one limit, to bound the memory of its keeper.
 MAX_RESERVATIONS = 256
 #: The most calls without a reservation whose retry times are remembered.
@@ -312,14 +304,7 @@
             # After a network partition the limit may be in debt.
             now + rate.backlog_s(self._outstanding_units + units),
         )
-        if due_at - now > call.patience_s or starts_at - now > min(
-            MAX_QUEUE_S, QUEUE_SHARE * call.patience_s
-        ):
-            # No units are there for it within its patience, so the caller
-            # must not be told to return before that.
-            due_at = max(
-                due_at, now + call.patience_s + units / reserved_per_s
-            )
+        if due_at - now > call.patience_s:
             self._remember_unreserved(call.call_hash, due_at)
             return due_at - now
         self._next_start_at = due_at
