End peer connections with a GOAWAY that names the last handled call

Cause: a stopping peer link closed its connections without a word. A call that crossed the close, or met the reset of a socket closed with unread data, was reported as perhaps sent, though the peer had never handled it.

Change: links/peer_connections.py subclasses grpclib's server, channel, protocol and events processor. A stopping server notes the last stream of each connection when it begins to refuse calls, and sends a GOAWAY with it after the calls in progress; it then reads on without effect until the client closes, for at most 1 s. The client reports a call on a higher stream as not sent, also one whose headers were never written. A call up to the named stream stays perhaps sent.

Ruled out: a GOAWAY at the beginning of the stop. h2 sends nothing after it, so the answers of the calls in progress would be lost. Until the GOAWAY new calls are refused as before, which tells the caller that they had no effect.

--- a/src/apricotlever/links/peer_channels.py
+++ b/src/apricotlever/links/peer_channels.py
@@ -8,9 +8,8 @@
 
 import collections
 
-from grpclib import client
-
 from .. import clock as clocks
+from . import peer_connections
 
 MAX_CHANNEL_AGE_S = 300.0
 MAX_CHANNELS = 256
@@ -24,7 +23,9 @@
 
     __slots__ = ("channel", "opened_at", "active_calls", "is_retired")
 
-    def __init__(self, channel: client.Channel, opened_at: float) -> None:
+    def __init__(
+        self, channel: peer_connections.Channel, opened_at: float
+    ) -> None:
         self.channel = channel
         self.opened_at = opened_at
         self.active_calls = 0
@@ -113,7 +114,7 @@
     def _open(self, address: str) -> CachedChannel:
         host, _, port = address.rpartition(":")
         cached = CachedChannel(
-            client.Channel(host, int(port)), self._clock.now()
+            peer_connections.Channel(host, int(port)), self._clock.now()
         )
         self._by_address[address] = cached
         self._open_channels.add(cached)
--- a/src/apricotlever/links/peer_link.py
+++ b/src/apricotlever/links/peer_link.py
@@ -9,21 +9,24 @@
 from concurrent import futures
 import socket
 import typing
-import weakref
 
 from google.protobuf import message as protobuf
 from grpclib import const
 from grpclib import exceptions
-from grpclib import server
+from h2 import exceptions as h2_exceptions
 
 from .. import clock as clocks
 from .. import errors
 from . import peer_channels
+from . import peer_connections
 from . import peer_grpc
 
 Handler = typing.Callable[[typing.Any], typing.Any]
 
 DEFAULT_GRACE_S = 5.0
+#: How long a stopping link waits for its peers to close their connections
+#: after a GOAWAY, in seconds: some round trips, also to a busy peer.
+GO_AWAY_LINGER_S = 1.0
 KEEPALIVE_IDLE_S = 30
 KEEPALIVE_INTERVAL_S = 10
 KEEPALIVE_PROBES = 3
@@ -165,30 +168,6 @@
         return answer
 
 
-class _Server(server.Server):
-    """A server that can close its open connections when it stops.
-
-    grpclib leaves them open. A peer would go on sending calls over its cached
-    connection and get no answer, instead of an error that tells that the
-    server has stopped.
-    """
-
-    def __init__(self, service: _PeersService) -> None:
-        super().__init__([service])
-        self._protocols: weakref.WeakSet[typing.Any] = weakref.WeakSet()
-
-    def _protocol_factory(self) -> typing.Any:
-        protocol = super()._protocol_factory()
-        self._protocols.add(protocol)
-        return protocol
-
-    def close_connections(self) -> None:
-        """Close all connections that are still open."""
-        for protocol in list(self._protocols):
-            if hasattr(protocol, "processor"):
-                protocol.processor.close()
-
-
 class PeerLink:
     """Server for the calls of peers and client for calls to them.
 
@@ -217,7 +196,7 @@
         self._loop = asyncio.new_event_loop()
         self._executor = futures.ThreadPoolExecutor(1, "peers")
         self._thread: futures.Future[None] | None = None
-        self._server: _Server | None = None
+        self._server: peer_connections.Server | None = None
         self._stopping = False
 
     @property
@@ -283,18 +262,23 @@
         self._loop.close()
 
     async def _start_server(self) -> None:
-        self._server = _Server(self._service)
+        self._server = peer_connections.Server(self._service)
         await self._server.start(sock=self._socket)
 
     async def _stop_server(self, grace_s: float) -> None:
         assert self._server is not None
         self._service.refuse_new_calls()
+        self._server.stop_handling()
         deadline = self._loop.time() + grace_s
         while self._service.running_calls and self._loop.time() < deadline:
             await asyncio.sleep(0.01)
         self._server.close()
         self._channels.close()
         await self._server.wait_closed()
+        self._server.go_away()
+        deadline = self._loop.time() + GO_AWAY_LINGER_S
+        while self._server.has_connections and self._loop.time() < deadline:
+            await asyncio.sleep(0.01)
         self._server.close_connections()
         await asyncio.sleep(0)
 
@@ -338,8 +322,14 @@
             raise PeerUnavailable(address, _reason(error), False)
         stub = peer_grpc.PeersStub(cached.channel)
         remaining_s = max(0.001, deadline - self._loop.time())
+        opened = getattr(stub, method).open(timeout=remaining_s)
         try:
-            return await getattr(stub, method)(message, timeout=remaining_s)
+            async with opened as stream:
+                await stream.send_message(message, end=True)
+                answer: protobuf.Message = await stream.recv_message()
+            return answer
+        except peer_connections.StreamNotHandled as error:
+            raise PeerUnavailable(address, _reason(error), False)
         except exceptions.GRPCError as error:
             if error.status in _REFUSAL_STATUSES:
                 raise PeerRefused(error.message or "", address)
@@ -349,8 +339,11 @@
             asyncio.TimeoutError,
             exceptions.ProtocolError,
             exceptions.StreamTerminatedError,
+            h2_exceptions.H2Error,
         ) as error:
-            raise PeerUnavailable(address, _reason(error), True)
+            # grpclib sets the peer once the call's headers are written.
+            sent = opened.peer is not None
+            raise PeerUnavailable(address, _reason(error), sent)
 
 
 def _listen(host: str, port: int) -> socket.socket:
--- a/tests/links/peer_link.feature
+++ b/tests/links/peer_link.feature
@@ -55,3 +55,37 @@
     Given a peer link that answers gossip
     When a peer call "Run" times out before its future completes
     Then the handler can still complete that future
+
+  Scenario Outline: A call that crosses a GOAWAY
+    Guards against reporting a call as perhaps run that the peer excludes by
+    its GOAWAY, and against reporting one as not run that it doesn't exclude.
+    Given a peer that names stream <last> in a GOAWAY after its second call
+    Then a peer call "Gossip" is answered with its own sequence number
+    And a peer call "Gossip" is unavailable and <outcome>
+
+    Examples:
+      | last | outcome              |
+      | 1    | was not sent         |
+      | 3    | may have been sent   |
+
+  Scenario: An answer in the same packet as a GOAWAY
+    Guards against losing the answer of a call that was run.
+    Given a peer that sends its first answer together with a GOAWAY
+    Then a peer call "Gossip" is answered with its own sequence number
+    And a peer call "Gossip" is unavailable and was not sent
+
+  Scenario: A stopping link names the last call that it handled
+    Guards against a reset in place of the GOAWAY. A client that has not read
+    it yet sends a call, and the socket has closed already.
+    Given a peer link that answers gossip
+    And a slow client whose call "Gossip" it has answered
+    When the link stops
+    And the slow client calls "Run" before it reads
+    Then it reads a GOAWAY that names stream 1, and the connection's end
+    And the handler of "Run" was not called
+
+  Scenario: A call that outlasts the grace of a planned stop may have been run
+    Guards against reporting a handled call as not sent.
+    Given a peer link that answers gossip
+    When a peer call "Run" outlasts the stop of the link
+    Then that peer call is unavailable and may have been sent
--- a/tests/steps/links_peer_link.py
+++ b/tests/steps/links_peer_link.py
@@ -3,14 +3,17 @@
 import asyncio
 from concurrent import futures
 import threading
+import time
 
 import behave
 from grpclib import client
+from h2 import events
 
 from apricotlever import clock as clocks
 from apricotlever.links import peer_grpc
 from apricotlever.links import peer_link
 from apricotlever.links import peer_pb2 as pb
+from tests.links import goaway_peer
 from tests.links import packet_drop_relay
 from tests.support import ports
 
@@ -215,3 +218,85 @@
     """The future must not have been cancelled."""
     assert not context.handler_future.cancelled()
     context.handler_future.set_result(pb.KeyedAnswer())
+
+
+def _calls_goaway_server(context, *arguments, **options):
+    answer = pb.GossipMessage(ack=pb.Ack(sequence=7))
+    peer = goaway_peer.GoAwayServer(answer, *arguments, **options)
+    context.caller = peer_link.PeerLink("127.0.0.1", 0, peer_link.Handlers())
+    context.caller.start()
+    context.closers.append(context.caller.stop)
+    context.address = peer.address
+
+
+@behave.given(
+    "a peer that names stream {last:d} in a GOAWAY after its second call"
+)
+def goaway_after_second_call(context, last):
+    """The call has been sent completely when the GOAWAY arrives."""
+    _calls_goaway_server(context, 1, last)
+
+
+@behave.given("a peer that sends its first answer together with a GOAWAY")
+def goaway_with_answer(context):
+    """Both stand in one packet, so that the caller reads them at once."""
+    _calls_goaway_server(context, 1, 1, at_once=True)
+
+
+@behave.given('a slow client whose call "{method}" it has answered')
+def slow_client(context, method):
+    """The client reads only when told."""
+    context.slow = goaway_peer.SlowClient(context.address)
+    context.closers.append(context.slow.close)
+    context.slow.call(method, REQUESTS[method])
+    context.slow.read_until(events.StreamEnded)
+
+
+@behave.when("the link stops")
+def link_stops(context):
+    """Wait until it accepts no more connections."""
+    context.stopper = threading.Thread(target=context.server.stop)
+    context.stopper.start()
+    deadline = time.monotonic() + TIMEOUT_S
+    while time.monotonic() < deadline:
+        try:
+            goaway_peer.SlowClient(context.address).close()
+        except ConnectionRefusedError:
+            return
+    raise AssertionError("the link still accepts connections")
+
+
+@behave.when('the slow client calls "{method}" before it reads')
+def slow_client_calls(context, method):
+    """The call crosses the GOAWAY."""
+    context.slow.call(method, REQUESTS[method])
+
+
+@behave.then("it reads a GOAWAY that names stream {last:d}, {rest}")
+def reads_goaway(context, last, rest):
+    """A reset before the end raises an error."""
+    seen = context.slow.read_until(events.ConnectionTerminated)
+    assert seen.last_stream_id == last, seen
+    context.slow.read_end()
+    context.stopper.join(TIMEOUT_S)
+
+
+@behave.then('the handler of "Run" was not called')
+def run_not_called(context):
+    """The link has stopped, so that it can't be called later either."""
+    assert not context.stopper.is_alive()
+    assert not context.handler_called.is_set()
+
+
+@behave.when('a peer call "{method}" outlasts the stop of the link')
+def outlasts_stop(context, method):
+    """The handler's future never completes."""
+    context.call = _call(context, method)
+    assert context.handler_called.wait(TIMEOUT_S)
+    context.server.stop(SHORT_TIMEOUT_S)
+
+
+@behave.then("that peer call is unavailable and may have been sent")
+def running_call_may_have_been_sent(context):
+    """Its handler was called."""
+    assert _expect_error(context.call, peer_link.PeerUnavailable).sent
