Test a request that arrives after its cancellation

Cause: no scenario failed without the release of a late grant, because the message that ends an unanswered request also ended its lease.

Change: the keeper gets requests late in one more example.

Ruled out: dropping that release; a delayed request would keep its lease until the timeout.

--- a/tests/serving/slot_fleet.py
+++ b/tests/serving/slot_fleet.py
@@ -210,6 +210,13 @@
             seconds if source == address else DELAY_S
         ]
 
+    def delay(self, kind, name, seconds):
+        """Let messages of one kind reach a VM late."""
+        address = self.addresses[name]
+        self.network.delays = lambda message, source, target: [
+            seconds if (message[0], target) == (kind, address) else DELAY_S
+        ]
+
     def heal(self):
         """Deliver all messages again."""
         self.network.delays = lambda message, source, target: [DELAY_S]
--- a/tests/serving/slot_keepers.feature
+++ b/tests/serving/slot_keepers.feature
@@ -23,6 +23,7 @@
       | is cut off             |
       | is slow                |
       | has its answers lost   |
+      | gets requests late     |
 
   # Guards against slots that nobody can use any more.
   Scenario: Lost releases are made up for by the next request
--- a/tests/steps/serving_slot_keepers.py
+++ b/tests/steps/serving_slot_keepers.py
@@ -47,6 +47,9 @@
         fleet.cut(keeper)
     elif fault == "is slow":
         fleet.slow(keeper, 0.05)
+    elif fault == "gets requests late":
+        # The request arrives after the message that cancels it.
+        fleet.delay(slot_fleet.ASK, fleet.keeper, 0.03)
     else:
         assert fault == "has its answers lost", fault
         fleet.lose(slot_fleet.GRANT)
