--- a/src/apricotlever/runners/policies.py
+++ b/src/apricotlever/runners/policies.py
@@ -201,9 +201,9 @@
     It compares the home runner of the prefix and random runners, those of the
     VM's own data centre first, like ``home_or_faster``. The longer the
     prompt's prefill takes, the more runners are compared, since of two random
-    runners both may be too slow. For a prompt whose prefill takes half of the target,
-    the runners that would be fast enough if nothing waited there are found
-    among all of them. Even then only some of these are compared by their
+    runners both may be too slow. For a prompt whose prefill takes half of the
+    target, the runners that would be fast enough if nothing waited there are
+    found among all of them. Even then only some of these are compared by their
     queues: the figures of queues are outdated, and VMs that compared them all
     would send to the same runner.
     """
