Refuse calls that can't begin in time at any runner

Cause: a call whose wait exceeds its time occupies an engine's queue and its caller until the deadline.

Change: before a call is first sent, the expected time at the chosen runner is compared with the time left; if it exceeds it, that at the best runner decides. The wait counts only the share of prompts of the same or more urgent levels, taken from this VM's own waiting prompts (at least 4). One of these must have waited for half of the time left. The call is refused with 503 no_time and the missing seconds as Retry-After; never while a runner is idle. Mode observe logs.

Ruled out: the estimate alone, which today's latency model makes several times too high, so that calls would be refused while there is capacity.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -26,6 +26,7 @@
         "runner_limit",
         "runner_refuses",
         "runner_rest",
+        "service_contention",
         "started",
         "stopping",
         "stop_cut_off",
@@ -39,6 +40,10 @@
     ("no_route", "no route of the version in force matches its host and path"),
     ("leaving", "its VM was shutting down, so it was not run"),
     ("no_configuration", "its VM had no configuration yet"),
+    (
+        "no_time",
+        "no runner would have begun to answer it in time, so it was not run",
+    ),
     ("no_runner", "no runner of the service was available for it"),
     (
         "runners_unavailable",
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -149,6 +149,9 @@
     "vm_refused": Event(WARNING, "The cloud API refused to start a VM."),
     "vm_released": Event(INFO, "A VM was returned to the cloud."),
     "request_refused": Event(INFO, "A request was refused and not run."),
+    "request_without_time": Event(
+        INFO, "A request can't begin in time at any runner."
+    ),
     "request_routed": Event(INFO, "A runner was chosen for a request."),
     "request_retried": Event(
         INFO, "An attempt failed and another one started."
--- a/src/apricotlever/runners/candidates.py
+++ b/src/apricotlever/runners/candidates.py
@@ -111,6 +111,20 @@
         self._token_price = 0.0
         self.update_runner(runner)
 
+    @property
+    def idle(self) -> bool:
+        """Whether a slot is free and no prompt awaits a prefill."""
+        pending = self.pending_tokens + self.others_pending
+        return self.fill <= 1.0 and not pending
+
+    def first_token_behind_s(self, share: float) -> float:
+        """The estimated time to the first token behind a part of the queue.
+
+        :param share: part of the waiting prompts that the query waits for, as
+            the engine reads it before the others.
+        """
+        return self.first_token_s - (1.0 - share) * self._fixed_s
+
     def update_runner(self, runner: models.Runner) -> None:
         """Replace the description of the runner, with its price."""
         self.runner = runner
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -238,6 +238,24 @@
         )
         return _route(candidate)
 
+    def expected_first_token_s(self, name: str) -> float:
+        """The time to the first token at a runner, by the last estimate."""
+        candidate = self._candidates.get(name)
+        return candidate.first_token_s if candidate is not None else 0.0
+
+    def best_first_token_s(
+        self, query: models.Query, share: float
+    ) -> float | None:
+        """The shortest expected time to the first token of a query.
+
+        :param share: part of the waiting prompts that the query waits for.
+        :returns: seconds; None if a runner is idle, or none is available.
+        """
+        usable = self._usable_candidates(query)
+        if not usable or any(candidate.idle for candidate in usable):
+            return None
+        return min(c.first_token_behind_s(share) for c in usable)
+
     def ranked(self, query: models.Query, limit: int) -> list[models.Route]:
         """The best runners for a query, the best first.
 
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -182,10 +182,13 @@
         self._check_crash_blocklist(upstreams.crashes)
         placement = await self._place()
         runner, query = placement.runner, placement.query
+        level = self._queue_level()
+        query.priority = level or 0
+        self._check_time(placement)
         self.runner_id = runner.runner_id
         self._tried_runners.add(runner.runner_id)
         parameters = self._runner_call_parameters(
-            runner, upstreams.fetch_source(query, runner)
+            runner, upstreams.fetch_source(query, runner), level
         )
         self._placement.log_chosen(
             placement, parameters, self.sends + 1, self._level_cause
@@ -226,6 +229,35 @@
         except call_placement.NoPlace as error:
             raise self._not_served(error.reason) from error
 
+    def _check_time(self, placement: call_placement.Placement) -> None:
+        """Refuse a call that would begin too late at any runner.
+
+        :raises NotServed: when it is refused.
+        """
+        upstreams = self._relay.upstreams
+        mode = upstreams.part_modes.priorities
+        if self.may_have_run or mode is modes.Mode.OFF:
+            return
+        left_s = self._deadline - self._loop.time()
+        missing_s = upstreams.missing_time_s(
+            placement.query, placement.runner, left_s
+        )
+        if missing_s <= 0.0:
+            return
+        logs.event(
+            "request_without_time",
+            request=self._call.request_id,
+            service=self._service,
+            left_s=left_s,
+            missing_s=missing_s,
+            level=placement.query.priority,
+            mode=mode.value,
+        )
+        if mode is modes.Mode.ON:
+            self._placement.refund(placement)
+            self.reason = "no_time"
+            raise NotServed(503, "no_time", missing_s)
+
     async def _send(
         self,
         attempt: attempts.Attempt,
@@ -276,7 +308,7 @@
         raise error
 
     def _runner_call_parameters(
-        self, runner: runners.Runner, copy_from: str | None
+        self, runner: runners.Runner, copy_from: str | None, level: int | None
     ) -> messages.RunnerCallParameters:
         left_s = (
             self._deadline - self._loop.time() - attempts.RESPONSE_MARGIN_S
@@ -285,7 +317,7 @@
             runner.name,
             self._customer.name if self._customer else None,
             max(MIN_RUNNER_TIME_S, left_s),
-            self._queue_level(),
+            level,
             self._splitter.last_id,
             copy_from,
         )
--- a/src/apricotlever/serving/prompt_meters.py
+++ b/src/apricotlever/serving/prompt_meters.py
@@ -6,15 +6,19 @@
 from ..data_centres import prefill_load
 from ..runners import model as models
 
+#: Number of waiting prompts from which a VM knows what the others' wait for.
+MIN_WAITING_PROMPTS = 4
+
 
 class _WaitingPrompt:
     """A prompt that was sent and has no response yet.
 
     :param tokens: its uncached tokens.
     :param sent_at: when it was sent, by this VM's clock.
+    :param level: its level in the engine's queue.
     """
 
-    __slots__ = ("meter", "objective_s", "tokens", "sent_at")
+    __slots__ = ("meter", "objective_s", "tokens", "sent_at", "level")
 
     def __init__(
         self,
@@ -22,11 +26,13 @@
         objective_s: float,
         tokens: int,
         sent_at: float,
+        level: int,
     ) -> None:
         self.meter = meter
         self.objective_s = objective_s
         self.tokens = tokens
         self.sent_at = sent_at
+        self.level = level
 
 
 class PromptMeters:
@@ -67,6 +73,28 @@
             return 0.0
         return 1.0 / meter.prefill_speed
 
+    def waiting_share(
+        self, service: str, level: int, min_wait_s: float
+    ) -> float | None:
+        """The part of the waiting tokens that a call of a level waits for.
+
+        It is that of this VM's own prompts.
+
+        :param min_wait_s: how long one of them must have waited already.
+        :returns: the tokens of the same and lower levels divided by all; None
+            if too few prompts wait, or for too short a time, to tell.
+        """
+        meter = self._meters.get(service)
+        waiting = [p for p in self._waiting.values() if p.meter is meter]
+        tokens = sum(prompt.tokens for prompt in waiting)
+        if len(waiting) < MIN_WAITING_PROMPTS or not tokens:
+            return None
+        before = [prompt for prompt in waiting if prompt.level <= level]
+        sent_by = self._clock.now() - min_wait_s
+        if not any(prompt.sent_at <= sent_by for prompt in before):
+            return None
+        return sum(prompt.tokens for prompt in before) / tokens
+
     def limited_away(
         self, service: str, limits: typing.Sequence[float]
     ) -> float:
@@ -91,7 +119,11 @@
         meter = self.meter(service)
         meter.record_sent(tokens)
         self._waiting[attempt] = _WaitingPrompt(
-            meter, query.wanted_first_token_s, tokens, self._clock.now()
+            meter,
+            query.wanted_first_token_s,
+            tokens,
+            self._clock.now(),
+            query.priority,
         )
 
     def record_response(self, attempt: str) -> None:
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -36,6 +36,10 @@
 
 #: Output tokens reported for a response whose tokens are not counted.
 NO_OUTPUT_TOKENS = 0
+#: Part of a call's time that a prompt of the same urgency must have waited
+#: before a call is refused for lack of time. The expected time rests on a
+#: model of the runners that may be too slow, in particular after a start.
+WAIT_EVIDENCE_SHARE = 0.5
 
 
 class Upstreams:
@@ -321,6 +325,28 @@
         name = self._choice.choose(query, full | self._statements.unavailable)
         return None if name is None else self._directory.get(name)
 
+    def missing_time_s(
+        self, query: models.Query, runner: runners.Runner, left_s: float
+    ) -> float:
+        """By how much a call would begin too late at the best runner.
+
+        :param runner: the runner chosen for the query.
+        :param left_s: seconds until the call's deadline.
+        :returns: seconds; 0 if the call can begin in time, or if too little is
+            known to tell.
+        """
+        if not query.prompt_tokens:
+            return 0.0
+        if self._router.expected_first_token_s(runner.runner_id) <= left_s:
+            return 0.0
+        share = self._prompts.waiting_share(
+            runner.service, query.priority, WAIT_EVIDENCE_SHARE * left_s
+        )
+        if share is None:
+            return 0.0
+        expected_s = self._router.best_first_token_s(query, share)
+        return 0.0 if expected_s is None else max(0.0, expected_s - left_s)
+
     def takes_regular_calls(self, runner: runners.Runner) -> bool:
         """Whether a runner takes its service's regular calls."""
         return self._choice.takes_regular_calls(runner)
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -45,12 +45,12 @@
 class RequestPath:
     """The request path, its runner stand-ins and a caller."""
 
-    def __init__(self, name="vm", part_modes=None):
+    def __init__(self, name="vm", part_modes=None, callers=None, clock=None):
         self.name = name
         self.clock = clocks.ManualClock()
         self.directory = directories.RunnerDirectory(self.clock)
         self.upstreams = upstreams.Upstreams(
-            clocks.SystemClock(),
+            clock or clocks.SystemClock(),
             random.Random(1),
             name,
             "dc",
@@ -64,7 +64,7 @@
         )
         self.relay = call_relay.CallRelay(
             dialects.Dialect(
-                plain_dialect.PlainCallerDialect(),
+                callers or plain_dialect.PlainCallerDialect(),
                 plain_dialect.PlainRunnerDialect(name),
                 None,
             ),
