--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -83,7 +83,7 @@
 
 
 @given("mode {mode} of the retry times")
-def _set_mode(context, mode):
+def _set_return_mode(context, mode):
     world = _world(context)
     world.limits._returns = modes.Mode(mode)
     patches = (
