Accept hashes of up to 64 bits in requests to keepers of limits

Cause: the hash of a call was checked as an integer of at most 2**53, so a keeper refused nearly each request that had one, and the asking VM decided by itself after the time-out. The tests used the hash 7.

Change: validation.is_hash; the steps use the largest hash.

--- a/src/apricotlever/serving/limit_protocol.py
+++ b/src/apricotlever/serving/limit_protocol.py
@@ -47,7 +47,7 @@
     validation.is_non_empty_string,
     validation.is_non_negative_number,
     validation.is_non_negative_number,
-    validation.is_non_negative_int,
+    validation.is_hash,
 )
 _IS_ANSWER = validation.is_tuple_of(
     validation.is_non_negative_int,
--- a/src/apricotlever/validation.py
+++ b/src/apricotlever/validation.py
@@ -54,6 +54,11 @@
     return type(value) is int and abs(value) <= MAX_SAFE_INTEGER
 
 
+def is_hash(value: typing.Any) -> bool:
+    """Whether a value is a hash of up to 64 bits."""
+    return type(value) is int and 0 <= value < 2**64
+
+
 def is_non_negative_number(value: typing.Any) -> bool:
     """Whether a value is a finite number from 0 upwards."""
     if type(value) is float:
--- a/tests/steps/serving_limit_protocol.py
+++ b/tests/steps/serving_limit_protocol.py
@@ -19,6 +19,9 @@
 from apricotlever.serving import log_rate_limiter
 from apricotlever.serving import modes
 
+#: The largest hash of a call.
+LARGEST_HASH = 2**64 - 1
+
 HOST = "127.0.0.1"
 #: The limit in units per second and its burst in units. The rate is so low
 #: that no units are refilled during a scenario.
@@ -246,7 +249,7 @@
     keeper = context.keeper.name
     context.keeper = _Vm(keeper, context.clock, modes.Mode(mode))
     _initialize(context, 0.0)
-    call = return_slots.ReturningCall(7, 1e6)
+    call = return_slots.ReturningCall(LARGEST_HASH, 1e6)
     admit = context.asker.limits.admit
 
     async def work():
@@ -258,7 +261,9 @@
         level = context.keeper.limits.rate_limit(_customer()).level
         context.permits = {
             "new one": await admit(
-                "clerks", level, return_slots.ReturningCall(8, 1e6)
+                "clerks",
+                level,
+                return_slots.ReturningCall(LARGEST_HASH - 1, 1e6),
             ),
             "returning one": await admit("clerks", 100.0, call),
         }
@@ -316,7 +321,7 @@
         limit_protocol._IS_ASK,
         keeper.calls._receive_request,
     )
-    call = return_slots.ReturningCall(7, 1e6)
+    call = return_slots.ReturningCall(LARGEST_HASH, 1e6)
     context.permits = []
 
     async def work():
@@ -340,7 +345,7 @@
 @when("a keeper that has answered leaves a request with a hash unanswered")
 def _one_lost(context):
     keeper, calls = context.keeper, context.asker.calls
-    call = return_slots.ReturningCall(7, 1.0)
+    call = return_slots.ReturningCall(LARGEST_HASH, 1.0)
 
     async def work():
         address = (HOST, keeper.calls.port)
