Admit equal calls of a customer up to its whole limit

Cause: calls of equal content look like retries that come too early. With calls near the burst, what is set aside for the first one and the part of the burst that an early call must leave kept all others out: the new scenario with 60 and 100 units of a burst of 100 failed.

Change: the units set aside for a call don't count against it, and a call leaves no more than the burst without its units.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -19,6 +19,7 @@
 from apricotlever import clock as clocks
 from apricotlever.contracts import fleet_rate_limit
 from apricotlever.contracts import limit_keepers
+from apricotlever.contracts import return_slots
 from apricotlever.contracts import token_bucket
 from apricotlever.serving import limit_protocol
 from apricotlever.serving import log_rate_limiter
@@ -233,7 +234,12 @@
 class _AdmitAllKeeper:
     """A keeper that admits all calls."""
 
-    def admit_for_peer(self, customer: str, units: float) -> float | None:
+    def admit_for_peer(
+        self,
+        customer: str,
+        units: float,
+        call: return_slots.ReturningCall | None = None,
+    ) -> float | None:
         """Admit a call."""
         return 0.0
 
--- a/src/apricotlever/contracts/return_slots.py
+++ b/src/apricotlever/contracts/return_slots.py
@@ -251,9 +251,16 @@
         due_at: float,
         reserved: float,
     ) -> float:
-        spare = EARLY_BURST_SHARE * rate.usable_burst
-        admitted = rate.take(units, True, reserved + spare) == 0.0
         reservation = self._find(call, units)
+        # What is set aside for the call itself does not stand in its way.
+        if reservation and reservation.is_ripe:
+            reserved = max(0.0, reserved - reservation.units)
+        elif reservation and reservation is self._upcoming[0]:
+            reserved = min(reserved, self._ripe_units)
+        burst = rate.usable_burst
+        # A call near the burst could not leave more.
+        spare = min(EARLY_BURST_SHARE * burst, max(0.0, burst - units))
+        admitted = rate.take(units, True, reserved + spare) == 0.0
         if admitted and reservation is not None:
             self._close(reservation)
         elif reservation is None:
--- a/tests/contracts/return_slots.feature
+++ b/tests/contracts/return_slots.feature
@@ -59,6 +59,19 @@
     When a call of 20 units is refused twice and then returns
     Then there is one reservation, and a call of 30 units does not use it
 
+  # Guards against a customer that is nearly shut out because its calls are all
+  # equal: each of them looks like a retry that comes too early.
+  Scenario Outline: A customer whose calls are all equal gets its whole limit
+    Given a limit of 100 units a second without units
+    When equal calls of <units> units arrive at <load> times the limit for 20 seconds
+    Then at least 0.9 of the limit is admitted
+
+    Examples:
+      | units | load |
+      | 10    | 3    |
+      | 60    | 3    |
+      | 100   | 10   |
+
   Scenario: A call in time does not find units that other VMs have used
     Given a limit of 100 units a second without units
     When a call of 20 units returns after another VM has used 40 units
--- a/tests/steps/contracts_return_slots.py
+++ b/tests/steps/contracts_return_slots.py
@@ -231,6 +231,24 @@
     assert limit.counts.missed == 1
 
 
+@when(
+    "equal calls of {units:d} units arrive at {load:d} times the limit for "
+    "{seconds:d} seconds"
+)
+def _equal_calls(context, units, load, seconds):
+    context.allowed = RATE * seconds
+    context.admitted = 0.0
+    for _ in range(round(load * context.allowed / units)):
+        context.limit.clock.advance(units / (load * RATE))
+        if context.limit.admit(float(units), patience_s=1.6) == 0.0:
+            context.admitted += units
+
+
+@then("at least {share:f} of the limit is admitted")
+def _share_admitted(context, share):
+    assert context.admitted >= share * context.allowed, context.admitted
+
+
 @when("a call of 20 units returns after another VM has used 40 units")
 def _used_elsewhere(context):
     limit = context.limit
@@ -243,7 +261,10 @@
 def _new_time(context):
     limit = context.limit
     assert context.told_s > 0.0 and limit.counts.refused_again == 1
-    limit.clock.advance(context.told_s)
+    limit.clock.advance(0.5 * context.told_s)
+    again_s = limit.admit(20.0)
+    assert abs(again_s - 0.5 * context.told_s) < 1e-6, again_s
+    limit.clock.advance(again_s)
     assert limit.admit(20.0) == 0.0 and limit.counts.kept == 1
 
 
