Test frequent callers over a longer time

Cause: without the rule that moves the time of a call that returns early, the feature passed, as ten seconds have too few callers.

Change: the scenario simulates 30 s. It fails without that rule, and without the part of the burst that early calls must leave.

--- a/bench/_limit_returns.py
+++ b/bench/_limit_returns.py
@@ -289,6 +289,7 @@
     load: float,
     seed: int,
     behaviours: typing.Sequence[str] = ("punctual",),
+    seconds: float = RETURN_SECONDS,
     **options: typing.Any,
 ) -> Outcome:
     """Simulate a customer whose refused callers retry.
@@ -296,12 +297,13 @@
     :param way: how retry times are given, of :data:`WAYS`.
     :param behaviours: what callers do, of :data:`BEHAVIOURS`;
         each has one at random.
+    :param seconds: for how long calls are made.
     :param options: see :func:`simulate`.
     """
     rng = random.Random(seed)
     callers = [
         Caller(call.at, call.units, rng.choice(behaviours))
-        for call in _limit_calls.generate_calls(load, RETURN_SECONDS, rng)
+        for call in _limit_calls.generate_calls(load, seconds, rng)
     ]
     return simulate(
         way,
--- a/tests/contracts/return_slots.feature
+++ b/tests/contracts/return_slots.feature
@@ -10,7 +10,7 @@
     And new calls have at least 0.45 of the limit
 
   Scenario: A caller gains nothing by returning early or often
-    Given callers of 3 times the limit for 10 seconds
+    Given callers of 3 times the limit for 30 seconds
     When three of five are punctual, one returns early and one often
     Then early and frequent callers are served as often as punctual ones
     And no window has more units than the token bucket admits
--- a/tests/steps/contracts_return_slots.py
+++ b/tests/steps/contracts_return_slots.py
@@ -51,9 +51,10 @@
         return self.slots.admit(self.rate, units, call)
 
 
-@given("callers of {load:d} times the limit for 10 seconds")
-def _callers(context, load):
+@given("callers of {load:d} times the limit for {seconds:d} seconds")
+def _callers(context, load, seconds):
     context.load = load
+    context.seconds = float(seconds)
 
 
 @when("all are punctual and the keeper ends after {seconds:d} seconds")
@@ -65,7 +66,7 @@
     context.outcomes, context.today = (
         [
             _limit_returns.simulate_returns(
-                way, context.load, seed, mix, **options
+                way, context.load, seed, mix, context.seconds, **options
             )
             for seed in SEEDS
         ]
@@ -98,7 +99,7 @@
 
 @then("new calls have at least {share:f} of the limit")
 def _new_calls(context, share):
-    allowed = _limit_calls.RATE_TOKENS_PER_S * _limit_returns.RETURN_SECONDS
+    allowed = _limit_calls.RATE_TOKENS_PER_S * context.seconds
     for outcome in context.outcomes:
         new = sum(
             each.units
@@ -112,7 +113,7 @@
 def _nothing_gained(context):
     # Callers still waiting when the load ends find room then; those that
     # return often would be there.
-    last_at = _limit_returns.RETURN_SECONDS - _limit_returns.RETURN_TIMEOUT_S
+    last_at = context.seconds - _limit_returns.RETURN_TIMEOUT_S
     every, served = collections.Counter(), collections.Counter()
     for outcome in context.outcomes:
         for each in outcome.callers:
