Compare the request of a returning call with its own hash

Cause: the step expected the literal hash 7, and the calls now have the largest.

Change: the step names the constant.

Measured: limit_protocol.feature, return_slots.feature, limit_keepers.feature and fleet_rate_limit.feature pass.

--- a/tests/steps/serving_limit_protocol.py
+++ b/tests/steps/serving_limit_protocol.py
@@ -361,7 +361,7 @@
 
 @then("the next request has 6 fields")
 def _six_fields(context):
-    assert context.requests[-1] == [0, 2, "clerks", 1.0, 1.0, 7]
+    assert context.requests[-1] == [0, 2, "clerks", 1.0, 1.0, LARGEST_HASH]
 
 
 @when("the keeper's answer arrives late")
