Count answers that end before their VM hears of the crashes

Cause: all callers of the soak test send the same body. In a traced failure two runners restarted and one VM noticed both within 15 ms; another VM had a copy of the call answered 0.09 s later, but had not heard of the crashes and fingerprints answers only while a crash is known. So the answer cleared nothing, and every further call of the route was refused.

Change: each VM keeps its complete answers of the last 3 s, at most 1024 and 1 MB of bodies (runners/recent_answers.py), without fingerprints. When it hears of a crash it computes them and clears the calls of earlier crashes. Peers are told only if no crash is left, as a record carries no times. A crash counts from the earliest time at which a VM noticed it, since the VM of the answer may notice it last. A call that crashes each runner that begins it has no answer and is still blocked after two crashes.

Ruled out: see docs/design/quarantine.md (answers before a crash, a third crash, answers listed in records).

Not mended: two restarts without any answer of the call after the first one still refuse it, so the entry in KNOWN-RED.txt stays.

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -19,6 +19,7 @@
 from .. import validation
 from . import crashes
 from . import quarantine
+from . import recent_answers
 
 #: A call is suspected of a crash if it broke off at most this many seconds
 #: before the crash was detected. A list entry disappears after three missed
@@ -113,6 +114,7 @@
         "_recent_crashes",
         "_quarantine",
         "_pending_reports",
+        "_recent_answers",
         "_vm",
     )
 
@@ -120,6 +122,7 @@
         self._clock = clock
         self._vm = vm
         self._quarantine = quarantine.Quarantine(clock)
+        self._recent_answers = recent_answers.RecentAnswers(clock)
         #: Calls whose connection broke recently, by runner.
         self._broken_calls: dict[str, list[_BrokenCall]] = {}
         #: Crashes within the last SAME_CRASH_WINDOW_S, by runner.
@@ -202,8 +205,24 @@
         self._pending_reports[runner] = _PendingReport(
             now + RECORD_REPEAT_S, report
         )
+        self._apply_recent_answers()
         return len(names)
 
+    def call_answered(
+        self, make_fingerprint: typing.Callable[[], str], size: int
+    ) -> None:
+        """Record a complete answer, which clears its call of earlier crashes.
+
+        The answer is kept for a while, as a peer may have seen a crash that
+        this VM has not heard of yet.
+
+        :param make_fingerprint: computes the fingerprint of the call.
+        :param size: the size of the call's body in bytes.
+        """
+        self._recent_answers.add(make_fingerprint, size)
+        if self.active:
+            self.answered(make_fingerprint())
+
     def answered(self, fingerprint: str) -> None:
         """Clear a call of all earlier crashes after its complete answer.
 
@@ -308,6 +327,8 @@
                     vm, runner, data_centre, age_s, noticed, suspects
                 )
             )
+        if crash_entries:
+            self._apply_recent_answers()
         now = self._clock.now()
         for name, left_s in blocked.items():
             # A known block is not extended: two VMs that report it to each
@@ -338,6 +359,17 @@
         }
         return dict(list(quarantined.items())[:MAX_BLOCKED_PER_RECORD])
 
+    def _apply_recent_answers(self) -> None:
+        """Clear calls that were answered before their crash was heard of."""
+        for name, age_s in self._recent_answers.latest_ages().items():
+            if not self._is_suspect(name):
+                continue
+            self._quarantine.receive(crashes.RequestCompleted(name, age_s))
+            # A record doesn't say when the answer ended. Peers would clear
+            # the call of a crash after the answer, too.
+            if not self._is_suspect(name):
+                self._cleared_at[name] = self._clock.now()
+
     def _is_suspect(self, fingerprint: str) -> bool:
         status = self._quarantine.status(fingerprint)
         return status.state is not quarantine.FingerprintState.CLEAR
--- a/src/apricotlever/runners/crashes.py
+++ b/src/apricotlever/runners/crashes.py
@@ -192,6 +192,9 @@
         if crash is None:
             crash = RunnerCrash(report.runner, report.data_centre, at)
             self._crashes.append(crash)
+        # Each VM notices the crash when a call of its own breaks off. An
+        # answer elsewhere may end before the last VM does.
+        crash.at = min(crash.at, at)
         crash.noticed = crash.noticed or report.noticed
         for suspect in report.suspects[:MAX_SUSPECTS]:
             self._add_suspect(crash, suspect)
--- /dev/null
+++ b/src/apricotlever/runners/recent_answers.py
@@ -0,0 +1,80 @@
+"""The complete answers of the last seconds, in case their calls are suspected.
+
+The news of a crash reaches a VM after the crash. An answer that ended in the
+meantime clears its call, but the VM didn't know then that it mattered.
+"""
+
+import collections
+import typing
+
+from .. import clock as clocks
+
+#: How long an answer is kept, in seconds: as long as the records of peers
+#: repeat a crash.
+ANSWER_KEPT_S = 3.0
+#: The greatest number of answers that are kept, and the greatest total size
+#: of their calls' bodies in bytes. The fingerprints of all of them are
+#: computed on the event loop when a crash is reported, in some milliseconds.
+MAX_ANSWERS = 1024
+MAX_BODY_BYTES = 1_000_000
+
+
+class _Answer:
+    """A complete answer; its fingerprint is computed when it is needed."""
+
+    __slots__ = ("at", "size", "_make_fingerprint", "_fingerprint")
+
+    def __init__(
+        self, at: float, size: int, make_fingerprint: typing.Callable[[], str]
+    ) -> None:
+        self.at = at
+        self.size = size
+        self._make_fingerprint = make_fingerprint
+        self._fingerprint: str | None = None
+
+    @property
+    def fingerprint(self) -> str:
+        """The fingerprint of the answered call."""
+        if self._fingerprint is None:
+            self._fingerprint = self._make_fingerprint()
+        return self._fingerprint
+
+
+class RecentAnswers:
+    """Keeps answers within limits of age, number and size."""
+
+    __slots__ = ("_answers", "_bytes", "_clock")
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._answers: collections.deque[_Answer] = collections.deque()
+        self._bytes = 0
+
+    def add(
+        self, make_fingerprint: typing.Callable[[], str], size: int
+    ) -> None:
+        """Keep an answer that has just ended.
+
+        :param make_fingerprint: computes the fingerprint of its call.
+        :param size: the size of the call's body in bytes.
+        """
+        self._answers.append(
+            _Answer(self._clock.now(), size, make_fingerprint)
+        )
+        self._bytes += size
+        self._drop_excess()
+
+    def latest_ages(self) -> dict[str, float]:
+        """The seconds since the latest answer of each fingerprint."""
+        self._drop_excess()
+        now = self._clock.now()
+        return {each.fingerprint: now - each.at for each in self._answers}
+
+    def _drop_excess(self) -> None:
+        oldest = self._clock.now() - ANSWER_KEPT_S
+        while self._answers and (
+            self._answers[0].at < oldest
+            or len(self._answers) > MAX_ANSWERS
+            or self._bytes > MAX_BODY_BYTES
+        ):
+            self._bytes -= self._answers.popleft().size
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import functools
 import typing
 
 from .. import clock as clocks
@@ -128,8 +129,9 @@
         customer: configuration_model.Customer | None,
     ) -> None:
         """Clear a call of suspicion, as it got a complete answer."""
-        if self._blocklist.active:
-            self._blocklist.answered(fingerprint(call, customer))
+        self._blocklist.call_answered(
+            functools.partial(fingerprint, call, customer), len(call.body)
+        )
 
     def retry_after_s(
         self,
--- a/tests/runners/crash_blocklist.feature
+++ b/tests/runners/crash_blocklist.feature
@@ -69,3 +69,46 @@
     And the call "a" breaks off at r2, which has ended
     And two entry VMs exchange records for 2000 seconds
     Then the call "a" is not blocked
+
+  Scenario Outline: An answer at a VM that has not heard of two crashes yet
+    Guards against blocking a call that many callers send, when two of its
+    runners restart shortly one after the other. Copies of it are answered by
+    other runners, at a VM that does not know yet that it is suspected.
+    Given an entry VM whose calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And the call "<name>" is answered at a VM that has heard of no crash
+    And that VM hears of the crashes <later> seconds later
+    Then the call "a" is <state>
+
+    Examples:
+      | name | later | state       |
+      | a    | 0.2   | not blocked |
+      | b    | 0.2   | blocked     |
+
+  Scenario: An answer before two crashes does not clear a call of them
+    Guards against running a call again and again that was harmless before.
+    Given an entry VM whose calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" is answered at a VM that has heard of no crash
+    And the call "a" breaks off at r2, which has ended
+    And that VM hears of the crashes 0.2 seconds later
+    And the call "a" breaks off at r3, which has ended
+    And that VM hears of the crashes 0.2 seconds later
+    Then the call "a" is blocked
+    And the call "a" is blocked at that VM
+
+  Scenario: A crash that two entry VMs notice at different times
+    Guards against counting a crash as later than an answer that followed it,
+    because the VM of the answer noticed the crash last.
+    Given an entry VM whose calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And the call "a" is answered at a VM that has heard of no crash
+    And that VM notices the ends of r1 and r2 by other calls
+    And that VM hears of the crashes 0.2 seconds later
+    Then the call "a" is not blocked
+
+  Scenario: The answers that are kept are limited
+    Then of 2000 answers at once, 1024 are kept for 3 seconds
+    And answers to bodies of 400000 bytes are kept for 2 calls
--- a/tests/steps/runners_crash_blocklist.py
+++ b/tests/steps/runners_crash_blocklist.py
@@ -8,6 +8,7 @@
 
 from apricotlever import clock as clocks
 from apricotlever.runners import crash_blocklist
+from apricotlever.runners import recent_answers
 
 VMS = 4
 RUNNERS = 20
@@ -193,6 +194,56 @@
     context.vm.merge_record("vm-2", other.next_record(False))
 
 
+@when('the call "{name}" is answered at a VM that has heard of no crash')
+def _answered_unaware(context, name):
+    context.clock.advance(0.1)
+    context.unaware = _make_vm(context, "vm-2")
+    context.unaware.call_answered(lambda: name, 100)
+
+
+@when("that VM notices the ends of r1 and r2 by other calls")
+def _notices_crashes(context):
+    context.clock.advance(0.1)
+    for runner in ("r1", "r2"):
+        context.unaware.connection_broken(runner, "other")
+        context.unaware.runner_crashed(runner, DATA_CENTRE, False)
+
+
+@when("that VM hears of the crashes {seconds:g} seconds later")
+def _hears_of_crashes(context, seconds):
+    context.clock.advance(seconds)
+    context.unaware.merge_record("vm-1", context.vm.next_record(False))
+    record = context.unaware.next_record(False)
+    if record is not None:
+        context.vm.merge_record("vm-2", record)
+
+
+@then('the call "{name}" is blocked at that VM')
+def _blocked_at_unaware(context, name):
+    assert context.unaware.retry_after_s(name) is not None
+
+
+@then(
+    "of {count:d} answers at once, {kept:d} are kept for {seconds:d} seconds"
+)
+def _answers_kept(context, count, kept, seconds):
+    clock = clocks.ManualClock()
+    answers = recent_answers.RecentAnswers(clock)
+    for number in range(count):
+        answers.add(f"call-{number}".title, 1)
+    assert len(answers.latest_ages()) == kept
+    clock.advance(seconds + 0.1)
+    assert not answers.latest_ages()
+
+
+@then("answers to bodies of {size:d} bytes are kept for {kept:d} calls")
+def _large_answers_kept(context, size, kept):
+    answers = recent_answers.RecentAnswers(clocks.ManualClock())
+    for number in range(10):
+        answers.add(f"call-{number}".title, size)
+    assert len(answers.latest_ages()) == kept
+
+
 @when("{seconds:d} seconds pass and another entry VM starts")
 def _other_vm_starts(context, seconds):
     context.clock.advance(seconds)
