--- a/bench/_slot_fleet.py
+++ b/bench/_slot_fleet.py
@@ -75,12 +75,14 @@
     """A call and what became of it.
 
     :param vm: the VM that received it.
+    :param work: its duration as a multiple of the mean one.
     """
 
     __slots__ = (
         "number",
         "vm",
         "arrived_at",
+        "work",
         "rejections",
         "tried",
         "had_to_queue",
@@ -88,10 +90,13 @@
         "state",
     )
 
-    def __init__(self, number: int, vm: int, arrived_at: float) -> None:
+    def __init__(
+        self, number: int, vm: int, arrived_at: float, work: float
+    ) -> None:
         self.number = number
         self.vm = vm
         self.arrived_at = arrived_at
+        self.work = work
         self.rejections = 0
         self.tried: set[str] = set()
         self.had_to_queue = False
@@ -114,11 +119,14 @@
         "queue",
         "slow_until",
         "next_slow_at",
+        "_rng",
     )
 
     def __init__(
-        self, number: int, slots: int, speed: float, rng: random.Random
+        self, number: int, slots: int, speed: float, seed: int
     ) -> None:
+        #: Its own source, so that all ways meet the same moments.
+        self._rng = rng = random.Random(f"{seed} {number}")
         self.name = f"runner-{number}"
         self.data_centre = number % DATA_CENTRES
         self.slots = slots
@@ -128,8 +136,9 @@
         self.slow_until = 0.0
         self.next_slow_at = rng.expovariate(SLOW_PART / SLOW_S)
 
-    def slowness(self, now: float, rng: random.Random) -> float:
+    def slowness(self, now: float) -> float:
         """How much slower a call that starts now is."""
+        rng = self._rng
         while now >= self.next_slow_at:
             self.slow_until = self.next_slow_at + rng.expovariate(1 / SLOW_S)
             pause_s = SLOW_S * (1 - SLOW_PART) / SLOW_PART
@@ -168,6 +177,8 @@
         loss: float,
     ) -> None:
         self.rng = random.Random(seed)
+        #: A source of the calls, which are the same for all ways.
+        self._call_rng = random.Random(f"{seed} calls")
         self.clock = clocks.ManualClock(0.0)
         self.load = load
         self.vm_count = vm_count
@@ -179,7 +190,7 @@
         self.runners = {
             runner.name: runner
             for runner in (
-                Runner(number, slots, speed, self.rng)
+                Runner(number, slots, speed, seed)
                 for number, speed in enumerate(load.speeds)
             )
         }
@@ -266,9 +277,9 @@
 
     def _start(self, call: Call, runner: Runner) -> None:
         runner.running += 1
-        duration_s = self.load.call_s * self.rng.uniform(*DURATION_RANGE)
+        duration_s = self.load.call_s * call.work
         if self.load.has_moments:
-            duration_s *= runner.slowness(self.clock.now(), self.rng)
+            duration_s *= runner.slowness(self.clock.now())
         self.after(
             duration_s / runner.speed, lambda: self._finish(call, runner)
         )
@@ -313,10 +324,12 @@
         self.bad += bool(missed and call.free_elsewhere)
 
     def _arrive(self) -> None:
-        vm = self.rng.randrange(self.vm_count)
-        call = Call(next(self._numbers), vm, self.clock.now())
+        rng = self._call_rng
+        vm = rng.randrange(self.vm_count)
+        work = rng.uniform(*DURATION_RANGE)
+        call = Call(next(self._numbers), vm, self.clock.now(), work)
         self.way.place(call)
-        self.after(self.rng.expovariate(self._per_s), self._arrive)
+        self.after(rng.expovariate(self._per_s), self._arrive)
 
     def _report(self, vm: int) -> None:
         """Send a VM's status record, which takes no time here."""
