Show contention and the causes of levels to operators

Change: apricotlever room SERVICE reads the metrics of VMs as text and shows the contention, the wait and each customer's calls, tokens, fair share and whether it is put behind. explain names the cause of a call's level and of no_time. request_routed has queue_level and level_cause; the field `level` is the log line's own.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -71,6 +71,14 @@
 )
 
 
+#: Cause of a call's level in an engine's queue, and its meaning.
+LEVEL_MEANINGS = {
+    "rank": "its service was contended, so its route's rank counted first",
+    "size": "its service was contended, and short prompts came first",
+    "over_share": "its customer was over its share of a contended service",
+}
+
+
 class RequestTimeline:
     """The log lines that concern one request, and why the request ended.
 
@@ -95,6 +103,16 @@
     @property
     def cause(self) -> str:
         """How the request ended and why, in one sentence."""
+        routed = self._last_line("request_routed")
+        cause = routed.fields.get("level_cause") if routed else None
+        if routed is None or cause not in LEVEL_MEANINGS:
+            return self._end_cause
+        level = routed.fields.get("queue_level")
+        return f"{self._end_cause}; level {level}: {LEVEL_MEANINGS[cause]}"
+
+    @property
+    def _end_cause(self) -> str:
+        """How the request ended and why, without its level."""
         last = self._last_line("request_ended")
         refused = self._last_line("request_refused")
         if last is not None and last.fields.get("served") == "True":
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -250,7 +250,7 @@
             service=self._service,
             left_s=left_s,
             missing_s=missing_s,
-            level=placement.query.priority,
+            queue_level=placement.query.priority,
             mode=mode.value,
         )
         if mode is modes.Mode.ON:
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -215,7 +215,7 @@
             copy_from=parameters.copy_from,
             left_s=parameters.remaining_s,
             attempt=attempt,
-            level=parameters.priority if level_cause else None,
+            queue_level=parameters.priority if level_cause else None,
             level_cause=level_cause,
             limit_per_s=limit.limit_per_s if limit else None,
             limit_source=(limit.source or None) if limit else None,
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -58,3 +58,12 @@
     Given logs of two VMs with a request at a VM that was cut off
     When the operator explains "ee55"
     Then the command succeeds and prints "its VM vm-1 was lost to the others"
+
+  Scenario: A request is explained that had another level or no time
+    Given logs of two VMs with a request broken by a reclaimed runner
+    And a log of requests at a contended service
+    When the operator explains "ii99"
+    Then the command succeeds and prints "level 7: its customer was over its share"
+    When the operator explains "jj11"
+    Then the command succeeds and prints "no runner would have begun"
+    And the command succeeds and prints "request_without_time"
--- a/tests/serving/service_priorities.feature
+++ b/tests/serving/service_priorities.feature
@@ -43,3 +43,7 @@
     Given priorities in mode on with ranks 0 and 2
     When customer "a" sends a prompt of 9000 tokens
     Then the counts of "a" are 1 call and 9000 tokens, here and for the others
+
+  Scenario: Without contention every call has its usual level
+    Given priorities in mode on with ranks 0 and 2
+    Then prompts of any size, rank and customer priority have the usual level
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import json
 import pathlib
 import tempfile
 
@@ -61,6 +62,27 @@
 time=2026-03-01T03:12:16.300100Z level=INFO event=request_refused vm=vm-1 \
 request=hh88 status=503 reason=runners_unavailable retry_after_s=0.4
 """
+CONTENDED_LOG = """\
+time=2026-03-01T03:12:13.100000Z level=INFO event=request_routed vm=vm-1 \
+request=ii99 service=s runner=r-7 queue_level=7 level_cause=over_share
+time=2026-03-01T03:12:13.900000Z level=INFO event=request_ended vm=vm-1 \
+request=ii99 runner=r-7 sends=1 served=True first_s=0.7 took_s=0.8
+time=2026-03-01T03:12:14.100000Z level=INFO event=request_without_time \
+vm=vm-1 request=jj11 service=s left_s=1.2 missing_s=0.8 queue_level=9 mode=on
+time=2026-03-01T03:12:14.200000Z level=INFO event=request_refused vm=vm-1 \
+request=jj11 status=503 reason=no_time retry_after_s=0.8
+"""
+METRICS = """\
+apricotlever_service_contended{service="s"} 1
+apricotlever_service_wait_s{service="s"} 0.3
+apricotlever_service_contended{service="other"} 1
+apricotlever_levels_changed_total{service="s"} 12
+apricotlever_demand_calls{demand="s/a/b"} 40
+apricotlever_demand_tokens{demand="s/a/b"} 9000
+apricotlever_demand_fair_tokens{demand="s/a/b"} 4000
+apricotlever_demand_put_behind{demand="s/a/b"} 1
+apricotlever_members 2
+"""
 
 
 def _write_log(context, name, text):
@@ -100,6 +122,51 @@
     _write_log(context, "rested.log", RESTED_LOG)
 
 
+@given("a log of requests at a contended service")
+def _contended_log(context):
+    _write_log(context, "contended.log", CONTENDED_LOG)
+
+
+@given("metrics of two VMs, of which one sees contention")
+def _metrics(context):
+    _create_folder(context)
+    _write_log(context, "vm-1.txt", METRICS)
+    calm = METRICS.replace(
+        'contended{service="s"} 1', 'contended{service="s"} 0'
+    )
+    calm = calm.replace('put_behind{demand="s/a/b"} 1', "none 0")
+    _write_log(context, "vm-2.txt", calm.replace("} 0.3", "} 0.1"))
+
+
+@when('the operator asks for the room of "{service}" as {form}')
+def _room(context, service, form):
+    more = ["--json"] if form == "JSON" else []
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        context.code = main.main(["room", service, *context.files, *more])
+    context.out, context.err = out.getvalue(), err.getvalue()
+
+
+@then("the command prints the state of the service and its customer")
+def _check_room(context):
+    assert context.code == exit_codes.SUCCESS, context.err
+    assert json.loads(context.out) == {
+        "vms": 2,
+        "contended": 1,
+        "wait_s": 0.2,
+        "levels_changed": 24,
+        "customers": [
+            {
+                "customer": "a/b",
+                "calls": 40,
+                "tokens": 9000,
+                "fair_tokens": 4000,
+                "put_behind": 1,
+            }
+        ],
+    }, context.out
+
+
 @given("a log of a late stream")
 def _late_stream_log(context):
     _write_log(context, "vm-3.log", LATE_STREAM_LOG)
--- a/tests/steps/serving_service_priorities.py
+++ b/tests/steps/serving_service_priorities.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from apricotlever import clock as clocks
+from apricotlever.runners import engine_priority
 from apricotlever.runners import model as models
 from apricotlever.runners import routing
 from apricotlever.serving import configuration_model
@@ -159,6 +160,21 @@
     assert not any(context.priorities.metrics().values())
 
 
+@then("prompts of any size, rank and customer priority have the usual level")
+def _check_usual(context):
+    for tokens in (1, 1999, 2000, 20000):
+        for rank in range(4):
+            for priority in (None, 0, 1, 5):
+                found = context.priorities.level(
+                    "s",
+                    _route(rank),
+                    configuration_model.Customer("a", frozenset(), priority),
+                    tokens,
+                )
+                usual = engine_priority.queue_level(priority, rank, tokens)
+                assert (found.level, found.cause) == (usual, None)
+
+
 @then('the demand of "{customer}" is unknown')
 def _check_unknown(context, customer):
     assert f"s/{customer}" not in _values(context, "demand_calls")
