--- a/bench/_record_exchange_simulation.py
+++ b/bench/_record_exchange_simulation.py
@@ -50,6 +50,7 @@
         self.incarnation = incarnation
         self.address = f"10.{number // 250}.0.{number % 250}:7000"
         self.in_flight = {}
+        self.refused = []
         self.used = {}
         #: Times of this VM's changes, in ascending order.
         self.change_times = []
@@ -111,6 +112,7 @@
             known=known,
             limits_port=7601,
             aggregator=aggregator,
+            refused=list(self.refused),
         )
 
     def start_call(self, runner, customer):
