Report refused connections only after another runner has answered

Cause: two VMs whose own networks refuse all connections would have closed the runners for all VMs that did not hear from them in the last 2 s.

Change: a VM reports a refused connection after some runner has answered it since.

--- a/src/apricotlever/runners/refused_connections.py
+++ b/src/apricotlever/runners/refused_connections.py
@@ -3,7 +3,8 @@
 A refused connection shows that no process listens at the runner's address, so
 that further calls to it would fail, too. A VM that has met one reports it to
 the others. A report of a single VM does not close a runner for all, as the
-VM's own network may be broken.
+VM's own network may be broken. For the same reason, a VM reports nothing
+before some runner has answered it after the refused connection.
 """
 
 import typing
@@ -28,11 +29,18 @@
     :param clock: the source of time.
     """
 
-    __slots__ = ("_answered_at", "_clock", "_refused_at", "_reporters")
+    __slots__ = (
+        "_answered_at",
+        "_clock",
+        "_last_answer_at",
+        "_refused_at",
+        "_reporters",
+    )
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._answered_at: dict[str, float] = {}
+        self._last_answer_at = float("-inf")
         self._refused_at: dict[str, float] = {}
         #: Number of VMs that report a runner, by runner.
         self._reporters: dict[str, int] = {}
@@ -41,7 +49,11 @@
     def refused_here(self) -> list[str]:
         """Runners that this VM reports to the others."""
         since = self._clock.now() - REPORT_S
-        return [name for name, at in self._refused_at.items() if at > since]
+        return [
+            name
+            for name, at in self._refused_at.items()
+            if since < at <= self._last_answer_at
+        ]
 
     @property
     def reported(self) -> frozenset[str]:
@@ -62,11 +74,16 @@
         self._refused_at[runner] = self._clock.now()
         self._answered_at.pop(runner, None)
 
-    def answered(self, runner: str) -> None:
-        """Record that bytes arrived from a runner."""
-        self._answered_at[runner] = self._clock.now()
+    def answered(self, runner: str) -> bool:
+        """Record that bytes arrived from a runner.
+
+        :returns: whether this VM has more to report now.
+        """
+        now, before = self._clock.now(), self._last_answer_at
+        self._answered_at[runner] = self._last_answer_at = now
         self._refused_at.pop(runner, None)
         self._reporters.pop(runner, None)
+        return any(at > before for at in self._refused_at.values())
 
     def set_reports(self, counts: typing.Mapping[str, int]) -> list[str]:
         """Set how many VMs report each runner.
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -400,7 +400,11 @@
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
         self._silence.bytes_received(runner.runner_id)
-        self._refused.answered(runner.runner_id)
+        if (
+            self._refused.answered(runner.runner_id)
+            and self._on_news is not None
+        ):
+            self._on_news()
 
     def response_started(self, attempt: str) -> None:
         """Record that an attempt's response has begun."""
@@ -447,7 +451,9 @@
         mode = self._modes.priorities
         if refused and mode is not modes.Mode.OFF:
             if name not in self._refused.refused_here:
-                self._report_refused(name, mode)
+                logs.event(
+                    "runner_refuses", runner=name, reporters=0, mode=mode.value
+                )
             self._refused.refused(name)
         if refused and mode is modes.Mode.ON:
             self._router.record_refused(name)
@@ -479,11 +485,6 @@
         self._pools.close_idle(now)
         self._crashes.tick()
 
-    def _report_refused(self, name: str, mode: modes.Mode) -> None:
-        logs.event("runner_refuses", runner=name, reporters=0, mode=mode.value)
-        if mode is modes.Mode.ON and self._on_news is not None:
-            self._on_news()
-
     def _apply_refusal_reports(self, counts: typing.Mapping[str, int]) -> None:
         mode = self._modes.priorities
         if mode is modes.Mode.OFF:
