--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -491,7 +491,11 @@
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
         self._silence.bytes_received(runner.runner_id)
-        self._refused.answered(runner.runner_id)
+        if (
+            self._refused.answered(runner.runner_id)
+            and self._on_news is not None
+        ):
+            self._on_news()
 
     def first_event_received(self, attempt: str) -> None:
         """Record the first event of an attempt's stream."""
@@ -549,7 +553,9 @@
         mode = self._modes.priorities
         if refused and mode is not modes.Mode.OFF:
             if name not in self._refused.refused_here:
-                self._report_refused(name, mode)
+                logs.event(
+                    "runner_refuses", runner=name, reporters=0, mode=mode.value
+                )
             self._refused.refused(name)
         if refused and mode is modes.Mode.ON:
             self._router.record_refused(name)
@@ -587,11 +593,6 @@
         learned_s = self._performance.token_s(service)
         return learned_s or self._prompts.token_s(service)
 
-    def _report_refused(self, name: str, mode: modes.Mode) -> None:
-        logs.event("runner_refuses", runner=name, reporters=0, mode=mode.value)
-        if mode is modes.Mode.ON and self._on_news is not None:
-            self._on_news()
-
     def _apply_refusal_reports(self, counts: typing.Mapping[str, int]) -> None:
         mode = self._modes.priorities
         if mode is modes.Mode.OFF:
