--- a/bench/uneven_runners.py
+++ b/bench/uneven_runners.py
@@ -191,6 +191,9 @@
         self._snapshots: collections.deque[
             list[tuple[dict[str, int], dict[str, int]]]
         ] = collections.deque(maxlen=round(MAX_NEWS_AGE_S / NEWS_INTERVAL_S))
+        self._sums: collections.deque[tuple[collections.Counter[str], ...]] = (
+            collections.deque(maxlen=self._snapshots.maxlen)
+        )
         self._shares = shares
 
     def run(self, seconds: float) -> None:
@@ -323,16 +326,19 @@
                 for router in self._routers
             ]
         )
-        sums = [
+        self._sums.append(
             tuple(
                 sum(
-                    (collections.Counter(each[i]) for each in snapshot),
+                    (
+                        collections.Counter(each[i])
+                        for each in self._snapshots[-1]
+                    ),
                     collections.Counter(),
                 )
                 for i in range(2)
             )
-            for snapshot in self._snapshots
-        ]
+        )
+        sums = self._sums
         for vm, router in enumerate(self._routers):
             age = vm % len(sums)
             pending, in_flight = sums[-1 - age]
--- a/src/apricotlever/client/main.py
+++ b/src/apricotlever/client/main.py
@@ -16,12 +16,18 @@
 from . import exit_codes
 from . import fleet_commands
 from . import log_commands
+from . import runner_commands
 
 PROGRAM = "apricotlever"
 DEFAULT_CALL_TIMEOUT_S = 5.0
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (catalogue_commands, fleet_commands, log_commands)
+COMMAND_MODULES = (
+    catalogue_commands,
+    fleet_commands,
+    log_commands,
+    runner_commands,
+)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/apricotlever/runners/policies.py
+++ b/src/apricotlever/runners/policies.py
@@ -237,10 +237,20 @@
     def _fastest(
         self, candidates: Candidates, size: int
     ) -> candidates_.Candidate:
-        """The fastest of some random runners."""
-        count = min(size, len(candidates))
-        compared = self._rng.sample(candidates, count)
-        return min(compared, key=_first_token_s)
+        """The fastest of some random runners.
+
+        If there are so few that all are compared, the nearly fastest are
+        equal: all VMs would otherwise send to the one that is ahead by the
+        error of its estimate.
+        """
+        if size < len(candidates):
+            compared = self._rng.sample(candidates, size)
+            return min(compared, key=_first_token_s)
+        limit_s = min(c.first_token_s for c in candidates)
+        limit_s *= 1 + LATENCY_TOLERANCE
+        return self._rng.choice(
+            [c for c in candidates if c.first_token_s <= limit_s]
+        )
 
 
 @policy("random")
