--- a/bench/routing.py
+++ b/bench/routing.py
@@ -16,8 +16,10 @@
 
 from apricotlever import clock as clocks
 from apricotlever.runners import model as models
+from apricotlever.runners import performance as performances
 from apricotlever.runners import policies
 from apricotlever.runners import routing
+from apricotlever.vms import shared_samples
 
 from . import engine_model
 from . import workloads
@@ -33,6 +35,9 @@
 WARM_UP_S = 20.0
 PRICES = (1.0, 1.2, 1.5)
 MEASURED_CHOICES = 2000
+#: The policy whose routers share what they learn of the runners' speed.
+SHARING_POLICY = "expected_time"
+SAMPLES_INTERVAL_S = 1.0
 
 Generator = typing.Callable[
     [random.Random, float, float, int], list[workloads.Arrival]
@@ -92,6 +97,13 @@
             )
             for runner in runners
         }
+        self._performances = [
+            performances.RunnerPerformance(self._events.clock)
+            for _ in range(VMS)
+        ]
+        for learned in self._performances:
+            learned.keep_only({runner.name: "pool" for runner in runners})
+        shares = policy == SHARING_POLICY
         self._routers = [
             routing.Router(
                 self._events.clock,
@@ -99,6 +111,7 @@
                 f"vm{vm}",
                 "a",
                 policy,
+                self._performances[vm] if shares else None,
             )
             for vm in range(VMS)
         ]
@@ -112,6 +125,7 @@
                 arrival.at, functools.partial(self._arrive, number, arrival)
             )
         self._events.schedule_every(POLL_S, self._poll)
+        self._events.schedule_every(SAMPLES_INTERVAL_S, self._exchange)
 
     def run(self) -> dict[str, float]:
         """Run the simulation and return its results."""
@@ -162,6 +176,16 @@
 
         def on_first() -> None:
             router.first_token(name)
+            if fill <= 1.0:
+                learned = self._performances[arrival.vm]
+                learned.record_first_event(
+                    "pool",
+                    route.runner.name,
+                    tokens,
+                    self._events.clock.now() - sent_at,
+                    waiting * learned.latency("pool").token_s,
+                    not waiting,
+                )
             if self._unanswered.pop(name, None) is not None:
                 wait_s = self._events.clock.now() - sent_at
                 self._first_token_waits.append((wait_s, arrival.target_s))
@@ -173,9 +197,18 @@
 
         job.on_first_token = on_first
         job.on_end = on_end
-        router.request_started(name, route.runner.name, query)
+        waiting, fill = router.backlog(route.runner.name)
+        tokens = router.request_started(name, route.runner.name, query)
         self._engines[route.runner.name].submit(job)
 
+    def _exchange(self) -> None:
+        summed = shared_samples.SampleBuffer()
+        for learned in self._performances:
+            summed.merge(learned.take_samples())
+        samples = summed.take(shared_samples.MAX_KEYS_PER_AGGREGATE)
+        for learned in self._performances:
+            learned.merge(samples)
+
     def _poll(self) -> None:
         for vm, router in enumerate(self._routers):
             for name, engine in self._engines.items():
--- a/src/apricotlever/runners/latency_sums.py
+++ b/src/apricotlever/runners/latency_sums.py
@@ -107,6 +107,11 @@
         samples = self._sums[0] * _decay(now - self._at)
         return self._latency._replace(samples=samples)
 
+    def coefficients(self, now: float) -> tuple[float, float]:
+        """``base_s`` and ``token_s`` of :meth:`latency`, without its cost."""
+        kept = now - self._fitted_at <= KEPT_S
+        return (self._latency if kept else DEFAULT_LATENCY)[:2]
+
     def expected_s(self, now: float, tokens: int) -> float | None:
         """The expected seconds of a prompt at a median runner.
 
--- a/src/apricotlever/runners/performance.py
+++ b/src/apricotlever/runners/performance.py
@@ -41,7 +41,7 @@
 #: Lower limit of expected seconds, as a ratio to nothing means nothing.
 MIN_EXPECTED_S = 1e-4
 #: How long the slownesses of a service are reused, in seconds, and the same
-#: for each of its runners, so that 10,000 runners cost under 1% of a core.
+#: for each of its runners, so that 10,000 runners cost under 2% of a core.
 REFRESH_S = 0.25
 REFRESH_S_PER_RUNNER = 5e-4
 
@@ -299,7 +299,7 @@
             slowness = self.slowness(runner, performance_samples.Phase.PLAIN)
             return Estimate(known.plain.mean, 0.0, slowness)
         slowness = self.slowness(runner, performance_samples.Phase.PREFILL)
-        return Estimate(*known.line.latency(now)[:2], slowness)
+        return Estimate(*known.line.coefficients(now), slowness)
 
     def _record_of_route(
         self,
