--- a/src/apricotlever/client/main.py
+++ b/src/apricotlever/client/main.py
@@ -17,6 +17,7 @@
 from . import fleet_commands
 from . import log_commands
 from . import room_command
+from . import runner_commands
 
 PROGRAM = "apricotlever"
 DEFAULT_CALL_TIMEOUT_S = 5.0
@@ -27,6 +28,7 @@
     fleet_commands,
     log_commands,
     room_command,
+    runner_commands,
 )
 
 
