Make the choice of the runner in a test of restarts certain

Change: the second runner has more free slots, so that it is preferred. What the steps check is unchanged.

--- a/tests/steps/serving_restarts.py
+++ b/tests/steps/serving_restarts.py
@@ -17,14 +17,14 @@
     return context.loop.run(asyncio.wait_for(work, 10.0))
 
 
-def _started(standin, name, revision, born):
+def _started(standin, name, revision, born, slots=4):
     return runners.Runner(
         name,
         "service",
         "127.0.0.1",
         standin.port,
         "dc",
-        4,
+        slots,
         revision=revision,
         born=born,
     )
@@ -50,7 +50,9 @@
         return call
 
     context.call = _run(context, begin())
-    world.directory.apply_entry(_started(second, "runner-2", 4, 0))
+    # With more free slots it is preferred to the first one after its restart;
+    # the choice among equal runners would depend on the random source.
+    world.directory.apply_entry(_started(second, "runner-2", 4, 0, slots=16))
     world.upstreams.refresh()
 
 
