--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -150,11 +150,13 @@
     writer.close()
 
 
-async def _send_events(writer, call, numbers, finish):
+async def _send_events(writer, call, numbers, finish, gap_s=0.0):
     writer.write(_response_head(200, call, "Transfer-Encoding: chunked"))
     for number in numbers:
         writer.write(_encode_chunk(_encode_event(number)))
         await writer.drain()
+        if gap_s:
+            await asyncio.sleep(gap_s)
     if finish:
         writer.write(b"0\r\n\r\n")
 
@@ -165,6 +167,11 @@
     await _send_events(writer, call, range(first, 7), True)
 
 
+@behaviour("streams event by event")
+async def _streams_event_by_event(runner, writer, call):
+    await _send_events(writer, call, range(1, 4), True, 0.01)
+
+
 @behaviour("streams half and resets")
 async def _streams_half_and_resets(runner, writer, call):
     first = int(call.get("after", 0)) + 1
