Leave empty last fields out of records, and keep retry times off by default

Cause: three new fields made each record and aggregate three bytes longer, and at 195 VMs one VM knew another 3.0 s after a start of all at once only 0.2 s later (record_exchange.feature, two scenarios).

Change: the last fields of records and aggregates are left out while they are empty, which also keeps them readable for VMs of the former build. The part returns is off unless the settings turn it on.

--- a/src/apricotlever/serving/modes.py
+++ b/src/apricotlever/serving/modes.py
@@ -42,7 +42,9 @@
     :param priorities: priorities at contended engines, and calls that find no
         runner.
     :param slots: granting the slots of plain services.
-    :param returns: times at which refused calls find room.
+    :param returns: times at which refused calls find room; off unless the
+        settings turn it on, as units that nobody comes back for are missing
+        to new calls.
     :param notices: telling of leaving runners with every message to peers.
     """
 
@@ -61,7 +63,7 @@
         sizing: Mode = Mode.ON,
         priorities: Mode = Mode.ON,
         slots: Mode = Mode.ON,
-        returns: Mode = Mode.ON,
+        returns: Mode = Mode.OFF,
         notices: Mode = Mode.ON,
     ) -> None:
         self.performance = performance
@@ -75,8 +77,8 @@
     def from_setting(cls, value: typing.Any) -> "PartModes":
         """Read the modes from their object in the settings.
 
-        :param value: a mode by part; parts that it doesn't name are on. None
-            if the settings have no modes.
+        :param value: a mode by part; parts that it doesn't name have their
+            defaults. None if the settings have no modes.
         :raises ModesInvalid: if a part or a mode is unknown.
         """
         if value is None:
--- a/src/apricotlever/validation.py
+++ b/src/apricotlever/validation.py
@@ -123,19 +123,35 @@
 
 
 def validate_record(
-    checks: typing.Sequence[tuple[str, Predicate]], record: typing.Any
+    checks: typing.Sequence[tuple[str, Predicate]],
+    record: typing.Any,
+    optional: int = 0,
 ) -> list[typing.Any]:
     """Validate a record, which is a list with one value for each field.
 
     :param checks: the name and the check of each field, in order.
     :param record: a list or tuple with one value for each field.
-    :returns: the values of the fields as a list.
+    :param optional: how many of the last fields may be missing.
+    :returns: the values of the fields as a list, without missing ones.
     :raises Misshapen: if the record has another type or length, or a field
         does not pass its check.
     """
-    if not isinstance(record, (list, tuple)) or len(record) != len(checks):
+    if not isinstance(record, (list, tuple)):
+        raise Misshapen("a record", record)
+    if not len(checks) - optional <= len(record) <= len(checks):
         raise Misshapen("a record", record)
     for (name, check), value in zip(checks, record):
         if not check(value):
             raise Misshapen(name, value)
     return list(record)
+
+
+def drop_empty_tail(record: list[typing.Any], optional: int) -> None:
+    """Remove the empty ones of the last fields of a record, from its end.
+
+    :param optional: how many of the last fields may be removed.
+    """
+    for _ in range(optional):
+        if record[-1]:
+            return
+        del record[-1]
--- a/src/apricotlever/vms/aggregates.py
+++ b/src/apricotlever/vms/aggregates.py
@@ -15,6 +15,9 @@
 from . import shared_samples
 from . import vm_records
 
+#: How many of the last fields of an aggregate are left out while they are
+#: empty.
+OPTIONAL_FIELDS = 3
 #: Calls in flight and waiting prompt tokens at one runner.
 Load = tuple[int, int]
 Loads = dict[str, Load]
@@ -116,9 +119,13 @@
         return f"{self.vm}#{self.incarnation}"
 
     def to_record(self) -> list[typing.Any]:
-        """Encode as the list of its fields, in order, to be sent to peers."""
+        """Encode as the list of its fields, in order, to be sent to peers.
+
+        The last fields are left out while they are empty.
+        """
         record = [getattr(self, name) for name in self.__slots__]
         record[_ENTRIES_AT] = [entry.to_record() for entry in self.entries]
+        validation.drop_empty_tail(record, OPTIONAL_FIELDS)
         return record
 
     @classmethod
@@ -127,7 +134,7 @@
 
         :raises validation.Misshapen: when a field is missing or invalid.
         """
-        fields = validation.validate_record(_FIELDS, record)
+        fields = validation.validate_record(_FIELDS, record, OPTIONAL_FIELDS)
         fields[_ENTRIES_AT] = [
             vm_records.VmRecord.from_record(entry)
             for entry in fields[_ENTRIES_AT]
--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -20,6 +20,8 @@
 RECORD_INTERVAL_S = 0.2
 #: One record in this many is a full one, starting with the first of a process.
 FULL_RECORD_EVERY = 5
+#: How many of the last fields of a record are left out while they are empty.
+OPTIONAL_FIELDS = 3
 
 
 class VmRecord:
@@ -231,8 +233,14 @@
         )
 
     def to_record(self) -> list[typing.Any]:
-        """Encode as the list of its fields, in order, to be sent to peers."""
-        return [getattr(self, name) for name in self.__slots__]
+        """Encode as the list of its fields, in order, to be sent to peers.
+
+        The last fields are left out while they are empty. VMs of builds that
+        don't know them can then read the record.
+        """
+        record = [getattr(self, name) for name in self.__slots__]
+        validation.drop_empty_tail(record, OPTIONAL_FIELDS)
+        return record
 
     @classmethod
     def from_record(cls, record: typing.Any) -> "VmRecord":
@@ -240,7 +248,9 @@
 
         :raises validation.Misshapen: when a field is missing or invalid.
         """
-        return cls(*validation.validate_record(_FIELDS, record))
+        return cls(
+            *validation.validate_record(_FIELDS, record, OPTIONAL_FIELDS)
+        )
 
 
 #: Status fields; an aggregator passes on changes of these at once.
