--- a/tests/steps/vms_shared_samples.py
+++ b/tests/steps/vms_shared_samples.py
@@ -4,7 +4,9 @@
 from behave import then
 from behave import when
 
+from apricotlever.vms import aggregates
 from apricotlever.vms import shared_samples
+from apricotlever.vms import vm_records
 
 TOPIC = "calls"
 
@@ -60,3 +62,35 @@
 @then("it gives the 3 counts")
 def _take_others(context):
     assert context.buffer.take(1) == {TOPIC: {"runner-0": [4, 5, 6]}}
+
+
+@when("the record without samples, notices and refusals is encoded")
+def _encode_record(context):
+    context.message = vm_records.VmRecord(
+        "vm", 1, 1, "10.0.0.1:1", "", "dc", trials={}
+    )
+
+
+@when("the aggregate without samples, notices and refusals is encoded")
+def _encode_aggregate(context):
+    context.message = aggregates.Aggregate("vm", 1, 1, "10.0.0.1:1", True)
+
+
+@when("it has samples and nothing after them")
+def _add_samples(context):
+    context.message.samples = {TOPIC: {"runner-1": [1, 2]}}
+
+
+@then("it ends with the field {name}")
+def _last_field(context, name):
+    fields = type(context.message).__slots__
+    encoded = context.message.to_record()
+    assert len(encoded) == fields.index(name) + 1, encoded
+
+
+@then("decoding it gives the same message")
+def _decode(context):
+    encoded = context.message.to_record()
+    decoded = type(context.message).from_record(encoded)
+    assert decoded.to_record() == encoded
+    assert not decoded.notices and not decoded.refused
--- a/tests/vms/shared_samples.feature
+++ b/tests/vms/shared_samples.feature
@@ -24,3 +24,18 @@
     Given a buffer with counts of 1 key
     When 3 counts of the same key are added
     Then it gives the 3 counts
+
+  # Guards against VMs of two builds that refuse each other's records during a
+  # rolling upgrade, and against longer messages while there is nothing to tell.
+  Scenario Outline: Last fields that are empty are left out of a message
+    When the <message> without samples, notices and refusals is encoded
+    Then it ends with the field trials
+    And decoding it gives the same message
+    When it has samples and nothing after them
+    Then it ends with the field samples
+    And decoding it gives the same message
+
+    Examples:
+      | message   |
+      | record    |
+      | aggregate |
