Keep the rests and limits of runners in one class for both paths

Cause: daemon/runner_availability and serving/runner_statements with serving/runner_limits each recorded a response's statement, logged what it changed, derived when a runner takes calls again and counted the VM's own part of a limit.

Change: runners/local_limits holds the readings, the count and the refusals of one VM; runners/stated_conditions adds the rests, the wait and what is to be logged; statement_logs writes the lines of both paths. The platform's path adds what it alone has: keepers among the VMs and heartbeat numbers of runners that leave. The log rate limiter moves out of serving/, as both use it.

What differs for the daemon: the wait that a refused caller is told passes with time, where it stayed at the last refusal's value; a full runner is passed over until its next question is due; an unreadable value is logged at most once in 10 seconds, no longer once per runner; the line of a changed limit also has the limit before.

Ruled out: the daemon on RunnerLimits itself, whose admit is a coroutine that may ask another VM. The dispatcher decides within one message.

The step that named a limit by RunnerLimits.record_statement, which is gone, records it by LocalLimits and passes it on, as RunnerStatements does.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -20,8 +20,8 @@
 from apricotlever.contracts import fleet_rate_limit
 from apricotlever.contracts import limit_keepers
 from apricotlever.contracts import token_bucket
+from apricotlever import log_rate_limiter
 from apricotlever.serving import limit_protocol
-from apricotlever.serving import log_rate_limiter
 
 from . import _limit_calls
 from . import _limit_returns
--- a/bench/slots.py
+++ b/bench/slots.py
@@ -11,11 +11,11 @@
 import msgpack
 
 from apricotlever import clock as clocks
+from apricotlever import log_rate_limiter
 from apricotlever.runners import slot_ledger
 from apricotlever.runners import slot_requests
 from apricotlever.serving import customer_limits
 from apricotlever.serving import limit_protocol
-from apricotlever.serving import log_rate_limiter
 from apricotlever.serving import slot_keepers
 from apricotlever.serving import slot_leases
 from bench import _slot_fleet
--- a/src/apricotlever/daemon/runner_availability.py
+++ b/src/apricotlever/daemon/runner_availability.py
@@ -7,12 +7,11 @@
 import typing
 
 from .. import clock as clocks
-from .. import logs
-from ..runners import limit_keeper
+from .. import statement_logs
+from ..runners import local_limits
 from ..runners import model as models
 from ..runners import routing
-from ..runners import stated_limits
-from ..runners import stated_rests
+from ..runners import stated_conditions
 from ..runners import statements
 
 
@@ -22,29 +21,21 @@
     :param clock: the source of time.
     """
 
-    __slots__ = ("_keeper", "_limits", "_rests", "_room_in_s", "_unreadable")
+    __slots__ = ("_conditions", "_limits")
 
     def __init__(self, clock: clocks.Clock) -> None:
-        self._limits = stated_limits.StatedLimits(clock)
-        self._keeper = limit_keeper.LimitKeeper(clock)
-        self._rests = stated_rests.StatedRests(clock)
-        #: Seconds until each runner may have room, as of its last refusal.
-        self._room_in_s: dict[str, float] = {}
-        #: What runners said unreadably, each of which is logged once.
-        self._unreadable: set[tuple[str, statements.Field]] = set()
+        self._limits = local_limits.LocalLimits(clock)
+        self._conditions = stated_conditions.StatedConditions(
+            clock, self._limits
+        )
 
     def set_fleet_size(self, count: int) -> None:
         """Set how many VMs share each limit."""
-        self._keeper.set_share(1.0 / count)
+        self._limits.keeper.set_share(1.0 / count)
 
     def keep_only(self, runners: typing.Collection[str]) -> None:
         """Set the known runners, and forget all others."""
-        self._limits.keep_only(runners)
-        self._rests.keep_only(runners)
-        self._keeper.keep_only(frozenset(self._limits.in_force))
-        self._unreadable = {
-            each for each in self._unreadable if each[0] in runners
-        }
+        self._conditions.keep_only(runners)
 
     def record(
         self, runner: str, statement: statements.Statement, sent_at: float
@@ -53,29 +44,16 @@
 
         :param sent_at: when the request was sent.
         """
-        for field, value in statement.unreadable.items():
-            self._log_unreadable(runner, field, value)
-        if statement.rest_s and self._rests.record(runner, statement.rest_s):
-            logs.event("runner_rest", runner=runner, rest_s=statement.rest_s)
-        change = None
-        if statement.limit_per_s is not None:
-            change = self._limits.record_named(runner, statement.limit_per_s)
-        elif statement.names_no_limit:
-            change = self._limits.record_unnamed(runner, sent_at)
-        if change is not None:
-            logs.event(
-                "runner_limit",
-                runner=runner,
-                change=change.value,
-                limit_per_s=statement.limit_per_s,
-            )
+        statement_logs.log_statement(
+            runner, self._conditions.record(runner, statement, sent_at)
+        )
 
     def choose(
         self, query: models.Query, router: routing.Router
     ) -> models.Route | models.NoRunner:
         """Choose a runner that takes the request by its own word."""
         tried = query.excluded
-        passed_over = frozenset(self._rests.left_s)
+        passed_over = self._conditions.unavailable
         try:
             while True:
                 query.excluded = tried | passed_over
@@ -83,7 +61,7 @@
                 if isinstance(route, models.NoRunner):
                     return route
                 name = route.runner.name
-                if self._has_room(name):
+                if self._limits.admit(name):
                     return route
                 passed_over |= {name}
         finally:
@@ -94,37 +72,12 @@
 
         :returns: the seconds; infinite if no runner rests or is limited.
         """
-        rests, limits = self._rests.left_s, self._limits.in_force
+        waits = (
+            self._conditions.wait_s(runner.name)
+            for runner in router.runners
+            if runner.pool == pool
+        )
         return min(
-            (
-                max(
-                    rests.get(runner.name, 0.0),
-                    self._room_in_s.get(runner.name, 0.0),
-                )
-                for runner in router.runners
-                if runner.pool == pool
-                and (runner.name in rests or runner.name in limits)
-            ),
+            (wait_s for wait_s in waits if wait_s is not None),
             default=float("inf"),
         )
-
-    def _has_room(self, runner: str) -> bool:
-        reading = self._limits.reading(runner)
-        if reading is None or reading.limit_per_s is None:
-            return True
-        admission = self._keeper.admit(runner, reading.limit_per_s)
-        self._room_in_s[runner] = admission.wait_s
-        return admission.admitted
-
-    def _log_unreadable(
-        self, runner: str, field: statements.Field, value: str
-    ) -> None:
-        if (runner, field) in self._unreadable:
-            return
-        self._unreadable.add((runner, field))
-        logs.event(
-            "runner_statement_unreadable",
-            runner=runner,
-            field=field.value,
-            value=value[: statements.MAX_LOGGED_CHARS],
-        )
--- a/src/apricotlever/serving/log_rate_limiter.py
+++ b/src/apricotlever/log_rate_limiter.py
@@ -1,6 +1,6 @@
 """Limits the rate of repeated log lines about the same subject."""
 
-from .. import clock as clocks
+from . import clock as clocks
 
 #: Minimum time between two lines about the same subject, in seconds.
 MIN_INTERVAL_S = 10.0
--- a/src/apricotlever/serving/limit_protocol.py
+++ b/src/apricotlever/serving/limit_protocol.py
@@ -12,12 +12,11 @@
 
 import msgpack
 
+from .. import log_rate_limiter
 from .. import logs
 from .. import validation
 from ..contracts import return_slots
 
-from . import log_rate_limiter
-
 #: How long a VM waits for a keeper's answer, in seconds: several round trips,
 #: and less than callers notice.
 ANSWER_TIMEOUT_S = 0.02
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -13,6 +13,7 @@
 import typing
 
 from .. import clock as clocks
+from .. import log_rate_limiter
 from .. import logs
 from ..contracts import retry_allowance
 from ..contracts import usage_windows
@@ -34,7 +35,6 @@
 from . import fleet_workload
 from . import limit_protocol
 from . import listening_sockets
-from . import log_rate_limiter
 from . import metrics
 from . import peer_http
 from . import roll_out_orders
--- a/src/apricotlever/serving/roll_out_orders.py
+++ b/src/apricotlever/serving/roll_out_orders.py
@@ -9,12 +9,12 @@
 import typing
 
 from .. import clock as clocks
+from .. import log_rate_limiter
 from .. import logs
 from ..roll_outs import controller as controllers
 from ..roll_outs import model
 
 from . import dialects
-from . import log_rate_limiter
 from . import store
 
 
--- a/src/apricotlever/serving/runner_limits.py
+++ b/src/apricotlever/serving/runner_limits.py
@@ -12,13 +12,12 @@
 import typing
 
 from .. import clock as clocks
-from .. import logs
+from .. import statement_logs
 from ..contracts import limit_keepers
 from ..contracts import retry_after
-from ..runners import full_runners
 from ..runners import limit_keeper
+from ..runners import local_limits
 from ..runners import stated_limits
-from ..runners import statements
 
 from . import limit_protocol
 from . import runner_limit_protocol as protocols
@@ -75,13 +74,11 @@
         "_changed",
         "_clock",
         "_fleet_set_at",
-        "_full",
-        "_keeper",
         "_keepers",
+        "_local",
         "_protocol",
         "_refusal_times",
         "_rng",
-        "_stated",
         "_vm",
         "ask_count",
         "refused_count",
@@ -94,9 +91,7 @@
         self._clock = clock
         self._rng = rng
         self._vm = vm
-        self._stated = stated_limits.StatedLimits(clock)
-        self._full = full_runners.FullRunners(clock)
-        self._keeper = limit_keeper.LimitKeeper(clock)
+        self._local = local_limits.LocalLimits(clock)
         self._keepers = limit_keepers.LimitKeepers(clock, vm)
         self._refusal_times = retry_after.RetryAfterScheduler(clock, rng)
         self._protocol: protocols.RunnerLimitProtocol | None = None
@@ -112,15 +107,20 @@
         self.refused_count = 0
         self.unanswered_count = 0
 
+    @property
+    def local(self) -> local_limits.LocalLimits:
+        """What this VM knows and counts itself."""
+        return self._local
+
     @property
     def stated(self) -> stated_limits.StatedLimits:
         """The limits as this VM knows them."""
-        return self._stated
+        return self._local.stated
 
     @property
     def full_runners(self) -> frozenset[str]:
         """Runners that had no room for a call of this VM a moment ago."""
-        return self._full.names
+        return self._local.full_runners
 
     @property
     def counters(self) -> dict[str, int]:
@@ -145,7 +145,7 @@
         While no limit is known it is rarely, as each call looks at all VMs.
         """
         since_s = self._clock.now() - self._fleet_set_at
-        return since_s >= IDLE_FLEET_INTERVAL_S or self._stated.has_readings
+        return since_s >= IDLE_FLEET_INTERVAL_S or self.stated.has_readings
 
     def set_fleet(
         self,
@@ -167,31 +167,10 @@
         self._addresses = dict(addresses)
         if self._protocol is None:
             # Without messages, each VM keeps a part of its own.
-            self._keeper.set_share(1.0 / fleet_size)
+            self._local.keeper.set_share(1.0 / fleet_size)
             return
         self._keepers.set_other_vms(keepers, eligible)
-        self._keeper.set_share(heard_share)
-
-    def keep_only(self, runners: typing.Iterable[str]) -> None:
-        """Set the known runners, and forget all others."""
-        self._stated.keep_only(runners)
-        self._forget_lifted()
-
-    def record_statement(
-        self, runner: str, statement: statements.Statement, sent_at: float
-    ) -> None:
-        """Record what a response to this VM says of its runner's limit.
-
-        :param sent_at: when the call was sent, by this VM's clock.
-        """
-        before = self._stated.reading(runner)
-        if statement.limit_per_s is not None:
-            change = self._stated.record_named(runner, statement.limit_per_s)
-        elif statement.names_no_limit:
-            change = self._stated.record_unnamed(runner, sent_at)
-        else:
-            change = None
-        self._handle_change(runner, change, before)
+        self._local.keeper.set_share(heard_share)
 
     async def admit(
         self, runner: str, patience_s: float = 0.0
@@ -203,7 +182,7 @@
         :returns: the permit; None if there is no room. A runner without a
             limit has room for every call.
         """
-        reading = self._stated.reading(runner)
+        reading = self.stated.reading(runner)
         if reading is None:
             return Permit(runner, 0.0)
         self.ask_count += 1
@@ -211,7 +190,7 @@
         if admission.admitted:
             return Permit(runner, admission.wait_s, keeper)
         self.refused_count += 1
-        self._full.record(runner, admission.wait_s, admission.ask_again_s)
+        self._local.record_refusal(runner, admission)
         return None
 
     def refund(self, permit: Permit) -> None:
@@ -219,7 +198,7 @@
         if permit.keeper is None:
             return
         if not permit.keeper:
-            self._keeper.refund(permit.runner)
+            self._local.keeper.refund(permit.runner)
             return
         address = self._addresses.get(permit.keeper)
         if address is not None and self._protocol is not None:
@@ -227,7 +206,7 @@
 
     def room_in_s(self, runner: str) -> float:
         """Seconds until a runner may have room for a call of this VM."""
-        return self._full.room_in_s(runner)
+        return self._local.room_in_s(runner)
 
     def retry_after_s(
         self, service: str, runners: typing.Iterable[str], room_in_s: float
@@ -240,7 +219,7 @@
         :param runners: the runners of the service that can't take the call.
         :param room_in_s: seconds until the first of them may take one.
         """
-        in_force = self._stated.in_force
+        in_force = self.stated.in_force
         limits = [in_force[r] for r in runners if r in in_force]
         interval_s = (
             1.0 / max(sum(limits), limit_keeper.MIN_LIMIT_PER_S)
@@ -259,9 +238,9 @@
         :data:`EXCHANGE_INTERVAL_S`.
         """
         self._refusal_times.tick()
-        self._stated.forget_lifted()
+        self.stated.forget_lifted()
         readings = [
-            self._reading_record(runner) for runner in self._stated.readings
+            self._reading_record(runner) for runner in self.stated.readings
         ]
         if readings and self._protocol is not None:
             self._rng.shuffle(readings)
@@ -269,6 +248,16 @@
                 self._some_addresses(EXCHANGE_FANOUT), readings
             )
 
+    def pass_on_change(self, runner: str) -> None:
+        """Pass a changed limit on to other VMs."""
+        if self._protocol is None:
+            return
+        if not self._changed:
+            asyncio.get_running_loop().call_later(
+                CHANGE_BATCH_S, self._pass_on_changes
+            )
+        self._changed.add(runner)
+
     # Methods of runner_limit_protocol.Vm.
 
     def admit_for_peer(
@@ -280,13 +269,13 @@
         """Decide on another VM's call, as the keeper of a runner's limit."""
         runner, limit_per_s, _ = reading
         self.merge_readings([reading], source)
-        own = self._stated.readings.get(runner)
+        own = self.stated.readings.get(runner)
         if own is not None:
             limit_per_s = own.limit_per_s
             reading = self._reading_record(runner)
         if limit_per_s is None:
             return limit_keeper.Admission(True, 0.0), reading
-        admission = self._keeper.admit(
+        admission = self._local.keeper.admit(
             runner,
             limit_per_s,
             patience_s,
@@ -296,7 +285,7 @@
 
     def refund_for_peer(self, runner: str) -> None:
         """Give back the room of an admitted call that was not sent."""
-        self._keeper.refund(runner)
+        self._local.keeper.refund(runner)
 
     def merge_readings(
         self,
@@ -305,9 +294,10 @@
     ) -> None:
         """Merge another VM's readings of limits."""
         for runner, limit_per_s, age_s in readings:
-            before = self._stated.reading(runner)
-            change = self._stated.merge(runner, limit_per_s, age_s, source)
-            self._handle_change(runner, change, before)
+            change = self._local.merge(runner, limit_per_s, age_s, source)
+            if change is not None:
+                statement_logs.log_limit(runner, change)
+                self.pass_on_change(runner)
 
     async def _ask(
         self,
@@ -324,7 +314,7 @@
             keeper = self._keepers.keeper(runner)
             address = self._addresses.get(keeper)
             if self._protocol is None or keeper == self._vm:
-                admission = self._keeper.admit(
+                admission = self._local.keeper.admit(
                     runner,
                     reading.limit_per_s,
                     patience_s,
@@ -346,39 +336,12 @@
         return limit_keeper.Admission(False, wait_s, wait_s), ""
 
     def _reading_record(self, runner: str) -> protocols.ReadingRecord:
-        reading = self._stated.readings.get(runner)
+        reading = self.stated.readings.get(runner)
         if reading is None:
             return runner, None, stated_limits.LIFTED_KEPT_S
         age_s = self._clock.now() - reading.read_at
         return runner, reading.limit_per_s, max(0.0, age_s)
 
-    def _handle_change(
-        self,
-        runner: str,
-        change: stated_limits.Change | None,
-        before: stated_limits.Reading | None,
-    ) -> None:
-        """Log a changed limit and pass it on."""
-        if change is None:
-            return
-        self._forget_lifted()
-        reading = self._stated.reading(runner)
-        logs.event(
-            "runner_limit",
-            runner=runner,
-            change=change.value,
-            limit_per_s=reading.limit_per_s if reading else None,
-            before_per_s=before.limit_per_s if before else None,
-            source=(reading.source or None) if reading else None,
-        )
-        if self._protocol is None:
-            return
-        if not self._changed:
-            asyncio.get_running_loop().call_later(
-                CHANGE_BATCH_S, self._pass_on_changes
-            )
-        self._changed.add(runner)
-
     def _pass_on_changes(self) -> None:
         changed, self._changed = self._changed, set()
         if self._protocol is not None:
@@ -391,8 +354,3 @@
         others = sorted(self._addresses)
         chosen = self._rng.sample(others, min(count, len(others)))
         return [self._addresses[vm] for vm in chosen]
-
-    def _forget_lifted(self) -> None:
-        limited = frozenset(self._stated.in_force)
-        self._full.keep_only(limited)
-        self._keeper.keep_only(limited)
--- a/src/apricotlever/serving/runner_statements.py
+++ b/src/apricotlever/serving/runner_statements.py
@@ -4,11 +4,12 @@
 
 from .. import clock as clocks
 from .. import logs
+from .. import statement_logs
+from ..runners import stated_conditions
 from ..runners import stated_leavings
 from ..runners import stated_rests
 from ..runners import statements
 
-from . import log_rate_limiter
 from . import runner_limits
 from . import runners
 
@@ -23,20 +24,21 @@
     :param limits: keeps the limits that the runners name.
     """
 
-    __slots__ = ("_leavings", "_limits", "_rests", "_unreadable")
+    __slots__ = ("_conditions", "_leavings", "_limits")
 
     def __init__(
         self, clock: clocks.Clock, limits: runner_limits.RunnerLimits
     ) -> None:
         self._limits = limits
         self._leavings = stated_leavings.StatedLeavings()
-        self._rests = stated_rests.StatedRests(clock)
-        self._unreadable = log_rate_limiter.LogRateLimiter(clock)
+        self._conditions = stated_conditions.StatedConditions(
+            clock, limits.local
+        )
 
     @property
     def rests(self) -> stated_rests.StatedRests:
         """The rests that runners have asked this VM for."""
-        return self._rests
+        return self._conditions.rests
 
     @property
     def leavings(self) -> stated_leavings.StatedLeavings:
@@ -46,20 +48,14 @@
     @property
     def unavailable(self) -> frozenset[str]:
         """Runners that get no call of this VM now, by their own word."""
-        return (
-            self._limits.full_runners
-            | self._rests.left_s.keys()
-            | self._leavings.names
-        )
+        return self._conditions.unavailable | self._leavings.names
 
     def takes_calls(self, runner: str) -> bool:
         """Whether a runner neither rests nor leaves by its own word.
 
         A limited runner does take calls, if there is a permit for each.
         """
-        return runner not in self._leavings.names and not self._rests.rests(
-            runner
-        )
+        return not (runner in self._leavings.names or self.rests.rests(runner))
 
     def wait_s(self, runner: str) -> float | None:
         """Seconds until a runner may take a call of this VM again.
@@ -67,11 +63,7 @@
         :returns: the seconds, 0 for a limited runner that may have room now;
             None for a runner that neither rests nor names a limit.
         """
-        rest_s = self._rests.left_s.get(runner)
-        is_limited = self._limits.stated.reading(runner) is not None
-        if rest_s is None and not is_limited:
-            return None
-        return max(rest_s or 0.0, self._limits.room_in_s(runner))
+        return self._conditions.wait_s(runner)
 
     def causes(self, names: typing.Iterable[str]) -> dict[str, str]:
         """Why runners get no call of this VM now; without those that may.
@@ -82,7 +74,7 @@
             runner: f"limit:{self._limits.room_in_s(runner):.2f}"
             for runner in self._limits.full_runners
         }
-        for runner, left_s in self._rests.left_s.items():
+        for runner, left_s in self.rests.left_s.items():
             causes[runner] = f"rest:{left_s:.2f}"
         causes.update(dict.fromkeys(self._leavings.names, "leaving"))
         return {name: causes[name] for name in names if name in causes}
@@ -90,8 +82,7 @@
     def keep_only(self, listed: typing.Sequence[runners.Runner]) -> None:
         """Set the known runners, and forget all others."""
         sequences = {runner.runner_id: runner.sequence for runner in listed}
-        self._limits.keep_only(sequences)
-        self._rests.keep_only(sequences)
+        self._conditions.keep_only(sequences)
         self._leavings.keep_only(sequences)
 
     def record_response(
@@ -106,16 +97,9 @@
             clock.
         """
         name = runner.runner_id
-        for field, value in statement.unreadable.items():
-            if self._unreadable.allows(f"{name} {field.value}"):
-                logs.event(
-                    "runner_statement_unreadable",
-                    runner=name,
-                    field=field.value,
-                    value=value[: statements.MAX_LOGGED_CHARS],
-                )
-        self._limits.record_statement(name, statement, sent_at)
-        if statement.rest_s and self._rests.record(name, statement.rest_s):
-            logs.event("runner_rest", runner=name, rest_s=statement.rest_s)
+        changes = self._conditions.record(name, statement, sent_at)
+        statement_logs.log_statement(name, changes)
+        if changes.limit is not None:
+            self._limits.pass_on_change(name)
         if statement.leaves and self._leavings.record(name, runner.sequence):
             logs.event("runner_leaving", runner=name, said_by="response")
--- a/src/apricotlever/serving/store_listeners.py
+++ b/src/apricotlever/serving/store_listeners.py
@@ -8,10 +8,10 @@
 import typing
 
 from .. import clock as clocks
+from .. import log_rate_limiter
 from .. import logs
 
 from . import dialects
-from . import log_rate_limiter
 from . import runner_directory as directories
 from . import runners
 from . import store
--- a/src/apricotlever/serving/store_watch.py
+++ b/src/apricotlever/serving/store_watch.py
@@ -11,9 +11,9 @@
 import typing
 
 from .. import clock as clocks
+from .. import log_rate_limiter
 from .. import logs
 
-from . import log_rate_limiter
 from . import store
 
 #: Bounds of the delay after a failed call, in seconds. The delay doubles with
--- a/tests/serving/fleet_paths.py
+++ b/tests/serving/fleet_paths.py
@@ -4,9 +4,9 @@
 
 from apricotlever import clock as clocks
 from apricotlever.contracts import limit_keepers
+from apricotlever import log_rate_limiter
 from apricotlever.serving import configuration_model
 from apricotlever.serving import limit_protocol
-from apricotlever.serving import log_rate_limiter
 from apricotlever.serving import runner_limits
 from tests.serving import request_path
 
--- a/tests/steps/serving_limit_protocol.py
+++ b/tests/steps/serving_limit_protocol.py
@@ -13,10 +13,10 @@
 from apricotlever import clock as clocks
 from apricotlever.contracts import fleet_rate_limit
 from apricotlever.contracts import return_slots
+from apricotlever import log_rate_limiter
 from apricotlever.serving import configuration_model
 from apricotlever.serving import customer_limits
 from apricotlever.serving import limit_protocol
-from apricotlever.serving import log_rate_limiter
 from apricotlever.serving import modes
 
 HOST = "127.0.0.1"
--- a/tests/steps/serving_runner_limits.py
+++ b/tests/steps/serving_runner_limits.py
@@ -193,9 +193,9 @@
     context.permit = _run(context, context.limits.admit("runner-1"))
 
     async def name_limit():
-        context.limits.record_statement(
-            "runner-1", statements.Statement(limit), 0.0
-        )
+        statement = statements.Statement(limit)
+        assert context.limits.local.record("runner-1", statement, 0.0)
+        context.limits.pass_on_change("runner-1")
 
     _run(context, name_limit())
     # The bucket is made with the first call that is counted.
