--- a/tests/steps/runners_stated_conditions.py
+++ b/tests/steps/runners_stated_conditions.py
@@ -75,7 +75,8 @@
 
 
 @when(
-    "a runner says something unreadable {count:d} times in {period_s:d} seconds"
+    "a runner says something unreadable {count:d} times in {period_s:d} "
+    "seconds"
 )
 def _say_unreadable(context, count, period_s):
     _make(context)
