Double the delays after failures in one class

Cause: five modules of both paths, call_backoff, catalogue_reads and start_backoff of the daemon, store_watch and task_supervisor of the platforms' path, each kept a delay that doubles up to a limit.

Change: backoff.Backoff holds it, and the five use it. Bounds and jitter are as before. A new scenario checks the waits of a watch whose store fails, which no test did.

Ruled out: the circuit breaker, whose open time of 0 means that the circuit has not opened, and the lease, whose delay does not grow.

The new scenario passes on the code before too, and fails if the delay does not double or is not reset.

--- a/src/apricotlever/daemon/call_backoff.py
+++ b/src/apricotlever/daemon/call_backoff.py
@@ -6,6 +6,7 @@
 failure or a success is the first in a row, so that only changes are logged.
 """
 
+from .. import backoff
 from .. import clock as clocks
 
 INITIAL_WAIT_S = 0.25
@@ -18,11 +19,11 @@
     :param clock: the source of time.
     """
 
-    __slots__ = ("_clock", "_wait_s", "_due_at", "_failing")
+    __slots__ = ("_backoff", "_clock", "_due_at", "_failing")
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._wait_s = INITIAL_WAIT_S
+        self._backoff = backoff.Backoff(INITIAL_WAIT_S, MAX_WAIT_S)
         self._due_at = float("-inf")
         self._failing = False
 
@@ -38,8 +39,7 @@
         """
         first = not self._failing
         self._failing = True
-        self._due_at = self._clock.now() + self._wait_s
-        self._wait_s = min(MAX_WAIT_S, 2 * self._wait_s)
+        self._due_at = self._clock.now() + self._backoff.record_failure()
         return first
 
     def record_success(self) -> bool:
@@ -49,6 +49,6 @@
         """
         recovered = self._failing
         self._failing = False
-        self._wait_s = INITIAL_WAIT_S
+        self._backoff.reset()
         self._due_at = float("-inf")
         return recovered
--- a/src/apricotlever/daemon/catalogue_reads.py
+++ b/src/apricotlever/daemon/catalogue_reads.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from .. import backoff
 from .. import clock as clocks
 
 INITIAL_BACKOFF_S = 0.25
@@ -51,7 +52,7 @@
     __slots__ = (
         "_clock",
         "_read_at",
-        "_backoff_s",
+        "_backoff",
         "_in_force_at_start",
         "_older_store_version",
     )
@@ -59,7 +60,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._read_at = float("inf")
-        self._backoff_s = INITIAL_BACKOFF_S
+        self._backoff = backoff.Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         self._in_force_at_start = 0
         self._older_store_version: int | None = None
 
@@ -118,12 +119,11 @@
 
     def call_succeeded(self) -> None:
         """Reset the backoff after a successful call."""
-        self._backoff_s = INITIAL_BACKOFF_S
+        self._backoff.reset()
 
     def call_failed(self) -> None:
         """Schedule a read after a backoff, because a call failed.
 
         The watch is not resumed, because it is unreliable after a failure.
         """
-        self._read_at = self._clock.now() + self._backoff_s
-        self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
+        self._read_at = self._clock.now() + self._backoff.record_failure()
--- a/src/apricotlever/data_centres/start_backoff.py
+++ b/src/apricotlever/data_centres/start_backoff.py
@@ -6,13 +6,12 @@
 
 import random
 
+from .. import backoff
 from .. import clock as clocks
 from . import model
 
 #: The delay after the first refusal, before jitter.
 INITIAL_DELAY_S = 10.0
-#: Factor by which each further refusal in a row increases the delay.
-DELAY_FACTOR = 2.0
 MAX_DELAY_S = 600.0
 
 
@@ -23,12 +22,12 @@
     keeps planners that were refused together from retrying together.
     """
 
-    __slots__ = ("_clock", "_rng", "_delays_s", "_blocked_until")
+    __slots__ = ("_clock", "_rng", "_backoffs", "_blocked_until")
 
     def __init__(self, clock: clocks.Clock, rng: random.Random) -> None:
         self._clock = clock
         self._rng = rng
-        self._delays_s: dict[model.Place, float] = {}
+        self._backoffs: dict[model.Place, backoff.Backoff] = {}
         self._blocked_until: dict[model.Place, float] = {}
 
     def record_refusal(self, place: model.Place) -> None:
@@ -39,21 +38,17 @@
         """
         if not self.may_start(place):
             return
-        previous_s = self._delays_s.get(place)
-        delay_s = (
-            INITIAL_DELAY_S
-            if previous_s is None
-            else previous_s * DELAY_FACTOR
+        refused = self._backoffs.setdefault(
+            place, backoff.Backoff(INITIAL_DELAY_S, MAX_DELAY_S)
         )
-        self._delays_s[place] = min(delay_s, MAX_DELAY_S)
         jitter = self._rng.uniform(0.5, 1.0)
         self._blocked_until[place] = (
-            self._clock.now() + jitter * self._delays_s[place]
+            self._clock.now() + jitter * refused.record_failure()
         )
 
     def record_grant(self, place: model.Place) -> None:
         """Record that the cloud granted a VM, which ends the place's delay."""
-        self._delays_s.pop(place, None)
+        self._backoffs.pop(place, None)
         self._blocked_until.pop(place, None)
 
     def may_start(self, place: model.Place) -> bool:
--- a/src/apricotlever/serving/store_watch.py
+++ b/src/apricotlever/serving/store_watch.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from .. import backoff
 from .. import clock as clocks
 from .. import log_rate_limiter
 from .. import logs
@@ -127,7 +128,7 @@
 
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
-        delay_s = MIN_RETRY_DELAY_S
+        delays = backoff.Backoff(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         while True:
             list_due = self._revision is None and self._list_when_unwanted
             if not list_due and not self._wanted():
@@ -137,14 +138,14 @@
             try:
                 await self._step(loop)
                 self._watching = True
-                delay_s = MIN_RETRY_DELAY_S
+                delays.reset()
             except store.HistoryGone:
                 logs.event("watch_restarted", kind=self._kind)
                 self._revision = None
             except (store.StoreError, ValueError) as error:
                 self._record_failure(loop.time(), error)
+                delay_s = delays.record_failure()
                 await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
-                delay_s = min(MAX_RETRY_DELAY_S, 2.0 * delay_s)
 
     async def _step(self, loop: asyncio.AbstractEventLoop) -> None:
         if self._revision is None:
--- a/src/apricotlever/serving/task_supervisor.py
+++ b/src/apricotlever/serving/task_supervisor.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from .. import backoff
 from .. import logs
 
 from . import aligned_timer
@@ -68,7 +69,7 @@
         self, name: str, start: typing.Callable[[], typing.Awaitable[None]]
     ) -> None:
         loop = asyncio.get_running_loop()
-        pause_s = INITIAL_RESTART_DELAY_S
+        delays = backoff.Backoff(INITIAL_RESTART_DELAY_S, MAX_RESTART_DELAY_S)
         while True:
             began = loop.time()
             reason = "returned"
@@ -78,13 +79,13 @@
                 # The task must be restarted whatever the error is.
                 reason = repr(error)
             if loop.time() - began > HEALTHY_RUN_S:
-                pause_s = INITIAL_RESTART_DELAY_S
+                delays.reset()
             self._restarts[name] += 1
+            pause_s = delays.record_failure()
             logs.event(
                 "task_restarts", task=name, error=reason, pause_s=pause_s
             )
             await asyncio.sleep(pause_s)
-            pause_s = min(MAX_RESTART_DELAY_S, 2.0 * pause_s)
 
     def _on_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- a/tests/serving/task_supervisor.feature
+++ b/tests/serving/task_supervisor.feature
@@ -21,3 +21,10 @@
     Then the list was not read
     When 4 seconds of the loop pass
     Then the list was read once and the watch is connected
+
+  # Guards against VMs that repeat failing calls at a fixed short interval, or
+  # that still wait long after a store that was down has answered.
+  Scenario: A watch calls a failing store less and less often
+    Given a watch whose store fails 5 times, answers, and fails 3 times more
+    When 10 seconds of the loop pass
+    Then it waited half to all of 0.1, 0.2, 0.4, 0.8, 0.8 and then 0.1, 0.2, 0.4 s
--- a/tests/steps/serving_task_supervisor.py
+++ b/tests/steps/serving_task_supervisor.py
@@ -124,6 +124,58 @@
     assert context.store.lists == 1 and context.is_connected
 
 
+@given(
+    "a watch whose store fails {first:d} times, answers, and fails {second:d} "
+    "times more"
+)
+def _failing_store(context, first, second):
+    context.failed_at = []
+
+    class Store:
+        """A store of which the calls fail in two rows."""
+
+        async def list_all(self, kind):
+            """Fail, or return an empty list."""
+            self._fail(first)
+            return store.Page([], False, 5)
+
+        async def watch(self, kind, revision, wait_s):
+            """Fail, or wait without reporting a change."""
+            self._fail(first + second)
+            await asyncio.sleep(1000)
+
+        def _fail(self, most):
+            if len(context.failed_at) < most:
+                context.failed_at.append(asyncio.get_running_loop().time())
+                raise store.StoreError("down")
+
+    class Listener:
+        """Accepts every list."""
+
+        def listed(self, page):
+            """Accept the list."""
+
+        def store_recovered(self):
+            """Ignore the end of an outage."""
+
+    context.watcher = store_watch.Watcher(
+        Store(), "orders", Listener(), random.Random(1)
+    )
+    context.work = context.watcher.run
+
+
+@then("it waited half to all of {first} and then {second} s")
+def _check_waits(context, first, second):
+    expected = [
+        [float(text) for text in row.split(", ")] for row in (first, second)
+    ]
+    # The first call after a success follows the last wait of the first row.
+    waits = [b - a for a, b in itertools.pairwise(context.failed_at)]
+    assert len(waits) == sum(map(len, expected)) - 1, waits
+    for wait_s, most_s in zip(waits, sum(expected, []), strict=False):
+        assert 0.5 * most_s <= wait_s <= most_s, (waits, expected)
+
+
 @when("{seconds:d} seconds of the loop pass")
 def _pass(context, seconds):
     context.logged = []
