Share the decay of weights and the reading of metrics

Cause: four modules computed the same half-life decay, two commands parsed the Prometheus text with expressions and prefixes of their own, the docstring of SizingInputs named parameters that the constructor does not have, and DemandShares had a public attribute that only the class may set. The order of level_by_size was covered by four rows of one outline only.

Change: decay.decay_factor, client/metrics_text, a property for the shares, and a property test that levels by size keep the usual order and that a call put behind stays before the next level.

Ruled out: one class of decayed sums for all, as the sums have different units and places of reading. Only a value that is no number behaves differently: it is now an error for each labelled metric, not just for those that a command reads.

--- a/src/apricotlever/client/room_command.py
+++ b/src/apricotlever/client/room_command.py
@@ -5,18 +5,15 @@
 """
 
 import argparse
-import re
 import sys
 import typing
 
-from ..serving import call_metrics
-
 from . import command_registry
 from . import errors
+from . import metrics_text
 from . import terminal_format
 
 STDIN_NAME = "-"
-_LINE = re.compile(r'(\w+)\{(\w+)="([^"]*)"\} (\S+)$')
 
 
 class Room:
@@ -31,16 +28,14 @@
     def __init__(self, service: str, text: str) -> None:
         #: Values of all VMs by metric and customer, "" for the service.
         self._values: dict[tuple[str, str], list[float]] = {}
-        for line in text.splitlines():
-            found = _LINE.match(line.strip())
-            if found is None:
+        for metric in metrics_text.labelled_metrics(text):
+            if len(metric.labels) != 1:
                 continue
-            metric, label, name, value = found.groups()
-            metric = metric.removeprefix(f"{call_metrics.PREFIX}_")
+            [(label, name)] = metric.labels.items()
             owner, _, customer = name.partition("/")
             if label in ("service", "demand") and owner == service:
-                values = self._values.setdefault((metric, customer), [])
-                values.append(float(value))
+                values = self._values.setdefault((metric.name, customer), [])
+                values.append(metric.value)
 
     @property
     def vms(self) -> int:
--- a/src/apricotlever/client/runner_commands.py
+++ b/src/apricotlever/client/runner_commands.py
@@ -2,20 +2,17 @@
 
 import argparse
 import http.client
-import re
 import typing
 
 from . import command_registry
 from . import errors
+from . import metrics_text
 from . import terminal_format
 
-PREFIX = "apricotlever_"
 DEFAULT_PATH = "/metrics"
 PHASES = ("prefill", "decode", "plain")
 #: Metrics that each VM counts for itself, and their columns.
 SUMMED = {"in_flight": "calls", "waiting_tokens": "waiting_tokens"}
-_LINE = re.compile(rf"{PREFIX}(\w+)\{{(.*)\}} (\S+)")
-_LABEL = re.compile(r'(\w+)="([^"]*)"')
 
 Rows = dict[str, dict[str, typing.Any]]
 
@@ -79,18 +76,17 @@
     for text in texts:
         slowness: dict[tuple[str, str], float] = {}
         samples: dict[tuple[str, str], float] = {}
-        for name, labels_text, value in _LINE.findall(text):
-            labels = dict(_LABEL.findall(labels_text))
+        for name, labels, value in metrics_text.labelled_metrics(text):
             if "runner" not in labels:
                 continue
             key = labels["runner"], labels.get("phase", "")
             if name in SUMMED:
                 row = rows.setdefault(key[0], _empty_row(key[0]))
-                row[SUMMED[name]] += int(float(value))
+                row[SUMMED[name]] += int(value)
             elif name == "runner_slowness":
-                slowness[key] = float(value)
+                slowness[key] = value
             elif name == "runner_slowness_samples":
-                samples[key] = float(value)
+                samples[key] = value
         for (runner, phase), ratio in slowness.items():
             row = rows.setdefault(runner, _empty_row(runner))
             count = samples.get((runner, phase), 0.0)
--- a/src/apricotlever/contracts/call_priorities.py
+++ b/src/apricotlever/contracts/call_priorities.py
@@ -7,6 +7,7 @@
 """
 
 from .. import clock as clocks
+from .. import decay
 
 #: Share of the smallest objective of the most urgent rank. A longer wait
 #: begins contention: seven eighths of the objective are left for the prefill.
@@ -121,10 +122,10 @@
             urgent rank.
         """
         now = self._clock.now()
-        decay = 0.5 ** ((now - self._at) / SHARE_HALF_LIFE_S)
+        factor = decay.decay_factor(now - self._at, SHARE_HALF_LIFE_S)
         self._at = now
-        self._all = self._all * decay + tokens
-        self._passing = self._passing * decay + (tokens if passing else 0)
+        self._all = self._all * factor + tokens
+        self._passing = self._passing * factor + (tokens if passing else 0)
 
 
 def mean_wait_s(
--- a/src/apricotlever/contracts/demand_shares.py
+++ b/src/apricotlever/contracts/demand_shares.py
@@ -45,7 +45,7 @@
     :param clock: the source of time.
     """
 
-    __slots__ = ("_clock", "_over", "_periods", "shares")
+    __slots__ = ("_clock", "_over", "_periods", "_shares")
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
@@ -53,10 +53,17 @@
         self._periods: collections.deque[
             tuple[float, dict[str, CustomerDemand]]
         ] = collections.deque()
-        #: Tokens that each customer may use in the window, by name.
-        self.shares: dict[str, float] = {}
+        self._shares: dict[str, float] = {}
         self._over: frozenset[str] = frozenset()
 
+    @property
+    def shares(self) -> typing.Mapping[str, float]:
+        """Tokens that each customer may use in the window, by name.
+
+        They are those of the last update; empty before the first one.
+        """
+        return self._shares
+
     @property
     def over(self) -> frozenset[str]:
         """Customers over their share at the last update."""
@@ -102,7 +109,7 @@
     def update(
         self, waiting_tokens: int, weights: typing.Mapping[str, float]
     ) -> None:
-        """Compute the shares, a few times a second.
+        """Compute the shares, and who is over its share.
 
         :param waiting_tokens: tokens of all VMs that wait at the runners.
         :param weights: by customer; 1.0 for those missing.
@@ -112,7 +119,7 @@
             for customer, demand in self.demands().items()
         }
         taken = max(0.0, sum(tokens.values()) - waiting_tokens)
-        self.shares = max_min_shares(tokens, weights, taken)
+        self._shares = max_min_shares(tokens, weights, taken)
         # When all send more than the runners can take, nobody is over: a
         # customer must also exceed its part of what all have sent.
         part = sum(tokens.values()) / max(
@@ -123,7 +130,9 @@
             for customer, used in tokens.items()
             if used
             > TOLERANCE
-            * max(self.shares[customer], part * (weights.get(customer) or 1.0))
+            * max(
+                self._shares[customer], part * (weights.get(customer) or 1.0)
+            )
         )
 
 
--- a/src/apricotlever/data_centres/latency_sizing.py
+++ b/src/apricotlever/data_centres/latency_sizing.py
@@ -68,9 +68,10 @@
 class SizingInputs:
     """What the required number is computed from, besides the load.
 
-    :param base_s: time to a first event that needs no prefill, in seconds.
-    :param token_s: time for an uncached token at speed 1, in seconds.
-    :param samples: weight of the samples of these two.
+    ``base_s``, ``token_s`` and ``samples`` are the values of ``latency`` at
+    the time of construction.
+
+    :param latency: the service's learned line.
     :param mean_speed: mean relative speed of the runners that serve.
     :param sizes: sizes of the prompts.
     :param objective_s: smallest objective of the service's routes, in
--- a/src/apricotlever/data_centres/prompt_sizes.py
+++ b/src/apricotlever/data_centres/prompt_sizes.py
@@ -9,6 +9,7 @@
 import typing
 
 from .. import clock as clocks
+from .. import decay
 
 #: Topic of the counts in the shared samples; the keys are services.
 TOPIC = "prompt_sizes"
@@ -51,6 +52,8 @@
 
 
 class _DecayedSums:
+    """Sums of prompts, tokens and squares, decayed to the time ``at``."""
+
     __slots__ = ("at", "sums")
 
     def __init__(self, at: float) -> None:
@@ -58,7 +61,7 @@
         self.sums = [0.0] * _COUNTS
 
     def decay(self, now: float) -> None:
-        factor = 0.5 ** (max(0.0, now - self.at) / HALF_LIFE_S)
+        factor = decay.decay_factor(now - self.at, HALF_LIFE_S)
         self.sums = [factor * value for value in self.sums]
         self.at = now
 
--- a/src/apricotlever/data_centres/reclaim_risk.py
+++ b/src/apricotlever/data_centres/reclaim_risk.py
@@ -4,6 +4,7 @@
 """
 
 from .. import clock as clocks
+from .. import decay
 from . import model
 
 #: Without observations, the estimate is that of PRIOR_RECLAIMS in
@@ -29,7 +30,7 @@
         self.at = at
 
     def decay(self, now: float) -> None:
-        factor = 0.5 ** ((now - self.at) / HALF_LIFE_S)
+        factor = decay.decay_factor(now - self.at, HALF_LIFE_S)
         self.reclaims *= factor
         self.vm_hours *= factor
         self.at = now
--- a/src/apricotlever/runners/latency_sums.py
+++ b/src/apricotlever/runners/latency_sums.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from .. import decay
+
 from . import latency_model
 
 #: Seconds after which a sample has half of its weight. Runners change their
@@ -70,7 +72,7 @@
 
     def weight(self, now: float) -> float:
         """The decayed number of samples."""
-        return self._weight * _decay(now - self._at)
+        return self._weight * decay.decay_factor(now - self._at, HALF_LIFE_S)
 
     def add(self, now: float, count: int, total: float) -> None:
         """Add samples.
@@ -78,7 +80,7 @@
         :param count: the number of the samples.
         :param total: their sum.
         """
-        factor = _decay(now - self._at)
+        factor = decay.decay_factor(now - self._at, HALF_LIFE_S)
         self._weight = self._weight * factor + count
         self._sum = self._sum * factor + total
         self._at = now
@@ -104,7 +106,9 @@
         """The line, or the defaults while there is none."""
         if now - self._fitted_at > KEPT_S:
             return DEFAULT_LATENCY
-        samples = self._sums[0] * _decay(now - self._at)
+        samples = self._sums[0] * decay.decay_factor(
+            now - self._at, HALF_LIFE_S
+        )
         return self._latency._replace(samples=samples)
 
     def coefficients(self, now: float) -> tuple[float, float]:
@@ -123,7 +127,10 @@
         if latency is not DEFAULT_LATENCY:
             return latency.base_s + tokens * latency.token_s
         weight, total_tokens, seconds = self._sums[:3]
-        if weight * _decay(now - self._at) < MIN_SAMPLES:
+        if (
+            weight * decay.decay_factor(now - self._at, HALF_LIFE_S)
+            < MIN_SAMPLES
+        ):
             return None
         default_s = latency.base_s * weight + total_tokens * latency.token_s
         return (
@@ -150,7 +157,7 @@
 
     def add(self, now: float, counts: typing.Sequence[int]) -> None:
         """Add calls, and compute the line again if they suffice."""
-        factor = _decay(now - self._at)
+        factor = decay.decay_factor(now - self._at, HALF_LIFE_S)
         units = (1.0, 1.0, SECOND_UNIT, 1.0, SECOND_UNIT)
         self._sums = [
             before * factor + count * unit
@@ -204,7 +211,3 @@
         and 0 <= products <= units * MAX_TOKENS
         and products * products <= squares * units * units
     )
-
-
-def _decay(seconds: float) -> float:
-    return 0.5 ** (max(0.0, seconds) / HALF_LIFE_S)
--- a/tests/runners/engine_priority.feature
+++ b/tests/runners/engine_priority.feature
@@ -46,3 +46,8 @@
   # Guards against a less urgent call that passes a more urgent one.
   Scenario: No class passes a more urgent one, for any configuration
     Then levels of any configuration follow customer priority, rank and size
+
+  # Guards against calls that change their order when contention begins, and
+  # against one put behind that falls behind the next class.
+  Scenario: While short prompts take few tokens, calls keep their usual order
+    Then levels by size of any configuration have the order of the usual levels
--- a/tests/steps/runners_engine_priority.py
+++ b/tests/steps/runners_engine_priority.py
@@ -150,3 +150,27 @@
             last = max(levels)
 
     check()
+
+
+@then("levels by size of any configuration have the order of the usual levels")
+def _usual_order(context):
+    distinct = strategies.sets(strategies.integers(0, 9), min_size=1)
+
+    @hypothesis.settings(derandomize=True, deadline=None, database=None)
+    @hypothesis.given(distinct, distinct)
+    def check(priorities, ranks):
+        plan = engine_priority.LevelPlan(priorities, ranks)
+        levels = {}
+        for call in itertools.product(priorities, ranks, (700, 9000)):
+            usual = engine_priority.queue_level(*call)
+            found = [plan.level_by_size(*call, over) for over in (0, 1)]
+            assert levels.setdefault(usual, found) == found, call
+        spread = [levels[usual] for usual in sorted(levels)]
+        for (_, behind), (following, _) in itertools.pairwise(spread):
+            assert behind < following, spread
+        has_room = 2 * len(spread) <= engine_priority.LOWEST_LEVEL + 1
+        for level, behind in spread:
+            assert 0 <= level <= behind <= engine_priority.LOWEST_LEVEL
+            assert behind > level or not has_room, spread
+
+    check()
