Move the sums of aggregates out of the record aggregator

Change: vms/count_sums adds up counts and pairs by name; vms/aggregate_sums has the sums of received and sent aggregates.

--- a/src/apricotlever/vms/peer_loads.py
+++ b/src/apricotlever/vms/peer_loads.py
@@ -11,14 +11,13 @@
 from ..roll_outs import samples
 
 from . import aggregates
+from . import count_sums
 from . import vm_records
 
 #: Seconds for which the loads of each own record are kept, until an aggregate
 #: that includes the record has been received.
 SENT_KEPT_S = 3.0
 
-Counts = dict[str, int]
-
 
 class PeerLoads:
     """Loads that the other VMs put on the runners.
@@ -49,13 +48,13 @@
 
     def __init__(
         self,
-        in_flight: Counts,
-        pending: Counts,
-        silent: Counts,
+        in_flight: count_sums.Counts,
+        pending: count_sums.Counts,
+        silent: count_sums.Counts,
         failures: dict[str, aggregates.Failures],
         from_aggregate: bool = False,
         trials: samples.Records | None = None,
-        refused: Counts | None = None,
+        refused: count_sums.Counts | None = None,
     ) -> None:
         self.in_flight = in_flight
         self.pending = pending
@@ -71,32 +70,26 @@
 ) -> PeerLoads:
     """Sum the loads in the status records of the other VMs."""
     return PeerLoads(
-        sum_counts(record.in_flight for record in records),
-        sum_counts(record.pending for record in records),
-        sum_counts(dict.fromkeys(record.silent, 1) for record in records),
+        count_sums.sum_counts(record.in_flight for record in records),
+        count_sums.sum_counts(record.pending for record in records),
+        count_sums.count_lists(record.silent for record in records),
         {record.process: record.failures for record in records},
         trials=samples.sum_records(record.trials for record in records),
-        refused=sum_counts(
-            dict.fromkeys(record.refused, 1) for record in records
-        ),
+        refused=count_sums.count_lists(record.refused for record in records),
     )
 
 
-def sum_counts(parts: typing.Iterable[typing.Mapping[str, int]]) -> Counts:
-    """Add up maps of counts, name by name."""
-    sums: Counts = {}
-    for part in parts:
-        for name, count in part.items():
-            sums[name] = sums.get(name, 0) + count
-    return sums
-
-
 class _SentLoads:
     """This VM's own loads as sent with one of its status records."""
 
     __slots__ = ("at", "in_flight", "pending")
 
-    def __init__(self, at: float, in_flight: Counts, pending: Counts) -> None:
+    def __init__(
+        self,
+        at: float,
+        in_flight: count_sums.Counts,
+        pending: count_sums.Counts,
+    ) -> None:
         self.at = at
         self.in_flight = in_flight
         self.pending = pending
@@ -170,6 +163,6 @@
         )
 
 
-def _subtract(counts: Counts, own: Counts) -> None:
+def _subtract(counts: count_sums.Counts, own: count_sums.Counts) -> None:
     for name, count in own.items():
         counts[name] = max(0, counts.get(name, 0) - count)
--- a/src/apricotlever/vms/record_aggregation.py
+++ b/src/apricotlever/vms/record_aggregation.py
@@ -13,9 +13,9 @@
 from ..roll_outs import samples as trial_samples
 from ..runners import call_totals
 
+from . import aggregate_sums
 from . import aggregates
-from . import notices
-from . import peer_loads
+from . import count_sums
 from . import record_relay
 from . import shared_samples
 from . import vm_records
@@ -49,74 +49,6 @@
         self.work = record.work
 
 
-class _AggregatorReport:
-    """Sums in another aggregator's last report on the VMs that it serves."""
-
-    __slots__ = (
-        "number",
-        "process",
-        "loads",
-        "silent",
-        "refused",
-        "trials",
-        "heard_at",
-    )
-
-    def __init__(
-        self, aggregate: aggregates.Aggregate, heard_at: float
-    ) -> None:
-        self.number = aggregate.number
-        self.process = aggregate.process
-        self.loads = aggregate.loads
-        self.silent = aggregate.silent
-        self.refused = aggregate.refused
-        self.trials = aggregate.trials
-        self.heard_at = heard_at
-
-
-class _LastSent:
-    """The sums in the aggregate that was sent last to a group of receivers.
-
-    An aggregate that has nothing new compared with it need not be sent.
-    """
-
-    __slots__ = ("_loads", "_notices", "_refused", "_silent", "_trials")
-
-    def __init__(self) -> None:
-        self._loads: aggregates.Loads = {}
-        self._silent: dict[str, int] = {}
-        self._refused: dict[str, int] = {}
-        self._trials: trial_samples.Records = {}
-        self._notices: list[notices.Record] = []
-
-    def if_changed(
-        self, aggregate: aggregates.Aggregate, keepalive: bool
-    ) -> aggregates.Aggregate | None:
-        """Return an aggregate if it has to be sent, else None.
-
-        The sums of an aggregate that is returned are remembered.
-
-        :param keepalive: whether to send it even without changes.
-        """
-        same = (
-            aggregate.loads,
-            aggregate.silent,
-            aggregate.refused,
-            aggregate.trials,
-        ) == (self._loads, self._silent, self._refused, self._trials)
-        # Notices that are no longer repeated are nothing new.
-        has_notices = aggregate.notices and aggregate.notices != self._notices
-        if same and not (
-            keepalive or aggregate.entries or aggregate.used or has_notices
-        ):
-            return None
-        self._loads, self._silent = aggregate.loads, aggregate.silent
-        self._refused = aggregate.refused
-        self._trials = aggregate.trials
-        self._notices = aggregate.notices
-        return aggregate
-
-
 class RecordAggregator:
     """Builds aggregates from VMs' records and other aggregators' reports.
 
@@ -144,7 +76,7 @@
         self._vm = vm
         self._members: dict[str, _ReportingVm] = {}
         self._relay = record_relay.RecordRelay(clock)
-        self._reports: dict[str, _AggregatorReport] = {}
+        self._reports: dict[str, aggregate_sums.AggregatorReport] = {}
         self._failures = call_totals.CallTotals()
         self._remote_failures = call_totals.CallTotals()
         #: Last trial counts of each process that uses this VM as aggregator.
@@ -155,8 +87,8 @@
         self._samples_for_served = shared_samples.SampleBuffer()
         self._flushes = 0
         #: Sums last sent to the other aggregators and to the served VMs.
-        self._sent_to_aggregators = _LastSent()
-        self._sent_to_served = _LastSent()
+        self._sent_to_aggregators = aggregate_sums.LastSent()
+        self._sent_to_served = aggregate_sums.LastSent()
 
     @property
     def relay(self) -> record_relay.RecordRelay:
@@ -233,7 +165,9 @@
             and known.number >= aggregate.number
         ):
             return
-        self._reports[aggregate.vm] = _AggregatorReport(aggregate, now)
+        self._reports[aggregate.vm] = aggregate_sums.AggregatorReport(
+            aggregate, now
+        )
         self._remote_failures.add_process_counts(
             aggregate.process, aggregate.failures
         )
@@ -276,8 +210,9 @@
         used = self._relay.take_changed_used()
         own_processes = {m.record.process for m in self._members.values()}
         failures = self._flushes % FAILURES_EVERY == 0
-        loads, silent = _sum_loads(served), _count_silent(served)
-        refused = _count_refused(served)
+        loads = aggregate_sums.sum_loads(served)
+        silent = count_sums.count_lists(record.silent for record in served)
+        refused = count_sums.count_lists(record.refused for record in served)
         trials = trial_samples.sum_records(self._trials.values())
         report = aggregates.Aggregate(
             own.vm,
@@ -312,8 +247,8 @@
             entries,
             ages,
             used,
-            _sum_pairs([loads, *(each.loads for each in reports)]),
-            peer_loads.sum_counts(
+            count_sums.sum_pairs([loads, *(each.loads for each in reports)]),
+            count_sums.sum_counts(
                 [silent, *(each.silent for each in reports)]
             ),
             self._all_failures() if failures else None,
@@ -329,7 +264,7 @@
                 else None
             ),
             own.notices,
-            peer_loads.sum_counts(
+            count_sums.sum_counts(
                 [refused, *(each.refused for each in reports)]
             ),
         )
@@ -431,7 +366,9 @@
         return {vm: round(now - at, 1) for vm, at in heard_at.items()}
 
     def _all_failures(self) -> aggregates.Failures:
-        return _sum_pairs([self._failures.sums, self._remote_failures.sums])
+        return count_sums.sum_pairs(
+            [self._failures.sums, self._remote_failures.sums]
+        )
 
     def _drop_old_reports(self) -> None:
         """Drop the reports of aggregators that have fallen silent."""
@@ -466,42 +403,3 @@
 ) -> typing.Iterator[list[vm_records.VmRecord]]:
     rest = iter(records)
     return iter(lambda: list(itertools.islice(rest, size)), [])
-
-
-def _sum_loads(
-    records: typing.Sequence[vm_records.VmRecord],
-) -> aggregates.Loads:
-    in_flight = peer_loads.sum_counts(record.in_flight for record in records)
-    pending = peer_loads.sum_counts(record.pending for record in records)
-    return {
-        runner: (in_flight.get(runner, 0), pending.get(runner, 0))
-        for runner in {**in_flight, **pending}
-    }
-
-
-def _count_silent(
-    records: typing.Sequence[vm_records.VmRecord],
-) -> dict[str, int]:
-    return peer_loads.sum_counts(
-        dict.fromkeys(record.silent, 1) for record in records
-    )
-
-
-def _count_refused(
-    records: typing.Sequence[vm_records.VmRecord],
-) -> dict[str, int]:
-    return peer_loads.sum_counts(
-        dict.fromkeys(record.refused, 1) for record in records
-    )
-
-
-def _sum_pairs(
-    parts: typing.Iterable[typing.Mapping[str, tuple[int, int]]],
-) -> dict[str, tuple[int, int]]:
-    """Add up maps of pairs of counts, name by name."""
-    sums: dict[str, tuple[int, int]] = {}
-    for part in parts:
-        for name, (one, two) in part.items():
-            before = sums.get(name, (0, 0))
-            sums[name] = (before[0] + one, before[1] + two)
-    return sums
