Mend four faults found by reading the parts for heavy load

Cause, from reading: periods of demand were dropped only while a service was contended or its metrics were read; a customer could be missing from the demand that its log line reads; calls that had given up counted as waiting for a slot until one became free; after a long overload the learned time per token was taken for unknown, as few calls find an idle runner then.

Change: periods are dropped when one is added; the log line reads one demand; a full queue of waiting calls is cleared of those that gave up; a line that is kept is used.

Measured: slot_ledger.feature has a scenario that fails without its change; call_priorities, service_priorities and performance_meters pass.

--- a/src/apricotlever/contracts/demand_shares.py
+++ b/src/apricotlever/contracts/demand_shares.py
@@ -73,6 +73,7 @@
         """Count calls that a customer has sent through some VM."""
         now = self._clock.now()
         if not self._periods or now - self._periods[-1][0] >= PERIOD_S:
+            self._drop_expired()
             self._periods.append((now, {}))
         demand = self._periods[-1][1].setdefault(customer, CustomerDemand())
         demand.calls += calls
@@ -95,9 +96,7 @@
 
     def demands(self) -> dict[str, CustomerDemand]:
         """What each customer has sent in the window."""
-        since = self._clock.now() - WINDOW_S
-        while self._periods and self._periods[0][0] < since:
-            self._periods.popleft()
+        self._drop_expired()
         sums: dict[str, CustomerDemand] = {}
         for _, by_customer in self._periods:
             for customer, demand in by_customer.items():
@@ -106,6 +105,11 @@
                 total.tokens += demand.tokens
         return sums
 
+    def _drop_expired(self) -> None:
+        since = self._clock.now() - WINDOW_S
+        while self._periods and self._periods[0][0] < since:
+            self._periods.popleft()
+
     def update(
         self, waiting_tokens: int, weights: typing.Mapping[str, float]
     ) -> None:
--- a/src/apricotlever/runners/slot_ledger.py
+++ b/src/apricotlever/runners/slot_ledger.py
@@ -226,6 +226,14 @@
             self._add(call, now)
             self._assign(call, runner)
             return _runner_name(call), False
+        if len(service.waiting) >= MAX_WAITING:
+            # Calls that have given up stay in the heap until a slot is free.
+            service.waiting = [
+                entry
+                for entry in service.waiting
+                if not entry[-1].ended and entry[-1].wait_until >= now
+            ]
+            heapq.heapify(service.waiting)
         if not request.wait_s or len(service.waiting) >= MAX_WAITING:
             return None, False
         self._add(call, now)
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -113,7 +113,9 @@
         if self._mode is not modes.Mode.ON:
             return 0.0
         latency = self._performance.latency(service)
-        if latency.samples < latency_sums.MIN_SAMPLES:
+        # The samples of a line that is kept may be few after a long overload,
+        # in which hardly any call finds an idle runner.
+        if latency[:2] == latency_sums.DEFAULT_LATENCY[:2]:
             return 0.0
         return latency.token_s
 
--- a/src/apricotlever/serving/service_priorities.py
+++ b/src/apricotlever/serving/service_priorities.py
@@ -276,12 +276,14 @@
     ) -> None:
         before = state.shares.over
         state.shares.update(waiting_tokens, self._weights)
-        for customer in state.shares.over - before:
+        demands = state.shares.demands()
+        # A customer's last calls may have left the window since the update.
+        for customer in (state.shares.over - before) & demands.keys():
             logs.event(
                 "customer_over_share",
                 service=service,
                 customer=customer,
-                tokens=state.shares.demands()[customer].tokens,
+                tokens=demands[customer].tokens,
                 share=state.shares.shares[customer],
                 mode=self._mode.value,
             )
--- a/tests/runners/slot_ledger.feature
+++ b/tests/runners/slot_ledger.feature
@@ -48,6 +48,15 @@
     And call 2 asks with rank 0 and can wait 0 s
     Then call 2 got no slot and does not wait
 
+  # Guards against a keeper that turns all calls away while its runners hang,
+  # because calls that no longer wait are counted as waiting.
+  Scenario: Calls that have given up make room for others that wait
+    Given runners with 1 slots
+    When call 1 asks with rank 0 and can wait 0.03 s
+    And 256 calls ask, wait and are cancelled
+    And call 2 asks with rank 0 and can wait 0.03 s
+    Then call 2 waits
+
   # Guards against waiting calls beside a free slot that they must not use, and
   # against a grant of a runner that the call has tried.
   Scenario: A waiting call does not get an excluded runner
--- a/tests/steps/runners_slot_ledger.py
+++ b/tests/steps/runners_slot_ledger.py
@@ -102,6 +102,19 @@
     _ask(context, number, rank=rank, wait_s=wait_s)
 
 
+@when("{count:d} calls ask, wait and are cancelled")
+def _ask_and_cancel(context, count):
+    for _ in range(count):
+        context.next_call += 1
+        _ask(context, context.next_call, wait_s=0.03)
+        context.ledger.release(PROCESS, context.next_call)
+
+
+@then("call 2 waits")
+def _waits(context):
+    assert context.waits
+
+
 @when("call {number:d} asks with rank {rank:d} without runner 1")
 def _ask_without(context, number, rank):
     _ask(context, number, rank=rank, wait_s=0.03, excluded=["runner-1"])
