Split upstreams by what learns from a call and what refuses it

Change: CallObservations is told of each event of a call and passes it to the router, the detectors and the meters. RunnerRefusals applies refused connections to the routing, with one place for their log line. StartTimes decides on calls without time, which CallExecution did in part. No behaviour changes.

Ruled out: a list of observers with one interface. The parts need the call's values in a fixed order (the backlog before the router counts the call), and each takes other values.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -240,29 +240,18 @@
 
         :raises NotServed: when it is refused.
         """
-        upstreams = self._relay.upstreams
-        mode = upstreams.part_modes.priorities
-        if self.may_have_run or mode is modes.Mode.OFF:
-            return
-        left_s = self._deadline - self._loop.time()
-        missing_s = upstreams.missing_time_s(
-            placement.query, placement.runner, left_s
-        )
-        if missing_s <= 0.0:
+        if self.may_have_run:
             return
-        logs.event(
-            "request_without_time",
-            request=self._call.request_id,
-            service=self._service,
-            left_s=left_s,
-            missing_s=missing_s,
-            queue_level=placement.query.priority,
-            mode=mode.value,
+        wait_s = self._relay.upstreams.start_times.retry_after_s(
+            self._call.request_id,
+            placement.query,
+            placement.runner,
+            self._deadline - self._loop.time(),
         )
-        if mode is modes.Mode.ON:
+        if wait_s is not None:
             self._placement.refund(placement)
             self.reason = "no_time"
-            raise NotServed(503, "no_time", missing_s)
+            raise NotServed(503, "no_time", wait_s)
 
     async def _send(
         self,
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -8,26 +8,22 @@
 import typing
 
 from .. import clock as clocks
-from .. import logs
 from ..data_centres import prompt_sizes
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
 from ..runners import model as models
 from ..runners import outlier_detector
-from ..runners import refused_connections
 from ..runners import routing
-from ..runners import silence_detector
 from ..vms import peer_loads
 
+from . import call_observations
 from . import call_queries
-from . import call_sampling
 from . import configuration_model
 from . import connection_pool as pools
 from . import crash_watch
 from . import messages
 from . import modes
 from . import performance_meters
-from . import prompt_meters
 from . import runner_choice
 from . import runner_directory as directories
 from . import runner_limits
@@ -37,28 +33,21 @@
 from . import service_priorities
 from . import slot_keepers
 from . import slot_leases
-
-#: Output tokens reported for a response whose tokens are not counted.
-NO_OUTPUT_TOKENS = 0
-#: Part of a call's time that a prompt of the same urgency must have waited
-#: before a call is refused for lack of time. The expected time rests on a
-#: model of the runners that may be too slow, in particular after a start.
-WAIT_EVIDENCE_SHARE = 0.5
+from . import start_times
 
 
 class Upstreams:
     """The runners of all services, as the path of a call uses them.
 
     It combines the runner directory, the router, the connection pools, and
-    the detectors of silent runners, outliers and crashes. The directory says
-    which runners exist; the others get its list at each :meth:`refresh`.
+    what this VM's calls show of the runners. The directory says which runners
+    exist; the others get its list at each :meth:`refresh`.
 
     :param vm: this VM's name.
     :param directory: the known runners.
     :param process: the name of this VM's process, which changes when it
         restarts.
-    :param news: called when a prompt was sent to a runner, or when a runner
-        refused a connection.
+    :param news: see :class:`.call_observations.CallObservations`.
     :param roll_outs: determines the roles of runners in roll-outs; None
         without roll-outs.
     :param part_modes: the modes of the parts of the request path; all are on
@@ -73,21 +62,15 @@
         "_directory",
         "_limits",
         "_modes",
-        "_on_news",
+        "_observations",
         "_peer_in_flight",
-        "_outliers",
-        "_own_in_flight",
         "_performance",
         "_pools",
-        "_priorities",
-        "_prompts",
-        "_refused",
         "_roll_outs",
         "_router",
-        "_silence",
         "_slots",
+        "_start_times",
         "_statements",
-        "_trials",
     )
 
     def __init__(
@@ -103,15 +86,10 @@
         part_modes: modes.PartModes | None = None,
     ) -> None:
         self._modes = part_modes or modes.PartModes()
-        self._refused = refused_connections.RefusedConnections(clock)
         self._clock = clock
-        self._on_news = news
         self._roll_outs = roll_outs or roll_outs_controller.RollOutController(
             clock, rng, roll_outs_model.RollOutLimits()
         )
-        self._trials = call_sampling.CallSampler(clock, self._roll_outs)
-        self._outliers = outlier_detector.OutlierDetector(clock, process)
-        self._crashes = crash_watch.CrashWatch(clock, vm)
         self._directory = directory
         self._performance = performance_meters.PerformanceMeters(
             clock, self._modes.performance
@@ -125,19 +103,32 @@
             "home_or_faster" if learned is None else "expected_time",
             learned,
         )
+        self._observations = call_observations.CallObservations(
+            clock,
+            process,
+            self._router,
+            self._performance,
+            self._roll_outs,
+            self._modes,
+            news or (lambda: None),
+        )
+        self._crashes = crash_watch.CrashWatch(clock, vm)
         self._pools = runner_pools.RunnerPools()
         self._configuration: configuration_model.Configuration | None = None
-        self._own_in_flight: dict[str, int] = {}
-        self._silence = silence_detector.SilenceDetector(clock)
         self._limits = runner_limits.RunnerLimits(clock, rng, vm)
         self._statements = runner_statements.RunnerStatements(
             clock, self._limits
         )
         self._choice = runner_choice.RunnerChoice(
-            self._router, self._roll_outs, self._silence, self._outliers
+            self._router,
+            self._roll_outs,
+            self._observations.silence,
+            self._observations.outliers,
+        )
+        self._start_times = start_times.StartTimes(
+            self._router, self._observations.prompts, self._modes.priorities
         )
         self._peer_in_flight: dict[str, int] = {}
-        self._prompts = prompt_meters.PromptMeters(clock)
         self._slots = slot_keepers.SlotKeepers(
             clock,
             vm,
@@ -147,13 +138,6 @@
             self._performance.plain_slowness,
             lambda runner: self.in_flight_at((runner,)),
         )
-        self._priorities = service_priorities.ServicePriorities(
-            clock,
-            self._router,
-            self._token_s,
-            self._performance.prefill_speed,
-            self._modes.priorities,
-        )
 
     @property
     def directory(self) -> directories.RunnerDirectory:
@@ -188,24 +172,27 @@
     @property
     def in_flight(self) -> dict[str, int]:
         """This VM's calls in progress by runner, without zeros."""
-        return {
-            name: count for name, count in self._own_in_flight.items() if count
-        }
+        return self._observations.in_flight
 
     @property
     def silent_runners(self) -> list[str]:
         """Runners from which this VM's waiting calls receive no bytes."""
-        return self._silence.silent_here
+        return self._observations.silence.silent_here
 
     @property
     def refused_runners(self) -> list[str]:
         """Runners that have just refused a connection of this VM."""
-        return self._refused.refused_here
+        return self._observations.refusals.refused_here
+
+    @property
+    def start_times(self) -> start_times.StartTimes:
+        """Finds the calls that can't begin in time at any runner."""
+        return self._start_times
 
     @property
     def priorities(self) -> service_priorities.ServicePriorities:
         """Decides the levels of calls in the engines' queues."""
-        return self._priorities
+        return self._observations.priorities
 
     @property
     def part_modes(self) -> modes.PartModes:
@@ -215,7 +202,7 @@
     @property
     def outcome_counts(self) -> outlier_detector.Counts:
         """This VM's counts of failed and of all calls, by runner."""
-        return self._outliers.own_counts
+        return self._observations.outliers.own_counts
 
     @property
     def pending_tokens(self) -> dict[str, int]:
@@ -225,12 +212,12 @@
     @property
     def prefill_meters(self) -> dict[str, tuple[int, float, float]]:
         """See :attr:`.prompt_meters.PromptMeters.measurements`."""
-        return self._prompts.measurements
+        return self._observations.prompts.measurements
 
     @property
     def prompt_sizes(self) -> prompt_sizes.PromptSizes:
         """See :attr:`.prompt_meters.PromptMeters.sizes`."""
-        return self._prompts.sizes
+        return self._observations.prompts.sizes
 
     def all_in_flight(self, service: str) -> int:
         """The number of all VMs' calls in flight at a service's runners."""
@@ -246,7 +233,7 @@
         A runner that names a limit is present, but most of it can't be used.
         """
         limits = self._limits.stated.in_force
-        return self._prompts.limited_away(
+        return self._observations.prompts.limited_away(
             service,
             [
                 limits[runner.runner_id]
@@ -266,7 +253,7 @@
         """Use a new version of the configuration from now on."""
         self._configuration = configuration
         self._pools.configure(configuration.services)
-        self._priorities.configure(configuration)
+        self._observations.priorities.configure(configuration)
         self.refresh()
 
     def refresh(self) -> None:
@@ -277,7 +264,7 @@
         """
         listed = self._directory.runners
         self._roll_outs.set_runners(listed)
-        self._performance.keep_only(listed)
+        self._observations.keep_only(listed)
         self._router.set_runners(
             runner_choice.routing_view(runner, pool)
             for runner in listed
@@ -285,10 +272,6 @@
             and (pool := self._choice.routing_pool(runner))
         )
         self._crashes.update_runners(listed)
-        present = frozenset(runner.runner_id for runner in listed)
-        self._silence.keep_only(present)
-        self._outliers.keep_only(present)
-        self._refused.keep_only(present)
         self._statements.keep_only(listed)
         self._pools.retain_runners(listed)
         if self._configuration is not None:
@@ -304,16 +287,8 @@
 
     def update_peer_loads(self, loads: peer_loads.PeerLoads) -> None:
         """Apply the other VMs' loads on runners and observations of them."""
-        self._silence.set_peer_counts(loads.silent)
-        self._apply_refusal_reports(loads.refused)
-        for source, counts in loads.failures.items():
-            self._outliers.add_peer_counts(
-                source, counts, loads.from_aggregate
-            )
-        self._detect_outliers()
+        self._observations.update_peer_loads(loads, self._runners_by_pool())
         self._peer_in_flight = others = loads.in_flight
-        self._router.observe_pending(loads.pending)
-        self._priorities.update()
         for runner in self._directory.runners:
             name = runner.runner_id
             total = others.get(name, 0) + self._router.own_in_flight(name)
@@ -380,8 +355,8 @@
         """
         avoided = (
             self._statements.unavailable
-            | self._silence.silent
-            | self._outliers.ejected
+            | self._observations.silence.silent
+            | self._observations.outliers.ejected
         )
         if avoided:
             avoided &= {
@@ -404,28 +379,6 @@
             return None
         return runner
 
-    def missing_time_s(
-        self, query: models.Query, runner: runners.Runner, left_s: float
-    ) -> float:
-        """By how much a call would begin too late at the best runner.
-
-        :param runner: the runner chosen for the query.
-        :param left_s: seconds until the call's deadline.
-        :returns: seconds; 0 if the call can begin in time, or if too little is
-            known to tell.
-        """
-        if not query.prompt_tokens:
-            return 0.0
-        if self._router.expected_first_token_s(runner.runner_id) <= left_s:
-            return 0.0
-        share = self._prompts.waiting_share(
-            runner.service, query.priority, WAIT_EVIDENCE_SHARE * left_s
-        )
-        if share is None:
-            return 0.0
-        expected_s = self._router.best_first_token_s(query, share)
-        return 0.0 if expected_s is None else max(0.0, expected_s - left_s)
-
     def takes_regular_calls(self, runner: runners.Runner) -> bool:
         """Whether a runner takes its service's regular calls."""
         return self._choice.takes_regular_calls(runner)
@@ -433,7 +386,7 @@
     def in_flight_at(self, names: typing.Iterable[str]) -> int:
         """The number of all VMs' calls in flight at the given runners."""
         return sum(
-            self._own_in_flight.get(name, 0)
+            self._observations.in_flight_at(name)
             + self._peer_in_flight.get(name, 0)
             for name in names
         )
@@ -452,96 +405,51 @@
     ) -> float:
         """Record that a call is sent to a runner.
 
-        :param attempt: name of the attempt, unique on this VM.
-        :param customer: name of the call's customer; None without one.
-        :param shows_speed: whether its times depend on the runner alone.
         :returns: the time, by this VM's clock.
+
+        See :meth:`.call_observations.CallObservations.call_started`.
         """
         now = self._clock.now()
-        name = runner.runner_id
-        self._own_in_flight[name] = self._own_in_flight.get(name, 0) + 1
-        self._silence.call_sent(name)
-        backlog = performance_meters.Backlog(*self._router.backlog(name))
-        tokens = self._router.request_started(attempt, name, query)
-        if shows_speed:
-            self._performance.record_sent(
-                attempt,
-                runner,
-                query.entry,
-                tokens,
-                bool(query.prompt_tokens),
-                backlog,
-            )
-        self._trials.record_sent(
-            attempt,
-            runner,
-            query.entry,
-            tokens,
-            self._prompts.meter(runner.service).prefill_speed,
+        self._observations.call_started(
+            attempt, runner, query, customer, shows_speed
         )
-        if query.prompt_tokens:
-            self._prompts.record_sent(attempt, runner.service, query, tokens)
-            self._priorities.record_sent(
-                runner.service, customer, query, tokens
-            )
-            if self._on_news is not None:
-                self._on_news()
         return now
 
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
-        self._silence.bytes_received(runner.runner_id)
-        if (
-            self._refused.answered(runner.runner_id)
-            and self._on_news is not None
-        ):
-            self._on_news()
+        self._observations.bytes_received(runner)
 
     def first_event_received(self, attempt: str) -> None:
         """Record the first event of an attempt's stream."""
-        self._performance.record_first_event(attempt)
-        self.response_started(attempt)
+        self._observations.first_event_received(attempt)
 
     def response_started(self, attempt: str) -> None:
         """Record that an attempt's response has begun."""
-        self._router.first_token(attempt)
-        self._trials.record_first_byte(attempt)
-        self._prompts.record_response(attempt)
+        self._observations.response_started(attempt)
 
     def call_finished(
         self,
         attempt: str,
         runner: runners.Runner,
         outcome: models.Outcome,
-        tokens: int = NO_OUTPUT_TOKENS,
+        tokens: int = call_observations.NO_OUTPUT_TOKENS,
         outlier_failure: bool = False,
         events: int = 0,
         shows_speed: bool = False,
     ) -> None:
         """Record the end of a call at its runner.
 
-        :param tokens: output tokens of the response.
-        :param outlier_failure: whether the runner rejected the call or did not
-            respond. An overloaded runner does so too, so this counts only in
-            outlier detection, which compares the runners of a service.
-        :param events: number of events after the first one of a stream.
-        :param shows_speed: whether the call was answered completely and with
-            success, so that its duration is that of its work.
+        See :meth:`.call_observations.CallObservations.call_finished`.
         """
-        self._prompts.record_end(attempt)
-        self._performance.record_end(attempt, shows_speed, events)
-        self._trials.record_end(attempt, outcome)
-        name = runner.runner_id
-        self._silence.call_ended(name)
-        if outcome is not models.Outcome.CANCELLED or outlier_failure:
-            failed = outcome is models.Outcome.FAILED or outlier_failure
-            self._outliers.call_ended(name, failed)
-        left = self._own_in_flight.get(name, 1) - 1
-        if left > 0:
-            self._own_in_flight[name] = left
-        else:
-            self._own_in_flight.pop(name, None)
-        self._router.request_finished(attempt, outcome, tokens)
+        self._observations.call_finished(
+            attempt,
+            runner,
+            outcome,
+            tokens,
+            outlier_failure,
+            events,
+            shows_speed,
+        )
 
     def connect_failed(self, runner: runners.Runner, refused: bool) -> None:
         """Record that no connection to a runner could be opened.
@@ -549,18 +457,7 @@
         :param refused: whether the runner's host refused it, as no process
             listens there.
         """
-        name = runner.runner_id
-        mode = self._modes.priorities
-        if refused and mode is not modes.Mode.OFF:
-            if name not in self._refused.refused_here:
-                logs.event(
-                    "runner_refuses", runner=name, reporters=0, mode=mode.value
-                )
-            self._refused.refused(name)
-        if refused and mode is modes.Mode.ON:
-            self._router.record_refused(name)
-        else:
-            self._router.record_failure(name)
+        self._observations.refusals.record_failure(runner.runner_id, refused)
         self._crashes.runner_lost(runner)
 
     async def check_runner_crash(self, runner: runners.Runner) -> None:
@@ -588,35 +485,14 @@
         self._crashes.tick()
         self._performance.log_changes()
 
-    def _token_s(self, service: str) -> float:
-        """Seconds of the prefill of a token; 0 while unknown."""
-        learned_s = self._performance.token_s(service)
-        return learned_s or self._prompts.token_s(service)
-
-    def _apply_refusal_reports(self, counts: typing.Mapping[str, int]) -> None:
-        mode = self._modes.priorities
-        if mode is modes.Mode.OFF:
-            return
-        for name in self._refused.set_reports(counts):
-            logs.event(
-                "runner_refuses",
-                runner=name,
-                reporters=counts[name],
-                mode=mode.value,
-            )
-        if mode is modes.Mode.ON:
-            self._router.set_reported(
-                self._refused.reported, self._refused.confirmed
-            )
-
-    def _detect_outliers(self) -> None:
-        by_service: dict[str, list[str]] = {}
+    def _runners_by_pool(self) -> list[list[str]]:
+        """IDs of the runners that get calls, by routing pool."""
+        by_pool: dict[str, list[str]] = {}
         for runner in self._directory.runners:
             pool = "" if runner.leaving else self._choice.routing_pool(runner)
             if pool:
-                by_service.setdefault(pool, []).append(runner.runner_id)
-        for found in self._outliers.detect(by_service.values()):
-            logs.event("runner_outlier", **found.inputs)
+                by_pool.setdefault(pool, []).append(runner.runner_id)
+        return list(by_pool.values())
 
     def _service_named(self, name: str) -> configuration_model.Service | None:
         if self._configuration is None:
