Move levels to the placement, and shared samples and keepers out of Node

Cause: three parts had each added lines to Node's update, merge_samples and metrics, and CallExecution determined the level of an attempt in a method that also set a field for the log.

Change: SampleExchange knows which part has which shared samples. Node tells all that has keepers of the VMs in one method. Upstreams gives its counters in one mapping. No behaviour changes, except for the order of lines in the metrics.

Ruled out: refusing calls without time in CallPlacement. The refusal depends on whether the call may have run, which only CallExecution knows.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -76,7 +76,6 @@
         "_tried_runners",
         "_rejections",
         "_attempt_started_at",
-        "_level_cause",
         "_last_event_at",
         "first_s",
         "longest_pause_s",
@@ -104,7 +103,7 @@
         self._reply = reply
         self._loop = asyncio.get_running_loop()
         self._placement = call_placement.CallPlacement(
-            relay_.upstreams, call, route, service
+            relay_.upstreams, call, route, service, customer
         )
         wait_s = route.timeout_s
         if call.caller_timeout_s is not None:
@@ -117,7 +116,6 @@
             relay_.upstreams.part_modes.priorities is not modes.Mode.ON,
         )
         self._attempt_started_at = 0.0
-        self._level_cause: str | None = None
         self._usage_recorded = False
         self._last_event_at: float | None = None
         #: Longest pause between two events of the stream so far, in seconds.
@@ -182,17 +180,13 @@
         self._check_crash_blocklist(upstreams.crashes)
         placement = await self._place()
         runner, query = placement.runner, placement.query
-        level = self._queue_level()
-        query.priority = level or 0
         self._check_time(placement)
         self.runner_id = runner.runner_id
         self._tried_runners.add(runner.runner_id)
         parameters = self._runner_call_parameters(
-            runner, upstreams.fetch_source(query, runner), level
-        )
-        self._placement.log_chosen(
-            placement, parameters, self.sends + 1, self._level_cause
+            placement, upstreams.fetch_source(query, runner)
         )
+        self._placement.log_chosen(placement, parameters, self.sends + 1)
         attempt = attempts.Attempt(
             f"{self._call.request_id}.{self._relay.next_attempt_number()}",
             self._call,
@@ -303,31 +297,21 @@
         raise error
 
     def _runner_call_parameters(
-        self, runner: runners.Runner, copy_from: str | None, level: int | None
+        self, placement: call_placement.Placement, copy_from: str | None
     ) -> messages.RunnerCallParameters:
+        level = placement.level
         left_s = (
             self._deadline - self._loop.time() - attempts.RESPONSE_MARGIN_S
         )
         return messages.RunnerCallParameters(
-            runner.name,
+            placement.runner.name,
             self._customer.name if self._customer else None,
             max(MIN_RUNNER_TIME_S, left_s),
-            level,
+            level.level if level is not None else None,
             self._splitter.last_id,
             copy_from,
         )
 
-    def _queue_level(self) -> int | None:
-        """The call's level in an engine's queue; None without a prompt."""
-        prompt = self._call.prompt
-        if prompt is None:
-            return None
-        found = self._relay.upstreams.priorities.level(
-            self._service, self._route, self._customer, prompt.tokens_in
-        )
-        self._level_cause = found.cause
-        return found.level
-
     def _first_response_timeout_s(self) -> float | None:
         """How long to wait for the response to begin, in seconds.
 
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -1,6 +1,8 @@
 """Finds a runner that takes the call of an attempt by its own word.
 
-Runners that rest get none, and limited ones only as many as they take.
+Runners that rest get none, and limited ones only as many as they take. For a
+service whose slots are leased (:mod:`.slot_keepers`), the keeper is asked
+first which runner has a free one.
 """
 
 import asyncio
@@ -12,6 +14,7 @@
 from . import messages
 from . import runner_limits
 from . import runners
+from . import service_priorities
 from . import slot_leases
 from . import upstreams
 
@@ -41,7 +44,7 @@
     :param permit: the room at a limited runner.
     """
 
-    __slots__ = ("runner", "query", "permit", "slot", "rejected")
+    __slots__ = ("runner", "query", "permit", "level", "slot", "rejected")
 
     def __init__(
         self,
@@ -52,6 +55,8 @@
         self.runner = runner
         self.query = query
         self.permit = permit
+        #: The call's level in the engine's queue; None without a prompt.
+        self.level: service_priorities.QueueLevel | None = None
         #: The lease of a slot at a plain service's runner, if there is one.
         self.slot: slot_leases.SlotLease | None = None
         #: Whether the runner did not take the call.
@@ -62,10 +67,12 @@
     """Finds runners for the attempts of one call.
 
     :param service: the service whose runners may run the call.
+    :param customer: None for a call without one.
     """
 
     __slots__ = (
         "_call",
+        "_customer",
         "_limits",
         "_route",
         "_service",
@@ -80,17 +87,19 @@
         call: messages.CallerCall,
         route: configuration_model.Route,
         service: str,
+        customer: configuration_model.Customer | None = None,
     ) -> None:
         self._upstreams = upstreams_
         self._limits = upstreams_.runner_limits
         self._statements = upstreams_.statements
         self._call = call
+        self._customer = customer
         self._route = route
         self._service = service
         self._slot_call = slot_leases.SlotCall(call.request_id, service, route)
 
     async def place(self, tried: frozenset[str], left_s: float) -> Placement:
-        """Choose a runner and take room there.
+        """Choose a runner, take room there and determine the level there.
 
         :param tried: runners that the call has already been sent to.
         :param left_s: seconds until the call's deadline.
@@ -107,8 +116,18 @@
             raise
         slots.settle(slot, placement.runner.runner_id)
         placement.slot = slot
+        placement.level = level = self._queue_level()
+        placement.query.priority = level.level if level is not None else 0
         return placement
 
+    def _queue_level(self) -> service_priorities.QueueLevel | None:
+        prompt = self._call.prompt
+        if prompt is None:
+            return None
+        return self._upstreams.priorities.level(
+            self._service, self._route, self._customer, prompt.tokens_in
+        )
+
     async def _ask_for_slot(
         self, tried: frozenset[str], left_s: float
     ) -> slot_leases.SlotLease | None:
@@ -249,16 +268,14 @@
         placement: Placement,
         parameters: messages.RunnerCallParameters,
         attempt: int,
-        level_cause: str | None,
     ) -> None:
         """Log the runner of an attempt, and why others were passed over.
 
         :param parameters: what the runner is told.
         :param attempt: number of the attempt, from 1 on.
-        :param level_cause: why the call has its level in the engine's queue;
-            None for the usual one.
         """
         runner = placement.runner
+        level_cause = placement.level.cause if placement.level else None
         limit = self._limits.stated.reading(runner.runner_id)
         logs.event(
             "request_routed",
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -42,6 +42,7 @@
 from . import runner_limits
 from . import runner_sizing
 from . import runners
+from . import sample_exchange
 from . import servers
 from . import settings
 from . import settings_reloader
@@ -147,7 +148,6 @@
         self._fleet = fleet_link.FleetLink(
             clock, rng, config, self, self._directory, self._tasks
         )
-        self._upstreams.priorities.send_samples(self._fleet.samples)
         self._store = store.Store(
             dialect.platform.store_codec(),
             config.store.host,
@@ -162,12 +162,15 @@
             self._store,
             dialect.platform,
         )
-        self._sizing = runner_sizing.RunnerSizing(
+        sizing = runner_sizing.RunnerSizing(
             config.modes.sizing,
             self._upstreams.prompt_sizes,
             self._upstreams.performance.learned,
         )
-        self._work = fleet_workload.FleetWorkload(clock, self._sizing)
+        self._samples = sample_exchange.SampleExchange(
+            self._fleet.samples, self._upstreams, sizing
+        )
+        self._work = fleet_workload.FleetWorkload(clock, sizing)
         self._watchers: list[store_watch.Watcher] = []
         self._leaving_since: float | None = None
         self._started_at = clock.now()
@@ -422,14 +425,8 @@
         self._roll_outs.update_fleet_counts(loads.trials, loads.from_aggregate)
 
     def merge_samples(self, samples: shared_samples.Samples) -> None:
-        """Add the counts that other VMs have observed to this VM's sums.
-
-        :param samples: counts by topic and key; topics that no component
-            handles are ignored.
-        """
-        self._upstreams.performance.merge(samples)
-        self._sizing.merge_samples(samples, self._configuration)
-        self._upstreams.priorities.merge_samples(samples)
+        """Add the counts that other VMs have observed to this VM's sums."""
+        self._samples.merge(samples, self._configuration)
 
     def configuration_after(self, version: int) -> store.Json | None:
         """The active configuration's document, if it is newer than a version.
@@ -468,7 +465,6 @@
         """All metrics of this VM, in the text format of Prometheus."""
         gauges = {
             "store_calls_total": self._store.calls,
-            "runner_connections_total": self._upstreams.connections_opened,
             "members": len(self._fleet.alive) + 1,
             "configuration_version": self.version,
             "callers_busy": self._servers.busy,
@@ -476,11 +472,7 @@
             "limit_asks_total": self._limit_calls.request_count,
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
             **self._limits.return_metrics,
-            **self._upstreams.runner_limits.counters,
-            "runner_samples_ignored_total": (
-                self._upstreams.performance.performance.ignored
-            ),
-            **self._upstreams.slots.counters,
+            **self._upstreams.counters,
         }
         return metrics.format_metrics(
             self._relay,
@@ -593,32 +585,12 @@
         self._limits.set_members(
             processes, self._fleet.mean_message_interval_s
         )
-        keepers = self._fleet.limit_keepers
-        self._limits.set_keepers(keepers)
-        if self._upstreams.runner_limits.wants_fleet:
-            self._upstreams.runner_limits.set_fleet(
-                keepers,
-                self._fleet.limit_addresses,
-                self.ready,
-                self._limits.heard_share,
-                len(members) + 1,
-            )
-        if self._upstreams.slots.wants_fleet:
-            self._upstreams.slots.set_fleet(
-                keepers,
-                self._fleet.limit_addresses,
-                processes,
-                self.ready,
-                len(members) + 1,
-            )
+        self._update_keepers(processes, len(members) + 1)
         self._work.merge_counters(
             self._process, self._upstreams.prefill_meters
         )
         self._work.retain_processes(processes | {self._process})
-        self._fleet.samples.merge(
-            self._upstreams.performance.performance.take_samples()
-        )
-        self._sizing.send_samples(self._fleet.samples, self._configuration)
+        self._samples.send(self._configuration)
         self._retry_allowance.set_members(len(members) + 1)
         self._upstreams.set_fleet_size(len(members) + 1)
         if not self._fleet.aggregator:
@@ -632,6 +604,33 @@
         if settled and self._leaving_since is None:
             self._duties.update_view(alive, len(members) + 1)
 
+    def _update_keepers(
+        self, processes: frozenset[str], fleet_size: int
+    ) -> None:
+        """Tell all that has keepers among the VMs which VMs there are.
+
+        :param processes: processes of all other VMs, silent ones included.
+        :param fleet_size: number of VMs, this one and silent ones included.
+        """
+        keepers = self._fleet.limit_keepers
+        self._limits.set_keepers(keepers)
+        if self._upstreams.runner_limits.wants_fleet:
+            self._upstreams.runner_limits.set_fleet(
+                keepers,
+                self._fleet.limit_addresses,
+                self.ready,
+                self._limits.heard_share,
+                fleet_size,
+            )
+        if self._upstreams.slots.wants_fleet:
+            self._upstreams.slots.set_fleet(
+                keepers,
+                self._fleet.limit_addresses,
+                processes,
+                self.ready,
+                fleet_size,
+            )
+
     async def _stop_when_idle(self) -> None:
         shutdown_s = self._settings.bounds.shutdown_s
         await drain.wait_until_idle(
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -243,9 +243,19 @@
         )
 
     @property
-    def connections_opened(self) -> int:
-        """The number of connections ever opened to the known runners."""
-        return self._pools.opened_connections
+    def counters(self) -> dict[str, int]:
+        """Counts since the start for the metrics, by metric.
+
+        Connections are those ever opened to the known runners.
+        """
+        return {
+            "runner_connections_total": self._pools.opened_connections,
+            "runner_samples_ignored_total": (
+                self._performance.performance.ignored
+            ),
+            **self._limits.counters,
+            **self._slots.counters,
+        }
 
     def configure(
         self, configuration: configuration_model.Configuration
