Clarify the wording of the new serving modules

Cause: some docstrings needed knowledge from elsewhere (a plain service, the passing share, a patience in a message, a mode called "whether"), and the metrics of priorities took customers out of composed keys four times.

Change: docstrings and comments say what the names mean; metrics() of ServicePriorities makes its four demand metrics in one loop. No behaviour changes.

Ruled out: renaming patience_s, which is in messages and in other packages.

--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -36,8 +36,8 @@
 MIN_RETRY_AFTER_S = 0.01
 #: Upper limit of ``Retry-After`` for a customer over its limit, in seconds.
 MAX_LIMIT_RETRY_AFTER_S = 10.0
-#: Part of the time that a caller has left by which it delays a retry at most.
-#: It needs the rest for the retry itself.
+#: Largest share of its remaining time for which a caller is assumed to wait
+#: before a retry. It needs the rest for the retry itself.
 HONOURED_SHARE = 1.0 / 3.0
 
 
--- a/src/apricotlever/serving/customer_limits.py
+++ b/src/apricotlever/serving/customer_limits.py
@@ -53,8 +53,8 @@
         time.
     :param process: the name of this VM's process.
     :param vm: this VM's name.
-    :param returns: whether refused calls are given retry times at which units
-        are reserved for them.
+    :param returns: the mode of the part ``returns``, which gives refused
+        calls retry times at which units are reserved for them.
     """
 
     __slots__ = (
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -54,8 +54,9 @@
 #: How long changes are collected into one status record, in seconds. Calls
 #: arrive in bursts, and each call changes this VM's record.
 CHANGE_BATCH_S = 0.01
-#: Most fetches of each kind of data at the same time, each from another VM;
-#: others are limited to one. The changes of runners are short.
+#: Maximum number of concurrent fetches by kind of data, each from a different
+#: VM; it is 1 for other kinds. The changes of runners are short, so several
+#: fetches cost little.
 MAX_FETCHES = {"runners": 3}
 #: A revision before the first one, to request the whole runner directory.
 ALL_REVISIONS = -1
--- a/src/apricotlever/serving/limit_protocol.py
+++ b/src/apricotlever/serving/limit_protocol.py
@@ -68,7 +68,11 @@
 
 
 def _is_ask(message: typing.Any) -> bool:
-    """Check a request, which may end with a patience and a hash."""
+    """Check a request, which may end with the fields of a returning call.
+
+    They are the longest retry time that the caller is assumed to wait for, in
+    seconds, and the call's hash.
+    """
     return _IS_ASK(message) or _IS_ASK_OF_RETURNING_CALL(message)
 
 
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -31,7 +31,13 @@
 class _Call:
     """A call in flight, from whose times the speed of its runner is learned.
 
-    ``first_at`` is the time of the first event, None before it.
+    The field ``first_at`` is the time of the first event, None before it.
+
+    :param route: the route's name.
+    :param tokens: uncached tokens of its prompt.
+    :param has_prompt: whether it has a prompt; the tokens may all be cached.
+    :param backlog: what the call found at its runner.
+    :param sent_at: when it was sent, on the monotonic clock.
     """
 
     __slots__ = (
--- a/src/apricotlever/serving/prompt_meters.py
+++ b/src/apricotlever/serving/prompt_meters.py
@@ -7,7 +7,8 @@
 from ..data_centres import prompt_sizes
 from ..runners import model as models
 
-#: Number of waiting prompts from which a VM knows what the others' wait for.
+#: Minimum number of this VM's waiting prompts that are taken as a sample of
+#: those of all VMs.
 MIN_WAITING_PROMPTS = 4
 
 
@@ -85,9 +86,10 @@
     ) -> float | None:
         """The part of the waiting tokens that a call of a level waits for.
 
-        It is that of this VM's own prompts.
+        It is estimated from this VM's own prompts.
 
-        :param min_wait_s: how long one of them must have waited already.
+        :param min_wait_s: how long one of the prompts of the same or a lower
+            level must have waited already, in seconds.
         :returns: the tokens of the same and lower levels divided by all; None
             if too few prompts wait, or for too short a time, to tell.
         """
--- a/src/apricotlever/serving/runner_sizing.py
+++ b/src/apricotlever/serving/runner_sizing.py
@@ -1,7 +1,8 @@
-"""Supplies the required runners of a service with what the fleet learned.
+"""Collects the inputs for the estimate of a service's required runners.
 
-It brings together the learned speeds of runners, the sizes of prompts and the
-objectives of the routes, for :mod:`~apricotlever.data_centres.latency_sizing`.
+They are the learned speeds of runners, the sizes of prompts and the objectives
+of the routes; :mod:`~apricotlever.data_centres.latency_sizing` makes the
+estimate.
 """
 
 import typing
--- a/src/apricotlever/serving/service_priorities.py
+++ b/src/apricotlever/serving/service_priorities.py
@@ -35,7 +35,13 @@
 
 
 class _Service:
-    """The state of one service whose routes have several ranks."""
+    """The state of one service whose routes have several ranks.
+
+    A rank is a route's priority; the lowest number is the most urgent. The
+    field ``passing`` measures how much of the tokens are those of short
+    prompts of less urgent ranks, which pass longer prompts of more urgent
+    ranks in the order by size.
+    """
 
     __slots__ = (
         "plan",
@@ -231,11 +237,20 @@
     def metrics(self) -> dict[tuple[str, str], dict[str, float]]:
         """Values for the metrics of this VM, by name and label."""
         services = self._services.items()
-        demands = {
-            f"{name}/{customer}": (demand, state)
-            for name, state in services
-            for customer, demand in state.shares.demands().items()
-        }
+        calls: dict[str, float] = {}
+        tokens: dict[str, float] = {}
+        fair_tokens: dict[str, float] = {}
+        put_behind: dict[str, float] = {}
+        for name, state in services:
+            over = state.shares.over if state.contention.contended else ()
+            for customer, demand in state.shares.demands().items():
+                key = f"{name}/{customer}"
+                calls[key] = demand.calls
+                tokens[key] = demand.tokens
+                put_behind[key] = float(customer in over)
+                share = state.shares.shares.get(customer, float("inf"))
+                if share != float("inf"):
+                    fair_tokens[key] = share
         return {
             ("service_contended", "service"): {
                 name: float(state.contention.contended)
@@ -250,25 +265,10 @@
             ("levels_changed_total", "service"): {
                 name: state.changed_levels for name, state in services
             },
-            ("demand_calls", "demand"): {
-                key: demand.calls for key, (demand, _) in demands.items()
-            },
-            ("demand_tokens", "demand"): {
-                key: demand.tokens for key, (demand, _) in demands.items()
-            },
-            ("demand_fair_tokens", "demand"): {
-                key: state.shares.shares[customer]
-                for key, (_, state) in demands.items()
-                if (customer := key.partition("/")[2]) in state.shares.shares
-                and state.shares.shares[customer] != float("inf")
-            },
-            ("demand_put_behind", "demand"): {
-                key: float(
-                    state.contention.contended
-                    and key.partition("/")[2] in state.shares.over
-                )
-                for key, (_, state) in demands.items()
-            },
+            ("demand_calls", "demand"): calls,
+            ("demand_tokens", "demand"): tokens,
+            ("demand_fair_tokens", "demand"): fair_tokens,
+            ("demand_put_behind", "demand"): put_behind,
         }
 
     def _update_shares(
--- a/src/apricotlever/serving/slot_keepers.py
+++ b/src/apricotlever/serving/slot_keepers.py
@@ -1,10 +1,11 @@
 """This VM's part in granting the slots of plain services.
 
-A slot is room for one call at a runner. While a service has fewer slots than
-the fleet has VMs, load figures don't show a VM which runner has a free one.
-Before each call to such a service, the VM asks the service's keeper, the VM
-that records all leases of its slots (:mod:`..runners.slot_ledger`). Without a
-slot or an answer in time, it chooses a runner by itself.
+A plain service has no engine, so its calls have no prompts to be cached. A
+slot is room for one call at a runner. While a service has fewer slots than the
+fleet has VMs, load figures don't show a VM which runner has a free one. Before
+each call to such a service, the VM asks the service's keeper, the VM that
+records all leases of its slots (:mod:`..runners.slot_ledger`). Without a slot
+or an answer in time, it chooses a runner by itself.
 """
 
 import itertools
--- a/src/apricotlever/serving/start_times.py
+++ b/src/apricotlever/serving/start_times.py
@@ -42,8 +42,7 @@
     ) -> float | None:
         """When to repeat a call that must be refused for lack of time.
 
-        A call that would begin too late is logged also if the mode doesn't
-        refuse it.
+        In the mode ``observe``, calls that would be refused are only logged.
 
         :param request: the call's name in the log.
         :param runner: the runner chosen for the query.
