End the placement of a call that is refused for lack of time

Cause, from reading: a call that can't begin in time was refused after its runner had been found and before the block that gives back its slot, so a lease would have stayed until the call's deadline; the same held for an error in between.

Change: whatever happens after the placement, its permit is refunded unless the call was sent, and its slot is given back. The permit was refunded before, too.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -176,9 +176,21 @@
             )
 
     async def _run_attempt(self) -> attempt_outcome.AttemptOutcome:
-        upstreams = self._relay.upstreams
-        self._check_crash_blocklist(upstreams.crashes)
+        self._check_crash_blocklist(self._relay.upstreams.crashes)
         placement = await self._place()
+        sends_before = self.sends
+        try:
+            return await self._run_placed(placement)
+        finally:
+            if self.sends == sends_before:
+                self._placement.refund(placement)
+            self._placement.end(placement)
+
+    async def _run_placed(
+        self, placement: call_placement.Placement
+    ) -> attempt_outcome.AttemptOutcome:
+        """Send the call to the runner that was found for it."""
+        upstreams = self._relay.upstreams
         runner, query = placement.runner, placement.query
         self._check_time(placement)
         self.runner_id = runner.runner_id
@@ -201,24 +213,16 @@
                 else None
             ),
         )
-        sends_before = self.sends
         self._attempt_started_at = self._loop.time()
-        try:
-            connected = await attempt.connect(
-                self._deadline - self._loop.time()
-            )
-            if not isinstance(connected, client_channel.Channel):
-                placement.rejected = connected.unreachable
-                return connected
-            outcome = await self._send(attempt, connected, runner)
-            placement.rejected = (
-                outcome.status is attempt_outcome.AttemptStatus.NOT_RUN
-            )
-            return outcome
-        finally:
-            if self.sends == sends_before:
-                self._placement.refund(placement)
-            self._placement.end(placement)
+        connected = await attempt.connect(self._deadline - self._loop.time())
+        if not isinstance(connected, client_channel.Channel):
+            placement.rejected = connected.unreachable
+            return connected
+        outcome = await self._send(attempt, connected, runner)
+        placement.rejected = (
+            outcome.status is attempt_outcome.AttemptStatus.NOT_RUN
+        )
+        return outcome
 
     async def _place(self) -> call_placement.Placement:
         try:
@@ -243,7 +247,6 @@
             self._deadline - self._loop.time(),
         )
         if wait_s is not None:
-            self._placement.refund(placement)
             self.reason = "no_time"
             raise NotServed(503, "no_time", wait_s)
 
