Log by whose word a response ended

A caller got a stream that looked complete and wasn't. The logs could not tell the three hypotheses apart: whether the last runner answered with an error, whether the end of a connection passed for the end of the body, or whether a run that resumed the stream sent nothing.

request_ended and request_retried now name the last runner's status unless it is 200, a body that ended with its connection, and the events of the runner that resumed a stream; explain says the same in words. No decision changes.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -168,6 +168,20 @@
     pause_s = last.fields.get("pause_s")
     if pause_s is not None:
         text += f", its longest pause {pause_s} s"
+    return text + _describe_last_response(last)
+
+
+def _describe_last_response(last: log_parser.LogLine) -> str:
+    """Describe what is special in the response that ended a request."""
+    text = ""
+    status = last.fields.get("runner_status")
+    if status is not None:
+        text += f", its last runner's status {status}"
+    if last.fields.get("body_end") == "closed":
+        text += ", its end shown by the end of its runner's connection"
+    events = last.fields.get("events")
+    if events is not None:
+        text += f", {events} events from the runner that resumed it"
     return text
 
 
--- a/src/apricotlever/serving/attempt_outcome.py
+++ b/src/apricotlever/serving/attempt_outcome.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from . import client_channel
 from . import messages
 
 
@@ -18,6 +19,31 @@
     BROKEN = "broken"
 
 
+class ReceivedResponse:
+    """What an attempt received from its runner, for the log.
+
+    :param status: HTTP status; None without a response.
+    :param body_end: what showed the end of the body; None if it did not end.
+    :param events: number of complete events of a stream.
+    """
+
+    __slots__ = ("status", "body_end", "events")
+
+    def __init__(
+        self,
+        status: int | None = None,
+        body_end: client_channel.BodyEnd | None = None,
+        events: int = 0,
+    ) -> None:
+        self.status = status
+        self.body_end = body_end
+        self.events = events
+
+
+#: What an attempt received that was not sent or got no response.
+NO_RESPONSE = ReceivedResponse()
+
+
 class AttemptOutcome:
     """The result of an attempt.
 
@@ -28,6 +54,7 @@
     :param reset: whether the runner closed or reset the connection midway.
     :param asks_for_rest: whether the runner asked this VM to stay away.
     :param unreachable: whether no connection to the runner could be opened.
+    :param received: what came from the runner.
     """
 
     __slots__ = (
@@ -38,6 +65,7 @@
         "reset",
         "asks_for_rest",
         "unreachable",
+        "received",
     )
 
     def __init__(
@@ -49,6 +77,7 @@
         reset: bool = False,
         asks_for_rest: bool = False,
         unreachable: bool = False,
+        received: ReceivedResponse = NO_RESPONSE,
     ) -> None:
         self.reset = reset
         self.asks_for_rest = asks_for_rest
@@ -57,3 +86,4 @@
         self.head = head
         self.body = body
         self.reason = reason
+        self.received = received
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -36,6 +36,10 @@
 MIN_RUNNER_TIME_S = 0.001
 
 
+#: HTTP status of a successful response.
+OK = 200
+
+
 class NotServed(Exception):
     """The call ends without a runner's response.
 
@@ -53,6 +57,28 @@
         self.retry_after_s = retry_after_s
 
 
+def response_fields(
+    received: attempt_outcome.ReceivedResponse, resumed: bool
+) -> dict[str, typing.Any]:
+    """Fields of a log line that say what is special in a response.
+
+    They show by whose word a stream ended: a last response with an error
+    status, without an event, or without a length may not hold its end.
+
+    :param resumed: whether the attempt resumed a stream.
+    """
+    status, body_end = received.status, received.body_end
+    return {
+        "runner_status": status if status != OK else None,
+        "body_end": (
+            body_end.value
+            if body_end is client_channel.BodyEnd.CLOSED
+            else None
+        ),
+        "events": received.events if resumed else None,
+    }
+
+
 class CallExecution:
     """Runs one call by attempts at one runner after another.
 
@@ -68,6 +94,7 @@
         "_deadline",
         "_loop",
         "_placement",
+        "_received",
         "_relay",
         "_reply",
         "_route",
@@ -127,6 +154,8 @@
         self.may_have_run = False
         #: Why no runner's response was delivered; "" if one was.
         self.reason = ""
+        #: What the last attempt received, for the log.
+        self._received = attempt_outcome.NO_RESPONSE
         self.runner_id: str | None = None
         #: Number of runners to which the call was sent.
         self.sends = 0
@@ -137,6 +166,13 @@
         """Checks the order of the events, over all attempts."""
         return self._splitter
 
+    @property
+    def end_fields(self) -> dict[str, typing.Any]:
+        """Fields of the log line that says how the call ended."""
+        return response_fields(
+            self._received, self._reply.started and self.sends > 1
+        )
+
     async def run(self) -> None:
         """Run the call and send its response.
 
@@ -160,6 +196,7 @@
     async def _run_attempts(self) -> None:
         while True:
             outcome = await self._run_attempt()
+            self._received = outcome.received
             if outcome.status is attempt_outcome.AttemptStatus.ANSWERED:
                 if self._should_retry_failure(outcome):
                     continue
@@ -173,6 +210,7 @@
                 runner=self.runner_id,
                 reason=outcome.reason,
                 sends=self.sends,
+                **response_fields(outcome.received, self._reply.started),
             )
 
     async def _run_attempt(self) -> attempt_outcome.AttemptOutcome:
--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -235,6 +235,7 @@
                 objective_s=route.objective_s,
                 pause_s=execution.longest_pause_s or None,
                 took_s=took_s,
+                **execution.end_fields,
             )
 
     def _authenticate(
--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import enum
 import socket
 import typing
 
@@ -53,6 +54,15 @@
         self.reset = reset
 
 
+class BodyEnd(enum.Enum):
+    """What showed the end of a response's body."""
+
+    #: The peer's framing: the announced length, or the last chunk.
+    FRAMED = "framed"
+    #: The end of the connection; the body had neither length nor chunks.
+    CLOSED = "closed"
+
+
 class ResponseHead:
     """Status and headers of a response."""
 
@@ -90,6 +100,7 @@
         "_read_paused",
         "_skipping_response",
         "_body_callback",
+        "_body_end",
         "_transport",
         "_body_until_close",
         "_waiter",
@@ -113,6 +124,7 @@
         self._skipping_response = False
         self._body_callback: BodyCallback | None = None
         self._body_until_close = False
+        self._body_end: BodyEnd | None = None
         self._head: ResponseHead | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._body_chunks: collections.deque[bytes | None] = (
@@ -144,6 +156,11 @@
             self.open and not self._awaiting_response and not self._body_chunks
         )
 
+    @property
+    def body_end(self) -> BodyEnd | None:
+        """What showed the end of the last response; None before its end."""
+        return self._body_end
+
     @property
     def idle_since(self) -> float:
         """When the last response ended, on the event loop's clock.
@@ -167,6 +184,7 @@
         self._head_filter = head_filter
         self._awaiting_response = True
         self._head = None
+        self._body_end = None
         self.uses += 1
         self._transport.write(request)
 
@@ -303,7 +321,7 @@
             and self._in_response
             and self._body_until_close
         ):
-            self._finish_response()
+            self._finish_response(BodyEnd.CLOSED)
         self._fail(Broken("closed by the other side", reset=True))
         self._notify_end()
         return False
@@ -380,11 +398,12 @@
             self._skipping_response = False
             self._in_response = False
             return
-        self._finish_response()
+        self._finish_response(BodyEnd.FRAMED)
 
-    def _finish_response(self) -> None:
+    def _finish_response(self, body_end: BodyEnd) -> None:
         if self._skipping_response:
             return
+        self._body_end = body_end
         self._awaiting_response = False
         self._in_response = False
         self._body_callback = None
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -69,6 +69,7 @@
         "_parameters",
         "_call",
         "_caller_is_slow",
+        "_event_count",
         "_failure",
         "_first_event_id",
         "_head",
@@ -109,6 +110,8 @@
         #: Whether the caller took events more slowly than they came, so that
         #: their pace may be the caller's.
         self._caller_is_slow = False
+        #: Number of complete events that this attempt forwarded.
+        self._event_count = 0
         #: Exception raised in the body callback, to be raised in the task.
         self._failure: Exception | None = None
 
@@ -197,8 +200,18 @@
                 shows_speed=shows_speed,
             )
             self._return_channel(channel, reusable)
+        outcome.received = self._received(channel)
         return outcome
 
+    def _received(
+        self, channel: client_channel.Channel
+    ) -> attempt_outcome.ReceivedResponse:
+        return attempt_outcome.ReceivedResponse(
+            self._head.status if self._head is not None else None,
+            channel.body_end,
+            self._event_count,
+        )
+
     def _shows_speed_of_runner(self) -> bool:
         """Whether the times of the call depend on the runner alone.
 
@@ -376,6 +389,7 @@
         assert self._sink is not None
         self._upstreams.bytes_received(self._runner)
         events, count = self._sink.splitter.feed(data)
+        self._event_count += count
         taken = not count or self._sink.write_events(head, events, count)
         self._caller_is_slow |= not taken
         return taken
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -45,6 +45,14 @@
     Then the command succeeds and prints "its first piece after 1.31 s"
     And the command succeeds and prints "its longest pause 0.12 s"
 
+  Scenario: A stream that ended with a runner's error is explained
+    Guards against a log that doesn't tell by whose word a stream ended.
+    Given logs of two VMs with a request broken by a reclaimed runner
+    And a log of a stream that ended with a runner's error
+    When the operator explains "jj99"
+    Then the command succeeds and prints "its last runner's status 500"
+    And the command succeeds and prints "0 events from the runner that resumed"
+
   Scenario: A request whose VM was killed is explained
     Guards against a request without an explanation because its end was not
     logged. The killed VM would have logged it, but was killed while a runner
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -44,6 +44,11 @@
 time=2026-03-01T03:12:18.300000Z level=INFO event=started vm=vm-1 \
 incarnation=7
 """
+RESUMED_STREAM_LOG = (
+    "time=2026-08-20T05:01:23.000000Z level=INFO event=request_ended "
+    "vm=vm-3 request=jj99 runner=i-2 sends=2 served=True took_s=0.4 "
+    "runner_status=500 events=0\n"
+)
 LATE_STREAM_LOG = """\
 time=2026-03-01T03:12:13.100000Z level=INFO event=request_ended vm=vm-1 \
 request=ff66 runner=r-7 sends=1 served=True first_s=1.31 pause_s=0.12 \
@@ -172,6 +177,11 @@
     _write_log(context, "vm-3.log", LATE_STREAM_LOG)
 
 
+@given("a log of a stream that ended with a runner's error")
+def _resumed_stream_log(context):
+    _write_log(context, "vm-3.log", RESUMED_STREAM_LOG)
+
+
 @given("logs of two VMs with a request at a VM that was cut off")
 def _cut_off_vm_logs(context):
     _create_folder(context)
