Show that an error at the resuming runner ends a stream as complete

What callers saw: a stream that broke off was framed as complete. The first hypothesis, tried with runner stand-ins: a resumable stream of six events, its runner resets after three, and the runner that should resume it answers 400, 404, 409, 500 or 504, signed. The caller gets three events and the last chunk, though a third runner could go on. The rest of the hypotheses is not ruled out by this.

--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -5,6 +5,9 @@
 import socket
 import struct
 
+#: How long a runner takes until it fails to resume a stream, in seconds.
+RESUMPTION_S = 0.05
+
 #: Coroutine functions that handle a call, by name. Their parameters are the
 #: runner, the connection's writer and the call's headers.
 BEHAVIOURS = {}
@@ -182,6 +185,43 @@
     _reset(writer)
 
 
+async def _stream_half_unless_resumed(writer, call):
+    """Begin a stream and reset it; only wait if it is to be resumed.
+
+    :returns: whether the call resumes a stream.
+    """
+    if "after" in call:
+        await asyncio.sleep(RESUMPTION_S)
+        return True
+    await _send_events(writer, call, range(1, 4), False)
+    await asyncio.sleep(0.02)
+    _reset(writer)
+    return False
+
+
+def _fails_to_resume(status):
+    async def behave(runner, writer, call):
+        if await _stream_half_unless_resumed(writer, call):
+            writer.write(_response(status, call, b"no"))
+
+    return behave
+
+
+for _status in (400, 404, 409, 500, 504):
+    behaviour(f"streams half and resumes with {_status}")(
+        _fails_to_resume(_status)
+    )
+
+
+@behaviour("streams all without the end and resumes with an empty stream")
+async def _streams_all_without_end(runner, writer, call):
+    first = int(call.get("after", 0)) + 1
+    await _send_events(writer, call, range(first, 7), "after" in call)
+    if "after" not in call:
+        await asyncio.sleep(0.02)
+        _reset(writer)
+
+
 @behaviour("omits an event")
 async def _omits_event(runner, writer, call):
     await _send_events(writer, call, (1, 2, 4, 5, 6), True)
--- a/tests/serving/streams.feature
+++ b/tests/serving/streams.feature
@@ -33,6 +33,48 @@
     When a call is made and a runner that streams joins after it was sent
     Then the stream has events 1 to 6 and is complete
 
+  # Guards against an incomplete stream that looks complete, because a runner
+  # that was to resume it answers with an error.
+  Scenario Outline: A stream goes on elsewhere if a runner fails to resume it
+    Given a route for resumable streams with 3 attempts
+    And a runner that streams half and resumes with <what>
+    And a runner that streams half and resumes with <what>
+    When a call is made and a runner that streams joins while it is resumed
+    Then the stream has events 1 to 6 and is complete
+    And runners ran 3 calls
+
+    Examples:
+      | what |
+      | 400  |
+      | 404  |
+      | 409  |
+      | 500  |
+      | 504  |
+
+  # Guards against the same when no attempt is left.
+  Scenario Outline: A stream that no runner resumes is aborted
+    Given a route for resumable streams with 2 attempts
+    And a runner that streams half and resumes with <what>
+    And a runner that streams half and resumes with <what>
+    When a call is made
+    Then the stream has events 1 to 3 and is not complete
+    And runners ran 2 calls
+
+    Examples:
+      | what |
+      | 400  |
+      | 404  |
+      | 409  |
+      | 500  |
+      | 504  |
+
+  Scenario: A stream is complete if a runner resumes it with nothing
+    Given a route for resumable streams
+    And a runner that streams all without the end and resumes with an empty stream
+    And a runner that streams all without the end and resumes with an empty stream
+    When a call is made
+    Then the stream has events 1 to 6 and is complete
+
   Scenario: A caller resumes a stream after its own last event
     Given a route for resumable streams
     And a runner that streams
--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -207,6 +207,27 @@
     context.replies = [_run(context, work())]
 
 
+@when("a call is made and a runner that streams joins while it is resumed")
+def _call_and_add_runner_late(context):
+    async def work():
+        await context.world.send()
+        while not _resumed_calls(context.world):
+            await asyncio.sleep(0.005)
+        await _add(context.world, "streams")
+        return await context.world.receive()
+
+    context.replies = [_run(context, work())]
+
+
+def _resumed_calls(world):
+    return [
+        call
+        for standin in world.standins
+        for call in standin.received_calls
+        if "after" in call
+    ]
+
+
 @when("a call with {what} is made")
 def _call_not_allowed(context, what):
     more = {
