End a stream only on its runner's word, never on an error

What callers saw: a stream framed as complete that was not. Its runner broke off, and the runner that was to resume it answered with an error.

Cause: one outcome, ANSWERED, stood for two things, a whole response that the caller has none of, and a stream whose events are forwarded already. Once a stream had begun, CallExecution ended it on either, so any signed 4xx or 5xx at the resuming runner ended it as complete. The class of fault: a state that is inferred (something was answered, something was begun) where it must be told.

Change: an attempt that has read a successful stream to its end returns a StreamEnd, and ReplyWriter.finish takes one, so that nothing else can end a stream. A whole response to an attempt that was to resume a stream is a failed attempt: another runner, the retry budget and the time left decide, and when nothing is left the connection is aborted, so that the caller resumes.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -62,6 +62,10 @@
     ("broken", "the runner broke the connection off; it may have run"),
     ("disorder", "the runner's stream skipped or repeated an event"),
     ("ends_within_an_event", "the stream ended in the middle of an event"),
+    (
+        "not_resumed",
+        "the runner that was to resume the stream answered something else",
+    ),
     ("no_answer_in_time", "a runner did not start to answer in time"),
     ("unsigned", "the answer lacked the identification of a runner"),
     ("deadline", "its time, or the route's, was over"),
--- a/src/apricotlever/serving/attempt_outcome.py
+++ b/src/apricotlever/serving/attempt_outcome.py
@@ -9,8 +9,10 @@
 class AttemptStatus(enum.Enum):
     """How far a call got in an attempt."""
 
-    #: The complete response was received or forwarded.
+    #: The complete response was received; the caller has none of it.
     ANSWERED = "answered"
+    #: The runner ended its stream, whose events were forwarded.
+    STREAM_ENDED = "stream_ended"
     #: No byte of the call was sent.
     NOT_SENT = "not_sent"
     #: The runner guaranteed that it has not run the call and never will.
@@ -44,12 +46,28 @@
 NO_RESPONSE = ReceivedResponse()
 
 
+class StreamEnd:
+    """A runner's word that a stream has no further events.
+
+    Only an attempt that has read a runner's successful response to its end
+    creates one. A response to a caller can't be ended as a complete stream
+    without it.
+
+    :param head: head of the runner's response.
+    """
+
+    __slots__ = ("head",)
+
+    def __init__(self, head: messages.RunnerResponseHead) -> None:
+        self.head = head
+
+
 class AttemptOutcome:
     """The result of an attempt.
 
     :param head: head of the response; None unless ``ANSWERED``.
-    :param body: body of the response; empty for a stream, whose events are
-        already forwarded.
+    :param body: body of the response.
+    :param stream_end: the end of the stream; None unless ``STREAM_ENDED``.
     :param reason: why there is no response, for the log.
     :param reset: whether the runner closed or reset the connection midway.
     :param asks_for_rest: whether the runner asked this VM to stay away.
@@ -61,6 +79,7 @@
         "status",
         "head",
         "body",
+        "stream_end",
         "reason",
         "reset",
         "asks_for_rest",
@@ -78,6 +97,7 @@
         asks_for_rest: bool = False,
         unreachable: bool = False,
         received: ReceivedResponse = NO_RESPONSE,
+        stream_end: StreamEnd | None = None,
     ) -> None:
         self.reset = reset
         self.asks_for_rest = asks_for_rest
@@ -87,3 +107,12 @@
         self.body = body
         self.reason = reason
         self.received = received
+        self.stream_end = stream_end
+
+    @property
+    def began_to_run(self) -> bool:
+        """Whether a runner's response shows that it has run the call."""
+        return self.status in (
+            AttemptStatus.ANSWERED,
+            AttemptStatus.STREAM_ENDED,
+        )
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -197,11 +197,18 @@
         while True:
             outcome = await self._run_attempt()
             self._received = outcome.received
+            if outcome.stream_end is not None:
+                self._end_stream(outcome.stream_end)
+                return
             if outcome.status is attempt_outcome.AttemptStatus.ANSWERED:
-                if self._should_retry_failure(outcome):
+                if self._reply.started:
+                    # An error, or anything but events, ends no stream.
+                    outcome = _not_resumed(outcome)
+                elif self._should_retry_failure(outcome):
                     continue
-                self._deliver(outcome)
-                return
+                else:
+                    self._send_response(outcome)
+                    return
             self.reason = outcome.reason
             self._check_retry(outcome)
             logs.event(
@@ -309,7 +316,7 @@
         outcome = await attempt.run(channel, self._first_response_timeout_s())
         if outcome.status is attempt_outcome.AttemptStatus.NOT_RUN:
             self.may_have_run = ran_before
-        elif outcome.status is attempt_outcome.AttemptStatus.ANSWERED:
+        elif outcome.began_to_run:
             self.mark_started()
         if outcome.reset:
             upstreams = self._relay.upstreams
@@ -382,7 +389,7 @@
     ) -> bool:
         """Whether to retry after a runner's error response."""
         assert outcome.head is not None
-        if outcome.head.status < 500 or self._reply.started:
+        if outcome.head.status < 500:
             return False
         if not self._can_repeat():
             return False
@@ -414,16 +421,27 @@
             return NotServed(502, reason)
         return NotServed(503, reason, self._placement.retry_after_s())
 
-    def _deliver(self, outcome: attempt_outcome.AttemptOutcome) -> None:
+    def _send_response(self, outcome: attempt_outcome.AttemptOutcome) -> None:
+        """Send a runner's whole response."""
         assert outcome.head is not None
         self.reason = ""
+        self._send_whole(outcome.head, outcome.body)
+
+    def _end_stream(self, end: attempt_outcome.StreamEnd) -> None:
+        """End the stream; one without any event is sent as a whole."""
+        self.reason = ""
         if self._reply.started:
-            self._reply.finish()
+            self._reply.finish(end)
             self.served = True
             return
-        headers = self._relay.dialect.callers.forwarded_headers(outcome.head)
-        self._reply.send_whole(outcome.head.status, headers, outcome.body)
-        self.served = 200 <= outcome.head.status < 300
+        self._send_whole(end.head, b"")
+
+    def _send_whole(
+        self, head: messages.RunnerResponseHead, body: bytes
+    ) -> None:
+        headers = self._relay.dialect.callers.forwarded_headers(head)
+        self._reply.send_whole(head.status, headers, body)
+        self.served = head.is_success
 
     # Methods of runner_attempt.EventSink.
 
@@ -459,3 +477,14 @@
         if not self._usage_recorded and self._customer is not None:
             self._usage_recorded = True
             self._relay.usage.record_call(self._customer.name)
+
+
+def _not_resumed(
+    outcome: attempt_outcome.AttemptOutcome,
+) -> attempt_outcome.AttemptOutcome:
+    """The outcome of a runner that answered instead of resuming a stream."""
+    return attempt_outcome.AttemptOutcome(
+        attempt_outcome.AttemptStatus.BROKEN,
+        reason=f"not_resumed:{outcome.received.status}",
+        received=outcome.received,
+    )
--- a/src/apricotlever/serving/messages.py
+++ b/src/apricotlever/serving/messages.py
@@ -211,3 +211,8 @@
         self.closing = closing
         self.keep_alive_s = keep_alive_s
         self.statement = statement
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the status is that of a successful response."""
+        return 200 <= self.status < 300
--- a/src/apricotlever/serving/reply_writer.py
+++ b/src/apricotlever/serving/reply_writer.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from . import attempt_outcome
+
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -92,10 +94,11 @@
         headers: typing.Iterable[tuple[bytes, bytes]],
         body: bytes = b"",
     ) -> None:
-        """Write a complete response.
+        """Write a complete response; none of it may have been written before.
 
         :raises CallerGone: when the connection is closed.
         """
+        assert not self._started, "the response has begun"
         lines = self._head(status, headers)
         lines.append(b"Content-Length: %d\r\n\r\n" % len(body))
         lines.append(body)
@@ -130,9 +133,10 @@
         """
         await self._channel.drain()
 
-    def finish(self) -> None:
-        """End a chunked response.
+    def finish(self, end: attempt_outcome.StreamEnd) -> None:
+        """End a chunked response, so that it is framed as complete.
 
+        :param end: a runner's word that the stream is complete.
         :raises CallerGone: when the connection is closed.
         """
         self._ended = True
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -169,10 +169,8 @@
                 and not outcome.asks_for_rest
             )
             reusable = channel.idle
-            shows_speed = (
-                outcome.head is not None
-                and outcome.status is attempt_outcome.AttemptStatus.ANSWERED
-                and 200 <= outcome.head.status < 300
+            shows_speed = outcome.stream_end is not None or (
+                outcome.head is not None and outcome.head.is_success
             )
         except client_channel.Broken as error:
             result = models.Outcome.FAILED
@@ -319,7 +317,7 @@
     def _is_stream(self, head: messages.RunnerResponseHead) -> bool:
         return (
             self._sink is not None
-            and 200 <= head.status < 300
+            and head.is_success
             and head.signed
             and not head.not_run
         )
@@ -364,7 +362,8 @@
                 reason="ends_within_an_event",
             )
         return attempt_outcome.AttemptOutcome(
-            attempt_outcome.AttemptStatus.ANSWERED, head
+            attempt_outcome.AttemptStatus.STREAM_ENDED,
+            stream_end=attempt_outcome.StreamEnd(head),
         )
 
     def _on_body_bytes(
