Show that a runner's end passes for the end of its response

The second hypothesis for the broken stream: a body without length ends with its connection, and the end of a process closes its connections in the same way. With runner stand-ins: a runner sends three events of six, or half a plain response, without a length, its process ends, and the caller gets what came, framed as complete. A runner that resumes a stream with neither length nor events ends it as well.

--- a/tests/serving/call_relay.feature
+++ b/tests/serving/call_relay.feature
@@ -146,6 +146,19 @@
     When a call is made
     Then the status is 200 with "all of it"
 
+  # Guards against half a response passed on as a whole one, because the end of
+  # a runner's process closes its connections like the end of a response.
+  Scenario Outline: A response without length is not whole if its runner ended
+    Given a route for <kind> calls
+    And a runner that begins a response without length and ends
+    When a call is made
+    Then the status is 502
+
+    Examples:
+      | kind           |
+      | idempotent     |
+      | non-idempotent |
+
   Scenario: A runner that refuses connections is skipped
     Given a route for non-idempotent calls
     And a runner that does not listen
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -213,6 +213,14 @@
     )
 
 
+@behaviour("streams half and resumes with nothing and no length")
+async def _resumes_with_nothing(runner, writer, call):
+    if await _stream_half_unless_resumed(writer, call):
+        writer.write(_response_head(200, call))
+        await writer.drain()
+        writer.close()
+
+
 @behaviour("streams all without the end and resumes with an empty stream")
 async def _streams_all_without_end(runner, writer, call):
     first = int(call.get("after", 0)) + 1
@@ -222,6 +230,37 @@
         _reset(writer)
 
 
+async def _stream_without_length(writer, call, numbers):
+    writer.write(_response_head(200, call))
+    for number in numbers:
+        writer.write(_encode_event(number))
+    await writer.drain()
+    # All events are read before the connection ends.
+    await asyncio.sleep(0.02)
+
+
+@behaviour("streams without length")
+async def _streams_without_length(runner, writer, call):
+    await _stream_without_length(writer, call, range(1, 7))
+    writer.close()
+
+
+@behaviour("streams half without length and ends")
+async def _streams_half_without_length_and_ends(runner, writer, call):
+    await _stream_without_length(writer, call, range(1, 4))
+    runner.stop()
+    writer.close()
+
+
+@behaviour("begins a response without length and ends")
+async def _begins_without_length_and_ends(runner, writer, call):
+    writer.write(_response_head(200, call) + b"the first hal")
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    runner.stop()
+    writer.close()
+
+
 @behaviour("omits an event")
 async def _omits_event(runner, writer, call):
     await _send_events(writer, call, (1, 2, 4, 5, 6), True)
--- a/tests/serving/streams.feature
+++ b/tests/serving/streams.feature
@@ -44,12 +44,13 @@
     And runners ran 3 calls
 
     Examples:
-      | what |
-      | 400  |
-      | 404  |
-      | 409  |
-      | 500  |
-      | 504  |
+      | what                  |
+      | 400                   |
+      | 404                   |
+      | 409                   |
+      | 500                   |
+      | 504                   |
+      | nothing and no length |
 
   # Guards against the same when no attempt is left.
   Scenario Outline: A stream that no runner resumes is aborted
@@ -61,12 +62,13 @@
     And runners ran 2 calls
 
     Examples:
-      | what |
-      | 400  |
-      | 404  |
-      | 409  |
-      | 500  |
-      | 504  |
+      | what                  |
+      | 400                   |
+      | 404                   |
+      | 409                   |
+      | 500                   |
+      | 504                   |
+      | nothing and no length |
 
   Scenario: A stream is complete if a runner resumes it with nothing
     Given a route for resumable streams
@@ -75,6 +77,26 @@
     When a call is made
     Then the stream has events 1 to 6 and is complete
 
+  Scenario: A stream without length is complete if its runner goes on
+    Given a route for streams
+    And a runner that streams without length
+    When a call is made
+    Then the stream has events 1 to 6 and is complete
+
+  # Guards against an incomplete stream that looks complete, because the end of
+  # a runner's process closes its connections like the end of a response.
+  Scenario: A stream without length is resumed if its runner has ended
+    Given a route for resumable streams with 2 attempts
+    And a runner that streams half without length and ends
+    When a call is made and a runner that streams joins after it was sent
+    Then the stream has events 1 to 6 and is complete
+
+  Scenario: A stream without length is aborted if its runner has ended
+    Given a route for streams
+    And a runner that streams half without length and ends
+    When a call is made
+    Then the stream has events 1 to 3 and is not complete
+
   Scenario: A caller resumes a stream after its own last event
     Given a route for resumable streams
     And a runner that streams
