Don't take the end of a runner's process for the end of its response

A body without length ends with its connection. A process that is killed closes its connections in the same way, as its kernel sends a FIN when all that was received had been read, so half a stream or half a plain response passed for the whole one.

Change: a response that ended with its connection is whole only if its runner accepts a connection afterwards; that connection serves a later call. A runner that is gone, or can't be reached, breaks the attempt off: another one resumes or repeats it, or the caller sees it broken. A stream with neither length nor event is nobody's word for an end.

Weighed: passing the framing on, a response without length for a response without length. The caller could then not tell either, and loses its connection each time.

--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -123,6 +123,27 @@
         pool.release(channel, closing=False, keep_alive_s=None)
         return False
 
+    async def may_have_ended(
+        self, runner: runners.Runner, pool: pools.ConnectionPool
+    ) -> bool:
+        """Check whether a runner's process may have ended.
+
+        To be called when the end of a connection ended a response of unknown
+        length, as the end of a process closes its connections, too. The
+        connection that is opened here serves a later call.
+
+        :returns: False if the runner accepts a connection, or if it has too
+            many to open another one.
+        """
+        try:
+            channel = await pool.acquire(CHECK_TIMEOUT_S, fresh=True)
+        except pools.PoolFull:
+            return False
+        except client_channel.NotConnected:
+            return True
+        pool.release(channel, closing=False, keep_alive_s=None)
+        return False
+
     def call_answered(
         self,
         call: messages.CallerCall,
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -298,10 +298,24 @@
             return await self._forward_stream(channel, head, expect_more)
         self._upstreams.response_started(self._attempt_id)
         body = await _read_body(channel)
+        await self._check_end(channel)
         return attempt_outcome.AttemptOutcome(
             attempt_outcome.AttemptStatus.ANSWERED, head, body
         )
 
+    async def _check_end(self, channel: client_channel.Channel) -> None:
+        """Check that the end of the response was not that of its runner.
+
+        A body without length ends with its connection, which the end of the
+        runner's process closes, too.
+
+        :raises client_channel.Broken: if the runner may have ended.
+        """
+        if channel.body_end is not client_channel.BodyEnd.CLOSED:
+            return
+        if await self._upstreams.may_have_ended(self._runner):
+            raise client_channel.Broken("ended with its runner", reset=True)
+
     def _record_statement(self, head: messages.RunnerResponseHead) -> None:
         """Record what the runner says of itself, if it is the runner's word.
 
@@ -361,6 +375,12 @@
                 attempt_outcome.AttemptStatus.BROKEN,
                 reason="ends_within_an_event",
             )
+        if not self._event_count and (
+            channel.body_end is client_channel.BodyEnd.CLOSED
+        ):
+            # Neither a length nor an event: nothing says that this is all.
+            raise client_channel.Broken("ended without an event", reset=True)
+        await self._check_end(channel)
         return attempt_outcome.AttemptOutcome(
             attempt_outcome.AttemptStatus.STREAM_ENDED,
             stream_end=attempt_outcome.StreamEnd(head),
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -481,6 +481,12 @@
         if await self._crashes.refuses(runner, self.pool(runner)):
             self.connect_failed(runner, True)
 
+    async def may_have_ended(self, runner: runners.Runner) -> bool:
+        """Check whether a runner that closed a connection may have ended."""
+        if self._directory.get(runner.runner_id) is None:
+            return True
+        return await self._crashes.may_have_ended(runner, self.pool(runner))
+
     def runner_replaced(self, runner: runners.Runner) -> None:
         """Remove a runner whose address now belongs to another runner."""
         self._directory.mark_ended(runner.runner_id)
