Read responses in a module of their own

The reading is now in response_reader.py, and what a response shows of a runner is told to an observer, so that a response which comes over another VM can be read by the same code.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -82,7 +82,7 @@
 class CallExecution:
     """Runs one call by attempts at one runner after another.
 
-    Implements :class:`.runner_attempt.EventSink` for the attempts of a stream.
+    Implements :class:`.response_reader.EventSink` for its attempts.
 
     :param service: the service whose runners may run the call.
     """
@@ -443,7 +443,7 @@
         self._reply.send_whole(head.status, headers, body)
         self.served = head.is_success
 
-    # Methods of runner_attempt.EventSink.
+    # Methods of response_reader.EventSink.
 
     def write_events(
         self, head: messages.RunnerResponseHead, data: bytes, count: int
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -1,9 +1,6 @@
-"""One attempt: sends a call to one runner and reads the response."""
+"""One attempt: sends a call to one runner and learns from the response."""
 
 import asyncio
-import contextlib
-import functools
-import typing
 
 from ..runners import model as models
 
@@ -13,13 +10,10 @@
 from . import dialects
 from . import event_splitter
 from . import messages
-from . import reply_writer
+from . import response_reader
 from . import runners
 from . import upstreams
 
-#: Maximum size of a response body that is buffered and then forwarded in one
-#: piece, in bytes.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 #: Seconds deducted from a runner's time limit for the response's transfer.
 RESPONSE_MARGIN_S = 0.01
 #: A cancelled call without any response counts as a failure of the runner if
@@ -32,31 +26,8 @@
 CONNECT_TIMEOUT_S = 0.35
 
 
-class EventSink(typing.Protocol):
-    """Receives the events of a stream."""
-
-    @property
-    def splitter(self) -> event_splitter.EventSplitter:
-        """Checks the order of the events across all attempts."""
-
-    def write_events(
-        self, head: messages.RunnerResponseHead, data: bytes, count: int
-    ) -> bool:
-        """Write complete events to the caller.
-
-        :param count: the number of events in ``data``.
-        :returns: False when the write buffer is above its limit.
-        """
-
-    async def drain(self) -> None:
-        """Wait until the caller's write buffer is below its limit."""
-
-    def mark_started(self) -> None:
-        """Record that a runner runs the call."""
-
-
-class Attempt:
-    """Sends a call to a runner and reads the response.
+class Attempt(response_reader.ResponseObserver):
+    """Sends a call to a runner, and records what the response shows of it.
 
     :param attempt_id: unique among this VM's attempts.
     :param parameters: values that the runner receives with the call.
@@ -68,14 +39,10 @@
         "_dialect",
         "_parameters",
         "_call",
-        "_caller_is_slow",
-        "_event_count",
-        "_failure",
-        "_first_event_id",
-        "_head",
         "_attempt_id",
         "_pool",
         "_query",
+        "_reader",
         "_runner",
         "_sent_at",
         "_sink",
@@ -91,7 +58,7 @@
         query: models.Query,
         upstreams_: upstreams.Upstreams,
         dialect: dialects.RunnerDialect,
-        sink: EventSink | None,
+        sink: response_reader.EventSink | None,
     ) -> None:
         self._attempt_id = attempt_id
         self._call = call
@@ -102,18 +69,9 @@
         self._dialect = dialect
         self._sink = sink
         self._pool = upstreams_.pool(runner)
-        self._head: messages.RunnerResponseHead | None = None
+        self._reader: response_reader.ResponseReader | None = None
         #: When the call was sent, by the clock of the upstreams.
         self._sent_at = 0.0
-        #: Id of the last event that came with the first one.
-        self._first_event_id: int | None = None
-        #: Whether the caller took events more slowly than they came, so that
-        #: their pace may be the caller's.
-        self._caller_is_slow = False
-        #: Number of complete events that this attempt forwarded.
-        self._event_count = 0
-        #: Exception raised in the body callback, to be raised in the task.
-        self._failure: Exception | None = None
 
     async def connect(
         self, timeout_s: float
@@ -144,6 +102,9 @@
         :param first_response_timeout_s: how long the response may take to
             begin, in seconds; None for no limit.
         """
+        self._reader = reader = response_reader.ResponseReader(
+            channel, self._call, self._dialect, self._sink, self
+        )
         result = models.Outcome.CANCELLED
         outlier_failure = reusable = shows_speed = False
         started_at = asyncio.get_running_loop().time()
@@ -157,11 +118,9 @@
         try:
             channel.send(
                 self._dialect.encode_request(self._call, self._parameters),
-                self._is_own_response,
-            )
-            outcome = await self._read_response(
-                channel, first_response_timeout_s
+                reader.is_own_response,
             )
+            outcome = await reader.read(first_response_timeout_s)
             result = _health_outcome(outcome)
             # A runner that asks this VM for rest is no outlier among others.
             outlier_failure = (
@@ -186,7 +145,7 @@
                 reason=f"disorder:{error}",
             )
         except asyncio.CancelledError:
-            outlier_failure = self._is_hung(started_at)
+            outlier_failure = reader.head is None and self._is_hung(started_at)
             raise
         finally:
             self._upstreams.call_finished(
@@ -198,17 +157,39 @@
                 shows_speed=shows_speed,
             )
             self._return_channel(channel, reusable)
-        outcome.received = self._received(channel)
+        outcome.received = reader.received
         return outcome
 
-    def _received(
-        self, channel: client_channel.Channel
-    ) -> attempt_outcome.ReceivedResponse:
-        return attempt_outcome.ReceivedResponse(
-            self._head.status if self._head is not None else None,
-            channel.body_end,
-            self._event_count,
-        )
+    # Methods of response_reader.ResponseObserver.
+
+    def head_received(self, head: messages.RunnerResponseHead) -> None:
+        """Record what the runner says of itself, if it is the runner's word.
+
+        Another runner may use the address now, and an unsigned head may come
+        from something else on the way.
+        """
+        if head.other_runner:
+            self._upstreams.runner_replaced(self._runner)
+        elif head.signed or head.not_run:
+            self._upstreams.statements.record_response(
+                self._runner, head.statement, self._sent_at
+            )
+
+    def bytes_received(self) -> None:
+        """Record that bytes came from the runner."""
+        self._upstreams.bytes_received(self._runner)
+
+    def first_event_received(self) -> None:
+        """Record the first event of the stream."""
+        self._upstreams.first_event_received(self._attempt_id)
+
+    def response_started(self) -> None:
+        """Record that a whole response began."""
+        self._upstreams.response_started(self._attempt_id)
+
+    async def confirm_end(self) -> bool:
+        """Whether the runner's process goes on after it has closed."""
+        return not await self._upstreams.may_have_ended(self._runner)
 
     def _shows_speed_of_runner(self) -> bool:
         """Whether the times of the call depend on the runner alone.
@@ -221,10 +202,12 @@
 
     def _later_events(self) -> int:
         """The events after the first one; 0 if their pace is the caller's."""
-        if self._first_event_id is None or self._caller_is_slow:
+        reader = self._reader
+        assert reader is not None
+        if reader.first_event_id is None or reader.caller_is_slow:
             return 0
         assert self._sink is not None
-        return (self._sink.splitter.last_id or 0) - self._first_event_id
+        return (self._sink.splitter.last_id or 0) - reader.first_event_id
 
     def _is_hung(self, started_at: float) -> bool:
         """Whether a cancelled call counts as a hang of the runner.
@@ -234,196 +217,19 @@
         """
         waited_s = asyncio.get_running_loop().time() - started_at
         objective_s = self._query.wanted_first_token_s
-        return (
-            self._head is None
-            and waited_s > HANG_OBJECTIVE_FACTOR * objective_s
-        )
+        return waited_s > HANG_OBJECTIVE_FACTOR * objective_s
 
     def _return_channel(
         self, channel: client_channel.Channel, reusable: bool
     ) -> None:
         # The pool that the connection came from is used, as the runner may
         # have a new address and pool by now.
-        head = self._head
+        head = self._reader.head if self._reader is not None else None
         if reusable and head is not None:
             self._pool.release(channel, head.closing, head.keep_alive_s)
         else:
             self._pool.discard(channel)
 
-    def _is_own_response(self, status: int, headers: messages.Headers) -> bool:
-        """Whether a response answers this call and not an earlier one."""
-        head = self._dialect.parse_response_head(status, headers)
-        return head.request_id in ("", self._call.request_id)
-
-    async def _read_response(
-        self,
-        channel: client_channel.Channel,
-        first_response_timeout_s: float | None,
-    ) -> attempt_outcome.AttemptOutcome:
-        try:
-            async with asyncio.timeout(first_response_timeout_s):
-                raw = await channel.read_head()
-                self._upstreams.bytes_received(self._runner)
-                head = self._dialect.parse_response_head(
-                    raw.status, raw.headers
-                )
-                self._head = head
-                self._record_statement(head)
-                if self._is_stream(head):
-                    expect_more = await self._forward_first_event(
-                        channel, head
-                    )
-        except TimeoutError:
-            return attempt_outcome.AttemptOutcome(
-                attempt_outcome.AttemptStatus.BROKEN,
-                reason="no_answer_in_time",
-            )
-        if head.other_runner or head.not_run:
-            # The head alone guarantees that the call has not run, even if
-            # the body is lost.
-            with contextlib.suppress(client_channel.Broken):
-                await _read_body(channel)
-            if head.other_runner:
-                self._upstreams.runner_replaced(self._runner)
-            return attempt_outcome.AttemptOutcome(
-                attempt_outcome.AttemptStatus.NOT_RUN,
-                reason="replaced" if head.other_runner else "turned_away",
-                asks_for_rest=bool(head.statement.rest_s),
-            )
-        if not head.signed:
-            return attempt_outcome.AttemptOutcome(
-                attempt_outcome.AttemptStatus.BROKEN, reason="unsigned"
-            )
-        if self._is_stream(head):
-            return await self._forward_stream(channel, head, expect_more)
-        self._upstreams.response_started(self._attempt_id)
-        body = await _read_body(channel)
-        await self._check_end(channel)
-        return attempt_outcome.AttemptOutcome(
-            attempt_outcome.AttemptStatus.ANSWERED, head, body
-        )
-
-    async def _check_end(self, channel: client_channel.Channel) -> None:
-        """Check that the end of the response was not that of its runner.
-
-        A body without length ends with its connection, which the end of the
-        runner's process closes, too.
-
-        :raises client_channel.Broken: if the runner may have ended.
-        """
-        if channel.body_end is not client_channel.BodyEnd.CLOSED:
-            return
-        if await self._upstreams.may_have_ended(self._runner):
-            raise client_channel.Broken("ended with its runner", reset=True)
-
-    def _record_statement(self, head: messages.RunnerResponseHead) -> None:
-        """Record what the runner says of itself, if it is the runner's word.
-
-        Another runner may use the address now, and an unsigned head may come
-        from something else on the way.
-        """
-        if head.other_runner or not (head.signed or head.not_run):
-            return
-        self._upstreams.statements.record_response(
-            self._runner, head.statement, self._sent_at
-        )
-
-    def _is_stream(self, head: messages.RunnerResponseHead) -> bool:
-        return (
-            self._sink is not None
-            and head.is_success
-            and head.signed
-            and not head.not_run
-        )
-
-    async def _forward_first_event(
-        self,
-        channel: client_channel.Channel,
-        head: messages.RunnerResponseHead,
-    ) -> bool:
-        """Forward the first complete events.
-
-        :returns: False if the stream ended without a complete event.
-        """
-        assert self._sink is not None
-        while (data := await channel.read_chunk()) is not None:
-            before = self._sink.splitter.last_id
-            self._forward(head, data)
-            if self._sink.splitter.last_id != before:
-                self._first_event_id = self._sink.splitter.last_id
-                self._upstreams.first_event_received(self._attempt_id)
-                return True
-        return False
-
-    async def _forward_stream(
-        self,
-        channel: client_channel.Channel,
-        head: messages.RunnerResponseHead,
-        expect_more: bool,
-    ) -> attempt_outcome.AttemptOutcome:
-        assert self._sink is not None
-        while expect_more and (data := await channel.read_chunk()) is not None:
-            if self._failure is not None:
-                raise self._failure
-            self._forward(head, data + channel.read_buffered())
-            await self._sink.drain()
-            channel.set_body_callback(
-                functools.partial(self._on_body_bytes, head)
-            )
-        if self._sink.splitter.has_partial_event:
-            return attempt_outcome.AttemptOutcome(
-                attempt_outcome.AttemptStatus.BROKEN,
-                reason="ends_within_an_event",
-            )
-        if not self._event_count and (
-            channel.body_end is client_channel.BodyEnd.CLOSED
-        ):
-            # Neither a length nor an event: nothing says that this is all.
-            raise client_channel.Broken("ended without an event", reset=True)
-        await self._check_end(channel)
-        return attempt_outcome.AttemptOutcome(
-            attempt_outcome.AttemptStatus.STREAM_ENDED,
-            stream_end=attempt_outcome.StreamEnd(head),
-        )
-
-    def _on_body_bytes(
-        self, head: messages.RunnerResponseHead, data: bytes
-    ) -> bool:
-        """Forward bytes as they arrive.
-
-        :returns: False when the task has to go on reading instead.
-        """
-        try:
-            return self._forward(head, data)
-        except (
-            event_splitter.EventOrderError,
-            reply_writer.CallerGone,
-        ) as error:
-            # This method runs as a callback of the connection, so the error
-            # is kept and raised again in the task.
-            self._failure = error
-            return False
-
-    def _forward(self, head: messages.RunnerResponseHead, data: bytes) -> bool:
-        assert self._sink is not None
-        self._upstreams.bytes_received(self._runner)
-        events, count = self._sink.splitter.feed(data)
-        self._event_count += count
-        taken = not count or self._sink.write_events(head, events, count)
-        self._caller_is_slow |= not taken
-        return taken
-
-
-async def _read_body(channel: client_channel.Channel) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while (data := await channel.read_chunk()) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > MAX_BODY_BYTES:
-            raise client_channel.Broken("the response body is too large")
-    return b"".join(parts)
-
 
 def _health_outcome(outcome: attempt_outcome.AttemptOutcome) -> models.Outcome:
     """The outcome as recorded for the runner's health."""
