Show that a VM without runners serves its callers nothing

What callers saw: of their first tries at VMs that lost all paths to runners, while callers, the store and the other VMs still reached them, none was served; the VMs beside them served all.

Cause: nothing passes a call on to a VM that reaches runners, and a VM without runners stays on every list of VMs.

Change: in the soak each VM reaches each runner through a proxy of its own; a runner's entry lists a port for each VM. The proxies can be cut: HANG holds data both ways, and attempts to connect time out, as the queue of the listening socket is full; RESET resets open connections and refuses new ones; REFUSE_NEW refuses new ones. Approximated: the kernel acknowledges what a hanging proxy holds, so TCP_USER_TIMEOUT does not end such connections, and held data goes on after the cut even if the VM closed the connection. ChildProcess moves to a module of its own.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -38,6 +38,9 @@
         self.prefix = prefix
         self.vm = vm
         self.sent_at = sent_at
+        #: Seconds from sending the call to the end of its answer, or to the
+        #: loss of its connection.
+        self.duration_s = 0.0
         #: HTTP status; 0 unless the head of an answer was read.
         self.status = 0
         self.body = b""
@@ -66,12 +69,15 @@
         self.writer = writer
         self.closing = False
 
-    async def send(self, call: Call) -> None:
-        """Send a call and store its answer in it."""
+    async def send(self, call: Call, wait_s: float = CALL_TIMEOUT_S) -> None:
+        """Send a call and store its answer in it.
+
+        :param wait_s: the deadline that the call declares, in seconds.
+        """
         self.writer.write(
             f"POST {call.prefix}x HTTP/1.1\r\nHost: {fleet.ROUTE_HOST}\r\n"
             f"Call-Id: {call.call_id}\r\nKey: {fleet.API_KEY}\r\n"
-            f"Wait-S: {CALL_TIMEOUT_S}\r\nContent-Length: 2\r\n\r\nhi".encode()
+            f"Wait-S: {wait_s}\r\nContent-Length: 2\r\n\r\nhi".encode()
         )
         await self.writer.drain()
         head = await self.reader.readuntil(b"\r\n\r\n")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,9 +8,11 @@
 import signal
 import typing
 
+from . import child_process
 from . import dialect
 from . import fleet
 from . import proxy
+from . import runner_link
 from . import vm as vms
 
 Fault = typing.Callable[[fleet.Fleet, random.Random], typing.Awaitable[None]]
@@ -29,8 +31,8 @@
     {},
     [],
     7,
-    {"service": 3, "port": "x", "leaving": "no"},
-    {"service": "s", "host": None, "port": -1, "concurrency": 1e30},
+    {"service": 3, "ports": "x", "leaving": "no"},
+    {"service": "s", "host": None, "ports": {"": -1}, "concurrency": 1e30},
 )
 #: Limits that runners name, in calls a second.
 LIMITS_PER_S = (1.0, 2.5, 6.0)
@@ -260,18 +262,22 @@
     return rng.choice(candidates) if candidates else None
 
 
-def _start_if_ended(child: fleet.ChildProcess) -> None:
+def _start_if_ended(child: child_process.ChildProcess) -> None:
     if not child.is_running:
         child.start()
 
 
-async def _pause_process(child: fleet.ChildProcess, seconds: float) -> None:
+async def _pause_process(
+    child: child_process.ChildProcess, seconds: float
+) -> None:
     child.send_signal(signal.SIGSTOP)
     await asyncio.sleep(seconds)
     child.send_signal(signal.SIGCONT)
 
 
-async def _degrade_link(link: proxy.FaultProxy, rng: random.Random) -> None:
+async def _degrade_link(
+    link: proxy.FaultProxy | runner_link.RunnerLink, rng: random.Random
+) -> None:
     link.set_mode(rng.choice(LINK_FAULT_MODES))
     await asyncio.sleep(rng.uniform(0.3, 2.0))
     link.set_mode(proxy.Mode.PASS)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,26 +4,23 @@
 import contextlib
 import itertools
 import json
-import os
 import pathlib
 import signal
 import socket
-import subprocess
-import sys
 import time
 import typing
 import urllib.request
 
 from tests.support import ports
 
+from . import child_process
 from . import dialect
 from . import proxy
+from . import runner_link
 from . import statements
 
 HOST = ports.HOST
-ROOT = pathlib.Path(__file__).resolve().parents[1]
 START_TIMEOUT_S = 20.0
-POLL_INTERVAL_S = 0.05
 #: How long a runner, which may be suspended, has for a command, in seconds.
 SAY_TIMEOUT_S = 3.0
 CONCURRENCY = 16
@@ -43,53 +40,6 @@
 ROUTE_TIMEOUT_S = 4.0
 
 
-class ChildProcess:
-    """One child process, which is signalled by its process id only.
-
-    :param arguments: of ``python -m``.
-    :param log: file for the output of the process.
-    """
-
-    def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
-        self._arguments = arguments
-        self._log = log
-        self._process: subprocess.Popen[bytes] | None = None
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the process was started and has not ended."""
-        return self._process is not None and self._process.poll() is None
-
-    def start(self) -> None:
-        """Start the process, or start it again after it has ended."""
-        with self._log.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", *self._arguments],
-                cwd=ROOT,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
-
-    def send_signal(self, number: int) -> None:
-        """Send a signal to the process if it is still running."""
-        if self._process is not None and self.is_running:
-            os.kill(self._process.pid, number)
-
-    async def wait_until_ended(self, timeout_s: float) -> bool:
-        """Wait for the end of the process.
-
-        :returns: False when the process has not ended in time.
-        """
-        return await wait_until(lambda: not self.is_running, timeout_s)
-
-    def kill(self) -> None:
-        """Kill the process, even if it is suspended, and wait for its end."""
-        if self._process is not None:
-            self.send_signal(signal.SIGKILL)
-            self._process.wait()
-
-
 class VmProcess:
     """One entry VM and its proxy to the store.
 
@@ -99,7 +49,7 @@
     def __init__(
         self,
         name: str,
-        process: ChildProcess,
+        process: child_process.ChildProcess,
         ports_by_role: dict[str, int],
         link: proxy.FaultProxy,
     ) -> None:
@@ -110,14 +60,14 @@
 
 
 class RunnerProcess:
-    """One runner and the proxy through which all VMs reach it."""
+    """One runner and the proxies through which the VMs reach it."""
 
     def __init__(
         self,
         name: str,
         service: str,
-        process: ChildProcess,
-        link: proxy.FaultProxy,
+        process: child_process.ChildProcess,
+        link: runner_link.RunnerLink,
     ) -> None:
         self.name = name
         self.service = service
@@ -145,7 +95,7 @@
         self._ports = ports.PortReservations()
         self._store_port = self._ports.reserve()
         self._version = 0
-        self.store = ChildProcess(
+        self.store = child_process.ChildProcess(
             ["standins.object_api", "--port", str(self._store_port)],
             folder / "store.log",
         )
@@ -154,6 +104,11 @@
         self.disturbances: list[statements.Disturbance] = []
         self.vms: list[VmProcess] = []
         self.runners: list[RunnerProcess] = []
+        self._vm_names: list[str] = []
+        #: Links to all runners, also to those that are leaving.
+        self._links: list[runner_link.RunnerLink] = []
+        #: The VMs that are cut off from all runners, and how.
+        self._cuts: dict[str, proxy.Cut] = {}
 
     async def start(self, vms: int, runners: int) -> None:
         """Start all processes.
@@ -162,6 +117,7 @@
         :param runners: number of runners.
         :raises TimeoutError: when a VM does not become ready.
         """
+        self._vm_names = [f"vm-{number}" for number in range(vms)]
         self.store.start()
         await self._retry(
             lambda: self._try_store_request("GET", "/v1/objects")
@@ -171,11 +127,28 @@
             await self.add_runner(SERVICES[number % len(SERVICES)])
         addresses = [self._reserve_vm_ports() for _ in range(vms)]
         seeds = [each["peers"] for each in addresses[:3]]
-        for number, each in enumerate(addresses):
-            await self._add_vm(f"vm-{number}", each, seeds)
+        for name, each in zip(self._vm_names, addresses, strict=True):
+            await self._add_vm(name, each, seeds)
         for vm in self.vms:
             await self._retry(lambda vm=vm: is_ready(vm))
 
+    def cut_off(self, vms: typing.Iterable[str], cut: proxy.Cut) -> None:
+        """Cut VMs off from all runners; all else still reaches them.
+
+        :param vms: names of VMs that are not cut off yet.
+        """
+        for vm in vms:
+            self._cuts[vm] = cut
+            for link in self._links:
+                link.cut(vm, cut)
+
+    async def reconnect(self, vms: typing.Iterable[str]) -> None:
+        """End the cut of VMs."""
+        for vm in vms:
+            del self._cuts[vm]
+            for link in self._links:
+                await link.heal(vm)
+
     async def write_configuration(self) -> None:
         """Write the next configuration; only its version changes."""
         self._version += 1
@@ -191,17 +164,20 @@
         )
 
     async def add_runner(
-        self, service: str, link: proxy.FaultProxy | None = None, port: int = 0
+        self,
+        service: str,
+        link: runner_link.RunnerLink | None = None,
+        port: int = 0,
     ) -> RunnerProcess:
         """Start a runner and write its entry.
 
-        :param link: proxy of a former runner whose address the new runner
+        :param link: link of a former runner whose address the new runner
             takes over; None for a new address.
         :param port: of the former runner's process; 0 for a new port.
         """
         name = f"r-{next(self._runner_numbers)}"
         port = port or self._ports.reserve()
-        process = ChildProcess(
+        process = child_process.ChildProcess(
             [
                 "soak.runner",
                 name,
@@ -212,10 +188,15 @@
             self._folder / f"{name}.log",
         )
         process.start()
-        await wait_until(lambda: _is_listening(port), START_TIMEOUT_S)
+        await child_process.wait_until(
+            lambda: _is_listening(port), START_TIMEOUT_S
+        )
         if link is None:
-            link = proxy.FaultProxy(port)
+            link = runner_link.RunnerLink(port, self._vm_names)
             await link.start()
+            for vm, cut in self._cuts.items():
+                link.cut(vm, cut)
+            self._links.append(link)
         runner = RunnerProcess(name, service, process, link)
         self.runners.append(runner)
         await self.write_entry(runner, leaving=False)
@@ -228,7 +209,7 @@
         entry = {
             "service": runner.service,
             "host": HOST,
-            "port": runner.link.port,
+            "ports": runner.link.ports,
             "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
             "concurrency": CONCURRENCY,
             "leaving": leaving,
@@ -241,7 +222,9 @@
         """Start a runner again with the same name and address."""
         port = runner.link.target
         runner.process.start()
-        await wait_until(lambda: _is_listening(port), START_TIMEOUT_S)
+        await child_process.wait_until(
+            lambda: _is_listening(port), START_TIMEOUT_S
+        )
         runner.reset_incarnation()
         await self.write_entry(runner, leaving=False)
 
@@ -329,7 +312,7 @@
         }
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(document))
-        process = ChildProcess(
+        process = child_process.ChildProcess(
             ["soak.vm", str(path)], self._folder / f"{name}.log"
         )
         process.start()
@@ -358,7 +341,7 @@
         while not await asyncio.to_thread(operation):
             if asyncio.get_running_loop().time() > deadline:
                 raise TimeoutError("store or VM did not respond in time")
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await asyncio.sleep(child_process.POLL_INTERVAL_S)
 
 
 def is_ready(vm: VmProcess) -> bool:
@@ -371,21 +354,6 @@
         return False
 
 
-async def wait_until(
-    condition: typing.Callable[[], bool], timeout_s: float
-) -> bool:
-    """Poll a condition until it holds or the time is over.
-
-    :returns: whether the condition held in time.
-    """
-    deadline = asyncio.get_running_loop().time() + timeout_s
-    while not condition():
-        if asyncio.get_running_loop().time() > deadline:
-            return False
-        await asyncio.sleep(POLL_INTERVAL_S)
-    return True
-
-
 def _is_listening(port: int) -> bool:
     with socket.socket() as probe:
         return probe.connect_ex((HOST, port)) == 0
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,7 +6,9 @@
 import socket
 import struct
 
-HOST = "127.0.0.1"
+from tests.support import ports
+
+HOST = ports.HOST
 CHUNK_BYTES = 65536
 DELAY_S = 0.25
 #: Socket option value that makes a close send a reset.
@@ -26,23 +28,44 @@
     ONE_WAY = "one_way"
 
 
+class Cut(enum.Enum):
+    """How a path is cut off."""
+
+    #: Data is held in both directions until the cut ends, and attempts to
+    #: connect time out.
+    HANG = "hang"
+    #: Open connections are reset, new ones are refused.
+    RESET = "reset"
+    #: Open connections stay usable, new ones are refused.
+    REFUSE_NEW = "refuse_new"
+
+
 class FaultProxy:
     """Forwards connections to one port.
 
+    A cut takes precedence over the mode, which holds again after it.
+
     :param target: the port that connections are forwarded to.
     """
 
     def __init__(self, target: int) -> None:
         self.target = target
         self._mode = Mode.PASS
+        self._cut: Cut | None = None
+        self._reservations = ports.PortReservations()
         self._server: asyncio.Server | None = None
+        self._closed = False
         self._writers: set[asyncio.StreamWriter] = set()
+        #: Sockets that let attempts to connect time out.
+        self._hanging: list[socket.socket] = []
+        self._not_held = asyncio.Event()
+        self._not_held.set()
         self.port = 0
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listen on a free port, which stays reserved until the close."""
+        self.port = self._reservations.reserve()
+        await self._listen()
 
     def set_mode(self, mode: Mode) -> None:
         """Change the mode for open and new connections."""
@@ -51,13 +74,67 @@
             for writer in list(self._writers):
                 _reset_connection(writer)
 
+    def cut(self, cut: Cut) -> None:
+        """Cut the path off until :meth:`heal` is called."""
+        if self._closed or self._cut is not None:
+            return
+        self._cut = cut
+        if self._server is not None:
+            self._server.close()
+        if cut is Cut.HANG:
+            self._not_held.clear()
+            self._hang_new_connections()
+        elif cut is Cut.RESET:
+            for writer in list(self._writers):
+                _reset_connection(writer)
+
+    async def heal(self) -> None:
+        """End the cut; held data goes on."""
+        if self._closed or self._cut is None:
+            return
+        self._cut = None
+        self._close_hanging()
+        self._not_held.set()
+        await self._listen()
+
     def close(self) -> None:
         """Stop listening and abort all connections."""
+        self._closed = True
         if self._server is not None:
             self._server.close()
+        self._close_hanging()
+        self._reservations.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, sock=self._bind()
+        )
+
+    def _bind(self) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((HOST, self.port))
+        return sock
+
+    def _hang_new_connections(self) -> None:
+        """Let attempts to connect time out.
+
+        The kernel drops them while the queue of connections that the listening
+        socket has not accepted is full. A backlog of 0 has room for one.
+        """
+        listening, filling = self._bind(), socket.socket()
+        listening.listen(0)
+        filling.setblocking(False)
+        filling.connect_ex((HOST, self.port))
+        self._hanging = [listening, filling]
+
+    def _close_hanging(self) -> None:
+        hanging, self._hanging = self._hanging, []
+        for sock in hanging:
+            sock.close()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -104,7 +181,7 @@
         """
         data_lost = False
         with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await self._read(reader):
                 if self._mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_S)
                 data_lost = data_lost or self._mode is Mode.SILENT
@@ -118,6 +195,12 @@
             if not data_lost and self._mode is not Mode.SILENT:
                 writer.transport.abort()
 
+    async def _read(self, reader: asyncio.StreamReader) -> bytes:
+        """Read data, or the end, and hold it while the path hangs."""
+        data = await reader.read(CHUNK_BYTES)
+        await self._not_held.wait()
+        return data
+
 
 def _reset_connection(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
