Show which cut bodies pass for whole ones on the daemon's path

Each way in which a response can be cut, or look cut, read by Exchange from a scripted upstream: within its head, an announced length, a length stated twice or unreadable, a chunk, the size of a chunk; without a length; after an interim response; with two framings or an unknown one; for HEAD and 304, which have a length and no body; an empty document; bytes that come after an answer.

The worst is the response that ends within its head: it passes for an empty answer with its status. What is cut within a readable length or a chunk, is reset, or falls silent was never taken for whole.

--- a/tests/links/upstream_exchange.feature
+++ b/tests/links/upstream_exchange.feature
@@ -35,23 +35,28 @@
       | half of its length, stated twice | closes       | GET    | is broken off |
       | a length that is no number       | closes       | GET    | is broken off |
       | lengths that contradict          | closes       | GET    | is broken off |
+      | a length and chunks              | closes       | GET    | is broken off |
+      | a coding that nobody knows       | closes       | GET    | is broken off |
+      | half of a head                   | closes       | GET    | is broken off |
+      | a head without its last line     | closes       | GET    | is broken off |
       | half a chunk                     | closes       | GET    | is broken off |
       | chunks without the last one      | closes       | GET    | is broken off |
       | half of the size of a chunk      | closes       | GET    | is broken off |
-      | half of its announced length     | keeps silent | GET    | times out     |
+      | an interim answer only           | closes       | GET    | is broken off |
       | half of its announced length     | resets       | GET    | is broken off |
       | a body without length            | resets       | GET    | is broken off |
+      | half of its announced length     | keeps silent | GET    | times out     |
       | a body without length            | keeps silent | GET    | times out     |
-      | an interim answer                | closes       | GET    | is broken off |
 
     Examples: bodies that are whole
-      | answer                          | end          | method | result        |
-      | its announced length            | keeps silent | GET    | is whole      |
-      | its length, stated twice        | keeps silent | GET    | is whole      |
-      | all chunks                      | keeps silent | GET    | is whole      |
-      | a body without length           | closes       | GET    | is whole      |
-      | the length of what a GET gets   | keeps silent | HEAD   | is empty      |
-      | 304 with a length               | keeps silent | GET    | is empty      |
+      | answer                           | end          | method | result        |
+      | its announced length             | keeps silent | GET    | is whole      |
+      | its length, stated twice         | keeps silent | GET    | is whole      |
+      | all chunks                       | keeps silent | GET    | is whole      |
+      | a body without length            | closes       | GET    | is whole      |
+      | interim answers and a whole one  | keeps silent | GET    | is whole      |
+      | the length of what a GET gets    | keeps silent | HEAD   | is empty      |
+      | 304 with a length                | keeps silent | GET    | is empty      |
 
   # Guards against a value that nobody sent, in place of a document that broke
   # off before its first byte.
