--- /dev/null
+++ b/src/apricotlever/links/strict_responses.py
@@ -0,0 +1,74 @@
+"""HTTP responses whose end is never inferred from a cut connection.
+
+``http.client`` is lenient: it takes the end of the connection for the end of
+a line, so that a response which is cut within its head passes for a complete
+one with an empty body. It also ignores a length that it can't read.
+"""
+
+from http import client as http
+import typing
+
+_CHUNKED = "chunked"
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
+
+
+class _WholeLines:
+    """A file that raises an error for a line without its end.
+
+    :param file: the file that the lines are read from.
+    """
+
+    __slots__ = ("_file",)
+
+    def __init__(self, file: typing.Any) -> None:
+        self._file = file
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._file, name)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read a line, with its end.
+
+        :raises http.client.IncompleteRead: when the file ends before it, or
+            the line is longer than the limit.
+        """
+        line = bytes(self._file.readline(limit))
+        if not line.endswith(b"\n"):
+            raise http.IncompleteRead(line)
+        return line
+
+
+class StrictResponse(http.HTTPResponse):
+    """A response; the arguments are those of :class:`http.client`'s class."""
+
+    def __init__(self, *arguments: typing.Any, **named: typing.Any) -> None:
+        super().__init__(*arguments, **named)
+        self.fp = typing.cast(typing.Any, _WholeLines(self.fp))
+
+    def begin(self) -> None:
+        """Read the head of the final response; interim ones are skipped.
+
+        :raises http.client.HTTPException: when the head is cut, or where the
+            body ends is unclear.
+        """
+        super().begin()
+        while self.status < _FIRST_FINAL_STATUS:
+            if self.status == _SWITCHING_PROTOCOLS:
+                raise http.UnknownProtocol("an upgrade that nobody asked for")
+            # Without it, the base class takes the head for read.
+            self.headers = self.msg = typing.cast(typing.Any, None)
+            super().begin()
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        lengths = set(self.headers.get_all("Content-Length") or [])
+        coding = self.headers.get("Transfer-Encoding")
+        if coding is not None and (coding.lower() != _CHUNKED or lengths):
+            raise http.UnknownTransferEncoding(coding)
+        if len(lengths) > 1 or not all(map(_is_length, lengths)):
+            raise http.HTTPException(f"unclear lengths: {sorted(lengths)}")
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit()
--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -102,6 +102,15 @@
             return None
         return self._sock
 
+    @property
+    def ends_by_closing(self) -> bool:
+        """Whether only the end of the connection can end the body.
+
+        The end of the upstream's process closes its connections, too.
+        """
+        found = self._response
+        return bool(found and found.length is None and not found.chunked)
+
     @property
     def reused(self) -> bool:
         """Whether the connection was used for an earlier exchange."""
@@ -261,16 +270,22 @@
                 raise UpstreamResponseTooLarge(
                     "the response is too large", sent=True
                 )
-        self._check_complete(size)
+        self._check_complete()
         return b"".join(chunks)
 
     def read_json(self) -> typing.Any:
         """Read and parse the complete JSON body, and finish the exchange.
 
-        :raises ConnectionBroken: when the body is not JSON.
+        :returns: None for an empty body.
+        :raises ConnectionBroken: when the body is not JSON, or is empty and
+            nothing but the end of the connection says so.
         :raises UpstreamError: as :meth:`read_body`.
         """
         content = self.read_body()
+        if not content and self.ends_by_closing:
+            self.abandon()
+            message = f"{self._address} sent no document"
+            raise ConnectionBroken(message, sent=True)
         self.finish()
         try:
             return json.loads(content or b"null")
@@ -335,12 +350,12 @@
         values = self._response.headers.get_all(name) or []
         return [str(value).encode("latin-1", "replace") for value in values]
 
-    def _check_complete(self, size: int) -> None:
+    def _check_complete(self) -> None:
         # http.client ends a read1 loop without an error when the connection
         # closes before Content-Length bytes arrived, so that a truncated body
-        # would pass for a complete one.
-        announced = self.header("Content-Length")
-        if announced.isdigit() and size < int(announced):
+        # would pass for a complete one. A response without a body, such as
+        # 304, may state the length of what it doesn't hold.
+        if self._response is not None and self._response.length:
             self.abandon()
             raise ConnectionBroken("the response was truncated", sent=True)
 
