--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -6,9 +6,7 @@
 and reports on them in aggregates and tallies
 (:mod:`~apricotlever.vms.aggregates`).
 
-The link sends and receives these messages, tracks which VMs are alive, and
-fetches configurations and runner entries that this VM is missing from its
-peers.
+The link sends and receives these messages, and tracks which VMs are alive.
 """
 
 import asyncio
@@ -18,7 +16,6 @@
 from .. import clock as clocks
 from .. import logs
 from ..vms import aggregates
-from ..vms import catch_up
 from ..vms import follower_selection
 from ..vms import notices
 from ..vms import peer_loads
@@ -28,38 +25,20 @@
 from ..vms import shared_samples
 from ..vms import vm_records
 
+from . import local_vm
 from . import modes
 from . import peer_datagrams
-from . import peer_http
 from . import runner_directory as directories
 from . import settings
-from . import store
 from . import task_supervisor
+from . import update_fetcher
 
-#: How long this VM waits for the store to deliver an update that a peer has
-#: already, in seconds, before it fetches the update from the peer.
-STORE_GRACE_S = 0.15
-#: How long the runner directories of two VMs may differ, in seconds, before
-#: one VM fetches the whole directory of the other. Within this time, the same
-#: change usually reaches both.
-DIRECTORY_MISMATCH_S = 0.3
-#: How long a VM of a large fleet waits for VMs that it compares directories
-#: with, such as its aggregator, to have an update, in seconds, before it
-#: fetches the update from any VM. Otherwise all VMs would send requests to the
-#: few that have the update first.
-AGGREGATOR_GRACE_S = 1.0
 #: Minimum time between a status record and the next one that is sent because
 #: of a change, in seconds.
 MIN_CHANGE_INTERVAL_S = 0.03
 #: How long changes are collected into one status record, in seconds. Calls
 #: arrive in bursts, and each call changes this VM's record.
 CHANGE_BATCH_S = 0.01
-#: Maximum number of concurrent fetches by kind of data, each from a different
-#: VM; it is 1 for other kinds. The changes of runners are short, so several
-#: fetches cost little.
-MAX_FETCHES = {"runners": 3}
-#: A revision before the first one, to request the whole runner directory.
-ALL_REVISIONS = -1
 #: How long a VM must have followed the store without interruption to count
 #: as a stable follower, in seconds.
 STABLE_FOLLOWER_S = 2.0
@@ -68,85 +47,6 @@
 TALLY_INTERVAL_S = 1.0
 
 
-class LocalVm(typing.Protocol):
-    """This VM, which builds the records that the link sends.
-
-    The link passes it what the other VMs report.
-    """
-
-    @property
-    def version(self) -> int:
-        """Version of this VM's active configuration, 0 without one."""
-
-    def record(
-        self, number: int, known: list[str], whole: bool, aggregator: str
-    ) -> vm_records.VmRecord:
-        """Create this VM's next status record.
-
-        The parameters are those of
-        :meth:`record_exchange.RecordSource.record`.
-        """
-
-    def receive_record(self, record: vm_records.VmRecord) -> None:
-        """Apply a status record of another VM."""
-
-    def receive_relayed_totals(
-        self, process: str, used: dict[str, float]
-    ) -> None:
-        """Apply the units admitted by a process, as an aggregator relays them.
-
-        :param process: the process of another VM, which admits calls against
-            customers' limits.
-        :param used: admitted units by customer since the process started.
-        """
-
-    def merge_counts(
-        self, counts: dict[str, tuple[typing.Any, typing.Any]]
-    ) -> None:
-        """Merge usage and work counts of other VMs' processes, from a tally.
-
-        :param counts: usage and work by process; see
-            :class:`vm_records.VmRecord`.
-        """
-
-    def record_contact(self, processes: typing.Iterable[str]) -> None:
-        """Record that an aggregator has heard from processes of other VMs.
-
-        Otherwise they would count as silent, and shares of the customers'
-        limits would be reserved for them.
-
-        :param processes: the names of the processes.
-        """
-
-    def duty_candidates(self) -> typing.Iterable[str]:
-        """Names of the other VMs that hold duties or may take them over.
-
-        An aggregator sends its tallies to them.
-        """
-
-    def observe_loads(self, loads: peer_loads.PeerLoads) -> None:
-        """Apply the loads that the other VMs put on the runners."""
-
-    def merge_samples(self, samples: shared_samples.Samples) -> None:
-        """Add the counts that other VMs have observed to this VM's sums.
-
-        In a large fleet they include this VM's own counts.
-        """
-
-    def configure(self, spec: store.Json) -> bool:
-        """Activate a configuration if it is newer than the active one.
-
-        :param spec: the configuration document.
-        :returns: whether the configuration was activated.
-        """
-
-    def runners_changed(self, ended: list[str]) -> None:
-        """Apply changes of the runner directory.
-
-        :param ended: IDs of runners that are leaving or were removed.
-        """
-
-
 class FleetLink:
     """Sends this VM's messages to the other VMs and receives theirs.
 
@@ -159,13 +59,11 @@
     __slots__ = (
         "_alive",
         "_clock",
-        "_client",
         "_datagrams",
         "_directory",
-        "_fetches",
+        "_fetcher",
         "_followers",
         "_following_since",
-        "_catch_up_timers",
         "_local",
         "_marks_by_notices",
         "_record_exchange",
@@ -181,7 +79,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         config: settings.NodeSettings,
-        local: LocalVm,
+        local: local_vm.LocalVm,
         directory: directories.RunnerDirectory,
         running: task_supervisor.TaskSupervisor,
     ) -> None:
@@ -203,9 +101,9 @@
             # would be nothing to observe.
             self._record_exchange.notices.connect(directory)
         self._datagrams = peer_datagrams.PeerSocket(self)
-        self._client = peer_http.PeerClient()
-        self._catch_up_timers = catch_up.CatchUpTimers(clock)
-        self._fetches = catch_up.RunningFetches(clock)
+        self._fetcher = update_fetcher.UpdateFetcher(
+            clock, local, directory, running
+        )
         self._alive: set[str] = set()
         self._followers = follower_selection.FollowerSelection(
             clock, config.vm
@@ -262,10 +160,7 @@
 
     @property
     def is_stable_follower(self) -> bool:
-        """Whether this VM has been a follower for STABLE_FOLLOWER_S.
-
-        VMs that replace followers for a shorter time don't count.
-        """
+        """Whether this VM has been a follower for STABLE_FOLLOWER_S."""
         since = self._following_since
         if since is None:
             return False
@@ -273,10 +168,7 @@
 
     @property
     def mean_message_interval_s(self) -> float:
-        """Mean time between two signs of life of another VM, in seconds.
-
-        A sign of life is a record of the VM or an aggregator's report of it.
-        """
+        """Mean time between two signs of life of another VM, in seconds."""
         return self._table.mean_sign_of_life_interval_s
 
     @property
@@ -378,7 +270,7 @@
             # In a large fleet, records without changes arrive rarely, so
             # differences must also be detected between two records.
             for record in alive:
-                self._check_for_missing_updates(record)
+                self._check_for_updates(record)
         self._followers.update(alive)
         if not self._followers.follows:
             self._following_since = None
@@ -427,7 +319,14 @@
         if former is not None:
             logs.event("member_restarted", member=record.vm)
         self._local.receive_record(record)
-        self._check_for_missing_updates(record)
+        self._check_for_updates(record)
+
+    def _check_for_updates(self, record: vm_records.VmRecord) -> None:
+        self._fetcher.check(
+            record,
+            self.must_follow_store,
+            self._record_exchange.directory_sources,
+        )
 
     def _receive_aggregate(self, aggregate: aggregates.Aggregate) -> None:
         for entry in aggregate.entries:
@@ -499,82 +398,3 @@
 
     async def _receive_pending(self) -> None:
         self._datagrams.receive_pending()
-
-    def _check_for_missing_updates(self, record: vm_records.VmRecord) -> None:
-        """Fetch updates that a peer has and this VM lacks for too long.
-
-        :param record: the peer's status record, which names the versions of
-            its configuration and runner directory.
-        """
-        grace_s = STORE_GRACE_S if self.must_follow_store else 0.0
-        sources = self._record_exchange.directory_sources
-        compared = sources is None or record.vm in sources
-        if not compared:
-            grace_s = AGGREGATOR_GRACE_S
-        directory = self._directory
-        self._fetch_when_due(
-            record.configuration > self._local.version,
-            "configuration",
-            record,
-            grace_s,
-        )
-        self._fetch_when_due(
-            record.directory > directory.revision, "runners", record, grace_s
-        )
-        self._fetch_when_due(
-            compared and record.runners != directory.checksum,
-            "all_runners",
-            record,
-            DIRECTORY_MISMATCH_S,
-        )
-
-    def _fetch_when_due(
-        self,
-        is_outdated: bool,
-        subject: str,
-        record: vm_records.VmRecord,
-        grace_s: float,
-    ) -> None:
-        address = record.peer_address
-        due = self._catch_up_timers.should_ask(
-            subject,
-            record.vm,
-            is_outdated,
-            grace_s,
-            is_outdated
-            and self._fetches.may_begin(
-                subject, address, MAX_FETCHES.get(subject, 1)
-            ),
-        )
-        if due:
-            self._fetches.begin(subject, address)
-            self._tasks.spawn(self._fetch(subject, address))
-
-    async def _fetch(self, subject: str, address: str) -> None:
-        is_answered = False
-        try:
-            if subject == "configuration":
-                is_answered = await self._fetch_configuration(address)
-            else:
-                fetch_all = subject == "all_runners"
-                is_answered = await self._fetch_runners(
-                    address,
-                    ALL_REVISIONS if fetch_all else self._directory.revision,
-                )
-        finally:
-            self._fetches.end(subject, address, is_answered)
-
-    async def _fetch_configuration(self, address: str) -> bool:
-        version = self._local.version
-        spec = await self._client.configuration(address, version)
-        if spec is not None and self._local.configure(spec):
-            logs.event("fetched_from_peer", what="configuration", peer=address)
-        return spec is not None
-
-    async def _fetch_runners(self, address: str, above: int) -> bool:
-        changes = await self._client.runners(address, above)
-        if changes is not None:
-            self._local.runners_changed(
-                self._directory.merge_changes(*changes)
-            )
-        return changes is not None
--- a/tests/steps/serving_peer_datagrams.py
+++ b/tests/steps/serving_peer_datagrams.py
@@ -332,7 +332,7 @@
             return [], {}
 
     async def receive():
-        context.link._client = Client()
+        context.link._fetcher._client = Client()
         for number in (1, 2):
             record = _record(number, f"10.0.0.{number}")
             record.directory = 9
