Show that calls wait on connections that went silent for good

A call whose connection to its runner drops all packets waits until its deadline: the request is acknowledged, so TCP_USER_TIMEOUT sees nothing outstanding, and no keep-alive probe is sent. A stream that stalls like this isn't resumed. The runner stand-in goes silent by a packet filter on its own socket, which needs no privileges.

--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -5,6 +5,8 @@
 import socket
 import struct
 
+from tests.serving import packet_filter
+
 #: How long a runner takes until it fails to resume a stream, in seconds.
 RESUMPTION_S = 0.05
 
@@ -115,6 +117,23 @@
     await asyncio.sleep(60)
 
 
+@behaviour("goes silent for good")
+async def _goes_silent(runner, writer, call):
+    packet_filter.drop_received(writer.get_extra_info("socket"))
+    await asyncio.sleep(60)
+
+
+@behaviour("streams half and goes silent for good, unless it resumes")
+async def _streams_half_and_goes_silent(runner, writer, call):
+    if "after" in call:
+        await _streams(runner, writer, call)
+        return
+    await _send_events(writer, call, range(1, 4), False)
+    # The events are acknowledged before.
+    await asyncio.sleep(0.05)
+    await _goes_silent(runner, writer, call)
+
+
 @behaviour("babbles")
 async def _sends_invalid_response(runner, writer, call):
     writer.write(b"this is no answer at all\r\n\r\n")
