Notice connections that went silent while a response is awaited

Callers waited until their deadline on a connection that dropped all packets (before: 9 s of a timeout of 9 s; resumable streams weren't resumed). TCP_USER_TIMEOUT alone ends a connection only while sent bytes are unacknowledged; here the request was acknowledged. Keep-alive probes after 1 and 2 s now show it, and the call ends or goes on elsewhere after 3 s. Linux lets TCP_USER_TIMEOUT decide when probes have failed, whatever TCP_KEEPCNT says, so it is derived from the schedule in one place, socket_options.py.

Probes are sent only while a response is awaited: idle connections of the pools send nothing more.

--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -13,13 +13,12 @@
 
 import httptools
 
+from .. import socket_options
+
 from . import messages
 
 #: Body bytes buffered for a slow consumer before the connection stops reading.
 MAX_BUFFERED_BYTES = 262144
-#: Milliseconds that sent bytes may stay unacknowledged. Without this limit,
-#: writes to a silently dropped connection fail only after many minutes.
-TCP_USER_TIMEOUT_MS = 2500
 
 #: Takes status and headers; returns whether they answer the pending request.
 HeadFilter = typing.Callable[[int, messages.Headers], bool]
@@ -99,6 +98,7 @@
         "_parser",
         "_read_paused",
         "_skipping_response",
+        "_socket",
         "_body_callback",
         "_body_end",
         "_transport",
@@ -116,6 +116,7 @@
         self._loop = loop
         self._on_end = on_end
         self._transport: asyncio.Transport | None = None
+        self._socket: socket.socket | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._error: Broken | None = None
         self._head_filter: HeadFilter | None = None
@@ -186,6 +187,7 @@
         self._head = None
         self._body_end = None
         self.uses += 1
+        self._set_probing(True)
         self._transport.write(request)
 
     async def read_head(self) -> ResponseHead:
@@ -284,14 +286,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set socket options on the open connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                TCP_USER_TIMEOUT_MS,
-            )
+        self._socket = transport.get_extra_info("socket")
+        if self._socket is not None:
+            socket_options.CALLS.apply(self._socket, probing=False)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the response; abort on unexpected bytes."""
@@ -408,6 +405,7 @@
         self._in_response = False
         self._body_callback = None
         self._idle_since = self._loop.time()
+        self._set_probing(False)
         self._body_chunks.append(None)
         self._wake()
 
@@ -420,6 +418,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _set_probing(self, probing: bool) -> None:
+        """Let the kernel probe the peer while a response is awaited only.
+
+        Probes on the idle connections of all pools would be traffic between
+        data centres, for connections that may never be used again.
+        """
+        if self._socket is not None and self.open:
+            socket_options.set_probing(self._socket, probing)
+
     def _notify_end(self) -> None:
         if self._on_end is not None:
             callback, self._on_end = self._on_end, None
