Don't take a silent connection for a crash of its runner

A connection that the kernel ended by a timeout counted as closed by its runner: the runner was probed for a crash, and the call was suspected, so that two such connections at runners that are then unreachable keep a sound call away from all runners for 30 minutes. A timeout or an unreachable network is no act of the peer; only closed and reset connections count now. The new scenario of tests/serving/silent_connections.feature failed before and passes now; call_relay, streams, crash_watch and restarts pass.

--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -324,9 +324,14 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the pending request and report the end of the connection."""
+        """Fail the pending request and report the end of the connection.
+
+        A connection that timed out, or whose peer became unreachable, was not
+        closed by the peer, whose process may be sound.
+        """
         reason = "closed" if exc is None else type(exc).__name__
-        self._fail(Broken(reason, reset=True))
+        reset = exc is None or isinstance(exc, ConnectionError)
+        self._fail(Broken(reason, reset))
         self._notify_end()
 
     # Callbacks of the parser.
--- a/tests/serving/silent_connections.feature
+++ b/tests/serving/silent_connections.feature
@@ -10,6 +10,16 @@
     Then it ends after 2.5 to 3.9 seconds
     And the status is 502
 
+  # Guards against calls that are kept away from all runners for half an hour,
+  # because connections that the network dropped are taken for crashes.
+  Scenario: A silent connection is not taken for a crash of its runner
+    Given a route for non-idempotent calls with a timeout of 9 seconds
+    And a runner that goes silent for good
+    When a call is made
+    Then the status is 502
+    And no call is suspected of a crash
+    And runner 1 had 1 connections
+
   Scenario: A stream on a silent connection is resumed at another runner
     Given a route for resumable streams with a timeout of 9 seconds
     And a runner that streams half and goes silent for good, unless it resumes
--- a/tests/steps/serving_silent_connections.py
+++ b/tests/steps/serving_silent_connections.py
@@ -39,3 +39,9 @@
         for sock in sockets
     ]
     assert not any(probed), probed
+
+
+@then("no call is suspected of a crash")
+def _check_not_suspected(context):
+    blocklist = context.world.upstreams.crashes._blocklist
+    assert not blocklist._broken_calls, blocklist._broken_calls
