Report a runner as silent only after more than a sound one's silence

A sound runner may send nothing for a second or so. Two VMs with calls there reported it after 0.8 s, and all VMs avoided it. A VM goes on preferring other runners after 0.8 s of silence towards itself, which harms nobody, but reports a runner only after 1.5 s (MAX_SOUND_SILENCE_S); and it ignores reports for as long after bytes of its own, for they contradict the silence that is reported (before: 0.5 s). Two reports still suffice for all: with the new bound no sound runner is reported, and what VMs without runners report is another matter.

--- a/src/apricotlever/runners/silence_detector.py
+++ b/src/apricotlever/runners/silence_detector.py
@@ -6,20 +6,22 @@
 receive answers does not make its runner silent.
 
 Each VM observes its own calls and hears which runners the others report as
-silent. A silent runner gets no calls while other runners can take them.
+silent for long. A silent runner gets no calls while other runners can take
+them.
 """
 
 import typing
 
 from .. import clock as clocks
 
-#: Time without a byte from a runner, in seconds, after which the runner counts
-#: as silent. Even during a burst of long prompts, a runner finishes reading
-#: several prompts a second.
+#: Time without a byte from a runner, in seconds, after which this VM prefers
+#: other runners. Even during a burst of long prompts, a runner finishes
+#: reading several prompts a second.
 SILENCE_TIMEOUT_S = 0.8
-#: Reports of other VMs about a runner are ignored for this many seconds after
-#: this VM received a byte from the runner.
-RECENT_BYTES_S = 0.5
+#: The longest silence of a sound runner, in seconds: at times one sends
+#: nothing for a second or so and then goes on. Only after it is a runner taken
+#: for gone: this VM reports it to the others, and repeats calls elsewhere.
+MAX_SOUND_SILENCE_S = 1.5
 #: Number of other VMs whose reports make this VM treat a runner as silent. A
 #: single VM may itself be disconnected.
 MIN_PEER_REPORTS = 2
@@ -53,13 +55,15 @@
     @property
     def silent_here(self) -> list[str]:
         """Runners that are silent by this VM's own observation."""
-        now = self._clock.now()
-        return [
-            runner
-            for runner, activity in self._activity.items()
-            if activity.calls
-            and now - activity.waiting_since > SILENCE_TIMEOUT_S
-        ]
+        return self._silent_longer_than(SILENCE_TIMEOUT_S)
+
+    @property
+    def silent_for_long(self) -> list[str]:
+        """Runners that this VM reports to the others as silent.
+
+        All VMs avoid a reported runner, so a sound one must not be reported.
+        """
+        return self._silent_longer_than(MAX_SOUND_SILENCE_S)
 
     @property
     def silent(self) -> frozenset[str]:
@@ -68,7 +72,7 @@
         reported = {
             runner
             for runner in self._reported_silent
-            if now - self._last_bytes_at(runner) > RECENT_BYTES_S
+            if now - self._last_bytes_at(runner) > MAX_SOUND_SILENCE_S
         }
         return frozenset(reported.union(self.silent_here))
 
@@ -95,7 +99,8 @@
         """Set how many other VMs report each runner as silent.
 
         Runners with at least :data:`MIN_PEER_REPORTS` reports count as silent
-        here, too, unless this VM has just received bytes from them.
+        here, too, unless this VM received bytes from them within the silence
+        that is reported.
         """
         self._reported_silent = frozenset(
             runner
@@ -108,6 +113,14 @@
         for runner in [r for r in self._activity if r not in runners]:
             del self._activity[runner]
 
+    def _silent_longer_than(self, seconds: float) -> list[str]:
+        now = self._clock.now()
+        return [
+            runner
+            for runner, activity in self._activity.items()
+            if activity.calls and now - activity.waiting_since > seconds
+        ]
+
     def _last_bytes_at(self, runner: str) -> float:
         activity = self._activity.get(runner)
         return (
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -176,8 +176,8 @@
 
     @property
     def silent_runners(self) -> list[str]:
-        """Runners from which this VM's waiting calls receive no bytes."""
-        return self._observations.silence.silent_here
+        """Runners that this VM's waiting calls find silent for long."""
+        return self._observations.silence.silent_for_long
 
     @property
     def refused_runners(self) -> list[str]:
--- a/tests/steps/runners_silence_detector.py
+++ b/tests/steps/runners_silence_detector.py
@@ -57,3 +57,13 @@
 @then("the runner is not treated as silent")
 def _not_treated_as_silent(context):
     assert RUNNER not in context.silence.silent
+
+
+@then("the runner is reported to the other VMs")
+def _reported(context):
+    assert RUNNER in context.silence.silent_for_long
+
+
+@then("the runner is not reported to the other VMs")
+def _not_reported(context):
+    assert RUNNER not in context.silence.silent_for_long
