Forward calls to other VMs while this one reaches no runner

What callers saw: at a VM that had lost its paths to all runners, each call ended in 503, or after seconds of attempts, though other VMs of the fleet reached the same runners.

Cause: nothing in the request path passed a call to another VM.

A refusal says whether the call has run, and when to come back. A VM that doesn't know itself to be isolated forwards a call once if no runner could be connected to.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -166,6 +166,13 @@
     "request_retried": Event(
         INFO, "An attempt failed and another one started."
     ),
+    "request_forwarded": Event(
+        INFO,
+        "A request was sent to another VM, as this one reached no runner.",
+    ),
+    "forwarded_call": Event(
+        INFO, "A request that another VM had forwarded here ended."
+    ),
     "request_ended": Event(INFO, "A request ended with an outcome."),
     "request_unknown": Event(
         ERROR, "A non-idempotent call may have run and is not retried."
--- a/src/apricotlever/serving/attempt_outcome.py
+++ b/src/apricotlever/serving/attempt_outcome.py
@@ -73,9 +73,17 @@
     :param asks_for_rest: whether the runner asked this VM to stay away.
     :param unreachable: whether no connection to the runner could be opened.
     :param received: what came from the runner.
+
+    A helper is another VM that had the call run. Then there also is:
+
+    :ivar helper: its name; "" if this VM itself sent the call to a runner.
+    :ivar retry_after_s: when callers may return by its word, in seconds; None
+        without it.
     """
 
     __slots__ = (
+        "helper",
+        "retry_after_s",
         "status",
         "head",
         "body",
@@ -108,6 +116,8 @@
         self.reason = reason
         self.received = received
         self.stream_end = stream_end
+        self.helper = ""
+        self.retry_after_s: float | None = None
 
     @property
     def began_to_run(self) -> bool:
--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -21,6 +21,7 @@
 from . import configuration_model
 from . import customer_limits
 from . import dialects
+from . import helpers
 from . import messages
 from . import reply_writer
 from . import upstreams
@@ -78,12 +79,14 @@
     :param budget: the allowance of retries to runners.
     :param usage: the customers' call counts by time window.
     :param rng: selects a service for a route that splits its traffic.
+    :param helpers_: the VMs that run calls while this one reaches no runner.
     """
 
     __slots__ = (
         "_budget",
         "_configuration",
         "_dialect",
+        "_helpers",
         "_limits",
         "_last_attempt_number",
         "_observations",
@@ -101,8 +104,10 @@
         budget: retry_allowance.RetryAllowance,
         usage: usage_windows.UsageWindows,
         rng: random.Random,
+        helpers_: helpers.Helpers,
     ) -> None:
         self._dialect = dialect
+        self._helpers = helpers_
         self._upstreams = upstreams_
         self._limits = limits_
         self._budget = budget
@@ -118,6 +123,21 @@
         """The runners and this VM's connections to them."""
         return self._upstreams
 
+    @property
+    def helpers(self) -> helpers.Helpers:
+        """The VMs that run calls while this one reaches no runner."""
+        return self._helpers
+
+    @property
+    def configuration(self) -> configuration_model.Configuration | None:
+        """The configuration in force; None without one."""
+        return self._configuration
+
+    @property
+    def accepts_calls(self) -> bool:
+        """Whether new calls are accepted."""
+        return self._accepts_calls
+
     @property
     def budget(self) -> retry_allowance.RetryAllowance:
         """The allowance of retries to runners."""
@@ -227,13 +247,6 @@
                 route=route.name,
                 customer=customer.name if customer else None,
                 units=permit.units if permit else 0.0,
-                runner=execution.runner_id,
-                sends=execution.sends,
-                served=execution.served,
-                ended=execution.reason or None,
-                first_s=execution.first_s,
-                objective_s=route.objective_s,
-                pause_s=execution.longest_pause_s or None,
                 took_s=took_s,
                 **execution.end_fields,
             )
--- /dev/null
+++ b/src/apricotlever/serving/helpers.py
@@ -0,0 +1,129 @@
+"""The other VMs that run calls for this one while it reaches no runner."""
+
+import random
+import typing
+
+from .. import clock as clocks
+from ..vms import helper_choice
+from ..vms import vm_records
+
+from . import attempt_outcome
+from . import connection_pool as pools
+
+#: Connections to one helper at most, each with one call at a time.
+MAX_CONNECTIONS = 256
+
+
+class Reachability(typing.Protocol):
+    """Tells whether this VM reaches runners."""
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this VM reaches no runner."""
+
+
+class AlwaysConnected:
+    """Takes this VM for one that reaches runners."""
+
+    __slots__ = ()
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this VM reaches no runner: it is taken to reach some."""
+        return False
+
+
+class Helpers:
+    """Chooses helpers, and keeps the connections to them.
+
+    :param vm: this VM's name.
+    :param data_centre: this VM's data centre.
+    :param reach: tells whether this VM needs helpers.
+    """
+
+    __slots__ = (
+        "_choice",
+        "_data_centre",
+        "_far_bytes",
+        "_pools",
+        "_reach",
+        "_results",
+    )
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        vm: str,
+        data_centre: str,
+        reach: Reachability,
+    ) -> None:
+        self._reach = reach
+        self._data_centre = data_centre
+        self._choice = helper_choice.HelperChoice(clock, rng, vm, data_centre)
+        #: Connections by address.
+        self._pools: dict[str, pools.ConnectionPool] = {}
+        #: Number of forwarded calls by result.
+        self._results: dict[str, int] = {}
+        self._far_bytes = 0
+
+    @property
+    def are_needed(self) -> bool:
+        """Whether this VM reaches no runner itself."""
+        return self._reach.is_isolated
+
+    @property
+    def choice(self) -> helper_choice.HelperChoice:
+        """Chooses helpers."""
+        return self._choice
+
+    @property
+    def results(self) -> dict[str, int]:
+        """Number of forwarded calls by result."""
+        return self._results
+
+    @property
+    def counters(self) -> dict[str, float]:
+        """Metrics without labels, by name."""
+        return {
+            "forwarded_calls": self._choice.in_flight,
+            "forwarded_bytes_to_data_centres_total": self._far_bytes,
+        }
+
+    def set_records(self, alive: typing.Sequence[vm_records.VmRecord]) -> None:
+        """Set the latest records of the VMs that were heard from recently."""
+        self._choice.set_records(alive)
+
+    def pool(self, address: str) -> pools.ConnectionPool:
+        """The connections to a helper.
+
+        :param address: as ``host:port``.
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = pools.ConnectionPool(host, int(port), MAX_CONNECTIONS)
+            self._pools[address] = pool
+        return pool
+
+    def record_bytes(self, helper: vm_records.VmRecord, count: int) -> None:
+        """Count the bytes of a forwarded call, sent or received.
+
+        Only those to or from other data centres are counted, which cost money.
+        """
+        if helper.data_centre != self._data_centre:
+            self._far_bytes += count
+
+    def record_result(self, status: attempt_outcome.AttemptStatus) -> None:
+        """Count the end of a forwarded call."""
+        self._results[status.value] = self._results.get(status.value, 0) + 1
+
+    def sweep(self, now: float) -> None:
+        """Close idle connections, and forget helpers without connections.
+
+        :param now: on the event loop's clock, in seconds.
+        """
+        for address, pool in tuple(self._pools.items()):
+            pool.close_expired(now)
+            if not pool.open_count:
+                del self._pools[address]
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -13,6 +13,7 @@
     configuration: configuration_model.Configuration | None,
     gauges: typing.Mapping[str, float],
     restarts: typing.Mapping[str, int],
+    helped: typing.Mapping[str, int],
 ) -> str:
     """Format all metrics in the text format of Prometheus.
 
@@ -21,6 +22,7 @@
     :param configuration: the active configuration; None without one.
     :param gauges: metrics of the rest of the process, by name.
     :param restarts: number of restarts of each supervised task, by name.
+    :param helped: number of calls of other VMs that ended here, by result.
     """
     upstreams = relay_.upstreams
     calls = upstreams.outcome_counts
@@ -51,6 +53,8 @@
             },
             ("limit_left", "customer"): limits_.levels,
             ("limit_part", "customer"): limits_.usable_fractions,
+            ("forwarded_calls_total", "result"): relay_.helpers.results,
+            ("helped_calls_total", "result"): helped,
             **upstreams.priorities.metrics(),
         },
     )
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -33,6 +33,9 @@
 from . import duty_roster
 from . import fleet_link
 from . import fleet_workload
+from . import forwarded_calls
+from . import forwarding_protocol
+from . import helpers
 from . import limit_protocol
 from . import listening_sockets
 from . import metrics
@@ -136,6 +139,13 @@
         self._usage = usage_windows.UsageWindows(
             clock, self._process, config.bounds.usage_window_s
         )
+        self._helpers = helpers.Helpers(
+            clock,
+            rng,
+            config.vm,
+            config.data_centre,
+            self._upstreams.reach,
+        )
         self._relay = call_relay.CallRelay(
             dialect,
             self._upstreams,
@@ -143,6 +153,12 @@
             self._retry_allowance,
             self._usage,
             rng,
+            self._helpers,
+        )
+        self._forwarded = forwarded_calls.ForwardedCalls(
+            self._relay,
+            self._upstreams.reach,
+            lambda: self._leaving_since is not None,
         )
         self._tasks = task_supervisor.TaskSupervisor()
         self._fleet = fleet_link.FleetLink(
@@ -363,6 +379,7 @@
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
             refused=calls.refused_runners,
+            isolated=calls.reach.is_isolated,
         )
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
@@ -473,6 +490,8 @@
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
             **self._limits.return_metrics,
             **self._upstreams.counters,
+            **self._helpers.counters,
+            **self._forwarded.counters,
         }
         return metrics.format_metrics(
             self._relay,
@@ -480,12 +499,16 @@
             self._configuration,
             gauges,
             self._tasks.restarts,
+            self._forwarded.results,
         )
 
     async def _listen(self) -> None:
         config = self._settings
         checks = status_handlers.StatusHandlers(self, self._dialect.callers)
-        peer_server = peer_http.PeerServer(self)
+        peer_server = peer_http.PeerServer(
+            self,
+            {forwarding_protocol.FORWARD_PATH: self._forwarded.answer},
+        )
         for name, address, handler in (
             ("callers", config.callers, self._relay.answer),
             ("checks", config.checks, checks.ready),
@@ -597,7 +620,10 @@
             self.observe_loads(self._fleet.loads)
         if self._roll_outs.tick():
             self._roll_outs_changed()
-        self._upstreams.sweep(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._upstreams.sweep(now)
+        self._helpers.set_records(alive)
+        self._helpers.sweep(now)
         settled = (
             self._clock.now() - self._started_at >= MIN_UPTIME_FOR_DUTIES_S
         )
@@ -635,7 +661,7 @@
         shutdown_s = self._settings.bounds.shutdown_s
         await drain.wait_until_idle(
             self._clock,
-            lambda: self._servers.busy,
+            lambda: self._servers.busy + self._forwarded.in_progress,
             shutdown_s,
             self._relay.refuse_new_calls,
         )
--- a/src/apricotlever/serving/peer_http.py
+++ b/src/apricotlever/serving/peer_http.py
@@ -185,12 +185,24 @@
 
 
 class PeerServer:
-    """Answers the requests of :class:`PeerClient`."""
+    """Answers the requests of other VMs.
 
-    __slots__ = ("_packed", "_source")
+    They are those of :class:`PeerClient`, and those of other handlers.
 
-    def __init__(self, source: NewsSource) -> None:
+    :param handlers: handlers of requests of other VMs, by path.
+    """
+
+    __slots__ = ("_handlers", "_packed", "_source")
+
+    def __init__(
+        self,
+        source: NewsSource,
+        handlers: (
+            typing.Mapping[str, caller_server.RequestHandler] | None
+        ) = None,
+    ) -> None:
         self._source = source
+        self._handlers = handlers or {}
         #: The last encoded configuration: its version and data. All other VMs
         #: request the same version within a second.
         self._packed: tuple[int, bytes] = (0, b"")
@@ -198,7 +210,7 @@
     async def answer(
         self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
-        """Answer one fetch of a peer.
+        """Answer one request of a peer.
 
         Hosts outside the fleet get status 403.
         """
@@ -209,6 +221,10 @@
             reply.send_whole(403, ())
             return
         path, _, above = raw.target.partition("?")
+        handler = self._handlers.get(path)
+        if handler is not None:
+            await handler(raw, reply)
+            return
         if not above.lstrip("-").isdigit():
             reply.send_whole(400, ())
             return
--- /dev/null
+++ b/src/apricotlever/serving/runner_sending.py
@@ -0,0 +1,223 @@
+"""Sends one call to runners, one attempt at a time."""
+
+import asyncio
+
+from ..contracts import rejection_limit
+
+from . import attempt_outcome
+from . import call_placement
+from . import call_state
+from . import client_channel
+from . import configuration_model
+from . import messages
+from . import modes
+from . import response_sink
+from . import runner_attempt as attempts
+from . import runners
+
+#: Minimum time limit that a runner is given for a call, in seconds, so that no
+#: runner receives a limit of zero.
+MIN_RUNNER_TIME_S = 0.001
+
+
+class RunnerSending:
+    """Places one call at runners, and sends it there.
+
+    :param sink: receives the events of a stream.
+    """
+
+    __slots__ = (
+        "_loop",
+        "_only_unreachable",
+        "_rejections",
+        "_sink",
+        "_started_at",
+        "_state",
+        "_tried",
+    )
+
+    def __init__(
+        self, state: call_state.CallState, sink: response_sink.ResponseSink
+    ) -> None:
+        self._state = state
+        self._sink = sink
+        self._loop = asyncio.get_running_loop()
+        self._tried: set[str] = set()
+        self._rejections = rejection_limit.RejectionLimit(
+            state.route.objective_s,
+            state.relay.upstreams.part_modes.priorities is not modes.Mode.ON,
+        )
+        self._only_unreachable = False
+        #: When the last attempt began, on the event loop's clock.
+        self._started_at = 0.0
+
+    @property
+    def only_unreachable(self) -> bool:
+        """Whether no runner could be connected to of those tried last.
+
+        That is, since the last one that could be.
+        """
+        return self._only_unreachable
+
+    async def run(self) -> attempt_outcome.AttemptOutcome:
+        """Send the call to one runner and read the response.
+
+        :raises call_state.NotServed: if it can't be sent.
+        """
+        state = self._state
+        if not state.is_counted:
+            state.is_counted = True
+            state.relay.budget.record_request(state.service)
+        self._check_crash_blocklist()
+        placement = await self._place()
+        sends_before = state.sends
+        try:
+            return await self._run_placed(placement)
+        finally:
+            if state.sends == sends_before:
+                state.placement.refund(placement)
+            state.placement.end(placement)
+
+    def count_rejection(self, outcome: attempt_outcome.AttemptOutcome) -> None:
+        """Count a runner that did not run the call.
+
+        :raises call_state.NotServed: when too many did not.
+        """
+        self._only_unreachable = outcome.unreachable
+        if outcome.unreachable:
+            self._rejections.unreachable(self._started_at, self._loop.time())
+        elif not outcome.asks_for_rest:
+            # A runner that rests gets no further call of this VM for a while,
+            # so it doesn't show that the service has no room.
+            self._rejections.rejected()
+        if self._rejections.exhausted:
+            raise self._state.not_served(outcome.reason)
+
+    async def _run_placed(
+        self, placement: call_placement.Placement
+    ) -> attempt_outcome.AttemptOutcome:
+        """Send the call to the runner that was found for it."""
+        state = self._state
+        upstreams = state.relay.upstreams
+        runner, query = placement.runner, placement.query
+        self._check_time(placement)
+        state.runner_id, state.helper = runner.runner_id, None
+        self._tried.add(runner.runner_id)
+        parameters = self._runner_call_parameters(
+            placement, upstreams.fetch_source(query, runner)
+        )
+        state.placement.log_chosen(placement, parameters, state.sends + 1)
+        attempt = attempts.Attempt(
+            f"{state.call.request_id}.{state.relay.next_attempt_number()}",
+            state.call,
+            parameters,
+            runner,
+            query,
+            upstreams,
+            state.relay.dialect.upstreams,
+            (
+                self._sink
+                if state.route.kind is configuration_model.CallKind.STREAM
+                else None
+            ),
+        )
+        self._started_at = self._loop.time()
+        connected = await attempt.connect(state.left_s)
+        if not isinstance(connected, client_channel.Channel):
+            placement.rejected = connected.unreachable
+            return connected
+        outcome = await self._send(attempt, connected, runner)
+        placement.rejected = (
+            outcome.status is attempt_outcome.AttemptStatus.NOT_RUN
+        )
+        return outcome
+
+    async def _place(self) -> call_placement.Placement:
+        state = self._state
+        try:
+            return await state.placement.place(
+                frozenset(self._tried), state.left_s
+            )
+        except call_placement.NoPlace as error:
+            raise state.not_served(error.reason) from error
+
+    def _check_time(self, placement: call_placement.Placement) -> None:
+        """Refuse a call that would begin too late at any runner.
+
+        :raises call_state.NotServed: when it is refused.
+        """
+        state = self._state
+        if state.may_have_run or state.stream_begun:
+            return
+        wait_s = state.relay.upstreams.start_times.retry_after_s(
+            state.call.request_id,
+            placement.query,
+            placement.runner,
+            state.left_s,
+        )
+        if wait_s is not None:
+            raise state.not_served("no_time", wait_s)
+
+    async def _send(
+        self,
+        attempt: attempts.Attempt,
+        channel: client_channel.Channel,
+        runner: runners.Runner,
+    ) -> attempt_outcome.AttemptOutcome:
+        state = self._state
+        upstreams = state.relay.upstreams
+        if not upstreams.statements.takes_calls(runner.runner_id):
+            # The runner has said so while the connection was opened.
+            upstreams.pool(runner).release(channel, False, None)
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.NOT_SENT, reason="takes_no_calls"
+            )
+        if state.sends and not state.relay.budget.try_acquire(state.service):
+            upstreams.pool(runner).discard(channel)
+            raise state.not_served("retry_budget")
+        state.sends += 1
+        ran_before, state.may_have_run = state.may_have_run, True
+        state.splitter.discard_partial()
+        outcome = await attempt.run(channel, state.first_response_timeout_s())
+        if outcome.status is attempt_outcome.AttemptStatus.NOT_RUN:
+            state.may_have_run = ran_before
+        elif outcome.began_to_run:
+            self._sink.mark_started()
+        if outcome.reset:
+            upstreams.crashes.connection_broken(
+                runner, state.call, state.customer
+            )
+            # Awaited here so that a crash is recorded before the caller learns
+            # of the failure and retries the call.
+            await upstreams.check_runner_crash(runner)
+        return outcome
+
+    def _check_crash_blocklist(self) -> None:
+        """Refuse a call that matches calls which crashed their runners.
+
+        This check runs before each attempt, because a failed connection may
+        just have shown that the runner of an earlier attempt crashed.
+
+        :raises call_state.NotServed: when the call is blocked.
+        """
+        state = self._state
+        wait_s = state.relay.upstreams.crashes.retry_after_s(
+            state.call, state.customer
+        )
+        if wait_s is not None:
+            raise state.not_served("crashes_runners", wait_s)
+
+    def _runner_call_parameters(
+        self, placement: call_placement.Placement, copy_from: str | None
+    ) -> messages.RunnerCallParameters:
+        state = self._state
+        level = placement.level
+        left_s = state.left_s - attempts.RESPONSE_MARGIN_S
+        return messages.RunnerCallParameters(
+            placement.runner.name,
+            state.customer.name if state.customer else None,
+            max(MIN_RUNNER_TIME_S, left_s),
+            level.level if level is not None else None,
+            state.splitter.last_id,
+            copy_from,
+        )
--- a/src/apricotlever/serving/servers.py
+++ b/src/apricotlever/serving/servers.py
@@ -2,6 +2,7 @@
 
 from . import caller_server
 from . import configuration_model
+from . import forwarding_protocol
 from . import listening_sockets
 from . import settings
 from . import start_gate
@@ -10,6 +11,9 @@
 #: Names of the servers that callers use: for their calls, and for looking up
 #: the VMs to call. They accept connections only when this VM can answer.
 CALLER_FACING = ("callers", "lookups")
+#: Bytes of a forwarded call for each byte of its headers: prompts are sent as
+#: headers and once more by their parts.
+HEADER_EXPANSION = 3
 
 
 class Servers:
@@ -73,8 +77,18 @@
         return await self._opening.serve()
 
     def set_limits(self, limits: configuration_model.CallerLimits) -> None:
-        """Set the limits on the size and timing of callers' calls."""
+        """Set the limits on the size and timing of callers' calls.
+
+        Other VMs may forward such calls, in requests that are longer.
+        """
         self._servers["callers"].limits = limits
+        peers = self._servers.get("peers")
+        if peers is not None:
+            peers.limits = configuration_model.CallerLimits(
+                body_bytes=limits.body_bytes
+                + HEADER_EXPANSION * limits.header_bytes
+                + forwarding_protocol.ENVELOPE_BYTES
+            )
 
     def start_idle_sweeps(
         self, running: task_supervisor.TaskSupervisor
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -21,6 +21,7 @@
 from . import configuration_model
 from . import connection_pool as pools
 from . import crash_watch
+from . import helpers
 from . import messages
 from . import modes
 from . import performance_meters
@@ -66,6 +67,7 @@
         "_peer_in_flight",
         "_performance",
         "_pools",
+        "_reach",
         "_roll_outs",
         "_router",
         "_slots",
@@ -113,6 +115,7 @@
             news or (lambda: None),
         )
         self._crashes = crash_watch.CrashWatch(clock, vm)
+        self._reach: helpers.Reachability = helpers.AlwaysConnected()
         self._pools = runner_pools.RunnerPools()
         self._configuration: configuration_model.Configuration | None = None
         self._limits = runner_limits.RunnerLimits(clock, rng, vm)
@@ -139,6 +142,11 @@
             lambda runner: self.in_flight_at((runner,)),
         )
 
+    @property
+    def reach(self) -> helpers.Reachability:
+        """Tells whether this VM reaches runners."""
+        return self._reach
+
     @property
     def directory(self) -> directories.RunnerDirectory:
         """The known runners."""
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -11,6 +11,7 @@
 from apricotlever.serving import configuration_model
 from apricotlever.serving import customer_limits
 from apricotlever.serving import dialects
+from apricotlever.serving import helpers
 from apricotlever.serving import runner_directory as directories
 from apricotlever.serving import runners
 from apricotlever.serving import upstreams
@@ -45,7 +46,14 @@
 class RequestPath:
     """The request path, its runner stand-ins and a caller."""
 
-    def __init__(self, name="vm", part_modes=None, callers=None, clock=None):
+    def __init__(
+        self,
+        name="vm",
+        part_modes=None,
+        callers=None,
+        clock=None,
+        reach=None,
+    ):
         self.name = name
         self.clock = clocks.ManualClock()
         self.directory = directories.RunnerDirectory(self.clock)
@@ -58,6 +66,7 @@
             part_modes=part_modes,
         )
         self.limits = customer_limits.CustomerLimits(clocks.SystemClock())
+        self.reach = reach or helpers.AlwaysConnected()
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
         self.budget = retry_allowance.RetryAllowance(
             clocks.SystemClock(), 0.2, 20.0, 10.0
@@ -73,6 +82,9 @@
             self.budget,
             self.usage,
             random.Random(2),
+            helpers.Helpers(
+                clocks.SystemClock(), random.Random(3), name, "dc", self.reach
+            ),
         )
         self.server = caller_server.CallerServer(self.relay.answer)
         self.standins = []
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -73,6 +73,11 @@
     writer.write(_response(500, call, b"broken"))
 
 
+@behaviour("returns the length of the body")
+async def _returns_length(runner, writer, call):
+    writer.write(_response(200, call, b"%d" % len(call["body"])))
+
+
 @behaviour("rejects calls")
 async def _rejects(runner, writer, call):
     runner.executed_call_ids.pop()
@@ -104,6 +109,11 @@
     _reset(writer)
 
 
+@behaviour("ends")
+async def _ends(runner, writer, call):
+    writer.close()
+
+
 @behaviour("crashes")
 async def _crashes(runner, writer, call):
     runner.stop()
@@ -175,6 +185,12 @@
     await _send_events(writer, call, range(1, 4), True, 0.01)
 
 
+@behaviour("streams one event and hangs")
+async def _streams_one_and_hangs(runner, writer, call):
+    await _send_events(writer, call, (1,), False)
+    await asyncio.sleep(60)
+
+
 @behaviour("streams half and resets")
 async def _streams_half_and_resets(runner, writer, call):
     first = int(call.get("after", 0)) + 1
--- a/tests/steps/serving_call_metrics.py
+++ b/tests/steps/serving_call_metrics.py
@@ -52,4 +52,5 @@
         world.configuration,
         {"cloud_calls_total": 2},
         {"watch_runners": 1},
+        {},
     )
