--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -72,6 +72,28 @@
     ("malformed", "the call was malformed"),
     ("caller_gone", "its caller had disconnected"),
     ("crashes_runners", "two runners ended while they ran the same call"),
+    ("isolated", "its VM reached no runner, and no other VM could run it"),
+    (
+        "helper_broken",
+        "the VM that was to run it broke the connection off; it may have run",
+    ),
+    (
+        "helper_unreachable",
+        "no connection to the VM that was to run it opened",
+    ),
+    (
+        "helper_connections_used_up",
+        "all connections to the VM that was to run it were in use",
+    ),
+    ("helper_full", "the VM that was to run it had no room for it"),
+    ("helper_leaving", "the VM that was to run it was shutting down"),
+    ("helper_isolated", "the VM that was to run it reached no runner either"),
+    ("helper_unready", "the VM that was to run it had no configuration yet"),
+    (
+        "helper_unknown",
+        "the VM that was to run it had another version of the configuration",
+    ),
+    ("helper_rejects", "the VM that was to run it can't read forwarded calls"),
 )
 
 
@@ -135,14 +157,32 @@
         )
         status = found.fields.get("status")
         if status is not None:
-            return f"ended with {status}: {meaning}"
+            return f"ended with {status}: {meaning}{self._forwarding}"
         how = "cut off midway" if reason else "ended with its runner's status"
         return f"{how}: {meaning}"
 
+    @property
+    def _forwarding(self) -> str:
+        """To which VM the request was forwarded last; "" for none."""
+        forwarded = self._last_line("request_forwarded")
+        if forwarded is None:
+            return ""
+        helper = forwarded.fields.get("helper")
+        return f"; its VM {forwarded.vm} had forwarded it to {helper}"
+
+    @property
+    def _own_vm(self) -> str:
+        """The VM that the caller called.
+
+        A VM that ran the request for it may have logged the last line.
+        """
+        forwarded = self._last_line("request_forwarded")
+        return (forwarded or self.lines[-1]).vm
+
     @property
     def _missing_end_cause(self) -> str:
         """The likely reason why no log line reports the request's end."""
-        vm = self.lines[-1].vm
+        vm = self._own_vm
         for line in self.background:
             if line.time <= self.lines[-1].time:
                 continue
@@ -172,6 +212,9 @@
     pause_s = last.fields.get("pause_s")
     if pause_s is not None:
         text += f", its longest pause {pause_s} s"
+    helper = last.fields.get("helper")
+    if helper is not None:
+        text += f", forwarded by its VM {last.vm} to {helper}"
     return text + _describe_last_response(last)
 
 
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -75,3 +75,25 @@
     When the operator explains "jj11"
     Then the command succeeds and prints "no runner would have begun"
     And the command succeeds and prints "request_without_time"
+
+  # Guards against two timelines of one request that two VMs have handled.
+  Scenario: A request that another VM ran is explained from both logs
+    Given logs of two VMs with requests that one forwarded to the other
+    When the operator explains "kk11"
+    Then the command succeeds and prints "forwarded by its VM vm-1 to vm-2"
+    And it prints the lines of both VMs in order
+
+  Scenario: A forwarded request that was refused is explained
+    Given logs of two VMs with requests that one forwarded to the other
+    When the operator explains "kk22"
+    Then the command succeeds and prints "had no room for it; its VM vm-1 had"
+
+  Scenario: A request that no other VM could run is explained
+    Given logs of two VMs with requests that one forwarded to the other
+    When the operator explains "kk33"
+    Then the command succeeds and prints "503: its VM reached no runner, and no"
+
+  Scenario: A request is explained whose VM was killed after forwarding it
+    Given logs of two VMs with requests that one forwarded to the other
+    When the operator explains "kk44"
+    Then the command succeeds and prints "its VM vm-1 was lost to the others"
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -77,6 +77,34 @@
 time=2026-03-01T03:12:14.200000Z level=INFO event=request_refused vm=vm-1 \
 request=jj11 status=503 reason=no_time retry_after_s=0.8
 """
+FORWARDER_LOG = """\
+time=2026-03-01T03:12:13.100000Z level=INFO event=request_forwarded vm=vm-1 \
+request=kk11 helper=vm-2 data_centre=a cause=isolated attempt=1 left_s=4
+time=2026-03-01T03:12:13.400000Z level=INFO event=request_ended vm=vm-1 \
+request=kk11 helper=vm-2 sends=1 served=True first_s=0.2 took_s=0.3
+time=2026-03-01T03:12:14.100000Z level=INFO event=request_forwarded vm=vm-1 \
+request=kk22 helper=vm-2 data_centre=a cause=isolated attempt=1 left_s=4
+time=2026-03-01T03:12:14.200000Z level=INFO event=request_ended vm=vm-1 \
+request=kk22 helper=vm-2 sends=0 served=False ended=helper_full took_s=0.1
+time=2026-03-01T03:12:14.200100Z level=INFO event=request_refused vm=vm-1 \
+request=kk22 status=503 reason=helper_full retry_after_s=0.2
+time=2026-03-01T03:12:15.200100Z level=INFO event=request_refused vm=vm-1 \
+request=kk33 status=503 reason=isolated retry_after_s=0.5
+time=2026-03-01T03:12:16.100000Z level=INFO event=request_forwarded vm=vm-1 \
+request=kk44 helper=vm-2 data_centre=a cause=isolated attempt=1 left_s=4
+"""
+HELPER_LOG = """\
+time=2026-03-01T03:12:13.200000Z level=INFO event=request_routed vm=vm-2 \
+request=kk11 service=s runner=r-7 in_flight=2 left_s=3.9 attempt=1
+time=2026-03-01T03:12:13.390000Z level=INFO event=forwarded_call vm=vm-2 \
+request=kk11 peer=10.0.0.1 result=served executed=yes runner=r-7 sends=1
+time=2026-03-01T03:12:14.150000Z level=INFO event=forwarded_call vm=vm-2 \
+request=kk22 peer=10.0.0.1 result=turned_away executed=no ended=helper_full
+time=2026-03-01T03:12:16.200000Z level=INFO event=request_routed vm=vm-2 \
+request=kk44 service=s runner=r-7 in_flight=2 left_s=3.9 attempt=1
+time=2026-03-01T03:12:16.400000Z level=INFO event=forwarded_call vm=vm-2 \
+request=kk44 peer=10.0.0.1 result=cancelled executed=unknown runner=r-7
+"""
 METRICS = """\
 apricotlever_service_contended{service="s"} 1
 apricotlever_service_wait_s{service="s"} 0.3
@@ -172,6 +200,25 @@
     }, context.out
 
 
+@given("logs of two VMs with requests that one forwarded to the other")
+def _forwarded_logs(context):
+    _create_folder(context)
+    _write_log(context, "vm-1.log", FORWARDER_LOG)
+    _write_log(context, "vm-2.log", HELPER_LOG + MEMBER_DEAD_LOG)
+
+
+@then("it prints the lines of both VMs in order")
+def _check_both_vms(context):
+    events = (
+        "vm-1 request_forwarded",
+        "vm-2 request_routed",
+        "vm-2 forwarded_call",
+        "vm-1 request_ended",
+    )
+    places = [context.out.find(event) for event in events]
+    assert places == sorted(places) and places[0] >= 0, context.out
+
+
 @given("a log of a late stream")
 def _late_stream_log(context):
     _write_log(context, "vm-3.log", LATE_STREAM_LOG)
