--- a/src/apricotlever/serving/forwarding_attempt.py
+++ b/src/apricotlever/serving/forwarding_attempt.py
@@ -1,5 +1,7 @@
 """One attempt that forwards a call to a helper, another VM that runs it."""
 
+import asyncio
+
 from .. import refusals
 from ..vms import vm_records
 
@@ -11,6 +13,7 @@
 from . import forwarding_protocol
 from . import helpers
 from . import messages
+from . import reply_writer
 from . import response_reader
 
 #: Timeout for opening a connection to a helper, in seconds; as for a runner.
@@ -172,6 +175,9 @@
                 attempt_outcome.AttemptStatus.BROKEN,
                 reason=f"disorder:{error}",
             )
+        except (asyncio.CancelledError, reply_writer.CallerGone):
+            self._helpers.record_result(None)
+            raise
         finally:
             self._helpers.choice.call_ended(self._helper.vm)
             self._return_channel(channel, reader.head if reusable else None)
--- a/src/apricotlever/serving/helpers.py
+++ b/src/apricotlever/serving/helpers.py
@@ -114,9 +114,16 @@
         if helper.data_centre != self._data_centre:
             self._far_bytes += count
 
-    def record_result(self, status: attempt_outcome.AttemptStatus) -> None:
-        """Count the end of a forwarded call."""
-        self._results[status.value] = self._results.get(status.value, 0) + 1
+    def record_result(
+        self, status: attempt_outcome.AttemptStatus | None
+    ) -> None:
+        """Count the end of a forwarded call.
+
+        :param status: how far it got; None if the caller has gone, or its time
+            is over.
+        """
+        result = status.value if status is not None else "cancelled"
+        self._results[result] = self._results.get(result, 0) + 1
 
     def sweep(self, now: float) -> None:
         """Close idle connections, and forget helpers without connections.
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -328,3 +328,21 @@
     And the other VMs are in another data centre
     When a call is made
     Then VM 1 has counted bytes to other data centres
+
+  # Guards against a stream that is cut off, because its helper takes itself
+  # for idle and ends.
+  Scenario: A helper that leaves finishes the calls that it runs
+    Given an isolated VM and 1 other VM
+    And a route for idempotent calls
+    And a runner that answers late
+    When a call is made and its helper VM 2 begins to leave
+    Then the status is 200 with "from runner-1"
+    And VM 2 was busy with 1 call until then
+
+  Scenario: Results of forwarded calls are counted
+    Given an isolated VM and 1 other VM
+    And a route for idempotent calls
+    And a runner that answers
+    When 2 calls are made
+    Then the metrics of VM 1 have forwarded_calls_total{result="answered"} 2
+    And the metrics of VM 2 have helped_calls_total{result="served"} 2
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -68,6 +68,12 @@
     writer.write(_response(200, call, f"from {runner.name}".encode()))
 
 
+@behaviour("answers late")
+async def _answers_late(runner, writer, call):
+    await asyncio.sleep(0.1)
+    await _answers(runner, writer, call)
+
+
 @behaviour("fails")
 async def _fails(runner, writer, call):
     writer.write(_response(500, call, b"broken"))
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -12,6 +12,7 @@
 from apricotlever.serving import connection_pool
 from apricotlever.serving import forwarded_calls
 from apricotlever.serving import forwarding_protocol
+from apricotlever.serving import metrics
 from tests.serving import forwarding_fleet
 from tests.serving import request_path
 
@@ -314,3 +315,33 @@
 def _check_bytes(context, number):
     counters = _vm(context, number).relay.helpers.counters
     assert counters["forwarded_bytes_to_data_centres_total"] > 0
+
+
+@when("a call is made and its helper VM {number:d} begins to leave")
+def _leave_while_running(context, number):
+    vm = _vm(context, number)
+
+    async def work():
+        await context.world.send()
+        while not vm.forwarded.in_progress:
+            await asyncio.sleep(0.001)
+        vm.leaving = True
+        context.busy = vm.forwarded.in_progress
+        return await context.world.receive()
+
+    context.replies = [_run(context, work())]
+
+
+@then("VM {number:d} was busy with {count:d} call until then")
+def _check_busy(context, number, count):
+    assert context.busy == count
+    assert _vm(context, number).forwarded.in_progress == 0
+
+
+@then("the metrics of VM {number:d} have {line}")
+def _check_metrics(context, number, line):
+    vm = _vm(context, number)
+    text = metrics.format_metrics(
+        vm.relay, vm.limits, vm.configuration, {}, {}, vm.forwarded.results
+    )
+    assert f"apricotlever_{line}" in text.splitlines(), text
