Show that a full pool passes for a sign of a runner's life

A response without length that ended with its connection is whole only if its runner goes on. The check for that counts a runner as alive when this VM may open no further connection to it: nothing was learned then, and half a response passes for the whole one. It takes a pool above its limit, which shrinks when VMs join, and a runner that ends at that moment.

--- a/tests/serving/crash_watch.feature
+++ b/tests/serving/crash_watch.feature
@@ -14,3 +14,17 @@
       | accepts a connection               | not ended |
       | opens no connection in time        | not ended |
       | has no free connection in the pool | not ended |
+
+  # Guards against half a response that passes for a whole one, as the end of
+  # its runner's process closed the connection.
+  Scenario Outline: Only an accepted connection shows that a runner goes on
+    Given a watch on crashes
+    When a runner ends a response by closing, and its port <does>
+    Then the runner <may have ended>
+
+    Examples:
+      | does                               | may have ended |
+      | refuses                            | may have ended |
+      | accepts a connection               | goes on        |
+      | opens no connection in time        | may have ended |
+      | has no free connection in the pool | may have ended |
--- a/tests/steps/serving_crash_watch.py
+++ b/tests/steps/serving_crash_watch.py
@@ -62,3 +62,23 @@
 @then("the runner counts as {ended}")
 def _counts_as(context, ended):
     assert context.ended == (ended == "ended"), context.ended
+
+
+@when("a runner ends a response by closing, and its port {does}")
+def _ends_by_closing(context, does):
+    runner = runners.Runner("r-1", "llm", "127.0.0.1", 1, "dc-a", 4)
+    context.pool = _Pool(CONNECT_ERRORS[does])
+    context.ended = asyncio.run(
+        context.watch.may_have_ended(runner, context.pool)
+    )
+
+
+@then("the runner may have ended")
+def _may_have_ended(context):
+    assert context.ended
+
+
+@then("the runner goes on")
+def _goes_on(context):
+    assert not context.ended
+    assert context.pool.released == 1
