Take a full pool for no sign of a runner's life

What callers could see: half a response without length, framed as complete, if its runner's process ended while this VM had more connections to it than it may now open.

Change: only an accepted connection shows that a runner goes on. Weighed: opening a connection beyond the limit, which the runner may reset; the case is too rare for a way of its own, and costs one repeated call.

--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -132,14 +132,12 @@
         length, as the end of a process closes its connections, too. The
         connection that is opened here serves a later call.
 
-        :returns: False if the runner accepts a connection, or if it has too
-            many to open another one.
+        :returns: False only if the runner accepts a connection. True also if
+            the pool is full, as nothing is learned of the runner then.
         """
         try:
             channel = await pool.acquire(CHECK_TIMEOUT_S, fresh=True)
-        except pools.PoolFull:
-            return False
-        except client_channel.NotConnected:
+        except client_channel.ChannelError:
             return True
         pool.release(channel, closing=False, keep_alive_s=None)
         return False
