Don't end a stream as complete for a caller that was given up

What callers saw, on the daemon's path: a caller that read a stream too slowly got a part of it, with the last chunk after it, as if it were whole. A model answer has its own end mark besides; a caller that trusts the framing, or an intermediary that caches, had nothing to tell the part from the whole.

Cause: waitress ends each response whose application returns, and a stream's function returns, too, when its writer has failed.

Change: the server asks the writer. If it has failed, the response isn't ended and the connection closes once the buffered bytes are sent. No handler can get this wrong, as none has to report it.

--- a/src/apricotlever/links/caller_server.py
+++ b/src/apricotlever/links/caller_server.py
@@ -112,11 +112,17 @@
     :param task: the WSGI task, after ``start_response`` was called.
     """
 
-    __slots__ = ("_task", "_channel")
+    __slots__ = ("_task", "_channel", "_failed")
 
     def __init__(self, task: _waitress_server.Task) -> None:
         self._task = task
         self._channel = task.channel
+        self._failed = False
+
+    @property
+    def failed(self) -> bool:
+        """Whether a chunk was not written, so that the body is not whole."""
+        return self._failed
 
     def __call__(self, data: bytes) -> None:
         """Write a chunk of the body without blocking.
@@ -130,6 +136,7 @@
         task = self._task
         channel = self._channel
         if channel.total_outbufs_len > MAX_UNSENT_BYTES:
+            self._failed = True
             raise CallerDisconnected("the caller does not read the stream")
         try:
             if not task.wrote_header:
@@ -139,6 +146,7 @@
             else:
                 channel.send_directly(data)
         except (waitress_channel.ClientDisconnected, OSError) as error:
+            self._failed = True
             raise CallerDisconnected("the caller has disconnected") from error
 
 
@@ -146,7 +154,9 @@
     """The response to a call whose body is written as it is produced.
 
     :param headers: names and values.
-    :param run: writes the whole body and returns; must not raise.
+    :param run: writes the body and returns. If it raises, or the writer has
+        failed, the connection is closed and the response is not ended, so
+        that its framing shows it to be incomplete.
     """
 
     __slots__ = ("headers", "run")
@@ -272,7 +282,11 @@
         reply = self._answer(environ)
         if isinstance(reply, StreamingReply):
             start_response(_waitress_server.status_line(200), reply.headers)
-            reply.run(StreamWriter(environ[_waitress_server.TASK_ENVIRON_KEY]))
+            writer = StreamWriter(environ[_waitress_server.TASK_ENVIRON_KEY])
+            reply.run(writer)
+            if writer.failed:
+                # waitress would end the response as a complete one.
+                raise waitress_channel.ClientDisconnected
             return []
         start_response(
             _waitress_server.status_line(reply.status), reply.headers
