Don't take the end of a connection for the end of a line

What callers saw, on the daemon's path: a response of a plain service that was cut within its head came as an empty response with the runner's status, 200 among them; for a call that runs at most once it was kept as the answer to its key. A body cut after the first digit of a chunk's size, 0, was whole.

Cause: http.client ends a line, a head and a trailer where the connection ends.

Change: a response class whose lines need their ends; each connection to an upstream uses it.

--- /dev/null
+++ b/src/apricotlever/links/strict_responses.py
@@ -0,0 +1,43 @@
+"""HTTP responses whose end is never inferred from a cut connection.
+
+``http.client`` is lenient: it takes the end of the connection for the end of
+a line, so that a response which is cut within its head passes for a complete
+one with an empty body.
+"""
+
+from http import client as http
+import typing
+
+
+class _WholeLines:
+    """A file that raises an error for a line without its end.
+
+    :param file: the file that the lines are read from.
+    """
+
+    __slots__ = ("_file",)
+
+    def __init__(self, file: typing.Any) -> None:
+        self._file = file
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._file, name)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read a line, with its end.
+
+        :raises http.client.IncompleteRead: when the file ends before it, or
+            the line is longer than the limit.
+        """
+        line = bytes(self._file.readline(limit))
+        if not line.endswith(b"\n"):
+            raise http.IncompleteRead(line)
+        return line
+
+
+class StrictResponse(http.HTTPResponse):
+    """A response; the arguments are those of :class:`http.client`'s class."""
+
+    def __init__(self, *arguments: typing.Any, **named: typing.Any) -> None:
+        super().__init__(*arguments, **named)
+        self.fp = typing.cast(typing.Any, _WholeLines(self.fp))
--- a/src/apricotlever/links/upstream_pool.py
+++ b/src/apricotlever/links/upstream_pool.py
@@ -6,6 +6,8 @@
 
 from .. import clock as clocks
 
+from . import strict_responses
+
 MAX_POOLED_AGE_S = 20.0
 MAX_POOLED_PER_UPSTREAM = 32
 KEEPALIVE_IDLE_S = 5
@@ -26,6 +28,8 @@
     deadlines of each phase of an exchange.
     """
 
+    response_class = strict_responses.StrictResponse
+
     def connect(self) -> None:
         super().connect()
         sock = self.sock
