Measure a response by the length that its reader found

What callers saw, on the daemon's path: a body cut by the end of its connection passed for whole if its length was stated twice or was no number, contradicted another framing, or came in an unknown coding; the answers to HEAD and 304, whose length is that of what they don't hold, counted as cut.

Cause: the check compared the text of the header with the bytes read, and http.client ends what it can't measure with the connection.

Change: a response whose end is unclear is broken off; any other is whole if nothing is left of the length that http.client counts down.

--- a/src/apricotlever/links/strict_responses.py
+++ b/src/apricotlever/links/strict_responses.py
@@ -2,12 +2,14 @@
 
 ``http.client`` is lenient: it takes the end of the connection for the end of
 a line, so that a response which is cut within its head passes for a complete
-one with an empty body.
+one with an empty body. It also ignores a length that it can't read.
 """
 
 from http import client as http
 import typing
 
+_CHUNKED = "chunked"
+
 
 class _WholeLines:
     """A file that raises an error for a line without its end.
@@ -41,3 +43,24 @@
     def __init__(self, *arguments: typing.Any, **named: typing.Any) -> None:
         super().__init__(*arguments, **named)
         self.fp = typing.cast(typing.Any, _WholeLines(self.fp))
+
+    def begin(self) -> None:
+        """Read the head.
+
+        :raises http.client.HTTPException: when the head is cut, or where the
+            body ends is unclear.
+        """
+        super().begin()
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        lengths = set(self.headers.get_all("Content-Length") or [])
+        coding = self.headers.get("Transfer-Encoding")
+        if coding is not None and (coding.lower() != _CHUNKED or lengths):
+            raise http.UnknownTransferEncoding(coding)
+        if len(lengths) > 1 or not all(map(_is_length, lengths)):
+            raise http.HTTPException(f"unclear lengths: {sorted(lengths)}")
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit()
--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -261,7 +261,7 @@
                 raise UpstreamResponseTooLarge(
                     "the response is too large", sent=True
                 )
-        self._check_complete(size)
+        self._check_complete()
         return b"".join(chunks)
 
     def read_json(self) -> typing.Any:
@@ -335,12 +335,12 @@
         values = self._response.headers.get_all(name) or []
         return [str(value).encode("latin-1", "replace") for value in values]
 
-    def _check_complete(self, size: int) -> None:
+    def _check_complete(self) -> None:
         # http.client ends a read1 loop without an error when the connection
         # closes before Content-Length bytes arrived, so that a truncated body
-        # would pass for a complete one.
-        announced = self.header("Content-Length")
-        if announced.isdigit() and size < int(announced):
+        # would pass for a complete one. A response without a body, such as
+        # 304, may state the length of what it doesn't hold.
+        if self._response is not None and self._response.length:
             self.abandon()
             raise ConnectionBroken("the response was truncated", sent=True)
 
