Skip interim responses of upstreams

What callers saw, on the daemon's path: an interim response of a plain service (103) as the answer to the call, empty; the answer itself was then the first thing to be read on the kept connection.

Cause: http.client skips status 100 only.

Change: heads with a status below 200 are skipped until the final one; an upgrade, which nobody asks for, is an error.

--- a/src/apricotlever/links/strict_responses.py
+++ b/src/apricotlever/links/strict_responses.py
@@ -9,6 +9,8 @@
 import typing
 
 _CHUNKED = "chunked"
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
 
 
 class _WholeLines:
@@ -45,12 +47,18 @@
         self.fp = typing.cast(typing.Any, _WholeLines(self.fp))
 
     def begin(self) -> None:
-        """Read the head.
+        """Read the head of the final response; interim ones are skipped.
 
         :raises http.client.HTTPException: when the head is cut, or where the
             body ends is unclear.
         """
         super().begin()
+        while self.status < _FIRST_FINAL_STATUS:
+            if self.status == _SWITCHING_PROTOCOLS:
+                raise http.UnknownProtocol("an upgrade that nobody asked for")
+            # Without it, the base class takes the head for read.
+            self.headers = self.msg = typing.cast(typing.Any, None)
+            super().begin()
         self._check_framing()
 
     def _check_framing(self) -> None:
