Don't read null from a document that broke off before its first byte

What could happen, on the daemon's path: a runner that ended after the head of its answer to an export, without a length, had exported null; the import of nothing was then refused by the next runner, and its 400 ended the request of the caller as a bad one.

Cause: an empty body is null, and the end of the connection ends a body without length.

Change: an empty body is null only if its framing says that it is empty.

Measured: the listed example failed each time before and passes now.

--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -102,6 +102,15 @@
             return None
         return self._sock
 
+    @property
+    def ends_by_closing(self) -> bool:
+        """Whether only the end of the connection can end the body.
+
+        The end of the upstream's process closes its connections, too.
+        """
+        found = self._response
+        return bool(found and found.length is None and not found.chunked)
+
     @property
     def reused(self) -> bool:
         """Whether the connection was used for an earlier exchange."""
@@ -267,10 +276,16 @@
     def read_json(self) -> typing.Any:
         """Read and parse the complete JSON body, and finish the exchange.
 
-        :raises ConnectionBroken: when the body is not JSON.
+        :returns: None for an empty body.
+        :raises ConnectionBroken: when the body is not JSON, or is empty and
+            nothing but the end of the connection says so.
         :raises UpstreamError: as :meth:`read_body`.
         """
         content = self.read_body()
+        if not content and self.ends_by_closing:
+            self.abandon()
+            message = f"{self._address} sent no document"
+            raise ConnectionBroken(message, sent=True)
         self.finish()
         try:
             return json.loads(content or b"null")
