Don't reuse a connection on which bytes wait

What callers could get, on the daemon's path: the answer to another request. An upstream that answers once more, late, on a kept connection had its bytes read as the answer to the next request, unless it echoes request ids.

Change: a kept connection that is readable is closed, as the client of the platform's interfaces does. A connection that the upstream has closed is readable, too, so that fewer calls are sent over one that is gone.

What remains: bytes that arrive between the check and the request; only the echoed id tells these apart.

The pool's stand-in connections got a socket, which the check polls.

--- a/src/apricotlever/links/upstream_pool.py
+++ b/src/apricotlever/links/upstream_pool.py
@@ -2,6 +2,7 @@
 
 from http import client as http
 import queue
+import select
 import socket
 
 from .. import clock as clocks
@@ -62,6 +63,16 @@
         self.connection = connection
         self.opened_at = opened_at
 
+    @property
+    def is_readable(self) -> bool:
+        """Whether the upstream has closed it, or sent what nobody asked for.
+
+        Such bytes would be read as the answer to the next request.
+        """
+        poll = select.poll()
+        poll.register(self.connection.sock, select.POLLIN | select.POLLHUP)
+        return bool(poll.poll(0))
+
 
 class ConnectionPool:
     """Pool of idle connections whose last exchange ended cleanly.
@@ -88,7 +99,7 @@
         return self._clock.now()
 
     def take(self, address: str) -> PooledConnection | None:
-        """Take the latest connection that is young enough, or None.
+        """Take the latest connection that is young and silent, or None.
 
         :param address: ``host:port`` of the upstream.
         """
@@ -98,7 +109,8 @@
                 pooled = idle.get_nowait()
             except queue.Empty:
                 return None
-            if self._clock.now() - pooled.opened_at < MAX_POOLED_AGE_S:
+            young = self._clock.now() - pooled.opened_at < MAX_POOLED_AGE_S
+            if young and not pooled.is_readable:
                 return pooled
             pooled.connection.close()
         return None
--- a/tests/steps/links_upstream_exchange.py
+++ b/tests/steps/links_upstream_exchange.py
@@ -1,5 +1,7 @@
 """Steps for tests/links/upstream_exchange.feature."""
 
+import socket
+
 from behave import then
 from behave import when
 
@@ -9,6 +11,8 @@
 CALL_INTERVAL_S = 1.0
 TIMEOUT_SPACING_S = 0.01
 UPSTREAM = "10.0.0.1:80"
+#: Two ends of a connection on which nothing is ever sent.
+_SILENT_ENDS = socket.socketpair()
 
 
 class _Connection:
@@ -16,6 +20,7 @@
 
     def __init__(self):
         self.closed = False
+        self.sock = _SILENT_ENDS[0]
 
     def close(self):
         self.closed = True
