Don't take the end of a service's process for the end of its answer

What callers could see, on the daemon's path: half an answer of a plain service as the whole one, if it had no length and the service's process ended; for a call that runs at most once again at each repetition, as its key kept it.

Cause: the end of the connection ends a body without length, and the end of a process closes its connections in the same way.

Change: such an answer is whole only if the service accepts a connection afterwards, as on the entry's path. Otherwise an idempotent call goes to another service, and the outcome of any other is unknown, which it is.

--- a/src/apricotlever/daemon/service_attempts.py
+++ b/src/apricotlever/daemon/service_attempts.py
@@ -229,6 +229,10 @@
         status = exchange.status
         content_type = exchange.header("Content-Type")
         exchange.finish()
+        if exchange.ends_by_closing and self._refuses_connections():
+            raise upstream_exchange.ConnectionBroken(
+                "ended with its answer", sent=True
+            )
         if retry_errors and status in _TRANSIENT_STATUSES:
             raise upstream_exchange.UpstreamErrorResponse(
                 status, body[:256], bool(exchange.statement.rest_s)
@@ -326,8 +330,10 @@
         suspected cause. The upstream has crashed only if a new connection
         to it fails as well.
         """
-        if not isinstance(error, upstream_exchange.ConnectionBroken):
-            return False
+        broken = isinstance(error, upstream_exchange.ConnectionBroken)
+        return broken and self._refuses_connections()
+
+    def _refuses_connections(self) -> bool:
         probe = upstream_exchange.Exchange(
             self._address, service_request.MIN_RESPONSE_TIMEOUT_S
         )
