Don't blame a caller for what a resuming runner refuses

What callers saw, on the daemon's path: a model answer that ended with bad_request in its middle, as the runner that was to go on with it, or to import it, answered 400, 413 or 422, though another one could have.

Cause: each such status counted as the caller's fault. A request that an earlier runner has taken is not malformed; what that runner got is made by this system.

Change: only the first runner's word is the caller's fault. At a resumption such a status is a failure like 500: another runner, the limit of failures and the deadline decide.

--- a/src/apricotlever/daemon/model_attempts.py
+++ b/src/apricotlever/daemon/model_attempts.py
@@ -44,6 +44,7 @@
         "_disconnected_runner",
         "_on_trial",
         "_sent",
+        "_resuming",
         "_silent_runner",
         "_selector",
     )
@@ -58,6 +59,8 @@
         self._disconnected_runner = ""
         self._on_trial = False
         self._sent = False
+        #: Whether the attempt goes on with what an earlier one began.
+        self._resuming = False
         self._silent_runner: runners.Runner | None = None
         self._selector = runner_selection.RunnerSelector(
             context, request.deadline, self._refusal
@@ -76,6 +79,9 @@
         :raises UpstreamError: when the attempt failed.
         :raises Refusal: when no runner is available or allowed.
         """
+        self._resuming = self._request.resume_from > 0 or isinstance(
+            decision, (recovery.ExportTo, recovery.Reconnect)
+        )
         if isinstance(decision, recovery.ExportTo):
             return self._move_to(decision.runner)
         if isinstance(decision, recovery.Reconnect):
@@ -240,7 +246,9 @@
     def _refuse_client_error(
         self, error: upstream_exchange.UpstreamErrorResponse
     ) -> None:
-        if error.status in _CLIENT_ERRORS:
+        # An earlier runner has taken the request that is resumed, so that the
+        # caller is not to blame.
+        if error.status in _CLIENT_ERRORS and not self._resuming:
             raise self._refusal(
                 refusals.BAD_REQUEST,
                 f"the runner refused the request with {error.status}",
