Take an event with a bad number for a broken stream

What callers saw, on the daemon's path: a stream that was cut without an error event, and a request that stayed open at the VM, its slot in use, when a runner sent an event whose number is none.

Cause: the number was parsed without a check, and only failures of the exchange are recovered from.

Change: such an event breaks the attempt off, so that another runner goes on.

Measured: the listed example failed each time before; 20 of 20 scenarios of resumed_answers.feature pass.

--- a/src/apricotlever/daemon/answer_reader.py
+++ b/src/apricotlever/daemon/answer_reader.py
@@ -225,8 +225,8 @@
 
         :param data: bytes as read; may end in the middle of an event.
         :returns: the accepted events, to be passed on.
-        :raises ConnectionBroken: when a token is missing or the answer is
-            empty.
+        :raises ConnectionBroken: when a token is missing or not numbered, or
+            the answer is empty.
         """
         if not self._partial_event and data.startswith(self._expected_prefix):
             # Fast path: nearly every read returns exactly the next event.
@@ -256,7 +256,12 @@
         if not event.startswith(_ID_PREFIX):
             self._complete |= event.startswith(_DONE_DATA)
             return
-        index = int(event[len(_ID_PREFIX) : event.index(b"\n")])
+        digits = event[len(_ID_PREFIX) :].partition(b"\n")[0]
+        if not digits.isdigit():
+            raise upstream_exchange.ConnectionBroken(
+                "an event has no number", sent=True
+            )
+        index = int(digits)
         verdict = self._cursor.offer(self._request.attempt, index)
         if verdict == stream_cursor.GAP:
             raise upstream_exchange.ConnectionBroken(
