Show that an interim response interrupts a stream

A caller that sends its next call before the stream of the one before has ended, and wants to be asked for the body, gets 100 Continue between two chunks of that stream, where a chunk's size is due: bytes that are no response in the protocol. With a caller's connection on a transport that keeps what is written, the scenario fails each time and is listed.

--- a/tests/serving/caller_server.feature
+++ b/tests/serving/caller_server.feature
@@ -30,3 +30,10 @@
     When the VM starts to leave while a call is in progress
     Then the status is 200
     And the connection closes after the response
+
+  # Guards against bytes that belong to no response in the middle of one.
+  Scenario: A stream isn't interrupted when the next call asks to go on
+    Given a caller that reads a stream
+    When it sends the head of a call that expects to be asked for its body
+    And the stream ends after another event
+    Then the caller gets both events, the end, and is asked for the body
