Ask for a call's body only between two responses

What callers could see: bytes that are no response, where a chunk's size was due, in a stream after which they had already sent the head of another call.

Cause: 100 Continue was written when the head was read, whatever the connection was sending.

Change: it is sent once the responses before it have ended.

--- a/src/apricotlever/serving/caller_server.py
+++ b/src/apricotlever/serving/caller_server.py
@@ -28,6 +28,8 @@
 WRITE_TIMEOUT_S = 10.0
 #: Interval between checks for idle and slow connections, in seconds.
 SWEEP_INTERVAL_S = 0.5
+#: Asks a caller for the body of its call. Sent only between two responses.
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class RawRequest:
@@ -67,6 +69,7 @@
         "_pending_calls",
         "_chunked",
         "_closing",
+        "_continue_due",
         "_eof",
         "_head_bytes",
         "_reading_head",
@@ -95,6 +98,8 @@
         self._head_bytes = 0
         self._reading_head = True
         self._closing = False
+        #: Whether the caller waits to be asked for the body of its next call.
+        self._continue_due = False
         self._eof = False
         self._write_paused = False
         self._drain_waiter: asyncio.Future[None] | None = None
@@ -289,7 +294,9 @@
         self._head_bytes = 0
         call.method = self._parser.get_method().decode("latin-1")
         if any(name.lower() == b"expect" for name, _ in call.headers):
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._continue_due = True
+            if not self.busy:
+                self._ask_for_body()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the call's body.
@@ -308,6 +315,7 @@
         The call is started at once if the connection has no earlier one.
         """
         call, self._current_call = self._current_call, None
+        self._continue_due = False
         if call is None or self._closing:
             return
         call.body = b"".join(self._body)
@@ -324,6 +332,13 @@
         if self._task is None and self._pending_calls:
             call = self._pending_calls.popleft()
             self._task = self._loop.create_task(self._handle(call))
+        elif self._continue_due and not self.busy:
+            self._ask_for_body()
+
+    def _ask_for_body(self) -> None:
+        self._continue_due = False
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(CONTINUE)
 
     async def _handle(self, call: RawRequest) -> None:
         reply = reply_writer.ReplyWriter(self)
