Show that a response its caller still reads counts as sent

A stopping VM ends once no call is in progress. A call is in progress while its task runs, and the task of a whole response ends when the response is in the write buffer; so does that of a stream, with what is left of it. A caller that reads slowly, or over a slow link, then gets a part and a closed connection. It shows as incomplete, so that it breaks no promise of framing, but the work is lost.

--- a/tests/serving/caller_server.feature
+++ b/tests/serving/caller_server.feature
@@ -37,3 +37,11 @@
     When it sends the head of a call that expects to be asked for its body
     And the stream ends after another event
     Then the caller gets both events, the end, and is asked for the body
+
+  # Guards against a whole response of which a caller gets a part, as the VM
+  # that stops has no more calls to answer.
+  Scenario: A call is in progress until its caller has the response
+    Given a server that answers with more than the network holds
+    When a caller doesn't read until its call is answered
+    Then its connection is busy
+    And is no longer busy once the caller has read the whole response
