Count a response as in progress until its caller's socket has it

What callers saw: a response that was broken off by a VM's planned stop though its runner had ended it, if they read it slowly.

Cause: the stop waits for tasks, and a task ends when its response is buffered.

Change: a connection with unsent bytes is busy, for the stop and the gauge of busy connections. A caller that never reads holds a stopping VM until its shutdown time is nearly over, as one that stops reading a stream did before.

--- a/src/apricotlever/serving/caller_server.py
+++ b/src/apricotlever/serving/caller_server.py
@@ -403,8 +403,14 @@
 
     @property
     def busy(self) -> int:
-        """Number of connections with a call in progress or queued."""
-        return sum(channel.busy for channel in self.channels)
+        """Number of connections with a call in progress or queued.
+
+        A call is in progress until its caller's socket has the response.
+        """
+        return sum(
+            channel.busy or channel.unsent_bytes > 0
+            for channel in self.channels
+        )
 
     async def listen(self, host: str, port: int) -> int:
         """Accept connections at an address.
