End an earlier answer only by its known outcome

What callers could see, on the daemon's path: [DONE] after a part of an answer, or after nothing, if its request moved on or was just ending while its record was read.

Cause: no outcome counted as a good one, and the state that guarded it is changed by another thread, before the outcome.

Change: the outcome is read once, before the tokens, and decides alone. Without one the caller is told to ask again.

--- a/src/apricotlever/daemon/request_lookup.py
+++ b/src/apricotlever/daemon/request_lookup.py
@@ -133,10 +133,13 @@
             found.request, start, call.is_disconnected
         )
         return caller_server.Reply(200, headers, events)
-    if record.state is records.RequestState.RUNNING:
+    outcome = record.outcome
+    if outcome is None:
+        # The registry may change the record at this moment. An outcome is set
+        # last, once the tokens are final.
         raise refusals.Refusal(
             refusals.LEAVING,
-            "the request is moving between entry VMs; ask again",
+            "the request is ending or moving; ask again",
             refusals.Executed.UNKNOWN,
             0.2,
             record.request_id,
@@ -148,7 +151,8 @@
         for index, token in enumerate(record.tokens)
         if index >= start
     )
-    return caller_server.Reply(200, headers, body + _final_event(record))
+    end = _final_event(record.request_id, outcome)
+    return caller_server.Reply(200, headers, body + end)
 
 
 def _last_event_id(call: caller_server.Call) -> int | None:
@@ -164,14 +168,13 @@
     return int(text)
 
 
-def _final_event(record: records.RequestRecord) -> bytes:
-    outcome = record.outcome
-    if outcome is None or outcome.error is None:
+def _final_event(request_id: str, outcome: records.RequestOutcome) -> bytes:
+    if outcome.error is None:
         return openai_format.DONE_EVENT
     kind = refusals.kinds().get(outcome.error, refusals.GAVE_UP)
     executed = refusals.Executed(outcome.executed.value)
     return model_responses.error_event(
-        refusals.Refusal(kind, kind.meaning, executed, 1.0, record.request_id)
+        refusals.Refusal(kind, kind.meaning, executed, 1.0, request_id)
     )
 
 
