Wait out a sound runner's second of silence before a call is repeated

A repeatable call left a runner after 2.5 times its objective, at least 0.6 s. With objectives below 0.4 s, a sound runner's second of silence made each call there run twice, and counted as a failure of the runner for all VMs. The call now waits at least 1.5 s (the longest silence of a sound runner), but no more than 0.7 of the time that it has left, which was the condition for leaving at all: each call that left a hung runner before still does, with at least 0.3 of its time for another one.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -5,6 +5,7 @@
 
 from .. import logs
 from ..contracts import rejection_limit
+from ..runners import silence_detector
 
 from . import attempt_outcome
 from . import call_placement
@@ -22,7 +23,8 @@
     from . import call_relay
 
 #: A call that may be repeated waits for a runner's response to begin for this
-#: multiple of the route's objective, and at least for this many seconds.
+#: multiple of the route's objective, and at least as long as a sound runner
+#: may be silent if the deadline allows it, else for this many seconds or more.
 FIRST_RESPONSE_OBJECTIVE_FACTOR = 2.5
 MIN_FIRST_RESPONSE_TIMEOUT_S = 0.6
 #: Share of the call's remaining time that the wait for the start of a response
@@ -365,7 +367,9 @@
 
         Only this timeout detects a runner that hangs or a silently dropped
         connection before the deadline. It is None if the call must not be
-        repeated, or if too little time would be left for another runner.
+        repeated, or if too little time would be left for another runner. A
+        sound runner that is silent for a second runs the call all the same,
+        so it is waited for where another one could still answer afterwards.
         """
         if not self._can_repeat():
             return None
@@ -375,7 +379,9 @@
         )
         wait_s = max(MIN_FIRST_RESPONSE_TIMEOUT_S, objective_wait_s)
         limit_s = FIRST_ATTEMPT_SHARE * left_s
-        return wait_s if wait_s < limit_s else None
+        if wait_s >= limit_s:
+            return None
+        return max(wait_s, min(silence_detector.MAX_SOUND_SILENCE_S, limit_s))
 
     def _can_repeat(self) -> bool:
         return (
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -10,6 +10,9 @@
 #: How long a runner takes until it fails to resume a stream, in seconds.
 RESUMPTION_S = 0.05
 
+#: A silence of a sound runner, in seconds.
+SHORT_SILENCE_S = 1.1
+
 #: Coroutine functions that handle a call, by name. Their parameters are the
 #: runner, the connection's writer and the call's headers.
 BEHAVIOURS = {}
@@ -134,6 +137,46 @@
     await _goes_silent(runner, writer, call)
 
 
+async def _be_silent(writer):
+    """Neither send nor acknowledge anything for a short time."""
+    sock = writer.get_extra_info("socket")
+    packet_filter.drop_received(sock)
+    try:
+        await asyncio.sleep(SHORT_SILENCE_S)
+    finally:
+        packet_filter.receive_again(sock)
+
+
+@behaviour("is silent before it answers")
+async def _silent_before_answer(runner, writer, call):
+    await _be_silent(writer)
+    await _answers(runner, writer, call)
+
+
+@behaviour("is silent before it streams")
+async def _silent_before_stream(runner, writer, call):
+    await _be_silent(writer)
+    await _streams(runner, writer, call)
+
+
+@behaviour("is silent within its answer")
+async def _silent_within_answer(runner, writer, call):
+    answer = _response(200, call, f"from {runner.name}".encode())
+    writer.write(answer[:-5])
+    await _be_silent(writer)
+    writer.write(answer[-5:])
+
+
+@behaviour("is silent between events")
+async def _silent_between_events(runner, writer, call):
+    first = int(call.get("after", 0)) + 1
+    await _send_events(writer, call, range(first, 4), False)
+    await _be_silent(writer)
+    for number in range(4, 7):
+        writer.write(_encode_chunk(_encode_event(number)))
+    writer.write(b"0\r\n\r\n")
+
+
 @behaviour("babbles")
 async def _sends_invalid_response(runner, writer, call):
     writer.write(b"this is no answer at all\r\n\r\n")
--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -56,12 +56,15 @@
 @given("a route for {kind}")
 def _configure_route(context, kind):
     seconds = re.search(r" with a timeout of ([0-9.]+) seconds", kind)
+    objective = re.search(r" and an objective of ([0-9.]+) seconds", kind)
     attempts = re.search(r" with (\d+) attempts", kind)
     rate = re.search(r" with 1 call in (\d+) seconds", kind)
     more = {}
     if seconds:
         more["timeout_s"] = float(seconds[1])
         more["objective_s"] = float(seconds[1]) / 4
+    if objective:
+        more["objective_s"] = float(objective[1])
     if attempts:
         more["max_attempts"] = int(attempts[1])
     if rate:
