Give up callers whose connections have gone silent

A caller that vanished without a close (its packets are dropped) kept its call and a runner busy until the call's deadline: connections of callers had neither keep-alive probes nor TCP_USER_TIMEOUT. Both now end such a connection after 11 s, about as long as a caller may refuse to take bytes (10 s).

--- a/src/apricotlever/serving/caller_server.py
+++ b/src/apricotlever/serving/caller_server.py
@@ -13,6 +13,7 @@
 import httptools
 
 from .. import addresses
+from .. import socket_options
 
 from . import aligned_timer
 from . import configuration_model
@@ -193,7 +194,7 @@
         self._transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            socket_options.CALLERS.apply(sock)
         self._server.channels.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/src/apricotlever/socket_options.py
+++ b/src/apricotlever/socket_options.py
@@ -70,3 +70,13 @@
 #: Connections on which a caller's call waits for a response. Two probes, so
 #: that the loss of one, or a second of silence of a sound peer, ends none.
 CALLS = KeepAlive(idle_s=1, interval_s=1, probes=2)
+#: Pooled connections to upstreams, whose users have shorter deadlines of their
+#: own for each phase of an exchange.
+UPSTREAMS = KeepAlive(idle_s=3, interval_s=1, probes=3)
+#: Connections to the platform.
+PLATFORM = KeepAlive(idle_s=5, interval_s=2, probes=3)
+#: Connections of callers. A caller that takes nothing for so long has gone,
+#: and its calls need not run on.
+CALLERS = KeepAlive(idle_s=5, interval_s=2, probes=3)
+#: Connections between entry VMs, which are kept for long.
+PEERS = KeepAlive(idle_s=15, interval_s=5, probes=3)
--- a/tests/serving/silent_connections.feature
+++ b/tests/serving/silent_connections.feature
@@ -34,3 +34,12 @@
     And a runner that answers
     When a call is made
     Then no connection to a runner is probed
+
+  # Guards against runners that work for callers that vanished without a close.
+  Scenario: A caller whose connection has gone silent cancels its call
+    Given a route for idempotent calls with a timeout of 9 seconds
+    And callers are given up after 2 seconds of silence
+    And a runner that hangs
+    When a caller makes a call and goes silent for good
+    Then the connection to runner 1 was closed
+    And it was closed within 4 seconds
--- a/tests/steps/serving_silent_connections.py
+++ b/tests/steps/serving_silent_connections.py
@@ -3,10 +3,15 @@
 import asyncio
 import socket
 import time
+from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
 
+from apricotlever import socket_options
+from tests.serving import packet_filter
+
 WAIT_S = 10.0
 
 
@@ -45,3 +50,30 @@
 def _check_not_suspected(context):
     blocklist = context.world.upstreams.crashes._blocklist
     assert not blocklist._broken_calls, blocklist._broken_calls
+
+
+@given("callers are given up after {seconds:d} seconds of silence")
+def _shorten(context, seconds):
+    short = socket_options.KeepAlive(seconds - 1, 1, 1)
+    patch = mock.patch.object(socket_options, "CALLERS", short)
+    patch.start()
+    context.closers.append(patch.stop)
+
+
+@when("a caller makes a call and goes silent for good")
+def _call_and_go_silent(context):
+    async def work():
+        world = context.world
+        await world.send()
+        while not world.standins[0].executed_call_ids:
+            await asyncio.sleep(0.01)
+        sock = world.connection[1].get_extra_info("socket")
+        packet_filter.drop_received(sock)
+
+    context.loop.run(asyncio.wait_for(work(), WAIT_S))
+    context.silent_since = time.monotonic()
+
+
+@then("it was closed within {seconds:d} seconds")
+def _check_closed_within(context, seconds):
+    assert time.monotonic() - context.silent_since < seconds
