Let each silent connection end after all of its probes

Connections to upstreams and peers ended after one lost probe, since TCP_USER_TIMEOUT (6 s, 30 s) had passed by the next tick, whatever TCP_KEEPCNT said; a sound connection that lost one packet in an idle phase was reset. To the platform the two fell together, so that one probe more or less was chance; calls to peers and the daemon's callers had no probes at all.

--- a/src/apricotlever/links/_http_client.py
+++ b/src/apricotlever/links/_http_client.py
@@ -6,7 +6,6 @@
 
 import http.client
 import select
-import socket
 import ssl
 import threading
 import time
@@ -14,14 +13,11 @@
 import urllib.parse
 
 from .. import errors
+from .. import socket_options
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_CONNECTION_AGE_S = 60.0
 CONNECT_TIMEOUT_S = 1.0
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 3
-MS_PER_S = 1000
 READ_BYTES = 64 * 1024
 
 TRANSPORT_ERRORS = (
@@ -234,7 +230,7 @@
     connection = make(url.hostname, url.port, timeout=CONNECT_TIMEOUT_S)
     try:
         connection.connect()
-        _enable_keepalive(connection.sock)
+        socket_options.PLATFORM.apply(connection.sock)
     except BaseException:
         connection.close()
         raise
@@ -244,24 +240,6 @@
     return connection
 
 
-def _enable_keepalive(sock: socket.socket) -> None:
-    """Make the kernel close a connection whose other end is unreachable."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    options = (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, _keepalive_timeout_s() * MS_PER_S),
-    )
-    for option, value in options:
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-
-
-def _keepalive_timeout_s() -> int:
-    return KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_PROBES
-
-
 def _set_timeout(
     connection: http.client.HTTPConnection, timeout_s: float
 ) -> None:
--- a/src/apricotlever/links/caller_server.py
+++ b/src/apricotlever/links/caller_server.py
@@ -15,6 +15,7 @@
 
 from .. import errors
 from .. import refusals
+from .. import socket_options
 
 from . import _waitress_server
 
@@ -228,6 +229,8 @@
             clear_untrusted_proxy_headers=False,
         )
         self._server.receive_timeout_s = receive_timeout_s
+        # Accepted sockets inherit the options.
+        socket_options.CALLERS.apply(self._server.socket)
 
     @property
     def port(self) -> int:
--- a/src/apricotlever/links/peer_connections.py
+++ b/src/apricotlever/links/peer_connections.py
@@ -14,6 +14,8 @@
 from grpclib import protocol
 from grpclib import server
 
+from .. import socket_options
+
 
 class StreamNotHandled(exceptions.StreamTerminatedError):
     """The peer's GOAWAY excludes this call: it was not and will not be run."""
@@ -171,6 +173,7 @@
     def connection_made(self, transport: typing.Any) -> None:
         """Set up the connection."""
         super().connection_made(transport)
+        socket_options.PEERS.apply(transport.get_extra_info("socket"))
         self.processor = _ClientProcessor(self.handler, self.connection)
 
 
--- a/src/apricotlever/links/peer_link.py
+++ b/src/apricotlever/links/peer_link.py
@@ -17,6 +17,7 @@
 
 from .. import clock as clocks
 from .. import errors
+from .. import socket_options
 from . import peer_channels
 from . import peer_connections
 from . import peer_grpc
@@ -27,10 +28,6 @@
 #: How long a stopping link waits for its peers to close their connections
 #: after a GOAWAY, in seconds: some round trips, also to a busy peer.
 GO_AWAY_LINGER_S = 1.0
-KEEPALIVE_IDLE_S = 30
-KEEPALIVE_INTERVAL_S = 10
-KEEPALIVE_PROBES = 3
-TCP_USER_TIMEOUT_MS = 30_000
 
 _REFUSAL_STATUSES = frozenset(
     (const.Status.FAILED_PRECONDITION, const.Status.UNIMPLEMENTED)
@@ -349,17 +346,10 @@
 def _listen(host: str, port: int) -> socket.socket:
     listener = socket.create_server((host, port), backlog=512)
     # Without keepalive, the connection of a peer that vanished without a FIN
-    # would stay open for ever. Accepted sockets inherit these options.
-    tcp = socket.IPPROTO_TCP
-    # asyncio does not set TCP_NODELAY on the sockets that this listener
-    # accepts. Without it, each answer waits some 40 ms for the caller's
-    # delayed acknowledgement.
-    listener.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    listener.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    listener.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    listener.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    listener.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    # would stay open for ever. Accepted sockets inherit these options; asyncio
+    # itself does not set TCP_NODELAY on them, and without it, each answer
+    # waits some 40 ms for the caller's delayed acknowledgement.
+    socket_options.PEERS.apply(listener)
     return listener
 
 
--- a/src/apricotlever/links/upstream_pool.py
+++ b/src/apricotlever/links/upstream_pool.py
@@ -2,15 +2,12 @@
 
 from http import client as http
 import queue
-import socket
 
 from .. import clock as clocks
+from .. import socket_options
 
 MAX_POOLED_AGE_S = 20.0
 MAX_POOLED_PER_UPSTREAM = 32
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_PROBES = 3
-TCP_USER_TIMEOUT_MS = 6000
 #: Minimum time in seconds between two reports that the pooled connections to
 #: an upstream have stopped carrying packets. An overloaded upstream can't be
 #: told from that; at this interval, the repeated calls add little to its load.
@@ -28,14 +25,7 @@
 
     def connect(self) -> None:
         super().connect()
-        sock = self.sock
-        tcp = socket.IPPROTO_TCP
-        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        socket_options.UPSTREAMS.apply(self.sock)
 
 
 class StreamConnection(Connection):
