Let a plain service be silent for a second before a call is repeated

On the daemon's path an idempotent call with a short target was sent to another upstream after 1.0 s without an answer, so that a sound upstream's second of silence made it run twice.

--- a/src/apricotlever/daemon/service_request.py
+++ b/src/apricotlever/daemon/service_request.py
@@ -5,11 +5,14 @@
 from ..catalogue import model as catalogues
 from ..links import caller_server
 from ..runners import quarantine
+from ..runners import silence_detector
 
 #: Timeout for the start of an upstream's response, as a multiple of the
 #: service class's target for the first token.
 RESPONSE_TIMEOUT_FACTOR = 5
-MIN_RESPONSE_TIMEOUT_S = 1.0
+#: Lower bound of that timeout, in seconds. A sound upstream may be silent for
+#: so long, and a call that is repeated elsewhere would run twice.
+MIN_RESPONSE_TIMEOUT_S = silence_detector.MAX_SOUND_SILENCE_S
 
 _FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language")
 
