--- a/src/apricotlever/serving/call_state.py
+++ b/src/apricotlever/serving/call_state.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+from ..runners import silence_detector
+
 from . import call_placement
 from . import configuration_model
 from . import event_splitter
@@ -13,7 +15,8 @@
     from . import call_relay
 
 #: A call that may be repeated waits for a runner's response to begin for this
-#: multiple of the route's objective, and at least for this many seconds.
+#: multiple of the route's objective, and at least as long as a sound runner
+#: may be silent if the deadline allows it, else for this many seconds or more.
 FIRST_RESPONSE_OBJECTIVE_FACTOR = 2.5
 MIN_FIRST_RESPONSE_TIMEOUT_S = 0.6
 #: Share of the call's remaining time that the wait for the start of a response
@@ -143,7 +146,9 @@
 
         Only this timeout detects a runner that hangs or a silently dropped
         connection before the deadline. It is None if the call must not be
-        repeated, or if too little time would be left for another runner.
+        repeated, or if too little time would be left for another runner. A
+        sound runner that is silent for a second runs the call all the same,
+        so it is waited for where another one could still answer afterwards.
 
         :param factor: multiplies the time that a runner has, as far as the
             rest suffices for a second attempt.
@@ -155,7 +160,10 @@
         )
         wait_s = max(MIN_FIRST_RESPONSE_TIMEOUT_S, objective_wait_s)
         limit_s = FIRST_ATTEMPT_SHARE * self.left_s
-        return min(factor * wait_s, limit_s) if wait_s < limit_s else None
+        if wait_s >= limit_s:
+            return None
+        wait_s = max(wait_s, silence_detector.MAX_SOUND_SILENCE_S)
+        return min(factor * wait_s, limit_s)
 
     def not_served(
         self, reason: str, retry_after_s: float | None = None
