Forward calls that would need a new connection in vain

A VM whose open connections to runners live on while new ones fail tried several runners for each call that found no idle connection. The reachability tells it by lacks_new_connections.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -28,10 +28,6 @@
 MIN_RETRY_TIME_S = 0.05
 #: HTTP status of a successful response.
 OK = 200
-#: Why a call is forwarded, for the log: this VM reaches no runner, or it is
-#: only the call that has reached none.
-ISOLATED = "isolated"
-NONE_REACHED = "none_reached"
 
 NotServed = call_state.NotServed
 
@@ -205,10 +201,10 @@
 
     async def _send(self) -> attempt_outcome.AttemptOutcome:
         if self._state.needs_helper:
-            return await self._to_helpers.run(ISOLATED)
+            return await self._to_helpers.run(helper_sending.ISOLATED)
         if self._forward_next:
             self._forward_next = False
-            return await self._to_helpers.run(NONE_REACHED)
+            return await self._to_helpers.run(helper_sending.NONE_REACHED)
         return await self._to_runners.run()
 
     def _may_forward(self) -> bool:
@@ -225,7 +221,7 @@
             and not self._last_resort_used
             and self._to_runners.only_unreachable
             and state.left_s > MIN_RETRY_TIME_S
-            and state.relay.helpers.choice.choose(()) is not None
+            and state.relay.helpers.exist
         )
 
     def _end_answered(self, outcome: attempt_outcome.AttemptOutcome) -> bool:
@@ -259,6 +255,9 @@
         """
         if outcome.helper:
             self._to_helpers.check_retry(outcome)
+            self._forward_next = (
+                self._state.relay.helpers.replace_new_connections
+            )
         elif outcome.status is attempt_outcome.AttemptStatus.BROKEN:
             if not self._state.can_repeat:
                 raise self._state.not_served(outcome.reason)
--- a/src/apricotlever/serving/connection_pool.py
+++ b/src/apricotlever/serving/connection_pool.py
@@ -65,6 +65,12 @@
         """The number of connections ever opened."""
         return self._opened
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether an idle connection may be reused now."""
+        now = asyncio.get_running_loop().time()
+        return any(c.idle and now < c.reusable_until for c in self._idle)
+
     def set_limit(self, limit: int) -> None:
         """Change the connection limit; open connections stay open."""
         self._limit = limit
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -22,6 +22,10 @@
 NO_HELPER_RETRY_AFTER_S = 0.5
 #: The reason why a call is refused for which there is no helper.
 NO_HELPER = "isolated"
+#: Why a call is forwarded, for the log: this VM reaches no runner, or it is
+#: only the call that has reached none.
+ISOLATED = "isolated"
+NONE_REACHED = "none_reached"
 
 
 class HelperSending:
@@ -30,7 +34,14 @@
     :param sink: receives the events of a stream.
     """
 
-    __slots__ = ("_helpers", "_last_refusal", "_sink", "_state", "_tried")
+    __slots__ = (
+        "_helpers",
+        "_is_last_resort",
+        "_last_refusal",
+        "_sink",
+        "_state",
+        "_tried",
+    )
 
     def __init__(
         self, state: call_state.CallState, sink: response_sink.ResponseSink
@@ -39,6 +50,8 @@
         self._sink = sink
         self._helpers = state.relay.helpers
         self._tried: set[str] = set()
+        #: Whether the call was forwarded though this VM may reach runners.
+        self._is_last_resort = False
         #: What the last helper said that did not run the call.
         self._last_refusal: attempt_outcome.AttemptOutcome | None = None
 
@@ -49,6 +62,7 @@
         :raises call_state.NotServed: if there is no helper for it.
         """
         state = self._state
+        self._is_last_resort = cause != ISOLATED
         helper = None
         if len(self._tried) < MAX_HELPERS:
             helper = self._helpers.choice.choose(self._tried)
@@ -90,9 +104,20 @@
         if outcome.status is attempt_outcome.AttemptStatus.BROKEN:
             if not self._state.can_repeat:
                 raise self._state.not_served(outcome.reason)
-        elif not attempts.may_differ_elsewhere(outcome):
+        elif not self._may_go_on or not attempts.may_differ_elsewhere(outcome):
             raise self._not_served()
 
+    @property
+    def _may_go_on(self) -> bool:
+        """Whether a call that one helper did not run may go elsewhere.
+
+        One that was forwarded because it reached no runner itself ends, unless
+        this VM knows by now that all of its calls need helpers.
+        """
+        return not self._is_last_resort or (
+            self._helpers.are_needed or self._helpers.replace_new_connections
+        )
+
     async def _send(
         self,
         attempt: attempts.ForwardingAttempt,
--- a/src/apricotlever/serving/helpers.py
+++ b/src/apricotlever/serving/helpers.py
@@ -21,6 +21,10 @@
     def is_isolated(self) -> bool:
         """Whether this VM reaches no runner."""
 
+    @property
+    def lacks_new_connections(self) -> bool:
+        """Whether only open connections to runners bring bytes."""
+
 
 class AlwaysConnected:
     """Takes this VM for one that reaches runners."""
@@ -32,6 +36,11 @@
         """Whether this VM reaches no runner: it is taken to reach some."""
         return False
 
+    @property
+    def lacks_new_connections(self) -> bool:
+        """Whether only open connections are of use: they aren't taken to."""
+        return False
+
 
 class Helpers:
     """Chooses helpers, and keeps the connections to them.
@@ -72,6 +81,20 @@
         """Whether this VM reaches no runner itself."""
         return self._reach.is_isolated
 
+    @property
+    def replace_new_connections(self) -> bool:
+        """Whether a call goes to a helper rather than over a new connection.
+
+        Connections to runners that are open bring bytes then, but new ones
+        fail at all of them.
+        """
+        return self._reach.lacks_new_connections and self.exist
+
+    @property
+    def exist(self) -> bool:
+        """Whether some VM may help now."""
+        return self._choice.choose(()) is not None
+
     @property
     def choice(self) -> helper_choice.HelperChoice:
         """Chooses helpers."""
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -18,6 +18,8 @@
 #: Minimum time limit that a runner is given for a call, in seconds, so that no
 #: runner receives a limit of zero.
 MIN_RUNNER_TIME_S = 0.001
+#: The reason why no connection is opened, as this VM knows that it would fail.
+NO_NEW_CONNECTIONS = "unreachable:no_new_connections"
 
 
 class RunnerSending:
@@ -90,7 +92,7 @@
             # A runner that rests gets no further call of this VM for a while,
             # so it doesn't show that the service has no room.
             self._rejections.rejected()
-        if self._rejections.exhausted:
+        if self._rejections.exhausted or outcome.reason == NO_NEW_CONNECTIONS:
             raise self._state.not_served(outcome.reason)
 
     async def _run_placed(
@@ -122,7 +124,7 @@
             ),
         )
         self._started_at = self._loop.time()
-        connected = await attempt.connect(state.left_s)
+        connected = await self._connect(attempt, runner)
         if not isinstance(connected, client_channel.Channel):
             placement.rejected = connected.unreachable
             return connected
@@ -132,6 +134,24 @@
         )
         return outcome
 
+    async def _connect(
+        self, attempt: attempts.Attempt, runner: runners.Runner
+    ) -> client_channel.Channel | attempt_outcome.AttemptOutcome:
+        """Take or open a connection, or return the outcome if that fails."""
+        relay = self._state.relay
+        if (
+            self._state.forwarded is None
+            and relay.helpers.replace_new_connections
+            and not relay.upstreams.pool(runner).has_idle
+        ):
+            # Opening one would only cost time.
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.NOT_SENT,
+                reason=NO_NEW_CONNECTIONS,
+                unreachable=True,
+            )
+        return await attempt.connect(self._state.left_s)
+
     async def _place(self) -> call_placement.Placement:
         state = self._state
         try:
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -346,3 +346,33 @@
     When 2 calls are made
     Then the metrics of VM 1 have forwarded_calls_total{result="answered"} 2
     And the metrics of VM 2 have helped_calls_total{result="served"} 2
+
+  # Guards against a second for each call that opens connections in vain, while
+  # open ones live on.
+  Scenario: A VM without new connections forwards calls that need one
+    Given a VM that reaches runners and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    When a call is made
+    And new connections of VM 1 hang and 3 calls are made at once
+    Then all responses have status 200
+    And VM 2 was sent 2 calls
+    And VM 1 has opened 1 connections to runners
+
+  Scenario: A VM without new connections forwards to another helper
+    Given a VM that reaches runners and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    And a helper that does not listen
+    When new connections of VM 1 hang and 1 calls are made at once
+    Then all responses have status 200
+    And VM 2 was sent 1 calls
+
+  # Guards against memory that grows at two VMs with each slow caller.
+  Scenario: A slow caller receives all events of a forwarded stream
+    Given an isolated VM and 1 other VM
+    And a route for streams
+    And a runner that streams 3000 large events
+    When a call is made whose caller reads nothing for 0.3 s
+    Then the stream has events 1 to 3000 and is complete
+    And the VM buffered at most 400000 bytes for the caller
--- a/tests/serving/forwarding_fleet.py
+++ b/tests/serving/forwarding_fleet.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.is_isolated = False
+        self.lacks_new_connections = False
 
 
 class Vm(request_path.RequestPath):
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -345,3 +345,24 @@
         vm.relay, vm.limits, vm.configuration, {}, {}, vm.forwarded.results
     )
     assert f"apricotlever_{line}" in text.splitlines(), text
+
+
+@when(
+    "new connections of VM {number:d} hang and {count:d} calls are made at "
+    "once"
+)
+def _call_without_new_connections(context, number, count):
+    vm = _vm(context, number)
+    vm.reach.lacks_new_connections = True
+    calls = [vm.call_alone(f"call-{n + 2}") for n in range(count)]
+
+    async def work():
+        return await asyncio.gather(*calls)
+
+    context.replies = _run(context, work())
+
+
+@then("VM {number:d} has opened {count:d} connections to runners")
+def _check_runner_connections(context, number, count):
+    opened = _vm(context, number).upstreams.counters
+    assert opened["runner_connections_total"] == count, opened
