--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -28,6 +28,8 @@
 MIN_RETRY_TIME_S = 0.05
 #: HTTP status of a successful response.
 OK = 200
+#: Beginnings of the reasons of calls that reached no runner.
+UNREACHED = ("no_runner", "unreachable")
 
 NotServed = call_state.NotServed
 
@@ -173,7 +175,7 @@
             try:
                 ended = await self._run_attempt()
             except NotServed as error:
-                if not self._may_forward():
+                if not self._may_forward(error):
                     raise
                 self._forward_next = self._last_resort_used = True
                 self._log_retry(error.reason)
@@ -207,8 +209,8 @@
             return await self._to_helpers.run(helper_sending.NONE_REACHED)
         return await self._to_runners.run()
 
-    def _may_forward(self) -> bool:
-        """Whether a call may be forwarded that this VM can't have run.
+    def _may_forward(self, error: NotServed) -> bool:
+        """Whether a call may be forwarded instead of ending with an error.
 
         None of its last attempts reached a runner, though this VM doesn't know
         itself to be isolated; it may have lost its paths just now. The call
@@ -219,7 +221,8 @@
             state.forwarded is None
             and not state.needs_helper
             and not self._last_resort_used
-            and self._to_runners.only_unreachable
+            and error.reason.startswith(UNREACHED)
+            and self._to_runners.reached_none
             and state.left_s > MIN_RETRY_TIME_S
             and state.relay.helpers.exist
         )
--- a/src/apricotlever/serving/forwarded_calls.py
+++ b/src/apricotlever/serving/forwarded_calls.py
@@ -28,6 +28,8 @@
 FULL_RETRY_AFTER_S = 0.2
 #: The same if this VM can't help at all for now.
 UNABLE_RETRY_AFTER_S = 1.0
+#: The reason of a VM that has lost its paths to runners itself.
+ISOLATED = "helper_isolated"
 
 
 class Unfit(Exception):
@@ -138,8 +140,8 @@
         """
         if self._is_leaving() or not self._relay.accepts_calls:
             raise Unfit("helper_leaving", UNABLE_RETRY_AFTER_S)
-        if self._reach.is_isolated:
-            raise Unfit("helper_isolated", UNABLE_RETRY_AFTER_S)
+        if self._reach.is_isolated or self._reach.lacks_new_connections:
+            raise Unfit(ISOLATED, UNABLE_RETRY_AFTER_S)
         if self._in_progress >= MAX_CALLS:
             self._turned_away_full += 1
             raise Unfit("helper_full", FULL_RETRY_AFTER_S)
@@ -173,7 +175,7 @@
             if reply.started:
                 reply.abort()
             else:
-                _send_refusal(execution, reply, error)
+                self._send_refusal(execution, reply, error)
         finally:
             self._results[result] = self._results.get(result, 0) + 1
             logs.event(
@@ -188,6 +190,29 @@
                 **execution.end_fields,
             )
 
+    def _send_refusal(
+        self,
+        execution: call_execution.CallExecution,
+        reply: reply_writer.ReplyWriter,
+        error: call_execution.NotServed,
+    ) -> None:
+        """Tell the sending VM that no runner's response comes, and why.
+
+        If this VM has reached no runner and may have lost its paths, another
+        one may do better.
+        """
+        reason = error.reason
+        if (
+            not execution.may_have_run
+            and reason.startswith(call_execution.UNREACHED)
+            and not self._reach.is_connected
+        ):
+            reason = ISOLATED
+        refusal = forwarding_protocol.HelperRefusal(
+            reason, _executed(execution), error.retry_after_s, execution.sends
+        )
+        reply.send_whole(error.status, refusal.headers())
+
     def _turn_away(
         self,
         forwarded: forwarding_protocol.ForwardedCall | None,
@@ -259,18 +284,3 @@
     if execution.may_have_run:
         return refusals.Executed.UNKNOWN
     return refusals.Executed.NO
-
-
-def _send_refusal(
-    execution: call_execution.CallExecution,
-    reply: reply_writer.ReplyWriter,
-    error: call_execution.NotServed,
-) -> None:
-    """Tell the sending VM that no runner's response comes, and why."""
-    refusal = forwarding_protocol.HelperRefusal(
-        error.reason,
-        _executed(execution),
-        error.retry_after_s,
-        execution.sends,
-    )
-    reply.send_whole(error.status, refusal.headers())
--- a/src/apricotlever/serving/helpers.py
+++ b/src/apricotlever/serving/helpers.py
@@ -21,6 +21,10 @@
     def is_isolated(self) -> bool:
         """Whether this VM reaches no runner."""
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether nothing suggests that this VM lost its runners."""
+
     @property
     def lacks_new_connections(self) -> bool:
         """Whether only open connections to runners bring bytes."""
@@ -36,6 +40,11 @@
         """Whether this VM reaches no runner: it is taken to reach some."""
         return False
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether nothing suggests that this VM lost its runners."""
+        return True
+
     @property
     def lacks_new_connections(self) -> bool:
         """Whether only open connections are of use: they aren't taken to."""
@@ -81,6 +90,11 @@
         """Whether this VM reaches no runner itself."""
         return self._reach.is_isolated
 
+    @property
+    def may_be_needed(self) -> bool:
+        """Whether something suggests that this VM lost its runners."""
+        return not self._reach.is_connected
+
     @property
     def replace_new_connections(self) -> bool:
         """Whether a call goes to a helper rather than over a new connection.
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -54,12 +54,20 @@
         self._started_at = 0.0
 
     @property
-    def only_unreachable(self) -> bool:
-        """Whether no runner could be connected to of those tried last.
+    def reached_none(self) -> bool:
+        """Whether the call may only lack paths from this VM to runners.
 
-        That is, since the last one that could be.
+        Then no runner could be connected to of those tried since the last one
+        that could be. Or there are runners, all of which this VM takes for
+        unhealthy, at a time when it may have lost its paths to them.
         """
-        return self._only_unreachable
+        if self._tried:
+            return self._only_unreachable
+        state = self._state
+        upstreams = state.relay.upstreams
+        return state.relay.helpers.may_be_needed and any(
+            True for _ in upstreams.directory.available_runners(state.service)
+        )
 
     async def run(self) -> attempt_outcome.AttemptOutcome:
         """Send the call to one runner and read the response.
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -145,6 +145,8 @@
       | has no room                  |
       | leaves                       |
       | is isolated                  |
+      | lacks new connections        |
+      | reaches none and suspects it |
       | has no configuration         |
       | does not know the route      |
       | does not know the customer   |
@@ -376,3 +378,27 @@
     When a call is made whose caller reads nothing for 0.3 s
     Then the stream has events 1 to 3000 and is complete
     And the VM buffered at most 400000 bytes for the caller
+
+  # Guards against refusals in the time until a VM knows that it is isolated,
+  # because it takes all runners for unhealthy by then.
+  Scenario Outline: A call is forwarded if all runners seem unhealthy
+    Given a VM that is cut from all runners and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    And runner 1 seems unhealthy to VM 1, which <state>
+    When a call is made
+    Then the status is <status>
+
+    Examples:
+      | state                 | status |
+      | is connected          | 503    |
+      | suspects itself       | 200    |
+      | lacks new connections | 200    |
+
+  Scenario: A call is not forwarded to a service without runners
+    Given a VM that is cut from all runners and 1 other VM
+    And a route for non-idempotent calls
+    And VM 1 suspects that it lost its runners
+    When a call is made
+    Then the status is 503 with a time to come back
+    And VM 2 was sent 0 calls
--- a/tests/serving/forwarding_fleet.py
+++ b/tests/serving/forwarding_fleet.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.is_isolated = False
+        self.is_connected = True
         self.lacks_new_connections = False
 
 
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -8,15 +8,19 @@
 from behave import when
 import msgpack
 
+from apricotlever.runners import model as models
 from apricotlever.serving import configuration_model
 from apricotlever.serving import connection_pool
 from apricotlever.serving import forwarded_calls
 from apricotlever.serving import forwarding_protocol
 from apricotlever.serving import metrics
+from apricotlever.serving import runners
 from tests.serving import forwarding_fleet
 from tests.serving import request_path
 
 WAIT_S = 10.0
+#: Failures that open a runner's circuit breaker.
+FAILURES = 20
 
 
 def _run(context, work):
@@ -119,7 +123,35 @@
     (vm.servers._servers["peers"].handler.__self__)._handlers = {}
 
 
+def _suspect(context, vm):
+    vm.reach.is_connected = False
+
+
+def _lack_new_connections(context, vm):
+    vm.reach.lacks_new_connections = True
+
+
+def _reach_none(context, vm):
+    vm.reach.is_connected = False
+    for runner in vm.directory.runners:
+        vm.directory.apply_entry(
+            runners.Runner(
+                runner.name,
+                "service",
+                "127.0.0.1",
+                vm.ports.reserve(),
+                "dc",
+                4,
+                revision=9,
+            )
+        )
+    vm.upstreams.refresh()
+
+
 STATES = {
+    "lacks new connections": _lack_new_connections,
+    "reaches none and suspects it": _reach_none,
+    "suspects that it lost its runners": _suspect,
     "has no room": _fill,
     "leaves": _leave,
     "is isolated": _isolate,
@@ -366,3 +398,14 @@
 def _check_runner_connections(context, number, count):
     opened = _vm(context, number).upstreams.counters
     assert opened["runner_connections_total"] == count, opened
+
+
+@given("runner 1 seems unhealthy to VM {number:d}, which {state}")
+def _take_for_unhealthy(context, number, state):
+    vm = _vm(context, number)
+    (runner,) = vm.directory.runners
+    for _ in range(FAILURES):
+        vm.upstreams.connect_failed(runner, True)
+    assert vm.upstreams.choose(models.Query("r", "service", "")) is None
+    vm.reach.is_connected = state == "is connected"
+    vm.reach.lacks_new_connections = state == "lacks new connections"
