--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -77,6 +77,18 @@
 time=2026-03-01T03:12:14.200000Z level=INFO event=request_refused vm=vm-1 \
 request=jj11 status=503 reason=no_time retry_after_s=0.8
 """
+METRICS = """\
+apricotlever_service_contended{service="s"} 1
+apricotlever_service_wait_s{service="s"} 0.3
+apricotlever_service_contended{service="other"} 1
+apricotlever_levels_changed_total{service="s"} 12
+apricotlever_demand_calls{demand="s/a/b"} 40
+apricotlever_demand_tokens{demand="s/a/b"} 9000
+apricotlever_demand_fair_tokens{demand="s/a/b"} 4000
+apricotlever_demand_put_behind{demand="s/a/b"} 1
+apricotlever_members 2
+"""
+
 FORWARDER_LOG = """\
 time=2026-03-01T03:12:13.100000Z level=INFO event=request_forwarded vm=vm-1 \
 request=kk11 helper=vm-2 data_centre=a cause=isolated attempt=1 left_s=4
@@ -105,17 +117,6 @@
 time=2026-03-01T03:12:16.400000Z level=INFO event=forwarded_call vm=vm-2 \
 request=kk44 peer=10.0.0.1 result=cancelled executed=unknown runner=r-7
 """
-METRICS = """\
-apricotlever_service_contended{service="s"} 1
-apricotlever_service_wait_s{service="s"} 0.3
-apricotlever_service_contended{service="other"} 1
-apricotlever_levels_changed_total{service="s"} 12
-apricotlever_demand_calls{demand="s/a/b"} 40
-apricotlever_demand_tokens{demand="s/a/b"} 9000
-apricotlever_demand_fair_tokens{demand="s/a/b"} 4000
-apricotlever_demand_put_behind{demand="s/a/b"} 1
-apricotlever_members 2
-"""
 
 
 def _write_log(context, name, text):
