--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -214,7 +214,7 @@
 
         None of its last attempts reached a runner, though this VM doesn't know
         itself to be isolated; it may have lost its paths just now. The call
-        goes to one helper, if there is one.
+        goes to helpers, if there are any.
         """
         state = self._state
         return (
@@ -258,8 +258,10 @@
         """
         if outcome.helper:
             self._to_helpers.check_retry(outcome)
-            self._forward_next = (
-                self._state.relay.helpers.replace_new_connections
+            # Runners had their turn before the first helper.
+            self._forward_next = self._last_resort_used and (
+                outcome.status is not attempt_outcome.AttemptStatus.BROKEN
+                or self._state.relay.helpers.replace_new_connections
             )
         elif outcome.status is attempt_outcome.AttemptStatus.BROKEN:
             if not self._state.can_repeat:
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -36,7 +36,6 @@
 
     __slots__ = (
         "_helpers",
-        "_is_last_resort",
         "_last_refusal",
         "_sink",
         "_state",
@@ -50,8 +49,6 @@
         self._sink = sink
         self._helpers = state.relay.helpers
         self._tried: set[str] = set()
-        #: Whether the call was forwarded though this VM may reach runners.
-        self._is_last_resort = False
         #: What the last helper said that did not run the call.
         self._last_refusal: attempt_outcome.AttemptOutcome | None = None
 
@@ -62,7 +59,6 @@
         :raises call_state.NotServed: if there is no helper for it.
         """
         state = self._state
-        self._is_last_resort = cause != ISOLATED
         helper = None
         if len(self._tried) < MAX_HELPERS:
             helper = self._helpers.choice.choose(self._tried)
@@ -104,20 +100,9 @@
         if outcome.status is attempt_outcome.AttemptStatus.BROKEN:
             if not self._state.can_repeat:
                 raise self._state.not_served(outcome.reason)
-        elif not self._may_go_on or not attempts.may_differ_elsewhere(outcome):
+        elif not attempts.may_differ_elsewhere(outcome):
             raise self._not_served()
 
-    @property
-    def _may_go_on(self) -> bool:
-        """Whether a call that one helper did not run may go elsewhere.
-
-        One that was forwarded because it reached no runner itself ends, unless
-        this VM knows by now that all of its calls need helpers.
-        """
-        return not self._is_last_resort or (
-            self._helpers.are_needed or self._helpers.replace_new_connections
-        )
-
     async def _send(
         self,
         attempt: attempts.ForwardingAttempt,
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -58,15 +58,22 @@
         """Whether the call may only lack paths from this VM to runners.
 
         Then no runner could be connected to of those tried since the last one
-        that could be. Or there are runners, all of which this VM takes for
-        unhealthy, at a time when it may have lost its paths to them.
+        that could be. Or runners are left that this VM takes for unhealthy,
+        while it may have lost its paths, or after all of them have refused its
+        connections.
         """
-        if self._tried:
-            return self._only_unreachable
-        state = self._state
-        upstreams = state.relay.upstreams
-        return state.relay.helpers.may_be_needed and any(
-            True for _ in upstreams.directory.available_runners(state.service)
+        if self._only_unreachable:
+            return True
+        upstreams = self._state.relay.upstreams
+        untried = {
+            runner.runner_id
+            for runner in upstreams.directory.available_runners(
+                self._state.service
+            )
+        } - self._tried
+        return bool(untried) and (
+            self._state.relay.helpers.may_be_needed
+            or untried.issubset(upstreams.refused_runners)
         )
 
     async def run(self) -> attempt_outcome.AttemptOutcome:
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -394,6 +394,7 @@
       | is connected          | 503    |
       | suspects itself       | 200    |
       | lacks new connections | 200    |
+      | was refused by it     | 200    |
 
   Scenario: A call is not forwarded to a service without runners
     Given a VM that is cut from all runners and 1 other VM
@@ -402,3 +403,27 @@
     When a call is made
     Then the status is 503 with a time to come back
     And VM 2 was sent 0 calls
+
+  # Guards against calls that fail in the first moments of a cut, because the
+  # helper has lost its paths as well and no record says so yet.
+  Scenario: A call that reached no runner goes on to a second helper
+    Given a VM that is cut from all runners and 2 other VMs
+    And a route for non-idempotent calls
+    And a runner that answers
+    And VM 1 suspects that it lost its runners
+    And VM 2 reaches none and suspects it
+    When 4 calls are made
+    Then all responses have status 200
+    And VM 3 was sent 4 calls
+
+  # Guards against a stream that is lost with its runner's connection, although
+  # another VM could have it resumed.
+  Scenario: A stream whose connection was reset goes on at a helper
+    Given a VM that is cut from all runners and 1 other VM
+    And a route for resumable streams with 3 attempts
+    And a runner that streams half and resets, then streams
+    And a runner that streams
+    And only runner 1 is reached by VM 1, which suspects itself
+    When a call is made
+    Then the stream has events 1 to 6 and is complete
+    And runners ran 2 calls
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -405,7 +405,33 @@
     vm = _vm(context, number)
     (runner,) = vm.directory.runners
     for _ in range(FAILURES):
-        vm.upstreams.connect_failed(runner, True)
+        vm.upstreams.connect_failed(runner, state == "was refused by it")
+    if state == "was refused by it":
+        # A byte of another runner, after which the refusals count.
+        other = runners.Runner("other", "other", "127.0.0.1", 1, "dc", 4)
+        vm.upstreams.bytes_received(other)
     assert vm.upstreams.choose(models.Query("r", "service", "")) is None
-    vm.reach.is_connected = state == "is connected"
+    vm.reach.is_connected = state in ("is connected", "was refused by it")
     vm.reach.lacks_new_connections = state == "lacks new connections"
+
+
+@given("only runner 1 is reached by VM {number:d}, which suspects itself")
+def _keep_one_connection(context, number):
+    vm = _vm(context, number)
+    standin = vm.standins[0]
+    vm.directory.apply_entry(
+        runners.Runner(
+            standin.name,
+            "service",
+            "127.0.0.1",
+            standin.port,
+            "dc",
+            4,
+            revision=9,
+        )
+    )
+    vm.upstreams.refresh()
+    other = vm.directory.get("runner-2")
+    for _ in range(FAILURES):
+        vm.upstreams.connect_failed(other, False)
+    vm.reach.is_connected = False
