--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -28,10 +28,8 @@
 MIN_RETRY_TIME_S = 0.05
 #: HTTP status of a successful response.
 OK = 200
-#: Why a call is forwarded, for the log: this VM reaches no runner, or it is
-#: only the call that has reached none.
-ISOLATED = "isolated"
-NONE_REACHED = "none_reached"
+#: Beginnings of the reasons of calls that reached no runner.
+UNREACHED = ("no_runner", "unreachable")
 
 NotServed = call_state.NotServed
 
@@ -177,7 +175,7 @@
             try:
                 ended = await self._run_attempt()
             except NotServed as error:
-                if not self._may_forward():
+                if not self._may_forward(error):
                     raise
                 self._forward_next = self._last_resort_used = True
                 self._log_retry(error.reason)
@@ -205,27 +203,28 @@
 
     async def _send(self) -> attempt_outcome.AttemptOutcome:
         if self._state.needs_helper:
-            return await self._to_helpers.run(ISOLATED)
+            return await self._to_helpers.run(helper_sending.ISOLATED)
         if self._forward_next:
             self._forward_next = False
-            return await self._to_helpers.run(NONE_REACHED)
+            return await self._to_helpers.run(helper_sending.NONE_REACHED)
         return await self._to_runners.run()
 
-    def _may_forward(self) -> bool:
-        """Whether a call may be forwarded that this VM can't have run.
+    def _may_forward(self, error: NotServed) -> bool:
+        """Whether a call may be forwarded instead of ending with an error.
 
         None of its last attempts reached a runner, though this VM doesn't know
         itself to be isolated; it may have lost its paths just now. The call
-        goes to one helper, if there is one.
+        goes to helpers, if there are any.
         """
         state = self._state
         return (
             state.forwarded is None
             and not state.needs_helper
             and not self._last_resort_used
-            and self._to_runners.only_unreachable
+            and error.reason.startswith(UNREACHED)
+            and self._to_runners.reached_none
             and state.left_s > MIN_RETRY_TIME_S
-            and state.relay.helpers.choice.choose(()) is not None
+            and state.relay.helpers.exist
         )
 
     def _end_answered(self, outcome: attempt_outcome.AttemptOutcome) -> bool:
@@ -259,6 +258,11 @@
         """
         if outcome.helper:
             self._to_helpers.check_retry(outcome)
+            # Runners had their turn before the first helper.
+            self._forward_next = self._last_resort_used and (
+                outcome.status is not attempt_outcome.AttemptStatus.BROKEN
+                or self._state.relay.helpers.replace_new_connections
+            )
         elif outcome.status is attempt_outcome.AttemptStatus.BROKEN:
             if not self._state.can_repeat:
                 raise self._state.not_served(outcome.reason)
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -22,6 +22,10 @@
 NO_HELPER_RETRY_AFTER_S = 0.5
 #: The reason why a call is refused for which there is no helper.
 NO_HELPER = "isolated"
+#: Why a call is forwarded, for the log: this VM reaches no runner, or it is
+#: only the call that has reached none.
+ISOLATED = "isolated"
+NONE_REACHED = "none_reached"
 
 
 class HelperSending:
@@ -30,7 +34,13 @@
     :param sink: receives the events of a stream.
     """
 
-    __slots__ = ("_helpers", "_last_refusal", "_sink", "_state", "_tried")
+    __slots__ = (
+        "_helpers",
+        "_last_refusal",
+        "_sink",
+        "_state",
+        "_tried",
+    )
 
     def __init__(
         self, state: call_state.CallState, sink: response_sink.ResponseSink
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -18,6 +18,8 @@
 #: Minimum time limit that a runner is given for a call, in seconds, so that no
 #: runner receives a limit of zero.
 MIN_RUNNER_TIME_S = 0.001
+#: The reason why no connection is opened, as this VM knows that it would fail.
+NO_NEW_CONNECTIONS = "unreachable:no_new_connections"
 
 
 class RunnerSending:
@@ -52,12 +54,27 @@
         self._started_at = 0.0
 
     @property
-    def only_unreachable(self) -> bool:
-        """Whether no runner could be connected to of those tried last.
+    def reached_none(self) -> bool:
+        """Whether the call may only lack paths from this VM to runners.
 
-        That is, since the last one that could be.
+        Then no runner could be connected to of those tried since the last one
+        that could be. Or runners are left that this VM takes for unhealthy,
+        while it may have lost its paths, or after all of them have refused its
+        connections.
         """
-        return self._only_unreachable
+        if self._only_unreachable:
+            return True
+        upstreams = self._state.relay.upstreams
+        untried = {
+            runner.runner_id
+            for runner in upstreams.directory.available_runners(
+                self._state.service
+            )
+        } - self._tried
+        return bool(untried) and (
+            self._state.relay.helpers.may_be_needed
+            or untried.issubset(upstreams.refused_runners)
+        )
 
     async def run(self) -> attempt_outcome.AttemptOutcome:
         """Send the call to one runner and read the response.
@@ -90,7 +107,7 @@
             # A runner that rests gets no further call of this VM for a while,
             # so it doesn't show that the service has no room.
             self._rejections.rejected()
-        if self._rejections.exhausted:
+        if self._rejections.exhausted or outcome.reason == NO_NEW_CONNECTIONS:
             raise self._state.not_served(outcome.reason)
 
     async def _run_placed(
@@ -122,7 +139,7 @@
             ),
         )
         self._started_at = self._loop.time()
-        connected = await attempt.connect(state.left_s)
+        connected = await self._connect(attempt, runner)
         if not isinstance(connected, client_channel.Channel):
             placement.rejected = connected.unreachable
             return connected
@@ -132,6 +149,24 @@
         )
         return outcome
 
+    async def _connect(
+        self, attempt: attempts.Attempt, runner: runners.Runner
+    ) -> client_channel.Channel | attempt_outcome.AttemptOutcome:
+        """Take or open a connection, or return the outcome if that fails."""
+        relay = self._state.relay
+        if (
+            self._state.forwarded is None
+            and relay.helpers.replace_new_connections
+            and not relay.upstreams.pool(runner).has_idle
+        ):
+            # Opening one would only cost time.
+            return attempt_outcome.AttemptOutcome(
+                attempt_outcome.AttemptStatus.NOT_SENT,
+                reason=NO_NEW_CONNECTIONS,
+                unreachable=True,
+            )
+        return await attempt.connect(self._state.left_s)
+
     async def _place(self) -> call_placement.Placement:
         state = self._state
         try:
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -145,6 +145,8 @@
       | has no room                  |
       | leaves                       |
       | is isolated                  |
+      | lacks new connections        |
+      | reaches none and suspects it |
       | has no configuration         |
       | does not know the route      |
       | does not know the customer   |
@@ -346,3 +348,82 @@
     When 2 calls are made
     Then the metrics of VM 1 have forwarded_calls_total{result="answered"} 2
     And the metrics of VM 2 have helped_calls_total{result="served"} 2
+
+  # Guards against a second for each call that opens connections in vain, while
+  # open ones live on.
+  Scenario: A VM without new connections forwards calls that need one
+    Given a VM that reaches runners and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    When a call is made
+    And new connections of VM 1 hang and 3 calls are made at once
+    Then all responses have status 200
+    And VM 2 was sent 2 calls
+    And VM 1 has opened 1 connections to runners
+
+  Scenario: A VM without new connections forwards to another helper
+    Given a VM that reaches runners and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    And a helper that does not listen
+    When new connections of VM 1 hang and 1 calls are made at once
+    Then all responses have status 200
+    And VM 2 was sent 1 calls
+
+  # Guards against memory that grows at two VMs with each slow caller.
+  Scenario: A slow caller receives all events of a forwarded stream
+    Given an isolated VM and 1 other VM
+    And a route for streams
+    And a runner that streams 3000 large events
+    When a call is made whose caller reads nothing for 0.3 s
+    Then the stream has events 1 to 3000 and is complete
+    And the VM buffered at most 400000 bytes for the caller
+
+  # Guards against refusals in the time until a VM knows that it is isolated,
+  # because it takes all runners for unhealthy by then.
+  Scenario Outline: A call is forwarded if all runners seem unhealthy
+    Given a VM that is cut from all runners and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    And runner 1 seems unhealthy to VM 1, which <state>
+    When a call is made
+    Then the status is <status>
+
+    Examples:
+      | state                 | status |
+      | is connected          | 503    |
+      | suspects itself       | 200    |
+      | lacks new connections | 200    |
+      | was refused by it     | 200    |
+
+  Scenario: A call is not forwarded to a service without runners
+    Given a VM that is cut from all runners and 1 other VM
+    And a route for non-idempotent calls
+    And VM 1 suspects that it lost its runners
+    When a call is made
+    Then the status is 503 with a time to come back
+    And VM 2 was sent 0 calls
+
+  # Guards against calls that fail in the first moments of a cut, because the
+  # helper has lost its paths as well and no record says so yet.
+  Scenario: A call that reached no runner goes on to a second helper
+    Given a VM that is cut from all runners and 2 other VMs
+    And a route for non-idempotent calls
+    And a runner that answers
+    And VM 1 suspects that it lost its runners
+    And VM 2 reaches none and suspects it
+    When 4 calls are made
+    Then all responses have status 200
+    And VM 3 was sent 4 calls
+
+  # Guards against a stream that is lost with its runner's connection, although
+  # another VM could have it resumed.
+  Scenario: A stream whose connection was reset goes on at a helper
+    Given a VM that is cut from all runners and 1 other VM
+    And a route for resumable streams with 3 attempts
+    And a runner that streams half and resets, then streams
+    And a runner that streams
+    And only runner 1 is reached by VM 1, which suspects itself
+    When a call is made
+    Then the stream has events 1 to 6 and is complete
+    And runners ran 2 calls
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -8,15 +8,19 @@
 from behave import when
 import msgpack
 
+from apricotlever.runners import model as models
 from apricotlever.serving import configuration_model
 from apricotlever.serving import connection_pool
 from apricotlever.serving import forwarded_calls
 from apricotlever.serving import forwarding_protocol
 from apricotlever.serving import metrics
+from apricotlever.serving import runners
 from tests.serving import forwarding_fleet
 from tests.serving import request_path
 
 WAIT_S = 10.0
+#: Failures that open a runner's circuit breaker.
+FAILURES = 20
 
 
 def _run(context, work):
@@ -119,7 +123,35 @@
     (vm.servers._servers["peers"].handler.__self__)._handlers = {}
 
 
+def _suspect(context, vm):
+    vm.reach.is_connected = False
+
+
+def _lack_new_connections(context, vm):
+    vm.reach.lacks_new_connections = True
+
+
+def _reach_none(context, vm):
+    vm.reach.is_connected = False
+    for runner in vm.directory.runners:
+        vm.directory.apply_entry(
+            runners.Runner(
+                runner.name,
+                "service",
+                "127.0.0.1",
+                vm.ports.reserve(),
+                "dc",
+                4,
+                revision=9,
+            )
+        )
+    vm.upstreams.refresh()
+
+
 STATES = {
+    "lacks new connections": _lack_new_connections,
+    "reaches none and suspects it": _reach_none,
+    "suspects that it lost its runners": _suspect,
     "has no room": _fill,
     "leaves": _leave,
     "is isolated": _isolate,
@@ -345,3 +377,61 @@
         vm.relay, vm.limits, vm.configuration, {}, {}, vm.forwarded.results
     )
     assert f"apricotlever_{line}" in text.splitlines(), text
+
+
+@when(
+    "new connections of VM {number:d} hang and {count:d} calls are made at "
+    "once"
+)
+def _call_without_new_connections(context, number, count):
+    vm = _vm(context, number)
+    vm.reach.lacks_new_connections = True
+    calls = [vm.call_alone(f"call-{n + 2}") for n in range(count)]
+
+    async def work():
+        return await asyncio.gather(*calls)
+
+    context.replies = _run(context, work())
+
+
+@then("VM {number:d} has opened {count:d} connections to runners")
+def _check_runner_connections(context, number, count):
+    opened = _vm(context, number).upstreams.counters
+    assert opened["runner_connections_total"] == count, opened
+
+
+@given("runner 1 seems unhealthy to VM {number:d}, which {state}")
+def _take_for_unhealthy(context, number, state):
+    vm = _vm(context, number)
+    (runner,) = vm.directory.runners
+    for _ in range(FAILURES):
+        vm.upstreams.connect_failed(runner, state == "was refused by it")
+    if state == "was refused by it":
+        # A byte of another runner, after which the refusals count.
+        other = runners.Runner("other", "other", "127.0.0.1", 1, "dc", 4)
+        vm.upstreams.bytes_received(other)
+    assert vm.upstreams.choose(models.Query("r", "service", "")) is None
+    vm.reach.is_connected = state in ("is connected", "was refused by it")
+    vm.reach.lacks_new_connections = state == "lacks new connections"
+
+
+@given("only runner 1 is reached by VM {number:d}, which suspects itself")
+def _keep_one_connection(context, number):
+    vm = _vm(context, number)
+    standin = vm.standins[0]
+    vm.directory.apply_entry(
+        runners.Runner(
+            standin.name,
+            "service",
+            "127.0.0.1",
+            standin.port,
+            "dc",
+            4,
+            revision=9,
+        )
+    )
+    vm.upstreams.refresh()
+    other = vm.directory.get("runner-2")
+    for _ in range(FAILURES):
+        vm.upstreams.connect_failed(other, False)
+    vm.reach.is_connected = False
