Let a VM's record say that it reaches no runner

Other VMs must know which VMs can't run calls, so that no call is forwarded there. The field is the last one and optional: VMs of builds without it read the record, and it costs nothing while nobody is isolated. Aggregators pass a change on at once, like readiness.

--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -21,7 +21,7 @@
 #: One record in this many is a full one, starting with the first of a process.
 FULL_RECORD_EVERY = 5
 #: How many of the last fields of a record are left out while they are empty.
-OPTIONAL_FIELDS = 3
+OPTIONAL_FIELDS = 4
 
 
 class VmRecord:
@@ -73,6 +73,7 @@
     :param samples: what it has counted since its last full record.
     :param notices: what it has learned of leaving runners in the last seconds.
     :param refused: runners that have just refused a connection of the VM.
+    :param isolated: whether the VM reaches no runner.
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         "samples",
         "notices",
         "refused",
+        "isolated",
     )
 
     def __init__(
@@ -146,6 +148,7 @@
         samples: shared_samples.Samples | None = None,
         notices: list[notices_.Record] | None = None,
         refused: list[str] | None = None,
+        isolated: bool = False,
     ) -> None:
         self.vm = vm
         self.incarnation = incarnation
@@ -180,6 +183,7 @@
         self.samples = samples or {}
         self.notices = notices or []
         self.refused = refused or []
+        self.isolated = isolated
 
     @property
     def limits_address(self) -> tuple[str, int] | None:
@@ -264,6 +268,7 @@
     "lease",
     "limits_port",
     "roll_outs",
+    "isolated",
 )
 _VERSION_FIELDS = ("configuration", "directory", "runners")
 _COUNT_BY_NAME = validation.is_map_of(
@@ -333,4 +338,5 @@
     ("samples", shared_samples.is_samples),
     ("notices", notices_.is_notices),
     ("refused", validation.is_list_of(validation.is_non_empty_string)),
+    ("isolated", validation.is_bool),
 )
