Let a router forget failures that were this VM's own

What callers saw: the first calls after a VM was back from a cut were refused with no_runner. Cause: its circuits had opened at all runners during the cut, and stayed open for up to 30 s.

Change: Router.forget_failures(since) closes the circuits that opened since the cut began, without a slow start. One that was open before may be probed at once, as the probes that failed meanwhile show nothing. Failures from before the cut stay. It is not called yet.

--- a/src/apricotlever/runners/circuit_breaker.py
+++ b/src/apricotlever/runners/circuit_breaker.py
@@ -54,9 +54,11 @@
 
     __slots__ = (
         "_clock",
+        "_failed_at",
         "_failures",
         "_open_duration_s",
         "_open_until",
+        "_opened_at",
         "_probe_until",
         "_rng",
         "_slow_start_until",
@@ -69,6 +71,7 @@
         self._clock = clock
         self._rng = rng
         self._failures = 0
+        self._failed_at = self._opened_at = float("-inf")
         #: Whether another VM reports that the runner refuses connections, so
         #: that a single failure opens the circuit.
         self.suspected = False
@@ -172,19 +175,42 @@
         self._open_duration_s = self._open_duration_s or INITIAL_OPEN_S
         self._open_until = max(self._open_until, self._clock.now() + hold_s)
 
+    def forget(self, since: float) -> bool:
+        """Forget the failures from a time on, which were not the runner's.
+
+        A circuit that opened since then closes, without a slow start. One that
+        was open before may be probed at once.
+
+        :param since: the time, by the clock.
+        :returns: whether the circuit closed.
+        """
+        if self._failed_at < since:
+            return False
+        self._failures = 0
+        self._failed_at = float("-inf")
+        self._open_until = self._probe_until = 0.0
+        if not self._open_duration_s:
+            return False
+        closes = self._opened_at >= since
+        self._open_duration_s = 0.0 if closes else INITIAL_OPEN_S
+        return closes
+
     def _trip(self) -> None:
         """Open the circuit if there were enough failures.
 
         Failures while it is open are of requests that were sent before. They
         don't extend the open time.
         """
+        now = self._failed_at = self._clock.now()
         needed = 1 if self.suspected else FAILURES_TO_OPEN
         if not self._open_duration_s and self._failures < needed:
             return
-        if self._open_duration_s and self._clock.now() < self._open_until:
+        if self._open_duration_s and now < self._open_until:
             return
+        if not self._open_duration_s:
+            self._opened_at = now
         self._open_duration_s = min(
             MAX_OPEN_S, 2 * self._open_duration_s or INITIAL_OPEN_S
         )
         wait_s = self._open_duration_s * self._rng.uniform(0.75, 1.25)
-        self._open_until = self._clock.now() + wait_s
+        self._open_until = now + wait_s
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -219,6 +219,18 @@
             candidate.circuit.refused()
             candidate.invalidate()
 
+    def forget_failures(self, since: float) -> int:
+        """Forget what failed from a time on, as it was this VM's own fault.
+
+        :param since: when this VM lost its paths to the runners.
+        :returns: the number of circuits that closed.
+        """
+        closed = 0
+        for candidate in self._candidates.values():
+            closed += candidate.circuit.forget(since)
+            candidate.invalidate()
+        return closed
+
     def set_reported(
         self, names: frozenset[str], confirmed: frozenset[str]
     ) -> None:
--- a/tests/runners/circuit_breaker.feature
+++ b/tests/runners/circuit_breaker.feature
@@ -30,5 +30,33 @@
     And a probe is sent and its end is not reported for 31 seconds
     Then the circuit allows one probe and not a second one
 
+  # Guards against calls that find no runner just after a VM, which had lost
+  # its paths to all runners, is back.
+  Scenario: Failures that were the VM's own are forgotten
+    Given a runner's circuit
+    When requests end with "FFF"
+    And the failures of the last second are forgotten
+    Then the circuit is closed
+    When requests end with "FF"
+    Then the circuit is closed
+
+  Scenario: A circuit that was open before may be probed
+    Given a runner's circuit
+    When requests end with "FFF"
+    And the open time of the circuit passes
+    And 2 seconds pass for the circuit
+    And requests end with "F"
+    Then the circuit is open
+    When the failures of the last second are forgotten
+    Then the circuit is half_open
+
+  Scenario: Failures from before are not forgotten
+    Given a runner's circuit
+    When requests end with "FF"
+    And 2 seconds pass for the circuit
+    And the failures of the last second are forgotten
+    And requests end with "F"
+    Then the circuit is open
+
   Scenario: The circuit agrees with a plain count of failures
     Then a circuit is closed exactly when a plain count says so
--- a/tests/steps/runners_circuit_breaker.py
+++ b/tests/steps/runners_circuit_breaker.py
@@ -45,6 +45,16 @@
     context.clock.advance(seconds)
 
 
+@when("{seconds:d} seconds pass for the circuit")
+def _circuit_waits(context, seconds):
+    context.clock.advance(seconds)
+
+
+@when("the failures of the last second are forgotten")
+def _forget(context):
+    context.health.forget(context.clock.now() - 1.0)
+
+
 @then("the circuit is {state}")
 def _state(context, state):
     assert context.health.state.value == state
