--- a/tests/steps/vms_vm_records.py
+++ b/tests/steps/vms_vm_records.py
@@ -160,3 +160,26 @@
     assert len(longest) == count * (count - 1), len(longest)
     worst = max(longest, key=longest.get)
     assert longest[worst] <= seconds, (worst, longest[worst])
+
+
+def _record(isolated, number=1):
+    return vm_records.VmRecord(
+        "vm", 1, number, "10.0.0.1:1", "10.0.0.1:2", "dc", isolated=isolated
+    )
+
+
+@then("the record of a VM that reaches runners has no field for isolation")
+def _without_isolation(context):
+    encoded = _record(False).to_record()
+    known_before = len(vm_records.VmRecord.__slots__) - 1
+    assert len(encoded) <= known_before, encoded
+    assert not vm_records.VmRecord.from_record(encoded).isolated
+
+
+@then("the record of an isolated VM is read as such, and passed on at once")
+def _with_isolation(context):
+    read = vm_records.VmRecord.from_record(_record(True).to_record())
+    assert read.isolated
+    assert read.without_summed_fields().isolated
+    assert read.differs_from(_record(False, 2), versions=False)
+    assert not read.differs_from(_record(True, 2), versions=False)
--- a/tests/vms/vm_records.feature
+++ b/tests/vms/vm_records.feature
@@ -51,3 +51,10 @@
     And they exchange records for 6 seconds
     When they exchange records for another 10 seconds
     Then no VM waited for a record of another one for over 0.9 seconds
+
+  # Guards against records that VMs of builds without the field can't read
+  # while nobody is isolated.
+  Scenario: A record names isolation only while its VM is isolated
+    Given 2 VMs whose settings name only the first one
+    Then the record of a VM that reaches runners has no field for isolation
+    And the record of an isolated VM is read as such, and passed on at once
