Notice at a VM that it has lost all runners, and tell the others

What callers saw: a VM without paths to runners stayed on every list and ended its calls in 503. Cause: nothing asked whether its failures were its own.

Change: the path of a call feeds runners/reachability.py: calls sent and ended, bytes, connections that failed or broke. Node's tick makes the probes that are due (reach_probes.py); their connections serve later calls. reach_monitor.py logs runners_unreachable with the evidence and runners_reachable with the duration, has the record sent at once, and lets the router forget what failed since the cut began. Lists of callers' addresses leave isolated VMs out.

SilenceTrust moves to waiting_calls.py, to keep reachability.py small.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -26,6 +26,8 @@
         "runner_limit",
         "runner_refuses",
         "runner_rest",
+        "runners_reachable",
+        "runners_unreachable",
         "service_contention",
         "started",
         "stopping",
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -123,6 +123,10 @@
     "runner_refuses": Event(
         INFO, "A runner refuses connections of this VM or of several others."
     ),
+    "runners_unreachable": Event(
+        WARNING, "This VM reaches no runner: it is isolated, or all are down."
+    ),
+    "runners_reachable": Event(INFO, "This VM reaches runners again."),
     "service_contention": Event(
         INFO, "A service's prompts began or ceased to wait for long."
     ),
--- a/src/apricotlever/runners/reachability.py
+++ b/src/apricotlever/runners/reachability.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import math
 import random
 import typing
 
@@ -35,14 +36,6 @@
 SEARCH_INTERVAL_S = 0.38
 #: One of so many of these probes goes to the runner that was reached last.
 ROUND = 4
-#: Calls must have waited for this many seconds without a byte before failures
-#: of new connections count for open ones, too.
-QUIET_S = 0.4
-#: The same once open connections have brought bytes while new ones failed.
-#: Doubles each time that bytes come after all.
-TRUST_S = 2.0
-#: Most times that :data:`TRUST_S` doubles.
-MAX_DOUBLINGS = 4
 #: While others are isolated, a VM without calls probes if it had no contact
 #: for this many seconds.
 IDLE_S = 1.0
@@ -65,6 +58,9 @@
     ISOLATED = "isolated"
 
 
+_LACKING = frozenset((Reach.NO_NEW_CONNECTIONS, Reach.ISOLATED))
+
+
 class Reachability:
     """Tells from calls and probes which runners this VM reaches.
 
@@ -84,10 +80,10 @@
         "_peers_at",
         "_probes",
         "_reached",
-        "_returns",
         "_since",
         "_state",
         "_targets",
+        "_trust",
         "_waiting",
     )
 
@@ -97,6 +93,7 @@
         self._clock = clock
         self._targets = probe_targets.ProbeTargets(rng or random.Random(0))
         self._waiting = waiting_calls.WaitingCalls(clock)
+        self._trust = waiting_calls.SilenceTrust()
         self._failures = connection_failures.ConnectionFailures(clock)
         self._probes = probes_under_way.ProbesUnderWay(clock)
         self._reached: str | None = None
@@ -117,6 +114,11 @@
         """Whether this VM reaches no runner."""
         return self.state is Reach.ISOLATED
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether nothing suggests that this VM lost its runners."""
+        return self.state is Reach.CONNECTED
+
     @property
     def since(self) -> float:
         """When the state began, by the clock."""
@@ -125,7 +127,10 @@
 
     @property
     def cut_since(self) -> float:
-        """Time of the last contact before this VM was last isolated."""
+        """When this VM last lost its paths, at the earliest.
+
+        That is the last contact before, or the last connection that opened.
+        """
         return self._cut_since
 
     @property
@@ -181,20 +186,26 @@
         self._waiting.restart()
         self._broken_at = _NEVER
         if self._state is Reach.ISOLATED:
-            # Open connections live: their silence is trusted for longer.
-            self._returns += 1
+            self._trust.disproved()
             self._enter(Reach.NO_NEW_CONNECTIONS)
 
-    def connection_opened(self, runner: str) -> None:
-        """Record that a connection to a runner opened, by call or probe."""
-        self._opened_at = self._note_pauses()
+    def connection_opened(self, runner: str, at: float = math.inf) -> None:
+        """Record that a connection to a runner opened, by call or probe.
+
+        :param at: when it opened, by the clock, if that is only seen now.
+        """
+        now = self._note_pauses()
+        if at < self._failures.last_at:
+            # It doesn't show that connections open again.
+            return
+        self._opened_at = now
         self._reached = runner
         self._probes.answered(runner)
         if self._state is Reach.ISOLATED:
             # The silence so far is explained.
             self._waiting.restart()
         self._failures.clear()
-        self._returns = 0
+        self._trust.reset()
         self._broken_at = _NEVER
         self._enter(Reach.CONNECTED)
 
@@ -256,7 +267,7 @@
 
     @property
     def _lacks_paths(self) -> bool:
-        return self.state in (Reach.ISOLATED, Reach.NO_NEW_CONNECTIONS)
+        return self.state in _LACKING
 
     @property
     def _contact_at(self) -> float:
@@ -362,16 +373,17 @@
     @property
     def _trusted_s(self) -> float:
         """How long waiting calls may be silent on open connections."""
-        if self._state is not Reach.NO_NEW_CONNECTIONS:
-            return QUIET_S
-        usual_s = QUIET_S if self._broken_at > self._bytes_at else TRUST_S
-        return usual_s * 2 ** min(self._returns, MAX_DOUBLINGS)
+        return self._trust.limit_s(
+            self._state is Reach.NO_NEW_CONNECTIONS
+            and self._broken_at <= self._bytes_at
+        )
 
     def _enter(self, state: Reach) -> None:
         if state is self._state:
             return
-        if state is Reach.ISOLATED:
-            self._cut_since = self._contact_at
+        if self._state not in _LACKING and state in _LACKING:
+            isolated = state is Reach.ISOLATED
+            self._cut_since = self._contact_at if isolated else self._opened_at
         self._state, self._since = state, self._clock.now()
 
     def _note_pauses(self) -> float:
@@ -396,5 +408,5 @@
         self._probes.clear()
         self._waiting.restart()
         self._reached = None
-        self._returns = 0
+        self._trust.reset()
         self._state, self._since = Reach.SUSPECTED, self._clock.now()
--- a/src/apricotlever/runners/waiting_calls.py
+++ b/src/apricotlever/runners/waiting_calls.py
@@ -2,6 +2,14 @@
 
 from .. import clock as clocks
 
+#: Calls must have waited for this many seconds without a byte before failures
+#: of new connections count for open ones, too.
+QUIET_S = 0.4
+#: The same once open connections have brought bytes while new ones failed.
+TRUST_S = 2.0
+#: Most times that these times double.
+MAX_DOUBLINGS = 4
+
 
 class WaitingCalls:
     """The calls of a VM that wait for bytes, and their time of waiting.
@@ -47,3 +55,33 @@
     def restart(self) -> None:
         """Measure from now on: a byte arrived, or the past is unknown."""
         self._before_s, self._since = 0.0, self._clock.now()
+
+
+class SilenceTrust:
+    """For how long open connections may be silent while new ones fail.
+
+    The time doubles each time that bytes come after all, so that a slow stream
+    doesn't make a VM isolated again and again.
+    """
+
+    __slots__ = ("_disproved",)
+
+    def __init__(self) -> None:
+        self._disproved = 0
+
+    def limit_s(self, is_known_to_live: bool) -> float:
+        """The longest silence that says nothing, in seconds.
+
+        :param is_known_to_live: whether open connections have brought bytes
+            while new ones failed, and none has broken since.
+        """
+        usual_s = TRUST_S if is_known_to_live else QUIET_S
+        return usual_s * 2 ** min(self._disproved, MAX_DOUBLINGS)
+
+    def disproved(self) -> None:
+        """Record that bytes came after a silence that was too long."""
+        self._disproved += 1
+
+    def reset(self) -> None:
+        """Start anew: new connections open again."""
+        self._disproved = 0
--- a/src/apricotlever/serving/call_observations.py
+++ b/src/apricotlever/serving/call_observations.py
@@ -21,6 +21,7 @@
 from . import modes
 from . import performance_meters
 from . import prompt_meters
+from . import reach_monitor
 from . import runner_refusals
 from . import runners
 from . import service_priorities
@@ -37,6 +38,7 @@
     :param performance: measures how fast the runners are.
     :param roll_outs: the roll-outs, whose calls are sampled.
     :param part_modes: the modes of the parts of the request path.
+    :param reach: finds out whether this VM reaches runners.
     :param news: called when the other VMs should be told at once: when a
         prompt was sent, or when there are refused connections to report.
     """
@@ -48,6 +50,7 @@
         "_performance",
         "_priorities",
         "_prompts",
+        "_reach",
         "_refusals",
         "_router",
         "_silence",
@@ -62,10 +65,12 @@
         performance: performance_meters.PerformanceMeters,
         roll_outs: roll_outs_controller.RollOutController,
         part_modes: modes.PartModes,
+        reach: reach_monitor.ReachMonitor,
         news: typing.Callable[[], None],
     ) -> None:
         self._news = news
         self._router = router
+        self._reach = reach
         self._performance = performance
         self._in_flight: dict[str, int] = {}
         self._silence = silence_detector.SilenceDetector(clock)
@@ -163,6 +168,7 @@
         name = runner.runner_id
         self._in_flight[name] = self._in_flight.get(name, 0) + 1
         self._silence.call_sent(name)
+        self._reach.reach.call_sent(name)
         # The backlog is that of the other calls, so it is read first.
         backlog = performance_meters.Backlog(*self._router.backlog(name))
         tokens = self._router.request_started(attempt, name, query)
@@ -192,6 +198,7 @@
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
         self._silence.bytes_received(runner.runner_id)
+        self._reach.bytes_received(runner.runner_id)
         if self._refusals.record_answer(runner.runner_id):
             self._news()
 
@@ -231,6 +238,7 @@
         self._trials.record_end(attempt, outcome)
         name = runner.runner_id
         self._silence.call_ended(name)
+        self._reach.reach.call_ended(name)
         if outcome is not models.Outcome.CANCELLED or outlier_failure:
             failed = outcome is models.Outcome.FAILED or outlier_failure
             self._outliers.call_ended(name, failed)
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -19,6 +19,7 @@
 from ..contracts import usage_windows
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
+from ..vms import caller_addresses
 from ..vms import peer_loads
 from ..vms import shared_samples
 from ..vms import vm_records
@@ -37,6 +38,7 @@
 from . import listening_sockets
 from . import metrics
 from . import peer_http
+from . import reach_probes
 from . import roll_out_orders
 from . import runner_directory as directories
 from . import runner_limits
@@ -115,6 +117,7 @@
             lambda: self._fleet.publish_soon(),
             self._roll_outs,
             config.modes,
+            lambda: self._fleet.publish_now(),
         )
         self._limits = customer_limits.CustomerLimits(
             clock,
@@ -145,6 +148,9 @@
             rng,
         )
         self._tasks = task_supervisor.TaskSupervisor()
+        self._reach_probes = reach_probes.ReachProbes(
+            clock, self._upstreams, self._tasks
+        )
         self._fleet = fleet_link.FleetLink(
             clock, rng, config, self, self._directory, self._tasks
         )
@@ -363,6 +369,7 @@
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
             refused=calls.refused_runners,
+            isolated=calls.reach.is_isolated,
         )
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
@@ -451,15 +458,15 @@
     def caller_addresses(self) -> list[str]:
         """Addresses at which callers may call, this VM's own first.
 
-        They are those of the live VMs that are ready.
+        They are those of the live VMs that are ready, without isolated ones
+        unless all are isolated.
         """
-        alive = [
-            peer.caller_address
-            for peer in self._fleet.alive
-            if peer.ready and not peer.leaving
-        ]
-        own = [str(self._settings.callers)] if self.ready else []
-        return own + sorted(alive)
+        return caller_addresses.listed(
+            str(self._settings.callers),
+            self.ready,
+            self._upstreams.reach.is_isolated,
+            self._fleet.alive,
+        )
 
     def metrics(self) -> str:
         """All metrics of this VM, in the text format of Prometheus."""
@@ -473,6 +480,7 @@
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
             **self._limits.return_metrics,
             **self._upstreams.counters,
+            **self._upstreams.reach_monitor.metrics,
         }
         return metrics.format_metrics(
             self._relay,
@@ -581,6 +589,7 @@
         alive = self._fleet.alive
         members = self._fleet.members
         self._fleet.update_members()
+        self._probe_runners(alive)
         processes = frozenset(m.process for m in members)
         self._limits.set_members(
             processes, self._fleet.mean_message_interval_s
@@ -604,6 +613,19 @@
         if settled and self._leaving_since is None:
             self._duties.update_view(alive, len(members) + 1)
 
+    def _probe_runners(
+        self, alive: typing.Sequence[vm_records.VmRecord]
+    ) -> None:
+        """Find out whether this VM is isolated."""
+        isolated = sum(peer.isolated for peer in alive)
+        reach = self._upstreams.reach
+        reach.set_peers(
+            len(alive) - isolated,
+            isolated,
+            self._fleet.mean_message_interval_s,
+        )
+        self._reach_probes.tick()
+
     def _update_keepers(
         self, processes: frozenset[str], fleet_size: int
     ) -> None:
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -36,6 +36,7 @@
     """
 
     __slots__ = (
+        "_connected_at",
         "_dialect",
         "_parameters",
         "_call",
@@ -72,6 +73,8 @@
         self._reader: response_reader.ResponseReader | None = None
         #: When the call was sent, by the clock of the upstreams.
         self._sent_at = 0.0
+        #: The same of a new connection, until a byte has come.
+        self._connected_at: float | None = None
 
     async def connect(
         self, timeout_s: float
@@ -85,7 +88,9 @@
                 reason="connections_used_up",
             )
         except client_channel.NotConnected as error:
-            self._upstreams.connect_failed(self._runner, error.refused)
+            self._upstreams.connect_failed(
+                self._runner, error.refused, timeout_s >= CONNECT_TIMEOUT_S
+            )
             return attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.NOT_SENT,
                 reason=f"unreachable:{error}",
@@ -115,6 +120,7 @@
             self._parameters.customer,
             self._shows_speed_of_runner(),
         )
+        self._connected_at = None if channel.uses else self._sent_at
         try:
             channel.send(
                 self._dialect.encode_request(self._call, self._parameters),
@@ -133,6 +139,8 @@
             )
         except client_channel.Broken as error:
             result = models.Outcome.FAILED
+            if error.reset:
+                self._upstreams.connection_broken(self._runner)
             outcome = attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.BROKEN,
                 reason=f"broken:{error}",
@@ -177,6 +185,9 @@
 
     def bytes_received(self) -> None:
         """Record that bytes came from the runner."""
+        connected_at, self._connected_at = self._connected_at, None
+        if connected_at is not None:
+            self._upstreams.connection_opened(self._runner, connected_at)
         self._upstreams.bytes_received(self._runner)
 
     def first_event_received(self) -> None:
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -13,6 +13,7 @@
 from ..roll_outs import model as roll_outs_model
 from ..runners import model as models
 from ..runners import outlier_detector
+from ..runners import reachability
 from ..runners import routing
 from ..vms import peer_loads
 
@@ -24,6 +25,7 @@
 from . import messages
 from . import modes
 from . import performance_meters
+from . import reach_monitor
 from . import runner_choice
 from . import runner_directory as directories
 from . import runner_limits
@@ -52,6 +54,8 @@
         without roll-outs.
     :param part_modes: the modes of the parts of the request path; all are on
         by default.
+    :param isolation_changed: called when this VM has become isolated or
+        ceased to be.
     """
 
     __slots__ = (
@@ -66,6 +70,7 @@
         "_peer_in_flight",
         "_performance",
         "_pools",
+        "_reach_monitor",
         "_roll_outs",
         "_router",
         "_slots",
@@ -84,6 +89,7 @@
         news: typing.Callable[[], None] | None = None,
         roll_outs: roll_outs_controller.RollOutController | None = None,
         part_modes: modes.PartModes | None = None,
+        isolation_changed: typing.Callable[[], None] | None = None,
     ) -> None:
         self._modes = part_modes or modes.PartModes()
         self._clock = clock
@@ -103,6 +109,12 @@
             "home_or_faster" if learned is None else "expected_time",
             learned,
         )
+        self._reach_monitor = reach_monitor.ReachMonitor(
+            clock,
+            f"{vm} {process}",
+            self._router,
+            isolation_changed or (lambda: None),
+        )
         self._observations = call_observations.CallObservations(
             clock,
             process,
@@ -110,6 +122,7 @@
             self._performance,
             self._roll_outs,
             self._modes,
+            self._reach_monitor,
             news or (lambda: None),
         )
         self._crashes = crash_watch.CrashWatch(clock, vm)
@@ -139,6 +152,16 @@
             lambda runner: self.in_flight_at((runner,)),
         )
 
+    @property
+    def reach(self) -> reachability.Reachability:
+        """Tells which runners this VM reaches."""
+        return self._reach_monitor.reach
+
+    @property
+    def reach_monitor(self) -> reach_monitor.ReachMonitor:
+        """Acts when this VM loses all runners and when it is back."""
+        return self._reach_monitor
+
     @property
     def directory(self) -> directories.RunnerDirectory:
         """The known runners."""
@@ -275,6 +298,7 @@
         listed = self._directory.runners
         self._roll_outs.set_runners(listed)
         self._observations.keep_only(listed)
+        self._reach_monitor.set_runners(listed)
         self._router.set_runners(
             runner_choice.routing_view(runner, pool)
             for runner in listed
@@ -461,12 +485,30 @@
             shows_speed,
         )
 
-    def connect_failed(self, runner: runners.Runner, refused: bool) -> None:
+    def connection_opened(self, runner: runners.Runner, at: float) -> None:
+        """Record that a new connection to a runner has brought a byte.
+
+        Before, it may have been accepted by something else on the way.
+
+        :param at: when it opened, by this VM's clock.
+        """
+        self._reach_monitor.connection_opened(runner.runner_id, at)
+
+    def connection_broken(self, runner: runners.Runner) -> None:
+        """Record that a connection to a runner was reset or closed midway."""
+        self.reach.connection_broken(runner.runner_id)
+
+    def connect_failed(
+        self, runner: runners.Runner, refused: bool, shows_path: bool = True
+    ) -> None:
         """Record that no connection to a runner could be opened.
 
         :param refused: whether the runner's host refused it, as no process
             listens there.
+        :param shows_path: False if it had little time to open.
         """
+        if refused or shows_path:
+            self.reach.connection_failed(runner.runner_id)
         self._observations.refusals.record_failure(runner.runner_id, refused)
         self._crashes.runner_lost(runner)
 
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -25,6 +25,14 @@
     Then the command succeeds and prints "rested, left or had no room"
     And the command succeeds and prints "runner_rest"
 
+  Scenario: A request at a VM that reached no runner is explained
+    Guards against a refusal that looks like one of the runners.
+    Given logs of two VMs with a request broken by a reclaimed runner
+    And a log of a VM that reached no runner
+    When the operator explains "bb22"
+    Then the command succeeds and prints "runners_unreachable"
+    And the command succeeds and prints "runners_reachable"
+
   Scenario: A request that no log line names is reported as an error
     Given logs of two VMs with a request broken by a reclaimed runner
     When the operator explains "cc33"
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -56,7 +56,10 @@
             "dc",
             self.directory,
             part_modes=part_modes,
+            isolation_changed=self._tell,
         )
+        #: Whether the VM was isolated at each time that others were told.
+        self.told = []
         self.limits = customer_limits.CustomerLimits(clocks.SystemClock())
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
         self.budget = retry_allowance.RetryAllowance(
@@ -79,6 +82,9 @@
         self.port = 0
         self.connection = None
 
+    def _tell(self):
+        self.told.append(self.upstreams.reach.is_isolated)
+
     async def start(self):
         """Start the server for callers."""
         self.port = await self.server.listen("127.0.0.1", 0)
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -312,18 +312,28 @@
         self.connections = 0
         self.port = 0
         self._server = None
+        self._writers = set()
 
     async def start(self):
-        """Start to accept connections."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Start to accept connections, again at the same port."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self):
         """Stop accepting connections."""
         self._server.close()
 
+    def cut(self):
+        """Refuse connections and reset the open ones."""
+        self.stop()
+        for writer in self._writers:
+            _reset(writer)
+
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 call = await self._read_call(reader)
@@ -358,6 +368,7 @@
         ):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _read_call(self, reader):
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -77,6 +77,12 @@
 time=2026-03-01T03:12:14.200000Z level=INFO event=request_refused vm=vm-1 \
 request=jj11 status=503 reason=no_time retry_after_s=0.8
 """
+ISOLATED_LOG = """\
+time=2026-03-01T03:12:13.500000Z level=WARNING event=runners_unreachable \
+vm=vm-2 failed=4 runners=r-1,r-2,r-3,r-4 probes=3 bytes_age_s=1.2
+time=2026-03-01T03:12:15.500000Z level=INFO event=runners_reachable vm=vm-2 \
+for_s=2.0 state=connected circuits_closed=4
+"""
 METRICS = """\
 apricotlever_service_contended{service="s"} 1
 apricotlever_service_wait_s{service="s"} 0.3
@@ -132,6 +138,11 @@
     _write_log(context, "contended.log", CONTENDED_LOG)
 
 
+@given("a log of a VM that reached no runner")
+def _isolated_log(context):
+    _write_log(context, "isolated.log", ISOLATED_LOG)
+
+
 @given("metrics of two VMs, of which one sees contention")
 def _metrics(context):
     _create_folder(context)
