--- a/src/apricotlever/runners/reachability.py
+++ b/src/apricotlever/runners/reachability.py
@@ -114,6 +114,11 @@
         """Whether this VM reaches no runner."""
         return self.state is Reach.ISOLATED
 
+    @property
+    def lacks_new_connections(self) -> bool:
+        """Whether only open connections to runners bring bytes."""
+        return self.state is Reach.NO_NEW_CONNECTIONS
+
     @property
     def is_connected(self) -> bool:
         """Whether nothing suggests that this VM lost its runners."""
