Say of a VM without new connections that it can't help

Cause: such a VM knew it, forwarded what it could not send, and sent it to the other VM of its kind, as only isolated VMs said so in their records.

--- a/src/apricotlever/runners/reachability.py
+++ b/src/apricotlever/runners/reachability.py
@@ -58,7 +58,8 @@
     ISOLATED = "isolated"
 
 
-_LACKING = frozenset((Reach.NO_NEW_CONNECTIONS, Reach.ISOLATED))
+#: States in which no new connection to a runner opens.
+LACKING = frozenset((Reach.NO_NEW_CONNECTIONS, Reach.ISOLATED))
 
 
 class Reachability:
@@ -119,6 +120,11 @@
         """Whether only open connections to runners bring bytes."""
         return self.state is Reach.NO_NEW_CONNECTIONS
 
+    @property
+    def lacks_paths(self) -> bool:
+        """Whether new connections to runners fail, wherever they go."""
+        return self.state in LACKING
+
     @property
     def is_connected(self) -> bool:
         """Whether nothing suggests that this VM lost its runners."""
@@ -248,7 +254,7 @@
 
         :param at: the time, by the clock.
         """
-        return not self._lacks_paths and self._contact_at > at
+        return not self.lacks_paths and self._contact_at > at
 
     def probes_due(self) -> list[str]:
         """IDs of runners to which to open a connection now.
@@ -270,10 +276,6 @@
             due.append(chosen)
         return due
 
-    @property
-    def _lacks_paths(self) -> bool:
-        return self.state in _LACKING
-
     @property
     def _contact_at(self) -> float:
         return max(self._bytes_at, self._opened_at)
@@ -287,7 +289,7 @@
 
         One suffices at first, as it nearly always shows that all is well.
         """
-        if self._lacks_paths:
+        if self.lacks_paths:
             return int(now - self._probes.last_at >= SEARCH_INTERVAL_S)
         if not self._has_doubt(now):
             return 0
@@ -386,7 +388,7 @@
     def _enter(self, state: Reach) -> None:
         if state is self._state:
             return
-        if self._state not in _LACKING and state in _LACKING:
+        if self._state not in LACKING and state in LACKING:
             isolated = state is Reach.ISOLATED
             self._cut_since = self._contact_at if isolated else self._opened_at
         self._state, self._since = state, self._clock.now()
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -369,7 +369,7 @@
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
             refused=calls.refused_runners,
-            isolated=calls.reach.is_isolated,
+            isolated=calls.reach.lacks_paths,
         )
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
@@ -464,7 +464,7 @@
         return caller_addresses.listed(
             str(self._settings.callers),
             self.ready,
-            self._upstreams.reach.is_isolated,
+            self._upstreams.reach.lacks_paths,
             self._fleet.alive,
         )
 
--- a/src/apricotlever/serving/reach_monitor.py
+++ b/src/apricotlever/serving/reach_monitor.py
@@ -18,8 +18,6 @@
 #: Runners that a log line names at most.
 MAX_NAMED = 4
 
-_Reach = reachability.Reach
-
 
 class ReachMonitor:
     """Feeds the decision, and acts on its changes.
@@ -28,16 +26,17 @@
     would otherwise find no runner for the first calls.
 
     :param process: the name of this VM's process.
-    :param changed: called when this VM has become isolated or ceased to be.
+    :param changed: called when this VM has lost its paths to all runners, or
+        has them again.
     """
 
     __slots__ = (
         "_changed",
         "_clock",
-        "_isolated_since",
-        "_must_forget",
+        "_cut_at",
         "_reach",
         "_router",
+        "_state",
     )
 
     def __init__(
@@ -51,10 +50,9 @@
         self._router = router
         self._changed = changed
         self._reach = reachability.Reachability(clock, random.Random(process))
-        #: When this VM became isolated, as told; None while it isn't.
-        self._isolated_since: float | None = None
-        #: Whether failures since :attr:`Reachability.cut_since` are this VM's.
-        self._must_forget = False
+        self._state = self._reach.state
+        #: When this VM lost its paths, as told; None while it has them.
+        self._cut_at: float | None = None
 
     @property
     def reach(self) -> reachability.Reachability:
@@ -84,7 +82,7 @@
     def bytes_received(self, runner: str) -> None:
         """Record that bytes arrived from a runner."""
         self._reach.bytes_received(runner)
-        if self._isolated_since is not None:
+        if self._cut_at is not None:
             self.update()
 
     def connection_opened(self, runner: str, at: float = math.inf) -> None:
@@ -93,7 +91,7 @@
         :param at: when it opened, by the clock, if that is only seen now.
         """
         self._reach.connection_opened(runner, at)
-        if self._must_forget:
+        if self._cut_at is not None:
             self.update()
 
     def update(self) -> None:
@@ -101,34 +99,30 @@
 
         To be called several times a second.
         """
-        state = self._reach.state
-        self._must_forget |= state in (
-            _Reach.ISOLATED,
-            _Reach.NO_NEW_CONNECTIONS,
-        )
-        closed = 0
-        if self._must_forget and state is _Reach.CONNECTED:
-            self._must_forget = False
+        state, before = self._reach.state, self._state
+        if state is before:
+            return
+        self._state = state
+        if state in reachability.LACKING:
+            if self._cut_at is None:
+                self._cut_at = self._reach.since
+                self._changed()
+            self._log_evidence(state)
+        elif self._cut_at is not None:
             closed = self._router.forget_failures(self._reach.cut_since)
-        isolated = state is _Reach.ISOLATED
-        if isolated and self._isolated_since is None:
-            self._isolated_since = self._reach.since
-            self._log_evidence()
-            self._changed()
-        elif not isolated and self._isolated_since is not None:
             logs.event(
                 "runners_reachable",
-                for_s=self._clock.now() - self._isolated_since,
-                state=state.value,
+                for_s=self._clock.now() - self._cut_at,
                 circuits_closed=closed,
             )
-            self._isolated_since = None
+            self._cut_at = None
             self._changed()
 
-    def _log_evidence(self) -> None:
+    def _log_evidence(self, state: reachability.Reach) -> None:
         found = self._reach.evidence
         logs.event(
             "runners_unreachable",
+            state=state.value,
             failed=len(found.failed),
             runners=",".join(found.failed[:MAX_NAMED]),
             failures=found.failures,
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -54,8 +54,8 @@
         without roll-outs.
     :param part_modes: the modes of the parts of the request path; all are on
         by default.
-    :param isolation_changed: called when this VM has become isolated or
-        ceased to be.
+    :param paths_changed: called when this VM has lost its paths to all
+        runners, or has them again.
     """
 
     __slots__ = (
@@ -89,7 +89,7 @@
         news: typing.Callable[[], None] | None = None,
         roll_outs: roll_outs_controller.RollOutController | None = None,
         part_modes: modes.PartModes | None = None,
-        isolation_changed: typing.Callable[[], None] | None = None,
+        paths_changed: typing.Callable[[], None] | None = None,
     ) -> None:
         self._modes = part_modes or modes.PartModes()
         self._clock = clock
@@ -113,7 +113,7 @@
             clock,
             f"{vm} {process}",
             self._router,
-            isolation_changed or (lambda: None),
+            paths_changed or (lambda: None),
         )
         self._observations = call_observations.CallObservations(
             clock,
--- a/src/apricotlever/vms/caller_addresses.py
+++ b/src/apricotlever/vms/caller_addresses.py
@@ -19,7 +19,7 @@
 
     :param own: address of this VM for callers.
     :param ready: whether this VM takes calls.
-    :param isolated: whether this VM reaches no runner.
+    :param isolated: what this VM's own record says of it.
     :param alive: records of the other live VMs.
     """
     others = [peer for peer in alive if peer.ready and not peer.leaving]
--- a/tests/serving/reach_probes.feature
+++ b/tests/serving/reach_probes.feature
@@ -18,6 +18,20 @@
     And its peers were told of it
     And it logs "runners_reachable" with its duration
 
+  # Guards against VMs that are asked to help though they open no connection
+  # themselves.
+  Scenario: Open connections live on while new ones are refused
+    Given a VM that probes 4 runners
+    When calls are made for 0.5 seconds
+    And its runners refuse new connections
+    And 8 calls at once are made for 1.5 seconds
+    Then the VM has no new connections
+    And its peers were told of it
+    And it logs "runners_unreachable" with its evidence
+    When its runners accept connections again
+    And the VM has its paths again
+    Then its peers were told of it
+
   # Guards against a VM that takes a relay on the way for its runners.
   Scenario: Connections are accepted and reset at once
     Given a VM that probes 4 runners
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -56,9 +56,9 @@
             "dc",
             self.directory,
             part_modes=part_modes,
-            isolation_changed=self._tell,
+            paths_changed=self._tell,
         )
-        #: Whether the VM was isolated at each time that others were told.
+        #: Whether the VM lacked paths at each time that others were told.
         self.told = []
         self.limits = customer_limits.CustomerLimits(clocks.SystemClock())
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
@@ -83,7 +83,7 @@
         self.connection = None
 
     def _tell(self):
-        self.told.append(self.upstreams.reach.is_isolated)
+        self.told.append(self.upstreams.reach.lacks_paths)
 
     async def start(self):
         """Start the server for callers."""
--- a/tests/steps/serving_reach_probes.py
+++ b/tests/steps/serving_reach_probes.py
@@ -67,6 +67,27 @@
     _run(context, work())
 
 
+@when("its runners refuse new connections")
+def _refuse_new(context):
+    async def work():
+        for standin in context.world.standins:
+            standin.stop()
+
+    _run(context, work())
+
+
+@when("{count:d} calls at once are made for {seconds:f} seconds")
+def _calls_at_once(context, count, seconds):
+    async def work():
+        until = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < until:
+            calls = (context.world.call_alone(f"c-{n}") for n in range(count))
+            await asyncio.gather(*calls)
+            await asyncio.sleep(PAUSE_S)
+
+    _run(context, work())
+
+
 @when("one of its runners resets and refuses connections")
 def _cut_one(context):
     async def work():
@@ -100,9 +121,10 @@
 
 
 @when("the VM is no longer isolated")
+@when("the VM has its paths again")
 def _wait_for_end(context):
     async def work():
-        while context.world.upstreams.reach.is_isolated:
+        while context.world.upstreams.reach.lacks_paths:
             await asyncio.sleep(0.005)
 
     context.loop.run(asyncio.wait_for(work(), ENDED_S))
@@ -134,6 +156,11 @@
     assert context.world.upstreams.reach.is_isolated
 
 
+@then("the VM has no new connections")
+def _no_new_connections(context):
+    assert context.world.upstreams.reach.lacks_new_connections
+
+
 @then("the VM is not isolated")
 def _not_isolated(context):
     assert not context.world.upstreams.reach.is_isolated
@@ -142,8 +169,8 @@
 
 @then("its peers were told of it")
 def _told(context):
-    isolated = context.world.upstreams.reach.is_isolated
-    assert context.world.told == [True, False][: 2 - isolated]
+    lacks = context.world.upstreams.reach.lacks_paths
+    assert context.world.told == [True, False][: 2 - lacks]
 
 
 def _line(context, event):
