--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -64,7 +64,10 @@
             "dc",
             self.directory,
             part_modes=part_modes,
+            paths_changed=self._tell,
         )
+        #: Whether the VM lacked paths at each time that others were told.
+        self.told = []
         self.limits = customer_limits.CustomerLimits(clocks.SystemClock())
         self.reach = reach or helpers.AlwaysConnected()
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
@@ -91,6 +94,9 @@
         self.port = 0
         self.connection = None
 
+    def _tell(self):
+        self.told.append(self.upstreams.reach.lacks_paths)
+
     async def start(self):
         """Start the server for callers."""
         self.port = await self.server.listen("127.0.0.1", 0)
