--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -208,6 +208,21 @@
         self._apply_recent_answers()
         return len(names)
 
+    def retract(self, since: float) -> int:
+        """Remove the crashes that only this VM took for crashes.
+
+        To be called when this VM finds that it reaches no runner: connections
+        that break all at once, and runners that can't be connected to, were
+        its own fault, and the calls that broke off crashed nothing.
+
+        :param since: when this VM lost its runners, in monotonic seconds.
+        :returns: the number of crashes that were removed.
+        """
+        self._pending_reports.clear()
+        self._recent_crashes.clear()
+        self._broken_calls.clear()
+        return self._quarantine.log.retract(self._vm, since)
+
     def call_answered(
         self, make_fingerprint: typing.Callable[[], str], size: int
     ) -> None:
--- a/src/apricotlever/runners/crashes.py
+++ b/src/apricotlever/runners/crashes.py
@@ -119,13 +119,22 @@
     tells whether a termination notice had announced it.
     """
 
-    __slots__ = ("runner", "data_centre", "at", "noticed", "suspects")
+    __slots__ = (
+        "runner",
+        "data_centre",
+        "at",
+        "noticed",
+        "reporters",
+        "suspects",
+    )
 
     def __init__(self, runner: str, data_centre: str, at: float) -> None:
         self.runner = runner
         self.data_centre = data_centre
         self.at = at
         self.noticed = False
+        #: VMs that reported the crash.
+        self.reporters: set[str] = set()
         #: Maps the fingerprint of each suspect to whether it was on trial.
         self.suspects: dict[str, bool] = {}
 
@@ -196,11 +205,28 @@
         # answer elsewhere may end before the last VM does.
         crash.at = min(crash.at, at)
         crash.noticed = crash.noticed or report.noticed
+        crash.reporters.add(report.vm)
         for suspect in report.suspects[:MAX_SUSPECTS]:
             self._add_suspect(crash, suspect)
         if len(self._crashes) > MAX_CRASHES:
             self._remove_crash(self._crashes[0])
 
+    def retract(self, vm: str, since: float) -> int:
+        """Remove the crashes that one VM alone reported.
+
+        :param vm: a VM that had lost its paths to the runners.
+        :param since: only crashes from this monotonic time on, in seconds.
+        :returns: the number of crashes that were removed.
+        """
+        wrong = [
+            crash
+            for crash in self._crashes
+            if crash.at >= since and crash.reporters == {vm}
+        ]
+        for crash in wrong:
+            self._remove_crash(crash)
+        return len(wrong)
+
     def request_completed(self, report: RequestCompleted) -> None:
         """Clear a request of all crashes before its complete answer."""
         fingerprint = report.fingerprint
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -154,6 +154,13 @@
             functools.partial(fingerprint, call, customer), len(call.body)
         )
 
+    def retract(self, since: float) -> int:
+        """Remove the crashes that were faults of this VM.
+
+        See :meth:`..runners.crash_blocklist.CrashBlocklist.retract`.
+        """
+        return self._blocklist.retract(since)
+
     def retry_after_s(
         self,
         call: messages.CallerCall,
--- a/tests/runners/crash_blocklist.feature
+++ b/tests/runners/crash_blocklist.feature
@@ -112,3 +112,29 @@
   Scenario: The answers that are kept are limited
     Then of 2000 answers at once, 1024 are kept for 3 seconds
     And answers to bodies of 400000 bytes are kept for 2 calls
+
+  # Guards against calls that are refused for half an hour because a VM lost its
+  # paths to all runners, whose connections broke off and could not be opened.
+  Scenario: A VM that reached no runner takes its crashes back
+    Given an entry VM whose calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And the VM finds that it has reached no runner for 3 seconds
+    Then the call "a" is not blocked
+    And the VM's next record reports no crash
+
+  Scenario: A crash before the VM lost its runners is kept
+    Given an entry VM whose calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And the VM finds that it has reached no runner for 1 seconds
+    And the call "a" breaks off at r3, which has ended
+    Then the call "a" is blocked
+
+  Scenario: A crash that another VM reported, too, is kept
+    Given an entry VM whose calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And another VM reports the same crashes
+    And the VM finds that it has reached no runner for 3 seconds
+    Then the call "a" is blocked
--- a/tests/steps/runners_crash_blocklist.py
+++ b/tests/steps/runners_crash_blocklist.py
@@ -185,6 +185,25 @@
     context.vm.runner_crashed("r1", DATA_CENTRE, False)
 
 
+@when("the VM finds that it has reached no runner for {seconds:d} seconds")
+def _finds_itself_isolated(context, seconds):
+    context.vm.retract(context.clock.now() - seconds)
+
+
+@when("another VM reports the same crashes")
+def _reports_same_crashes(context):
+    other = _make_vm(context, "vm-2")
+    for runner in ("r1", "r2"):
+        other.connection_broken(runner, "a")
+        other.runner_crashed(runner, DATA_CENTRE, False)
+    context.vm.merge_record("vm-2", other.next_record(False))
+
+
+@then("the VM's next record reports no crash")
+def _record_without_crash(context):
+    assert context.vm.next_record(False) is None
+
+
 @when('the call "{name}" is answered at another entry VM')
 def _answered_elsewhere(context, name):
     other = _make_vm(context, "vm-2")
