Report nothing bad of runners while this VM may have lost its paths

Cause: a VM's reports say what it met, whether it was the runners' fault or its own, and two VMs' reports suffice.

RunnerReports stands between what a VM observes and what it tells. Silences, refusals and crashes are told only while the VM is connected; failures without an answer once it has heard from a runner since, and never if it was isolated. When it finds that it lost its paths, what it took for crashes since is void, and its own failures leave its outlier detection when it is back.

Kept by an isolated VM: the lease on the duties, the usage reports, the limits and slots that it keeps for others and the following of the store, as all of these use paths that it has.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -114,6 +114,10 @@
     "runner_crashed": Event(
         WARNING, "A runner ended and its calls in flight were interrupted."
     ),
+    "runner_crashes_retracted": Event(
+        WARNING,
+        "This VM lost its paths; what it took for crashes of runners is void.",
+    ),
     "runner_outlier": Event(
         WARNING, "A runner fails more often than others of its service."
     ),
--- a/src/apricotlever/runners/outlier_detector.py
+++ b/src/apricotlever/runners/outlier_detector.py
@@ -91,6 +91,14 @@
             samples.clear()
             samples.append((now, *last[1:]))
 
+    def restart_process(self, process: str, now: float) -> None:
+        """Discard the calls of one process so far."""
+        samples = self.samples.get(process)
+        if samples:
+            last = samples[-1]
+            samples.clear()
+            samples.append((now, *last[1:]))
+
     def recent(self, now: float, excluded: str = "") -> tuple[int, int]:
         """Failed and total calls of all processes within the window.
 
@@ -200,6 +208,16 @@
         self._own[runner] = (before[0] + failed, before[1] + 1)
         self._record(self._process, runner, self._own[runner])
 
+    def forget_own_calls(self) -> None:
+        """Leave this VM's calls so far out of all later decisions.
+
+        To be called when it had lost its paths to the runners, so that its
+        failures were none of the runners.
+        """
+        now = self._clock.now()
+        for window in self._windows.values():
+            window.restart_process(self._process, now)
+
     def add_peer_counts(
         self,
         process: str,
--- a/src/apricotlever/serving/call_observations.py
+++ b/src/apricotlever/serving/call_observations.py
@@ -15,6 +15,7 @@
 from ..runners import outlier_detector
 from ..runners import routing
 from ..runners import silence_detector
+from ..runners import vouched_counts
 from ..vms import peer_loads
 
 from . import call_sampling
@@ -55,6 +56,7 @@
         "_router",
         "_silence",
         "_trials",
+        "_vouched",
     )
 
     def __init__(
@@ -75,6 +77,7 @@
         self._in_flight: dict[str, int] = {}
         self._silence = silence_detector.SilenceDetector(clock)
         self._outliers = outlier_detector.OutlierDetector(clock, process)
+        self._vouched = vouched_counts.VouchedCounts(clock)
         self._trials = call_sampling.CallSampler(clock, roll_outs)
         self._prompts = prompt_meters.PromptMeters(clock)
         self._refusals = runner_refusals.RunnerRefusals(
@@ -103,6 +106,11 @@
         """Detects the runners that fail more often than others."""
         return self._outliers
 
+    @property
+    def vouched(self) -> vouched_counts.VouchedCounts:
+        """The failed calls that this VM may report to the others."""
+        return self._vouched
+
     @property
     def refusals(self) -> runner_refusals.RunnerRefusals:
         """The runners that refuse connections."""
@@ -129,6 +137,7 @@
         self._performance.keep_only(listed)
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
+        self._vouched.keep_only(present)
         self._refusals.keep_only(present)
 
     def update_peer_loads(
@@ -222,6 +231,7 @@
         outlier_failure: bool = False,
         events: int = 0,
         shows_speed: bool = False,
+        answered: bool = True,
     ) -> None:
         """Record the end of a call at its runner.
 
@@ -232,6 +242,8 @@
         :param events: number of events after the first one of a stream.
         :param shows_speed: whether the call was answered completely and with
             success, so that its duration is that of its work.
+        :param answered: whether the runner answered in full, if only with an
+            error or a rejection.
         """
         self._prompts.record_end(attempt)
         self._performance.record_end(attempt, shows_speed, events)
@@ -242,6 +254,10 @@
         if outcome is not models.Outcome.CANCELLED or outlier_failure:
             failed = outcome is models.Outcome.FAILED or outlier_failure
             self._outliers.call_ended(name, failed)
+            if answered:
+                self._vouched.call_answered(name, failed)
+            else:
+                self._vouched.call_unanswered(name)
         left = self._in_flight.get(name, 1) - 1
         if left > 0:
             self._in_flight[name] = left
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -373,18 +373,18 @@
                 else None
             ),
             work=calls.prefill_meters if counts else None,
-            silent=calls.silent_runners,
-            failures=calls.outcome_counts if whole else None,
+            silent=calls.reports.silent,
+            failures=calls.reports.failures if whole else None,
             reported=self._duties.last_reported_window,
             known=known if whole else None,
-            crashes=calls.crashes.next_record(whole),
+            crashes=calls.reports.crashes(whole),
             gave_up=self._duties.surrendered_fencing,
             lease=self._duties.last_renewal,
             limits_port=self._limit_calls.port,
             aggregator=aggregator,
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
-            refused=calls.refused_runners,
+            refused=calls.reports.refused,
             isolated=calls.reach.lacks_paths,
         )
 
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -111,7 +111,7 @@
             channel, self._call, self._dialect, self._sink, self
         )
         result = models.Outcome.CANCELLED
-        outlier_failure = reusable = shows_speed = False
+        outlier_failure = reusable = shows_speed = answered = False
         started_at = asyncio.get_running_loop().time()
         self._sent_at = self._upstreams.call_started(
             self._attempt_id,
@@ -128,6 +128,9 @@
             )
             outcome = await reader.read(first_response_timeout_s)
             result = _health_outcome(outcome)
+            answered = (
+                outcome.status is not attempt_outcome.AttemptStatus.BROKEN
+            )
             # A runner that asks this VM for rest is no outlier among others.
             outlier_failure = (
                 outcome.status is attempt_outcome.AttemptStatus.NOT_RUN
@@ -163,6 +166,7 @@
                 outlier_failure=outlier_failure,
                 events=self._later_events(),
                 shows_speed=shows_speed,
+                answered=answered,
             )
             self._return_channel(channel, reusable)
         outcome.received = reader.received
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -30,6 +30,7 @@
 from . import runner_directory as directories
 from . import runner_limits
 from . import runner_pools
+from . import runner_reports
 from . import runner_statements
 from . import runners
 from . import service_priorities
@@ -71,6 +72,7 @@
         "_performance",
         "_pools",
         "_reach_monitor",
+        "_reports",
         "_roll_outs",
         "_router",
         "_slots",
@@ -126,6 +128,9 @@
             news or (lambda: None),
         )
         self._crashes = crash_watch.CrashWatch(clock, vm)
+        self._reports = runner_reports.RunnerReports(
+            self.reach, self._observations, self._crashes
+        )
         self._pools = runner_pools.RunnerPools()
         self._configuration: configuration_model.Configuration | None = None
         self._limits = runner_limits.RunnerLimits(clock, rng, vm)
@@ -198,9 +203,9 @@
         return self._observations.in_flight
 
     @property
-    def silent_runners(self) -> list[str]:
-        """Runners that this VM's waiting calls find silent for long."""
-        return self._observations.silence.silent_for_long
+    def reports(self) -> runner_reports.RunnerReports:
+        """What this VM reports of the runners to the other VMs."""
+        return self._reports
 
     @property
     def refused_runners(self) -> list[str]:
@@ -276,6 +281,7 @@
             "runner_samples_ignored_total": (
                 self._performance.performance.ignored
             ),
+            "runner_failures_dropped_total": self._reports.dropped_failures,
             **self._limits.counters,
             **self._slots.counters,
         }
@@ -470,6 +476,7 @@
         outlier_failure: bool = False,
         events: int = 0,
         shows_speed: bool = False,
+        answered: bool = True,
     ) -> None:
         """Record the end of a call at its runner.
 
@@ -483,6 +490,7 @@
             outlier_failure,
             events,
             shows_speed,
+            answered,
         )
 
     def connection_opened(self, runner: runners.Runner, at: float) -> None:
@@ -541,6 +549,7 @@
         """
         self._pools.close_idle(now)
         self._crashes.tick()
+        self._reports.update()
         self._performance.log_changes()
 
     def _runners_by_pool(self) -> list[list[str]]:
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -405,6 +405,12 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def listen_again(self):
+        """Accept connections again at the same port, after a stop."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
+
     def stop(self):
         """Stop accepting connections."""
         self._server.close()
