--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -379,7 +379,6 @@
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
             refused=calls.refused_runners,
-            isolated=calls.reach.is_isolated,
         )
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -73,7 +73,8 @@
     :param samples: what it has counted since its last full record.
     :param notices: what it has learned of leaving runners in the last seconds.
     :param refused: runners that have just refused a connection of the VM.
-    :param isolated: whether the VM reaches no runner.
+    :param isolated: whether the VM reaches no runner, or none by a new
+        connection.
     """
 
     __slots__ = (
