Take a failed connection for a sign that paths may be lost

The list of runners that refused connections loses those whose open connections bring bytes, so it never named all.

Change: for a second after a connection to any runner failed, a call that finds all runners unhealthy is forwarded.

tests/serving/forwarding.feature, call_relay and streams: 137 passed.

--- a/src/apricotlever/serving/helpers.py
+++ b/src/apricotlever/serving/helpers.py
@@ -12,6 +12,9 @@
 
 #: Connections to one helper at most, each with one call at a time.
 MAX_CONNECTIONS = 256
+#: For how long a failed connection to a runner may mean that this VM has lost
+#: its paths, in seconds.
+RECENT_FAILURE_S = 1.0
 
 
 class Reachability(typing.Protocol):
@@ -61,6 +64,8 @@
 
     __slots__ = (
         "_choice",
+        "_clock",
+        "_connection_failed_at",
         "_data_centre",
         "_far_bytes",
         "_pools",
@@ -76,6 +81,7 @@
         data_centre: str,
         reach: Reachability,
     ) -> None:
+        self._clock = clock
         self._reach = reach
         self._data_centre = data_centre
         self._choice = helper_choice.HelperChoice(clock, rng, vm, data_centre)
@@ -84,6 +90,8 @@
         #: Number of forwarded calls by result.
         self._results: dict[str, int] = {}
         self._far_bytes = 0
+        #: When a connection to a runner could not be opened, by the clock.
+        self._connection_failed_at = float("-inf")
 
     @property
     def are_needed(self) -> bool:
@@ -92,8 +100,15 @@
 
     @property
     def may_be_needed(self) -> bool:
-        """Whether something suggests that this VM lost its runners."""
-        return not self._reach.is_connected
+        """Whether something suggests that this VM lost paths to runners.
+
+        A connection that just failed does, too: open ones may bring bytes
+        while new ones are refused.
+        """
+        since = self._clock.now() - RECENT_FAILURE_S
+        return self._connection_failed_at > since or (
+            not self._reach.is_connected
+        )
 
     @property
     def replace_new_connections(self) -> bool:
@@ -143,6 +158,10 @@
             self._pools[address] = pool
         return pool
 
+    def connection_failed(self) -> None:
+        """Record that no connection to a runner could be opened."""
+        self._connection_failed_at = self._clock.now()
+
     def record_bytes(self, helper: vm_records.VmRecord, count: int) -> None:
         """Count the bytes of a forwarded call, sent or received.
 
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -59,22 +59,16 @@
 
         Then no runner could be connected to of those tried since the last one
         that could be. Or runners are left that this VM takes for unhealthy,
-        while it may have lost its paths, or after all of them have refused its
-        connections.
+        while it may have lost its paths.
         """
         if self._only_unreachable:
             return True
-        upstreams = self._state.relay.upstreams
-        untried = {
-            runner.runner_id
-            for runner in upstreams.directory.available_runners(
-                self._state.service
-            )
-        } - self._tried
-        return bool(untried) and (
-            self._state.relay.helpers.may_be_needed
-            or untried.issubset(upstreams.refused_runners)
+        if not self._state.relay.helpers.may_be_needed:
+            return False
+        available = self._state.relay.upstreams.directory.available_runners(
+            self._state.service
         )
+        return any(runner.runner_id not in self._tried for runner in available)
 
     async def run(self) -> attempt_outcome.AttemptOutcome:
         """Send the call to one runner and read the response.
@@ -141,6 +135,8 @@
         self._started_at = self._loop.time()
         connected = await self._connect(attempt, runner)
         if not isinstance(connected, client_channel.Channel):
+            if connected.unreachable:
+                state.relay.helpers.connection_failed()
             placement.rejected = connected.unreachable
             return connected
         outcome = await self._send(attempt, connected, runner)
