--- a/src/apricotlever/serving/forwarded_calls.py
+++ b/src/apricotlever/serving/forwarded_calls.py
@@ -23,6 +23,9 @@
 #: Forwarded calls that are in progress here at most. Each takes memory and
 #: time of this VM, whose own callers go first.
 MAX_CALLS = 256
+#: Delay of this VM's event loop, in seconds, above which it takes no forwarded
+#: calls: its own callers wait.
+MAX_LOOP_DELAY_S = 0.15
 #: When a sending VM may return that was turned away for lack of room, in
 #: seconds.
 FULL_RETRY_AFTER_S = 0.2
@@ -62,6 +65,7 @@
     __slots__ = (
         "_in_progress",
         "_is_leaving",
+        "_loop_delay_s",
         "_reach",
         "_relay",
         "_results",
@@ -79,6 +83,7 @@
         self._is_leaving = is_leaving
         self._in_progress = 0
         self._turned_away_full = 0
+        self._loop_delay_s = 0.0
         #: Number of ended calls by result.
         self._results: dict[str, int] = {}
 
@@ -100,6 +105,13 @@
             "helped_calls_refused_full_total": self._turned_away_full,
         }
 
+    def record_loop_delay(self, delay_s: float) -> None:
+        """Record how late a task of the event loop was.
+
+        :param delay_s: in seconds; below 0 if it was early.
+        """
+        self._loop_delay_s = delay_s
+
     async def answer(
         self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
@@ -142,7 +154,10 @@
             raise Unfit("helper_leaving", UNABLE_RETRY_AFTER_S)
         if self._reach.is_isolated or self._reach.lacks_new_connections:
             raise Unfit(ISOLATED, UNABLE_RETRY_AFTER_S)
-        if self._in_progress >= MAX_CALLS:
+        if (
+            self._in_progress >= MAX_CALLS
+            or self._loop_delay_s > MAX_LOOP_DELAY_S
+        ):
             self._turned_away_full += 1
             raise Unfit("helper_full", FULL_RETRY_AFTER_S)
         configuration = self._relay.configuration
@@ -205,7 +220,7 @@
         if (
             not execution.may_have_run
             and reason.startswith(call_execution.UNREACHED)
-            and not self._reach.is_connected
+            and self._relay.helpers.may_be_needed
         ):
             reason = ISOLATED
         refusal = forwarding_protocol.HelperRefusal(
--- a/src/apricotlever/serving/forwarding_attempt.py
+++ b/src/apricotlever/serving/forwarding_attempt.py
@@ -21,9 +21,6 @@
 #: How long a helper that could not be connected to, or that broke off before
 #: its response, gets no further call, in seconds.
 FAILURE_PAUSE_S = 1.0
-#: How long at most a helper gets no further call that has named a time to come
-#: back, in seconds.
-MAX_REFUSAL_PAUSE_S = 1.0
 #: Prefix of the reasons for which a helper itself turns calls away; others are
 #: those of the runners that it tried.
 OWN_REASON = "helper_"
@@ -182,6 +179,8 @@
             self._helpers.choice.call_ended(self._helper.vm)
             self._return_channel(channel, reader.head if reusable else None)
         self._helpers.record_bytes(self._helper, len(outcome.body))
+        if reader.head is not None and self.refusal is None:
+            self._helpers.choice.accepted(self._helper.vm)
         outcome.received = reader.received
         return self._end(self._with_refusal(outcome))
 
@@ -224,9 +223,8 @@
             refusal.reason.startswith(OWN_REASON)
             and refusal.retry_after_s is not None
         ):
-            self._helpers.choice.pause(
-                self._helper.vm,
-                min(refusal.retry_after_s, MAX_REFUSAL_PAUSE_S),
+            self._helpers.choice.refused(
+                self._helper.vm, refusal.retry_after_s
             )
         return outcome
 
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -582,6 +582,7 @@
         self._ticked_at = now
         if last is None:
             return
+        self._forwarded.record_loop_delay(now - last - TICK_S)
         if now - last > STALL_THRESHOLD_S:
             self._handle_stall(now - last)
         self._update()
--- a/src/apricotlever/vms/helper_choice.py
+++ b/src/apricotlever/vms/helper_choice.py
@@ -21,6 +21,9 @@
 #: Random draws before all helpers are looked at. Few are paused or excluded
 #: as a rule, so that the first draws suffice.
 MAX_DRAWS = 8
+#: Longest time for which a helper that keeps refusing gets no more calls, in
+#: seconds. The time doubles with each refusal, as asking costs the helper too.
+MAX_REFUSAL_PAUSE_S = 3.2
 #: Number of helpers whose loads are compared.
 CHOICES = 2
 
@@ -45,6 +48,7 @@
         "_near",
         "_paused_until",
         "_records",
+        "_refusals",
         "_rng",
         "_vm",
     )
@@ -69,6 +73,8 @@
         #: Calls that this VM has forwarded and that are in flight, by helper.
         self._in_flight: dict[str, int] = {}
         self._paused_until: dict[str, float] = {}
+        #: Pauses after refusals since the last call that was taken, by helper.
+        self._refusals: dict[str, int] = {}
 
     @property
     def in_flight(self) -> int:
@@ -105,12 +111,29 @@
         return far if is_far_better else near
 
     def pause(self, vm: str, for_s: float) -> None:
-        """Choose a VM no more for a while, as it has refused or failed.
+        """Choose a VM no more for a while, as it has failed.
 
         :param for_s: seconds.
         """
         self._paused_until[vm] = self._clock.now() + for_s
 
+    def refused(self, vm: str, for_s: float) -> None:
+        """Choose a VM no more for a while, as it takes no calls for now.
+
+        Refusals of calls that were in flight at once count as one.
+
+        :param for_s: what the VM asks for, in seconds.
+        """
+        if self._is_paused(vm):
+            return
+        count = self._refusals.get(vm, 0)
+        self._refusals[vm] = count + 1
+        self.pause(vm, min(MAX_REFUSAL_PAUSE_S, for_s * 2.0**count))
+
+    def accepted(self, vm: str) -> None:
+        """Record that a VM has taken a call."""
+        self._refusals.pop(vm, None)
+
     def call_started(self, vm: str) -> None:
         """Count a call that was forwarded to a VM."""
         self._in_flight[vm] = self._in_flight.get(vm, 0) + 1
@@ -149,6 +172,11 @@
         self._loads = {
             record.vm: sum(record.in_flight.values()) for record in helpers
         }
+        self._refusals = {
+            vm: count
+            for vm, count in self._refusals.items()
+            if vm in self._loads
+        }
         now = self._clock.now()
         self._paused_until = {
             vm: until
@@ -188,5 +216,8 @@
     ) -> bool:
         if record.vm in excluded:
             return False
-        until = self._paused_until.get(record.vm)
-        return until is None or self._clock.now() >= until
+        return not self._is_paused(record.vm)
+
+    def _is_paused(self, vm: str) -> bool:
+        until = self._paused_until.get(vm)
+        return until is not None and self._clock.now() < until
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -143,6 +143,7 @@
     Examples:
       | state                        |
       | has no room                  |
+      | is late with its own work    |
       | leaves                       |
       | is isolated                  |
       | lacks new connections        |
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -87,6 +87,10 @@
     vm.forwarded._in_progress = forwarded_calls.MAX_CALLS
 
 
+def _be_late(context, vm):
+    vm.forwarded.record_loop_delay(2 * forwarded_calls.MAX_LOOP_DELAY_S)
+
+
 def _leave(context, vm):
     vm.leaving = True
 
@@ -153,6 +157,7 @@
     "reaches none and suspects it": _reach_none,
     "suspects that it lost its runners": _suspect,
     "has no room": _fill,
+    "is late with its own work": _be_late,
     "leaves": _leave,
     "is isolated": _isolate,
     "has no configuration": _forget_configuration,
--- a/tests/steps/vms_helper_choice.py
+++ b/tests/steps/vms_helper_choice.py
@@ -208,3 +208,38 @@
             assert chosen is None
 
     check()
+
+
+@when(
+    "the other VM refuses for {pause:g} s whatever it is asked for {span:d} "
+    "seconds"
+)
+def _refuse(context, pause, span):
+    context.asked_at = []
+    for eighth in range(8 * span):
+        if context.choice.choose(()) is not None:
+            context.asked_at.append(eighth / 8)
+            # Two calls that were in flight at once.
+            context.choice.refused("vm-0", pause)
+            context.choice.refused("vm-0", pause)
+        context.clock.advance(0.125)
+
+
+@then("it was asked after {times} s")
+def _check_asked(context, times):
+    expected = [float(time) for time in times.split(", ")]
+    assert context.asked_at == expected, context.asked_at
+
+
+@when("the other VM takes a call and refuses the next one")
+def _take_and_refuse(context):
+    context.clock.advance(helper_choice.MAX_REFUSAL_PAUSE_S)
+    context.choice.accepted("vm-0")
+    context.choice.refused("vm-0", 0.25)
+
+
+@then("its pause is {pause:g} s again")
+def _check_pause(context, pause):
+    assert context.choice.choose(()) is None
+    context.clock.advance(pause)
+    assert context.choice.choose(()) is not None
--- a/tests/vms/helper_choice.feature
+++ b/tests/vms/helper_choice.feature
@@ -45,6 +45,14 @@
     And 1 helpers are chosen
     Then all are the first other VM
 
+  # Guards against a last helper that is kept busy by refusing calls.
+  Scenario: A helper that keeps refusing is asked more and more rarely
+    Given an isolated VM, 1 others in its data centre and 0 elsewhere
+    When the other VM refuses for 0.25 s whatever it is asked for 20 seconds
+    Then it was asked after 0, 0.25, 0.75, 1.75, 3.75, 7, 10.25, 13.5, 16.75 s
+    When the other VM takes a call and refuses the next one
+    Then its pause is 0.25 s again
+
   # Guards against a cost of each call that grows with the fleet.
   Scenario: A choice costs the same in a fleet of 3500 VMs
     Given an isolated VM, 1749 others in its data centre and 1750 elsewhere
