--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -87,6 +87,10 @@
     vm.forwarded._in_progress = forwarded_calls.MAX_CALLS
 
 
+def _be_late(context, vm):
+    vm.forwarded.record_loop_delay(2 * forwarded_calls.MAX_LOOP_DELAY_S)
+
+
 def _leave(context, vm):
     vm.leaving = True
 
@@ -153,6 +157,7 @@
     "reaches none and suspects it": _reach_none,
     "suspects that it lost its runners": _suspect,
     "has no room": _fill,
+    "is late with its own work": _be_late,
     "leaves": _leave,
     "is isolated": _isolate,
     "has no configuration": _forget_configuration,
@@ -407,9 +412,7 @@
     for _ in range(FAILURES):
         vm.upstreams.connect_failed(runner, state == "was refused by it")
     if state == "was refused by it":
-        # A byte of another runner, after which the refusals count.
-        other = runners.Runner("other", "other", "127.0.0.1", 1, "dc", 4)
-        vm.upstreams.bytes_received(other)
+        vm.relay.helpers.connection_failed()
     assert vm.upstreams.choose(models.Query("r", "service", "")) is None
     vm.reach.is_connected = state in ("is connected", "was refused by it")
     vm.reach.lacks_new_connections = state == "lacks new connections"
