--- a/src/apricotlever/runners/probe_targets.py
+++ b/src/apricotlever/runners/probe_targets.py
@@ -8,6 +8,8 @@
 import random
 import typing
 
+from . import connection_failures
+
 #: Number of runners, of services and of data centres at which connections
 #: must fail before a VM takes itself for isolated; fewer if fewer are listed.
 MIN_FAILED = 3
@@ -109,6 +111,24 @@
             and self._covered(failed, reached)
         )
 
+    def all_fail(
+        self,
+        failures: connection_failures.ConnectionFailures,
+        reached: str | None,
+        after: float = float("-inf"),
+    ) -> bool:
+        """Whether connections to runners have failed everywhere.
+
+        :param reached: the runner that was reached last; None for none.
+        :param after: only failures after this time count.
+        """
+        return self.suffice(
+            failures.recent(after),
+            failures.recent_probes(after),
+            failures.count,
+            reached,
+        )
+
     def choose(
         self, tried: typing.Collection[str], reached: str | None
     ) -> str | None:
--- a/src/apricotlever/runners/reachability.py
+++ b/src/apricotlever/runners/reachability.py
@@ -8,7 +8,6 @@
 """
 
 import enum
-import math
 import random
 import typing
 
@@ -39,8 +38,6 @@
 #: While others are isolated, a VM without calls probes if it had no contact
 #: for this many seconds.
 IDLE_S = 1.0
-#: What peers say of themselves counts for this many seconds.
-PEERS_AGE_S = 2.0
 
 _NEVER = float("-inf")
 
@@ -78,7 +75,6 @@
         "_opened_at",
         "_pauses",
         "_peers",
-        "_peers_at",
         "_probes",
         "_reached",
         "_since",
@@ -99,8 +95,8 @@
         self._probes = probes_under_way.ProbesUnderWay(clock)
         self._reached: str | None = None
         self._state, self._since = Reach.SUSPECTED, clock.now()
-        self._peers = (0, 0)
-        self._peers_at = self._cut_since = _NEVER
+        self._peers = reach_evidence.PeerWords(clock)
+        self._cut_since = _NEVER
         self._pauses = process_pauses.ProcessPauses(clock)
         self._restart()
 
@@ -152,16 +148,12 @@
     @property
     def evidence(self) -> reach_evidence.Evidence:
         """On what the state rests."""
-        now = self._clock.now()
-        reaching, isolated = self._peers
         return reach_evidence.Evidence(
             tuple(sorted(self._failures.recent())),
             self._failures.count,
-            reach_evidence.age_s(self._bytes_at, now),
+            reach_evidence.age_s(self._bytes_at, self._clock.now()),
             len(self._failures.recent_probes()),
-            reaching,
-            isolated,
-            reach_evidence.age_s(self._peers_at, now),
+            self._peers,
             self.since,
         )
 
@@ -200,7 +192,7 @@
             self._trust.disproved()
             self._enter(Reach.NO_NEW_CONNECTIONS)
 
-    def connection_opened(self, runner: str, at: float = math.inf) -> None:
+    def connection_opened(self, runner: str, at: float = float("inf")) -> None:
         """Record that a connection to a runner opened, by call or probe.
 
         :param at: when it opened, by the clock, if that is only seen now.
@@ -244,8 +236,7 @@
         :param isolated: how many say that they are isolated.
         :param age_s: age of their words, in seconds.
         """
-        self._peers = (reaching, isolated)
-        self._peers_at = self._clock.now() - age_s
+        self._peers.set(reaching, isolated, age_s)
 
     def vouches_since(self, at: float) -> bool:
         """Whether this VM has heard from some runner after a time.
@@ -291,7 +282,7 @@
         """
         if self.lacks_paths:
             return int(now - self._probes.last_at >= SEARCH_INTERVAL_S)
-        if not self._has_doubt(now):
+        if not self._targets.names or not self._has_doubt(now):
             return 0
         failed = self._failures.recent_probes(self._bytes_at)
         if failed or self._probes.is_slow or len(self._failures.recent()) > 1:
@@ -300,8 +291,6 @@
 
     def _has_doubt(self, now: float) -> bool:
         """Whether there is a reason to probe."""
-        if not self._targets.names:
-            return False
         contact_s = now - self._contact_at
         answered_s = now - self._probes.answered_at
         troubled = self._trouble_at > self._contact_at
@@ -312,11 +301,8 @@
             return True
         if self._waiting.silent_s >= SILENCE_S:
             return answered_s >= ANSWERED_SILENCE_S
-        return (
-            self._peers[1] > 0
-            and now - self._peers_at < PEERS_AGE_S
-            and min(contact_s, now - self._probes.last_at) >= IDLE_S
-        )
+        idle_s = min(contact_s, now - self._probes.last_at)
+        return self._peers.some_are_isolated and idle_s >= IDLE_S
 
     def _choose_probe(self, now: float) -> str | None:
         """The runner to probe next; None if enough are being probed."""
@@ -339,20 +325,12 @@
             tried, self._reached
         ) or self._targets.choose(pending, None)
 
-    def _fails_everywhere(self, after: float = _NEVER) -> bool:
-        """Whether new connections have failed everywhere after a time."""
-        failures = self._failures
-        return self._targets.suffice(
-            failures.recent(after),
-            failures.recent_probes(after),
-            failures.count,
-            self._reached,
-        )
-
     def _decide(self) -> None:
         if self._state is Reach.ISOLATED:
             return
-        if self._fails_everywhere(self._bytes_at) and (
+        if self._targets.all_fail(
+            self._failures, self._reached, self._bytes_at
+        ) and (
             not self._waiting.count
             or self._waiting.silent_s >= self._trusted_s
         ):
@@ -375,7 +353,9 @@
         """Whether new connections fail everywhere, while bytes come."""
         later = self._failures.recent(self._bytes_at)
         before = self._failures.recent() - later
-        return len(before) >= self._targets.many and self._fails_everywhere()
+        return len(before) >= self._targets.many and self._targets.all_fail(
+            self._failures, self._reached
+        )
 
     @property
     def _trusted_s(self) -> float:
