See a crash only in a refused connection, not in one that opens late

A call whose connection to a runner broke was charged with a crash of that runner when a new connection then timed out: at VMs that lost their paths, whose connections were reset before (the record shows runner_crashed with calls charged at two of three such VMs), and at a runner that is silent for a second. Two such charges keep a call away from all runners for 30 minutes. A timeout shows no end of a process; a machine that has gone leaves the store's list, which is charged as before.

--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -468,7 +468,9 @@
             listens there.
         """
         self._observations.refusals.record_failure(runner.runner_id, refused)
-        self._crashes.runner_lost(runner)
+        if refused:
+            # A runner that is silent for a while opens connections late, too.
+            self._crashes.runner_lost(runner)
 
     async def check_runner_crash(self, runner: runners.Runner) -> None:
         """Check whether a runner that broke a connection has crashed.
--- a/tests/serving/crash_watch.feature
+++ b/tests/serving/crash_watch.feature
@@ -14,3 +14,18 @@
       | accepts a connection               | not ended |
       | opens no connection in time        | not ended |
       | has no free connection in the pool | not ended |
+
+  # Guards against calls that are kept away from all runners for half an hour,
+  # because a VM that lost its paths, or met a runner in a short silence, takes
+  # a connection that opens late for the runner's crash.
+  Scenario Outline: A call counts as the cause of a crash only after a refusal
+    Given a route for non-idempotent calls
+    And a runner that resets
+    When a call is made
+    And a new connection to runner 1 <fails>
+    Then <count> calls are charged with a crash
+
+    Examples:
+      | fails      | count |
+      | is refused | 1     |
+      | times out  | 0     |
--- a/tests/steps/serving_crash_watch.py
+++ b/tests/steps/serving_crash_watch.py
@@ -1,6 +1,7 @@
 """Steps for tests/serving/crash_watch.feature."""
 
 import asyncio
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -62,3 +63,21 @@
 @then("the runner counts as {ended}")
 def _counts_as(context, ended):
     assert context.ended == (ended == "ended"), context.ended
+
+
+@when("a new connection to runner 1 {fails}")
+def _connection_fails(context, fails):
+    upstreams = context.world.upstreams
+    (runner,) = context.world.directory.runners
+    with mock.patch.object(crash_watch.logs, "event") as event:
+        upstreams.connect_failed(runner, refused=fails == "is refused")
+    context.charged = sum(
+        call.kwargs["charged"]
+        for call in event.call_args_list
+        if call.args[0] == "runner_crashed"
+    )
+
+
+@then("{count:d} calls are charged with a crash")
+def _check_charged(context, count):
+    assert context.charged == count, context.charged
