--- a/src/apricotlever/serving/call_state.py
+++ b/src/apricotlever/serving/call_state.py
@@ -162,8 +162,8 @@
         limit_s = FIRST_ATTEMPT_SHARE * self.left_s
         if wait_s >= limit_s:
             return None
-        wait_s = max(wait_s, silence_detector.MAX_SOUND_SILENCE_S)
-        return min(factor * wait_s, limit_s)
+        wait_s = max(factor * wait_s, silence_detector.MAX_SOUND_SILENCE_S)
+        return min(wait_s, limit_s)
 
     def not_served(
         self, reason: str, retry_after_s: float | None = None
