--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -14,6 +14,7 @@
 from . import client_channel
 from . import configuration_model
 from . import event_splitter
+from . import forwarding_attempt
 from . import forwarding_protocol
 from . import helper_sending
 from . import messages
@@ -66,13 +67,13 @@
 
     __slots__ = (
         "_forward_next",
-        "_last_resort_used",
         "_received",
         "_reply",
         "_sink",
         "_state",
         "_to_helpers",
         "_to_runners",
+        "_unforwarded",
     )
 
     def __init__(
@@ -108,8 +109,9 @@
         self._received = attempt_outcome.NO_RESPONSE
         #: Whether the next attempt is that of a helper in any case.
         self._forward_next = False
-        #: Whether the call was forwarded although this VM reaches runners.
-        self._last_resort_used = False
+        #: The error in place of which the call was forwarded, although this VM
+        #: isn't isolated; None if it was not.
+        self._unforwarded: NotServed | None = None
 
     @property
     def splitter(self) -> event_splitter.EventSplitter:
@@ -176,8 +178,9 @@
                 ended = await self._run_attempt()
             except NotServed as error:
                 if not self._may_forward(error):
-                    raise
-                self._forward_next = self._last_resort_used = True
+                    raise self._more_telling(error) from None
+                self._forward_next = True
+                self._unforwarded = error
                 self._log_retry(error.reason)
 
     async def _run_attempt(self) -> bool:
@@ -220,13 +223,22 @@
         return (
             state.forwarded is None
             and not state.needs_helper
-            and not self._last_resort_used
+            and self._unforwarded is None
             and error.reason.startswith(UNREACHED)
             and self._to_runners.reached_none
             and state.left_s > MIN_RETRY_TIME_S
             and state.relay.helpers.exist
         )
 
+    def _more_telling(self, error: NotServed) -> NotServed:
+        """The error that ends a call: this VM's own if no helper took it."""
+        own = self._unforwarded
+        if own is None or not error.reason.startswith(
+            forwarding_attempt.OWN_REASON
+        ):
+            return error
+        return self._state.not_served(own.reason, own.retry_after_s)
+
     def _end_answered(self, outcome: attempt_outcome.AttemptOutcome) -> bool:
         """Send a whole response, unless another runner may do better.
 
@@ -259,7 +271,7 @@
         if outcome.helper:
             self._to_helpers.check_retry(outcome)
             # Runners had their turn before the first helper.
-            self._forward_next = self._last_resort_used and (
+            self._forward_next = self._unforwarded is not None and (
                 outcome.status is not attempt_outcome.AttemptStatus.BROKEN
                 or self._state.relay.helpers.replace_new_connections
             )
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -428,3 +428,13 @@
     When a call is made
     Then the stream has events 1 to 6 and is complete
     And runners ran 2 calls
+
+  # Guards against a log that blames other VMs for a service without runners.
+  Scenario: A call that no helper takes is refused with its own reason
+    Given a VM that is cut from all runners and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    And VM 2 has no room
+    When a call is made
+    Then the status is 503 with a time to come back
+    And VM 1 has refused a call for no_runner
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -438,3 +438,9 @@
     for _ in range(FAILURES):
         vm.upstreams.connect_failed(other, False)
     vm.reach.is_connected = False
+
+
+@then("VM {number:d} has refused a call for {reason}")
+def _check_reason(context, number, reason):
+    refused = _vm(context, number).relay.observations._refused
+    assert refused == {reason: 1}, refused
