--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -474,8 +474,7 @@
     def caller_addresses(self) -> list[str]:
         """Addresses at which callers may call, this VM's own first.
 
-        They are those of the live VMs that are ready, without isolated ones
-        unless all are isolated.
+        See :func:`..vms.caller_addresses.listed`.
         """
         return caller_addresses.listed(
             str(self._settings.callers),
