--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -88,6 +88,7 @@
     ("helper_full", "the VM that was to run it had no room for it"),
     ("helper_leaving", "the VM that was to run it was shutting down"),
     ("helper_isolated", "the VM that was to run it reached no runner either"),
+    ("helper_reached_none", "the VM that was to run it met no runner either"),
     ("helper_unready", "the VM that was to run it had no configuration yet"),
     (
         "helper_unknown",
--- a/src/apricotlever/serving/forwarded_calls.py
+++ b/src/apricotlever/serving/forwarded_calls.py
@@ -33,6 +33,8 @@
 UNABLE_RETRY_AFTER_S = 1.0
 #: The reason of a VM that has lost its paths to runners itself.
 ISOLATED = "helper_isolated"
+#: The reason if it may have lost them, and reached no runner for this call.
+REACHED_NONE = "helper_reached_none"
 
 
 class Unfit(Exception):
@@ -214,17 +216,18 @@
         """Tell the sending VM that no runner's response comes, and why.
 
         If this VM has reached no runner and may have lost its paths, another
-        one may do better.
+        one may do better. It names no time then: it may run other calls, of a
+        service whose runners are not down.
         """
-        reason = error.reason
+        reason, retry_after_s = error.reason, error.retry_after_s
         if (
             not execution.may_have_run
             and reason.startswith(call_execution.UNREACHED)
             and self._relay.helpers.may_be_needed
         ):
-            reason = ISOLATED
+            reason, retry_after_s = REACHED_NONE, None
         refusal = forwarding_protocol.HelperRefusal(
-            reason, _executed(execution), error.retry_after_s, execution.sends
+            reason, _executed(execution), retry_after_s, execution.sends
         )
         reply.send_whole(error.status, refusal.headers())
 
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -438,3 +438,20 @@
     When a call is made
     Then the status is 503 with a time to come back
     And VM 1 has refused a call for no_runner
+
+  # Guards against calls that no VM runs, because a helper is left alone after
+  # it could not run calls of a service whose runners are down.
+  Scenario Outline: A refusal of one call keeps no other call away
+    Given an isolated VM and 1 other VM
+    And a route for non-idempotent calls
+    And a runner that answers
+    And VM 2 <state>
+    When a call is made
+    Then the status is 503 with a time to come back
+    When VM 2 recovers and a call is made
+    Then the status is 200
+
+    Examples:
+      | state                        |
+      | reaches none and suspects it |
+      | does not know the route      |
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -19,6 +19,8 @@
 from tests.serving import request_path
 
 WAIT_S = 10.0
+#: A later start of a runner, of which no failures are known.
+BORN_MS = 1767225600000
 #: Failures that open a runner's circuit breaker.
 FAILURES = 20
 
@@ -444,3 +446,24 @@
 def _check_reason(context, number, reason):
     refused = _vm(context, number).relay.observations._refused
     assert refused == {reason: 1}, refused
+
+
+@when("VM {number:d} recovers and a call is made")
+def _recover(context, number):
+    vm = _vm(context, number)
+    vm.relay.configure(vm.configuration)
+    standin = context.world.standins[0]
+    vm.directory.apply_entry(
+        runners.Runner(
+            standin.name,
+            "service",
+            "127.0.0.1",
+            standin.port,
+            "dc",
+            4,
+            revision=10,
+            born=BORN_MS,
+        )
+    )
+    vm.upstreams.refresh()
+    context.replies = [_run(context, context.world.call(call_id="call-2"))]
