--- a/src/apricotlever/links/upstream_pool.py
+++ b/src/apricotlever/links/upstream_pool.py
@@ -2,15 +2,15 @@
 
 from http import client as http
 import queue
-import socket
+import select
 
 from .. import clock as clocks
+from .. import socket_options
+
+from . import strict_responses
 
 MAX_POOLED_AGE_S = 20.0
 MAX_POOLED_PER_UPSTREAM = 32
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_PROBES = 3
-TCP_USER_TIMEOUT_MS = 6000
 #: Minimum time in seconds between two reports that the pooled connections to
 #: an upstream have stopped carrying packets. An overloaded upstream can't be
 #: told from that; at this interval, the repeated calls add little to its load.
@@ -26,16 +26,11 @@
     deadlines of each phase of an exchange.
     """
 
+    response_class = strict_responses.StrictResponse
+
     def connect(self) -> None:
         super().connect()
-        sock = self.sock
-        tcp = socket.IPPROTO_TCP
-        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
-        sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        socket_options.UPSTREAMS.apply(self.sock)
 
 
 class StreamConnection(Connection):
@@ -58,6 +53,16 @@
         self.connection = connection
         self.opened_at = opened_at
 
+    @property
+    def is_readable(self) -> bool:
+        """Whether the upstream has closed it, or sent what nobody asked for.
+
+        Such bytes would be read as the answer to the next request.
+        """
+        poll = select.poll()
+        poll.register(self.connection.sock, select.POLLIN | select.POLLHUP)
+        return bool(poll.poll(0))
+
 
 class ConnectionPool:
     """Pool of idle connections whose last exchange ended cleanly.
@@ -84,7 +89,7 @@
         return self._clock.now()
 
     def take(self, address: str) -> PooledConnection | None:
-        """Take the latest connection that is young enough, or None.
+        """Take the latest connection that is young and silent, or None.
 
         :param address: ``host:port`` of the upstream.
         """
@@ -94,7 +99,8 @@
                 pooled = idle.get_nowait()
             except queue.Empty:
                 return None
-            if self._clock.now() - pooled.opened_at < MAX_POOLED_AGE_S:
+            young = self._clock.now() - pooled.opened_at < MAX_POOLED_AGE_S
+            if young and not pooled.is_readable:
                 return pooled
             pooled.connection.close()
         return None
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -114,6 +114,10 @@
     "runner_crashed": Event(
         WARNING, "A runner ended and its calls in flight were interrupted."
     ),
+    "runner_crashes_retracted": Event(
+        WARNING,
+        "This VM lost its paths; what it took for crashes of runners is void.",
+    ),
     "runner_outlier": Event(
         WARNING, "A runner fails more often than others of its service."
     ),
@@ -123,6 +127,10 @@
     "runner_refuses": Event(
         INFO, "A runner refuses connections of this VM or of several others."
     ),
+    "runners_unreachable": Event(
+        WARNING, "This VM reaches no runner: it is isolated, or all are down."
+    ),
+    "runners_reachable": Event(INFO, "This VM reaches runners again."),
     "service_contention": Event(
         INFO, "A service's prompts began or ceased to wait for long."
     ),
@@ -166,6 +174,13 @@
     "request_retried": Event(
         INFO, "An attempt failed and another one started."
     ),
+    "request_forwarded": Event(
+        INFO,
+        "A request was sent to another VM, as this one reached no runner.",
+    ),
+    "forwarded_call": Event(
+        INFO, "A request that another VM had forwarded here ended."
+    ),
     "request_ended": Event(INFO, "A request ended with an outcome."),
     "request_unknown": Event(
         ERROR, "A non-idempotent call may have run and is not retried."
--- a/src/apricotlever/serving/call_observations.py
+++ b/src/apricotlever/serving/call_observations.py
@@ -15,12 +15,14 @@
 from ..runners import outlier_detector
 from ..runners import routing
 from ..runners import silence_detector
+from ..runners import vouched_counts
 from ..vms import peer_loads
 
 from . import call_sampling
 from . import modes
 from . import performance_meters
 from . import prompt_meters
+from . import reach_monitor
 from . import runner_refusals
 from . import runners
 from . import service_priorities
@@ -37,6 +39,7 @@
     :param performance: measures how fast the runners are.
     :param roll_outs: the roll-outs, whose calls are sampled.
     :param part_modes: the modes of the parts of the request path.
+    :param reach: finds out whether this VM reaches runners.
     :param news: called when the other VMs should be told at once: when a
         prompt was sent, or when there are refused connections to report.
     """
@@ -48,10 +51,12 @@
         "_performance",
         "_priorities",
         "_prompts",
+        "_reach",
         "_refusals",
         "_router",
         "_silence",
         "_trials",
+        "_vouched",
     )
 
     def __init__(
@@ -62,14 +67,17 @@
         performance: performance_meters.PerformanceMeters,
         roll_outs: roll_outs_controller.RollOutController,
         part_modes: modes.PartModes,
+        reach: reach_monitor.ReachMonitor,
         news: typing.Callable[[], None],
     ) -> None:
         self._news = news
         self._router = router
+        self._reach = reach
         self._performance = performance
         self._in_flight: dict[str, int] = {}
         self._silence = silence_detector.SilenceDetector(clock)
         self._outliers = outlier_detector.OutlierDetector(clock, process)
+        self._vouched = vouched_counts.VouchedCounts(clock)
         self._trials = call_sampling.CallSampler(clock, roll_outs)
         self._prompts = prompt_meters.PromptMeters(clock)
         self._refusals = runner_refusals.RunnerRefusals(
@@ -98,6 +106,11 @@
         """Detects the runners that fail more often than others."""
         return self._outliers
 
+    @property
+    def vouched(self) -> vouched_counts.VouchedCounts:
+        """The failed calls that this VM may report to the others."""
+        return self._vouched
+
     @property
     def refusals(self) -> runner_refusals.RunnerRefusals:
         """The runners that refuse connections."""
@@ -124,6 +137,7 @@
         self._performance.keep_only(listed)
         self._silence.keep_only(present)
         self._outliers.keep_only(present)
+        self._vouched.keep_only(present)
         self._refusals.keep_only(present)
 
     def update_peer_loads(
@@ -163,6 +177,7 @@
         name = runner.runner_id
         self._in_flight[name] = self._in_flight.get(name, 0) + 1
         self._silence.call_sent(name)
+        self._reach.reach.call_sent(name)
         # The backlog is that of the other calls, so it is read first.
         backlog = performance_meters.Backlog(*self._router.backlog(name))
         tokens = self._router.request_started(attempt, name, query)
@@ -192,6 +207,7 @@
     def bytes_received(self, runner: runners.Runner) -> None:
         """Record that bytes of a response came from a runner."""
         self._silence.bytes_received(runner.runner_id)
+        self._reach.bytes_received(runner.runner_id)
         if self._refusals.record_answer(runner.runner_id):
             self._news()
 
@@ -215,6 +231,7 @@
         outlier_failure: bool = False,
         events: int = 0,
         shows_speed: bool = False,
+        answered: bool = True,
     ) -> None:
         """Record the end of a call at its runner.
 
@@ -225,15 +242,22 @@
         :param events: number of events after the first one of a stream.
         :param shows_speed: whether the call was answered completely and with
             success, so that its duration is that of its work.
+        :param answered: whether the runner answered in full, if only with an
+            error or a rejection.
         """
         self._prompts.record_end(attempt)
         self._performance.record_end(attempt, shows_speed, events)
         self._trials.record_end(attempt, outcome)
         name = runner.runner_id
         self._silence.call_ended(name)
+        self._reach.reach.call_ended(name)
         if outcome is not models.Outcome.CANCELLED or outlier_failure:
             failed = outcome is models.Outcome.FAILED or outlier_failure
             self._outliers.call_ended(name, failed)
+            if answered:
+                self._vouched.call_answered(name, failed)
+            else:
+                self._vouched.call_unanswered(name)
         left = self._in_flight.get(name, 1) - 1
         if left > 0:
             self._in_flight[name] = left
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -19,6 +19,7 @@
 from ..contracts import usage_windows
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
+from ..vms import caller_addresses
 from ..vms import peer_loads
 from ..vms import shared_samples
 from ..vms import vm_records
@@ -33,10 +34,14 @@
 from . import duty_roster
 from . import fleet_link
 from . import fleet_workload
+from . import forwarded_calls
+from . import forwarding_protocol
+from . import helpers
 from . import limit_protocol
 from . import listening_sockets
 from . import metrics
 from . import peer_http
+from . import reach_probes
 from . import roll_out_orders
 from . import runner_directory as directories
 from . import runner_limits
@@ -115,6 +120,7 @@
             lambda: self._fleet.publish_soon(),
             self._roll_outs,
             config.modes,
+            lambda: self._fleet.publish_now(),
         )
         self._limits = customer_limits.CustomerLimits(
             clock,
@@ -136,6 +142,13 @@
         self._usage = usage_windows.UsageWindows(
             clock, self._process, config.bounds.usage_window_s
         )
+        self._helpers = helpers.Helpers(
+            clock,
+            rng,
+            config.vm,
+            config.data_centre,
+            self._upstreams.reach,
+        )
         self._relay = call_relay.CallRelay(
             dialect,
             self._upstreams,
@@ -143,8 +156,17 @@
             self._retry_allowance,
             self._usage,
             rng,
+            self._helpers,
+        )
+        self._forwarded = forwarded_calls.ForwardedCalls(
+            self._relay,
+            self._upstreams.reach,
+            lambda: self._leaving_since is not None,
         )
         self._tasks = task_supervisor.TaskSupervisor()
+        self._reach_probes = reach_probes.ReachProbes(
+            clock, self._upstreams, self._tasks
+        )
         self._fleet = fleet_link.FleetLink(
             clock, rng, config, self, self._directory, self._tasks
         )
@@ -351,18 +373,19 @@
                 else None
             ),
             work=calls.prefill_meters if counts else None,
-            silent=calls.silent_runners,
-            failures=calls.outcome_counts if whole else None,
+            silent=calls.reports.silent,
+            failures=calls.reports.failures if whole else None,
             reported=self._duties.last_reported_window,
             known=known if whole else None,
-            crashes=calls.crashes.next_record(whole),
+            crashes=calls.reports.crashes(whole),
             gave_up=self._duties.surrendered_fencing,
             lease=self._duties.last_renewal,
             limits_port=self._limit_calls.port,
             aggregator=aggregator,
             roll_outs=[order.to_record() for order in self._roll_outs.orders],
             trials=self._roll_outs.own_samples,
-            refused=calls.refused_runners,
+            refused=calls.reports.refused,
+            isolated=calls.reach.lacks_paths,
         )
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
@@ -451,15 +474,14 @@
     def caller_addresses(self) -> list[str]:
         """Addresses at which callers may call, this VM's own first.
 
-        They are those of the live VMs that are ready.
+        See :func:`..vms.caller_addresses.listed`.
         """
-        alive = [
-            peer.caller_address
-            for peer in self._fleet.alive
-            if peer.ready and not peer.leaving
-        ]
-        own = [str(self._settings.callers)] if self.ready else []
-        return own + sorted(alive)
+        return caller_addresses.listed(
+            str(self._settings.callers),
+            self.ready,
+            self._upstreams.reach.lacks_paths,
+            self._fleet.alive,
+        )
 
     def metrics(self) -> str:
         """All metrics of this VM, in the text format of Prometheus."""
@@ -473,6 +495,9 @@
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
             **self._limits.return_metrics,
             **self._upstreams.counters,
+            **self._helpers.counters,
+            **self._forwarded.counters,
+            **self._upstreams.reach_monitor.metrics,
         }
         return metrics.format_metrics(
             self._relay,
@@ -480,12 +505,16 @@
             self._configuration,
             gauges,
             self._tasks.restarts,
+            self._forwarded.results,
         )
 
     async def _listen(self) -> None:
         config = self._settings
         checks = status_handlers.StatusHandlers(self, self._dialect.callers)
-        peer_server = peer_http.PeerServer(self)
+        peer_server = peer_http.PeerServer(
+            self,
+            {forwarding_protocol.FORWARD_PATH: self._forwarded.answer},
+        )
         for name, address, handler in (
             ("callers", config.callers, self._relay.answer),
             ("checks", config.checks, checks.ready),
@@ -560,6 +589,7 @@
         self._ticked_at = now
         if last is None:
             return
+        self._forwarded.record_loop_delay(now - last - TICK_S)
         if now - last > STALL_THRESHOLD_S:
             self._handle_stall(now - last)
         self._update()
@@ -581,6 +611,7 @@
         alive = self._fleet.alive
         members = self._fleet.members
         self._fleet.update_members()
+        self._probe_runners(alive)
         processes = frozenset(m.process for m in members)
         self._limits.set_members(
             processes, self._fleet.mean_message_interval_s
@@ -597,13 +628,29 @@
             self.observe_loads(self._fleet.loads)
         if self._roll_outs.tick():
             self._roll_outs_changed()
-        self._upstreams.sweep(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self._upstreams.sweep(now)
+        self._helpers.set_records(alive)
+        self._helpers.sweep(now)
         settled = (
             self._clock.now() - self._started_at >= MIN_UPTIME_FOR_DUTIES_S
         )
         if settled and self._leaving_since is None:
             self._duties.update_view(alive, len(members) + 1)
 
+    def _probe_runners(
+        self, alive: typing.Sequence[vm_records.VmRecord]
+    ) -> None:
+        """Find out whether this VM is isolated."""
+        isolated = sum(peer.isolated for peer in alive)
+        reach = self._upstreams.reach
+        reach.set_peers(
+            len(alive) - isolated,
+            isolated,
+            self._fleet.mean_message_interval_s,
+        )
+        self._reach_probes.tick()
+
     def _update_keepers(
         self, processes: frozenset[str], fleet_size: int
     ) -> None:
@@ -635,7 +682,7 @@
         shutdown_s = self._settings.bounds.shutdown_s
         await drain.wait_until_idle(
             self._clock,
-            lambda: self._servers.busy,
+            lambda: self._servers.busy + self._forwarded.in_progress,
             shutdown_s,
             self._relay.refuse_new_calls,
         )
--- a/tests/serving/crash_watch.feature
+++ b/tests/serving/crash_watch.feature
@@ -14,3 +14,32 @@
       | accepts a connection               | not ended |
       | opens no connection in time        | not ended |
       | has no free connection in the pool | not ended |
+
+  # Guards against half a response that passes for a whole one, as the end of
+  # its runner's process closed the connection.
+  Scenario Outline: Only an accepted connection shows that a runner goes on
+    Given a watch on crashes
+    When a runner ends a response by closing, and its port <does>
+    Then the runner <may have ended>
+
+    Examples:
+      | does                               | may have ended |
+      | refuses                            | may have ended |
+      | accepts a connection               | goes on        |
+      | opens no connection in time        | may have ended |
+      | has no free connection in the pool | may have ended |
+
+  # Guards against calls that are kept away from all runners for half an hour,
+  # because a VM that lost its paths, or met a runner in a short silence, takes
+  # a connection that opens late for the runner's crash.
+  Scenario Outline: A call counts as the cause of a crash only after a refusal
+    Given a route for non-idempotent calls
+    And a runner that resets
+    When a call is made
+    And a new connection to runner 1 <fails>
+    Then <count> calls are charged with a crash
+
+    Examples:
+      | fails      | count |
+      | is refused | 1     |
+      | times out  | 0     |
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -5,9 +5,14 @@
 import socket
 import struct
 
+from tests.serving import packet_filter
+
 #: How long a runner takes until it fails to resume a stream, in seconds.
 RESUMPTION_S = 0.05
 
+#: A silence of a sound runner, in seconds.
+SHORT_SILENCE_S = 1.1
+
 #: Coroutine functions that handle a call, by name. Their parameters are the
 #: runner, the connection's writer and the call's headers.
 BEHAVIOURS = {}
@@ -68,11 +73,22 @@
     writer.write(_response(200, call, f"from {runner.name}".encode()))
 
 
+@behaviour("answers late")
+async def _answers_late(runner, writer, call):
+    await asyncio.sleep(0.1)
+    await _answers(runner, writer, call)
+
+
 @behaviour("fails")
 async def _fails(runner, writer, call):
     writer.write(_response(500, call, b"broken"))
 
 
+@behaviour("returns the length of the body")
+async def _returns_length(runner, writer, call):
+    writer.write(_response(200, call, b"%d" % len(call["body"])))
+
+
 @behaviour("rejects calls")
 async def _rejects(runner, writer, call):
     runner.executed_call_ids.pop()
@@ -104,6 +120,11 @@
     _reset(writer)
 
 
+@behaviour("ends")
+async def _ends(runner, writer, call):
+    writer.close()
+
+
 @behaviour("crashes")
 async def _crashes(runner, writer, call):
     runner.stop()
@@ -115,6 +136,63 @@
     await asyncio.sleep(60)
 
 
+@behaviour("goes silent for good")
+async def _goes_silent(runner, writer, call):
+    packet_filter.drop_received(writer.get_extra_info("socket"))
+    await asyncio.sleep(60)
+
+
+@behaviour("streams half and goes silent for good, unless it resumes")
+async def _streams_half_and_goes_silent(runner, writer, call):
+    if "after" in call:
+        await _streams(runner, writer, call)
+        return
+    await _send_events(writer, call, range(1, 4), False)
+    # The events are acknowledged before.
+    await asyncio.sleep(0.05)
+    await _goes_silent(runner, writer, call)
+
+
+async def _be_silent(writer):
+    """Neither send nor acknowledge anything for a short time."""
+    sock = writer.get_extra_info("socket")
+    packet_filter.drop_received(sock)
+    try:
+        await asyncio.sleep(SHORT_SILENCE_S)
+    finally:
+        packet_filter.receive_again(sock)
+
+
+@behaviour("is silent before it answers")
+async def _silent_before_answer(runner, writer, call):
+    await _be_silent(writer)
+    await _answers(runner, writer, call)
+
+
+@behaviour("is silent before it streams")
+async def _silent_before_stream(runner, writer, call):
+    await _be_silent(writer)
+    await _streams(runner, writer, call)
+
+
+@behaviour("is silent within its answer")
+async def _silent_within_answer(runner, writer, call):
+    answer = _response(200, call, f"from {runner.name}".encode())
+    writer.write(answer[:-5])
+    await _be_silent(writer)
+    writer.write(answer[-5:])
+
+
+@behaviour("is silent between events")
+async def _silent_between_events(runner, writer, call):
+    first = int(call.get("after", 0)) + 1
+    await _send_events(writer, call, range(first, 4), False)
+    await _be_silent(writer)
+    for number in range(4, 7):
+        writer.write(_encode_chunk(_encode_event(number)))
+    writer.write(b"0\r\n\r\n")
+
+
 @behaviour("babbles")
 async def _sends_invalid_response(runner, writer, call):
     writer.write(b"this is no answer at all\r\n\r\n")
@@ -175,6 +253,12 @@
     await _send_events(writer, call, range(1, 4), True, 0.01)
 
 
+@behaviour("streams one event and hangs")
+async def _streams_one_and_hangs(runner, writer, call):
+    await _send_events(writer, call, (1,), False)
+    await asyncio.sleep(60)
+
+
 @behaviour("streams half and resets")
 async def _streams_half_and_resets(runner, writer, call):
     first = int(call.get("after", 0)) + 1
@@ -312,18 +396,34 @@
         self.connections = 0
         self.port = 0
         self._server = None
+        self._writers = set()
 
     async def start(self):
-        """Start to accept connections."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Start to accept connections, again at the same port."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def listen_again(self):
+        """Accept connections again at the same port, after a stop."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
+
     def stop(self):
         """Stop accepting connections."""
         self._server.close()
 
+    def cut(self):
+        """Refuse connections and reset the open ones."""
+        self.stop()
+        for writer in self._writers:
+            _reset(writer)
+
     async def _serve(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         try:
             while True:
                 call = await self._read_call(reader)
@@ -358,6 +458,7 @@
         ):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _read_call(self, reader):
--- a/tests/steps/serving_crash_watch.py
+++ b/tests/steps/serving_crash_watch.py
@@ -1,6 +1,7 @@
 """Steps for tests/serving/crash_watch.feature."""
 
 import asyncio
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -62,3 +63,41 @@
 @then("the runner counts as {ended}")
 def _counts_as(context, ended):
     assert context.ended == (ended == "ended"), context.ended
+
+
+@when("a runner ends a response by closing, and its port {does}")
+def _ends_by_closing(context, does):
+    runner = runners.Runner("r-1", "llm", "127.0.0.1", 1, "dc-a", 4)
+    context.pool = _Pool(CONNECT_ERRORS[does])
+    context.ended = asyncio.run(
+        context.watch.may_have_ended(runner, context.pool)
+    )
+
+
+@then("the runner may have ended")
+def _may_have_ended(context):
+    assert context.ended
+
+
+@then("the runner goes on")
+def _goes_on(context):
+    assert not context.ended
+    assert context.pool.released == 1
+
+
+@when("a new connection to runner 1 {fails}")
+def _connection_fails(context, fails):
+    upstreams = context.world.upstreams
+    (runner,) = context.world.directory.runners
+    with mock.patch.object(crash_watch.logs, "event") as event:
+        upstreams.connect_failed(runner, refused=fails == "is refused")
+    context.charged = sum(
+        call.kwargs["charged"]
+        for call in event.call_args_list
+        if call.args[0] == "runner_crashed"
+    )
+
+
+@then("{count:d} calls are charged with a crash")
+def _check_charged(context, count):
+    assert context.charged == count, context.charged
