Give each VM of a soak its own path without an address of its own

What was seen: in one of three plays a VM that was not cut timed out at all runners for exactly the length of another VM's cut. Cause, read in the code and not proved by a trace: an entry of a runner had a port for each VM, and a VM that fetched the entries from a peer got those with the peer's ports, so that it used the peer's paths.

All VMs now know a runner by one address; a VM process opens its connections to it at a loopback address of its own, where its proxy listens at the same port.

--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -23,8 +23,7 @@
 _ENTRY_FIELDS: dict[str, validation.Predicate] = {
     "service": validation.is_non_empty_string,
     "host": validation.is_non_empty_string,
-    "ports": lambda value: isinstance(value, dict)
-    and all(map(validation.is_non_negative_int, value.values())),
+    "port": validation.is_non_negative_int,
     "data_centre": validation.is_non_empty_string,
     "concurrency": validation.is_non_negative_int,
     "leaving": validation.is_bool,
@@ -40,10 +39,7 @@
 
 
 class SoakPlatformDialect:
-    """Platform dialect of the soak test.
-
-    :param vm: name of this VM, which has a path of its own to each runner.
-    """
+    """Platform dialect of the soak test."""
 
     configuration_kind = CONFIGURATION_KIND
     configuration_name = CONFIGURATION_NAME
@@ -51,9 +47,6 @@
     #: No order of a roll-out is ever written in a soak test.
     roll_outs_kind = "roll_outs"
 
-    def __init__(self, vm: str) -> None:
-        self._vm = vm
-
     def parse_configuration(
         self, spec: store.Json
     ) -> configuration_model.Configuration:
@@ -86,7 +79,7 @@
             stored.name,
             spec["service"],
             spec["host"],
-            spec["ports"][self._vm],
+            spec["port"],
             spec["data_centre"],
             spec["concurrency"],
             leaving=spec["leaving"],
@@ -213,9 +206,8 @@
 @dialects.register_dialect("soak")
 def make_dialect() -> dialects.Dialect:
     """Make the dialect of the soak test."""
-    vm = os.environ[VM_VARIABLE]
     return dialects.Dialect(
         plain_dialect.PlainCallerDialect(),
-        plain_dialect.PlainRunnerDialect(vm),
-        SoakPlatformDialect(vm),
+        plain_dialect.PlainRunnerDialect(os.environ[VM_VARIABLE]),
+        SoakPlatformDialect(),
     )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,6 +17,7 @@
 from . import dialect
 from . import proxy
 from . import runner_link
+from . import runner_paths
 from . import statements
 
 HOST = ports.HOST
@@ -216,8 +217,8 @@
         runner.sequence += 1
         entry = {
             "service": runner.service,
-            "host": HOST,
-            "ports": runner.link.ports,
+            "host": runner_paths.RUNNER_HOST,
+            "port": runner.link.port,
             "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
             "concurrency": CONCURRENCY,
             "leaving": leaving,
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -47,10 +47,12 @@
     A cut takes precedence over the mode, which holds again after it.
 
     :param target: the port that connections are forwarded to.
+    :param host: the loopback address to listen at.
     """
 
-    def __init__(self, target: int) -> None:
+    def __init__(self, target: int, host: str = HOST) -> None:
         self.target = target
+        self._host = host
         self._mode = Mode.PASS
         self._cut: Cut | None = None
         self._reservations = ports.PortReservations()
@@ -64,9 +66,12 @@
         self._not_held.set()
         self.port = 0
 
-    def start(self) -> None:
-        """Listen on a free port, which stays reserved until the close."""
-        self.port = self._reservations.reserve()
+    def start(self, port: int = 0) -> None:
+        """Listen on a port, which stays reserved until the close.
+
+        :param port: 0 for any free one.
+        """
+        self.port = self._reservations.reserve(self._host, port)
         self._listen()
 
     def set_mode(self, mode: Mode) -> None:
@@ -132,7 +137,7 @@
     def _bind(self) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((HOST, self.port))
+        sock.bind((self._host, self.port))
         return sock
 
     def _hang_new_connections(self) -> None:
@@ -144,7 +149,7 @@
         listening, filling = self._bind(), socket.socket()
         listening.listen(0)
         filling.setblocking(False)
-        filling.connect_ex((HOST, self.port))
+        filling.connect_ex((self._host, self.port))
         self._hanging = [listening, filling]
 
     def _close_hanging(self) -> None:
--- a/soak/runner_link.py
+++ b/soak/runner_link.py
@@ -2,7 +2,10 @@
 
 import typing
 
+from tests.support import ports
+
 from . import proxy
+from . import runner_paths
 
 
 class RunnerLink:
@@ -12,21 +15,23 @@
     :param vms: the names of the VMs.
     """
 
-    __slots__ = ("target", "_proxies")
+    __slots__ = ("target", "port", "_proxies", "_reservations")
 
     def __init__(self, target: int, vms: typing.Iterable[str]) -> None:
         self.target = target
-        self._proxies = {vm: proxy.FaultProxy(target) for vm in vms}
-
-    @property
-    def ports(self) -> dict[str, int]:
-        """The port at which each VM reaches the runner."""
-        return {vm: each.port for vm, each in self._proxies.items()}
+        self._reservations = ports.PortReservations()
+        #: The port of the runner's address, and of all proxies.
+        self.port = 0
+        self._proxies = {
+            vm: proxy.FaultProxy(target, runner_paths.host_of(vm))
+            for vm in vms
+        }
 
     def start(self) -> None:
         """Listen for all VMs."""
+        self.port = self._reservations.reserve(runner_paths.RUNNER_HOST)
         for each in self._proxies.values():
-            each.start()
+            each.start(self.port)
 
     def set_mode(self, mode: proxy.Mode) -> None:
         """Change the mode for all VMs."""
@@ -43,5 +48,6 @@
 
     def close(self) -> None:
         """Stop listening and abort all connections."""
+        self._reservations.close()
         for each in self._proxies.values():
             each.close()
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -13,6 +13,7 @@
 from apricotlever.serving import settings
 
 from . import dialect
+from . import runner_paths
 
 HOST = "127.0.0.1"
 #: How long a VM may take to shut down, in seconds.
@@ -52,7 +53,9 @@
     :returns: exit code of the process.
     """
     path = pathlib.Path(arguments[0])
-    os.environ[dialect.VM_VARIABLE] = read_settings(path).vm
+    vm = read_settings(path).vm
+    os.environ[dialect.VM_VARIABLE] = vm
+    runner_paths.use_paths_of(vm)
     return main.run("soak", lambda: read_settings(path))
 
 
--- a/tests/support/ports.py
+++ b/tests/support/ports.py
@@ -20,13 +20,17 @@
     def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
 
-    def reserve(self) -> int:
-        """Reserve a port that only a socket with SO_REUSEADDR can bind."""
+    def reserve(self, host: str = HOST, port: int = 0) -> int:
+        """Reserve a port that only a socket with SO_REUSEADDR can bind.
+
+        :param port: the port to reserve; 0 for any free one.
+        :raises OSError: if the port is taken.
+        """
         reserving = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         # Two sockets with SO_REUSEADDR may bind one port if at most one of
         # them listens, so the intended process can still bind it.
         reserving.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserving.bind((HOST, 0))
+        reserving.bind((host, port))
         self._sockets.append(reserving)
         return int(reserving.getsockname()[1])
 
