--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -13,7 +13,6 @@
 from . import call_state
 from . import client_channel
 from . import configuration_model
-from . import event_splitter
 from . import forwarding_attempt
 from . import forwarding_protocol
 from . import helper_sending
@@ -113,11 +112,6 @@
         #: isn't isolated; None if it was not.
         self._unforwarded: NotServed | None = None
 
-    @property
-    def splitter(self) -> event_splitter.EventSplitter:
-        """Checks the order of the events, over all attempts."""
-        return self._state.splitter
-
     @property
     def may_have_run(self) -> bool:
         """Whether a runner may have run the call or may be running it."""
