--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -150,6 +150,11 @@
             ),
         }
 
+    def clear_suspicion(self) -> None:
+        """Record that the call, which was served, crashes no runner."""
+        state = self._state
+        state.relay.upstreams.crashes.call_answered(state.call, state.customer)
+
     async def run(self) -> None:
         """Run the call and send its response.
 
--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -234,7 +234,7 @@
                 self._limits.refund(permit)
             took_s = asyncio.get_running_loop().time() - call.received_at
             if execution.served:
-                self._upstreams.crashes.call_answered(call, customer)
+                execution.clear_suspicion()
                 self._observations.record_served(
                     customer.name if customer else "",
                     route.kind.value,
--- a/src/apricotlever/serving/forwarded_calls.py
+++ b/src/apricotlever/serving/forwarded_calls.py
@@ -187,6 +187,8 @@
         try:
             await execution.run()
             result = "served" if execution.served else "failed"
+            if execution.served:
+                execution.clear_suspicion()
         except call_execution.NotServed as error:
             result = "refused"
             if reply.started:
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -455,3 +455,12 @@
       | state                        |
       | reaches none and suspects it |
       | does not know the route      |
+
+  # Guards against a call that stays suspected of crashes at the VM that ran it.
+  Scenario: Both VMs clear a call that was answered of suspicion
+    Given an isolated VM and 1 other VM
+    And a route for idempotent calls
+    And a runner that answers
+    When a call is made and the VMs that clear it are counted
+    Then the status is 200
+    And 2 VMs have cleared it
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -11,6 +11,7 @@
 from apricotlever.runners import model as models
 from apricotlever.serving import configuration_model
 from apricotlever.serving import connection_pool
+from apricotlever.serving import crash_watch
 from apricotlever.serving import forwarded_calls
 from apricotlever.serving import forwarding_protocol
 from apricotlever.serving import metrics
@@ -467,3 +468,17 @@
     )
     vm.upstreams.refresh()
     context.replies = [_run(context, context.world.call(call_id="call-2"))]
+
+
+@when("a call is made and the VMs that clear it are counted")
+def _count_clearing(context):
+    with mock.patch.object(
+        crash_watch.CrashWatch, "call_answered", autospec=True
+    ) as cleared:
+        context.replies = [_run(context, context.world.call())]
+    context.cleared = {call.args[0] for call in cleared.call_args_list}
+
+
+@then("{count:d} VMs have cleared it")
+def _check_cleared(context, count):
+    assert len(context.cleared) == count, context.cleared
