--- a/src/apricotlever/serving/helpers.py
+++ b/src/apricotlever/serving/helpers.py
@@ -33,27 +33,6 @@
         """Whether only open connections to runners bring bytes."""
 
 
-class AlwaysConnected:
-    """Takes this VM for one that reaches runners."""
-
-    __slots__ = ()
-
-    @property
-    def is_isolated(self) -> bool:
-        """Whether this VM reaches no runner: it is taken to reach some."""
-        return False
-
-    @property
-    def is_connected(self) -> bool:
-        """Whether nothing suggests that this VM lost its runners."""
-        return True
-
-    @property
-    def lacks_new_connections(self) -> bool:
-        """Whether only open connections are of use: they aren't taken to."""
-        return False
-
-
 class Helpers:
     """Chooses helpers, and keeps the connections to them.
 
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -43,6 +43,17 @@
     )
 
 
+class AlwaysConnected:
+    """Takes a VM for one that reaches runners.
+
+    Implements :class:`apricotlever.serving.helpers.Reachability`.
+    """
+
+    is_isolated = False
+    is_connected = True
+    lacks_new_connections = False
+
+
 class RequestPath:
     """The request path, its runner stand-ins and a caller."""
 
@@ -69,7 +80,7 @@
         #: Whether the VM lacked paths at each time that others were told.
         self.told = []
         self.limits = customer_limits.CustomerLimits(clocks.SystemClock())
-        self.reach = reach or helpers.AlwaysConnected()
+        self.reach = reach or AlwaysConnected()
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
         self.budget = retry_allowance.RetryAllowance(
             clocks.SystemClock(), 0.2, 20.0, 10.0
