Survive a reload while a process starts

Cause: SIGHUP to all VMs came 0.4 s after one had been started again, before its handler was in place, and ended the process without a line; the soak starts only VMs that it stopped or killed itself. On a platform the process is started again, but its callers go without for a start more.

The soak starts what has ended after a reload, as a platform does: the interpreter itself may still be starting.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,8 @@
     {"service": 3, "ports": "x", "leaving": "no"},
     {"service": "s", "host": None, "ports": {"": -1}, "concurrency": 1e30},
 )
+#: After which time the platform starts a process that has ended, in seconds.
+RESTART_DELAY_S = 0.5
 #: Limits that runners name, in calls a second.
 LIMITS_PER_S = (1.0, 2.5, 6.0)
 #: Rests that runners ask for, in seconds.
@@ -101,8 +103,13 @@
 
 @register_fault("vm_reload")
 async def _reload_vms(test_fleet: fleet.Fleet, rng: random.Random) -> None:
-    for vm in test_fleet.vms:
+    """Signal all VMs; one that has just begun to start may end by it."""
+    running = [vm for vm in test_fleet.vms if vm.process.is_running]
+    for vm in running:
         vm.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(RESTART_DELAY_S)
+    for vm in running:
+        _start_if_ended(vm.process)
 
 
 @register_fault("runner_kill")
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -6,14 +6,18 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 import typing
 
-from apricotlever.serving import main
-from apricotlever.serving import settings
+# As in platform/serve.py, which imports as much after it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from . import dialect
-from . import runner_paths
+from apricotlever.serving import main  # noqa: E402
+from apricotlever.serving import settings  # noqa: E402
+
+from . import dialect  # noqa: E402
+from . import runner_paths  # noqa: E402
 
 HOST = "127.0.0.1"
 #: How long a VM may take to shut down, in seconds.
