--- a/soak/vm.py
+++ b/soak/vm.py
@@ -6,13 +6,18 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 import typing
 
-from apricotlever.serving import main
-from apricotlever.serving import settings
+# As in platform/serve.py, which imports as much after it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from . import dialect
+from apricotlever.serving import main  # noqa: E402
+from apricotlever.serving import settings  # noqa: E402
+
+from . import dialect  # noqa: E402
+from . import runner_paths  # noqa: E402
 
 HOST = "127.0.0.1"
 #: How long a VM may take to shut down, in seconds.
@@ -52,7 +57,9 @@
     :returns: exit code of the process.
     """
     path = pathlib.Path(arguments[0])
-    os.environ[dialect.VM_VARIABLE] = read_settings(path).vm
+    vm = read_settings(path).vm
+    os.environ[dialect.VM_VARIABLE] = vm
+    runner_paths.use_paths_of(vm)
     return main.run("soak", lambda: read_settings(path))
 
 
