Go on probing when a runner that is being probed leaves the list

Cause: ProbeTargets took the place of each runner that failed or is being probed, and one that is being probed may have left the list meanwhile.

Only listed runners count now. The new scenario fails with the KeyError without the change and passes with it.

--- a/src/apricotlever/runners/probe_targets.py
+++ b/src/apricotlever/runners/probe_targets.py
@@ -168,15 +168,17 @@
         self, failed: typing.Collection[str], reached: str | None
     ) -> bool:
         """Whether some runners stand for all listed ones."""
-        if not failed or len(failed) >= len(self._places):
-            return bool(failed)
-        if reached in self._places and reached not in failed:
+        # A runner may leave the list while it is being probed.
+        listed = [name for name in failed if name in self._places]
+        if not listed or len(listed) >= len(self._places):
+            return bool(listed)
+        if reached in self._places and reached not in listed:
             return False
-        places = [self._places[name] for name in failed]
+        places = [self._places[name] for name in listed]
         services = {place.service for place in places}
         data_centres = {place.data_centre for place in places}
         return (
-            len(failed) >= MIN_FAILED
+            len(listed) >= MIN_FAILED
             and len(services) >= min(MIN_FAILED, self._services)
             and len(data_centres) >= min(MIN_FAILED, self._data_centres)
         )
--- a/tests/runners/reachability.feature
+++ b/tests/runners/reachability.feature
@@ -145,6 +145,14 @@
     When it is isolated by failed probes
     Then it can't say anything bad of a runner
 
+  # Guards against a VM whose periodic work fails while a runner that it is
+  # probing has left the list.
+  Scenario: A runner leaves the list while it is being probed
+    Given a VM without calls that knows 20 runners
+    When a connection of a call fails at 3 runners
+    And it probes, and the runners that it probes leave the list
+    Then it goes on probing others
+
   Scenario: Without listed runners nothing is probed
     Given a VM without calls that knows 0 runners
     When a call waits for 3 seconds
--- a/tests/steps/runners_reachability.py
+++ b/tests/steps/runners_reachability.py
@@ -276,12 +276,35 @@
     _pass(context, seconds)
 
 
+@when("a connection of a call fails at {count:d} runners")
+def _fail_at_some(context, count):
+    for name in context.names[:count]:
+        context.reach.connection_failed(name)
+
+
 @when("a connection of a call fails at each runner")
 def _fail(context):
     for name in context.names:
         context.reach.connection_failed(name)
 
 
+@when("it probes, and the runners that it probes leave the list")
+def _probed_leave(context):
+    _pass(context, 0.6)
+    first, *others = context.probed
+    assert others
+    context.left = [n for n in context.names if n not in context.probed]
+    context.reach.set_runners(context.left)
+    context.reach.probe_dropped(first)
+
+
+@then("it goes on probing others")
+def _check_others(context):
+    _pass(context, cut_vms.TICK_S)
+    assert context.probed
+    assert set(context.probed) <= set(context.left), context.probed
+
+
 @when("its probes fail")
 def _probes_fail(context):
     _pass(context, 0.1)
