Wait through a handshake that a stopping peer link cuts off

Cause: the step opens connections until one is refused. A listening socket that is closed between SYN and ACK resets the connection that is being made, and connect() raises ECONNRESET in place of ECONNREFUSED. A loop over 300 links, stopped while a client connects: 283 ended with a refusal at once, 17 with a reset in connect(), each of these 17 with a refusal at the next attempt. The link reports such a call as not sent (OSError in __connect__), which is right: no connection existed.

Change: the step goes on after such a reset. It still ends only with a refusal, and the slow client's own connection, which the scenario is about, still fails on any reset.

--- a/tests/steps/links_peer_link.py
+++ b/tests/steps/links_peer_link.py
@@ -263,6 +263,10 @@
             goaway_peer.SlowClient(context.address).close()
         except ConnectionRefusedError:
             return
+        except ConnectionResetError:
+            # The listening socket was closed during the handshake; the next
+            # attempt has to be refused.
+            continue
     raise AssertionError("the link still accepts connections")
 
 
