Show that a pool's first connection is never used again (fails)

Its first connection is dated 0 and thus too old for the next request once the clock is past the maximum age.

--- a/tests/links/upstream_exchange.feature
+++ b/tests/links/upstream_exchange.feature
@@ -75,3 +75,10 @@
     Given an upstream that sends its announced length and then answers once more
     When 2 requests are sent to it, 0.15 s apart
     Then both bodies are whole
+
+  # Guards against a pool that takes its first connection for an old one.
+  Scenario: The first connection that a pool gets is used again
+    Given an upstream that sends its announced length and then keeps silent
+    And a pool whose clock runs since 1000 s
+    When a request is sent to it through that pool
+    Then the pool gives its connection to the next request
--- a/tests/steps/links_upstream_bodies.py
+++ b/tests/steps/links_upstream_bodies.py
@@ -97,3 +97,25 @@
 @then("both bodies are whole")
 def _check_all_whole(context):
     assert context.bodies == [scripted_upstream.BODY] * 2, context.bodies
+
+
+@given("a pool whose clock runs since {seconds:g} s")
+def _create_pool(context, seconds):
+    context.pool = upstream_exchange.ConnectionPool(
+        clocks.ManualClock(seconds)
+    )
+
+
+@when("a request is sent to it through that pool")
+def _send_through_pool(context):
+    exchange = upstream_exchange.Exchange(
+        context.upstream.address, READ_TIMEOUT_S, context.pool
+    )
+    assert _read(exchange, "GET") == scripted_upstream.BODY
+
+
+@then("the pool gives its connection to the next request")
+def _check_reused(context):
+    pooled = context.pool.take(context.upstream.address)
+    assert pooled is not None
+    pooled.connection.close()
