Date the first connection of an empty pool by its clock

What callers saw: each upstream's first connection from the daemon was closed after one request and opened anew.

The class is a container tested for its truth where None was meant; no other test of a pool's truth stands in src/ (searched).

Change: both tests ask for None.

--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -154,7 +154,9 @@
 
         :raises ConnectFailed: when no connection could be opened.
         """
-        pooled = self._pool.take(self._address) if self._pool else None
+        pooled = (
+            self._pool.take(self._address) if self._pool is not None else None
+        )
         if pooled is not None:
             self._reused = True
             self._connection = pooled.connection
@@ -176,7 +178,7 @@
             raise ConnectFailed(message, sent=False) from error
         self._connection = connection
         self._sock = connection.sock
-        self._opened_at = self._pool.now() if self._pool else 0.0
+        self._opened_at = self._pool.now() if self._pool is not None else 0.0
 
     def send(
         self,
