--- a/tests/links/scripted_upstream.py
+++ b/tests/links/scripted_upstream.py
@@ -54,6 +54,7 @@
     "304 with a length": (
         b"HTTP/1.1 304 Not Modified\r\n" + _LENGTH + b"\r\n"
     ),
+    "a whole document": _HEAD + b"Content-Length: 2\r\n\r\n{}",
     "an empty body without length": _HEAD + b"\r\n",
     "an empty body of its announced length": (
         _HEAD + b"Content-Length: 0\r\n\r\n"
@@ -123,6 +124,8 @@
         self._kept = []
         #: The ids of the requests that were read.
         self.requests = []
+        #: Whether a request asked for the end of its connection.
+        self.was_asked_to_close = False
         self._listener = socket.create_server((HOST, 0))
         self.address = f"{HOST}:{self._listener.getsockname()[1]}"
         self._thread = threading.Thread(target=self._serve, daemon=True)
@@ -167,6 +170,7 @@
             if not request:
                 connection.close()
                 return
+            self.was_asked_to_close |= b"Connection: close" in request
             found = re.search(rb"Apricotlever-Request: (\S+)", request)
             request_id = found.group(1) if found else b""
             self.requests.append(request_id.decode())
--- a/tests/links/upstream_exchange.feature
+++ b/tests/links/upstream_exchange.feature
@@ -82,3 +82,11 @@
     And a pool whose clock runs since 1000 s
     When a request is sent to it through that pool
     Then the pool gives its connection to the next request
+
+  # Guards against a pool that stays empty, as each request closes what it used.
+  Scenario: The first connection that fetches a document is used again
+    Given an upstream that sends a whole document and then keeps silent
+    And a pool whose clock runs since 1000 s
+    When a document is fetched from it through that pool
+    Then it was not asked to close the connection
+    And the pool gives its connection to the next request
--- a/tests/steps/links_upstream_bodies.py
+++ b/tests/steps/links_upstream_bodies.py
@@ -114,8 +114,20 @@
     assert _read(exchange, "GET") == scripted_upstream.BODY
 
 
+@when("a document is fetched from it through that pool")
+def _fetch_through_pool(context):
+    upstream_exchange.call_json(
+        context.upstream.address, "GET", "/", pool=context.pool
+    )
+
+
 @then("the pool gives its connection to the next request")
 def _check_reused(context):
     pooled = context.pool.take(context.upstream.address)
     assert pooled is not None
     pooled.connection.close()
+
+
+@then("it was not asked to close the connection")
+def _check_not_asked_to_close(context):
+    assert not context.upstream.was_asked_to_close
