Keep the connection of a document that is fetched with an empty pool

What callers saw: platform and peer documents opened a connection each.

A pool got its first connection only from another kind of request.

Change: the header follows from whether there is a pool. No test of a pool's truth is left in src/ (searched for if, and, or, not before its name; two other hits are lists of runners).

--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -394,7 +394,7 @@
     body = None if document is None else encode_json(document)
     headers = (
         {"Content-Type": "application/json"}
-        if pool
+        if pool is not None
         else SINGLE_USE_JSON_HEADERS
     )
     exchange.send(method, path, headers, body)
