Give each caller of a large fleet its own part of the VMs

What callers saw: above 64 VMs everybody got the VM asked and the same first 63 of the sorted list, so a third of 195 VMs would take nearly all calls; and another list at each VM asked, so that open connections were given up.

Change: VMs and callers have positions on a ring (CRC-32 of the address); a caller gets the VMs that follow its own position. All VMs give a caller the same list, and a VM that comes or goes changes it by one address. The number that callers read comes from the dialect. Up to that number nothing changes. Weighed: a random sample a lookup spreads as evenly but changes each time; a window after the asked VM's own address depends on the VM that is asked.

--- a/src/apricotlever/serving/dialects.py
+++ b/src/apricotlever/serving/dialects.py
@@ -50,6 +50,10 @@
     def lookup_path(self) -> str:
         """Path at which callers look up the VMs to use."""
 
+    @property
+    def max_addresses(self) -> int:
+        """The number of VMs that callers read from the answer to a lookup."""
+
     def lookup_body(
         self, addresses: typing.Sequence[str], ttl_s: float
     ) -> bytes:
--- a/src/apricotlever/serving/status_handlers.py
+++ b/src/apricotlever/serving/status_handlers.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from ..vms import caller_addresses
+
 from . import caller_server
 from . import dialects
 from . import reply_writer
@@ -63,7 +65,10 @@
         if not addresses:
             reply.send_whole(503, ())
             return
-        body = self._dialect.lookup_body(addresses, LOOKUP_TTL_S)
+        selected = caller_addresses.select(
+            addresses, reply.caller_host, self._dialect.max_addresses
+        )
+        body = self._dialect.lookup_body(selected, LOOKUP_TTL_S)
         reply.send_whole(200, [(b"Content-Type", b"application/json")], body)
 
     async def metrics(
--- a/standins/plain_dialect.py
+++ b/standins/plain_dialect.py
@@ -25,6 +25,7 @@
 
     ready_path = "/ready"
     lookup_path = "/vms"
+    max_addresses = 64
 
     def parse_call(self, method, target, headers, body, received_at):
         """Parse a call into the product's type."""
