--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -17,7 +17,7 @@
 
 from . import call_execution
 from . import call_metrics
-from . import caller_server
+from . import caller_channel
 from . import configuration_model
 from . import customer_limits
 from . import dialects
@@ -174,7 +174,7 @@
         return self._last_attempt_number
 
     async def answer(
-        self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
+        self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
         """Handle one call, and answer it with an error if it is refused.
 
@@ -188,7 +188,7 @@
         except Refusal as refusal:
             self._send_refusal(call, reply, refusal)
 
-    def _parse(self, raw: caller_server.RawRequest) -> messages.CallerCall:
+    def _parse(self, raw: caller_channel.RawRequest) -> messages.CallerCall:
         try:
             return self._dialect.callers.parse_call(
                 raw.method, raw.target, raw.headers, raw.body, raw.received_at
--- a/src/apricotlever/serving/forwarded_calls.py
+++ b/src/apricotlever/serving/forwarded_calls.py
@@ -14,7 +14,7 @@
 
 from . import call_execution
 from . import call_relay
-from . import caller_server
+from . import caller_channel
 from . import configuration_model
 from . import forwarding_protocol
 from . import helpers
@@ -115,7 +115,7 @@
         self._loop_delay_s = delay_s
 
     async def answer(
-        self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
+        self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
         """Handle one forwarded call."""
         forwarded: forwarding_protocol.ForwardedCall | None = None
@@ -132,7 +132,7 @@
             self._in_progress -= 1
 
     def _decode(
-        self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
+        self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> forwarding_protocol.ForwardedCall:
         try:
             return forwarding_protocol.ForwardedCall.decode(raw.body)
@@ -145,7 +145,7 @@
     def _prepare(
         self,
         forwarded: forwarding_protocol.ForwardedCall,
-        raw: caller_server.RawRequest,
+        raw: caller_channel.RawRequest,
         reply: reply_writer.ReplyWriter,
     ) -> call_execution.CallExecution:
         """Check that the call can run here.
--- a/src/apricotlever/serving/peer_http.py
+++ b/src/apricotlever/serving/peer_http.py
@@ -12,7 +12,7 @@
 from .. import logs
 from .. import validation
 
-from . import caller_server
+from . import caller_channel
 from . import client_channel
 from . import reply_writer
 from . import runners
@@ -198,7 +198,7 @@
         self,
         source: NewsSource,
         handlers: (
-            typing.Mapping[str, caller_server.RequestHandler] | None
+            typing.Mapping[str, caller_channel.RequestHandler] | None
         ) = None,
     ) -> None:
         self._source = source
@@ -208,7 +208,7 @@
         self._packed: tuple[int, bytes] = (0, b"")
 
     async def answer(
-        self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
+        self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
         """Answer one request of a peer.
 
--- a/src/apricotlever/serving/servers.py
+++ b/src/apricotlever/serving/servers.py
@@ -1,5 +1,6 @@
 """The HTTP servers of one process, one for each address of its settings."""
 
+from . import caller_channel
 from . import caller_server
 from . import configuration_model
 from . import forwarding_protocol
@@ -39,7 +40,7 @@
         self,
         name: str,
         address: settings.Address | None,
-        handler: caller_server.RequestHandler,
+        handler: caller_channel.RequestHandler,
     ) -> None:
         """Start a server at an address.
 
--- a/src/apricotlever/serving/status_handlers.py
+++ b/src/apricotlever/serving/status_handlers.py
@@ -4,7 +4,7 @@
 
 from ..vms import caller_addresses
 
-from . import caller_server
+from . import caller_channel
 from . import dialects
 from . import reply_writer
 
@@ -43,7 +43,7 @@
         self._dialect = dialect
 
     async def ready(
-        self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
+        self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
         """Answer a readiness check of the platform: 200 if ready, else 503."""
         if raw.target.partition("?")[0] != self._dialect.ready_path:
@@ -52,7 +52,7 @@
         reply.send_whole(200 if self._node.ready else 503, ())
 
     async def lookup(
-        self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
+        self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
         """Answer a lookup of the VMs that a caller should use.
 
@@ -72,7 +72,7 @@
         reply.send_whole(200, [(b"Content-Type", b"application/json")], body)
 
     async def metrics(
-        self, raw: caller_server.RawRequest, reply: reply_writer.ReplyWriter
+        self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
         """Answer a request for this VM's metrics."""
         body = self._node.metrics().encode()
--- a/tests/steps/adapter_lookups.py
+++ b/tests/steps/adapter_lookups.py
@@ -9,7 +9,7 @@
 from behave import then
 from behave import when
 
-from apricotlever.serving import caller_server
+from apricotlever.serving import caller_channel
 from apricotlever.serving import status_handlers
 from apricotlever.vms import caller_addresses
 from apricotlever.vms import vm_records
@@ -54,7 +54,7 @@
     dialect = callers.AdapterCallerDialect()
     node = _Node(own, context.addresses)
     handlers = status_handlers.StatusHandlers(node, dialect)
-    raw = caller_server.RawRequest(0.0)
+    raw = caller_channel.RawRequest(0.0)
     raw.target = dialect.lookup_path + "?name=a&zone=b"
     reply = _Reply(caller)
     asyncio.run(handlers.lookup(raw, reply))
--- a/tests/steps/serving_fuzz.py
+++ b/tests/steps/serving_fuzz.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from apricotlever.serving import caller_channel
 from apricotlever.serving import caller_server
 from tests.serving import strict_http
 
@@ -105,7 +106,7 @@
         reply.send_whole(200, ())
 
     server = caller_server.CallerServer(handler)
-    channel = caller_server.CallerChannel(server)
+    channel = caller_channel.CallerChannel(server)
     transport = _Transport()
     channel.connection_made(transport)
     for part in parts:
--- a/tests/steps/serving_interim_responses.py
+++ b/tests/steps/serving_interim_responses.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from apricotlever.serving import attempt_outcome
+from apricotlever.serving import caller_channel
 from apricotlever.serving import caller_server
 
 STREAM_CALL = b"GET /stream HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -54,7 +55,7 @@
         reply.send_chunk(b"two")
         reply.finish(attempt_outcome.StreamEnd(None))
 
-    channel = caller_server.CallerChannel(caller_server.CallerServer(handler))
+    channel = caller_channel.CallerChannel(caller_server.CallerServer(handler))
     context.transport = _Transport()
     channel.connection_made(context.transport)
     channel.data_received(STREAM_CALL)
