Weigh a fragile runner's calls by what it has lately taken

A keeper that counts each call of unknown fate as a rejection holds a runner with few rejections to spare at a fraction of its room. A call at a level at which the runner took another one a moment ago now weighs an eighth, others weigh one. The room is halved by surprises, in as many steps as the runner bears rejections, and grows by one call at a time.

--- a/src/apricotlever/runners/fragile_keeper.py
+++ b/src/apricotlever/runners/fragile_keeper.py
@@ -2,40 +2,41 @@
 
 A fragile runner falls over if it has to reject more than a few calls in a
 second. It cares neither which VM sent them nor that each sent only one, so one
-VM, the runner's keeper, is asked before each call. The keeper admits a call
-only if the runner survives the worst case: that it rejects every call whose
-fate is not yet known.
+VM, the runner's keeper, is asked before each call. The keeper counts the calls
+that the runner has, and weighs those whose fate it doesn't know yet: a call
+that the runner took beside as many others a moment ago is hardly rejected, any
+other one may be.
 """
 
-import collections
 import math
 import typing
 
 from .. import clock as clocks
+from . import fragile_count
 from . import limit_keeper
 
-#: Seconds for which a rejection counts. The runner counts for one second; the
-#: rest is for the way of a rejection to the keeper.
-REJECTION_WINDOW_S = 1.25
-#: Seconds after which a call that was sent counts as taken by its runner. A
-#: rejection follows at once, and is known to the keeper by then.
-CONFIRMED_AFTER_S = 0.05
-#: Seconds without a rejection after which a runner that was full is tried with
-#: one call more. Longer than :data:`REJECTION_WINDOW_S`, so that trials alone
-#: never add up.
-ROOM_GROWS_AFTER_S = 2.0
-#: Part of a runner's room up to which one call at a time may be sent, whatever
-#: the number of rejections that it bears. Without any call, nobody would learn
-#: that it is sound again.
+#: What a call within the room that a runner has lately shown adds to the
+#: rejections that it may give. If its room shrinks without notice, this many
+#: calls for each rejection may be under way.
+PROVEN_RISK = 0.125
+#: Part of a runner's room up to which one call at a time may be sent without
+#: any rejection to spare. Without any call, nobody would learn that it is
+#: sound again.
 TRIAL_ROOM_SHARE = 0.5
 #: Seconds until a VM asks again about a runner whose room is used up.
-FULL_RETRY_S = 0.05
+FULL_RETRY_S = 0.02
+#: Refused questions about a runner in a second which make a refused VM wait
+#: one second more until it asks again, so that thousands of VMs don't ask at
+#: each call.
+REFUSALS_PER_WAIT_S = 5000.0
+#: Period in which refused questions are counted, in seconds.
+REFUSAL_PERIOD_S = 0.5
 #: Part of the rejections that a VM may risk which is asked in place of the
 #: keeper. The keeper may be alive and go on admitting calls of others.
 DEPUTY_SHARE = 0.25
 
 #: A call, by the process that sends it and a number that is unique there.
-CallKey = tuple[str, int]
+CallKey = fragile_count.CallKey
 
 
 class Terms:
@@ -52,44 +53,25 @@
         self.slots = slots
 
 
-class _Count:
-    """What is counted of one runner.
+class _Refusals:
+    """Counts refused questions about one runner."""
 
-    :param room: the calls that the runner takes at a time, as far as known.
-    """
+    __slots__ = ("_since", "_count", "_before")
+
+    def __init__(self) -> None:
+        self._since = -math.inf
+        self._count = self._before = 0
 
-    __slots__ = ("room", "tried_at", "running", "sent", "rejected_at")
-
-    def __init__(self, room: float, now: float) -> None:
-        self.room = room
-        #: When the room was last learned, or last tried with one call more.
-        self.tried_at = now
-        #: When each admitted call ends at the latest, by call.
-        self.running: dict[CallKey, float] = {}
-        #: The calls whose fate is unknown, and when each was admitted.
-        self.sent: dict[CallKey, float] = {}
-        self.rejected_at: collections.deque[float] = collections.deque()
-
-    def forget_old(self, now: float) -> None:
-        """Forget rejections, and calls that must have been taken or ended."""
-        while (
-            self.rejected_at
-            and self.rejected_at[0] <= now - REJECTION_WINDOW_S
-        ):
-            self.rejected_at.popleft()
-        for call, sent_at in list(self.sent.items()):
-            if sent_at > now - CONFIRMED_AFTER_S:
-                break
-            del self.sent[call]
-        for call in [
-            c for c, ends_at in self.running.items() if ends_at <= now
-        ]:
-            del self.running[call]
-
-    @property
-    def at_risk(self) -> int:
-        """The rejections in the window if all unknown calls are rejected."""
-        return len(self.rejected_at) + len(self.sent)
+    def count(self, now: float) -> float:
+        """Count one; return those in a second."""
+        passed_s = now - self._since
+        if passed_s >= REFUSAL_PERIOD_S:
+            is_next = passed_s < 2.0 * REFUSAL_PERIOD_S
+            self._before = self._count if is_next else 0
+            self._count = 0
+            self._since = now
+        self._count += 1
+        return max(self._count, self._before) / REFUSAL_PERIOD_S
 
 
 class FragileKeeper:
@@ -100,7 +82,14 @@
         report it in their status records.
     """
 
-    __slots__ = ("_clock", "_counts", "_reported", "_share")
+    __slots__ = (
+        "_bears",
+        "_clock",
+        "_counts",
+        "_refusals",
+        "_reported",
+        "_share",
+    )
 
     def __init__(
         self,
@@ -110,10 +99,13 @@
         self._clock = clock
         self._reported = reported
         self._share = 1.0
-        self._counts: dict[str, _Count] = {}
+        self._counts: dict[str, fragile_count.FragileCount] = {}
+        self._refusals: dict[str, _Refusals] = {}
+        #: The rejections that each runner bears, as last told.
+        self._bears: dict[str, int] = {}
 
     def set_share(self, share: float) -> None:
-        """Set the part of the rejections that the VMs heard from may cause.
+        """Set the part of each runner that the VMs heard from may use.
 
         The rest is left to VMs that are silent, which may have a keeper of
         their own.
@@ -139,80 +131,88 @@
         :param is_deputy: whether this VM is asked in place of the keeper.
         """
         now = self._clock.now()
-        count = self._counts.get(runner)
-        if count is None:
-            count = self._counts[runner] = _Count(terms.slots or math.inf, now)
-            self._assume_former_keeper(runner, count, terms, now)
+        count = self._count(runner, terms, now)
         count.forget_old(now)
         if call in count.running:
             # The question was sent twice.
             return limit_keeper.Admission(True, 0.0)
-        self._grow_room(count, terms, now)
-        used = max(len(count.running), self._reported(runner))
-        if used >= count.room:
-            return limit_keeper.Admission(False, FULL_RETRY_S, FULL_RETRY_S)
-        share = self._share * (DEPUTY_SHARE if is_deputy else 1.0)
-        allowed = math.floor(terms.rejections_per_s * share)
-        if used < count.room * TRIAL_ROOM_SHARE:
-            allowed = max(allowed, 1)
-        if count.at_risk >= allowed:
-            wait_s = self._risk_ends_in_s(count, now)
-            return limit_keeper.Admission(False, wait_s, wait_s)
-        count.running[call] = now + lease_s
-        count.sent[call] = now
+        used = count.used(self._reported(runner), now)
+        room = max(1.0, count.room * self._share)
+        is_trial = used >= room
+        if is_trial and not (self._share >= 1.0 and count.may_try_more(now)):
+            return self._refuse(runner, 0.0, now)
+        is_proven = not is_trial and used < count.proven(now)
+        risk = PROVEN_RISK if is_proven else 1.0
+        spent = count.surprises if is_proven else count.rejections
+        allowed = self._allowed(terms, is_deputy)
+        is_careful = not count.has_unknown and (
+            is_proven or not count.rejections and used < _trial_room(room)
+        )
+        if spent + count.unknown_risk + risk > allowed and not is_careful:
+            return self._refuse(runner, count.risk_ends_in_s(now), now)
+        count.admit(
+            call,
+            fragile_count.Sent(now, now + lease_s, used, risk, is_trial),
+        )
         return limit_keeper.Admission(True, 0.0)
 
     def end(self, runner: str, call: CallKey, rejected: bool) -> None:
-        """Record that an admitted call has ended.
+        """Record that an admitted call has ended; may be told repeatedly.
 
         :param rejected: whether the runner rejected it for want of room.
         """
         count = self._counts.get(runner)
-        if count is None:
-            return
-        count.running.pop(call, None)
-        count.sent.pop(call, None)
-        if rejected:
-            self._record_rejection(count)
+        if count is not None:
+            now = self._clock.now()
+            count.forget_old(now)
+            count.end(call, rejected, self._bears[runner] * self._share, now)
 
     def record_rejection(self, runner: str) -> None:
         """Record the rejection of a call that was sent without asking."""
         count = self._counts.get(runner)
         if count is not None:
-            self._record_rejection(count)
+            now = self._clock.now()
+            count.forget_old(now)
+            count.reject(None, self._bears[runner] * self._share, now)
 
     def keep_only(self, runners: typing.Collection[str]) -> None:
         """Forget the runners that are not fragile any more."""
-        self._counts = {
-            runner: count
-            for runner, count in self._counts.items()
-            if runner in runners
-        }
+        for runner in self._counts.keys() - set(runners):
+            del self._counts[runner], self._bears[runner]
+            self._refusals.pop(runner, None)
+
+    def _count(
+        self, runner: str, terms: Terms, now: float
+    ) -> fragile_count.FragileCount:
+        self._bears[runner] = terms.rejections_per_s
+        slots = terms.slots or math.inf
+        count = self._counts.get(runner)
+        if count is None:
+            count = fragile_count.FragileCount(slots, now)
+            # Calls of the keeper before may be rejected yet.
+            count.assume_rejections(terms.rejections_per_s // 2, now)
+            self._counts[runner] = count
+        count.set_slots(slots)
+        return count
+
+    def _allowed(self, terms: Terms, is_deputy: bool) -> float:
+        """The rejections in a second that this keeper may cause."""
+        share = self._share * (DEPUTY_SHARE if is_deputy else 1.0)
+        allowed = math.floor(terms.rejections_per_s * share)
+        if share > 0.5 and terms.rejections_per_s > 0:
+            # Of the parts of a split fleet, only one is this large.
+            return max(1, allowed)
+        return allowed
 
-    def _record_rejection(self, count: _Count) -> None:
-        now = self._clock.now()
-        count.rejected_at.append(now)
-        count.forget_old(now)
-        count.room = min(count.room, max(1.0, float(len(count.running))))
-        count.tried_at = now
+    def _refuse(
+        self, runner: str, wait_s: float, now: float
+    ) -> limit_keeper.Admission:
+        refusals = self._refusals.setdefault(runner, _Refusals())
+        wait_s = max(wait_s, FULL_RETRY_S)
+        ask_again_s = wait_s + refusals.count(now) / REFUSALS_PER_WAIT_S
+        return limit_keeper.Admission(False, wait_s, ask_again_s)
 
-    def _assume_former_keeper(
-        self, runner: str, count: _Count, terms: Terms, now: float
-    ) -> None:
-        """Leave half of the rejections to calls of the keeper before."""
-        count.rejected_at.extend([now] * (terms.rejections_per_s // 2))
-
-    def _grow_room(self, count: _Count, terms: Terms, now: float) -> None:
-        """Try a full runner with one call more from time to time."""
-        count.room = min(count.room, terms.slots or math.inf)
-        if now - count.tried_at < ROOM_GROWS_AFTER_S:
-            return
-        if len(count.running) >= count.room and count.room != math.inf:
-            count.room = min(count.room + 1.0, terms.slots or math.inf)
-            count.tried_at = now
-
-    def _risk_ends_in_s(self, count: _Count, now: float) -> float:
-        """Seconds until the oldest rejection or unknown call is forgotten."""
-        ends = [at + CONFIRMED_AFTER_S for at in count.sent.values()]
-        ends += [at + REJECTION_WINDOW_S for at in count.rejected_at]
-        return max(0.01, min(ends) - now) if ends else FULL_RETRY_S
+
+def _trial_room(room: float) -> float:
+    """The calls up to which one at a time is hardly rejected."""
+    return TRIAL_ROOM_SHARE * room if room < math.inf else 1.0
