--- a/src/apricotlever/runners/fragile_count.py
+++ b/src/apricotlever/runners/fragile_count.py
@@ -22,6 +22,8 @@
 SURPRISED_ROOM_SHARE = 0.5
 #: Age of the oldest numbers in the sums of status records, in seconds.
 REPORT_AGE_S = 0.3
+#: Part of the latest call in the mean time that a runner's calls take.
+HOLD_SMOOTHING = 0.1
 #: Seconds for which a new keeper doesn't know the calls of the one before.
 NEW_KEEPER_S = 1.0
 
@@ -112,6 +114,7 @@
         "running",
         "_began_at",
         "_foreign",
+        "_hold_s",
         "_next_end",
         "_proven",
         "_rejected",
@@ -129,6 +132,7 @@
         self._slots = slots
         self._began_at = now
         self._next_end = math.inf
+        self._hold_s = 0.0
         #: The calls whose fate is unknown, the oldest first.
         self._unknown: dict[CallKey, Sent] = {}
         #: When calls were rejected that were expected to be taken, and others.
@@ -161,6 +165,11 @@
         """All rejections in the window."""
         return len(self._surprised_at) + len(self._rejected_at)
 
+    @property
+    def next_end_in_s(self) -> float:
+        """Seconds in which one of the calls is expected to end."""
+        return self._hold_s / max(1, len(self.running))
+
     def proven(self, now: float) -> float:
         """The calls that the runner has lately been seen to take at a time."""
         return min(self.room, self._proven.value(now))
@@ -214,6 +223,9 @@
         if is_rejected and call not in self._rejected:
             self._rejected[call] = now
             self.reject(sent, bears, now)
+        elif sent is not None and not is_rejected:
+            held_s = now - sent.at
+            self._hold_s += HOLD_SMOOTHING * (held_s - self._hold_s)
 
     def reject(self, sent: Sent | None, bears: float, now: float) -> None:
         """Learn from a rejection.
--- a/src/apricotlever/runners/fragile_keeper.py
+++ b/src/apricotlever/runners/fragile_keeper.py
@@ -23,12 +23,13 @@
 #: any rejection to spare. Without any call, nobody would learn that it is
 #: sound again.
 TRIAL_ROOM_SHARE = 0.5
-#: Seconds until a VM asks again about a runner whose room is used up.
-FULL_RETRY_S = 0.02
+#: When a VM asks again about a runner whose room is used up: the part of the
+#: time in which one of its calls should end, and the least, in seconds.
+FULL_RETRY_SHARE, FULL_RETRY_S = 0.25, 0.005
 #: Refused questions about a runner in a second which make a refused VM wait
 #: one second more until it asks again, so that thousands of VMs don't ask at
 #: each call.
-REFUSALS_PER_WAIT_S = 5000.0
+REFUSALS_PER_WAIT_S = 50000.0
 #: Period in which refused questions are counted, in seconds.
 REFUSAL_PERIOD_S = 0.5
 #: Part of the rejections that a VM may risk which is asked in place of the
@@ -80,12 +81,14 @@
     :param clock: the source of time.
     :param reported: the number of calls in flight at a runner, as all VMs
         report it in their status records.
+    :param proven_risk: see :data:`PROVEN_RISK`.
     """
 
     __slots__ = (
         "_bears",
         "_clock",
         "_counts",
+        "_proven_risk",
         "_refusals",
         "_reported",
         "_share",
@@ -95,9 +98,11 @@
         self,
         clock: clocks.Clock,
         reported: typing.Callable[[str], int] = lambda runner: 0,
+        proven_risk: float = PROVEN_RISK,
     ) -> None:
         self._clock = clock
         self._reported = reported
+        self._proven_risk = proven_risk
         self._share = 1.0
         self._counts: dict[str, fragile_count.FragileCount] = {}
         self._refusals: dict[str, _Refusals] = {}
@@ -140,9 +145,10 @@
         room = max(1.0, count.room * self._share)
         is_trial = used >= room
         if is_trial and not (self._share >= 1.0 and count.may_try_more(now)):
-            return self._refuse(runner, 0.0, now)
+            wait_s = FULL_RETRY_SHARE * count.next_end_in_s
+            return self._refuse(runner, wait_s, now)
         is_proven = not is_trial and used < count.proven(now)
-        risk = PROVEN_RISK if is_proven else 1.0
+        risk = self._proven_risk if is_proven else 1.0
         spent = count.surprises if is_proven else count.rejections
         allowed = self._allowed(terms, is_deputy)
         is_careful = not count.has_unknown and (
