Halve a fragile runner's room by half of its rejections

It is now halved by half of the rejections, and calls within it weigh a half while one counts. Only trials are no surprise any more: rejections at the edge of a learned room let a runner with one to spare fall.

--- a/src/apricotlever/runners/fragile_count.py
+++ b/src/apricotlever/runners/fragile_count.py
@@ -17,8 +17,8 @@
 #: it has slots is tried with one call more. Longer than
 #: :data:`REJECTION_WINDOW_S`, so that trials alone never add up.
 ROOM_GROWS_AFTER_S = 1.5
-#: Part of a runner's room that is used after all rejections that it bears have
-#: come as a surprise.
+#: Part of a runner's room that is used after half of the rejections that it
+#: bears, or the only one, have come as a surprise.
 SURPRISED_ROOM_SHARE = 0.5
 #: Age of the oldest numbers in the sums of status records, in seconds.
 REPORT_AGE_S = 0.3
@@ -135,7 +135,7 @@
         self._hold_s = 0.0
         #: The calls whose fate is unknown, the oldest first.
         self._unknown: dict[CallKey, Sent] = {}
-        #: When calls were rejected that were expected to be taken, and others.
+        #: When calls were rejected that were expected to be taken, and trials.
         self._surprised_at: collections.deque[float] = collections.deque()
         self._rejected_at: collections.deque[float] = collections.deque()
         #: The rejected calls of the window: their ends may be told twice.
@@ -233,21 +233,15 @@
 
         :param sent: the call; None if this keeper didn't admit it.
         """
-        if sent is None:
-            level: float = len(self.running)
-            is_expected = level >= self.room
-        else:
-            level = sent.level
-            is_expected = sent.is_trial or (
-                self.room < self._slots and level >= self.room - 1.0
-            )
+        level = float(len(self.running) if sent is None else sent.level)
+        is_trial = sent is not None and sent.is_trial
+        is_at_edge = level >= self.room - (self.room < self._slots)
         self._tried_at = now
-        if is_expected:
-            self._rejected_at.append(now)
+        (self._rejected_at if is_trial else self._surprised_at).append(now)
+        if is_trial or is_at_edge:
             self.room = max(1.0, min(self.room, level))
         else:
-            self._surprised_at.append(now)
-            share = SURPRISED_ROOM_SHARE ** (1.0 / max(1.0, bears))
+            share = SURPRISED_ROOM_SHARE ** (2.0 / max(2.0, bears))
             self.room = max(1.0, min(self.room, float(int(level * share))))
         self._proven.limit(self.room)
 
--- a/src/apricotlever/runners/fragile_keeper.py
+++ b/src/apricotlever/runners/fragile_keeper.py
@@ -19,6 +19,8 @@
 #: other call of unknown fate weighs as much as a rejection. The two kinds are
 #: weighed by themselves, or a runner in steady use would never show more room.
 PROVEN_RISK = 0.125
+#: The same for a runner whose proven room has just rejected a call.
+SURPRISED_RISK = 0.5
 #: Part of a runner's room up to which one call at a time may be sent without
 #: any rejection to spare. Without any call, nobody would learn that it is
 #: sound again.
@@ -147,24 +149,26 @@
         if is_trial and not (self._share >= 1.0 and count.may_try_more(now)):
             wait_s = FULL_RETRY_SHARE * count.next_end_in_s
             return self._refuse(runner, wait_s, now)
-        is_proven = (
-            not is_trial
-            and self._proven_risk < 1.0
-            and used < count.proven(now)
-        )
         allowed = self._allowed(terms, is_deputy)
-        # With one rejection to spare, a trial must not stop the other calls.
-        spent = (
-            count.surprises if is_proven and allowed <= 1 else count.rejections
-        )
+        proven = count.proven(now)
+        spent = count.rejections
+        if allowed <= 1:
+            # A trial must not stop the other calls, but none may go wrong.
+            proven -= min(1, spent)
+            spent = count.surprises
+        is_proven = not is_trial and self._proven_risk < 1.0 and used < proven
+        if not is_proven:
+            spent = count.rejections
         is_careful = (
             not count.has_unknown
             and not spent
             and (is_proven or used < _trial_room(room))
         )
-        risk = (self._proven_risk if is_proven else 1.0) * (
-            1 + count.unknown(is_proven)
-        )
+        risk = 1.0
+        if is_proven:
+            is_surprised = count.surprises > 0
+            risk = SURPRISED_RISK if is_surprised else self._proven_risk
+        risk *= 1 + count.unknown(is_proven)
         if spent + risk > allowed and not is_careful:
             return self._refuse(runner, count.risk_ends_in_s(now), now)
         count.admit(
--- a/tests/runners/fragile_keeper.feature
+++ b/tests/runners/fragile_keeper.feature
@@ -86,6 +86,14 @@
     When it is asked about 30 calls, 30 ms apart
     Then 2 of them are admitted
 
+  # Guards against a room that shrinks by the calls of VMs that don't ask.
+  Scenario: A full runner that rejects a call of nobody's keeps its room
+    Given a keeper of a runner with 4 slots that bears 10 rejections
+    When it is asked about 30 calls, 30 ms apart
+    And it rejects a call that nobody asked about
+    And the first admitted call ends
+    Then the next call is admitted
+
   Scenario: A runner that is sound again is forgotten
     Given a keeper of a runner with 4 slots that bears 3 rejections
     When it is asked about 30 calls, 30 ms apart
--- a/tests/steps/runners_fragile_keeper.py
+++ b/tests/steps/runners_fragile_keeper.py
@@ -203,6 +203,11 @@
     context.runner.keeper.end(RUNNER, context.admitted[0], False)
 
 
+@when("it rejects a call that nobody asked about")
+def _reject_unasked(context):
+    context.runner.keeper.record_rejection(RUNNER)
+
+
 @when("the leases end")
 def _end_leases(context):
     context.runner.advance(LEASE_S + 0.1)
