Read how many rejections a fragile runner bears

From every kind of response, with the other statements, on both paths. The least of several values counts, a fraction is rounded down, a huge value is capped, and what can't be read neither states nor ends fragility.

--- a/src/apricotlever/links/upstream_exchange.py
+++ b/src/apricotlever/links/upstream_exchange.py
@@ -29,6 +29,8 @@
 LIMIT_HEADER = "Apricotlever-Limit"
 #: Header by which a runner says that it leaves: 1 or 0.
 LEAVING_HEADER = "Apricotlever-Leaving"
+#: Header with the rejections in a second that a fragile runner bears.
+FRAGILE_HEADER = "Apricotlever-Fragile"
 #: Header with the seconds for which a runner that turns a call away wants no
 #: more calls of this VM, and the status with which it does so.
 REST_HEADER = "Retry-After"
@@ -147,6 +149,7 @@
                 else []
             ),
             leavings=self._header_values(LEAVING_HEADER),
+            fragilities=self._header_values(FRAGILE_HEADER),
         )
 
     def open(self) -> None:
--- a/standins/plain_dialect.py
+++ b/standins/plain_dialect.py
@@ -72,7 +72,8 @@
     A runner marks its own answers with the header Signed, and names the calls
     a second that it takes from all VMs in the header Limit-Per-S. With a
     status of 503 it asks for rest by the header Rest-S. It says that it leaves
-    by the header Leaving: 1.
+    by the header Leaving: 1, and how many rejections in a second it bears, if
+    it is fragile, by the header Rejections-Per-S.
 
     :param vm: name of the sending VM, which a runner is told in the header
         Sent-By; "" to leave it out.
@@ -117,5 +118,6 @@
                 _header_values(headers, b"limit-per-s"),
                 _header_values(headers, b"rest-s") if status == 503 else [],
                 _header_values(headers, b"leaving"),
+                _header_values(headers, b"rejections-per-s"),
             ),
         )
--- a/tests/adapter/callers.feature
+++ b/tests/adapter/callers.feature
@@ -52,6 +52,18 @@
       | 200    | Server-Leaving: 0   | does not say |
       | 200    | Server-Leaving: yes | does not say |
 
+  Scenario Outline: A runner's word that it is fragile is decoded
+    When the adapter reads a runner's response <status> with <header>
+    Then the runner bears <rejections> rejections
+
+    Examples:
+      | status | header               | rejections |
+      | 200    | Server-Brittle: 2    | 2          |
+      | 503    | Server-Brittle: 0    | 0          |
+      | 500    | Server-Brittle: 4    | 4          |
+      | 200    | Server-Brittle: -1   | none       |
+      | 200    | Server-Brittle: some | none       |
+
   Scenario: A configuration is decoded
     When the adapter reads a configuration with a split route
     Then the decoded configuration finds the longest prefix, the split and the customer
--- a/tests/daemon/runner_statements.feature
+++ b/tests/daemon/runner_statements.feature
@@ -33,6 +33,17 @@
       | 200    | Apricotlever-Leaving: 1  | none | leaves |
       | 500    | Apricotlever-Leaving: 1  | none | leaves |
 
+  Scenario Outline: Fragility is read from every kind of response
+    Given an upstream that answers <status> with <header>
+    When a request is sent to that upstream
+    Then its statement says that it bears <rejections> rejections
+
+    Examples:
+      | status | header                     | rejections |
+      | 200    | Apricotlever-Fragile: 2    | 2          |
+      | 503    | Apricotlever-Fragile: 0    | 0          |
+      | 500    | Apricotlever-Fragile: many | none       |
+
   Scenario: Asking for rest is no failure of a runner
     Then an error response that asks for rest counts as cancelled, others as failed
 
--- a/tests/runners/statements.feature
+++ b/tests/runners/statements.feature
@@ -122,6 +122,29 @@
       | it is listed with heartbeat 1         | stays   |
       | it is not listed                      | stays   |
 
+  Scenario Outline: Fragility is read
+    When a head says that the runner bears <values> rejections
+    Then it bears <rejections> and the values are <clear>
+
+    Examples:
+      | values     | rejections | clear      |
+      | 3          | 3          | readable   |
+      | 0          | 0          | readable   |
+      | 2.9        | 2          | readable   |
+      | 1e30       | 100000     | readable   |
+      | 2 and 2    | 2          | readable   |
+      | 3 and 2    | 2          | unreadable |
+      | 3 and many | 3          | unreadable |
+      | many       | none       | unreadable |
+      | -1         | none       | unreadable |
+      | nan        | none       | unreadable |
+      | inf        | none       | unreadable |
+      | a date     | none       | unreadable |
+      | no text    | none       | unreadable |
+
+  Scenario: A head that says nothing of fragility is that of a sound runner
+    Then a head without fragility is sound, and one with an unreadable one not
+
   # Guards against VMs that pass on a limit for good that was lifted once.
   Scenario: A lifted limit is forgotten in the end
     Given a VM that knows a runner
--- a/tests/steps/adapter.py
+++ b/tests/steps/adapter.py
@@ -164,6 +164,12 @@
     assert context.statement.leaves == (leaves == "says"), leaves
 
 
+@then("the runner bears {rejections} rejections")
+def _check_fragility(context, rejections):
+    found = context.statement.rejections_per_s
+    assert str(found).lower() == rejections, found
+
+
 @then("the runner names the limit {limit} and asks for the rest {rest}")
 def _check_statement(context, limit, rest):
     found = context.statement.limit_per_s, context.statement.rest_s
--- a/tests/steps/daemon_runner_statements.py
+++ b/tests/steps/daemon_runner_statements.py
@@ -196,6 +196,12 @@
     assert context.statement.leaves == (leaves == "leaves")
 
 
+@then("its statement says that it bears {rejections} rejections")
+def _check_fragility(context, rejections):
+    found = context.statement.rejections_per_s
+    assert str(found).lower() == rejections, found
+
+
 @then(
     "an error response that asks for rest counts as cancelled, others as "
     "failed"
--- a/tests/steps/runners_statements.py
+++ b/tests/steps/runners_statements.py
@@ -94,6 +94,31 @@
     assert is_unreadable == (clear == "unreadable"), statement.unreadable
 
 
+@when("a head says that the runner bears {values} rejections")
+def _read_fragility(context, values):
+    context.statement = statements.read_statement(
+        fragilities=[
+            TEXTS.get(each, each.encode()) for each in values.split(" and ")
+        ]
+    )
+
+
+@then("it bears {rejections} and the values are {clear}")
+def _check_fragility(context, rejections, clear):
+    statement = context.statement
+    assert statement.rejections_per_s == _number(rejections)
+    is_unreadable = statements.Field.FRAGILE in statement.unreadable
+    assert is_unreadable == (clear == "unreadable"), statement.unreadable
+    assert not statement.is_sound
+
+
+@then("a head without fragility is sound, and one with an unreadable one not")
+def _check_sound(context):
+    assert statements.read_statement().is_sound
+    assert statements.read_statement([b"2"]).is_sound
+    assert not statements.read_statement(fragilities=[b"many"]).is_sound
+
+
 @given("a VM that was told at heartbeat {number:d} that a runner leaves")
 def _tell_leaving(context, number):
     context.leavings = stated_leavings.StatedLeavings()
