--- a/bench/_limited_fleet.py
+++ b/bench/_limited_fleet.py
@@ -17,6 +17,7 @@
 from apricotlever.runners import full_runners
 from apricotlever.runners import limit_keeper
 from apricotlever.runners import stated_limits
+from apricotlever.serving import reading_exchange
 from apricotlever.serving import runner_limits
 
 RUNNER = "runner"
@@ -134,7 +135,7 @@
     def learn(self, limit: float | None, age_s: float) -> None:
         """Merge another VM's reading, and pass on a change."""
         if self.stated.merge(RUNNER, limit, age_s, "peer") is not None:
-            self.pass_on(runner_limits.CHANGE_FANOUT)
+            self.pass_on(reading_exchange.CHANGE_FANOUT)
 
     def pass_on(self, count: int) -> None:
         """Send the latest reading to some other VMs."""
@@ -156,7 +157,7 @@
         else:
             change = self.stated.record_unnamed(RUNNER, sent_at)
         if change is not None:
-            self.pass_on(runner_limits.CHANGE_FANOUT)
+            self.pass_on(reading_exchange.CHANGE_FANOUT)
 
 
 class Fleet:
@@ -259,7 +260,7 @@
 
     def _exchange(self, vm: Vm) -> None:
         if vm.alive:
-            vm.pass_on(runner_limits.EXCHANGE_FANOUT)
+            vm.pass_on(reading_exchange.EXCHANGE_FANOUT)
         self.network.after(
             runner_limits.EXCHANGE_INTERVAL_S, lambda: self._exchange(vm)
         )
--- a/bench/runner_limits.py
+++ b/bench/runner_limits.py
@@ -7,7 +7,7 @@
 
 from apricotlever.contracts import token_bucket
 from apricotlever.runners import limit_keeper
-from apricotlever.serving import runner_limits
+from apricotlever.serving import keeper_fleet
 from bench import _limited_fleet
 
 #: Spans in which the load is steady, for the used part of the limit.
@@ -114,7 +114,7 @@
                 may_ask_other=False,
             )
         else:
-            retry_s = runner_limits.UNANSWERED_RETRY_S
+            retry_s = keeper_fleet.UNANSWERED_RETRY_S
             vm.full.record(_limited_fleet.RUNNER, retry_s, retry_s)
 
     if asked is vm:
--- a/src/apricotlever/serving/runner_limit_protocol.py
+++ b/src/apricotlever/serving/runner_limit_protocol.py
@@ -5,14 +5,14 @@
 limits to some other VMs.
 """
 
-import asyncio
-import itertools
 import typing
 
 from .. import validation
 from ..runners import limit_keeper
 
+from . import keeper_questions
 from . import limit_protocol
+from . import reading_exchange
 
 #: Kinds of messages: a question about a call, its answer, the refund of a call
 #: that was not sent, and readings of limits.
@@ -20,13 +20,12 @@
 ANSWER = 11
 REFUND = 12
 READINGS = 13
-#: How often a question is sent to a keeper before it counts as unavailable.
-TRIES = 2
 #: Upper limit of the readings in one message, so that it fits in a datagram
 #: that is not fragmented.
 MAX_READINGS = 24
 
-_IS_READING = validation.is_tuple_of(
+#: Checks a reading that another VM passes on.
+IS_READING = validation.is_tuple_of(
     validation.is_non_empty_string,
     validation.is_none_or(validation.is_non_negative_number),
     validation.is_non_negative_number,
@@ -34,7 +33,7 @@
 _IS_ASK = validation.is_tuple_of(
     validation.is_non_negative_int,
     validation.is_non_negative_int,
-    _IS_READING,
+    IS_READING,
     validation.is_non_negative_number,
 )
 _IS_ANSWER = validation.is_tuple_of(
@@ -43,18 +42,16 @@
     validation.is_bool,
     validation.is_non_negative_number,
     validation.is_non_negative_number,
-    _IS_READING,
+    IS_READING,
 )
 _IS_REFUND = validation.is_tuple_of(
     validation.is_non_negative_int, validation.is_non_empty_string
 )
 _IS_READINGS = validation.is_tuple_of(
-    validation.is_non_negative_int, validation.is_list_of(_IS_READING)
+    validation.is_non_negative_int, validation.is_list_of(IS_READING)
 )
 
-#: A runner, its limit in calls a second (None once lifted), and how many
-#: seconds ago the response that said so was read.
-ReadingRecord = tuple[str, float | None, float]
+ReadingRecord = reading_exchange.ReadingRecord
 
 
 class Vm(typing.Protocol):
@@ -90,16 +87,14 @@
     :param vm: decides on questions and merges readings.
     """
 
-    __slots__ = ("_numbers", "_pending", "_transport", "_vm")
+    __slots__ = ("_questions", "_transport", "_vm")
 
     def __init__(
         self, transport: limit_protocol.LimitProtocol, vm: Vm
     ) -> None:
         self._transport = transport
         self._vm = vm
-        self._numbers = itertools.count()
-        #: Questions by number, until they are answered or given up.
-        self._pending: dict[int, asyncio.Future[limit_keeper.Admission]] = {}
+        self._questions = keeper_questions.KeeperQuestions(transport)
         for kind, is_valid, handler in (
             (ASK, _IS_ASK, self._receive_question),
             (ANSWER, _IS_ANSWER, self._receive_answer),
@@ -120,24 +115,10 @@
         :param patience_s: how long the call can wait for its turn.
         :raises TimeoutError: if the keeper does not answer.
         """
-        number = next(self._numbers)
-        answer: asyncio.Future[limit_keeper.Admission] = (
-            asyncio.get_running_loop().create_future()
+        _, admission = await self._questions.ask(
+            address, ASK, [reading, patience_s]
         )
-        self._pending[number] = answer
-        try:
-            for _ in range(TRIES):
-                self._transport.send(
-                    [ASK, number, reading, patience_s], address
-                )
-                done, _ = await asyncio.wait(
-                    {answer}, timeout=limit_protocol.ANSWER_TIMEOUT_S
-                )
-                if done:
-                    return answer.result()
-        finally:
-            del self._pending[number]
-        raise TimeoutError
+        return admission
 
     def send_refund(
         self, address: limit_protocol.Address, runner: str
@@ -180,12 +161,10 @@
     ) -> None:
         _, number, admitted, wait_s, ask_again_s, reading = message
         self._vm.merge_readings([tuple(reading)], address[0])
-        answer = self._pending.get(number)
-        if answer is not None and not answer.done():
-            answer.set_result(
-                limit_keeper.Admission(admitted, wait_s, ask_again_s)
-            )
-        elif admitted:
+        is_awaited = self._questions.answer(
+            number, limit_keeper.Admission(admitted, wait_s, ask_again_s)
+        )
+        if admitted and not is_awaited:
             # The question was repeated or given up, so the room is not used.
             self.send_refund(address, reading[0])
 
--- a/src/apricotlever/serving/runner_limits.py
+++ b/src/apricotlever/serving/runner_limits.py
@@ -3,38 +3,28 @@
 A runner in need names how many calls a second it takes from all VMs together.
 One VM, the keeper of the runner's limit, is asked before each call to the
 runner (:mod:`..runners.limit_keeper`). What a VM learns of a limit it passes
-on to some others at once, and to a few more several times a second, until all
-know it.
+on (:mod:`.reading_exchange`), until all know it.
 """
 
-import asyncio
 import random
 import typing
 
 from .. import clock as clocks
 from .. import statement_logs
-from ..contracts import limit_keepers
 from ..contracts import retry_after
 from ..runners import limit_keeper
 from ..runners import local_limits
 from ..runners import stated_limits
 
+from . import keeper_fleet
 from . import limit_protocol
+from . import reading_exchange
 from . import runner_limit_protocol as protocols
 
 #: Seconds between two messages with all readings to a few other VMs.
 EXCHANGE_INTERVAL_S = 0.3
-#: Number of VMs that get these messages.
-EXCHANGE_FANOUT = 2
-#: Number of VMs to which a change is passed on at once. Each of them does the
-#: same, so a change reaches thousands of VMs in a few steps.
-CHANGE_FANOUT = 4
-#: Seconds for which changes are collected before they are passed on.
-CHANGE_BATCH_S = 0.01
 #: Seconds between two updates of the other VMs while no limit is known.
 IDLE_FLEET_INTERVAL_S = 1.0
-#: Seconds after which a VM asks again if no keeper has answered.
-UNANSWERED_RETRY_S = 0.2
 #: Time between the returns of two callers to runners without limits, in
 #: seconds.
 RETURN_INTERVAL_S = 0.05
@@ -70,42 +60,34 @@
     """
 
     __slots__ = (
-        "_addresses",
-        "_changed",
+        "_exchange",
         "_clock",
+        "_fleet",
         "_fleet_set_at",
-        "_keepers",
         "_local",
         "_protocol",
         "_refusal_times",
-        "_rng",
-        "_vm",
         "ask_count",
         "refused_count",
-        "unanswered_count",
     )
 
     def __init__(
         self, clock: clocks.Clock, rng: random.Random, vm: str
     ) -> None:
         self._clock = clock
-        self._rng = rng
-        self._vm = vm
         self._local = local_limits.LocalLimits(clock)
-        self._keepers = limit_keepers.LimitKeepers(clock, vm)
+        self._fleet = keeper_fleet.KeeperFleet(clock, rng, vm)
+        self._exchange = reading_exchange.ReadingExchange(
+            clock, rng, self._fleet, self._local.stated
+        )
         self._refusal_times = retry_after.RetryAfterScheduler(clock, rng)
         self._protocol: protocols.RunnerLimitProtocol | None = None
-        #: Addresses of the other VMs, by name.
-        self._addresses: dict[str, limit_protocol.Address] = {}
         #: When the other VMs were last set.
         self._fleet_set_at = float("-inf")
-        #: Runners whose changed limits are about to be passed on.
-        self._changed: set[str] = set()
-        #: How many calls were asked about, how many of them a keeper refused,
-        #: and how often no keeper answered.
+        #: How many calls were asked about, and how many of them a keeper
+        #: refused.
         self.ask_count = 0
         self.refused_count = 0
-        self.unanswered_count = 0
 
     @property
     def local(self) -> local_limits.LocalLimits:
@@ -128,7 +110,9 @@
         return {
             "runner_limit_asks_total": self.ask_count,
             "runner_limit_refusals_total": self.refused_count,
-            "runner_limit_asks_unanswered_total": self.unanswered_count,
+            "runner_limit_asks_unanswered_total": (
+                self._fleet.unanswered_count
+            ),
         }
 
     def enable_protocol(self, transport: limit_protocol.LimitProtocol) -> None:
@@ -137,6 +121,7 @@
         :param transport: the socket for them.
         """
         self._protocol = protocols.RunnerLimitProtocol(transport, self)
+        self._exchange.enable(self._protocol)
 
     @property
     def wants_fleet(self) -> bool:
@@ -164,12 +149,12 @@
         :param fleet_size: number of VMs, this one and silent ones included.
         """
         self._fleet_set_at = self._clock.now()
-        self._addresses = dict(addresses)
+        self._fleet.set_addresses(addresses)
         if self._protocol is None:
             # Without messages, each VM keeps a part of its own.
             self._local.keeper.set_share(1.0 / fleet_size)
             return
-        self._keepers.set_other_vms(keepers, eligible)
+        self._fleet.set_keepers(keepers, eligible)
         self._local.keeper.set_share(heard_share)
 
     async def admit(
@@ -200,7 +185,7 @@
         if not permit.keeper:
             self._local.keeper.refund(permit.runner)
             return
-        address = self._addresses.get(permit.keeper)
+        address = self._fleet.address(permit.keeper)
         if address is not None and self._protocol is not None:
             self._protocol.send_refund(address, permit.runner)
 
@@ -238,25 +223,11 @@
         :data:`EXCHANGE_INTERVAL_S`.
         """
         self._refusal_times.tick()
-        self.stated.forget_lifted()
-        readings = [
-            self._reading_record(runner) for runner in self.stated.readings
-        ]
-        if readings and self._protocol is not None:
-            self._rng.shuffle(readings)
-            self._protocol.send_readings(
-                self._some_addresses(EXCHANGE_FANOUT), readings
-            )
+        self._exchange.send_all()
 
     def pass_on_change(self, runner: str) -> None:
         """Pass a changed limit on to other VMs."""
-        if self._protocol is None:
-            return
-        if not self._changed:
-            asyncio.get_running_loop().call_later(
-                CHANGE_BATCH_S, self._pass_on_changes
-            )
-        self._changed.add(runner)
+        self._exchange.pass_on(runner)
 
     # Methods of runner_limit_protocol.Vm.
 
@@ -272,14 +243,14 @@
         own = self.stated.readings.get(runner)
         if own is not None:
             limit_per_s = own.limit_per_s
-            reading = self._reading_record(runner)
+            reading = self._exchange.record(runner)
         if limit_per_s is None:
             return limit_keeper.Admission(True, 0.0), reading
         admission = self._local.keeper.admit(
             runner,
             limit_per_s,
             patience_s,
-            is_deputy=not self._keepers.is_first(runner),
+            is_deputy=not self._fleet.is_first(runner),
         )
         return admission, reading
 
@@ -309,48 +280,20 @@
 
         :returns: the decision, and the VM that made it; "" for this VM.
         """
-        assert reading.limit_per_s is not None
-        for _ in range(2):
-            keeper = self._keepers.keeper(runner)
-            address = self._addresses.get(keeper)
-            if self._protocol is None or keeper == self._vm:
-                admission = self._local.keeper.admit(
-                    runner,
-                    reading.limit_per_s,
-                    patience_s,
-                    is_deputy=not self._keepers.is_first(runner),
-                )
-                return admission, ""
-            if address is None:
-                break
-            try:
-                admission = await self._protocol.ask(
-                    address, self._reading_record(runner), patience_s
-                )
-            except TimeoutError:
-                self.unanswered_count += 1
-                self._keepers.record_timeout(keeper)
-                continue
-            return admission, keeper
-        wait_s = UNANSWERED_RETRY_S
-        return limit_keeper.Admission(False, wait_s, wait_s), ""
-
-    def _reading_record(self, runner: str) -> protocols.ReadingRecord:
-        reading = self.stated.readings.get(runner)
-        if reading is None:
-            return runner, None, stated_limits.LIFTED_KEPT_S
-        age_s = self._clock.now() - reading.read_at
-        return runner, reading.limit_per_s, max(0.0, age_s)
-
-    def _pass_on_changes(self) -> None:
-        changed, self._changed = self._changed, set()
-        if self._protocol is not None:
-            self._protocol.send_readings(
-                self._some_addresses(CHANGE_FANOUT),
-                [self._reading_record(runner) for runner in sorted(changed)],
+        limit_per_s = reading.limit_per_s
+        assert limit_per_s is not None
+
+        def decide(is_deputy: bool) -> limit_keeper.Admission:
+            return self._local.keeper.admit(
+                runner, limit_per_s, patience_s, is_deputy
+            )
+
+        async def ask_peer(
+            address: limit_protocol.Address,
+        ) -> limit_keeper.Admission:
+            assert self._protocol is not None
+            return await self._protocol.ask(
+                address, self._exchange.record(runner), patience_s
             )
 
-    def _some_addresses(self, count: int) -> list[limit_protocol.Address]:
-        others = sorted(self._addresses)
-        chosen = self._rng.sample(others, min(count, len(others)))
-        return [self._addresses[vm] for vm in chosen]
+        return await self._fleet.ask(runner, decide, ask_peer)
