Ask a keeper before each call to a fragile runner

What callers would have seen: a runner that says that it falls over beyond N rejections in a second was sent as many calls as before, by each VM for itself, and fell under the first burst beyond its room.

The fragility that runners state is kept like their limits (a second stated_limits, the latest reading by time, ended by an answer to a later call, ended with the process), spread by the same exchange, and the runner's keeper is found and asked in the same way. The keeper is told of each call's end once, and of a rejection twice, also of one that nobody was asked about. A call without room goes elsewhere, or is refused with a time.

--- a/src/apricotlever/daemon/runner_availability.py
+++ b/src/apricotlever/daemon/runner_availability.py
@@ -8,6 +8,7 @@
 
 from .. import clock as clocks
 from .. import statement_logs
+from ..runners import local_fragility
 from ..runners import local_limits
 from ..runners import model as models
 from ..runners import routing
@@ -26,7 +27,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._limits = local_limits.LocalLimits(clock)
         self._conditions = stated_conditions.StatedConditions(
-            clock, self._limits
+            clock, self._limits, local_fragility.LocalFragility(clock)
         )
 
     def set_fleet_size(self, count: int) -> None:
--- a/src/apricotlever/runners/fragile_keeper.py
+++ b/src/apricotlever/runners/fragile_keeper.py
@@ -125,6 +125,11 @@
         count = self._counts.get(runner)
         return None if count is None else count.room
 
+    def running(self, runner: str) -> int:
+        """The admitted calls of a runner that have not ended."""
+        count = self._counts.get(runner)
+        return 0 if count is None else len(count.running)
+
     def admit(
         self,
         runner: str,
--- a/src/apricotlever/runners/local_limits.py
+++ b/src/apricotlever/runners/local_limits.py
@@ -39,6 +39,24 @@
         self.source = source
 
 
+def describe_change(
+    kind: stated_limits.Change,
+    reading: stated_limits.Reading | None,
+    before: stated_limits.Reading | None,
+) -> LimitChange:
+    """Describe a change, for the log.
+
+    :param reading: the reading of the limit now; None without a limit.
+    :param before: the same before the change.
+    """
+    return LimitChange(
+        kind,
+        reading.limit_per_s if reading else None,
+        before.limit_per_s if before else None,
+        (reading.source or None) if reading else None,
+    )
+
+
 class LocalLimits:
     """One VM's readings of all limits, and its counts of calls under them.
 
@@ -132,13 +150,7 @@
         if change is None:
             return None
         self._forget_unlimited()
-        reading = self._stated.reading(runner)
-        return LimitChange(
-            change,
-            reading.limit_per_s if reading else None,
-            before.limit_per_s if before else None,
-            (reading.source or None) if reading else None,
-        )
+        return describe_change(change, self._stated.reading(runner), before)
 
     def _forget_unlimited(self) -> None:
         limited = frozenset(self._stated.in_force)
--- a/src/apricotlever/serving/attempt_outcome.py
+++ b/src/apricotlever/serving/attempt_outcome.py
@@ -71,6 +71,7 @@
     :param reason: why there is no response, for the log.
     :param reset: whether the runner closed or reset the connection midway.
     :param asks_for_rest: whether the runner asked this VM to stay away.
+    :param turned_away: whether the runner itself did not take the call.
     :param unreachable: whether no connection to the runner could be opened.
     :param received: what came from the runner.
 
@@ -91,6 +92,7 @@
         "reason",
         "reset",
         "asks_for_rest",
+        "turned_away",
         "unreachable",
         "received",
     )
@@ -106,9 +108,11 @@
         unreachable: bool = False,
         received: ReceivedResponse = NO_RESPONSE,
         stream_end: StreamEnd | None = None,
+        turned_away: bool = False,
     ) -> None:
         self.reset = reset
         self.asks_for_rest = asks_for_rest
+        self.turned_away = turned_away
         self.unreachable = unreachable
         self.status = status
         self.head = head
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -1,6 +1,7 @@
 """Finds a runner that takes the call of an attempt by its own word.
 
-Runners that rest get none, and limited ones only as many as they take. For a
+Runners that rest get none, and limited and fragile ones only as many as they
+take (:mod:`.runner_limits`, :mod:`.fragile_runners`). For a
 service whose slots are leased (:mod:`.slot_keepers`), the keeper is asked
 first which runner has a free one.
 """
@@ -11,6 +12,7 @@
 from ..runners import model as models
 
 from . import configuration_model
+from . import fragile_runners
 from . import messages
 from . import runner_limits
 from . import runners
@@ -41,26 +43,54 @@
     """The runner of an attempt.
 
     :param query: describes the call for the router.
-    :param permit: the room at a limited runner.
+    :param room: what was taken of the runner's room for the call.
     """
 
-    __slots__ = ("runner", "query", "permit", "level", "slot", "rejected")
+    __slots__ = (
+        "runner",
+        "query",
+        "room",
+        "level",
+        "slot",
+        "rejected",
+        "lacked_room",
+    )
 
     def __init__(
         self,
         runner: runners.Runner,
         query: models.Query,
-        permit: runner_limits.Permit,
+        room: "Room",
     ) -> None:
         self.runner = runner
         self.query = query
-        self.permit = permit
+        self.room = room
         #: The call's level in the engine's queue; None without a prompt.
         self.level: service_priorities.QueueLevel | None = None
         #: The lease of a slot at a plain service's runner, if there is one.
         self.slot: slot_leases.SlotLease | None = None
         #: Whether the runner did not take the call.
         self.rejected = False
+        #: Whether it did not for want of room.
+        self.lacked_room = False
+
+
+class Room:
+    """The room for one call at a runner that may be limited or fragile.
+
+    :param limit: the permit under its limit.
+    :param fragile: the permit of its keeper, if it is fragile.
+    """
+
+    __slots__ = ("limit", "fragile")
+
+    def __init__(
+        self,
+        limit: runner_limits.Permit,
+        fragile: fragile_runners.FragilePermit,
+    ) -> None:
+        self.limit = limit
+        self.fragile = fragile
 
 
 class CallPlacement:
@@ -167,18 +197,49 @@
                 runner = self._upstreams.choose(query, full)
             if runner is None:
                 return await self._wait_for_room(query, tried, left_s)
-            permit = await self._limits.admit(runner.runner_id)
-            if permit is not None:
-                return Placement(runner, query, permit)
+            room = await self._take_room(runner.runner_id, left_s)
+            if room is not None:
+                return Placement(runner, query, room)
             self._log_passed_over(runner)
             full |= {runner.runner_id}
 
+    async def _take_room(
+        self, runner: str, left_s: float, patience_s: float = 0.0
+    ) -> Room | None:
+        """Take room for the call at a runner.
+
+        The keeper of a fragile one is asked last, as it counts the call as
+        sent from then on.
+
+        :param patience_s: how long the call can wait for its turn.
+        :returns: None if there is no room.
+        """
+        permit = await self._limits.admit(runner, patience_s)
+        if permit is None:
+            return None
+        try:
+            if permit.wait_s:
+                await asyncio.sleep(permit.wait_s)
+            fragile = await self._limits.fragile.admit(runner, left_s)
+        except asyncio.CancelledError:
+            self._limits.refund(permit)
+            raise
+        if fragile is None:
+            self._limits.refund(permit)
+            return None
+        return Room(permit, fragile)
+
     def refund(self, placement: Placement) -> None:
         """Give back the room of an attempt whose call was not sent."""
-        self._limits.refund(placement.permit)
+        self._refund(placement.room)
+
+    def _refund(self, room: Room) -> None:
+        self._limits.refund(room.limit)
+        self._limits.fragile.end(room.fragile)
 
     def end(self, placement: Placement) -> None:
         """Give back the slot of an attempt that has ended."""
+        self._limits.fragile.end(placement.room.fragile, placement.lacked_room)
         self._upstreams.slots.release(placement.slot, placement.rejected)
 
     def retry_after_s(self) -> float:
@@ -229,7 +290,7 @@
         )
         name = min(waits, key=lambda runner: waits[runner])
         if waits[name] <= patience_s:
-            placement = await self._take_turn(name, query, patience_s)
+            placement = await self._take_turn(name, query, left_s, patience_s)
             if placement is not None:
                 return placement
         logs.event(
@@ -241,27 +302,29 @@
         raise NoPlace("runners_unavailable")
 
     async def _take_turn(
-        self, name: str, query: models.Query, patience_s: float
+        self,
+        name: str,
+        query: models.Query,
+        left_s: float,
+        patience_s: float,
     ) -> Placement | None:
         """Wait for the end of a runner's rest, and for room there.
 
         :returns: None if there is no room in time.
         """
-        rest_s = self._statements.rests.left_s.get(name, 0.0)
-        await asyncio.sleep(rest_s)
-        permit = await self._limits.admit(name, patience_s - rest_s)
-        if permit is None:
+        wait_s = max(
+            self._statements.rests.left_s.get(name, 0.0),
+            self._limits.fragile.local.room_in_s(name),
+        )
+        await asyncio.sleep(wait_s)
+        room = await self._take_room(name, left_s, patience_s - wait_s)
+        if room is None:
             return None
-        try:
-            await asyncio.sleep(permit.wait_s)
-        except asyncio.CancelledError:
-            self._limits.refund(permit)
-            raise
-        runner = self._upstreams.directory.get(permit.runner)
+        runner = self._upstreams.directory.get(name)
         if runner is None or runner.leaving:
-            self._limits.refund(permit)
+            self._refund(room)
             return None
-        return Placement(runner, query, permit)
+        return Placement(runner, query, room)
 
     def log_chosen(
         self,
@@ -305,14 +368,31 @@
 
     def _log_passed_over(self, runner: runners.Runner) -> None:
         name = runner.runner_id
-        reading = self._limits.stated.reading(name)
+        fragile = self._limits.fragile.local
+        keeper = fragile.keeper
+        is_fragile = name in fragile.full_runners
+        stated = fragile.stated if is_fragile else self._limits.stated
+        reading = stated.reading(name)
+        value = reading.limit_per_s if reading else None
+        # Only the runner's keeper knows what is counted of it.
+        is_counted = is_fragile and keeper.room(name) is not None
         logs.event(
             "runner_passed_over",
             request=self._call.request_id,
             runner=name,
-            cause="limit",
-            limit_per_s=reading.limit_per_s if reading else None,
-            age_s=self._limits.stated.age_s(name),
+            cause="fragile" if is_fragile else "limit",
+            limit_per_s=None if is_fragile else value,
+            rejections_per_s=value if is_fragile else None,
+            age_s=stated.age_s(name),
             source=(reading.source or None) if reading else None,
-            room_in_s=self._limits.room_in_s(name),
+            room_in_s=(fragile if is_fragile else self._limits).room_in_s(
+                name
+            ),
+            running=keeper.running(name) if is_counted else None,
+            room=keeper.room(name) if is_counted else None,
+            rejections=(
+                self._limits.fragile.heard_rejections.get(name, 0)
+                if is_counted
+                else None
+            ),
         )
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -26,6 +26,7 @@
     """
     upstreams = relay_.upstreams
     calls = upstreams.outcome_counts
+    fragile = upstreams.runner_limits.fragile
     services = configuration.services if configuration else ()
     return relay_.observations.format_text(
         gauges,
@@ -42,6 +43,15 @@
             ("runner_limit", "runner"): (
                 upstreams.runner_limits.stated.in_force
             ),
+            ("runner_fragile", "runner"): fragile.local.stated.in_force,
+            ("runner_fragile_room", "runner"): fragile.local.rooms,
+            ("runner_fragile_running", "runner"): {
+                runner: fragile.local.keeper.running(runner)
+                for runner in fragile.local.rooms
+            },
+            ("runner_fragile_rejections_total", "runner"): (
+                fragile.heard_rejections
+            ),
             ("runner_rest_s", "runner"): upstreams.statements.rests.left_s,
             ("runner_says_leaving", "runner"): dict.fromkeys(
                 upstreams.statements.leavings.names, 1
--- a/src/apricotlever/serving/response_reader.py
+++ b/src/apricotlever/serving/response_reader.py
@@ -183,6 +183,7 @@
             attempt_outcome.AttemptStatus.NOT_RUN,
             reason="replaced" if head.other_runner else "turned_away",
             asks_for_rest=bool(head.statement.rest_s),
+            turned_away=not head.other_runner,
         )
 
     async def _check_end(self) -> None:
--- a/src/apricotlever/serving/runner_limits.py
+++ b/src/apricotlever/serving/runner_limits.py
@@ -16,6 +16,7 @@
 from ..runners import local_limits
 from ..runners import stated_limits
 
+from . import fragile_runners
 from . import keeper_fleet
 from . import limit_protocol
 from . import reading_exchange
@@ -57,6 +58,9 @@
     :param clock: the source of time.
     :param rng: selects the VMs to which readings are passed on.
     :param vm: this VM's name.
+    :param process: this VM's process, unique among all VMs and starts.
+    :param reported: the number of calls in flight at a runner, as all VMs
+        report it in their status records.
     """
 
     __slots__ = (
@@ -64,6 +68,7 @@
         "_clock",
         "_fleet",
         "_fleet_set_at",
+        "_fragile",
         "_local",
         "_protocol",
         "_refusal_times",
@@ -72,7 +77,12 @@
     )
 
     def __init__(
-        self, clock: clocks.Clock, rng: random.Random, vm: str
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        vm: str,
+        process: str = "",
+        reported: typing.Callable[[str], int] = lambda runner: 0,
     ) -> None:
         self._clock = clock
         self._local = local_limits.LocalLimits(clock)
@@ -80,6 +90,9 @@
         self._exchange = reading_exchange.ReadingExchange(
             clock, rng, self._fleet, self._local.stated
         )
+        self._fragile = fragile_runners.FragileRunners(
+            clock, rng, self._fleet, process or vm, reported
+        )
         self._refusal_times = retry_after.RetryAfterScheduler(clock, rng)
         self._protocol: protocols.RunnerLimitProtocol | None = None
         #: When the other VMs were last set.
@@ -94,6 +107,11 @@
         """What this VM knows and counts itself."""
         return self._local
 
+    @property
+    def fragile(self) -> fragile_runners.FragileRunners:
+        """This VM's part in keeping calls away from fragile runners."""
+        return self._fragile
+
     @property
     def stated(self) -> stated_limits.StatedLimits:
         """The limits as this VM knows them."""
@@ -108,6 +126,7 @@
     def counters(self) -> dict[str, int]:
         """Counts of the questions to keepers, for metrics, by name."""
         return {
+            **self._fragile.counters,
             "runner_limit_asks_total": self.ask_count,
             "runner_limit_refusals_total": self.refused_count,
             "runner_limit_asks_unanswered_total": (
@@ -122,15 +141,21 @@
         """
         self._protocol = protocols.RunnerLimitProtocol(transport, self)
         self._exchange.enable(self._protocol)
+        self._fragile.enable_protocol(transport)
 
     @property
     def wants_fleet(self) -> bool:
         """Whether :meth:`set_fleet` is due.
 
-        While no limit is known it is rarely, as each call looks at all VMs.
+        While no limit and no fragile runner is known it is rarely, as each
+        call looks at all VMs.
         """
         since_s = self._clock.now() - self._fleet_set_at
-        return since_s >= IDLE_FLEET_INTERVAL_S or self.stated.has_readings
+        return (
+            since_s >= IDLE_FLEET_INTERVAL_S
+            or self.stated.has_readings
+            or self._fragile.local.stated.has_readings
+        )
 
     def set_fleet(
         self,
@@ -153,9 +178,18 @@
         if self._protocol is None:
             # Without messages, each VM keeps a part of its own.
             self._local.keeper.set_share(1.0 / fleet_size)
+            self._fragile.local.keeper.set_share(1.0 / fleet_size)
             return
         self._fleet.set_keepers(keepers, eligible)
         self._local.keeper.set_share(heard_share)
+        self._fragile.local.keeper.set_share(heard_share)
+
+    def is_in_need(self, runner: str) -> bool:
+        """Whether a runner names a limit or says that it is fragile."""
+        return any(
+            stated.reading(runner) is not None
+            for stated in (self.stated, self._fragile.local.stated)
+        )
 
     async def admit(
         self, runner: str, patience_s: float = 0.0
@@ -224,6 +258,7 @@
         """
         self._refusal_times.tick()
         self._exchange.send_all()
+        self._fragile.exchange()
 
     def pass_on_change(self, runner: str) -> None:
         """Pass a changed limit on to other VMs."""
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -143,6 +143,7 @@
         placement.rejected = (
             outcome.status is attempt_outcome.AttemptStatus.NOT_RUN
         )
+        placement.lacked_room = outcome.turned_away
         return outcome
 
     async def _connect(
--- a/src/apricotlever/serving/runner_statements.py
+++ b/src/apricotlever/serving/runner_statements.py
@@ -32,7 +32,7 @@
         self._limits = limits
         self._leavings = stated_leavings.StatedLeavings()
         self._conditions = stated_conditions.StatedConditions(
-            clock, limits.local
+            clock, limits.local, limits.fragile.local
         )
 
     @property
@@ -53,15 +53,16 @@
     def takes_calls(self, runner: str) -> bool:
         """Whether a runner neither rests nor leaves by its own word.
 
-        A limited runner does take calls, if there is a permit for each.
+        A limited or fragile runner does take calls, if there is a permit for
+        each.
         """
         return not (runner in self._leavings.names or self.rests.rests(runner))
 
     def wait_s(self, runner: str) -> float | None:
         """Seconds until a runner may take a call of this VM again.
 
-        :returns: the seconds, 0 for a limited runner that may have room now;
-            None for a runner that neither rests nor names a limit.
+        :returns: the seconds, 0 for a limited or fragile runner that may have
+            room now; None for a runner that says nothing of the kind.
         """
         return self._conditions.wait_s(runner)
 
@@ -74,6 +75,11 @@
             runner: f"limit:{self._limits.room_in_s(runner):.2f}"
             for runner in self._limits.full_runners
         }
+        fragile = self._limits.fragile.local
+        causes |= {
+            runner: f"fragile:{fragile.room_in_s(runner):.2f}"
+            for runner in fragile.full_runners
+        }
         for runner, left_s in self.rests.left_s.items():
             causes[runner] = f"rest:{left_s:.2f}"
         causes.update(dict.fromkeys(self._leavings.names, "leaving"))
@@ -82,6 +88,9 @@
     def keep_only(self, listed: typing.Sequence[runners.Runner]) -> None:
         """Set the known runners, and forget all others."""
         sequences = {runner.runner_id: runner.sequence for runner in listed}
+        self._limits.fragile.local.set_slots(
+            {runner.runner_id: runner.concurrency for runner in listed}
+        )
         self._conditions.keep_only(sequences)
         self._leavings.keep_only(sequences)
 
@@ -101,5 +110,7 @@
         statement_logs.log_statement(name, changes)
         if changes.limit is not None:
             self._limits.pass_on_change(name)
+        if changes.fragility is not None:
+            self._limits.fragile.pass_on_change(name)
         if statement.leaves and self._leavings.record(name, runner.sequence):
             logs.event("runner_leaving", runner=name, said_by="response")
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -133,7 +133,13 @@
         )
         self._pools = runner_pools.RunnerPools()
         self._configuration: configuration_model.Configuration | None = None
-        self._limits = runner_limits.RunnerLimits(clock, rng, vm)
+        self._limits = runner_limits.RunnerLimits(
+            clock,
+            rng,
+            vm,
+            process,
+            lambda runner: self.in_flight_at((runner,)),
+        )
         self._statements = runner_statements.RunnerStatements(
             clock, self._limits
         )
@@ -371,7 +377,7 @@
         if not query.can_copy:
             return None
         source = self._router.fetch_source(query, runner.runner_id)
-        if source is None or self._limits.stated.reading(source.name):
+        if source is None or self._limits.is_in_need(source.name):
             # A runner in need is not burdened with copies either.
             return None
         return source.address
--- a/src/apricotlever/statement_logs.py
+++ b/src/apricotlever/statement_logs.py
@@ -18,6 +18,8 @@
         )
     if changes.limit is not None:
         log_limit(runner, changes.limit)
+    if changes.fragility is not None:
+        log_fragility(runner, changes.fragility)
     if changes.rest_s is not None:
         logs.event("runner_rest", runner=runner, rest_s=changes.rest_s)
 
@@ -32,3 +34,15 @@
         before_per_s=change.before_per_s,
         source=change.source,
     )
+
+
+def log_fragility(runner: str, change: local_limits.LimitChange) -> None:
+    """Log that a runner has become fragile, or more or less so, or sound."""
+    logs.event(
+        "runner_fragile",
+        runner=runner,
+        change=change.kind.value,
+        rejections_per_s=change.limit_per_s,
+        before_per_s=change.before_per_s,
+        source=change.source,
+    )
--- a/tests/steps/runners_stated_conditions.py
+++ b/tests/steps/runners_stated_conditions.py
@@ -5,6 +5,7 @@
 from behave import when
 
 from apricotlever import clock as clocks
+from apricotlever.runners import local_fragility
 from apricotlever.runners import local_limits
 from apricotlever.runners import stated_conditions
 from apricotlever.runners import statements
@@ -16,7 +17,9 @@
     context.clock = clocks.ManualClock()
     context.limits = local_limits.LocalLimits(context.clock)
     context.conditions = stated_conditions.StatedConditions(
-        context.clock, context.limits
+        context.clock,
+        context.limits,
+        local_fragility.LocalFragility(context.clock),
     )
     context.conditions.keep_only([RUNNER])
 
