Say how fragile runners are kept, logged and measured

The event runner_fragile was missing from the list of events, which a test compares with the operators' page. Ended calls are forgotten as new ones end, not with the exchange of readings, which a VM without that socket never has.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -141,6 +141,10 @@
         INFO,
         "A runner named, changed or lifted the limit of calls it takes.",
     ),
+    "runner_fragile": Event(
+        INFO,
+        "A runner began or ceased to be fragile, or bears another number.",
+    ),
     "runner_rest": Event(
         INFO, "A runner turned a call away and asked this VM to stay away."
     ),
--- a/src/apricotlever/serving/fragile_runners.py
+++ b/src/apricotlever/serving/fragile_runners.py
@@ -228,10 +228,6 @@
 
     def exchange(self) -> None:
         """Pass on all readings to a few other VMs."""
-        oldest = self._clock.now() - ENDED_KEPT_S
-        self._ended = {
-            call: at for call, at in self._ended.items() if at > oldest
-        }
         fragile = self._local.stated.in_force
         self._heard = {
             runner: count
@@ -302,7 +298,13 @@
     ) -> None:
         if call in self._ended:
             return
-        self._ended[call] = self._clock.now()
+        now = self._clock.now()
+        while self._ended:
+            oldest = next(iter(self._ended))
+            if self._ended[oldest] > now - ENDED_KEPT_S:
+                break
+            del self._ended[oldest]
+        self._ended[call] = now
         if rejected:
             self._heard[runner] = self._heard.get(runner, 0) + 1
         self._local.end(runner, call, rejected)
