Show falls of a fragile runner while messages between VMs are late

Each VM takes others that don't answer in time for unavailable, in the end all of them, and admits calls in the keeper's place: one fall at 0.2, 0.5 and 1 s. And a keeper takes silence for a taken call: one fall if all news of ends comes 0.2 s late.

--- a/tests/serving/fragile_runners.feature
+++ b/tests/serving/fragile_runners.feature
@@ -154,3 +154,35 @@
     And the runners are gone
     And 3 calls arrive at once
     Then no call is running at the runner, and no rejection is counted
+
+  # Guards against VMs that each decide alone as they hear from nobody in time.
+  Scenario Outline: All messages between VMs are late
+    Given 7 VMs that share a runner that takes 8 calls and bears 3
+    When the VMs send 30 calls a second for 1.5 seconds
+    And all messages between VMs are <late> seconds late
+    And its room shrinks to 4 calls
+    And the VMs send 60 calls a second for 4 seconds
+    Then the runner has fallen 0 times, and has taken at least 0.05 of 20 calls a second
+
+    Examples:
+      | late |
+      | 0.2  |
+      | 0.5  |
+      | 1.0  |
+
+  # Guards against calls that count as taken as their rejections come late.
+  Scenario Outline: The keeper hears of rejections late
+    Given 7 VMs that share a runner that takes 8 calls and bears <n>
+    And <whose> messages about ends arrive <late> seconds late
+    When the VMs send 30 calls a second for 1.5 seconds
+    And its room shrinks to 4 calls
+    And the VMs send <rate> calls a second for 4 seconds
+    Then the runner has fallen 0 times, and has taken at least 0.4 of 20 calls a second
+
+    Examples:
+      | whose    | late | n | rate |
+      | one VM's | 0.2  | 3 | 24   |
+      | one VM's | 1.0  | 3 | 24   |
+      | one VM's | 1.0  | 3 | 60   |
+      | one VM's | 0.2  | 6 | 100  |
+      | all VMs' | 0.2  | 3 | 60   |
--- a/tests/steps/serving_fragile_runners.py
+++ b/tests/steps/serving_fragile_runners.py
@@ -280,3 +280,23 @@
     assert fragile.ask_count >= 2, fragile.ask_count
     assert not fragile.local.keeper.running("runner-1")
     assert not fragile.heard_rejections, fragile.heard_rejections
+
+
+@given("{whose} messages about ends arrive {late:g} seconds late")
+def _delay_ends(context, whose, late):
+    fleet = context.fleet
+    keeper = fleet.keeper(context.runner)
+    one = next(each for each in fleet.names if each != keeper)
+    fleet.network.delays = lambda message, source, target: [
+        (
+            late
+            if message[0] == protocols.END
+            and (source[0] == one or whose == "all VMs'")
+            else slot_fleet.DELAY_S
+        )
+    ]
+
+
+@when("all messages between VMs are {late:g} seconds late")
+def _delay_all(context, late):
+    context.fleet.network.delays = lambda message, source, target: [late]
