Let a call that is blocked after two crashes run as a trial

What callers saw: every call of a route refused with crashes_runners for 30 minutes, after two restarts under running calls, where all callers send the same body. Cause: a call that is everywhere is in flight at any crash, so two restarts count against it, and while it is blocked no answer can clear it.

A call with two crashes now gets trials (runners/crash_trials.py). After the 4 s in which crashes settle, time is cut into slots of 1, 2, 4 ... s, at most nine, which all VMs compute from the age of the second crash; each belongs to one VM by rendezvous hashing. In the first half of its slot that VM lets one call run; when a runner breaks it off, it goes to no other. An answer clears the call at all VMs; a third crash ends the trials, so it is blocked for the 30 minutes. How common the call is decides when they begin: from the first slot if this VM had an answer to it in the 3 s before it heard of a crash, else from the seventh, 67 s after the second crash.

Price: a call that crashes its runners may crash three in place of two. Trials that outlast their slots may overlap; docs/design/quarantine.md has the bound.

Ruled out as the way: evidence from copies in flight at runners that live on (they answer, which clears the call already), and telling of trials in records (VMs of the version before discard a record of another shape; the shape is unchanged).

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -1,4 +1,4 @@
-"""Blocks calls that have crashed two runners from reaching a third one.
+"""Blocks calls that have crashed two runners.
 
 An entry VM recognises a crash by connections that break all at once, followed
 by a runner that refuses connections or whose list entry disappears without
@@ -6,7 +6,8 @@
 runner may also abort single answers. Calls that broke off shortly before a
 crash become suspects, and :mod:`.quarantine` evaluates the suspicion. A call
 is recognised by its fingerprint, a hash that is the same for all its
-repetitions.
+repetitions. A blocked call may still run as a trial (:mod:`.crash_trials`),
+until it has crashed a third runner.
 
 VMs share crashes in their records, the datagrams by which they already tell
 each other their state several times a second.
@@ -16,15 +17,13 @@
 import typing
 
 from .. import clock as clocks
-from .. import validation
+from . import broken_calls
+from . import crash_records
+from . import crash_trials
 from . import crashes
 from . import quarantine
 from . import recent_answers
 
-#: A call is suspected of a crash if it broke off at most this many seconds
-#: before the crash was detected. A list entry disappears after three missed
-#: heartbeats, which takes about four seconds.
-BROKEN_CALL_WINDOW_S = 6.0
 #: How long a crash or a completed call is repeated in each record, in
 #: seconds. One record in five may be lost, but hardly ever 15 in a row.
 RECORD_REPEAT_S = 3.0
@@ -36,39 +35,6 @@
 #: The greatest number of blocked calls that a record lists.
 MAX_BLOCKED_PER_RECORD = 32
 
-#: A crash as it stands in a record: runner, data centre, age in seconds,
-#: whether the runner had announced its end, and the suspects' fingerprints.
-CrashEntry = tuple[str, str, float, bool, list[str]]
-#: The crash part of a record: crashes, fingerprints of suspects that were
-#: answered, and the seconds left for each blocked fingerprint.
-CrashRecord = tuple[list[CrashEntry], list[str], dict[str, float]]
-#: Checks that a value received from a peer has that shape.
-is_crash_record = validation.is_tuple_of(
-    validation.is_list_of(
-        validation.is_tuple_of(
-            validation.is_non_empty_string,
-            validation.is_string,
-            validation.is_non_negative_number,
-            validation.is_bool,
-            validation.is_list_of(validation.is_string),
-        )
-    ),
-    validation.is_list_of(validation.is_string),
-    validation.is_map_of(
-        validation.is_string, validation.is_non_negative_number
-    ),
-)
-
-
-class _BrokenCall:
-    """A call whose connection broke before the answer ended."""
-
-    __slots__ = ("at", "fingerprint")
-
-    def __init__(self, at: float, fingerprint: str) -> None:
-        self.at = at
-        self.fingerprint = fingerprint
-
 
 class _RecentCrash:
     """A crash that this VM detected recently.
@@ -115,18 +81,17 @@
         "_quarantine",
         "_pending_reports",
         "_recent_answers",
+        "_trials",
         "_vm",
-        "_vms",
     )
 
     def __init__(self, clock: clocks.Clock, vm: str) -> None:
         self._clock = clock
         self._vm = vm
-        self._vms = frozenset((vm,))
+        self._trials = crash_trials.CrashTrials(clock, vm)
         self._quarantine = quarantine.Quarantine(clock)
         self._recent_answers = recent_answers.RecentAnswers(clock)
-        #: Calls whose connection broke recently, by runner.
-        self._broken_calls: dict[str, list[_BrokenCall]] = {}
+        self._broken_calls = broken_calls.BrokenCalls(clock)
         #: Crashes within the last SAME_CRASH_WINDOW_S, by runner.
         self._recent_crashes: dict[str, _RecentCrash] = {}
         #: Crashes to be repeated in the next records, by runner.
@@ -152,8 +117,8 @@
         self._quarantine.set_sizes(sizes)
 
     def set_vms(self, names: typing.Iterable[str]) -> None:
-        """Set the names of all VMs, of which this one is one."""
-        self._vms = frozenset(names)
+        """Set the names of all VMs, which take turns with trials."""
+        self._trials.set_vms(names)
 
     def connection_broken(self, runner: str, fingerprint: str) -> None:
         """Record that a call's connection broke before the answer ended.
@@ -161,8 +126,8 @@
         The call becomes a suspect if its runner turns out to have crashed.
         """
         now = self._clock.now()
-        calls = self._broken_calls.setdefault(runner, [])
-        calls.append(_BrokenCall(now, fingerprint))
+        self._trials.call_broken(fingerprint)
+        self._broken_calls.add(runner, fingerprint)
         crash = self._recent_crashes.get(runner)
         if crash is not None and now - crash.at < crashes.SAME_CRASH_WINDOW_S:
             # The connections of a crashed runner break one after the other,
@@ -181,11 +146,7 @@
         :returns: the number of calls suspected of the crash.
         """
         now = self._clock.now()
-        recent_calls = [
-            call
-            for call in self._broken_calls.pop(runner, ())
-            if now - call.at < BROKEN_CALL_WINDOW_S
-        ]
+        recent_calls = self._broken_calls.take(runner)
         if not recent_calls:
             return 0
         self._recent_crashes[runner] = _RecentCrash(now, data_centre, noticed)
@@ -249,30 +210,46 @@
 
         The next records tell the peers to clear it, too.
         """
-        if self.retry_after_s(fingerprint) is None and not self._is_suspect(
+        if self._block_left_s(fingerprint) is None and not self._is_suspect(
             fingerprint
         ):
             return
         self._clear(fingerprint)
         self._cleared_at[fingerprint] = self._clock.now()
 
-    def retry_after_s(self, fingerprint: str) -> float | None:
-        """Seconds until a blocked call may be retried; None if it may run."""
-        now = self._clock.now()
-        until = self._blocked_until.get(fingerprint, now)
-        status = self._quarantine.status(fingerprint)
-        if status.state is quarantine.FingerprintState.QUARANTINED or (
-            # After two crashes the call waits until it is known whether
-            # they have another explanation.
-            status.retry_after_s
-        ):
-            until = max(until, now + status.retry_after_s)
-        return until - now if until > now else None
+    def admit(self, fingerprint: str, call: object) -> float | None:
+        """Let a call run, as a trial if it is blocked, or refuse it.
+
+        :param call: the call itself, which is compared by identity.
+        :returns: None if it may run, or the seconds until it may be retried.
+        """
+        wait_s = self.retry_after_s(fingerprint, call)
+        if wait_s is None and self._block_left_s(fingerprint) is not None:
+            crash_age_s = self._trial_crash_age_s(fingerprint)
+            assert crash_age_s is not None
+            self._trials.begin(fingerprint, call, crash_age_s)
+        return wait_s
+
+    def retry_after_s(
+        self, fingerprint: str, call: object = None
+    ) -> float | None:
+        """Seconds until a blocked call may be retried; None if it may run.
+
+        :param call: the call, by which its own trial is recognised.
+        """
+        left_s = self._block_left_s(fingerprint)
+        if left_s is None:
+            return None
+        crash_age_s = self._trial_crash_age_s(fingerprint)
+        if crash_age_s is None:
+            return left_s
+        return self._trials.wait_s(fingerprint, call, crash_age_s) or None
 
     def tick(self) -> None:
         """Forget crashes, pending reports and blocks that have expired."""
         now = self._clock.now()
         self._quarantine.tick()
+        self._trials.tick()
         self._pending_reports = {
             runner: pending
             for runner, pending in self._pending_reports.items()
@@ -293,15 +270,9 @@
             for runner, crash in self._recent_crashes.items()
             if now - crash.at < crashes.SAME_CRASH_WINDOW_S
         }
-        self._broken_calls = {
-            runner: kept
-            for runner, calls in self._broken_calls.items()
-            if (
-                kept := [b for b in calls if now - b.at < BROKEN_CALL_WINDOW_S]
-            )
-        }
+        self._broken_calls.tick()
 
-    def next_record(self, whole: bool) -> CrashRecord | None:
+    def next_record(self, whole: bool) -> crash_records.CrashRecord | None:
         """Build the part of this VM's next record that is about crashes.
 
         :param whole: whether to include blocked calls, from which a VM that
@@ -309,7 +280,7 @@
         :returns: None when there is nothing to report.
         """
         now = self._clock.now()
-        crash_entries: list[CrashEntry] = [
+        crash_entries: list[crash_records.CrashEntry] = [
             (
                 pending.report.runner,
                 pending.report.data_centre,
@@ -331,7 +302,7 @@
             return None
         return crash_entries, list(self._cleared_at), blocked
 
-    def merge_record(self, vm: str, record: CrashRecord) -> None:
+    def merge_record(self, vm: str, record: crash_records.CrashRecord) -> None:
         """Merge the crash part of a peer's record.
 
         Merging a duplicate has no effect.
@@ -358,6 +329,26 @@
         for name in completed:
             self._clear(name)
 
+    def _trial_crash_age_s(self, fingerprint: str) -> float | None:
+        """Seconds since a call's second crash; None if it gets no trials."""
+        crashed = self._quarantine.log.crashes_implicating(fingerprint)
+        if len(crashed) != crashes.CRASHES_TO_QUARANTINE:
+            return None
+        return self._clock.now() - max(crash.at for crash in crashed)
+
+    def _block_left_s(self, fingerprint: str) -> float | None:
+        """Seconds until a call's block ends; None if it isn't blocked."""
+        now = self._clock.now()
+        until = self._blocked_until.get(fingerprint, now)
+        status = self._quarantine.status(fingerprint)
+        if status.state is quarantine.FingerprintState.QUARANTINED or (
+            # After two crashes the call waits until it is known whether
+            # they have another explanation.
+            status.retry_after_s
+        ):
+            until = max(until, now + status.retry_after_s)
+        return until - now if until > now else None
+
     def _blocked_for_record(self) -> dict[str, float]:
         """The quarantined calls to list in a record.
 
@@ -376,7 +367,7 @@
             if count >= crashes.CRASHES_TO_QUARANTINE
             and self._quarantine.status(name).state
             is quarantine.FingerprintState.QUARANTINED
-            and (wait_s := self.retry_after_s(name)) is not None
+            and (wait_s := self._block_left_s(name)) is not None
         }
         return dict(list(quarantined.items())[:MAX_BLOCKED_PER_RECORD])
 
@@ -385,6 +376,7 @@
         for name, age_s in self._recent_answers.latest_ages().items():
             if not self._is_suspect(name):
                 continue
+            self._trials.note_common(name)
             self._quarantine.receive(crashes.RequestCompleted(name, age_s))
             # A record doesn't say when the answer ended. Peers would clear
             # the call of a crash after the answer, too.
@@ -398,3 +390,4 @@
     def _clear(self, fingerprint: str) -> None:
         self._quarantine.receive(crashes.RequestCompleted(fingerprint, 0.0))
         self._blocked_until.pop(fingerprint, None)
+        self._trials.call_cleared(fingerprint)
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -11,6 +11,7 @@
 from .. import clock as clocks
 from .. import logs
 from ..runners import crash_blocklist
+from ..runners import crash_records
 from ..runners import quarantine
 
 from . import client_channel
@@ -159,21 +160,30 @@
         """
         return self._blocklist.retract(since)
 
-    def retry_after_s(
+    def set_vms(self, names: typing.Iterable[str]) -> None:
+        """Set the names of all VMs, which take turns with trials."""
+        self._blocklist.set_vms(names)
+
+    def admit(
         self,
         call: messages.CallerCall,
         customer: configuration_model.Customer | None,
     ) -> float | None:
-        """Seconds until a blocked call may run; None if it may run now."""
+        """Let a call run, or refuse it if it is blocked.
+
+        A blocked call may run as a trial, see :mod:`..runners.crash_trials`.
+
+        :returns: None if it may run, or the seconds until it may be retried.
+        """
         if not self._blocklist.active:
             return None
-        return self._blocklist.retry_after_s(fingerprint(call, customer))
+        return self._blocklist.admit(fingerprint(call, customer), call)
 
     def tick(self) -> None:
         """Remove expired crashes and blocks from the blocklist."""
         self._blocklist.tick()
 
-    def next_record(self, whole: bool) -> crash_blocklist.CrashRecord | None:
+    def next_record(self, whole: bool) -> crash_records.CrashRecord | None:
         """The crashes to include in this VM's next record.
 
         A record is the datagram by which a VM tells its peers its state
@@ -185,7 +195,7 @@
         return self._blocklist.next_record(whole)
 
     def merge_record(
-        self, vm: str, told: crash_blocklist.CrashRecord | None
+        self, vm: str, told: crash_records.CrashRecord | None
     ) -> None:
         """Merge the crashes in a peer's record.
 
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -624,6 +624,7 @@
         self._samples.send(self._configuration)
         self._retry_allowance.set_members(len(members) + 1)
         self._upstreams.set_fleet_size(len(members) + 1)
+        self._upstreams.crashes.set_vms(member.vm for member in members)
         if not self._fleet.aggregator:
             self.observe_loads(self._fleet.loads)
         if self._roll_outs.tick():
--- a/src/apricotlever/serving/runner_reports.py
+++ b/src/apricotlever/serving/runner_reports.py
@@ -7,7 +7,7 @@
 """
 
 from .. import logs
-from ..runners import crash_blocklist
+from ..runners import crash_records
 from ..runners import outlier_detector
 from ..runners import reachability
 
@@ -58,7 +58,7 @@
         """Number of failures that were not reported, as they may be own."""
         return self._observations.vouched.dropped
 
-    def crashes(self, whole: bool) -> crash_blocklist.CrashRecord | None:
+    def crashes(self, whole: bool) -> crash_records.CrashRecord | None:
         """The crashes of runners to report; None for none.
 
         :param whole: whether to include the blocked calls.
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -232,7 +232,7 @@
         :raises call_state.NotServed: when the call is blocked.
         """
         state = self._state
-        wait_s = state.relay.upstreams.crashes.retry_after_s(
+        wait_s = state.relay.upstreams.crashes.admit(
             state.call, state.customer
         )
         if wait_s is not None:
--- a/src/apricotlever/vms/vm_records.py
+++ b/src/apricotlever/vms/vm_records.py
@@ -10,7 +10,7 @@
 from .. import validation
 from ..roll_outs import model as roll_outs_model
 from ..roll_outs import samples as trial_samples
-from ..runners import crash_blocklist
+from ..runners import crash_records
 
 from . import notices as notices_
 from . import shared_samples
@@ -138,7 +138,7 @@
         failures: dict[str, tuple[int, int]] | None = None,
         reported: int = 0,
         known: list[str] | None = None,
-        crashes: crash_blocklist.CrashRecord | None = None,
+        crashes: crash_records.CrashRecord | None = None,
         gave_up: int = 0,
         lease: tuple[int, int] | None = None,
         limits_port: int = 0,
@@ -321,7 +321,7 @@
     ),
     ("reported", validation.is_non_negative_int),
     ("known", validation.is_list_of(validation.is_address)),
-    ("crashes", validation.is_none_or(crash_blocklist.is_crash_record)),
+    ("crashes", validation.is_none_or(crash_records.is_crash_record)),
     ("gave_up", validation.is_non_negative_int),
     (
         "lease",
--- a/tests/runners/crash_blocklist.feature
+++ b/tests/runners/crash_blocklist.feature
@@ -148,6 +148,14 @@
     Then within 6 seconds one of the VMs may run "a", and only that one
     And its answer clears "a" at all VMs
 
+  Scenario: A trial is one call at one runner
+    Guards against many calls that all run as trials before the first ends.
+    Given 3 entry VMs whose runners answer the call "a" ten times a second
+    When r1 and r2 restart within 2 seconds while they run "a"
+    Then within 6 seconds one of the VMs may run "a", and only that one
+    And it lets one of two calls "a" run, which may be sent once more
+    But not after a runner has broken it off
+
   # Guards against runners that crash one after the other on trials.
   Scenario: A call that was answered crashes runners from now on
     Then a call that is sent 1500 times crashes at most 3 if it was answered before, in any of 8 simulations
--- a/tests/steps/runners_crash_blocklist.py
+++ b/tests/steps/runners_crash_blocklist.py
@@ -371,6 +371,21 @@
     context.vm = allowed[0]
 
 
+@then('it lets one of two calls "{name}" run, which may be sent once more')
+def _one_trial(context, name):
+    context.name, context.call, other = name, object(), object()
+    calls = (context.call, other, context.call)
+    waits = [context.vm.admit(name, call) for call in calls]
+    assert waits[0] is None and waits[2] is None, waits
+    assert waits[1] is not None, waits
+
+
+@then("not after a runner has broken it off")
+def _trial_ends(context):
+    context.vm.connection_broken("r3", context.name)
+    assert context.vm.admit(context.name, context.call) is not None
+
+
 @then('its answer clears "{name}" at all VMs')
 def _answer_clears(context, name):
     context.vm.call_answered(lambda: name, 2)
