Let no VM run a trial out of its turn at the edge of a slot

Found by reading, not seen in a run: just before a slot begins, the rounding of the logarithm can name the slot before or after, and the wait until the next one came out as 0 or less. 0 means that the call may run, at any VM. The wait has a minimum of 0.1 s now, and a slot is never taken for one before the first that the call may use. No test of its own.

--- a/src/apricotlever/runners/crash_trials.py
+++ b/src/apricotlever/runners/crash_trials.py
@@ -32,6 +32,8 @@
 #: Number of the first slot of a call that was not answered shortly before its
 #: crashes. It is rarely in flight, so it is far more likely their cause.
 FIRST_SLOT_OF_RARE_CALL = 6
+#: The shortest wait of a call that may not run, in seconds.
+MIN_WAIT_S = 0.1
 
 
 class _Trial:
@@ -91,7 +93,7 @@
         if trial is not None and now < trial.until:
             if trial.call is call and not trial.broken:
                 return 0.0
-            return trial.until - now
+            return max(MIN_WAIT_S, trial.until - now)
         return self._slot_wait_s(fingerprint, crash_age_s)
 
     def begin(
@@ -139,13 +141,13 @@
         )
         slot = first
         if age_s >= _slot_start_s(first):
-            slot = _slot_number(age_s)
+            slot = max(first, _slot_number(age_s))
             if slot <= LAST_SLOT and self._may_begin(fingerprint, slot, age_s):
                 return 0.0
             slot += 1
         if slot > LAST_SLOT:
-            return max(1.0, crashes.QUARANTINE_S - crash_age_s)
-        return _slot_start_s(slot) - age_s
+            return max(MIN_WAIT_S, crashes.QUARANTINE_S - crash_age_s)
+        return max(MIN_WAIT_S, _slot_start_s(slot) - age_s)
 
     def _may_begin(self, fingerprint: str, slot: int, age_s: float) -> bool:
         start_s, end_s = _slot_start_s(slot), _slot_start_s(slot + 1)
