Take nothing from calls that break off at fragile runners

What callers would see: a runner that has said that it falls over when too many calls reach it does so, and its calls are suspected of the crash (refused with crashes_runners after two), the runner that comes back is avoided as an outlier, and the pace just before the fall stays as its learned speed.

FragileRunners remembers which runners are fragile, or were until 6 s ago, as a fall is noticed up to 4 s later, when the list entry and with it what the runner said is gone. The crash blocklist takes no crash of such a runner, its own or a peer's; outlier detection and the counts for the peers leave out the calls that got no whole answer there; the prefill of a stream counts only once it is complete. A fragile runner's rejections and error responses still count.

Nothing tells yet which runners are fragile: Upstreams makes FragileRunners without a source, so that nothing changes until it gets one.

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -21,20 +21,10 @@
 from . import crash_records
 from . import crash_trials
 from . import crashes
+from . import fragile_runners
 from . import quarantine
 from . import recent_answers
 
-#: How long a crash or a completed call is repeated in each record, in
-#: seconds. One record in five may be lost, but hardly ever 15 in a row.
-RECORD_REPEAT_S = 3.0
-#: The greatest numbers of suspects that a record lists for one crash, and of
-#: crashes that it lists. The limits keep a record a small datagram of at most
-#: 4 KB, at 18 bytes for each suspect.
-MAX_SUSPECTS_PER_CRASH = 48
-MAX_CRASHES_PER_RECORD = 4
-#: The greatest number of blocked calls that a record lists.
-MAX_BLOCKED_PER_RECORD = 32
-
 
 class _RecentCrash:
     """A crash that this VM detected recently.
@@ -53,7 +43,7 @@
 class _PendingReport:
     """A crash report that this VM's records repeat until a time.
 
-    Records may be lost, so each report is sent for :data:`RECORD_REPEAT_S`.
+    Records may be lost, so each report is sent several times.
     """
 
     __slots__ = ("until", "report")
@@ -70,6 +60,8 @@
     it sends a call to a runner whether the call is blocked.
 
     :param vm: this VM's name.
+    :param is_fragile: tells whether a runner is or was fragile. Its crashes
+        are no evidence against the calls that it ran.
     """
 
     __slots__ = (
@@ -77,6 +69,7 @@
         "_broken_calls",
         "_clock",
         "_cleared_at",
+        "_is_fragile",
         "_recent_crashes",
         "_quarantine",
         "_pending_reports",
@@ -85,9 +78,15 @@
         "_vm",
     )
 
-    def __init__(self, clock: clocks.Clock, vm: str) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        vm: str,
+        is_fragile: fragile_runners.IsFragile = fragile_runners.never_fragile,
+    ) -> None:
         self._clock = clock
         self._vm = vm
+        self._is_fragile = is_fragile
         self._trials = crash_trials.CrashTrials(clock, vm)
         self._quarantine = quarantine.Quarantine(clock)
         self._recent_answers = recent_answers.RecentAnswers(clock)
@@ -147,7 +146,7 @@
         """
         now = self._clock.now()
         recent_calls = self._broken_calls.take(runner)
-        if not recent_calls:
+        if not recent_calls or self._is_fragile(runner):
             return 0
         self._recent_crashes[runner] = _RecentCrash(now, data_centre, noticed)
         names = {call.fingerprint for call in recent_calls}
@@ -170,7 +169,7 @@
         )
         self._quarantine.receive(report)
         self._pending_reports[runner] = _PendingReport(
-            now + RECORD_REPEAT_S, report
+            now + crash_records.RECORD_REPEAT_S, report
         )
         self._apply_recent_answers()
         return len(names)
@@ -258,7 +257,7 @@
         self._cleared_at = {
             name: at
             for name, at in self._cleared_at.items()
-            if now - at < RECORD_REPEAT_S
+            if now - at < crash_records.RECORD_REPEAT_S
         }
         self._blocked_until = {
             name: until
@@ -286,15 +285,19 @@
                 pending.report.data_centre,
                 # The age counts from the observation of the crash, not from
                 # the creation of the record.
-                pending.report.age_s + now - (pending.until - RECORD_REPEAT_S),
+                pending.report.age_s
+                + now
+                - (pending.until - crash_records.RECORD_REPEAT_S),
                 pending.report.noticed,
                 [
                     c.fingerprint
-                    for c in pending.report.suspects[:MAX_SUSPECTS_PER_CRASH]
+                    for c in pending.report.suspects[
+                        : crash_records.MAX_SUSPECTS_PER_CRASH
+                    ]
                 ],
             )
             for pending in list(self._pending_reports.values())[
-                -MAX_CRASHES_PER_RECORD:
+                -crash_records.MAX_CRASHES_PER_RECORD :
             ]
         ]
         blocked = self._blocked_for_record() if whole else {}
@@ -311,6 +314,8 @@
         """
         crash_entries, completed, blocked = record
         for runner, data_centre, age_s, noticed, names in crash_entries:
+            if self._is_fragile(runner):
+                continue
             suspects = tuple(
                 crashes.SuspectRequest(name, "", 1) for name in names
             )
@@ -369,7 +374,9 @@
             is quarantine.FingerprintState.QUARANTINED
             and (wait_s := self._block_left_s(name)) is not None
         }
-        return dict(list(quarantined.items())[:MAX_BLOCKED_PER_RECORD])
+        return dict(
+            list(quarantined.items())[: crash_records.MAX_BLOCKED_PER_RECORD]
+        )
 
     def _apply_recent_answers(self) -> None:
         """Clear calls that were answered before their crash was heard of."""
--- a/src/apricotlever/runners/crash_records.py
+++ b/src/apricotlever/runners/crash_records.py
@@ -6,6 +6,17 @@
 
 from .. import validation
 
+#: How long a crash or a completed call is repeated in each record, in
+#: seconds. One record in five may be lost, but hardly ever 15 in a row.
+RECORD_REPEAT_S = 3.0
+#: The greatest numbers of suspects that a record lists for one crash, and of
+#: crashes that it lists. The limits keep a record a small datagram of at most
+#: 4 KB, at 18 bytes for each suspect.
+MAX_SUSPECTS_PER_CRASH = 48
+MAX_CRASHES_PER_RECORD = 4
+#: The greatest number of blocked calls that a record lists.
+MAX_BLOCKED_PER_RECORD = 32
+
 #: A crash as it stands in a record: runner, data centre, age in seconds,
 #: whether the runner had announced its end, and the suspects' fingerprints.
 CrashEntry = tuple[str, str, float, bool, list[str]]
--- a/src/apricotlever/serving/call_observations.py
+++ b/src/apricotlever/serving/call_observations.py
@@ -11,6 +11,7 @@
 from .. import clock as clocks
 from .. import logs
 from ..roll_outs import controller as roll_outs_controller
+from ..runners import fragile_runners
 from ..runners import model as models
 from ..runners import outlier_detector
 from ..runners import routing
@@ -40,11 +41,14 @@
     :param roll_outs: the roll-outs, whose calls are sampled.
     :param part_modes: the modes of the parts of the request path.
     :param reach: finds out whether this VM reaches runners.
+    :param fragile: tells which runners are or were fragile. Calls that broke
+        there say nothing of the runner's quality.
     :param news: called when the other VMs should be told at once: when a
         prompt was sent, or when there are refused connections to report.
     """
 
     __slots__ = (
+        "_fragile",
         "_in_flight",
         "_news",
         "_outliers",
@@ -68,11 +72,13 @@
         roll_outs: roll_outs_controller.RollOutController,
         part_modes: modes.PartModes,
         reach: reach_monitor.ReachMonitor,
+        fragile: fragile_runners.FragileRunners,
         news: typing.Callable[[], None],
     ) -> None:
         self._news = news
         self._router = router
         self._reach = reach
+        self._fragile = fragile
         self._performance = performance
         self._in_flight: dict[str, int] = {}
         self._silence = silence_detector.SilenceDetector(clock)
@@ -175,6 +181,8 @@
         :param shows_speed: whether its times depend on the runner alone.
         """
         name = runner.runner_id
+        # From now on it is known for a while, also when the runner has fallen.
+        self._fragile.was_fragile(name)
         self._in_flight[name] = self._in_flight.get(name, 0) + 1
         self._silence.call_sent(name)
         self._reach.reach.call_sent(name)
@@ -253,11 +261,7 @@
         self._reach.reach.call_ended(name)
         if outcome is not models.Outcome.CANCELLED or outlier_failure:
             failed = outcome is models.Outcome.FAILED or outlier_failure
-            self._outliers.call_ended(name, failed)
-            if answered:
-                self._vouched.call_answered(name, failed)
-            else:
-                self._vouched.call_unanswered(name)
+            self._record_outcome(name, failed, answered)
         left = self._in_flight.get(name, 1) - 1
         if left > 0:
             self._in_flight[name] = left
@@ -265,6 +269,19 @@
             self._in_flight.pop(name, None)
         self._router.request_finished(attempt, outcome, tokens)
 
+    def _record_outcome(
+        self, runner: str, failed: bool, answered: bool
+    ) -> None:
+        """Record how a call ended for outlier detection, here and at peers."""
+        was_fragile = self._fragile.was_fragile(runner)
+        if was_fragile and failed and not answered:
+            return
+        self._outliers.call_ended(runner, failed)
+        if answered:
+            self._vouched.call_answered(runner, failed)
+        else:
+            self._vouched.call_unanswered(runner)
+
     def _token_s(self, service: str) -> float:
         """Seconds of the prefill of a token; 0 while unknown."""
         learned_s = self._performance.token_s(service)
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -12,6 +12,7 @@
 from .. import logs
 from ..runners import crash_blocklist
 from ..runners import crash_records
+from ..runners import fragile_runners
 from ..runners import quarantine
 
 from . import client_channel
@@ -37,13 +38,20 @@
     while the blocklist is active, so that other calls don't bear the cost.
 
     :param vm: this VM's name.
+    :param is_fragile: tells whether a runner is or was fragile, so that no
+        call is suspected of its crash.
     """
 
     __slots__ = ("_checked_at", "_clock", "_blocklist", "_runners")
 
-    def __init__(self, clock: clocks.Clock, vm: str) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        vm: str,
+        is_fragile: fragile_runners.IsFragile = fragile_runners.never_fragile,
+    ) -> None:
         self._clock = clock
-        self._blocklist = crash_blocklist.CrashBlocklist(clock, vm)
+        self._blocklist = crash_blocklist.CrashBlocklist(clock, vm, is_fragile)
         #: When each runner was last checked, by incarnation.
         self._checked_at: dict[str, float] = {}
         #: The runners in the last list, by incarnation.
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -4,6 +4,7 @@
 
 from .. import clock as clocks
 from .. import logs
+from ..runners import fragile_runners
 from ..runners import latency_sums
 from ..runners import performance as performances
 from ..runners import performance_samples
@@ -38,6 +39,8 @@
     :param has_prompt: whether it has a prompt; the tokens may all be cached.
     :param backlog: what the call found at its runner.
     :param sent_at: when it was sent, on the monotonic clock.
+    :param was_fragile: whether its runner was known as fragile then, so that
+        its times count only if it is answered.
     """
 
     __slots__ = (
@@ -47,6 +50,7 @@
         "has_prompt",
         "backlog",
         "sent_at",
+        "was_fragile",
         "first_at",
     )
 
@@ -58,6 +62,7 @@
         has_prompt: bool,
         backlog: Backlog,
         sent_at: float,
+        was_fragile: bool,
     ) -> None:
         self.runner = runner
         self.route = route
@@ -65,6 +70,7 @@
         self.has_prompt = has_prompt
         self.backlog = backlog
         self.sent_at = sent_at
+        self.was_fragile = was_fragile
         self.first_at: float | None = None
 
 
@@ -72,6 +78,7 @@
     """Records the times of this VM's calls in the performance of runners.
 
     :param mode: with ``off`` nothing is recorded.
+    :param is_fragile: tells whether a runner is or was fragile.
     """
 
     __slots__ = (
@@ -79,12 +86,19 @@
         "_changes",
         "_checked_at",
         "_clock",
+        "_is_fragile",
         "_mode",
         "_performance",
     )
 
-    def __init__(self, clock: clocks.Clock, mode: modes.Mode) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        mode: modes.Mode,
+        is_fragile: fragile_runners.IsFragile = fragile_runners.never_fragile,
+    ) -> None:
         self._clock = clock
+        self._is_fragile = is_fragile
         self._mode = mode
         self._performance = performances.RunnerPerformance(clock)
         self._changes = slowness_changes.SlownessChanges(self._performance)
@@ -189,7 +203,13 @@
         """
         if self._mode is not modes.Mode.OFF and backlog.fill <= 1.0:
             self._calls[attempt] = _Call(
-                runner, route, tokens, has_prompt, backlog, self._clock.now()
+                runner,
+                route,
+                tokens,
+                has_prompt,
+                backlog,
+                self._clock.now(),
+                self._is_fragile(runner.runner_id),
             )
 
     def record_first_event(self, attempt: str) -> None:
@@ -197,19 +217,10 @@
         call = self._calls.get(attempt)
         if call is None or call.first_at is not None:
             return
-        call.first_at = now = self._clock.now()
-        if not call.has_prompt:
-            return
-        service = call.runner.service
-        waiting = call.backlog.tokens
-        self._performance.record_first_event(
-            service,
-            call.runner.runner_id,
-            call.tokens,
-            now - call.sent_at,
-            waiting * self._performance.latency(service).token_s,
-            not waiting,
-        )
+        call.first_at = self._clock.now()
+        call.was_fragile |= self._is_fragile(call.runner.runner_id)
+        if not call.was_fragile:
+            self._record_prefill(call, call.first_at)
 
     def record_end(self, attempt: str, answered: bool, events: int) -> None:
         """Record the end of a call.
@@ -225,6 +236,8 @@
         now = self._clock.now()
         service, runner = call.runner.service, call.runner.runner_id
         if call.first_at is not None:
+            if call.was_fragile:
+                self._record_prefill(call, call.first_at)
             self._performance.record_pace(
                 service, call.route, runner, now - call.first_at, events
             )
@@ -253,3 +266,17 @@
                 service=self._performance.service_of(change.runner),
                 **change._asdict(),
             )
+
+    def _record_prefill(self, call: _Call, first_at: float) -> None:
+        if not call.has_prompt:
+            return
+        service = call.runner.service
+        waiting = call.backlog.tokens
+        self._performance.record_first_event(
+            service,
+            call.runner.runner_id,
+            call.tokens,
+            first_at - call.sent_at,
+            waiting * self._performance.latency(service).token_s,
+            not waiting,
+        )
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -11,6 +11,7 @@
 from ..data_centres import prompt_sizes
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
+from ..runners import fragile_runners
 from ..runners import model as models
 from ..runners import outlier_detector
 from ..runners import reachability
@@ -65,6 +66,7 @@
         "_configuration",
         "_crashes",
         "_directory",
+        "_fragile",
         "_limits",
         "_modes",
         "_observations",
@@ -99,8 +101,9 @@
             clock, rng, roll_outs_model.RollOutLimits()
         )
         self._directory = directory
+        self._fragile = fragile_runners.FragileRunners(clock)
         self._performance = performance_meters.PerformanceMeters(
-            clock, self._modes.performance
+            clock, self._modes.performance, self._fragile.was_fragile
         )
         learned = self._performance.for_routing
         self._router = routing.Router(
@@ -125,9 +128,12 @@
             self._roll_outs,
             self._modes,
             self._reach_monitor,
+            self._fragile,
             news or (lambda: None),
         )
-        self._crashes = crash_watch.CrashWatch(clock, vm)
+        self._crashes = crash_watch.CrashWatch(
+            clock, vm, self._fragile.was_fragile
+        )
         self._reports = runner_reports.RunnerReports(
             self.reach, self._observations, self._crashes
         )
@@ -550,6 +556,7 @@
         :param now: on the event loop's clock, in seconds.
         """
         self._pools.close_idle(now)
+        self._fragile.tick()
         self._crashes.tick()
         self._reports.update()
         self._performance.log_changes()
--- a/tests/runners/crash_blocklist.feature
+++ b/tests/runners/crash_blocklist.feature
@@ -160,3 +160,19 @@
   Scenario: A call that was answered crashes runners from now on
     Then a call that is sent 1500 times crashes at most 3 if it was answered before, in any of 8 simulations
     And it crashes at most 3 if it was never answered
+
+  # Guards against calls that are blocked because a runner fell over under the
+  # calls of all VMs, as it had said that it would.
+  Scenario Outline: A crash of a fragile runner is no evidence against calls
+    Given an entry VM that knows that <fragile> is fragile
+    And its calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And another VM reports the same crashes
+    Then the call "a" is <state>
+
+    Examples:
+      | fragile | state       |
+      | r1      | not blocked |
+      | r2      | not blocked |
+      | r3      | blocked     |
--- a/tests/steps/runners_crash_blocklist.py
+++ b/tests/steps/runners_crash_blocklist.py
@@ -8,6 +8,7 @@
 
 from apricotlever import clock as clocks
 from apricotlever.runners import crash_blocklist
+from apricotlever.runners import fragile_runners
 from apricotlever.runners import recent_answers
 
 VMS = 4
@@ -145,8 +146,20 @@
         context.vm.connection_broken("r1", name)
 
 
-def _make_vm(context, name):
-    made = crash_blocklist.CrashBlocklist(context.clock, name)
+@given("an entry VM that knows that {runner} is fragile")
+def _knows_fragile(context, runner):
+    context.clock = clocks.ManualClock(100.0)
+    context.vm = _make_vm(context, "vm-1", lambda name: name == runner)
+
+
+@given('its calls "a", "b" and "c" broke off at r1')
+def _its_broken_calls(context):
+    for name in ("a", "b", "c"):
+        context.vm.connection_broken("r1", name)
+
+
+def _make_vm(context, name, is_fragile=fragile_runners.never_fragile):
+    made = crash_blocklist.CrashBlocklist(context.clock, name, is_fragile)
     made.set_sizes({DATA_CENTRE: 4})
     return made
 
