Use a connection that opened while this process was paused

What callers saw: 503 for a call that a runner would have taken, and what follows a runner that counts as unreachable (avoided by this VM, a sign that the VM lost its paths). Cause: after a pause of over 0.35 s (CONNECT_TIMEOUT_S) the loop runs the timer in the turn in which the connection opens, before the code that waits for it, so the open connection was given up.

The limit now expires 10 ms later, after what has arrived until then is handled.

--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -19,6 +19,9 @@
 
 #: Body bytes buffered for a slow consumer before the connection stops reading.
 MAX_BUFFERED_BYTES = 262144
+#: Time beyond the limit for connecting in which the loop handles what has
+#: arrived until then, in seconds.
+PROCESSING_S = 0.01
 
 #: Takes status and headers; returns whether they answer the pending request.
 HeadFilter = typing.Callable[[int, messages.Headers], bool]
@@ -452,9 +455,24 @@
     loop = asyncio.get_running_loop()
     channel = Channel(loop, on_end)
     try:
-        async with asyncio.timeout(timeout_s):
-            await loop.create_connection(lambda: channel, host, port)
+        async with asyncio.timeout(None) as limit:
+            timer = loop.call_later(timeout_s, _expire_soon, loop, limit)
+            try:
+                await loop.create_connection(lambda: channel, host, port)
+            finally:
+                timer.cancel()
     except (OSError, TimeoutError) as error:
         refused = isinstance(error, ConnectionRefusedError)
         raise NotConnected(type(error).__name__, refused) from error
     return channel
+
+
+def _expire_soon(
+    loop: asyncio.AbstractEventLoop, limit: asyncio.Timeout
+) -> None:
+    """Let a time limit that has run out expire after what has arrived.
+
+    If this process was paused, the connection may have opened meanwhile, and
+    the loop runs the timer before the code that waits for the connection.
+    """
+    limit.reschedule(loop.time() + PROCESSING_S)
