Let the broken calls of the crash blocklist be counted

tests/serving/silent_connections.feature failed on at 'no call is suspected of a crash': it asks whether the blocklist's broken calls are empty, and since they have a class of their own, that was never so.

--- a/src/apricotlever/runners/broken_calls.py
+++ b/src/apricotlever/runners/broken_calls.py
@@ -30,6 +30,9 @@
         self._clock = clock
         self._by_runner: dict[str, list[BrokenCall]] = {}
 
+    def __len__(self) -> int:
+        return sum(map(len, self._by_runner.values()))
+
     def add(self, runner: str, fingerprint: str) -> None:
         """Record that a call's connection to a runner has broken."""
         calls = self._by_runner.setdefault(runner, [])
