--- a/tests/runners/crash_blocklist.feature
+++ b/tests/runners/crash_blocklist.feature
@@ -138,3 +138,41 @@
     And another VM reports the same crashes
     And the VM finds that it has reached no runner for 3 seconds
     Then the call "a" is blocked
+
+  # Guards against refusing a call for half an hour that is in flight at every
+  # crash, as all callers send it, and of which no copy is left to clear it.
+  Scenario: A call that all callers send runs again soon after two restarts
+    Given 3 entry VMs whose runners answer the call "a" ten times a second
+    When r1 and r2 restart within 2 seconds while they run "a"
+    And no copy of "a" is answered elsewhere
+    Then within 6 seconds one of the VMs may run "a", and only that one
+    And its answer clears "a" at all VMs
+
+  Scenario: A trial is one call at one runner
+    Guards against many calls that all run as trials before the first ends.
+    Given 3 entry VMs whose runners answer the call "a" ten times a second
+    When r1 and r2 restart within 2 seconds while they run "a"
+    Then within 6 seconds one of the VMs may run "a", and only that one
+    And it lets one of two calls "a" run, which may be sent once more
+    But not after a runner has broken it off
+
+  # Guards against runners that crash one after the other on trials.
+  Scenario: A call that was answered crashes runners from now on
+    Then a call that is sent 1500 times crashes at most 3 if it was answered before, in any of 8 simulations
+    And it crashes at most 3 if it was never answered
+
+  # Guards against calls that are blocked because a runner fell over under the
+  # calls of all VMs, as it had said that it would.
+  Scenario Outline: A crash of a fragile runner is no evidence against calls
+    Given an entry VM that knows that <fragile> is fragile
+    And its calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And another VM reports the same crashes
+    Then the call "a" is <state>
+
+    Examples:
+      | fragile | state       |
+      | r1      | not blocked |
+      | r2      | not blocked |
+      | r3      | blocked     |
