Let calls want the limited runner in the test of its limit

Callers saw nothing: the runner's keeper admitted a call whenever a VM asked while there was room. The check of at least 0.9 of the 2 calls a second failed, frequently beside load, as nobody asked.

Cause, from a traced copy of the scenario (36 runs, four at a time, 28 of them beside four busy processes; 4 below 10.8 calls): - In 3 of the 4 the keeper's bucket stood full: no VM asked. In the one of these whose choices were traced, the VM expected the limited runner to be slower than both others in 168 of 224 choices, and so in 96 to 182 of about 245 in six runs that passed. The stand-ins answer at once, so the expected times of 0.5 to 2 ms are noise. Of three runners two are compared and the faster one is taken, so the slowest is not chosen while the others are idle. With the runner made 5 ms slower, it got 0 to 2 of 12 calls in each of 4 runs. A limit is no quota, and callers are served sooner elsewhere, so the router does right. - In the other one the process stood still for 8 s, callers included, and the check counted this time. So it was in 2 of 20 runs of a trial whose runners take 0.1 s for a call, with stalls of 4 s.

Ruled out: the keeper's count and burst, the wait that refused VMs are told, and the time until all VMs know the limit.

Change: each runner takes 0.1 s for a call, so that runners with calls are slower than one without. Calls go on until they were wanted for the whole span, of which a gap counts 0.5 s at most, the time of one call at this limit, and the check counts the same time. The part of the limit, its span without a stall, the rate and the upper bound are as before. With a keeper that admits 0.8 of a limit, the check fails: 9 calls of 10.75. It doesn't see a VM that asks 2 s too late, while others use the room.

--- a/tests/serving/fleet_paths.py
+++ b/tests/serving/fleet_paths.py
@@ -1,6 +1,7 @@
 """Several entry VMs that share runner stand-ins, on one loop."""
 
 import asyncio
+import itertools
 
 from apricotlever import clock as clocks
 from apricotlever.contracts import limit_keepers
@@ -11,6 +12,9 @@
 from tests.serving import request_path
 
 HOST = "127.0.0.1"
+#: The longest time after a call, in seconds, for which calls count as wanted.
+#: No runner's limit can be used while no VM gets any call.
+LONGEST_GAP_S = 0.5
 
 
 class FleetPaths:
@@ -27,6 +31,8 @@
         self.exchange_tasks = []
         self.runners = []
         self.replies = []
+        #: When calls were sent, on the event loop's clock.
+        self.sent_at = []
 
     async def start(self, runner_count):
         """Start the VMs, and runners that each of them knows."""
@@ -82,17 +88,30 @@
     async def call_steadily(self, per_s, seconds):
         """Send calls at a steady rate; half of them reach the first VM.
 
+        If this process is held up, it sends the calls that are due at once,
+        and goes on until calls were wanted for the whole time.
+
         :param per_s: calls a second at all VMs together.
         """
         loop = asyncio.get_running_loop()
         start = loop.time()
         tasks = []
-        for number in range(int(per_s * seconds)):
+        for number in itertools.count():
+            if number >= per_s * seconds and self.wanted_s(start) >= seconds:
+                break
             await asyncio.sleep(start + number / per_s - loop.time())
             vm = self.vms[number // 2 % len(self.vms) if number % 2 else 0]
             tasks.append(asyncio.ensure_future(self._call(vm, number)))
         await asyncio.gather(*tasks)
 
+    def wanted_s(self, since):
+        """For how long calls were wanted since a time, in seconds."""
+        times = [at for at in self.sent_at if at >= since]
+        return sum(
+            min(after - before, LONGEST_GAP_S)
+            for before, after in itertools.pairwise([since, *times])
+        )
+
     async def call_at_once(self, count):
         """Send calls to the first VM, all at the same time."""
         first = len(self.replies)
@@ -114,6 +133,7 @@
     async def _call(self, vm, number):
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
+        self.sent_at.append(sent_at)
         reply = await vm.call_alone(f"call-{number}")
         reply.took_s = loop.time() - sent_at
         self.replies.append(reply)
--- a/tests/serving/runner_limits.feature
+++ b/tests/serving/runner_limits.feature
@@ -3,6 +3,7 @@
   # Guards against a runner in need that gets many times the calls it takes.
   Scenario: A runner gets the calls that it takes from all VMs together
     Given 4 VMs that share 3 runners
+    And each runner takes 0.1 seconds for a call
     And runner 1 names a limit of 2 calls a second
     When the VMs get 40 calls a second for 9 seconds
     Then from 3 seconds on runner 1 gets at most 17 calls in any 4 seconds
--- a/tests/steps/serving_runner_limits.py
+++ b/tests/steps/serving_runner_limits.py
@@ -46,6 +46,13 @@
     _name_limit(context, number, limit)
 
 
+@given("each runner takes 0.1 seconds for a call")
+def _answer_late(context):
+    # Otherwise no VM has a reason to prefer the runner with fewer calls.
+    for runner in context.fleet.runners:
+        runner.behaviour_names = ["answers late"]
+
+
 @given("the keeper of runner {number:d} does not answer")
 def _silence_keeper(context, number):
     context.fleet.silence_keeper(f"runner-{number}")
@@ -70,7 +77,6 @@
 
 @when("the VMs get {per_s:d} calls a second for {seconds:g} seconds")
 def _call_steadily(context, per_s, seconds):
-    context.seconds = seconds
     _run(context, context.fleet.call_steadily(per_s, seconds))
 
 
@@ -83,7 +89,6 @@
     times = context.runner.arrived_at
     # The runner names its limit in its first response.
     context.counted_from = times[0] + start
-    context.counted_for = context.seconds - start
     found = fleet_paths.most_within(times, span, context.counted_from)
     assert found <= most, f"{found} calls in {span} seconds"
 
@@ -94,7 +99,8 @@
 )
 def _check_least(context, start, share, limit):
     found = sum(at >= context.counted_from for at in context.runner.arrived_at)
-    least = share * limit * context.counted_for
+    wanted_s = context.fleet.wanted_s(context.counted_from)
+    least = share * limit * wanted_s
     assert found >= least, f"{found} calls, {least:g} wanted"
 
 
