--- a/src/apricotlever/daemon/attempt_reports.py
+++ b/src/apricotlever/daemon/attempt_reports.py
@@ -18,6 +18,7 @@
 from . import context as contexts
 from . import dispatcher_messages
 from . import fleet_link
+from . import runner_messages
 from . import runner_selection
 
 #: How long a retry waits for crash reports from other entry VMs, in seconds.
@@ -71,9 +72,7 @@
     echoed = exchange.header(upstream_exchange.REQUEST_HEADER)
     if echoed in ("", request_id):
         context.dispatcher.tell(
-            dispatcher_messages.RunnerStated(
-                runner, exchange.statement, sent_at
-            )
+            runner_messages.RunnerStated(runner, exchange.statement, sent_at)
         )
 
 
--- a/src/apricotlever/daemon/autoscaler.py
+++ b/src/apricotlever/daemon/autoscaler.py
@@ -27,6 +27,7 @@
 from ..links import platform
 
 from . import dispatcher_messages
+from . import runner_messages
 
 TICK_S = 1.0
 THREADS = 4
@@ -170,10 +171,8 @@
             vm: at for vm, at in self._release_due_at.items() if vm in listed
         }
 
-    @mailbox.handles(dispatcher_messages.RunnerLeaving)
-    def _runner_leaving(
-        self, message: dispatcher_messages.RunnerLeaving
-    ) -> None:
+    @mailbox.handles(runner_messages.RunnerLeaving)
+    def _runner_leaving(self, message: runner_messages.RunnerLeaving) -> None:
         listed = {vm.vm: vm for vm in self._vms}
         vm = listed.get(message.runner)
         if vm is None or vm.vm in self._leaving:
--- a/src/apricotlever/daemon/dispatcher.py
+++ b/src/apricotlever/daemon/dispatcher.py
@@ -30,6 +30,7 @@
 from . import gossip_messages
 from . import placements
 from . import runner_availability
+from . import runner_messages
 from . import suspect_requests
 
 Announce = typing.Callable[[pb.Rumour], None]
@@ -204,8 +205,8 @@
             )
         return retry_policy.decide_retry(failed_attempt, self._retry_budget)
 
-    @mailbox.handles(dispatcher_messages.RunnersListed)
-    def _set_runners(self, message: dispatcher_messages.RunnersListed) -> None:
+    @mailbox.handles(runner_messages.RunnersListed)
+    def _set_runners(self, message: runner_messages.RunnersListed) -> None:
         before = {runner.name for runner in self._router.runners}
         self._router.set_runners(message.runners)
         after = {runner.name for runner in self._router.runners}
@@ -216,10 +217,8 @@
             logs.event("runner_gone", runner=name)
         self._update_pools()
 
-    @mailbox.handles(dispatcher_messages.RunnerStated)
-    def _record_statement(
-        self, message: dispatcher_messages.RunnerStated
-    ) -> None:
+    @mailbox.handles(runner_messages.RunnerStated)
+    def _record_statement(self, message: runner_messages.RunnerStated) -> None:
         name = message.runner
         self._availability.record(name, message.statement, message.sent_at)
         if message.statement.leaves and not self._router.is_leaving(name):
@@ -227,9 +226,9 @@
             self._router.mark_leaving(name)
             self._update_pools()
 
-    @mailbox.handles(dispatcher_messages.RunnerLeaving)
+    @mailbox.handles(runner_messages.RunnerLeaving)
     def _mark_runner_leaving(
-        self, message: dispatcher_messages.RunnerLeaving
+        self, message: runner_messages.RunnerLeaving
     ) -> bool:
         name = message.runner
         if self._router.runner(name) is None or self._router.is_leaving(name):
@@ -242,37 +241,37 @@
         logs.event("runner_leaving", runner=name, left_s=left_s)
         return True
 
-    @mailbox.handles(dispatcher_messages.RunnerGone)
-    def _remove_runner(self, message: dispatcher_messages.RunnerGone) -> None:
+    @mailbox.handles(runner_messages.RunnerGone)
+    def _remove_runner(self, message: runner_messages.RunnerGone) -> None:
         if self._router.runner(message.runner) is not None:
             logs.event("runner_gone", runner=message.runner)
         self._router.remove_runner(message.runner)
         self._placements.forget_runner(message.runner)
         self._update_pools()
 
-    @mailbox.handles(dispatcher_messages.GetRunner)
+    @mailbox.handles(runner_messages.GetRunner)
     def _find_runner(
-        self, message: dispatcher_messages.GetRunner
+        self, message: runner_messages.GetRunner
     ) -> runners.Runner | None:
         return self._router.runner(message.runner)
 
-    @mailbox.handles(dispatcher_messages.LoadObserved)
-    def _record_load(self, message: dispatcher_messages.LoadObserved) -> None:
+    @mailbox.handles(runner_messages.LoadObserved)
+    def _record_load(self, message: runner_messages.LoadObserved) -> None:
         self._router.observe_load(message.runner, message.report)
         if message.own:
             # Only an own read shows that the runner is healthy. A load that
             # a peer read may be older than the runner's crash.
             self._router.record_success(message.runner)
 
-    @mailbox.handles(dispatcher_messages.CacheEventsObserved)
+    @mailbox.handles(runner_messages.CacheEventsObserved)
     def _record_cache_events(
-        self, message: dispatcher_messages.CacheEventsObserved
+        self, message: runner_messages.CacheEventsObserved
     ) -> None:
         self._router.observe_cache(message.runner, message.events)
 
-    @mailbox.handles(dispatcher_messages.ProbeFailed)
+    @mailbox.handles(runner_messages.ProbeFailed)
     def _record_failed_probe(
-        self, message: dispatcher_messages.ProbeFailed
+        self, message: runner_messages.ProbeFailed
     ) -> None:
         self._router.record_failure(message.runner)
 
--- a/src/apricotlever/daemon/duties.py
+++ b/src/apricotlever/daemon/duties.py
@@ -31,6 +31,7 @@
 from . import autoscaler
 from . import dispatcher_messages
 from . import order_sender
+from . import runner_messages
 from . import store as stores
 
 TICK_S = 0.2
@@ -149,8 +150,8 @@
         self._duties.release_all()
         self._start_lease_calls()
 
-    @mailbox.handles(dispatcher_messages.RunnersListed)
-    def _set_runners(self, message: dispatcher_messages.RunnersListed) -> None:
+    @mailbox.handles(runner_messages.RunnersListed)
+    def _set_runners(self, message: runner_messages.RunnersListed) -> None:
         self._runners = {runner.name: runner for runner in message.runners}
 
     @mailbox.handles(_LeaseCallEnded)
--- a/src/apricotlever/daemon/incoming_handover.py
+++ b/src/apricotlever/daemon/incoming_handover.py
@@ -20,13 +20,13 @@
 
 from . import answer_reader
 from . import context as contexts
-from . import dispatcher_messages
 from . import fleet_messages
 from . import gossip_messages
 from . import ledger_task
 from . import model_request
 from . import model_responses
 from . import request_registry
+from . import runner_messages
 from . import transcripts
 
 ADOPTED_STREAM_THREADS = 512
@@ -122,7 +122,7 @@
         self._context.registry.ask(
             request_registry.AttachRequest(request)
         ).result()
-        message = dispatcher_messages.GetRunner(record.runner)
+        message = runner_messages.GetRunner(record.runner)
         runner = self._context.dispatcher.ask(message).result()
         reader = answer_reader.AnswerReader(self._context, request, runner)
         self._threads.submit(
--- a/src/apricotlever/daemon/orphaned_streams.py
+++ b/src/apricotlever/daemon/orphaned_streams.py
@@ -12,11 +12,11 @@
 
 from . import answer_reader
 from . import context as contexts
-from . import dispatcher_messages
 from . import model_request
 from . import model_responses
 from . import request_registry
 from . import resumption_tokens
+from . import runner_messages
 
 READER_THREADS = 256
 
@@ -53,7 +53,7 @@
         """
         context = self._context
         entry = catalogue.entries.get(token.entry)
-        message = dispatcher_messages.GetRunner(token.runner)
+        message = runner_messages.GetRunner(token.runner)
         runner = context.wait_for_reply(context.dispatcher.ask(message))
         if entry is None or runner is None:
             raise _not_found(token.request_id)
--- a/src/apricotlever/daemon/task_notifier.py
+++ b/src/apricotlever/daemon/task_notifier.py
@@ -29,6 +29,7 @@
 from . import gossip_messages
 from . import ledger_task
 from . import outgoing_handover
+from . import runner_messages
 from . import runner_monitor
 from . import store
 from . import vm_presence
@@ -138,9 +139,7 @@
                 name = rumour.runner_leaving.runner
                 self._handle_notice(name, max(0.0, left_s))
             case "runner_gone":
-                gone = dispatcher_messages.RunnerGone(
-                    rumour.runner_gone.runner
-                )
+                gone = runner_messages.RunnerGone(rumour.runner_gone.runner)
                 self._tasks.dispatcher.tell(gone)
             case "quarantine":
                 report = gossip_messages.decode_crash_report(
@@ -166,13 +165,13 @@
                 )
             case "load":
                 load = gossip_messages.decode_load(rumour)
-                observed = dispatcher_messages.LoadObserved(
+                observed = runner_messages.LoadObserved(
                     rumour.load.runner, load, False
                 )
                 self._tasks.dispatcher.tell(observed)
             case "prefix":
                 events = gossip_messages.decode_cache_events(rumour)
-                cached = dispatcher_messages.CacheEventsObserved(
+                cached = runner_messages.CacheEventsObserved(
                     rumour.prefix.runner, events
                 )
                 self._tasks.dispatcher.tell(cached)
@@ -236,8 +235,8 @@
         :param chosen: the runners that this VM sends requests to.
         :param listed: all runners.
         """
-        self._tasks.dispatcher.tell(dispatcher_messages.RunnersListed(chosen))
-        self._tasks.duties.tell(dispatcher_messages.RunnersListed(listed))
+        self._tasks.dispatcher.tell(runner_messages.RunnersListed(chosen))
+        self._tasks.duties.tell(runner_messages.RunnersListed(listed))
 
     def on_vms_and_prices(
         self,
@@ -259,9 +258,7 @@
 
     def on_listed_leaving(self, vm: str, left_s: float) -> None:
         """Tell the dispatcher that the platform lists a VM as leaving."""
-        self._tasks.dispatcher.tell(
-            dispatcher_messages.RunnerLeaving(vm, left_s)
-        )
+        self._tasks.dispatcher.tell(runner_messages.RunnerLeaving(vm, left_s))
 
     def on_load(
         self,
@@ -275,12 +272,10 @@
             peers.
         """
         if report is None:
-            self._tasks.dispatcher.tell(
-                dispatcher_messages.ProbeFailed(runner)
-            )
+            self._tasks.dispatcher.tell(runner_messages.ProbeFailed(runner))
             return
         self._tasks.dispatcher.tell(
-            dispatcher_messages.LoadObserved(runner, report, True)
+            runner_messages.LoadObserved(runner, report, True)
         )
         if report_to_peers:
             self.announce(gossip_messages.load_rumour(runner, report))
@@ -324,7 +319,7 @@
             peers.
         """
         self._tasks.dispatcher.tell(
-            dispatcher_messages.CacheEventsObserved(runner, events)
+            runner_messages.CacheEventsObserved(runner, events)
         )
         if report_to_peers:
             self.announce(gossip_messages.cache_rumour(runner, events))
@@ -370,6 +365,6 @@
         if vm == self._config.vm:
             self._stop(left_s)
             return
-        leaving = dispatcher_messages.RunnerLeaving(vm, left_s)
+        leaving = runner_messages.RunnerLeaving(vm, left_s)
         self._tasks.dispatcher.tell(leaving)
         self._tasks.autoscaler.tell(leaving)
--- a/tests/steps/daemon_runner_statements.py
+++ b/tests/steps/daemon_runner_statements.py
@@ -16,6 +16,7 @@
 from apricotlever.daemon import attempt_reports
 from apricotlever.daemon import dispatcher
 from apricotlever.daemon import dispatcher_messages
+from apricotlever.daemon import runner_messages
 from apricotlever.links import upstream_exchange
 from apricotlever.runners import model as runners
 from apricotlever.runners import statements
@@ -38,7 +39,7 @@
         )
         for number in range(1, context.count + 1)
     )
-    context.dispatcher.ask(dispatcher_messages.RunnersListed(listed)).result(
+    context.dispatcher.ask(runner_messages.RunnersListed(listed)).result(
         REPLY_TIMEOUT_S
     )
 
@@ -76,7 +77,7 @@
 @when("runner {number:d} asks for a rest of {rest_s:g} seconds")
 def _rest(context, number, rest_s):
     context.dispatcher.tell(
-        dispatcher_messages.RunnerStated(
+        runner_messages.RunnerStated(
             _name(number), statements.Statement(rest_s=rest_s), 0.0
         )
     )
@@ -85,7 +86,7 @@
 @when("runner {number:d} says to the dispatcher that it leaves")
 def _leave(context, number):
     context.dispatcher.tell(
-        dispatcher_messages.RunnerStated(
+        runner_messages.RunnerStated(
             _name(number), statements.Statement(leaves=True), 0.0
         )
     )
@@ -126,7 +127,7 @@
         )
     )
     context.dispatcher.tell(
-        dispatcher_messages.RunnerStated(
+        runner_messages.RunnerStated(
             _name(number), statements.Statement(limit), time.monotonic()
         )
     )
@@ -136,7 +137,7 @@
 def _lift_limit(context, number):
     sent_at = clocks.SystemClock().now()
     context.dispatcher.tell(
-        dispatcher_messages.RunnerStated(
+        runner_messages.RunnerStated(
             _name(number), statements.NOTHING, sent_at
         )
     )
