Let runners of the soak be fragile and fall over

A runner in trouble says how many calls a second it can turn away; beyond that it falls over for some seconds. Nothing of this was in the soak, so no run could show what VMs do to such a runner.

- A runner, or all of a service, is fragile for 4 to 8 s: it names 1, 3 or 8 rejections a second in all responses, takes 1, 2 or half as many calls at a time from 3 s after it first said so, and by one rejection more than it stands loses all connections and refuses new ones for 2 s.
Planned by a random source of its own.
- The proxies refuse connections while a runner has fallen over; they took them in its place before.
- Checks: falls by VMs in touch in one fragile time, and VMs that take a fall for a crash that calls caused.
- An order to a runner is repeated while its process runs, as a fallen one refuses connections.

Product code ignores the header.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,12 +18,17 @@
 from . import cuts
 from . import faults
 from . import fleet
+from . import fragile_checks
+from . import fragile_times
 from . import statement_checks
 from . import statements
 
 VM_COUNT = 3
 RUNNER_COUNT = 6
 CALLER_COUNT = 8
+#: Further callers where runners are fragile, who fill the little room that
+#: such runners have.
+EXTRA_CALLER_COUNT = 8
 DURATION_S = 12.0
 #: From the end of the last fault until calls have to be served again, in
 #: seconds. In this time the VMs detect silent connections and drop runners
@@ -35,6 +40,8 @@
 #: Calls have to be served again from this time after the last cut on, which
 #: is apart from other faults, in seconds.
 RECOVERY_AFTER_CUT_S = cut_checks.CONTACT_S
+#: The same after the last fragile time.
+RECOVERY_AFTER_FALLS_S = 3.0
 SEED_RANGE = range(1_000_000)
 
 
@@ -76,6 +83,7 @@
     folder: pathlib.Path,
     with_statements: bool = False,
     with_cuts: bool = False,
+    with_fragility: bool = False,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -84,6 +92,7 @@
     :param with_statements: whether runners say things of themselves.
     :param with_cuts: whether VMs are cut off from all runners, and callers
         give calls up.
+    :param with_fragility: whether runners are fragile for some times.
     """
     rng = random.Random(seed)
     test_fleet = fleet.Fleet(folder)
@@ -98,17 +107,34 @@
         else []
     )
     injector = cuts.Injector(test_fleet, random.Random(f"cuts {seed}"))
+    fragile_schedule = (
+        fragile_times.plan(random.Random(f"plan fragility {seed}"), seconds)
+        if with_fragility
+        else []
+    )
+    fragility = fragile_times.Injector(
+        test_fleet, random.Random(f"fragility {seed}")
+    )
     leave_rng = random.Random(f"leave {seed}") if with_cuts else None
     try:
         await test_fleet.start(VM_COUNT, RUNNER_COUNT)
         caller_group = callers.CallerGroup(test_fleet, rng, leave_rng)
-        vms = [None] * CALLER_COUNT + (test_fleet.vms if with_cuts else [])
+        any_vm = CALLER_COUNT + (EXTRA_CALLER_COUNT if with_fragility else 0)
+        vms = [None] * any_vm + (test_fleet.vms if with_cuts else [])
         tasks = [asyncio.ensure_future(caller_group.run(vm)) for vm in vms]
         await asyncio.gather(
             _inject_faults(test_fleet, schedule, rng),
             injector.inject(cut_schedule),
+            fragility.inject(fragile_schedule),
         )
         quiet_periods = [await _wait_quietly(caller_group, RECOVERY_S)]
+        if with_fragility:
+            await asyncio.sleep(LAST_CALLS_S)
+            at = caller_group.elapsed_s
+            fragile_schedule.append((at, await fragility.inject_last()))
+            quiet_periods.append(
+                await _wait_quietly(caller_group, RECOVERY_AFTER_FALLS_S)
+            )
         if with_cuts:
             await asyncio.sleep(LAST_CALLS_S)
             at = caller_group.elapsed_s
@@ -124,8 +150,15 @@
         violations = _find_violations(
             test_fleet, caller_group, quiet_periods, injector.periods
         )
-        violations += checks.find_failed_tasks(sorted(folder.glob("vm-*.log")))
-        schedule = sorted(schedule + cut_schedule)
+        logs = sorted(folder.glob("vm-*.log"))
+        violations += checks.find_failed_tasks(logs)
+        violations += fragile_checks.find_violations(
+            test_fleet.record.read(),
+            test_fleet.disturbances,
+            fragility.times,
+            fragile_checks.read_crashes(logs),
+        )
+        schedule = sorted(schedule + cut_schedule + fragile_schedule)
         return SoakResult(seed, caller_group.calls, schedule, violations)
     finally:
         test_fleet.close()
@@ -212,7 +245,9 @@
 ) -> SoakResult:
     """Run one soak test; keep its folder if a guarantee was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    result = asyncio.run(run_soak_test(seed, seconds, folder, True, True))
+    result = asyncio.run(
+        run_soak_test(seed, seconds, folder, True, True, True)
+    )
     if result.violations:
         kept = keep_folder / f"seed-{seed}"
         shutil.rmtree(kept, ignore_errors=True)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,7 +6,6 @@
 import json
 import pathlib
 import signal
-import socket
 import time
 import typing
 import urllib.request
@@ -15,12 +14,13 @@
 
 from . import child_process
 from . import dialect
+from . import loopback
 from . import proxy
 from . import runner_link
 from . import runner_paths
 from . import statements
 
-HOST = ports.HOST
+HOST = loopback.HOST
 START_TIMEOUT_S = 20.0
 #: How long a runner, which may be suspended, has for a command, in seconds.
 SAY_TIMEOUT_S = 3.0
@@ -198,7 +198,7 @@
         )
         process.start()
         await child_process.wait_until(
-            lambda: _is_listening(port), START_TIMEOUT_S
+            lambda: loopback.is_listening(port), START_TIMEOUT_S
         )
         if link is None:
             link = runner_link.RunnerLink(port, self._vm_names)
@@ -232,7 +232,7 @@
         port = runner.link.target
         runner.process.start()
         await child_process.wait_until(
-            lambda: _is_listening(port), START_TIMEOUT_S
+            lambda: loopback.is_listening(port), START_TIMEOUT_S
         )
         runner.reset_incarnation()
         await self.write_entry(runner, leaving=False)
@@ -253,17 +253,16 @@
 
         :param headers: header lines, each with its line end; "" for nothing.
         """
-        with contextlib.suppress(OSError, EOFError):
-            reader, writer = await asyncio.open_connection(
-                HOST, runner.link.target
-            )
-            writer.write(
-                f"POST /say HTTP/1.1\r\n{headers}Content-Length: 0\r\n\r\n"
-                "".encode()
-            )
+        request = f"POST /say HTTP/1.1\r\n{headers}Content-Length: 0\r\n\r\n"
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SAY_TIMEOUT_S):
-                await reader.readuntil(b"\r\n\r\n")
-            writer.close()
+                while (
+                    runner.process.is_running
+                    and not await loopback.try_exchange(
+                        runner.link.target, request.encode()
+                    )
+                ):
+                    await asyncio.sleep(child_process.POLL_INTERVAL_S)
 
     async def delete_entry(self, runner: RunnerProcess) -> None:
         """Delete the entry of a runner, retrying while the store is down."""
@@ -365,11 +364,6 @@
         return False
 
 
-def _is_listening(port: int) -> bool:
-    with socket.socket() as probe:
-        return probe.connect_ex((HOST, port)) == 0
-
-
 def _route_document(
     prefix: str, service: str, kind: str, attempts: int, resumable: bool
 ) -> dict[str, typing.Any]:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -55,6 +55,7 @@
         self._host = host
         self._mode = Mode.PASS
         self._cut: Cut | None = None
+        self._down = False
         self._reservations = ports.PortReservations()
         self._listening: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -101,7 +102,25 @@
         self._cut = None
         self._close_hanging()
         self._not_held.set()
-        self._listen()
+        if not self._down:
+            self._listen()
+
+    def set_down(self, down: bool) -> None:
+        """Set whether nothing listens at the target.
+
+        While it is so, new connections are refused. Open ones are reset as it
+        begins, but not behind a cut that holds data.
+        """
+        if self._closed or self._down == down:
+            return
+        self._down = down
+        if down and self._cut is None:
+            self._stop_listening()
+        elif self._cut is None:
+            self._listen()
+        if down and self._cut is not Cut.HANG:
+            for writer in list(self._writers):
+                _reset_connection(writer)
 
     def close(self) -> None:
         """Stop listening and abort all connections."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -5,7 +5,9 @@
 A request for the path ``/say`` sets what the runner says of itself from then
 on: the limit in its header Limit-Per-S, the rest for which it asks the VMs of
 every second call in Rest-S, or that it leaves in Leaving. Without a header it
-says nothing of the kind.
+says nothing of the kind. Apart from that, Fragile-Rejections-Per-S makes it
+fragile for as long as For-S says: it names that number in all responses, takes
+Later-Room calls at a time later on, and falls over as it must reject more.
 
 Answers and events contain the id of the call, so that an answer delivered to
 the wrong caller is detectable. The runner records each call in its journal
@@ -17,8 +19,10 @@
 import hashlib
 import pathlib
 import sys
+import time
 import typing
 
+from . import fragility
 from . import statements
 
 HOST = "127.0.0.1"
@@ -79,17 +83,36 @@
         self._running = 0
         self._says: Headers = {}
         self._arrivals = 0
+        self._fragility: fragility.Fragility | None = None
+        self._port = 0
+        self._server: asyncio.Server | None = None
+        #: The connections with the tasks that serve them.
+        self._connections: dict[
+            asyncio.StreamWriter, asyncio.Task[typing.Any]
+        ] = {}
+        self._getting_up: asyncio.Task[None] | None = None
         record.write(name, statements.Kind.STARTED)
 
-    async def serve(
+    async def listen(self, port: int) -> None:
+        """Take connections at a port."""
+        self._port = port
+        self._server = await asyncio.start_server(self._serve, HOST, port)
+
+    async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Answer the calls on one connection."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        """Answer the calls on one connection, until the runner falls over."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[writer] = task
+        with contextlib.suppress(
+            OSError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
             while True:
                 path, headers = await _read_request(reader)
                 await self._answer(path, headers, reader, writer)
                 await writer.drain()
+        self._connections.pop(writer, None)
         writer.close()
 
     async def _answer(
@@ -105,12 +128,15 @@
             return
         call_id = headers["call-id"]
         if headers["for-runner"] != self._name:
-            writer.write(_response(421, call_id, "", "Other-Runner: yes"))
+            says = ["Other-Runner: yes", *self._fragility_headers()]
+            writer.write(_response(421, call_id, "", *says))
             return
         vm = headers["sent-by"]
         self._record.write(self._name, statements.Kind.ARRIVED, vm)
         self._arrivals += 1
-        if self._running >= MAX_CONCURRENT_CALLS or self._wants_rest:
+        if self._lacks_room:
+            self._reject(vm)
+        if self._lacks_room or self._wants_rest:
             says = [*self._tell(vm), *self._ask_for_rest(vm)]
             writer.write(_response(503, call_id, "", "Not-Run: yes", *says))
             return
@@ -134,10 +160,60 @@
             self._record.write(self._name, statements.Kind.ENDED, vm, call_id)
 
     def _say(self, headers: Headers) -> None:
+        fragile = fragility.read_fragility(headers, time.monotonic())
+        if fragile is not None:
+            self._fragility = fragile
+            value = str(fragile.rejections_per_s)
+            kind = statements.Kind.SAYS_FRAGILE
+            self._record.write(self._name, kind, value=value)
+            return
         self._says = headers
         limit = headers.get("limit-per-s", "-")
         self._record.write(self._name, statements.Kind.SAYS, value=limit)
 
+    @property
+    def _fragile(self) -> fragility.Fragility | None:
+        """The present time of fragility; None while the runner is sound."""
+        fragile = self._fragility
+        if fragile is None or time.monotonic() >= fragile.until:
+            return None
+        return fragile
+
+    @property
+    def _lacks_room(self) -> bool:
+        fragile, room = self._fragile, MAX_CONCURRENT_CALLS
+        if fragile is not None:
+            room = fragile.room(time.monotonic(), self._running, room)
+        return self._running >= room
+
+    def _reject(self, vm: str) -> None:
+        """Count a call that is rejected for want of room.
+
+        :raises ConnectionAbortedError: the runner falls over by it.
+        """
+        self._record.write(self._name, statements.Kind.REJECTED, vm)
+        fragile = self._fragile
+        if fragile is not None and fragile.reject(time.monotonic()):
+            fragile.fall(time.monotonic())
+            self._fall()
+            raise ConnectionAbortedError("the runner has fallen over")
+
+    def _fall(self) -> None:
+        """Lose all calls and connections, and get up later."""
+        self._record.write(self._name, statements.Kind.FELL)
+        assert self._server is not None
+        self._server.close()
+        for writer, task in list(self._connections.items()):
+            writer.transport.abort()
+            if task is not asyncio.current_task():
+                task.cancel()
+        self._getting_up = asyncio.ensure_future(self._get_up())
+
+    async def _get_up(self) -> None:
+        await asyncio.sleep(fragility.FALL_S)
+        await self.listen(self._port)
+        self._record.write(self._name, statements.Kind.GOT_UP)
+
     @property
     def _wants_rest(self) -> bool:
         return "rest-s" in self._says and self._arrivals % 2 == 0
@@ -159,7 +235,18 @@
         if "leaving" in self._says:
             self._record.write(self._name, statements.Kind.TOLD_LEAVING, vm)
             told.append("Leaving: 1")
-        return told
+        fragile = self._fragility_headers()
+        if fragile:
+            self._record.write(self._name, statements.Kind.TOLD_FRAGILE, vm)
+        return [*told, *fragile]
+
+    def _fragility_headers(self) -> list[str]:
+        """The header by which a fragile runner says so."""
+        fragile = self._fragile
+        if fragile is None:
+            return []
+        fragile.tell(time.monotonic())
+        return [f"Fragile-Rejections-Per-S: {fragile.rejections_per_s}"]
 
 
 async def _read_request(reader: asyncio.StreamReader) -> tuple[str, Headers]:
@@ -220,9 +307,9 @@
 async def _main(name: str, port: int, journal: str, record: str) -> None:
     with open(journal, "a", encoding="utf-8") as file:
         runner = Runner(name, file, statements.Record(pathlib.Path(record)))
-        server = await asyncio.start_server(runner.serve, HOST, port)
+        await runner.listen(port)
         print(f"listening host={HOST} port={port}", flush=True)
-        await server.serve_forever()
+        await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
--- a/soak/runner_link.py
+++ b/soak/runner_link.py
@@ -38,6 +38,11 @@
         for each in self._proxies.values():
             each.set_mode(mode)
 
+    def set_down(self, down: bool) -> None:
+        """Set whether the runner refuses connections."""
+        for each in self._proxies.values():
+            each.set_down(down)
+
     def cut(self, vm: str, cut: proxy.Cut) -> None:
         """Cut off the path from one VM."""
         self._proxies[vm].cut(cut)
--- a/soak/statement_checks.py
+++ b/soak/statement_checks.py
@@ -51,18 +51,6 @@
     )
 
 
-def _is_disturbed(
-    name: str,
-    since: float,
-    until: float,
-    disturbances: typing.Iterable[statements.Disturbance],
-) -> bool:
-    return any(
-        each.name == name and each.since <= until and since <= each.until
-        for each in disturbances
-    )
-
-
 def _check_limits(
     events: list[statements.Event],
     disturbances: list[statements.Disturbance],
@@ -93,7 +81,7 @@
         if event.kind is statements.Kind.TOLD_LIMIT:
             named_at = event.at if named_at is None else named_at
             told_at.setdefault(event.vm, event.at)
-            if _is_disturbed(
+            if statements.is_disturbed(
                 event.vm, told_at[event.vm], event.at, disturbances
             ):
                 told_at[event.vm] = event.at
@@ -104,8 +92,10 @@
                 and named_at is not None
                 and event.at >= named_at + LIMIT_KEPT_AFTER_S
                 and event.at - since >= TOLD_FOR_S
-                and not _is_disturbed(event.vm, since, event.at, disturbances)
-                and not _is_disturbed(
+                and not statements.is_disturbed(
+                    event.vm, since, event.at, disturbances
+                )
+                and not statements.is_disturbed(
                     runner, event.at - BACKLOG_S, event.at, disturbances
                 )
             ):
@@ -144,7 +134,9 @@
             and asked.at + REST_KEPT_AFTER_S < event.at < until
         ]
         if len(calls) > REST_CALLS and not any(
-            _is_disturbed(name, asked.at - BACKLOG_S, until, disturbances)
+            statements.is_disturbed(
+                name, asked.at - BACKLOG_S, until, disturbances
+            )
             for name in (asked.vm, asked.runner)
         ):
             violations.append(
@@ -169,7 +161,7 @@
         elif event.kind is statements.Kind.ARRIVED and event.vm in told_at:
             since = told_at[event.vm]
             if event.at - since > LEAVING_KEPT_AFTER_S and not any(
-                _is_disturbed(name, since, event.at, disturbances)
+                statements.is_disturbed(name, since, event.at, disturbances)
                 for name in (event.vm, event.runner)
             ):
                 violations.append(
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -7,6 +7,7 @@
 import enum
 import pathlib
 import time
+import typing
 
 
 class Kind(enum.Enum):
@@ -24,6 +25,17 @@
     ASKED_REST = "asked_rest"
     #: A VM was sent a response that says that the runner leaves.
     TOLD_LEAVING = "told_leaving"
+    #: The runner begins to say that it is fragile; the value is the calls a
+    #: second that it can reject.
+    SAYS_FRAGILE = "says_fragile"
+    #: A VM was sent a response that says so.
+    TOLD_FRAGILE = "told_fragile"
+    #: A call of a VM is rejected for want of room.
+    REJECTED = "rejected"
+    #: The runner falls over, as it had to reject too many calls.
+    FELL = "fell"
+    #: It takes connections again.
+    GOT_UP = "got_up"
     #: A call of a VM begins to run; the value is the call's id.
     BEGAN = "began"
     #: It runs no more, finished or not.
@@ -35,8 +47,8 @@
 
     :param at: when it happened, on the machine's monotonic clock.
     :param vm: the VM concerned; "-" for none.
-    :param value: the limit in calls a second, the rest in seconds or the id
-        of a call; "-" for none.
+    :param value: the limit or the rejections that the runner stands, in calls
+        a second, the rest in seconds or the id of a call; "-" for none.
     """
 
     __slots__ = ("at", "runner", "kind", "vm", "value")
@@ -91,3 +103,16 @@
         self.name = name
         self.since = since
         self.until = until
+
+
+def is_disturbed(
+    name: str,
+    since: float,
+    until: float,
+    disturbances: typing.Iterable[Disturbance],
+) -> bool:
+    """Whether a VM or runner was disturbed at any time of a period."""
+    return any(
+        each.name == name and each.since <= until and since <= each.until
+        for each in disturbances
+    )
--- a/tests/soak/proxy.feature
+++ b/tests/soak/proxy.feature
@@ -23,3 +23,11 @@
     Then a new connection is refused
     When the cut ends
     Then a new connection echoes
+
+  Scenario: Nothing listens at the target for a time
+    Given a proxy with an open connection to an echo server
+    When the target goes down
+    Then a new connection is refused
+    And a message on the open connection is reset
+    When the target is up again
+    Then a new connection echoes
--- a/tests/steps/soak_proxy.py
+++ b/tests/steps/soak_proxy.py
@@ -115,6 +115,16 @@
     context.world.call(context.world.proxy.heal)
 
 
+@when("the target goes down")
+def _go_down(context):
+    context.world.call(context.world.proxy.set_down, True)
+
+
+@when("the target is up again")
+def _come_up(context):
+    context.world.call(context.world.proxy.set_down, False)
+
+
 @then("a new connection {outcome}")
 def _check_new(context, outcome):
     found = _outcome(context.world, context.world.connect_and_echo())
