Let the engine stand-in fall over when it is fragile

Tests of the daemon had no engine that falls over by rejecting too much. With the fault fragile_rejections_per_s and a bounded queue, one rejection more in a second drops all connections, and those of the next 2 s. Its sequences go on until their linger time ends, as a client that left would see it; a real fall would lose them.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,7 +3,6 @@
 ``python -m standins.engine --port 0``
 """
 
-import argparse
 import collections
 import itertools
 import os
@@ -14,7 +13,9 @@
 
 from . import _batch_scheduler
 from . import _deterministic_tokens
+from . import _engine_options
 from . import _engine_responses
+from . import _fragility
 from . import _http
 from . import _journal
 from . import _prefix_cache
@@ -24,19 +25,6 @@
 
 DEFAULT_MAX_TOKENS = 16
 READER_WAIT_S = 1.0
-DEFAULT_FAULTS: dict[str, typing.Any] = {
-    "crash_on": "",
-    "crash_after_tokens": 0,
-    "slow": 1.0,
-    "load_lag_s": 0.5,
-    "events_lag_s": 0.5,
-    "event_gap": 0.0,
-    "fencing": True,
-    "load_s": 0.0,
-    "export_delay_s": 0.0,
-    "export_fails": False,
-    "import_fails": False,
-}
 
 
 class Engine(_http.StandIn):
@@ -48,7 +36,7 @@
     :param models: the models loaded at the start, each as ``NAME:VERSION``.
     :param strict: whether requests for a model that is not loaded are refused.
     :param queue_limit: maximum number of waiting sequences; 0 for no limit.
-    :param faults: defaults of faults that differ from ``DEFAULT_FAULTS``.
+    :param faults: defaults of faults that differ from the usual ones.
     """
 
     def __init__(
@@ -61,7 +49,7 @@
         queue_limit: int = 0,
         faults: dict[str, typing.Any] | None = None,
     ) -> None:
-        super().__init__({**DEFAULT_FAULTS, **(faults or {})})
+        super().__init__({**_engine_options.DEFAULT_FAULTS, **(faults or {})})
         self._cache = _prefix_cache.PrefixCache(
             blocks, lambda: self.faults["event_gap"]
         )
@@ -80,6 +68,9 @@
         self._request_numbers = itertools.count(1)
         self._counts: collections.Counter[str] = collections.Counter()
         self._silence_calls = 0
+        self._fragility = _fragility.Fragility(
+            lambda: self.faults["fragile_rejections_per_s"]
+        )
         self._lock = threading.Lock()
         self._scheduler.start()
 
@@ -98,6 +89,10 @@
         self._scheduler.clear_counts()
         self._counts.clear()
 
+    def before_dispatch(self, request: _http.Request) -> None:
+        """Drop the connection while the engine has fallen over."""
+        self._fragility.check()
+
     def close(self) -> None:
         """Stop the scheduler."""
         self._scheduler.close()
@@ -235,6 +230,7 @@
             self._queue_limit
             and self._scheduler.waiting_count >= self._queue_limit
         ):
+            self._fragility.reject()
             return _http.Response(
                 503, {"error": "queue_full"}, [("Retry-After", "1")]
             )
@@ -303,6 +299,7 @@
         self, request: _http.Request, sequence: _sequence.Sequence, start: int
     ) -> typing.Iterator[bytes]:
         silence_calls_at_start = self._silence_calls
+        falls_at_start = self._fragility.falls
         before, after = _engine_responses.token_event_parts(sequence.request)
         index = start
         sequence.add_reader()
@@ -311,6 +308,7 @@
                 final_state = sequence.final_state()
                 tokens = sequence.wait_for_tokens(index, READER_WAIT_S)
                 self._wait_if_silenced(request, silence_calls_at_start)
+                self._fragility.check(falls_at_start)
                 if tokens:
                     yield "".join(
                         f"id: {at}\n{before}{token}{after}"
@@ -336,10 +334,12 @@
         self, request: _http.Request, sequence: _sequence.Sequence
     ) -> _http.Response:
         silence_calls_at_start = self._silence_calls
+        falls_at_start = self._fragility.falls
         sequence.add_reader()
         try:
             while sequence.final_state() is None:
                 sequence.wait_for_tokens(len(sequence.tokens), READER_WAIT_S)
+                self._fragility.check(falls_at_start)
                 if request.disconnected():
                     _http.drop_connection()
         finally:
@@ -363,48 +363,14 @@
     return {"model": model, "version": version, "adapters": []}
 
 
-def _argument_parser() -> argparse.ArgumentParser:
-    parser = _server.argument_parser("model engine stand-in")
-    parser.add_argument("--slots", type=int, default=16)
-    parser.add_argument("--step-ms", type=float, default=15.0)
-    parser.add_argument("--step-ms-per-sequence", type=float, default=0.3)
-    parser.add_argument("--prefill-us-per-token", type=float, default=100.0)
-    parser.add_argument("--prefill-chunk-tokens", type=int, default=256)
-    parser.add_argument("--linger-s", type=float, default=10.0)
-    parser.add_argument("--blocks", type=int, default=4096)
-    parser.add_argument("--queue-limit", type=int, default=0)
-    parser.add_argument("--load-lag-s", type=float, default=0.5)
-    parser.add_argument("--events-lag-s", type=float, default=0.5)
-    parser.add_argument("--event-gap", type=float, default=0.0)
-    parser.add_argument("--fencing", choices=("on", "off"), default="on")
-    parser.add_argument("--load-s", type=float, default=0.0)
-    parser.add_argument("--models", default="", metavar="NAME:VERSION,...")
-    parser.add_argument("--strict-models", action="store_true")
-    parser.add_argument("--journal", default="", metavar="FILE")
-    return parser
-
-
-def _scheduler_config(
-    options: argparse.Namespace,
-) -> _batch_scheduler.SchedulerConfig:
-    return _batch_scheduler.SchedulerConfig(
-        options.slots,
-        options.step_ms / 1e3,
-        options.step_ms_per_sequence / 1e3,
-        options.prefill_us_per_token / 1e6,
-        options.prefill_chunk_tokens,
-        options.linger_s,
-    )
-
-
 def main(arguments: list[str]) -> int:
     """Serve one engine stand-in until killed.
 
     :param arguments: the command line without the program name.
     """
-    options = _argument_parser().parse_args(arguments)
+    options = _engine_options.argument_parser().parse_args(arguments)
     engine = Engine(
-        _scheduler_config(options),
+        _engine_options.scheduler_config(options),
         options.blocks,
         _journal.Journal(options.journal),
         tuple(name for name in options.models.split(",") if name),
--- a/tests/standins/engine.feature
+++ b/tests/standins/engine.feature
@@ -92,3 +92,11 @@
     When an open stream is silenced after 3 tokens
     Then the silenced stream sends nothing more
     And a new stream of the engine stand-in is complete
+
+  Scenario: A fragile engine falls over when it rejects too many requests
+    The engine runs one request, another one waits, and it stands 1 rejection
+    a second.
+    Given a full engine stand-in that is fragile
+    When 2 more requests are sent to the engine stand-in
+    Then it rejects the first with 503 and drops all other connections
+    And the engine stand-in takes requests again after its fall
--- a/tests/steps/standins_engine.py
+++ b/tests/steps/standins_engine.py
@@ -22,14 +22,16 @@
 READ_TIMEOUT_S = 0.3
 
 
-def _start_engine(context, linger_s=10.0, slots=16, blocks=4096):
+def _start_engine(
+    context, linger_s=10.0, slots=16, blocks=4096, queue_limit=0
+):
     scheduler_config = _batch_scheduler.SchedulerConfig(
         slots=slots,
         step_s=STEP_S,
         prefill_s_per_token=0.0,
         linger_s=linger_s,
     )
-    standin = engine.Engine(scheduler_config, blocks)
+    standin = engine.Engine(scheduler_config, blocks, queue_limit=queue_limit)
     context.closers.append(standin.close)
     context.engines.append(standin)
     context.addresses.append(
@@ -408,3 +410,65 @@
         context, engine_client.body(6), engine_client.headers("r.new")
     )
     assert not context.answer.problem, context.answer.problem
+
+
+@given("a full engine stand-in that is fragile")
+def _start_fragile_engine(context):
+    context.engines, context.addresses = [], []
+    _start_engine(context, slots=1, queue_limit=1)
+    context.engines[0].faults.set(
+        {"fragile_rejections_per_s": 1, "load_lag_s": 0.0}
+    )
+    context.streams = [_send_request(context, "r.1", 5)]
+    fleet.wait_for(lambda: _load(context)["running"] == 1)
+    context.streams.append(_send_request(context, "r.2", 5))
+
+
+def _load(context):
+    address = context.addresses[0]
+    return engine_client.call(address, "GET", "/v1/load").payload
+
+
+@when("2 more requests are sent to the engine stand-in")
+def _send_two_more(context):
+    for number in (3, 4):
+        connection = http.client.HTTPConnection(context.addresses[0])
+        connection.request(
+            "POST",
+            "/v1/completions",
+            json.dumps(engine_client.body(8)).encode(),
+            engine_client.headers(f"r.{number}"),
+        )
+        context.streams.append(connection)
+        if number == 3:
+            context.status = connection.getresponse().status
+
+
+def _is_dropped(connection):
+    try:
+        text = connection.getresponse().read()
+    except (http.client.HTTPException, ConnectionError):
+        return True
+    return b"[DONE]" not in text
+
+
+@then("it rejects the first with 503 and drops all other connections")
+def _check_dropped(context):
+    assert context.status == 503, context.status
+    running, waiting, _, last = context.streams
+    assert all(map(_is_dropped, (running, waiting, last)))
+    late = http.client.HTTPConnection(context.addresses[0])
+    late.request("GET", "/v1/load")
+    assert _is_dropped(late)
+
+
+@then("the engine stand-in takes requests again after its fall")
+def _check_up(context):
+    def is_up():
+        try:
+            reply = engine_client.call(context.addresses[0], "GET", "/v1/load")
+        except (http.client.HTTPException, ConnectionError):
+            return False
+        return reply.status == 200
+
+    fleet.wait_for(is_up)
