Let a runner that is restarted say again that it is fragile

A restart ended the fragile time of a runner in the soak, so no VM met one that had forgotten all and is still fragile. It is ordered again for the rest of that time. The proxies are told only of changes, as the loop of a runner that has ended would open those of another one at its address.

--- a/soak/fragile_times.py
+++ b/soak/fragile_times.py
@@ -148,43 +148,50 @@
         """
         service = rng.choice(fleet.SERVICES)
         duration_s = duration_s or rng.uniform(*DURATION_S)
-        headers = _headers(rng, duration_s)
+        headers = _headers(rng)
         present = [r for r in self._fleet.runners if r.service == service]
         if service in self._busy or not present:
             return
         runners = CHOICES[name](present, rng)
         self._busy.add(service)
         since = time.monotonic()
-        await asyncio.gather(*(self._fleet.say(r, headers) for r in runners))
-        until = time.monotonic() + duration_s
-        await asyncio.gather(*(_follow_falls(r, until) for r in runners))
+        until = since + duration_s
+        await asyncio.gather(
+            *(self._keep_fragile(r, headers, until) for r in runners)
+        )
         self._busy.remove(service)
         names = [runner.name for runner in runners]
         self.times.append(
             FragileTime(service, names, len(present), since, until)
         )
 
+    async def _keep_fragile(
+        self, runner: fleet.RunnerProcess, headers: str, until: float
+    ) -> None:
+        """Let a runner be fragile, also after it was restarted.
 
-def _headers(rng: random.Random, duration_s: float) -> str:
+        Its proxies refuse connections while it has fallen over, as nothing
+        listens at it then. A runner whose process has ended, and whose address
+        another one may have, is left to the fault that ended it.
+        """
+        born, down = None, False
+        while down or time.monotonic() < until + fragility.FALL_S:
+            for_s = until - time.monotonic()
+            if runner.born != born and for_s > 0.0:
+                born = runner.born
+                await self._fleet.say(runner, f"{headers}For-S: {for_s}\r\n")
+            await asyncio.sleep(child_process.POLL_INTERVAL_S)
+            was_down = down
+            down = runner.process.is_running and not loopback.is_listening(
+                runner.link.target
+            )
+            if down != was_down:
+                runner.link.set_down(down)
+
+
+def _headers(rng: random.Random) -> str:
     return (
         f"Fragile-Rejections-Per-S: {rng.choice(REJECTIONS_PER_S)}\r\n"
         f"Later-Room: {rng.choice(LATER_ROOMS)}\r\n"
         f"After-Fall: {rng.choice(AFTER_FALL)}\r\n"
-        f"For-S: {duration_s}\r\n"
     )
-
-
-async def _follow_falls(runner: fleet.RunnerProcess, until: float) -> None:
-    """Refuse connections for a runner while it has fallen over.
-
-    Its proxies would accept them. A runner whose process has ended is left to
-    the fault that ended it.
-    """
-    until += fragility.FALL_S
-    down = False
-    while down or time.monotonic() < until:
-        await asyncio.sleep(child_process.POLL_INTERVAL_S)
-        down = runner.process.is_running and not loopback.is_listening(
-            runner.link.target
-        )
-        runner.link.set_down(down)
