Tell crash list, outliers and speeds which runners are fragile

The readings of serving/fragile_runners are the source now. PastFragility (was runners/fragile_runners, a name that serving/ has, too) remembers them for the seconds after a fall. The steps of call_observations set what the VM knows at its readings, so that they test the wiring as well.

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -21,7 +21,7 @@
 from . import crash_records
 from . import crash_trials
 from . import crashes
-from . import fragile_runners
+from . import past_fragility
 from . import quarantine
 from . import recent_answers
 
@@ -82,7 +82,7 @@
         self,
         clock: clocks.Clock,
         vm: str,
-        is_fragile: fragile_runners.IsFragile = fragile_runners.never_fragile,
+        is_fragile: past_fragility.IsFragile = past_fragility.never_fragile,
     ) -> None:
         self._clock = clock
         self._vm = vm
--- a/src/apricotlever/runners/local_fragility.py
+++ b/src/apricotlever/runners/local_fragility.py
@@ -61,6 +61,10 @@
         )
         return {name: room for name, room in rooms if room is not None}
 
+    def is_fragile(self, runner: str) -> bool:
+        """Whether a runner is fragile, as far as this VM knows."""
+        return self._stated.reading(runner) is not None
+
     def room_in_s(self, runner: str) -> float:
         """Seconds until a runner may have room for a call of this VM."""
         return self._full.room_in_s(runner)
--- a/src/apricotlever/runners/fragile_runners.py
+++ b/src/apricotlever/runners/past_fragility.py
@@ -22,7 +22,7 @@
     return False
 
 
-class FragileRunners:
+class PastFragility:
     """The runners that are fragile, or were a few seconds ago.
 
     :param is_fragile: tells whether a runner has said that it is fragile.
--- a/src/apricotlever/serving/call_observations.py
+++ b/src/apricotlever/serving/call_observations.py
@@ -11,9 +11,9 @@
 from .. import clock as clocks
 from .. import logs
 from ..roll_outs import controller as roll_outs_controller
-from ..runners import fragile_runners
 from ..runners import model as models
 from ..runners import outlier_detector
+from ..runners import past_fragility
 from ..runners import routing
 from ..runners import silence_detector
 from ..runners import vouched_counts
@@ -72,7 +72,7 @@
         roll_outs: roll_outs_controller.RollOutController,
         part_modes: modes.PartModes,
         reach: reach_monitor.ReachMonitor,
-        fragile: fragile_runners.FragileRunners,
+        fragile: past_fragility.PastFragility,
         news: typing.Callable[[], None],
     ) -> None:
         self._news = news
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -12,7 +12,7 @@
 from .. import logs
 from ..runners import crash_blocklist
 from ..runners import crash_records
-from ..runners import fragile_runners
+from ..runners import past_fragility
 from ..runners import quarantine
 
 from . import client_channel
@@ -48,7 +48,7 @@
         self,
         clock: clocks.Clock,
         vm: str,
-        is_fragile: fragile_runners.IsFragile = fragile_runners.never_fragile,
+        is_fragile: past_fragility.IsFragile = past_fragility.never_fragile,
     ) -> None:
         self._clock = clock
         self._blocklist = crash_blocklist.CrashBlocklist(clock, vm, is_fragile)
--- a/src/apricotlever/serving/performance_meters.py
+++ b/src/apricotlever/serving/performance_meters.py
@@ -4,8 +4,8 @@
 
 from .. import clock as clocks
 from .. import logs
-from ..runners import fragile_runners
 from ..runners import latency_sums
+from ..runners import past_fragility
 from ..runners import performance as performances
 from ..runners import performance_samples
 from ..runners import slowness_changes
@@ -95,7 +95,7 @@
         self,
         clock: clocks.Clock,
         mode: modes.Mode,
-        is_fragile: fragile_runners.IsFragile = fragile_runners.never_fragile,
+        is_fragile: past_fragility.IsFragile = past_fragility.never_fragile,
     ) -> None:
         self._clock = clock
         self._is_fragile = is_fragile
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -11,9 +11,9 @@
 from ..data_centres import prompt_sizes
 from ..roll_outs import controller as roll_outs_controller
 from ..roll_outs import model as roll_outs_model
-from ..runners import fragile_runners
 from ..runners import model as models
 from ..runners import outlier_detector
+from ..runners import past_fragility
 from ..runners import reachability
 from ..runners import routing
 from ..vms import peer_loads
@@ -66,7 +66,7 @@
         "_configuration",
         "_crashes",
         "_directory",
-        "_fragile",
+        "_fragility",
         "_limits",
         "_modes",
         "_observations",
@@ -101,9 +101,18 @@
             clock, rng, roll_outs_model.RollOutLimits()
         )
         self._directory = directory
-        self._fragile = fragile_runners.FragileRunners(clock)
+        self._limits = runner_limits.RunnerLimits(
+            clock,
+            rng,
+            vm,
+            process,
+            lambda runner: self.in_flight_at((runner,)),
+        )
+        self._fragility = past_fragility.PastFragility(
+            clock, self._limits.fragile.local.is_fragile
+        )
         self._performance = performance_meters.PerformanceMeters(
-            clock, self._modes.performance, self._fragile.was_fragile
+            clock, self._modes.performance, self._fragility.was_fragile
         )
         learned = self._performance.for_routing
         self._router = routing.Router(
@@ -128,24 +137,17 @@
             self._roll_outs,
             self._modes,
             self._reach_monitor,
-            self._fragile,
+            self._fragility,
             news or (lambda: None),
         )
         self._crashes = crash_watch.CrashWatch(
-            clock, vm, self._fragile.was_fragile
+            clock, vm, self._fragility.was_fragile
         )
         self._reports = runner_reports.RunnerReports(
             self.reach, self._observations, self._crashes
         )
         self._pools = runner_pools.RunnerPools()
         self._configuration: configuration_model.Configuration | None = None
-        self._limits = runner_limits.RunnerLimits(
-            clock,
-            rng,
-            vm,
-            process,
-            lambda runner: self.in_flight_at((runner,)),
-        )
         self._statements = runner_statements.RunnerStatements(
             clock, self._limits
         )
@@ -562,7 +564,7 @@
         :param now: on the event loop's clock, in seconds.
         """
         self._pools.close_idle(now)
-        self._fragile.tick()
+        self._fragility.tick()
         self._crashes.tick()
         self._reports.update()
         self._performance.log_changes()
--- a/tests/steps/runners_crash_blocklist.py
+++ b/tests/steps/runners_crash_blocklist.py
@@ -8,7 +8,7 @@
 
 from apricotlever import clock as clocks
 from apricotlever.runners import crash_blocklist
-from apricotlever.runners import fragile_runners
+from apricotlever.runners import past_fragility
 from apricotlever.runners import recent_answers
 
 VMS = 4
@@ -158,7 +158,7 @@
         context.vm.connection_broken("r1", name)
 
 
-def _make_vm(context, name, is_fragile=fragile_runners.never_fragile):
+def _make_vm(context, name, is_fragile=past_fragility.never_fragile):
     made = crash_blocklist.CrashBlocklist(context.clock, name, is_fragile)
     made.set_sizes({DATA_CENTRE: 4})
     return made
--- a/tests/steps/runners_fragile_runners.py
+++ b/tests/steps/runners_past_fragility.py
@@ -1,11 +1,11 @@
-"""Steps for tests/runners/fragile_runners.feature."""
+"""Steps for tests/runners/past_fragility.feature."""
 
 from behave import given
 from behave import then
 from behave import when
 
 from apricotlever import clock as clocks
-from apricotlever.runners import fragile_runners
+from apricotlever.runners import past_fragility
 
 TICK_S = 0.2
 
@@ -14,7 +14,7 @@
 def _runner(context, says):
     context.fragile = {"r1"} if says == "is fragile" else set()
     context.clock = clocks.ManualClock()
-    context.memory = fragile_runners.FragileRunners(
+    context.memory = past_fragility.PastFragility(
         context.clock, lambda runner: runner in context.fragile
     )
     assert context.memory.was_fragile("r1") == bool(context.fragile)
--- a/tests/steps/serving_call_observations.py
+++ b/tests/steps/serving_call_observations.py
@@ -7,7 +7,7 @@
 from behave import when
 
 from apricotlever import clock as clocks
-from apricotlever.runners import fragile_runners
+from apricotlever.runners import local_fragility
 from apricotlever.runners import performance as performances
 from apricotlever.serving import modes
 from apricotlever.serving import performance_meters
@@ -21,11 +21,10 @@
 @given("a VM that knows that runner 1 {is_fragile}")
 def _knows_fragile(context, is_fragile):
     fragile = {"runner-1"} if is_fragile == "is fragile" else set()
-    make = fragile_runners.FragileRunners
     patch = mock.patch.object(
-        fragile_runners,
-        "FragileRunners",
-        lambda clock: make(clock, lambda runner: runner in fragile),
+        local_fragility.LocalFragility,
+        "is_fragile",
+        lambda self, runner: runner in fragile,
     )
     patch.start()
     context.closers.append(patch.stop)
