Let the soak's runners use the header that the dialect reads

The soak and the dialect had chosen two names, so that the VMs never learned that a runner is fragile.

--- a/soak/fragile_times.py
+++ b/soak/fragile_times.py
@@ -191,7 +191,7 @@
 
 def _headers(rng: random.Random) -> str:
     return (
-        f"Fragile-Rejections-Per-S: {rng.choice(REJECTIONS_PER_S)}\r\n"
+        f"Rejections-Per-S: {rng.choice(REJECTIONS_PER_S)}\r\n"
         f"Later-Room: {rng.choice(LATER_ROOMS)}\r\n"
         f"After-Fall: {rng.choice(AFTER_FALL)}\r\n"
     )
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -5,7 +5,7 @@
 A request for the path ``/say`` sets what the runner says of itself from then
 on: the limit in its header Limit-Per-S, the rest for which it asks the VMs of
 every second call in Rest-S, or that it leaves in Leaving. Without a header it
-says nothing of the kind. Apart from that, Fragile-Rejections-Per-S makes it
+says nothing of the kind. Apart from that, Rejections-Per-S makes it
 fragile for as long as For-S says: it names that number in all responses, takes
 Later-Room calls at a time later on, and falls over as it must reject more.
 
@@ -246,7 +246,7 @@
         if fragile is None:
             return []
         fragile.tell(time.monotonic())
-        return [f"Fragile-Rejections-Per-S: {fragile.rejections_per_s}"]
+        return [f"Rejections-Per-S: {fragile.rejections_per_s}"]
 
 
 async def _read_request(reader: asyncio.StreamReader) -> tuple[str, Headers]:
--- a/tests/steps/soak_fragile.py
+++ b/tests/steps/soak_fragile.py
@@ -244,7 +244,7 @@
 async def _send_two(world):
     reader, writer = await world.send(
         "/say",
-        "Fragile-Rejections-Per-S: 0",
+        "Rejections-Per-S: 0",
         "Later-Room: 1",
         "After-Fall: fragile",
         "For-S: 60",
@@ -253,7 +253,7 @@
     writer.close()
     first = await world.call("long-1")
     head = await first[0].readuntil(b"\r\n\r\n")
-    assert b"Fragile-Rejections-Per-S: 0" in head, head
+    assert b"Rejections-Per-S: 0" in head, head
     return [first, await world.call("c-2")]
 
 
