--- a/bench/_brittle_fleet.py
+++ b/bench/_brittle_fleet.py
@@ -1,17 +1,15 @@
 """A simulated fleet whose calls go to runners that fall over.
 
-A fragile runner has no queue and counts the calls that it must reject. One too
-many in a second, and it falls over: its calls break, and for some seconds it
-takes none. VMs exchange messages and status records on a manual clock.
+VMs exchange messages and status records on a manual clock.
 """
 
-import collections
 import heapq
 import itertools
 import random
 import typing
 
 from apricotlever import clock as clocks
+from bench import _brittle_runner
 
 #: How long messages, calls and responses are on the way, in seconds.
 DELAY_S = (0.0002, 0.0009)
@@ -38,185 +36,16 @@
 Handler = typing.Callable[[], None]
 
 
-class Kind:
-    """What calls are like, in seconds.
-
-    :param call_s: shortest and longest duration.
-    :param objective_s: until a call should be taken.
-    :param timeout_s: until a call ends at the latest.
-    :param span_s: length of a simulation.
-    """
-
-    __slots__ = ("call_s", "objective_s", "timeout_s", "span_s")
-
-    def __init__(
-        self,
-        call_s: tuple[float, float],
-        objective_s: float,
-        timeout_s: float,
-        span_s: float,
-    ) -> None:
-        self.call_s = call_s
-        self.objective_s = objective_s
-        self.timeout_s = timeout_s
-        self.span_s = span_s
-
-
-KINDS = {
-    "short": Kind((0.04, 0.06), 0.25, 0.8, 6.0),
-    "medium": Kind((0.1, 0.3), 0.75, 3.0, 9.0),
-    "stream": Kind((2.0, 5.0), 1.0, 10.0, 24.0),
-}
-#: When runners begin to be fragile and counting begins, and when troubles
-#: begin and end, as parts of the span.
-FRAGILE_FROM, TROUBLE_FROM, TROUBLE_TO = 0.2, 0.4, 0.75
-TROUBLES = (
-    "none",
-    "burst",
-    "hot",
-    "halved",
-    "neighbour",
-    "one_fragile",
-    "late_records",
-    "late_ends",
-    "cut",
-    "keeper_gone",
-    "lossy",
-)
-
-
-class Case:
-    """What is simulated.
-
-    :param bears: rejections in a second that a runner bears.
-    :param use: calls as a part of what the runners can take.
-    :param is_fragile: whether the runners are fragile at all.
-    """
-
-    __slots__ = (
-        "vms",
-        "runners",
-        "slots",
-        "bears",
-        "kind",
-        "use",
-        "trouble",
-        "seed",
-        "is_fragile",
-    )
-
-    def __init__(
-        self,
-        vms: int,
-        runners: int,
-        slots: int,
-        bears: int,
-        kind: str,
-        use: float,
-        trouble: str,
-        seed: int,
-        is_fragile: bool = True,
-    ) -> None:
-        self.vms = vms
-        self.runners = runners
-        self.slots = slots
-        self.bears = bears
-        self.kind = kind
-        self.use = use
-        self.trouble = trouble
-        self.seed = seed
-        self.is_fragile = is_fragile
-
-
-class Call:
-    """A call and what became of it."""
-
-    __slots__ = (
-        "number",
-        "vm",
-        "arrived_at",
-        "started_at",
-        "duration_s",
-        "attempts",
-        "tried",
-        "state",
-    )
-
-    def __init__(
-        self, number: int, vm: int, arrived_at: float, duration_s: float
-    ) -> None:
-        self.number = number
-        self.vm = vm
-        self.arrived_at = self.started_at = arrived_at
-        self.duration_s = duration_s
-        self.attempts = 0
-        self.tried: set[int] = set()
-        #: What the way of sending needs to remember.
-        self.state: typing.Any = None
-
-
-class Runner:
-    """A runner that may fall over."""
-
-    __slots__ = (
-        "number",
-        "room",
-        "queue",
-        "queue_size",
-        "running",
-        "bears",
-        "down_until",
-        "_rejected",
-        "falls",
-    )
-
-    def __init__(self, number: int, slots: int) -> None:
-        self.number = number
-        self.room = self.queue_size = slots
-        self.queue: collections.deque[Call] = collections.deque()
-        self.running: dict[int, Call] = {}
-        #: Rejections in a second that it bears; None while it isn't fragile.
-        self.bears: int | None = None
-        self.down_until = 0.0
-        self._rejected: collections.deque[tuple[float, bool]] = (
-            collections.deque()
-        )
-        self.falls = 0
-
-    def reject(self, now: float, is_cut: bool) -> bool:
-        """Count a rejection; return whether the runner falls over by it."""
-        if self.bears is None:
-            return False
-        rejected = self._rejected
-        rejected.append((now, is_cut))
-        while rejected[0][0] <= now - 1.0:
-            rejected.popleft()
-        if len(rejected) <= self.bears:
-            return False
-        if 2 * sum(cut for _, cut in rejected) <= len(rejected):
-            self.falls += 1
-        rejected.clear()
-        return True
-
-
-class Way(typing.Protocol):
-    """A way to send calls."""
-
-    def place(self, call: Call) -> None:
-        """Send the call to a runner or refuse it, now or later."""
-
-    def ended(self, call: Call, runner: int, rejected: bool) -> None:
-        """Process the end of a call at its runner, as seen by its VM."""
-
-
 class Fleet:
     """A fleet that sends calls in one of the ways."""
 
     def __init__(
-        self, case: Case, create_way: typing.Callable[["Fleet"], Way]
+        self,
+        case: _brittle_runner.Case,
+        create_way: typing.Callable[["Fleet"], _brittle_runner.Way],
     ) -> None:
         self.case = case
-        self.kind = KINDS[case.kind]
+        self.kind = _brittle_runner.KINDS[case.kind]
         self.clock = clocks.ManualClock(0.0)
         self.rng = random.Random(case.seed)
         #: A source of the calls, which are the same for all ways.
@@ -224,7 +53,9 @@
         self._queue: list[tuple[float, int, Handler]] = []
         self._numbers = itertools.count()
         self._call_numbers = itertools.count()
-        self.runners = [Runner(n, case.slots) for n in range(case.runners)]
+        self.runners = [
+            _brittle_runner.Runner(n, case.slots) for n in range(case.runners)
+        ]
         self.messages = self.arrived = self.in_time = 0
         self.refused = self.refused_with_room = 0
         vms = range(case.vms)
@@ -258,9 +89,13 @@
     def run(self) -> None:
         """Run the fleet."""
         span_s = self.kind.span_s
-        self.after(FRAGILE_FROM * span_s, self._become_fragile)
-        self.after(TROUBLE_FROM * span_s, lambda: self._trouble(True))
-        self.after(TROUBLE_TO * span_s, lambda: self._trouble(False))
+        self.after(_brittle_runner.FRAGILE_FROM * span_s, self._become_fragile)
+        self.after(
+            _brittle_runner.TROUBLE_FROM * span_s, lambda: self._trouble(True)
+        )
+        self.after(
+            _brittle_runner.TROUBLE_TO * span_s, lambda: self._trouble(False)
+        )
         self._arrive()
         queue, clock = self._queue, self.clock
         while queue[0][0] <= span_s:
@@ -334,7 +169,7 @@
             return self._sums[self._is_in_cut(vm)][runner]
         return self._sums[0][runner] + self._sums[1][runner]
 
-    def usable(self, call: Call) -> list[int]:
+    def usable(self, call: _brittle_runner.Call) -> list[int]:
         """The runners that a call may be sent to."""
         now, down = self.clock.now(), self.down[call.vm]
         return [
@@ -343,7 +178,7 @@
             if n not in call.tried and down.get(n, 0.0) <= now
         ]
 
-    def send_call(self, call: Call, number: int) -> None:
+    def send_call(self, call: _brittle_runner.Call, number: int) -> None:
         """Send a call to a runner."""
         call.attempts += 1
         call.tried.add(number)
@@ -354,7 +189,7 @@
         runner = self.runners[number]
         self.after(delay_s, lambda: self._receive(call, runner))
 
-    def refuse(self, call: Call) -> None:
+    def refuse(self, call: _brittle_runner.Call) -> None:
         """Refuse a call for good."""
         if not self._counts(call):
             return
@@ -379,12 +214,16 @@
         if self.case.trouble != trouble:
             return False
         since = self.clock.now() / self.kind.span_s
-        return TROUBLE_FROM <= since < TROUBLE_TO
+        return (
+            _brittle_runner.TROUBLE_FROM <= since < _brittle_runner.TROUBLE_TO
+        )
 
-    def _counts(self, call: Call) -> bool:
-        return call.arrived_at >= FRAGILE_FROM * self.kind.span_s
+    def _counts(self, call: _brittle_runner.Call) -> bool:
+        return (
+            call.arrived_at >= _brittle_runner.FRAGILE_FROM * self.kind.span_s
+        )
 
-    def _is_in_time(self, call: Call) -> bool:
+    def _is_in_time(self, call: _brittle_runner.Call) -> bool:
         waited_s = call.started_at - call.arrived_at
         return self._counts(call) and waited_s <= self.kind.objective_s
 
@@ -398,7 +237,9 @@
                 while runner.queue:
                     self._respond(runner.queue.popleft(), runner, "broken")
 
-    def _receive(self, call: Call, runner: Runner) -> None:
+    def _receive(
+        self, call: _brittle_runner.Call, runner: _brittle_runner.Runner
+    ) -> None:
         now = self.clock.now()
         if runner.down_until > now:
             self._respond(call, runner, "broken")
@@ -411,7 +252,9 @@
             if runner.reject(now, self.is_cut and self._is_in_cut(call.vm)):
                 self._fall(runner)
 
-    def _start(self, call: Call, runner: Runner) -> None:
+    def _start(
+        self, call: _brittle_runner.Call, runner: _brittle_runner.Runner
+    ) -> None:
         runner.running[call.number] = call
         call.started_at = self.clock.now()
 
@@ -426,7 +269,7 @@
         self.in_time += self._is_in_time(call)
         self.after(call.duration_s, finish)
 
-    def _fall(self, runner: Runner) -> None:
+    def _fall(self, runner: _brittle_runner.Runner) -> None:
         runner.down_until = self.clock.now() + FALL_S
         broken = [*runner.running.values(), *runner.queue]
         self.in_time -= sum(map(self._is_in_time, runner.running.values()))
@@ -435,13 +278,20 @@
         for call in broken:
             self._respond(call, runner, "broken")
 
-    def _respond(self, call: Call, runner: Runner, outcome: str) -> None:
+    def _respond(
+        self,
+        call: _brittle_runner.Call,
+        runner: _brittle_runner.Runner,
+        outcome: str,
+    ) -> None:
         delay_s = self.rng.uniform(*DELAY_S)
         self.after(delay_s, lambda: self._end(call, runner.number, outcome))
 
     # The VMs.
 
-    def _end(self, call: Call, number: int, outcome: str) -> None:
+    def _end(
+        self, call: _brittle_runner.Call, number: int, outcome: str
+    ) -> None:
         vm = call.vm
         self._count_in_flight(vm, number, -1)
         if vm in self.ended_vms:
@@ -467,7 +317,9 @@
         wait_s = rng.expovariate(1.0)
         if vm not in self.ended_vms:
             now = self.clock.now()
-            call = Call(next(self._call_numbers), vm, now, duration_s)
+            call = _brittle_runner.Call(
+                next(self._call_numbers), vm, now, duration_s
+            )
             self.arrived += self._counts(call)
             self.way.place(call)
         use = 2.0 if self._is_on("burst") else self.case.use
@@ -530,12 +382,12 @@
             restart(vm)
 
 
-def first_keeper(case: Case, runner: int) -> int:
+def first_keeper(case: _brittle_runner.Case, runner: int) -> int:
     """The VM that is the first keeper of a runner."""
     return keeper_order(case, runner)[0]
 
 
-def keeper_order(case: Case, runner: int) -> list[int]:
+def keeper_order(case: _brittle_runner.Case, runner: int) -> list[int]:
     """The VMs that are asked for a runner, the first one first."""
     rng = random.Random(f"{case.seed} keepers {runner}")
     return rng.sample(range(case.vms), min(case.vms, 40))
--- a/bench/brittle_runners.py
+++ b/bench/brittle_runners.py
@@ -6,8 +6,25 @@
 import typing
 
 from bench import _brittle_fleet
+from bench import _brittle_keepers
+from bench import _brittle_queue
+from bench import _brittle_runner
 from bench import _brittle_ways
 
+#: The compared ways.
+WAYS: dict[
+    str, typing.Callable[[_brittle_fleet.Fleet], _brittle_ways.Today]
+] = {
+    "today": _brittle_ways.Today,
+    "two_choices": _brittle_ways.TwoChoices,
+    "stop_at_first": _brittle_ways.StopAtFirst,
+    "equal_parts": _brittle_ways.EqualParts,
+    "permits": _brittle_keepers.Permits,
+    "calls_only": _brittle_keepers.CallsOnly,
+    "strict_keeper": _brittle_keepers.StrictKeeper,
+    "keeper": _brittle_keepers.Keeper,
+    "queueing_keeper": _brittle_queue.QueueingKeeper,
+}
 #: Runners and slots of each, by the name of the service's size.
 SIZES = {"few": (3, 6), "many": (20, 12)}
 #: Loads without a trouble, and the load beside one.
@@ -75,18 +92,18 @@
 ) -> _brittle_fleet.Fleet:
     """Run a fleet for some seconds.
 
-    :param way: a name in ``_brittle_ways.WAYS``.
+    :param way: a name in :data:`WAYS`.
     :param size: a name in :data:`SIZES`.
     :param bears: rejections in a second that a runner bears.
-    :param kind: a name in ``_brittle_fleet.KINDS``.
+    :param kind: a name in ``_brittle_runner.KINDS``.
     :param use: calls as a part of what the runners can take.
-    :param trouble: a name in ``_brittle_fleet.TROUBLES``.
+    :param trouble: a name in ``_brittle_runner.TROUBLES``.
     """
     runners, slots = SIZES[size]
-    case = _brittle_fleet.Case(
+    case = _brittle_runner.Case(
         vms, runners, slots, bears, kind, use, trouble, seed, is_fragile
     )
-    fleet = _brittle_fleet.Fleet(case, _brittle_ways.WAYS[way])
+    fleet = _brittle_fleet.Fleet(case, WAYS[way])
     fleet.run()
     return fleet
 
@@ -145,15 +162,15 @@
     parser.add_argument("--sizes", nargs="+", default=list(SIZES))
     parser.add_argument("--bears", type=int, nargs="+", default=[1, 3, 10])
     parser.add_argument(
-        "--kinds", nargs="+", default=list(_brittle_fleet.KINDS)
+        "--kinds", nargs="+", default=list(_brittle_runner.KINDS)
     )
     parser.add_argument(
-        "--troubles", nargs="+", default=list(_brittle_fleet.TROUBLES)
+        "--troubles", nargs="+", default=list(_brittle_runner.TROUBLES)
     )
     parser.add_argument(
         "--use", type=float, help="the load, instead of those of the table"
     )
-    parser.add_argument("--ways", nargs="+", default=list(_brittle_ways.WAYS))
+    parser.add_argument("--ways", nargs="+", default=list(WAYS))
     options = parser.parse_args(arguments)
     loads = _loads(options.troubles)
     if options.use is not None:
