--- a/tests/runners/fragile_keeper.feature
+++ b/tests/runners/fragile_keeper.feature
@@ -94,6 +94,13 @@
     And the first admitted call ends
     Then the next call is admitted
 
+  Scenario: So does one that is full of calls that are only reported
+    Given a keeper of a runner with 4 slots that bears 10 rejections
+    And status records that report 4 calls at it
+    When it is asked about 1 calls, 30 ms apart
+    And it rejects a call that nobody asked about
+    Then its room is 4
+
   Scenario: A runner that is sound again is forgotten
     Given a keeper of a runner with 4 slots that bears 3 rejections
     When it is asked about 30 calls, 30 ms apart
--- a/tests/steps/runners_fragile_keeper.py
+++ b/tests/steps/runners_fragile_keeper.py
@@ -319,6 +319,12 @@
     assert most == count, most
 
 
+@then("its room is {count:d}")
+def _check_room(context, count):
+    room = context.runner.keeper.room(RUNNER)
+    assert room == count, room
+
+
 @then("no room is known")
 def _check_forgotten(context):
     assert context.runner.keeper.room(RUNNER) is None
