Keep the room of a runner that is full of reported calls

A keeper that had just begun sent a full runner one call at a time after the rejection of a call that nobody was asked about: it took its own calls, none, for all that the runner had, and the rejection for a surprise. It now counts the reported ones as it does before it admits a call. The number of running calls of a runner can be read, for the gauge.

--- a/src/apricotlever/runners/fragile_count.py
+++ b/src/apricotlever/runners/fragile_count.py
@@ -213,27 +213,36 @@
         self._next_end = min(self._next_end, sent.ends_at)
 
     def end(
-        self, call: CallKey, is_rejected: bool, bears: float, now: float
+        self,
+        call: CallKey,
+        is_rejected: bool,
+        used: int,
+        bears: float,
+        now: float,
     ) -> None:
         """Remove a call.
 
+        :param used: see :meth:`reject`.
         :param bears: the rejections in a second that the runner bears.
         """
         sent = self.running.pop(call, None)
         self._unknown.pop(call, None)
         if is_rejected and call not in self._rejected:
             self._rejected[call] = now
-            self.reject(sent, bears, now)
+            self.reject(sent, used, bears, now)
         elif sent is not None and not is_rejected:
             held_s = now - sent.at
             self._hold_s += HOLD_SMOOTHING * (held_s - self._hold_s)
 
-    def reject(self, sent: Sent | None, bears: float, now: float) -> None:
+    def reject(
+        self, sent: Sent | None, used: int, bears: float, now: float
+    ) -> None:
         """Learn from a rejection.
 
         :param sent: the call; None if this keeper didn't admit it.
+        :param used: the calls that the runner has now, see :meth:`used`.
         """
-        level = float(len(self.running) if sent is None else sent.level)
+        level = float(used if sent is None else sent.level)
         is_trial = sent is not None and sent.is_trial
         is_at_edge = level >= self.room - (self.room < self._slots)
         self._tried_at = now
--- a/src/apricotlever/runners/fragile_keeper.py
+++ b/src/apricotlever/runners/fragile_keeper.py
@@ -124,6 +124,11 @@
         count = self._counts.get(runner)
         return None if count is None else count.room
 
+    def running(self, runner: str) -> int:
+        """The admitted calls of a runner that have not ended."""
+        count = self._counts.get(runner)
+        return 0 if count is None else len(count.running)
+
     def admit(
         self,
         runner: str,
@@ -186,7 +191,9 @@
         if count is not None:
             now = self._clock.now()
             count.forget_old(now)
-            count.end(call, rejected, self._bears[runner] * self._share, now)
+            used = count.used(self._reported(runner), now)
+            bears = self._bears[runner] * self._share
+            count.end(call, rejected, used, bears, now)
 
     def record_rejection(self, runner: str) -> None:
         """Record the rejection of a call that was sent without asking."""
@@ -194,7 +201,8 @@
         if count is not None:
             now = self._clock.now()
             count.forget_old(now)
-            count.reject(None, self._bears[runner] * self._share, now)
+            used = count.used(self._reported(runner), now)
+            count.reject(None, used, self._bears[runner] * self._share, now)
 
     def keep_only(self, runners: typing.Collection[str]) -> None:
         """Forget the runners that are not fragile any more."""
