--- a/src/apricotlever/runners/fragile_keeper.py
+++ b/src/apricotlever/runners/fragile_keeper.py
@@ -191,7 +191,9 @@
         if count is not None:
             now = self._clock.now()
             count.forget_old(now)
-            count.end(call, rejected, self._bears[runner] * self._share, now)
+            used = count.used(self._reported(runner), now)
+            bears = self._bears[runner] * self._share
+            count.end(call, rejected, used, bears, now)
 
     def record_rejection(self, runner: str) -> None:
         """Record the rejection of a call that was sent without asking."""
@@ -199,7 +201,8 @@
         if count is not None:
             now = self._clock.now()
             count.forget_old(now)
-            count.reject(None, self._bears[runner] * self._share, now)
+            used = count.used(self._reported(runner), now)
+            count.reject(None, used, self._bears[runner] * self._share, now)
 
     def keep_only(self, runners: typing.Collection[str]) -> None:
         """Forget the runners that are not fragile any more."""
