Let only the next VM take the place of a fragile runner's keeper

What callers saw: while messages between VMs were 0.2 to 1 s late, a fragile runner fell and with it the calls that it ran. Cause: a VM takes another one that doesn't answer in 20 ms for unavailable for a second and asks the next, up to itself. So each VM came to admit calls alone, one trial at a time, and seven trials are more than the runner bears. Evidence: tests/serving/fragile_runners.feature:169 to 171, one fall each; with the keeper of brittle-model as well (trial). Change: for fragile runners only the first two VMs in the order decide. Limits are as before: a call too many costs them little. Result: no fall in these lines with both keepers; the keeper that is gone and the VM that is cut off (same feature) take as many calls as before.

--- a/src/apricotlever/contracts/limit_keepers.py
+++ b/src/apricotlever/contracts/limit_keepers.py
@@ -92,6 +92,16 @@
         """
         return rendezvous.pick(key, self._vms) == self._vm
 
+    def is_first_or_second(self, key: str, vm: str) -> bool:
+        """Whether a VM is the keeper for a key, or the one that follows it.
+
+        As in :meth:`is_first`, VMs that did not answer count as well.
+        """
+        if not self._unavailable_until:
+            return True
+        first = rendezvous.pick(key, self._vms)
+        return vm in (first, rendezvous.pick(key, self._vms - {first}))
+
     def record_timeout(self, vm: str) -> None:
         """Note that a keeper did not answer.
 
--- a/src/apricotlever/serving/fragile_runners.py
+++ b/src/apricotlever/serving/fragile_runners.py
@@ -176,7 +176,9 @@
             )
             return admission
 
-        admission, keeper = await self._fleet.ask(runner, decide, ask_peer)
+        admission, keeper = await self._fleet.ask(
+            runner, decide, ask_peer, has_one_deputy=True
+        )
         if admission.admitted:
             return FragilePermit(runner, keeper, number)
         self.refused_count += 1
--- a/src/apricotlever/serving/keeper_fleet.py
+++ b/src/apricotlever/serving/keeper_fleet.py
@@ -85,15 +85,26 @@
         return [self._addresses[vm] for vm in chosen]
 
     async def ask(
-        self, runner: str, decide: Decide, ask_peer: AskPeer
+        self,
+        runner: str,
+        decide: Decide,
+        ask_peer: AskPeer,
+        has_one_deputy: bool = False,
     ) -> tuple[limit_keeper.Admission, str]:
         """Ask the keeper, or else the VM that takes its place.
 
         :param decide: decides if this VM is that one.
+        :param has_one_deputy: whether only the VM that follows the keeper may
+            take its place, and nobody decides if that doesn't answer either.
+            Else, while messages are late, each VM would decide for itself.
         :returns: the decision, and the VM that made it; "" for this VM.
         """
         for _ in range(2):
             keeper = self._keepers.keeper(runner)
+            if has_one_deputy and not self._keepers.is_first_or_second(
+                runner, keeper
+            ):
+                break
             if keeper == self._vm:
                 return decide(is_deputy=not self.is_first(runner)), ""
             address = self._addresses.get(keeper)
