--- a/src/apricotlever/runners/local_fragility.py
+++ b/src/apricotlever/runners/local_fragility.py
@@ -3,6 +3,7 @@
 Who counts a runner's calls for the fleet is decided elsewhere.
 """
 
+import math
 import typing
 
 from .. import clock as clocks
@@ -55,11 +56,18 @@
 
     @property
     def rooms(self) -> dict[str, float]:
-        """The calls at a time that each runner takes that this VM counts."""
+        """The calls at a time that each runner takes that this VM counts.
+
+        Runners of which that is not known are left out.
+        """
         rooms = (
             (name, self._keeper.room(name)) for name in self._stated.in_force
         )
-        return {name: room for name, room in rooms if room is not None}
+        return {
+            name: room
+            for name, room in rooms
+            if room is not None and math.isfinite(room)
+        }
 
     def room_in_s(self, runner: str) -> float:
         """Seconds until a runner may have room for a call of this VM."""
--- a/tests/serving/fragile_runners.feature
+++ b/tests/serving/fragile_runners.feature
@@ -186,3 +186,10 @@
       | one VM's | 1.0  | 3 | 60   |
       | one VM's | 0.2  | 6 | 100  |
       | all VMs' | 0.2  | 3 | 60   |
+
+  # Guards against room under a limit that is lost to calls not sent.
+  Scenario: A runner that is fragile and names a limit needs room under both
+    Given 1 VMs that share 1 runners
+    And runner 1 hangs and bears 0 rejections
+    When VM 1 knows that, and that it takes 4 calls a second, and gets 3 calls
+    Then 1 call is sent, and room for 2 calls is left under the limit
--- a/tests/steps/serving_fragile_runners.py
+++ b/tests/steps/serving_fragile_runners.py
@@ -300,3 +300,38 @@
 @when("all messages between VMs are {late:g} seconds late")
 def _delay_all(context, late):
     context.fleet.network.delays = lambda message, source, target: [late]
+
+
+@when(
+    "VM 1 knows that, and that it takes {limit:g} calls a second, and gets "
+    "{count:d} calls"
+)
+def _call_limited(context, limit, count):
+    vm = context.fleet.vms[0]
+    vm.configure(
+        configuration_model.CallKind.IDEMPOTENT, timeout_s=0.4, objective_s=0.1
+    )
+    limits = vm.upstreams.runner_limits
+    statement = statements.Statement(limit, rejections_per_s=0)
+    limits.local.record("runner-1", statement, 0.0)
+    limits.fragile.local.record("runner-1", statement, 0.0)
+
+    async def call():
+        # The bucket is made with the first call that is counted.
+        limits.refund(await limits.admit("runner-1"))
+        await asyncio.sleep(0.5)
+        calls = asyncio.ensure_future(context.fleet.call_at_once(count))
+        await asyncio.sleep(0.1)
+        context.left = 0
+        while await limits.admit("runner-1"):
+            context.left += 1
+        await calls
+
+    _run(context, call())
+
+
+@then("1 call is sent, and room for {left:d} calls is left under the limit")
+def _check_both(context, left):
+    arrived = context.fleet.runners[0].arrived_at
+    assert len(arrived) == 1, arrived
+    assert context.left >= left, context.left
