--- a/bench/_slope_call_cases.py
+++ b/bench/_slope_call_cases.py
@@ -24,6 +24,7 @@
 from apricotlever.contracts import call_budget
 from apricotlever.daemon import dispatcher_messages
 from apricotlever.daemon import runner_monitor
+from apricotlever.links import json_calls
 from apricotlever.links import peer_link
 from apricotlever.links import peer_pb2 as pb
 from apricotlever.links import platform
@@ -106,9 +107,7 @@
     """
     start_s = time.thread_time()
     for path in ("/v1/load", "/v1/cache/events?after=0"):
-        upstream_exchange.call_json(
-            address, "GET", path, timeout_s=5.0, pool=pool
-        )
+        json_calls.call_json(address, "GET", path, timeout_s=5.0, pool=pool)
     return time.thread_time() - start_s
 
 
--- a/src/apricotlever/daemon/model_attempts.py
+++ b/src/apricotlever/daemon/model_attempts.py
@@ -9,6 +9,7 @@
 from .. import logs
 from .. import refusals
 from ..contracts import retry_policy
+from ..links import json_calls
 from ..links import upstream_exchange
 from ..requests import recovery
 from ..runners import model as runners
@@ -291,7 +292,7 @@
         tokens = request.completion_request.prompt_tokens + request.resume_from
         dispatcher = self._context.dispatcher
         try:
-            state = upstream_exchange.call_json(
+            state = json_calls.call_json(
                 previous.address,
                 "POST",
                 f"/v1/streams/{request.request_id}/export",
@@ -300,7 +301,7 @@
             )
             request.attempt += 1
             runner = self._select_runner(target, frozenset())
-            upstream_exchange.call_json(
+            json_calls.call_json(
                 runner.address, "POST", "/v1/import", state, TRANSFER_TIMEOUT_S
             )
         except upstream_exchange.UpstreamError:
@@ -461,8 +462,6 @@
     :param request_id: the request that the stream answers.
     """
     try:
-        upstream_exchange.call_json(
-            address, "DELETE", f"/v1/streams/{request_id}"
-        )
+        json_calls.call_json(address, "DELETE", f"/v1/streams/{request_id}")
     except upstream_exchange.UpstreamError as error:
         logs.event("peer_call_failed", address=address, error=error.message)
--- a/src/apricotlever/daemon/order_sender.py
+++ b/src/apricotlever/daemon/order_sender.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from .. import logs
+from ..links import json_calls
 from ..links import platform
 from ..links import upstream_exchange
 from ..runners import model as runners
@@ -106,7 +107,7 @@
                 exchange.abandon()
                 self._report(OrderResult(duty, runner.name, False))
                 return
-            body = upstream_exchange.encode_json(
+            body = json_calls.encode_json(
                 {
                     "order": action.order_id,
                     "fencing": fencing,
@@ -116,7 +117,7 @@
             exchange.send(
                 "POST",
                 ORDERS_PATH,
-                upstream_exchange.SINGLE_USE_JSON_HEADERS,
+                json_calls.SINGLE_USE_JSON_HEADERS,
                 body,
             )
             answer = exchange.read_json()
@@ -150,7 +151,7 @@
         :param runner: the runner.
         """
         try:
-            found = upstream_exchange.call_json(
+            found = json_calls.call_json(
                 runner.address,
                 "GET",
                 ORDERS_PATH,
--- a/src/apricotlever/daemon/runner_monitor.py
+++ b/src/apricotlever/daemon/runner_monitor.py
@@ -16,6 +16,7 @@
 from .. import mailbox
 from .. import settings
 from ..catalogue import model as catalogues
+from ..links import json_calls
 from ..links import platform
 from ..links import upstream_exchange
 from ..runners import assignment
@@ -339,14 +340,14 @@
 
     def _poll(self, runner: runners.Runner, after: int) -> None:
         try:
-            load = upstream_exchange.call_json(
+            load = json_calls.call_json(
                 runner.address,
                 "GET",
                 "/v1/load",
                 timeout_s=POLL_TIMEOUT_S,
                 pool=self._connections,
             )
-            events = upstream_exchange.call_json(
+            events = json_calls.call_json(
                 runner.address,
                 "GET",
                 f"/v1/cache/events?after={after}",
--- a/tests/steps/links_upstream_bodies.py
+++ b/tests/steps/links_upstream_bodies.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from apricotlever import clock as clocks
+from apricotlever.links import json_calls
 from apricotlever.links import upstream_exchange
 
 from tests.links import scripted_upstream
@@ -65,7 +66,7 @@
 @when("a document is fetched from it")
 def _fetch(context):
     try:
-        context.found = upstream_exchange.call_json(
+        context.found = json_calls.call_json(
             context.upstream.address, "GET", "/", timeout_s=READ_TIMEOUT_S
         )
     except upstream_exchange.UpstreamError as error:
