--- a/src/apricotlever/daemon/answer_reader.py
+++ b/src/apricotlever/daemon/answer_reader.py
@@ -22,10 +22,8 @@
 from . import dispatcher_messages
 from . import model_attempts
 from . import model_request
+from . import token_times
 
-#: Number of distinct gaps between tokens that are buffered until they are
-#: recorded in the histogram.
-MAX_BUFFERED_GAPS = 24
 #: A stream counts as broken after a silence of this many times the target
 #: gap between tokens of its class.
 SILENCE_TIMEOUT_FACTOR = 15
@@ -83,13 +81,7 @@
             self._decision = recovery.Reconnect(
                 runner.name, request.resume_from
             )
-        self._gap_distribution = context.histograms.distribution(
-            histograms.BETWEEN_TOKENS,
-            request.customer,
-            request.service_class.name,
-        )
-        self._gap_counts: dict[int, int] = {}
-        self._last_token_at = 0.0
+        self._token_times = token_times.TokenTimes(context, request)
         self._expected_prefix = b"id: %d\n" % request.resume_from
         self._exchange: upstream_exchange.Exchange | None = None
         self._partial_event = b""
@@ -215,7 +207,7 @@
         fresh = self._accept_data(data)
         if fresh:
             self._sink(fresh)
-        linger_over = self._last_token_at > self._linger_until
+        linger_over = self._token_times.last_at > self._linger_until
         if linger_over and not self._request.transcript.followed:
             self._request.cancel()
         return self._complete
@@ -234,7 +226,7 @@
                 _EVENT_END
             ):
                 self._accept_next(data)
-                self._record_token_time()
+                self._token_times.record()
                 return data
         *events, self._partial_event = (self._partial_event + data).split(
             openai_format.EVENT_END
@@ -244,7 +236,7 @@
             self._accept_event(event)
         accepted = self._request.transcript.events(first_index)
         if accepted:
-            self._record_token_time()
+            self._token_times.record()
         if self._complete and not self._request.resume_from:
             self._complete = False
             raise upstream_exchange.ConnectionBroken(
@@ -279,42 +271,6 @@
         self._request.transcript.append(event)
         self._expected_prefix = b"id: %d\n" % self._cursor.next_index
 
-    def _record_token_time(self) -> None:
-        now = self._context.clock.now()
-        if self._last_token_at:
-            gap_us = histograms.rounded_down_us(
-                int((now - self._last_token_at) * 1e6)
-            )
-            counts = self._gap_counts
-            counts[gap_us] = counts.get(gap_us, 0) + 1
-            if len(counts) >= MAX_BUFFERED_GAPS:
-                self._record_gaps()
-        elif self._request.first_token_at is None:
-            self._record_first_token(now)
-        self._last_token_at = now
-
-    def _record_gaps(self) -> None:
-        counts, self._gap_counts = self._gap_counts, {}
-        self._gap_distribution.record_counts(counts)
-
-    def _record_first_token(self, now: float) -> None:
-        request = self._request
-        request.first_token_at = now
-        context = self._context
-        context.dispatcher.tell(
-            dispatcher_messages.FirstToken(request.request_id)
-        )
-        seconds = now - request.arrived_at
-        context.histograms.record(
-            histograms.FIRST_TOKEN,
-            request.customer,
-            request.service_class.name,
-            seconds,
-        )
-        context.metrics.timing(
-            "latency.first_token", seconds, request.service_class.name
-        )
-
     def _silence_timeout_s(self) -> float:
         """Seconds of silence after which a stream counts as broken.
 
@@ -407,7 +363,7 @@
     def _report_end(self, outcome: runners.Outcome, name: str) -> None:
         request = self._request
         request.transcript.end(name)
-        self._record_gaps()
+        self._token_times.flush()
         context = self._context
         whole_s = context.clock.now() - request.arrived_at
         first_s = None
