--- a/src/apricotlever/daemon/dispatcher.py
+++ b/src/apricotlever/daemon/dispatcher.py
@@ -5,7 +5,6 @@
 does no I/O; other threads send requests and tell it the results.
 """
 
-from concurrent import futures
 import random
 import typing
 
@@ -16,7 +15,6 @@
 from .. import refusals
 from ..contracts import admission
 from ..contracts import demand_meter
-from ..contracts import retry_budget
 from ..contracts import retry_policy
 from ..links import peer_pb2 as pb
 from ..requests import recovery
@@ -25,18 +23,19 @@
 from ..runners import quarantine
 from ..runners import routing
 
-from . import admission_refusals
 from . import dispatcher_messages
+from . import dispatcher_status
 from . import gossip_messages
 from . import placements
+from . import pool_capacities
+from . import retry_decisions
 from . import runner_availability
 from . import runner_messages
 from . import suspect_requests
+from . import waiting_admissions
 
 Announce = typing.Callable[[pb.Rumour], None]
 
-#: Time left to the deadline below which a failed attempt is not retried.
-MIN_RETRY_TIME_S = 0.2
 NOT_READY_RETRY_AFTER_S = 0.5
 
 
@@ -66,10 +65,10 @@
         self._announce = announce
         self._admission = admission.AdmissionController(clock, rng, vm)
         self._router = routing.Router(clock, rng, vm, data_centre)
-        self._retry_budget = retry_budget.RetryBudget()
+        self._retries = retry_decisions.RetryDecisions(self._router)
         self._demand_meter = demand_meter.DemandMeter(clock, vm)
         self._pool_by_entry: dict[str, str] = {}
-        self._waiting_admissions: dict[str, futures.Future[typing.Any]] = {}
+        self._waiting = waiting_admissions.WaitingAdmissions()
         self._placements = placements.Placements(clock, self._router, vm)
         self._availability = runner_availability.RunnerAvailability(clock)
         self._suspects = suspect_requests.SuspectRequests(
@@ -82,24 +81,24 @@
     ) -> None:
         catalogue = message.catalogue
         self._admission.configure(catalogue)
-        self._retry_budget.retain_entries(frozenset(catalogue.entries))
+        self._retries.retain_entries(frozenset(catalogue.entries))
         self._pool_by_entry = {
             name: entry.pool for name, entry in catalogue.entries.items()
         }
 
     @mailbox.handles(dispatcher_messages.Admit)
     def _admit(self, message: dispatcher_messages.Admit) -> mailbox.Deferred:
-        self._waiting_admissions[message.ticket.request_id] = self.defer()
+        self._waiting.add(message.ticket.request_id, self.defer())
         self._demand_meter.record_arrival(
             self._pool_by_entry.get(message.ticket.entry, "")
         )
-        self._settle_admissions(self._admission.offer(message.ticket))
+        self._waiting.settle(self._admission.offer(message.ticket))
         return mailbox.DEFERRED
 
     @mailbox.handles(dispatcher_messages.Withdraw)
     def _withdraw(self, message: dispatcher_messages.Withdraw) -> None:
-        self._waiting_admissions.pop(message.request_id, None)
-        self._settle_admissions(self._admission.withdraw(message.request_id))
+        self._waiting.forget(message.request_id)
+        self._waiting.settle(self._admission.withdraw(message.request_id))
 
     @mailbox.handles(dispatcher_messages.Dispatch)
     def _dispatch(
@@ -146,11 +145,11 @@
         verdicts = self._admission.finished(
             message.request_id, message.outcome, message.tokens
         )
-        self._settle_admissions(verdicts)
+        self._waiting.settle(verdicts)
         succeeded = message.outcome is runners.Outcome.DONE
         if dispatch is None or not succeeded:
             return None
-        self._retry_budget.record_success(dispatch.query.entry)
+        self._retries.record_success(dispatch.query.entry)
         return self._suspects.record_completion(dispatch.fingerprint)
 
     @mailbox.handles(dispatcher_messages.DecideRecovery)
@@ -178,32 +177,7 @@
     def _decide_retry(
         self, message: dispatcher_messages.DecideRetry
     ) -> retry_policy.Retry | retry_policy.NoRetry:
-        available = frozenset(
-            runner.name
-            for runner in self._router.runners
-            if runner.pool == message.pool
-            and not self._router.is_leaving(runner.name)
-        )
-        failed_attempt = retry_policy.FailedAttempt(
-            message.entry,
-            message.may_have_run,
-            message.idempotent,
-            message.attempts,
-            message.left_s,
-            MIN_RETRY_TIME_S,
-            message.tried,
-            available,
-        )
-        if message.uncharged:
-            # These retries add no load: a crashed runner no longer computes,
-            # and a silent connection never delivered its call. A new budget
-            # is used for each, so that the shared one is not charged.
-            unshared_budget = retry_budget.RetryBudget()
-            max_attempts = placements.MAX_ATTEMPTS_AFTER_CRASHES
-            return retry_policy.decide_retry(
-                failed_attempt, unshared_budget, max_attempts
-            )
-        return retry_policy.decide_retry(failed_attempt, self._retry_budget)
+        return self._retries.decide(message)
 
     @mailbox.handles(runner_messages.RunnersListed)
     def _set_runners(self, message: runner_messages.RunnersListed) -> None:
@@ -336,10 +310,10 @@
     ) -> dict[str, object]:
         return {
             "in_flight": len(self._placements),
-            "queued": len(self._waiting_admissions),
-            "runners": [self._runner_row(r) for r in self._router.runners],
+            "queued": len(self._waiting),
+            "runners": dispatcher_status.runner_rows(self._router),
             "quarantine": {"deaths": self._suspects.crash_count},
-            "cost": self._cost_rows(),
+            "cost": dispatcher_status.cost_rows(self._admission.spend_meter),
         }
 
     def tick(self) -> None:
@@ -348,7 +322,7 @@
         Refuse requests that waited too long, move streams away from leaving
         runners, drop expired crashes and report demand to the other VMs.
         """
-        self._settle_admissions(self._admission.tick())
+        self._waiting.settle(self._admission.tick())
         self._placements.evacuate()
         self._suspects.tick()
         limit_report = self._admission.take_report()
@@ -360,26 +334,12 @@
 
     def stopped(self) -> None:
         """Refuse the requests that still wait for admission."""
-        for request_id in list(self._waiting_admissions):
-            refused = admission.Refused(
-                request_id, admission.RefusalReason.OVERLOAD, 1.0
-            )
-            self._settle_admissions([refused])
+        self._waiting.refuse_all()
 
     def failed(self, error: Exception) -> None:
         """Log an exception that a handler did not catch."""
         logs.event("task_failed", task=self.name, error=repr(error))
 
-    def _settle_admissions(self, verdicts: list[admission.Verdict]) -> None:
-        for verdict in verdicts:
-            future = self._waiting_admissions.pop(verdict.request_id, None)
-            if future is None:
-                continue
-            if isinstance(verdict, admission.Admitted):
-                future.set_result(None)
-            else:
-                future.set_exception(admission_refusals.refusal_of(verdict))
-
     def _choose_route(
         self, message: dispatcher_messages.Dispatch
     ) -> runners.Route:
@@ -423,33 +383,8 @@
         the runners that are leaving; the quarantine gets the number of
         runners in each data centre.
         """
-        by_pool: dict[str, list[runners.Runner]] = {}
-        for runner in self._router.runners:
-            by_pool.setdefault(runner.pool, [])
-            if not self._router.is_leaving(runner.name):
-                by_pool[runner.pool].append(runner)
-        for pool, available in by_pool.items():
-            slots = sum(runner.slots for runner in available)
-            price = sum(runner.price_per_hour for runner in available)
-            self._admission.set_pool(pool, slots, price / max(1, slots))
+        for pool, capacity in pool_capacities.by_pool(self._router).items():
+            self._admission.set_pool(
+                pool, capacity.slots, capacity.price_per_slot_hour
+            )
         self._suspects.update_runner_counts()
-
-    def _runner_row(self, runner: runners.Runner) -> dict[str, object]:
-        return {
-            "runner": runner.name,
-            "pool": runner.pool,
-            "data_centre": runner.data_centre,
-            "leaving": self._router.is_leaving(runner.name),
-            "in_flight": self._router.own_in_flight(runner.name),
-        }
-
-    def _cost_rows(self) -> list[dict[str, object]]:
-        return [
-            {
-                "customer": line.customer,
-                "entry": line.entry,
-                "requests": line.requests,
-                "cost": round(line.amount, 6),
-            }
-            for line in self._admission.spend_meter.totals
-        ]
