Let the wait of a blocked call be asked for without a trial

tests/serving/restarts.feature:34 failed on: it asks CrashWatch.retry_after_s, which admit had replaced.

--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -187,6 +187,19 @@
             return None
         return self._blocklist.admit(fingerprint(call, customer), call)
 
+    def retry_after_s(
+        self,
+        call: messages.CallerCall,
+        customer: configuration_model.Customer | None,
+    ) -> float | None:
+        """Seconds until a blocked call may run; None if it may run now.
+
+        Unlike :meth:`admit`, this begins no trial.
+        """
+        if not self._blocklist.active:
+            return None
+        return self._blocklist.retry_after_s(fingerprint(call, customer), call)
+
     def tick(self) -> None:
         """Remove expired crashes and blocks from the blocklist."""
         self._blocklist.tick()
