Let the soak's runners hear that they are to be fragile

The merge renamed the header in all places but the one in lower case, in which the soak's runner reads its order (soak/fragility).

--- a/soak/fragility.py
+++ b/soak/fragility.py
@@ -92,7 +92,7 @@
 
     :param headers: by their names in small letters.
     """
-    rejections = headers.get("fragile-rejections-per-s")
+    rejections = headers.get("rejections-per-s")
     if rejections is None:
         return None
     room = headers["later-room"]
