--- a/src/apricotlever/client/log_commands.py
+++ b/src/apricotlever/client/log_commands.py
@@ -143,6 +143,7 @@
         "cause": timeline.cause,
         "lines": [_line_document(line) for line in timeline.lines],
         "background": [_line_document(line) for line in timeline.background],
+        "resumed": [_line_document(line) for line in timeline.first_lines],
     }
 
 
@@ -159,6 +160,7 @@
     lines = [f"request {timeline.request_id}: {timeline.cause}", ""]
     marked = [(x.time, "  ", x) for x in timeline.lines]
     marked += [(x.time, "- ", x) for x in timeline.background]
+    marked += [(x.time, "< ", x) for x in timeline.first_lines]
     for time, mark, line in sorted(marked, key=lambda item: item[0]):
         fields = {k: v for k, v in line.fields.items() if k != "request"}
         lines.append(
@@ -166,4 +168,6 @@
             f"{logs.format_fields(**fields)}"
         )
     lines += ["", "lines with - are background events of its VMs and runners"]
+    if timeline.first_lines:
+        lines.append("lines with < are of the request whose stream it resumed")
     return "\n".join(lines)
--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -115,29 +115,44 @@
     :param lines: lines that name the request, in time order.
     :param background: background events of the request's VMs and runners
         around the time of the request, in time order.
+    :param first_lines: lines that name the request whose stream this one
+        resumed, in time order; none if it resumed no stream.
     """
 
-    __slots__ = ("request_id", "lines", "background")
+    __slots__ = ("request_id", "lines", "background", "first_lines")
 
     def __init__(
         self,
         request_id: str,
         lines: list[log_parser.LogLine],
         background: list[log_parser.LogLine],
+        first_lines: list[log_parser.LogLine],
     ) -> None:
         self.request_id = request_id
         self.lines = lines
         self.background = background
+        self.first_lines = first_lines
 
     @property
     def cause(self) -> str:
         """How the request ended and why, in one sentence."""
+        return f"{self._end_cause}{self._level_cause}{self._resumption}"
+
+    @property
+    def _level_cause(self) -> str:
+        """Why the request had an unusual level; "" if it had none."""
         routed = self._last_line("request_routed")
         cause = routed.fields.get("level_cause") if routed else None
         if routed is None or cause not in LEVEL_MEANINGS:
-            return self._end_cause
+            return ""
         level = routed.fields.get("queue_level")
-        return f"{self._end_cause}; level {level}: {LEVEL_MEANINGS[cause]}"
+        return f"; level {level}: {LEVEL_MEANINGS[cause]}"
+
+    @property
+    def _resumption(self) -> str:
+        """Which stream the request resumed; "" if it resumed none."""
+        first = _resumed_request(self.lines)
+        return f"; it resumed the stream of request {first}" if first else ""
 
     @property
     def _end_cause(self) -> str:
@@ -269,7 +284,16 @@
         and since <= line.time <= until
         and _is_related(line, vms, runners)
     ]
-    return RequestTimeline(request_id, request_lines, background)
+    first = _resumed_request(request_lines)
+    first_lines = [
+        x for x in lines if first and x.fields.get("request") == first
+    ]
+    return RequestTimeline(request_id, request_lines, background, first_lines)
+
+
+def _resumed_request(lines: typing.Iterable[log_parser.LogLine]) -> str:
+    """The request whose stream a request resumed; "" if it resumed none."""
+    return next((r for x in lines if (r := x.fields.get("resumes"))), "")
 
 
 def _is_related(
--- a/src/apricotlever/serving/messages.py
+++ b/src/apricotlever/serving/messages.py
@@ -73,6 +73,8 @@
         stream; None for a new call.
     :param received_at: time of the call's first byte, on the event loop's
         clock.
+    :param resumes: ``request_id`` of the caller's call whose response began
+        the stream that is resumed; "" if the caller doesn't say.
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "prompt",
         "last_event_id",
         "received_at",
+        "resumes",
     )
 
     def __init__(
@@ -102,6 +105,7 @@
         prompt: Prompt | None,
         last_event_id: int | None,
         received_at: float,
+        resumes: str = "",
     ) -> None:
         self.method = method
         self.target = target
@@ -114,6 +118,7 @@
         self.prompt = prompt
         self.last_event_id = last_event_id
         self.received_at = received_at
+        self.resumes = resumes
 
     @property
     def path(self) -> str:
--- a/standins/plain_dialect.py
+++ b/standins/plain_dialect.py
@@ -21,7 +21,7 @@
 
 
 class PlainCallerDialect:
-    """Caller dialect with the headers Call-Id, Wait-S, Key and After."""
+    """Caller dialect: Call-Id, Wait-S, Key, After and Resumes as headers."""
 
     ready_path = "/ready"
     lookup_path = "/vms"
@@ -48,6 +48,7 @@
             None,
             int(after) if after else None,
             received_at,
+            by_name.get(b"resumes", b"").decode(),
         )
 
     def refusal_headers(self, call):
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -105,3 +105,10 @@
     Given logs of two VMs with requests that one forwarded to the other
     When the operator explains "kk44"
     Then the command succeeds and prints "its VM vm-1 was lost to the others"
+
+  Scenario: A stream that another VM had begun is explained from both logs
+    Given logs of two VMs with a stream that one began and the other resumed
+    When the operator explains "mm22"
+    Then the command succeeds and prints "it resumed the stream of request mm11"
+    And the command succeeds and prints "vm-1 request_routed"
+    And the command succeeds and prints "version=v1"
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -55,6 +55,17 @@
 took_s=3.2
 """
 
+STREAM_BEGUN_LOG = """\
+time=2026-03-01T03:12:12.100000Z level=INFO event=request_routed vm=vm-1 \
+request=mm11 service=s runner=r-7 version=v1 in_flight=2 attempt=1
+"""
+STREAM_RESUMED_LOG = """\
+time=2026-03-01T03:12:14.100000Z level=INFO event=request_routed vm=vm-2 \
+request=mm22 service=s runner=r-8 version=v2 resume_after=3 resumes=mm11 \
+in_flight=2 attempt=1
+time=2026-03-01T03:12:14.900000Z level=INFO event=request_ended vm=vm-2 \
+request=mm22 runner=r-8 sends=1 served=True took_s=0.8
+"""
 INVALID_RESPONSE_LOG = """\
 time=2026-03-01T03:12:16.300100Z level=INFO event=request_refused vm=vm-1 \
 request=gg77 status=502 reason="broken:not an answer: HttpParserError"
@@ -241,6 +252,13 @@
     _write_log(context, "vm-3.log", RESUMED_STREAM_LOG)
 
 
+@given("logs of two VMs with a stream that one began and the other resumed")
+def _resumed_at_another_vm_logs(context):
+    _create_folder(context)
+    _write_log(context, "vm-1.log", STREAM_BEGUN_LOG)
+    _write_log(context, "vm-2.log", STREAM_RESUMED_LOG)
+
+
 @given("logs of two VMs with a request at a VM that was cut off")
 def _cut_off_vm_logs(context):
     _create_folder(context)
