Add failing tests of streams that go on at another software version

Callers saw streams joined of two versions. Two ways, each with a test: the VM continues a broken stream within one answer, and a caller takes its stream up again at another VM.

--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -113,18 +113,27 @@
         self.port = await self.server.listen("127.0.0.1", 0)
         self.sweeper = asyncio.ensure_future(self.server.sweep_forever())
 
-    async def add_runner(self, behaviour_names):
+    async def add_runner(self, behaviour_names, version=""):
         """Start a runner stand-in.
 
         :param behaviour_names: names of the runner's behaviours.
+        :param version: the version of its software.
         """
         name = f"runner-{len(self.standins) + 1}"
         standin = runner_standin.RunnerStandIn(name, behaviour_names)
+        standin.version = version
         await standin.start()
         self.standins.append(standin)
         self.directory.apply_entry(
             runners.Runner(
-                name, "service", "127.0.0.1", standin.port, "dc", 4, revision=1
+                name,
+                "service",
+                "127.0.0.1",
+                standin.port,
+                "dc",
+                4,
+                revision=1,
+                version=version,
             )
         )
         return standin
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -10,6 +10,9 @@
 #: How long a runner takes until it fails to resume a stream, in seconds.
 RESUMPTION_S = 0.05
 
+#: The time between two events of a slow stream, in seconds.
+SLOW_EVENT_S = 0.05
+
 #: A silence of a sound runner, in seconds.
 SHORT_SILENCE_S = 1.1
 
@@ -269,6 +272,40 @@
     _reset(writer)
 
 
+def _encode_event_of_version(runner, number):
+    return b"id: %d\ndata: %b\n\n" % (number, runner.version.encode())
+
+
+async def _send_events_of_version(runner, writer, numbers, pause_s=0.0):
+    """Send events that hold the version of the runner's software."""
+    for number in numbers:
+        writer.write(_encode_chunk(_encode_event_of_version(runner, number)))
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+
+
+@behaviour("streams its version, half and resets, unless it resumes")
+async def _streams_half_of_version(runner, writer, call):
+    first = int(call.get("after", 0)) + 1
+    writer.write(_response_head(200, call, "Transfer-Encoding: chunked"))
+    if first > 1:
+        await _send_events_of_version(runner, writer, range(first, 7))
+        writer.write(b"0\r\n\r\n")
+        return
+    await _send_events_of_version(runner, writer, range(1, 4))
+    await asyncio.sleep(0.02)
+    _reset(writer)
+
+
+@behaviour("streams its version slowly, unless it resumes")
+async def _streams_version_slowly(runner, writer, call):
+    first = int(call.get("after", 0)) + 1
+    pause_s = 0.0 if first > 1 else SLOW_EVENT_S
+    writer.write(_response_head(200, call, "Transfer-Encoding: chunked"))
+    await _send_events_of_version(runner, writer, range(first, 7), pause_s)
+    writer.write(b"0\r\n\r\n")
+
+
 async def _stream_half_unless_resumed(writer, call):
     """Begin a stream and reset it; only wait if it is to be resumed.
 
@@ -382,6 +419,8 @@
 
     def __init__(self, name, behaviour_names):
         self.name = name
+        #: The version of its software, for events that hold it.
+        self.version = ""
         self.behaviour_names = list(behaviour_names)
         self.executed_call_ids = []
         self.received_calls = []
--- /dev/null
+++ b/tests/serving/version_fleet.py
@@ -0,0 +1,147 @@
+"""Entry VMs that share runners of several software versions, on one loop."""
+
+import asyncio
+
+from apricotlever.serving import configuration_model
+from tests.serving import request_path
+
+HOST = "127.0.0.1"
+#: Events of a whole stream.
+EVENTS = 6
+
+
+class Stream:
+    """What the caller of one stream received, over all its tries.
+
+    :param call_id: the id of the call that began it.
+    """
+
+    def __init__(self, call_id):
+        self.call_id = call_id
+        #: Number and version of each event.
+        self.events = []
+        self.complete = False
+        #: Status of each try.
+        self.statuses = []
+        #: Duration of the last try, in seconds.
+        self.took_s = 0.0
+
+    @property
+    def versions(self):
+        """The versions whose events it holds."""
+        return {version for _, version in self.events}
+
+    @property
+    def is_whole(self):
+        """Whether all events came once and in order, with the end."""
+        numbers = [number for number, _ in self.events]
+        return self.complete and numbers == list(range(1, EVENTS + 1))
+
+    @property
+    def last_id(self):
+        """Number of the last event."""
+        return self.events[-1][0]
+
+
+class VersionFleet:
+    """The request paths of VMs that share runners.
+
+    :param count: number of VMs.
+    """
+
+    def __init__(self, count):
+        self.vms = [
+            request_path.RequestPath(f"vm-{n}") for n in range(1, count + 1)
+        ]
+
+    async def start(self, max_attempts):
+        """Start the VMs with a route for streams that may be resumed."""
+        for vm in self.vms:
+            await vm.start()
+            vm.configure(
+                configuration_model.CallKind.STREAM,
+                resumable=True,
+                max_attempts=max_attempts,
+            )
+
+    async def add_runner(self, version, behaviour):
+        """Start a runner of a version that all VMs know."""
+        first = self.vms[0]
+        standin = await first.add_runner([behaviour], version)
+        for runner in first.directory.runners:
+            for vm in self.vms:
+                vm.directory.apply_entry(runner)
+        for vm in self.vms:
+            vm.upstreams.refresh()
+        return standin
+
+    async def call(self, index, call_id):
+        """Make a call at one VM, given by its index, and read all of it."""
+        stream = Stream(call_id)
+        await self._try(stream, index, call_id, "", EVENTS + 1)
+        return stream
+
+    async def begin(self, index, call_id, events=3):
+        """Make a call whose connection is closed after some events."""
+        stream = Stream(call_id)
+        await self._try(stream, index, call_id, "", events)
+        return stream
+
+    async def resume(self, stream, index, call_id, resumes=None, key=None):
+        """Resume a stream at a VM.
+
+        :param resumes: what the caller says of the call that began the
+            stream; the truth by default.
+        """
+        resumes = stream.call_id if resumes is None else resumes
+        more = f"After: {stream.last_id}\r\n"
+        if resumes:
+            more += f"Resumes: {resumes}\r\n"
+        await self._try(stream, index, call_id, more, EVENTS + 1, key)
+
+    async def _try(self, stream, index, call_id, more, events, key=None):
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        reader, writer = await asyncio.open_connection(
+            HOST, self.vms[index].port
+        )
+        writer.write(
+            f"POST /s/x HTTP/1.1\r\nHost: {request_path.HOST}\r\n"
+            f"Call-Id: {call_id}\r\nKey: {key or request_path.KEY}\r\n{more}"
+            "Content-Length: 5\r\n\r\nhello".encode()
+        )
+        try:
+            await self._read(stream, reader, events)
+        finally:
+            writer.transport.abort()
+            stream.took_s = loop.time() - started_at
+
+    async def _read(self, stream, reader, events):
+        head = await reader.readuntil(b"\r\n\r\n")
+        stream.statuses.append(int(head.split()[1]))
+        if stream.statuses[-1] != 200:
+            return
+        first = len(stream.events)
+        try:
+            while len(stream.events) - first < events:
+                size = int(await reader.readuntil(b"\r\n"), 16)
+                data = await reader.readexactly(size + 2)
+                if not size:
+                    stream.complete = True
+                    return
+                stream.events += map(_decode, data.strip().split(b"\n\n"))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+
+    async def stop(self):
+        """Stop all VMs and runners."""
+        for vm in self.vms:
+            await vm.stop()
+
+
+def _decode(event):
+    number, data = event.split(b"\n")
+    return (
+        int(number.removeprefix(b"id: ")),
+        data.removeprefix(b"data: ").decode(),
+    )
--- /dev/null
+++ b/tests/steps/serving_stream_versions.py
@@ -0,0 +1,88 @@
+"""Steps for tests/serving/stream_versions.feature."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests.serving import version_fleet
+
+#: Longer than any scenario, in seconds.
+WAIT_S = 30.0
+#: Runners to which a call may be sent.
+MAX_ATTEMPTS = 3
+BREAKS = "streams its version, half and resets, unless it resumes"
+SLOW = "streams its version slowly, unless it resumes"
+
+
+def _run(context, work):
+    return context.loop.run(asyncio.wait_for(work, WAIT_S))
+
+
+def _start(context, vms, versions, behaviour):
+    context.loop = asyncio.Runner()
+    context.closers.append(context.loop.close)
+    context.fleet = fleet = version_fleet.VersionFleet(vms)
+    context.closers.append(lambda: _run(context, fleet.stop()))
+
+    async def work():
+        await fleet.start(MAX_ATTEMPTS)
+        for version in versions.split():
+            await fleet.add_runner(version, behaviour)
+
+    _run(context, work())
+
+
+@given(
+    "{vms:d} VMs and runners {versions} that break each stream that they begin"
+)
+def _start_breaking(context, vms, versions):
+    _start(context, vms, versions, BREAKS)
+
+
+@given("{vms:d} VMs and runners {versions} that stream slowly")
+def _start_slow(context, vms, versions):
+    _start(context, vms, versions, SLOW)
+
+
+@when("{count:d} streams are made")
+def _make_streams(context, count):
+    async def work():
+        return [await context.fleet.call(0, f"call-{n}") for n in range(count)]
+
+    context.streams = _run(context, work())
+
+
+@when("{count:d} streams are begun, and resumed at other VMs")
+def _resume_elsewhere(context, count):
+    async def work():
+        fleet = context.fleet
+        streams = []
+        for n in range(count):
+            first = n % len(fleet.vms)
+            stream = await fleet.begin(first, f"call-{n}")
+            other = (first + 1 + n // 3 % 2) % len(fleet.vms)
+            await fleet.resume(stream, other, f"call-{n}-again")
+            streams.append(stream)
+        return streams
+
+    context.streams = _run(context, work())
+
+
+@then("no stream holds events of two versions")
+def _check_versions(context):
+    joined = [s.events for s in context.streams if len(s.versions) > 1]
+    assert not joined, f"{len(joined)} of {len(context.streams)}: {joined[0]}"
+
+
+@then("all streams are whole")
+def _check_whole(context):
+    parts = [s for s in context.streams if not s.is_whole]
+    assert not parts, [(s.statuses, s.events) for s in parts]
+
+
+@then("each try took less than {seconds:d} second")
+def _check_time(context, seconds):
+    longest_s = max(stream.took_s for stream in context.streams)
+    assert longest_s < seconds, longest_s
