Continue a broken stream only at the version of software that began it

Callers saw streams with events of two versions of a runner in one response. The VM sent the rest of a broken stream to any runner of the service: neither the query of the router nor what a call's attempts share knew a version.

The first event that the caller receives now fixes the stream's origin, service and version. What continues a stream is a query of its own kind, which the router answers from the runners of that origin alone, in whatever role of a roll-out they are, and behind an open circuit rather than not at all. Cached blocks are copied within a version only. Runners of unknown version match nothing where others state theirs. If no runner of the version is left, the response breaks off at once (version_gone).

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -68,6 +68,10 @@
         "not_resumed",
         "the runner that was to resume the stream answered something else",
     ),
+    (
+        "version_gone",
+        "no runner of the version that began its stream was left",
+    ),
     ("no_answer_in_time", "a runner did not start to answer in time"),
     ("unsigned", "the answer lacked the identification of a runner"),
     ("deadline", "its time, or the route's, was over"),
--- a/src/apricotlever/runners/model.py
+++ b/src/apricotlever/runners/model.py
@@ -8,6 +8,40 @@
 import enum
 
 
+class StreamOrigin:
+    """The runners among which a stream that has begun may move.
+
+    What runners of two services, or of two versions of their software, write
+    does not fit together.
+
+    :param service: the service whose runner began the stream.
+    :param version: the version of that runner's software; "" if unknown.
+    """
+
+    __slots__ = ("service", "version")
+
+    def __init__(self, service: str, version: str) -> None:
+        self.service = service
+        self.version = version
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, StreamOrigin)
+            and self.service == other.service
+            and self.version == other.version
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.service, self.version))
+
+    def __repr__(self) -> str:
+        return f"StreamOrigin({self.service!r}, {self.version!r})"
+
+
+#: What the router groups runners by: a pool, or the origin of streams.
+Group = str | StreamOrigin
+
+
 class Runner:
     """The description of one upstream in the platform's runner list.
 
@@ -20,6 +54,8 @@
     :param price_per_hour: the price of the whole runner.
     :param slots: requests that the runner runs concurrently; a slot is room
         for one of them.
+    :param origin: of the streams that begin at the runner; None if these are
+        never continued elsewhere.
     """
 
     __slots__ = (
@@ -31,6 +67,7 @@
         "machine",
         "price_per_hour",
         "slots",
+        "origin",
     )
 
     def __init__(
@@ -43,6 +80,7 @@
         machine: str,
         price_per_hour: float,
         slots: int,
+        origin: StreamOrigin | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -52,6 +90,7 @@
         self.machine = machine
         self.price_per_hour = price_per_hour
         self.slots = slots
+        self.origin = origin
 
 
 class Outcome(enum.Enum):
@@ -67,7 +106,7 @@
 
 
 class Query:
-    """A request that is to be routed to a runner.
+    """A request that is to be routed to any runner of a pool.
 
     :param blocks: the chain of prompt block hashes; empty for plain services,
         which have no prompts.
@@ -122,6 +161,41 @@
         self.shared_blocks = shared_blocks
         self.can_copy = can_copy
 
+    @property
+    def group(self) -> Group:
+        """The runners that may take the request."""
+        return self.pool
+
+    @property
+    def accepts_unhealthy(self) -> bool:
+        """Whether a runner behind an open circuit is better than none."""
+        return False
+
+
+class ContinuationQuery(Query):
+    """A request that continues a stream, at a runner like the first one.
+
+    :param query: describes the request.
+    :param origin: where the stream began.
+    """
+
+    __slots__ = ("origin",)
+
+    def __init__(self, query: Query, origin: StreamOrigin) -> None:
+        for name in Query.__slots__:
+            setattr(self, name, getattr(query, name))
+        self.origin = origin
+
+    @property
+    def group(self) -> Group:
+        """The runners of the stream's origin, in whichever pool they are."""
+        return self.origin
+
+    @property
+    def accepts_unhealthy(self) -> bool:
+        """Always: without a runner of its origin the stream is lost."""
+        return True
+
 
 class Route:
     """The runner chosen for a query.
--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -49,10 +49,10 @@
     """
 
     __slots__ = (
-        "_by_pool",
         "_candidates",
         "_clock",
         "_data_centre",
+        "_groups",
         "_removed_until",
         "_reported",
         "_in_flight",
@@ -88,7 +88,9 @@
         self._peer_ratios: dict[str, load.PeerRatio] = {}
         self._performance = performance
         self._candidates: dict[str, candidates_.Candidate] = {}
-        self._by_pool: dict[str, list[candidates_.Candidate]] = {}
+        #: The runners that accept new requests, by pool and by the origin of
+        #: the streams that may continue there.
+        self._groups: dict[models.Group, list[candidates_.Candidate]] = {}
         self._reported: frozenset[str] = frozenset()
         self._removed_until: dict[str, float] = {}
         self._in_flight = in_flight.InFlight(clock)
@@ -123,6 +125,10 @@
         candidate = self._candidates.get(name)
         return candidate.load.own if candidate else 0
 
+    def names(self, group: models.Group) -> frozenset[str]:
+        """The runners of a group that accept new requests."""
+        return frozenset(c.name for c in self._groups.get(group, ()))
+
     def blocked(self, pool: str) -> list[str]:
         """The runners of a pool that get no request now.
 
@@ -131,7 +137,7 @@
         now = self._clock.now()
         return [
             candidate.name
-            for candidate in self._by_pool.get(pool, ())
+            for candidate in self._groups.get(pool, ())
             if candidate.leaving or not candidate.circuit.allows(now)
         ]
 
@@ -158,7 +164,7 @@
             self._remove(name)
         for name, runner in listed.items():
             self._add(name, runner, warm)
-        self._group_by_pool()
+        self._group_candidates()
 
     def observe_load(self, name: str, report: models.LoadReport) -> None:
         """Apply a report of a runner's load and of the size of its cache."""
@@ -183,7 +189,7 @@
             self._suppress_runner(name)
             return
         candidate.leaving = True
-        self._group_by_pool()
+        self._group_candidates()
 
     def remove_runner(self, name: str) -> None:
         """Remove a runner that has ended.
@@ -193,7 +199,7 @@
         """
         self._suppress_runner(name)
         self._remove(name)
-        self._group_by_pool()
+        self._group_candidates()
 
     def record_success(self, name: str) -> None:
         """Record a successful poll of the runner's load by this VM.
@@ -263,6 +269,12 @@
         :returns: the route, or the reason why no runner was selected.
         """
         usable = self._usable_candidates(query)
+        if not usable and query.accepts_unhealthy:
+            usable = [
+                candidate
+                for candidate in self._groups.get(query.group, ())
+                if candidate.name not in query.excluded
+            ]
         if not usable:
             return self._no_runner(query)
         candidate = self._policy.pick(
@@ -316,8 +328,7 @@
 
         :returns: None if no runner is likely to have many more blocks cached.
         """
-        pool = self._by_pool.get(query.pool, [])
-        others = [c for c in pool if c.name != chosen and not c.leaving]
+        others = self._copy_sources(query, chosen)
         if not others or len(query.blocks) < MIN_FETCH_BLOCKS:
             return None
         expected_cached = self._index.expected(query.blocks)
@@ -330,6 +341,21 @@
         home = self._home_runner(query, others)
         return home.runner if home is not None else None
 
+    def _copy_sources(
+        self, query: models.Query, chosen: str
+    ) -> list[candidates_.Candidate]:
+        """The runners whose cached blocks the chosen one can use.
+
+        The software of another version may keep them in another form.
+        """
+        candidate = self._candidates.get(chosen)
+        origin = candidate.runner.origin if candidate is not None else None
+        return [
+            other
+            for other in self._groups.get(query.group, [])
+            if other.name != chosen and other.runner.origin == origin
+        ]
+
     def backlog(self, name: str) -> tuple[int, float]:
         """What a request would find at a runner, as far as is known.
 
@@ -362,7 +388,7 @@
         now = self._clock.now()
         return {
             candidate.name: candidate.pending_tokens + candidate.others_pending
-            for candidate in self._by_pool.get(pool, [])
+            for candidate in self._groups.get(pool, [])
             if candidate.circuit.allows(now)
         }
 
@@ -387,7 +413,7 @@
         if candidate is None:
             return query.prompt_tokens
         expected_cached = self._index.expected(query.blocks).get(runner, 0.0)
-        home = self._home_runner(query, self._by_pool.get(query.pool, []))
+        home = self._home_runner(query, self._groups.get(query.group, []))
         if candidate is home or query.can_copy:
             expected_cached = max(expected_cached, query.shared_blocks)
         cached = expected_cached * prefix.TOKENS_PER_BLOCK
@@ -451,13 +477,24 @@
     def _suppress_runner(self, name: str) -> None:
         self._removed_until[name] = self._clock.now() + REMOVED_RUNNER_TTL_S
 
-    def _group_by_pool(self) -> None:
-        """Group the runners that accept new requests by pool."""
-        self._by_pool = {}
+    def _group_candidates(self) -> None:
+        """Group the runners that accept new requests."""
+        groups: dict[models.Group, list[candidates_.Candidate]] = {}
+        versioned = set()
         for candidate in self._candidates.values():
-            if not candidate.leaving:
-                pool = candidate.runner.pool
-                self._by_pool.setdefault(pool, []).append(candidate)
+            if candidate.leaving:
+                continue
+            runner = candidate.runner
+            if runner.pool:
+                groups.setdefault(runner.pool, []).append(candidate)
+            if runner.origin is not None:
+                groups.setdefault(runner.origin, []).append(candidate)
+                if runner.origin.version:
+                    versioned.add(runner.origin.service)
+        for service in versioned:
+            # A runner of unknown version may be of any of the known ones.
+            groups.pop(models.StreamOrigin(service, ""), None)
+        self._groups = groups
 
     def _usable_candidates(
         self, query: models.Query
@@ -471,7 +508,7 @@
         tokens = query.prompt_tokens
         answer = query.expected_tokens
         usable = []
-        pool = self._by_pool.get(query.pool, [])
+        pool = self._groups.get(query.group, [])
         home = self._home_runner(query, pool)
         for candidate in pool:
             cached = expected_cached.get(candidate.name, 0.0)
@@ -536,7 +573,7 @@
     def _no_runner(self, query: models.Query) -> models.NoRunner:
         """The answer to a query that no runner can take, with the reason."""
         reason = models.NoRunnerReason
-        pool = self._by_pool.get(query.pool)
+        pool = self._groups.get(query.group)
         if not pool:
             leaving = any(
                 candidate.runner.pool == query.pool
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import typing
 
 from .. import logs
 from ..runners import model as models
@@ -28,6 +29,10 @@
 ROOM_WAIT_OBJECTIVE_SHARE = 0.25
 
 
+#: The reason why a stream ends that has no runner of its version left.
+VERSION_GONE = "version_gone"
+
+
 class NoPlace(Exception):
     """No runner can take the call now.
 
@@ -104,6 +109,7 @@
         "_call",
         "_customer",
         "_limits",
+        "_origin",
         "_route",
         "_service",
         "_slot_call",
@@ -127,6 +133,22 @@
         self._route = route
         self._service = service
         self._slot_call = slot_leases.SlotCall(call.request_id, service, route)
+        #: Of the stream that the call continues; None while it has no part of
+        #: a response.
+        self._origin: models.StreamOrigin | None = None
+
+    def continue_at(self, origin: models.StreamOrigin) -> None:
+        """Place the next attempts where a stream goes on that has begun."""
+        self._origin = origin
+
+    def has_untried(self, tried: typing.Collection[str]) -> bool:
+        """Whether there are runners for the call besides those tried."""
+        return any(
+            runner.runner_id not in tried for runner in self._available()
+        )
+
+    def _available(self) -> list[runners.Runner]:
+        return self._upstreams.available_runners(self._service, self._origin)
 
     async def place(self, tried: frozenset[str], left_s: float) -> Placement:
         """Choose a runner, take room there and determine the level there.
@@ -166,12 +188,7 @@
         if not slots.grants_slots_of(self._service):
             return None
         excluded = tried | self._upstreams.avoided_runners(self._service)
-        if all(
-            runner.runner_id in excluded
-            for runner in self._upstreams.directory.available_runners(
-                self._service
-            )
-        ):
+        if not self.has_untried(excluded):
             return None
         return await slots.ask(self._slot_call, excluded, left_s)
 
@@ -187,7 +204,7 @@
         full: frozenset[str] = frozenset()
         while True:
             query = self._upstreams.query(
-                self._call, self._route, self._service, tried
+                self._call, self._route, self._service, tried, self._origin
             )
             runner = None
             if granted:
@@ -265,9 +282,7 @@
         excluded = tried | self._statements.leavings.names
         return {
             runner.runner_id: self._statements.wait_s(runner.runner_id)
-            for runner in self._upstreams.directory.available_runners(
-                self._service
-            )
+            for runner in self._available()
             if runner.runner_id not in excluded
         }
 
@@ -284,7 +299,7 @@
             if wait_s is not None
         }
         if not waits:
-            raise NoPlace("no_runner")
+            raise NoPlace(self._lack)
         patience_s = min(
             left_s, ROOM_WAIT_OBJECTIVE_SHARE * self._route.objective_s
         )
@@ -301,6 +316,13 @@
         )
         raise NoPlace("runners_unavailable")
 
+    @property
+    def _lack(self) -> str:
+        """Why there is no runner for the call."""
+        if self._origin is not None and not self._available():
+            return VERSION_GONE
+        return "no_runner"
+
     async def _take_turn(
         self,
         name: str,
@@ -365,8 +387,9 @@
 
     def _passed_over(self) -> str:
         """The service's runners that take no call now, with the causes."""
-        runners_ = self._upstreams.directory.available_runners(self._service)
-        causes = self._statements.causes(r.runner_id for r in runners_)
+        causes = self._statements.causes(
+            runner.runner_id for runner in self._available()
+        )
         return ",".join(f"{name}={cause}" for name, cause in causes.items())
 
     def _log_passed_over(self, runner: runners.Runner) -> None:
--- a/src/apricotlever/serving/call_state.py
+++ b/src/apricotlever/serving/call_state.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from ..runners import model as models
 from ..runners import silence_detector
 
 from . import call_placement
@@ -60,6 +61,7 @@
         "helper",
         "is_counted",
         "may_have_run",
+        "origin",
         "placement",
         "reason",
         "relay",
@@ -109,6 +111,11 @@
         #: Whether the caller has a part of the response, so that only a stream
         #: that goes on is of use.
         self.stream_begun = forwarded is not None and forwarded.stream_begun
+        #: Where the stream began of which the caller has a part; None if it
+        #: has no part yet.
+        self.origin: models.StreamOrigin | None = None
+        if forwarded is not None and forwarded.origin is not None:
+            self.continue_at(models.StreamOrigin(*forwarded.origin))
         #: Why no runner's response was delivered; "" if one was.
         self.reason = ""
         self.runner_id: str | None = None
@@ -141,6 +148,20 @@
             or self.relay.budget.remaining(self.service) >= 1.0
         )
 
+    def stream_began(self, version: str) -> None:
+        """Record that the caller receives the first event of this call.
+
+        :param version: of the runner that sent it.
+        """
+        self.stream_begun = True
+        if self.origin is None:
+            self.continue_at(models.StreamOrigin(self.service, version))
+
+    def continue_at(self, origin: models.StreamOrigin) -> None:
+        """Continue the call only at runners like the one that began it."""
+        self.origin = origin
+        self.placement.continue_at(origin)
+
     def first_response_timeout_s(self, factor: float = 1.0) -> float | None:
         """How long to wait for the response to begin, in seconds.
 
--- a/src/apricotlever/serving/forwarding_attempt.py
+++ b/src/apricotlever/serving/forwarding_attempt.py
@@ -52,7 +52,9 @@
     ) -> messages.RunnerResponseHead:
         """Translate status and headers of a response."""
         refusal = forwarding_protocol.HelperRefusal.from_headers(headers)
+        version, headers = forwarding_protocol.take_version(headers)
         head = self._dialect.parse_response_head(status, headers)
+        head.version = version
         if refusal is None and not head.signed and 400 <= status < 500:
             # The helper sends on none but signed responses of runners, so
             # its server has rejected the request, as one of an older build
--- a/src/apricotlever/serving/forwarding_protocol.py
+++ b/src/apricotlever/serving/forwarding_protocol.py
@@ -23,6 +23,8 @@
 EXECUTED_HEADER = b"Apricotlever-Executed"
 #: To how many runners a refused call was sent, by all VMs together.
 SENDS_HEADER = b"Apricotlever-Sends"
+#: Version of the software of the runner whose response is sent back.
+VERSION_HEADER = b"Apricotlever-Runner-Version"
 RETRY_AFTER_HEADER = b"Retry-After"
 #: How long a helper keeps an idle connection, in seconds; less than the time
 #: after which its server closes one.
@@ -41,6 +43,7 @@
         REFUSAL_HEADER.lower(),
         EXECUTED_HEADER.lower(),
         SENDS_HEADER.lower(),
+        VERSION_HEADER.lower(),
     }
 )
 #: Bytes by which the request of a forwarded call is longer than the caller's
@@ -68,6 +71,8 @@
     :param stream_begun: whether the caller has a part of the response.
     :param counted: whether the allowance of retries counts the request.
     :param usage_counted: whether the customer's usage counts the call.
+    :param origin: service and version of the runner that began the stream;
+        None if the caller has no part of the response.
     """
 
     __slots__ = (
@@ -88,6 +93,7 @@
         "stream_begun",
         "counted",
         "usage_counted",
+        "origin",
     )
 
     def __init__(
@@ -109,6 +115,7 @@
         stream_begun: bool,
         counted: bool,
         usage_counted: bool,
+        origin: tuple[str, str] | None,
     ) -> None:
         self.request_id = request_id
         self.method = method
@@ -127,6 +134,7 @@
         self.stream_begun = stream_begun
         self.counted = counted
         self.usage_counted = usage_counted
+        self.origin = origin
 
     def encode(self) -> bytes:
         """Encode as the body of a request."""
@@ -246,7 +254,8 @@
 ) -> list[tuple[bytes, bytes]]:
     """Headers of a runner's response that a helper sends back.
 
-    They are all that don't concern the connection to the runner.
+    They are all that don't concern the connection to the runner, and the
+    version of its software.
     """
     listed = {
         token.strip().lower()
@@ -257,10 +266,25 @@
     dropped = _CONNECTION_HEADERS | listed
     return [
         *((n, v) for n, v in head.headers if n.lower() not in dropped),
+        (VERSION_HEADER, _header_text(head.version)),
         _KEEP_ALIVE,
     ]
 
 
+def take_version(
+    headers: messages.Headers,
+) -> tuple[str, list[tuple[bytes, bytes]]]:
+    """Separate the version from the headers of a helper's response.
+
+    :returns: the version of the runner's software, "" if unknown, and the
+        other headers.
+    """
+    name = VERSION_HEADER.lower()
+    versions = [value for key, value in headers if key.lower() == name]
+    version = versions[0].decode("latin-1") if len(versions) == 1 else ""
+    return version, [(n, v) for n, v in headers if n.lower() != name]
+
+
 def headers_without_key(
     headers: messages.Headers, key: str
 ) -> list[tuple[bytes, bytes]]:
@@ -373,4 +397,12 @@
     ("stream_begun", validation.is_bool),
     ("counted", validation.is_bool),
     ("usage_counted", validation.is_bool),
+    (
+        "origin",
+        validation.is_none_or(
+            validation.is_tuple_of(
+                validation.is_non_empty_string, validation.is_string
+            )
+        ),
+    ),
 )
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -152,6 +152,11 @@
             state.stream_begun,
             state.is_counted,
             self._sink.usage_counted,
+            (
+                (state.origin.service, state.origin.version)
+                if state.origin
+                else None
+            ),
         )
 
     def _not_served(self) -> call_state.NotServed:
--- a/src/apricotlever/serving/messages.py
+++ b/src/apricotlever/serving/messages.py
@@ -181,6 +181,8 @@
     :param keep_alive_s: how long the runner keeps an idle connection, in
         seconds; None if not sent.
     :param statement: what the runner says of itself.
+    :ivar version: the version of the runner's software, as known to the VM
+        that sent it the call; "" if unknown.
     """
 
     __slots__ = (
@@ -193,6 +195,7 @@
         "closing",
         "keep_alive_s",
         "statement",
+        "version",
     )
 
     def __init__(
@@ -216,6 +219,7 @@
         self.closing = closing
         self.keep_alive_s = keep_alive_s
         self.statement = statement
+        self.version = ""
 
     @property
     def is_success(self) -> bool:
--- a/src/apricotlever/serving/response_sink.py
+++ b/src/apricotlever/serving/response_sink.py
@@ -76,7 +76,7 @@
         self.mark_started()
         self._update_longest_pause()
         if not self._reply.started:
-            self._state.stream_begun = True
+            self._state.stream_began(head.version)
             self._reply.start_stream(head.status, self._headers(head))
         return self._reply.send_chunk(data)
 
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -180,6 +180,7 @@
         Another runner may use the address now, and an unsigned head may come
         from something else on the way.
         """
+        head.version = self._runner.version
         if head.other_runner:
             self._upstreams.runner_replaced(self._runner)
         elif head.signed or head.not_run:
--- a/src/apricotlever/serving/runner_choice.py
+++ b/src/apricotlever/serving/runner_choice.py
@@ -41,14 +41,16 @@
         """Choose a runner for a query.
 
         During a roll-out of the service, a share of the calls goes to runners
-        of the new version if one of them is available.
+        of the new version if one of them is available. A stream is continued
+        where its origin says, whatever the roll-out.
 
         :param unavailable: runners that take no call by their own word.
         :returns: the runner's ID; None if none is available.
         """
         service = query.pool
         repeated = bool(query.excluded)
-        if self._roll_outs.should_use_new_version(
+        begins = not isinstance(query, models.ContinuationQuery)
+        if begins and self._roll_outs.should_use_new_version(
             service, query.entry, repeated
         ):
             query.pool = call_sampling.pool_name(
@@ -76,10 +78,10 @@
         )
 
     def routing_pool(self, runner: runners.Runner) -> str:
-        """The routing pool of a runner; "" for none.
+        """The routing pool of a runner; "" if it takes no calls that begin.
 
-        Each version has its own pool, so that prompts are neither placed nor
-        copied across versions.
+        In a roll-out each version has its own pool, so that prompts are not
+        placed across versions.
         """
         return call_sampling.pool_name(
             runner.service, self._roll_outs.role(runner)
@@ -118,4 +120,5 @@
         "",
         1.0,
         runner.concurrency,
+        runner.origin,
     )
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -65,10 +65,7 @@
             return True
         if not self._state.relay.helpers.may_be_needed:
             return False
-        available = self._state.relay.upstreams.directory.available_runners(
-            self._state.service
-        )
-        return any(runner.runner_id not in self._tried for runner in available)
+        return self._state.placement.has_untried(self._tried)
 
     async def run(self) -> attempt_outcome.AttemptOutcome:
         """Send the call to one runner and read the response.
--- a/src/apricotlever/serving/runners.py
+++ b/src/apricotlever/serving/runners.py
@@ -9,6 +9,7 @@
 import typing
 
 from .. import validation
+from ..runners import model as models
 
 
 class UnreadableEntry:
@@ -107,6 +108,11 @@
         """The runner's address, as ``host:port``."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def origin(self) -> models.StreamOrigin:
+        """The origin of the streams that begin at this runner."""
+        return models.StreamOrigin(self.service, self.version)
+
     @property
     def is_placeholder(self) -> bool:
         """Whether nothing is known of the runner but its name.
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -320,10 +320,11 @@
         self._observations.keep_only(listed)
         self._reach_monitor.set_runners(listed)
         self._router.set_runners(
-            runner_choice.routing_view(runner, pool)
+            runner_choice.routing_view(
+                runner, self._choice.routing_pool(runner)
+            )
             for runner in listed
             if not runner.leaving
-            and (pool := self._choice.routing_pool(runner))
         )
         self._crashes.update_runners(listed)
         self._statements.keep_only(listed)
@@ -365,14 +366,20 @@
         route: configuration_model.Route,
         service: str,
         excluded: frozenset[str],
+        origin: models.StreamOrigin | None = None,
     ) -> models.Query:
         """Describe a call for the router, which chooses a runner by it.
 
         :param excluded: runners that must not be chosen.
+        :param origin: of the stream that the call continues; None if the call
+            has no part of a response yet.
         """
-        return call_queries.query_of(
+        query = call_queries.query_of(
             call, route, self._service_named(service), service, excluded
         )
+        if origin is None:
+            return query
+        return models.ContinuationQuery(query, origin)
 
     def fetch_source(
         self, query: models.Query, runner: runners.Runner
@@ -429,10 +436,25 @@
             or runner.leaving
             or name in query.excluded
             or name in self.avoided_runners(query.pool)
+            or name not in self._router.names(query.group)
         ):
             return None
         return runner
 
+    def available_runners(
+        self, service: str, origin: models.StreamOrigin | None
+    ) -> list[runners.Runner]:
+        """The runners that may take a call to a service, if they have room.
+
+        :param origin: of the stream that the call continues; None if the call
+            has no part of a response yet.
+        """
+        available = self._directory.available_runners(service)
+        if origin is None:
+            return available
+        names = self._router.names(origin)
+        return [each for each in available if each.runner_id in names]
+
     def takes_regular_calls(self, runner: runners.Runner) -> bool:
         """Whether a runner takes its service's regular calls."""
         return self._choice.takes_regular_calls(runner)
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -64,6 +64,7 @@
         callers=None,
         clock=None,
         reach=None,
+        min_retries=20.0,
     ):
         self.name = name
         self.clock = clocks.ManualClock()
@@ -83,7 +84,7 @@
         self.reach = reach or AlwaysConnected()
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
         self.budget = retry_allowance.RetryAllowance(
-            clocks.SystemClock(), 0.2, 20.0, 10.0
+            clocks.SystemClock(), 0.2, min_retries, 10.0
         )
         self.relay = call_relay.CallRelay(
             dialects.Dialect(
--- a/tests/serving/version_fleet.py
+++ b/tests/serving/version_fleet.py
@@ -6,6 +6,8 @@
 from tests.serving import request_path
 
 HOST = "127.0.0.1"
+#: Retries that are always allowed; enough for each stream to break once.
+MIN_RETRIES = 100.0
 #: Events of a whole stream.
 EVENTS = 6
 
@@ -51,7 +53,8 @@
 
     def __init__(self, count):
         self.vms = [
-            request_path.RequestPath(f"vm-{n}") for n in range(1, count + 1)
+            request_path.RequestPath(f"vm-{n}", min_retries=MIN_RETRIES)
+            for n in range(1, count + 1)
         ]
 
     async def start(self, max_attempts):
