Resume a stream only at the version that began it, known over VMs

Callers saw streams joined of two versions over their tries: the VM that got a resumed call didn't know where its stream began, as the header that names the first call wasn't read and what another VM knew stayed there.

The VM that begins a resumable stream now records its origin, service and version, under a hash of customer and call id, before the caller gets the first event: for itself and at two other VMs, in two data centres, which every VM finds by consistent hashing. A VM at which a stream is resumed uses its own record or asks the VMs that may have one; without a record it goes on only if its directory and theirs have shown one version since the stream can have begun. Else the call is refused with 503 (stream_unknown), which is true. While a service has one version, a record goes out only for a stream older than 0.2 s, together with others; a second version sends all at once. A resumed call on a split route goes to the service that began its stream. Log lines stream_resumed and stream_unknown name version, source and age; metrics count them.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -72,6 +72,10 @@
         "version_gone",
         "no runner of the version that began its stream was left",
     ),
+    (
+        "stream_unknown",
+        "no VM knew at which version the stream began that it resumed",
+    ),
     ("no_answer_in_time", "a runner did not start to answer in time"),
     ("unsigned", "the answer lacked the identification of a runner"),
     ("deadline", "its time, or the route's, was over"),
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -192,6 +192,13 @@
     "request_quarantined": Event(
         ERROR, "A request that crashed runners is refused by all VMs."
     ),
+    "stream_resumed": Event(
+        INFO, "A caller took its stream up again, whose beginning is known."
+    ),
+    "stream_unknown": Event(
+        WARNING,
+        "A caller's stream isn't resumed; nobody knows where it began.",
+    ),
     "stream_moved": Event(INFO, "A stream continued at another runner."),
     "stream_replayed": Event(
         WARNING, "A stream's tokens were recomputed at another runner."
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -140,6 +140,11 @@
     def continue_at(self, origin: models.StreamOrigin) -> None:
         """Place the next attempts where a stream goes on that has begun."""
         self._origin = origin
+        if origin.service != self._service:
+            self._service = origin.service
+            self._slot_call = slot_leases.SlotCall(
+                self._call.request_id, origin.service, self._route
+            )
 
     def has_untried(self, tried: typing.Collection[str]) -> bool:
         """Whether there are runners for the call besides those tried."""
--- a/src/apricotlever/serving/call_state.py
+++ b/src/apricotlever/serving/call_state.py
@@ -157,9 +157,14 @@
         if self.origin is None:
             self.continue_at(models.StreamOrigin(self.service, version))
 
+    def may_continue_at(self, origin: models.StreamOrigin) -> bool:
+        """Whether the route leads to the service that began the stream."""
+        return any(origin.service == name for name, _ in self.route.targets)
+
     def continue_at(self, origin: models.StreamOrigin) -> None:
         """Continue the call only at runners like the one that began it."""
         self.origin = origin
+        self.service = origin.service
         self.placement.continue_at(origin)
 
     def first_response_timeout_s(self, factor: float = 1.0) -> float | None:
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -30,6 +30,7 @@
 from . import peer_datagrams
 from . import runner_directory as directories
 from . import settings
+from . import stream_origins
 from . import task_supervisor
 from . import update_fetcher
 
@@ -137,6 +138,16 @@
             and not peer.leaving
         }
 
+    @property
+    def record_keepers(self) -> dict[str, stream_origins.Peer]:
+        """The other VMs that may keep records of streams, by name."""
+        keepers = self.limit_keepers
+        return {
+            peer.vm: stream_origins.Peer(keepers[peer.vm], peer.data_centre)
+            for peer in self.alive
+            if peer.vm in keepers
+        }
+
     @property
     def limit_addresses(self) -> dict[str, tuple[str, int]]:
         """Addresses for messages about limits of all live VMs, by name.
--- a/src/apricotlever/serving/forwarding_protocol.py
+++ b/src/apricotlever/serving/forwarding_protocol.py
@@ -71,6 +71,8 @@
     :param stream_begun: whether the caller has a part of the response.
     :param counted: whether the allowance of retries counts the request.
     :param usage_counted: whether the customer's usage counts the call.
+    :param resumes: the call whose response began the stream that the caller
+        resumes; "" if it doesn't say.
     :param origin: service and version of the runner that began the stream;
         None if the caller has no part of the response.
     """
@@ -93,6 +95,7 @@
         "stream_begun",
         "counted",
         "usage_counted",
+        "resumes",
         "origin",
     )
 
@@ -115,6 +118,7 @@
         stream_begun: bool,
         counted: bool,
         usage_counted: bool,
+        resumes: str,
         origin: tuple[str, str] | None,
     ) -> None:
         self.request_id = request_id
@@ -134,6 +138,7 @@
         self.stream_begun = stream_begun
         self.counted = counted
         self.usage_counted = usage_counted
+        self.resumes = resumes
         self.origin = origin
 
     def encode(self) -> bytes:
@@ -170,6 +175,7 @@
             _decode_prompt(self.prompt),
             self.resume_after,
             received_at,
+            self.resumes,
         )
 
 
@@ -397,6 +403,7 @@
     ("stream_begun", validation.is_bool),
     ("counted", validation.is_bool),
     ("usage_counted", validation.is_bool),
+    ("resumes", _is_line),
     (
         "origin",
         validation.is_none_or(
--- a/src/apricotlever/serving/fragile_runner_protocol.py
+++ b/src/apricotlever/serving/fragile_runner_protocol.py
@@ -118,7 +118,9 @@
         self._transport = transport
         self._vm = vm
         self._process = process
-        self._questions = keeper_questions.KeeperQuestions(transport)
+        self._questions = keeper_questions.KeeperQuestions[
+            limit_keeper.Admission
+        ](transport)
         #: The numbers of the questions that were last answered in time and
         #: with room.
         self._admitted: collections.deque[int] = collections.deque(
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -152,6 +152,7 @@
             state.stream_begun,
             state.is_counted,
             self._sink.usage_counted,
+            call.stream_id,
             (
                 (state.origin.service, state.origin.version)
                 if state.origin
--- a/src/apricotlever/serving/messages.py
+++ b/src/apricotlever/serving/messages.py
@@ -120,6 +120,11 @@
         self.received_at = received_at
         self.resumes = resumes
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the call that began this call's stream; "" if unknown."""
+        return self.request_id if self.last_event_id is None else self.resumes
+
     @property
     def path(self) -> str:
         """The call's target without its query."""
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -63,6 +63,8 @@
             },
             ("limit_left", "customer"): limits_.levels,
             ("limit_part", "customer"): limits_.usable_fractions,
+            ("stream_resumptions_total", "source"): upstreams.origins.results,
+            ("service_versions", "service"): upstreams.origins.history.counts,
             ("forwarded_calls_total", "result"): relay_.helpers.results,
             ("helped_calls_total", "result"): helped,
             **upstreams.priorities.metrics(),
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -267,8 +267,15 @@
         self._servers.drain()
         self._duties.release_lease()
         self._fleet.publish_now()
+        self._hand_over_streams()
         self._tasks.spawn(self._stop_when_idle())
 
+    def _hand_over_streams(self) -> None:
+        """Have other VMs know where the streams began that this one knows."""
+        origins = self._upstreams.origins
+        origins.set_fleet(self._fleet.record_keepers, False, True)
+        origins.hand_over()
+
     def configure(self, spec: store.Json) -> bool:
         """Activate a configuration if it is newer than the active one.
 
@@ -532,6 +539,7 @@
             limits = self._upstreams.runner_limits
             limits.enable_protocol(self._limit_calls)
             self._upstreams.slots.enable_protocol(self._limit_calls)
+            self._upstreams.origins.enable_protocol(self._limit_calls)
             self._tasks.repeat(
                 runner_limits.EXCHANGE_INTERVAL_S, limits.exchange
             )
@@ -629,6 +637,7 @@
             self.observe_loads(self._fleet.loads)
         if self._roll_outs.tick():
             self._roll_outs_changed()
+        self._upstreams.origins.tick()
         now = asyncio.get_running_loop().time()
         self._upstreams.sweep(now)
         self._helpers.set_records(alive)
@@ -670,6 +679,13 @@
                 self._limits.heard_share,
                 fleet_size,
             )
+        origins = self._upstreams.origins
+        if origins.wants_fleet:
+            origins.set_fleet(
+                self._fleet.record_keepers,
+                self.ready,
+                self._is_following_store or self._limits.heard_share > 0.0,
+            )
         if self._upstreams.slots.wants_fleet:
             self._upstreams.slots.set_fleet(
                 keepers,
--- a/src/apricotlever/serving/response_sink.py
+++ b/src/apricotlever/serving/response_sink.py
@@ -8,6 +8,7 @@
 from . import event_splitter
 from . import messages
 from . import reply_writer
+from . import stream_origins
 
 #: Gives the headers of a runner's response that are sent on.
 HeaderFilter = typing.Callable[
@@ -77,6 +78,7 @@
         self._update_longest_pause()
         if not self._reply.started:
             self._state.stream_began(head.version)
+            self._record_origin()
             self._reply.start_stream(head.status, self._headers(head))
         return self._reply.send_chunk(data)
 
@@ -112,6 +114,29 @@
             return
         self._reply.finish(end)
         self.served = True
+        key = self._stream_key
+        if key is not None:
+            self._state.relay.upstreams.origins.ended(key)
+
+    @property
+    def _stream_key(self) -> bytes | None:
+        """Key of the stream if this VM records it; None if it doesn't.
+
+        The helper records a stream that it serves for this VM.
+        """
+        state = self._state
+        if not state.route.resumable or state.helper is not None:
+            return None
+        return stream_origins.key_of(state.call, state.customer)
+
+    def _record_origin(self) -> None:
+        """Record where the stream began before the caller has a part of it."""
+        state = self._state
+        key = self._stream_key
+        if key is not None and state.origin is not None:
+            state.relay.upstreams.origins.began(
+                key, state.origin, stream_origins.lifetime_s(state.route)
+            )
 
     def _update_longest_pause(self) -> None:
         now = self._loop.time()
--- a/src/apricotlever/serving/runner_limit_protocol.py
+++ b/src/apricotlever/serving/runner_limit_protocol.py
@@ -94,7 +94,9 @@
     ) -> None:
         self._transport = transport
         self._vm = vm
-        self._questions = keeper_questions.KeeperQuestions(transport)
+        self._questions = keeper_questions.KeeperQuestions[
+            limit_keeper.Admission
+        ](transport)
         for kind, is_valid, handler in (
             (ASK, _IS_ASK, self._receive_question),
             (ANSWER, _IS_ANSWER, self._receive_answer),
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from .. import logs
 from ..contracts import rejection_limit
+from ..runners import model as models
 
 from . import attempt_outcome
 from . import call_placement
@@ -14,12 +16,17 @@
 from . import response_sink
 from . import runner_attempt as attempts
 from . import runners
+from . import stream_origins
 
 #: Minimum time limit that a runner is given for a call, in seconds, so that no
 #: runner receives a limit of zero.
 MIN_RUNNER_TIME_S = 0.001
 #: The reason why no connection is opened, as this VM knows that it would fail.
 NO_NEW_CONNECTIONS = "unreachable:no_new_connections"
+#: The reason why a resumed stream is refused whose beginning nobody knows, and
+#: when its caller may return, in seconds: a VM that knows may have been busy.
+STREAM_UNKNOWN = "stream_unknown"
+UNKNOWN_RETRY_AFTER_S = 0.3
 
 
 class RunnerSending:
@@ -77,6 +84,7 @@
             state.is_counted = True
             state.relay.budget.record_request(state.service)
         self._check_crash_blocklist()
+        await self._find_origin()
         placement = await self._place()
         sends_before = state.sends
         try:
@@ -161,6 +169,37 @@
             )
         return await attempt.connect(self._state.left_s)
 
+    async def _find_origin(self) -> None:
+        """Find where the stream began that the caller resumes.
+
+        :raises call_state.NotServed: if that is unknown. What runners of two
+            versions write doesn't fit together.
+        """
+        state = self._state
+        if state.origin is not None or state.call.last_event_id is None:
+            return
+        finding = await state.relay.upstreams.origins.find(
+            stream_origins.key_of(state.call, state.customer),
+            [service for service, _ in state.route.targets],
+            stream_origins.lifetime_s(state.route),
+        )
+        origin = finding.origin
+        logs.event(
+            "stream_resumed" if origin is not None else "stream_unknown",
+            request=state.call.request_id,
+            resumes=state.call.resumes or None,
+            resume_after=state.call.last_event_id,
+            service=origin.service if origin is not None else None,
+            version=origin.version if origin is not None else None,
+            source=finding.source.value,
+            age_s=finding.age_s,
+            seen=_versions(finding.seen),
+            answers=finding.answers,
+        )
+        if origin is None or not state.may_continue_at(origin):
+            raise state.not_served(STREAM_UNKNOWN, UNKNOWN_RETRY_AFTER_S)
+        state.continue_at(origin)
+
     async def _place(self) -> call_placement.Placement:
         state = self._state
         try:
@@ -250,3 +289,9 @@
             state.splitter.last_id,
             copy_from,
         )
+
+
+def _versions(origins: frozenset[models.StreamOrigin]) -> str | None:
+    """Origins as a field of a log line."""
+    names = sorted(f"{each.service}@{each.version}" for each in origins)
+    return ",".join(names) or None
--- /dev/null
+++ b/src/apricotlever/serving/stream_origins.py
@@ -0,0 +1,372 @@
+"""Knows where streams began, also those that other VMs have served.
+
+See :mod:`..streams`. While all runners of a service have one version, a record
+is sent only for a stream that has lasted a while, and several at a time: until
+then, the directory of runners shows each VM where it began.
+"""
+
+import asyncio
+import collections
+import enum
+import typing
+
+from .. import clock as clocks
+from ..runners import model as models
+from ..streams import keeper_ring
+from ..streams import origin_table
+from ..streams import version_history
+
+from . import configuration_model
+from . import limit_protocol
+from . import messages
+from . import stream_origin_protocol as protocols
+
+#: For how long a stream may be taken up again after it has begun or gone on,
+#: as a multiple of the time that its route gives a call.
+LIFETIME_FACTOR = 2.0
+#: Age of a stream, in seconds, from which its record is sent while its service
+#: has one version.
+RECORD_DELAY_S = 0.2
+#: Seconds between two updates of the other VMs, each of which looks at all of
+#: them.
+FLEET_INTERVAL_S = 0.5
+
+
+class Source(enum.Enum):
+    """How it is known where a stream began."""
+
+    #: This VM served it, or keeps its record.
+    OWN = "own"
+    #: Another VM keeps its record.
+    KEEPER = "keeper"
+    #: Only one version has served since it can have begun.
+    SOLE_VERSION = "sole_version"
+    #: It is not known.
+    UNKNOWN = "unknown"
+
+
+class Finding:
+    """Where a stream began.
+
+    :param origin: None if that is unknown.
+    :param age_s: the age of the record, in seconds; None without one.
+    :param seen: the origins that it may have by the VMs' directories, if there
+        is no record.
+    :param answers: number of other VMs that answered.
+    """
+
+    __slots__ = ("source", "origin", "age_s", "seen", "answers")
+
+    def __init__(
+        self,
+        source: Source,
+        origin: models.StreamOrigin | None,
+        age_s: float | None = None,
+        seen: frozenset[models.StreamOrigin] = frozenset(),
+        answers: int = 0,
+    ) -> None:
+        self.source = source
+        self.origin = origin
+        self.age_s = age_s
+        self.seen = seen
+        self.answers = answers
+
+
+class Peer:
+    """Another VM that may keep records.
+
+    :param address: where it receives messages about limits.
+    """
+
+    __slots__ = ("address", "data_centre")
+
+    def __init__(
+        self, address: limit_protocol.Address, data_centre: str
+    ) -> None:
+        self.address = address
+        self.data_centre = data_centre
+
+
+def lifetime_s(route: configuration_model.Route) -> float:
+    """For how long a route's streams may be taken up again, in seconds."""
+    return min(protocols.MAX_LIFETIME_S, LIFETIME_FACTOR * route.timeout_s)
+
+
+def key_of(
+    call: messages.CallerCall, customer: configuration_model.Customer | None
+) -> bytes | None:
+    """The key of the stream that a call begins or resumes.
+
+    :returns: None if the caller doesn't say which stream it is.
+    """
+    if not call.stream_id:
+        return None
+    return origin_table.stream_key(
+        customer.name if customer is not None else "", call.stream_id
+    )
+
+
+class StreamOrigins:
+    """Records where this VM's streams begin, and finds where others began.
+
+    :param vm: this VM's name.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_data_centre",
+        "_fleet_set_at",
+        "_history",
+        "_is_current",
+        "_peers",
+        "_protocol",
+        "_ring",
+        "_results",
+        "_table",
+        "_unsent",
+        "_vm",
+        "sent_count",
+    )
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        vm: str,
+        data_centre: str,
+    ) -> None:
+        self._clock = clock
+        self._vm = vm
+        self._data_centre = data_centre
+        #: Whether this VM's directory of runners is up to date, as far as it
+        #: can know.
+        self._is_current = True
+        self._table = origin_table.OriginTable(clock)
+        self._history = version_history.VersionHistory(clock)
+        self._ring = keeper_ring.KeeperRing()
+        self._protocol: protocols.StreamOriginProtocol | None = None
+        self._peers: dict[str, Peer] = {}
+        self._fleet_set_at = float("-inf")
+        #: Keys of this VM's streams whose records are not sent yet, in the
+        #: order of their beginnings.
+        self._unsent: dict[bytes, None] = {}
+        #: How often a caller resumed a stream, by what was known of it.
+        self._results: collections.Counter[str] = collections.Counter()
+        #: How many records were sent.
+        self.sent_count = 0
+
+    @property
+    def history(self) -> version_history.VersionHistory:
+        """The versions of each service."""
+        return self._history
+
+    @property
+    def results(self) -> dict[str, int]:
+        """How often a caller resumed a stream, by :class:`Source`."""
+        return dict(self._results)
+
+    @property
+    def counters(self) -> dict[str, float]:
+        """Values for the metrics, by name."""
+        return {
+            "stream_records": len(self._table),
+            "stream_records_sent_total": self.sent_count,
+        }
+
+    @property
+    def wants_fleet(self) -> bool:
+        """Whether :meth:`set_fleet` is due."""
+        if self._protocol is None:
+            return False
+        return self._clock.now() - self._fleet_set_at >= FLEET_INTERVAL_S
+
+    def enable_protocol(self, transport: limit_protocol.LimitProtocol) -> None:
+        """From now on, exchange messages with the other VMs."""
+        self._protocol = protocols.StreamOriginProtocol(
+            transport, self, int(self._clock.now() * 1e6)
+        )
+
+    def set_fleet(
+        self,
+        peers: typing.Mapping[str, Peer],
+        eligible: bool,
+        is_current: bool,
+    ) -> None:
+        """Set which VMs there are; the caller does so when it is due.
+
+        :param peers: the other VMs that may keep records, by name.
+        :param eligible: whether this VM may keep records, too.
+        :param is_current: whether this VM hears of changes of the runners.
+        """
+        self._is_current = is_current
+        self._fleet_set_at = self._clock.now()
+        self._peers = dict(peers)
+        vms = {name: peer.data_centre for name, peer in peers.items()}
+        if eligible:
+            vms[self._vm] = self._data_centre
+        self._ring.set_vms(vms)
+
+    def set_origins(
+        self, origins: typing.Iterable[models.StreamOrigin]
+    ) -> None:
+        """Set the origins of all runners that serve now.
+
+        Once a service has several versions, its streams' records go out
+        before anybody needs them.
+        """
+        self._history.observe(origins)
+        self._send(
+            [
+                key
+                for key in self._unsent
+                if (record := self._table.get(key)) is None
+                or self._history.has_several(record.origin.service)
+            ]
+        )
+
+    def began(
+        self, key: bytes, origin: models.StreamOrigin, life_s: float
+    ) -> None:
+        """Record that a stream of this VM's caller has begun or gone on.
+
+        To be called before the caller gets its first event.
+
+        :param life_s: for how long it may be taken up again, in seconds.
+        """
+        self._table.add(key, origin, life_s)
+        self._unsent[key] = None
+        if self._history.has_several(origin.service):
+            self._send([key])
+
+    def ended(self, key: bytes) -> None:
+        """Record that a stream is complete, so that nobody resumes it."""
+        if key in self._unsent:
+            del self._unsent[key]
+            self._table.discard(key)
+
+    def tick(self) -> None:
+        """Send the records that are due, and drop those that have ended."""
+        due_at = self._clock.now() - RECORD_DELAY_S
+        due = []
+        for key in self._unsent:
+            record = self._table.get(key)
+            if record is not None and record.recorded_at > due_at:
+                break
+            due.append(key)
+        self._send(due)
+        self._table.expire()
+        self._history.expire()
+
+    def hand_over(self) -> None:
+        """Send all records to VMs that stay, as this one is about to end."""
+        self._send(list(self._table.records))
+
+    async def find(
+        self,
+        key: bytes | None,
+        services: typing.Collection[str],
+        within_s: float,
+    ) -> Finding:
+        """Find where a stream began that a caller resumes.
+
+        :param key: None if the caller doesn't say which stream it is.
+        :param services: the services whose runners may have begun it.
+        :param within_s: how long ago it may have begun, in seconds.
+        """
+        finding = await self._find(key, services, within_s)
+        self._results[finding.source.value] += 1
+        return finding
+
+    # Methods of stream_origin_protocol.Vm.
+
+    def known_origin(
+        self, key: bytes, services: typing.Collection[str], within_s: float
+    ) -> protocols.KeeperAnswer:
+        """Answer another VM's question."""
+        record = self._table.get(key)
+        seen = self._history.seen(services, within_s)
+        if record is None:
+            return protocols.KeeperAnswer(None, 0.0, seen)
+        age_s = self._clock.now() - record.recorded_at
+        return protocols.KeeperAnswer(record.origin, max(0.0, age_s), seen)
+
+    def receive_record(self, record: protocols.SentRecord) -> None:
+        """Keep a record of another VM."""
+        self._table.add(
+            record.key, record.origin, record.lifetime_s, record.age_s
+        )
+
+    async def _find(
+        self,
+        key: bytes | None,
+        services: typing.Collection[str],
+        within_s: float,
+    ) -> Finding:
+        if key is not None:
+            own = self._table.get(key)
+            if own is not None:
+                age_s = self._clock.now() - own.recorded_at
+                return Finding(Source.OWN, own.origin, age_s)
+        seen = self._history.seen(services, within_s)
+        answers = 0
+        if key is not None:
+            async for answer in self._ask(key, services, within_s):
+                answers += 1
+                if answer.origin is not None:
+                    return Finding(Source.KEEPER, answer.origin, answer.age_s)
+                seen |= answer.seen
+        if len(seen) == 1 and (answers or self._is_current):
+            (origin,) = seen
+            return Finding(Source.SOLE_VERSION, origin)
+        return Finding(Source.UNKNOWN, None, None, seen, answers)
+
+    async def _ask(
+        self, key: bytes, services: typing.Collection[str], within_s: float
+    ) -> typing.AsyncIterator[protocols.KeeperAnswer]:
+        """Ask the VMs that may have the record of a stream.
+
+        :returns: their answers, in the order in which they come.
+        """
+        if self._protocol is None:
+            return
+        questions = [
+            asyncio.ensure_future(
+                self._protocol.ask(
+                    self._peers[vm].address, key, services, within_s
+                )
+            )
+            for vm in self._ring.candidates(key)
+            if vm in self._peers
+        ]
+        try:
+            for question in asyncio.as_completed(questions):
+                try:
+                    yield await question
+                except TimeoutError:
+                    continue
+        finally:
+            for task in questions:
+                task.cancel()
+
+    def _send(self, keys: typing.Iterable[bytes]) -> None:
+        """Send the records of some streams to their keepers."""
+        now = self._clock.now()
+        by_keeper: dict[str, list[protocols.SentRecord]] = {}
+        for key in keys:
+            self._unsent.pop(key, None)
+            record = self._table.get(key)
+            if record is None:
+                continue
+            sent = protocols.SentRecord(
+                key,
+                record.origin,
+                record.until - record.recorded_at,
+                now - record.recorded_at,
+            )
+            for vm in self._ring.keepers(key, self._vm):
+                if vm in self._peers:
+                    by_keeper.setdefault(vm, []).append(sent)
+        if self._protocol is None:
+            return
+        for vm, records in by_keeper.items():
+            self.sent_count += len(records)
+            self._protocol.send_records(self._peers[vm].address, records)
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -38,6 +38,7 @@
 from . import slot_keepers
 from . import slot_leases
 from . import start_times
+from . import stream_origins
 
 
 class Upstreams:
@@ -70,6 +71,7 @@
         "_limits",
         "_modes",
         "_observations",
+        "_origins",
         "_peer_in_flight",
         "_performance",
         "_pools",
@@ -161,6 +163,7 @@
             self._router, self._observations.prompts, self._modes.priorities
         )
         self._peer_in_flight: dict[str, int] = {}
+        self._origins = stream_origins.StreamOrigins(clock, vm, data_centre)
         self._slots = slot_keepers.SlotKeepers(
             clock,
             vm,
@@ -211,6 +214,11 @@
         """Asks for slots of plain services, and grants them."""
         return self._slots
 
+    @property
+    def origins(self) -> stream_origins.StreamOrigins:
+        """Knows where streams began."""
+        return self._origins
+
     @property
     def in_flight(self) -> dict[str, int]:
         """This VM's calls in progress by runner, without zeros."""
@@ -285,7 +293,7 @@
         )
 
     @property
-    def counters(self) -> dict[str, int]:
+    def counters(self) -> dict[str, float]:
         """Counts since the start for the metrics, by metric.
 
         Connections are those ever opened to the known runners.
@@ -298,6 +306,7 @@
             "runner_failures_dropped_total": self._reports.dropped_failures,
             **self._limits.counters,
             **self._slots.counters,
+            **self._origins.counters,
         }
 
     def configure(
@@ -326,6 +335,7 @@
             for runner in listed
             if not runner.leaving
         )
+        self._origins.set_origins(runner.origin for runner in listed)
         self._crashes.update_runners(listed)
         self._statements.keep_only(listed)
         self._pools.retain_runners(listed)
--- a/tests/adapter/callers.feature
+++ b/tests/adapter/callers.feature
@@ -81,3 +81,19 @@
 
   Scenario: Only the adapter contains names of the platform
     Then no source file of the product or its stand-ins contains a name of the platform
+
+  # Guards against a stream that goes on by a word that isn't clear.
+  Scenario Outline: A caller names the call that began its stream once
+    When a call is read with the headers <headers>
+    Then the call resumes the stream of "<call>"
+
+    Examples:
+      | headers                                   | call |
+      | Last-Event-Id: 3, Resumes: a1             | a1   |
+      | Last-Event-Id: 3                          |      |
+      | Last-Event-Id: 3, Resumes:                |      |
+      | Last-Event-Id: 3, Resumes: a1, Resumes: b |      |
+
+  Scenario: A call that resumes nothing begins its own stream
+    When a call is read with the headers Resumes: a1
+    Then the call's stream is its own
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -222,6 +222,25 @@
     And VM 1 has counted 0 requests, usage 0 and 1 units
     And VM 2 has counted 1 requests, usage 1 and 0 units
 
+  # Guards against a stream joined of two versions by two helpers.
+  Scenario: A stream goes on at another helper at the version that began it
+    Given an isolated VM and 1 other VM
+    And a route for resumable streams with 3 attempts
+    And helped runners v2 v2 v2 v1 v2
+    And a helper with a runner of v1 streams half and resets
+    When a call is made
+    Then the stream has events 1 to 6 and is complete
+    And only runners of version v1 ran it
+
+  # Guards against the same if a helper can't tell the version.
+  Scenario: A stream ends if the helper that began it tells no version
+    Given an isolated VM and 1 other VM
+    And a route for resumable streams with 3 attempts
+    And helped runners v2 v1
+    And a helper that streams half and resets
+    When a call is made
+    Then the stream has events 1 to 3 and is not complete
+
   # Guards against an incomplete stream that looks complete, because the second
   # helper passes on an error instead of the rest.
   Scenario: An error at the second helper's runner does not end a stream
--- a/tests/serving/forwarding_fleet.py
+++ b/tests/serving/forwarding_fleet.py
@@ -134,9 +134,9 @@
         for vm in self.others:
             vm.configure(kind, limits, **more)
 
-    async def add_runner(self, behaviour_names):
+    async def add_runner(self, behaviour_names, version=""):
         """Start a runner stand-in, which the other VMs reach."""
-        standin = await super().add_runner(behaviour_names)
+        standin = await super().add_runner(behaviour_names, version)
         (entry,) = (
             runner
             for runner in self.directory.runners
@@ -155,6 +155,7 @@
                     "dc",
                     4,
                     revision=2,
+                    version=version,
                 )
             )
         return standin
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -20,6 +20,7 @@
 
 HOST = "shop.example"
 KEY = "key-of-clerks"
+OTHER_KEY = "key-of-guests"
 
 
 class Reply:
@@ -65,6 +66,7 @@
         clock=None,
         reach=None,
         min_retries=20.0,
+        data_centre="dc",
     ):
         self.name = name
         self.clock = clocks.ManualClock()
@@ -73,7 +75,7 @@
             clock or clocks.SystemClock(),
             random.Random(1),
             name,
-            "dc",
+            data_centre,
             self.directory,
             part_modes=part_modes,
             paths_changed=self._tell,
@@ -148,7 +150,8 @@
             [
                 configuration_model.Customer(
                     "clerks", frozenset({KEY}), rate=rate, burst=1
-                )
+                ),
+                configuration_model.Customer("guests", frozenset({OTHER_KEY})),
             ],
             limits or configuration_model.CallerLimits(),
         )
--- a/tests/serving/stream_versions.feature
+++ b/tests/serving/stream_versions.feature
@@ -32,3 +32,74 @@
       | runners                |
       | runners v1 v1 v2 v2    |
       | runners v1 v1 v2 v3 v3 |
+
+  # Guards against streams that nobody continues because the only VM that knew
+  # where they began is gone.
+  Scenario: A caller resumes a stream whose VM was killed
+    Given 4 VMs and runners v1 v1 v2 v2 that stream slowly
+    When 12 streams are begun at VM 1
+    And VMs 1 are killed
+    And the streams are resumed at VM 3
+    Then no stream holds events of two versions
+    And all streams are whole
+
+  Scenario: Callers resume streams after half of the VMs were killed
+    Given 6 VMs and runners v1 v1 v2 v2 that stream slowly
+    When 16 streams are begun at VM 1
+    And VMs 1 2 3 are killed
+    And the streams are resumed at VM 5
+    Then no stream holds events of two versions
+    And at least 8 streams are whole
+    And the others were refused with 503
+
+  Scenario: A caller resumes a stream after a data centre was killed
+    Given 6 VMs and runners v1 v1 v2 v2 that stream slowly
+    When 12 streams are begun at VM 1
+    And VMs 1 4 are killed
+    And the streams are resumed at VM 5
+    Then no stream holds events of two versions
+    And all streams are whole
+
+  # Guards against records that end with the VMs that are restarted in turn.
+  Scenario: A caller resumes a stream after VMs were stopped in turn
+    Given 6 VMs and runners v1 v1 v2 v2 that stream slowly
+    When 12 streams are begun at VM 1
+    And VMs 1 2 4 5 3 stop one after the other
+    And the streams are resumed at VM 6
+    Then no stream holds events of two versions
+    And all streams are whole
+
+  Scenario: A caller resumes a stream at a VM that has just joined
+    Given 3 VMs and runners v1 v1 v2 v2 that stream slowly
+    When 12 streams are begun at VM 1
+    And 3 more VMs join
+    And the streams are resumed at VM 6
+    Then no stream holds events of two versions
+    And all streams are whole
+
+  # Guards against a guess at where a stream began.
+  Scenario Outline: A stream is not resumed if nobody knows where it began
+    Given 3 VMs and runners v1 v1 v2 v2 that stream slowly
+    When 6 streams are begun at VM 1
+    And the streams are resumed at VM 2 with <what>
+    Then all resumptions were refused with 503
+    And no stream holds events of two versions
+
+    Examples:
+      | what                        |
+      | no id                       |
+      | an id that was never used   |
+      | the key of another customer |
+
+  # Guards against lost streams of services that have one version only.
+  Scenario Outline: Any stream of a service with one version is resumed
+    Given 3 VMs and runners <versions> that stream slowly
+    When 6 streams are begun at VM 1
+    And VMs 1 3 are killed
+    And the streams are resumed at VM 2 with <what>
+    Then all streams are whole
+
+    Examples:
+      | versions | what                      |
+      | v1 v1    | no id                     |
+      | v1 v1    | an id that was never used |
--- a/tests/serving/version_fleet.py
+++ b/tests/serving/version_fleet.py
@@ -1,13 +1,19 @@
 """Entry VMs that share runners of several software versions, on one loop."""
 
 import asyncio
+import itertools
 
+from apricotlever import clock as clocks
+from apricotlever import log_rate_limiter
 from apricotlever.serving import configuration_model
+from apricotlever.serving import limit_protocol
+from apricotlever.serving import stream_origins
 from tests.serving import request_path
 
 HOST = "127.0.0.1"
 #: Retries that are always allowed; enough for each stream to break once.
 MIN_RETRIES = 100.0
+DATA_CENTRES = 3
 #: Events of a whole stream.
 EVENTS = 6
 
@@ -52,20 +58,79 @@
     """
 
     def __init__(self, count):
-        self.vms = [
-            request_path.RequestPath(f"vm-{n}", min_retries=MIN_RETRIES)
-            for n in range(1, count + 1)
-        ]
+        self._names = itertools.count(1)
+        self.data_centres = {}
+        self._stopped = []
+        self.vms = [self._new_vm() for _ in range(count)]
+        #: Sockets for messages about streams, by VM.
+        self.sockets = {}
+
+    def _new_vm(self):
+        number = next(self._names)
+        data_centre = f"dc-{number % DATA_CENTRES}"
+        vm = request_path.RequestPath(
+            f"vm-{number}", min_retries=MIN_RETRIES, data_centre=data_centre
+        )
+        self.data_centres[vm.name] = data_centre
+        return vm
 
     async def start(self, max_attempts):
         """Start the VMs with a route for streams that may be resumed."""
         for vm in self.vms:
-            await vm.start()
-            vm.configure(
-                configuration_model.CallKind.STREAM,
-                resumable=True,
-                max_attempts=max_attempts,
-            )
+            await self._start_vm(vm, max_attempts)
+        self.connect(self.vms)
+
+    async def _start_vm(self, vm, max_attempts):
+        await vm.start()
+        vm.configure(
+            configuration_model.CallKind.STREAM,
+            resumable=True,
+            max_attempts=max_attempts,
+        )
+        socket = limit_protocol.LimitProtocol(
+            vm.limits,
+            lambda host: True,
+            log_rate_limiter.LogRateLimiter(clocks.SystemClock()),
+        )
+        await socket.listen(HOST, 0)
+        self.sockets[vm.name] = socket
+        vm.upstreams.origins.enable_protocol(socket)
+
+    def connect(self, alive):
+        """Tell all VMs which ones are alive."""
+        for vm in self.vms:
+            peers = {
+                other.name: stream_origins.Peer(
+                    (HOST, self.sockets[other.name].port),
+                    self.data_centres[other.name],
+                )
+                for other in self.vms
+                if other in alive and other is not vm
+            }
+            vm.upstreams.origins.set_fleet(peers, True, True)
+
+    def silence(self, indices):
+        """Let VMs send and answer no message any more, as if killed."""
+        for index in indices:
+            self.sockets[self.vms[index].name].close()
+
+    def stop_vm(self, index):
+        """Let a VM hand its records over and end; the others are told."""
+        vm = self.vms[index]
+        vm.upstreams.origins.hand_over()
+        self.sockets[vm.name].close()
+        self._stopped.append(vm)
+        self.connect([each for each in self.vms if each not in self._stopped])
+
+    async def join(self, max_attempts):
+        """Start one more VM, which knows the runners."""
+        vm = self._new_vm()
+        self.vms.append(vm)
+        await self._start_vm(vm, max_attempts)
+        for runner in self.vms[0].directory.runners:
+            vm.directory.apply_entry(runner)
+        vm.upstreams.refresh()
+        self.connect(self.vms)
 
     async def add_runner(self, version, behaviour):
         """Start a runner of a version that all VMs know."""
@@ -138,6 +203,8 @@
 
     async def stop(self):
         """Stop all VMs and runners."""
+        for socket in self.sockets.values():
+            socket.close()
         for vm in self.vms:
             await vm.stop()
 
--- a/tests/steps/adapter.py
+++ b/tests/steps/adapter.py
@@ -384,3 +384,23 @@
         if PLATFORM_NAMES.search(line)
     ]
     assert not found, found
+
+
+@when("a call is read with the headers {headers}")
+def _read_call_with_headers(context, headers):
+    fields = headers.split(", ")
+    more = [tuple(map(str.strip, field.split(":"))) for field in fields]
+    context.call = _decode_call(
+        HEADERS + [(name.encode(), value.encode()) for name, value in more]
+    )
+
+
+@then('the call resumes the stream of "{call}"')
+@then('the call resumes the stream of ""')
+def _check_resumed(context, call=""):
+    assert context.call.stream_id == call, context.call.stream_id
+
+
+@then("the call's stream is its own")
+def _check_own_stream(context):
+    assert context.call.stream_id == context.call.request_id
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -74,6 +74,25 @@
         standin.stop()
 
 
+@given("a helper with a runner of {version} {behaviour}")
+def _add_helper_of_version(context, version, behaviour):
+    standin = _run(context, context.world.add_helper([behaviour]))
+    standin.statements.append(f"Apricotlever-Runner-Version: {version}")
+
+
+@given("helped runners {versions}")
+def _add_runners_of_versions(context, versions):
+    for version in versions.split():
+        _run(context, context.world.add_runner(["streams"], version))
+        context.world.upstreams.refresh()
+
+
+@then("only runners of version {version} ran it")
+def _check_versions(context, version):
+    ran = {s.version for s in context.world.standins if s.received_calls}
+    assert ran == {version}, ran
+
+
 @given("the other VMs lose their paths to runners after their records")
 def _isolate_others(context):
     for vm in context.vms:
--- a/tests/steps/serving_stream_versions.py
+++ b/tests/steps/serving_stream_versions.py
@@ -6,12 +6,21 @@
 from behave import then
 from behave import when
 
+from tests.serving import request_path
 from tests.serving import version_fleet
 
 #: Longer than any scenario, in seconds.
 WAIT_S = 30.0
 #: Runners to which a call may be sent.
 MAX_ATTEMPTS = 3
+#: More than a message between two VMs takes, in seconds.
+MESSAGE_S = 0.02
+#: What a caller says of the stream that it resumes.
+RESUMPTIONS = {
+    "no id": {"resumes": ""},
+    "an id that was never used": {"resumes": "call-of-nobody"},
+    "the key of another customer": {"key": request_path.OTHER_KEY},
+}
 BREAKS = "streams its version, half and resets, unless it resumes"
 SLOW = "streams its version slowly, unless it resumes"
 
@@ -54,6 +63,77 @@
     context.streams = _run(context, work())
 
 
+@when("{count:d} streams are begun at VM {first:d}")
+def _begin(context, count, first):
+    async def work():
+        return [
+            await context.fleet.begin(first - 1, f"call-{n}")
+            for n in range(count)
+        ]
+
+    context.streams = _run(context, work())
+
+
+@when("VMs {vms} are killed")
+def _kill(context, vms):
+    context.fleet.silence(int(vm) - 1 for vm in vms.split())
+
+
+@when("VMs {vms} stop one after the other")
+def _stop(context, vms):
+    fleet = context.fleet
+    for vm in vms.split():
+        fleet.stop_vm(int(vm) - 1)
+        _run(context, asyncio.sleep(MESSAGE_S))
+
+
+@when("{count:d} more VMs join")
+def _join(context, count):
+    async def work():
+        for _ in range(count):
+            await context.fleet.join(MAX_ATTEMPTS)
+
+    _run(context, work())
+
+
+@when("the streams are resumed at VM {vm:d}")
+def _resume(context, vm):
+    _resume_with(context, vm)
+
+
+@when("the streams are resumed at VM {vm:d} with {what}")
+def _resume_in_a_way(context, vm, what):
+    _resume_with(context, vm, **RESUMPTIONS[what])
+
+
+def _resume_with(context, vm, **more):
+    async def work():
+        for stream in context.streams:
+            await context.fleet.resume(
+                stream, vm - 1, f"{stream.call_id}-again", **more
+            )
+
+    _run(context, work())
+
+
+@then("at least {count:d} streams are whole")
+def _check_some_whole(context, count):
+    whole = sum(stream.is_whole for stream in context.streams)
+    assert whole >= count, whole
+
+
+@then("the others were refused with 503")
+def _check_refused(context):
+    statuses = [s.statuses[-1] for s in context.streams if not s.is_whole]
+    assert set(statuses) <= {503}, statuses
+
+
+@then("all resumptions were refused with 503")
+def _check_all_refused(context):
+    statuses = {stream.statuses[-1] for stream in context.streams}
+    assert statuses == {503}, statuses
+
+
 @when("{count:d} streams are begun, and resumed at other VMs")
 def _resume_elsewhere(context, count):
     async def work():
