Continue a stream at a leaving runner if no other has its version

Callers would lose streams in the seconds in which the last runners of a version leave: leaving runners took nothing, and no other runner may go on with their streams. For two fifths of the time in which a leaving runner may still get calls, counted from when this VM saw it begin to leave, a stream now goes on there if no other runner of its version takes it; the rest of that time covers VMs that learned earlier. Before, six streams that broke beside one leaving runner of their version ended; now they are whole, and after a second such a runner gets nothing.

--- a/src/apricotlever/serving/runner_directory.py
+++ b/src/apricotlever/serving/runner_directory.py
@@ -78,6 +78,7 @@
         "_by_id",
         "_checksum",
         "_clock",
+        "_drain_s",
         "_pending_removals",
         "_tombstones",
         "_marks",
@@ -92,6 +93,7 @@
         self, clock: clocks.Clock, drain_s: float = REAPPEAR_TIMEOUT_S
     ) -> None:
         self._clock = clock
+        self._drain_s = drain_s
         self._mass_removal_hold_s = min(
             REAPPEAR_TIMEOUT_S, MASS_REMOVAL_DRAIN_SHARE * drain_s
         )
@@ -113,6 +115,11 @@
         self._revision = 0
         self._grace_until = float("-inf")
 
+    @property
+    def drain_s(self) -> float:
+        """See the class's parameter."""
+        return self._drain_s
+
     @property
     def revision(self) -> int:
         """The highest store revision of the updates applied so far."""
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -23,6 +23,7 @@
 from . import configuration_model
 from . import connection_pool as pools
 from . import crash_watch
+from . import draining_runners
 from . import messages
 from . import modes
 from . import performance_meters
@@ -67,6 +68,7 @@
         "_configuration",
         "_crashes",
         "_directory",
+        "_draining",
         "_fragility",
         "_limits",
         "_modes",
@@ -163,6 +165,9 @@
             self._router, self._observations.prompts, self._modes.priorities
         )
         self._peer_in_flight: dict[str, int] = {}
+        self._draining = draining_runners.DrainingRunners(
+            clock, directory.drain_s
+        )
         self._origins = stream_origins.StreamOrigins(clock, vm, data_centre)
         self._slots = slot_keepers.SlotKeepers(
             clock,
@@ -335,6 +340,7 @@
             for runner in listed
             if not runner.leaving
         )
+        self._draining.update(listed)
         self._origins.set_origins(runner.origin for runner in listed)
         self._crashes.update_runners(listed)
         self._statements.keep_only(listed)
@@ -415,8 +421,19 @@
         :param full: limited runners that have no room for the call, besides
             those that take no call of this VM now by their own word.
         """
-        name = self._choice.choose(query, full | self._statements.unavailable)
-        return None if name is None else self._directory.get(name)
+        unavailable = full | self._statements.unavailable
+        name = self._choice.choose(query, unavailable)
+        if name is not None:
+            return self._directory.get(name)
+        if not isinstance(query, models.ContinuationQuery):
+            return None
+        draining = self._draining.usable(
+            self._directory.runners, query, unavailable
+        )
+        return min(draining, key=self._in_flight_here, default=None)
+
+    def _in_flight_here(self, runner: runners.Runner) -> int:
+        return self.in_flight.get(runner.runner_id, 0)
 
     def avoided_runners(self, service: str) -> frozenset[str]:
         """The runners of a service that get no call of this VM now.
--- a/tests/serving/stream_versions.feature
+++ b/tests/serving/stream_versions.feature
@@ -103,3 +103,20 @@
       | versions | what                      |
       | v1 v1    | no id                     |
       | v1 v1    | an id that was never used |
+
+  # Guards against streams that are lost in the seconds in which the last
+  # runners of their version leave.
+  Scenario: A broken stream goes on at a runner that has just begun to leave
+    Given 1 VMs and runners v1 v1 v2 v2 that break each stream that they begin
+    When runner 1 begins to leave
+    And 6 streams are made
+    Then no stream holds events of two versions
+    And all streams are whole
+
+  Scenario: A runner gets nothing once it has been leaving for a while
+    Given 1 VMs and runners v1 v1 v2 v2 that break each stream that they begin
+    When runner 1 begins to leave
+    And 1 second goes by
+    And 6 streams are made
+    Then no stream holds events of two versions
+    And runner 1 got no call
--- a/tests/serving/version_fleet.py
+++ b/tests/serving/version_fleet.py
@@ -143,6 +143,15 @@
             vm.upstreams.refresh()
         return standin
 
+    def leave(self, index):
+        """Announce that a runner, given by its index, leaves."""
+        for vm in self.vms:
+            name = self.vms[0].standins[index].name
+            entry = vm.directory.get(name).as_leaving()
+            entry.revision += 1
+            vm.directory.apply_entry(entry)
+            vm.upstreams.refresh()
+
     async def call(self, index, call_id):
         """Make a call at one VM, given by its index, and read all of it."""
         stream = Stream(call_id)
--- a/tests/steps/serving_stream_versions.py
+++ b/tests/steps/serving_stream_versions.py
@@ -63,6 +63,21 @@
     context.streams = _run(context, work())
 
 
+@when("runner {number:d} begins to leave")
+def _leave(context, number):
+    context.fleet.leave(number - 1)
+
+
+@when("{seconds:d} second goes by")
+def _wait(context, seconds):
+    _run(context, asyncio.sleep(seconds))
+
+
+@then("runner {number:d} got no call")
+def _check_no_call(context, number):
+    assert not context.fleet.vms[0].standins[number - 1].received_calls
+
+
 @when("{count:d} streams are begun at VM {first:d}")
 def _begin(context, count, first):
     async def work():
