Put calls that continue a stream before those of its customer that begin

A caller whose stream stops midway gives up after a short gap, and its stream can go to few runners while two versions serve; it queued there behind prompts that only begin. A continued call now has the first level of its customer's priority (level_cause=continues).

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -112,6 +112,7 @@
 LEVEL_MEANINGS = {
     "rank": "its service was contended, so its route's rank counted first",
     "size": "its service was contended, and short prompts came first",
+    "continues": "it continued a stream, which goes before what begins",
     "over_share": "its customer was over its share of a contended service",
 }
 
--- a/src/apricotlever/runners/engine_priority.py
+++ b/src/apricotlever/runners/engine_priority.py
@@ -36,6 +36,15 @@
     return min(LOWEST_LEVEL, level)
 
 
+def first_level(customer_priority: int | None) -> int:
+    """The first level of the calls of a customer priority.
+
+    :param customer_priority: 0 is the most urgent; None counts as 0.
+    """
+    level = (customer_priority or 0) * LEVELS_PER_CUSTOMER_PRIORITY
+    return min(LOWEST_LEVEL, level)
+
+
 class LevelPlan:
     """The levels of a contended service's calls, for one configuration.
 
--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -181,9 +181,12 @@
         prompt = self._call.prompt
         if prompt is None:
             return None
-        return self._upstreams.priorities.level(
+        level = self._upstreams.priorities.level(
             self._service, self._route, self._customer, prompt.tokens_in
         )
+        if self._origin is None:
+            return level
+        return service_priorities.continued_level(self._customer, level)
 
     async def _ask_for_slot(
         self, tried: frozenset[str], left_s: float
--- a/src/apricotlever/serving/service_priorities.py
+++ b/src/apricotlever/serving/service_priorities.py
@@ -27,8 +27,9 @@
 
     :param level: the level that the engine is told.
     :param cause: in contention, "over_share" if the customer uses more than
-        its fair share, else "rank" or "size", whichever counts first; None for
-        the level without contention.
+        its fair share, else "rank" or "size", whichever counts first;
+        "continues" for a call that continues a stream; None for the level
+        without contention.
     """
 
     __slots__ = ("level", "cause")
@@ -68,6 +69,22 @@
         self.changed_levels = 0
 
 
+def continued_level(
+    customer: configuration_model.Customer | None, usual: QueueLevel
+) -> QueueLevel:
+    """The level of a call that continues a stream.
+
+    Its caller has a part of the answer and waits for the next event, and it
+    can't go to the runners of other versions. So it goes before all calls of
+    its customer's priority that begin.
+    """
+    priority = customer.priority if customer is not None else None
+    first = engine_priority.first_level(priority)
+    if first >= usual.level:
+        return usual
+    return QueueLevel(first, "continues")
+
+
 class ServicePriorities:
     """Decides the levels of calls.
 
--- a/tests/serving/service_priorities.feature
+++ b/tests/serving/service_priorities.feature
@@ -47,3 +47,15 @@
   Scenario: Without contention every call has its usual level
     Given priorities in mode on with ranks 0 and 2
     Then prompts of any size, rank and customer priority have the usual level
+
+  # Guards against streams that stop midway behind calls that only begin.
+  Scenario Outline: A call that continues a stream goes before what begins
+    Then a continued call of priority <priority> and level <usual> has level <level>
+
+    Examples:
+      | priority | usual | level |
+      | 0        | 2     | 0     |
+      | 0        | 0     | 0     |
+      | 1        | 5     | 3     |
+      | 1        | 1     | 1     |
+      | 9        | 9     | 9     |
--- a/tests/steps/serving_service_priorities.py
+++ b/tests/steps/serving_service_priorities.py
@@ -191,3 +191,15 @@
     }
     assert _values(context, "demand_calls") == {key: calls}
     assert _values(context, "demand_tokens") == {key: tokens}
+
+
+@then(
+    "a continued call of priority {priority:d} and level {usual:d} has level "
+    "{level:d}"
+)
+def _check_continued(context, priority, usual, level):
+    customer = configuration_model.Customer("c", frozenset(), priority)
+    found = service_priorities.continued_level(
+        customer, service_priorities.QueueLevel(usual, None)
+    )
+    assert found.level == level, found.level
