Leave room at the runners of a scarce version to streams that go on

What begins may go to any version, what goes on only to its own. In a release the few old runners could fill up with new calls, and the streams of one that ends would find no room at the others. While a pool has several versions, each of n runners of a version now takes new calls up to (n - 1) / n of its slots, a single one up to a half, as long as others have room.

--- a/src/apricotlever/runners/routing.py
+++ b/src/apricotlever/runners/routing.py
@@ -6,6 +6,7 @@
 answers faster if it has a prompt's leading blocks cached.
 """
 
+import collections
 import random
 import typing
 
@@ -59,6 +60,7 @@
         "_index",
         "_latency_models",
         "_mean_fills",
+        "_mixed",
         "_peer_ratios",
         "_performance",
         "_policy",
@@ -91,6 +93,10 @@
         #: The runners that accept new requests, by pool and by the origin of
         #: the streams that may continue there.
         self._groups: dict[models.Group, list[candidates_.Candidate]] = {}
+        #: How many runners of each origin a pool has, for pools with several.
+        self._mixed: dict[
+            str, collections.Counter[models.StreamOrigin | None]
+        ] = {}
         self._reported: frozenset[str] = frozenset()
         self._removed_until: dict[str, float] = {}
         self._in_flight = in_flight.InFlight(clock)
@@ -129,6 +135,26 @@
         """The runners of a group that accept new requests."""
         return frozenset(c.name for c in self._groups.get(group, ()))
 
+    def reserved(self, query: models.Query) -> frozenset[str]:
+        """Runners whose free slots are left to streams that go on.
+
+        If one of the runners of a version ends, its streams need room at the
+        others, whereas what begins may go to any version. So of n runners of
+        a version each takes new requests up to (n - 1) / n of its slots; a
+        single one up to a half, as its own streams may come back to it.
+        """
+        origins = self._mixed.get(query.pool)
+        if origins is None or isinstance(query, models.ContinuationQuery):
+            return frozenset()
+        now = self._clock.now()
+        return frozenset(
+            candidate.name
+            for candidate in self._groups.get(query.pool, ())
+            if candidate.load.in_flight(now) + 1
+            > _share_for_new(origins[candidate.runner.origin])
+            * candidate.load.slots
+        )
+
     def blocked(self, pool: str) -> list[str]:
         """The runners of a pool that get no request now.
 
@@ -495,6 +521,11 @@
             # A runner of unknown version may be of any of the known ones.
             groups.pop(models.StreamOrigin(service, ""), None)
         self._groups = groups
+        self._mixed = {}
+        for group, members in groups.items():
+            origins = collections.Counter(c.runner.origin for c in members)
+            if isinstance(group, str) and len(origins) > 1:
+                self._mixed[group] = origins
 
     def _usable_candidates(
         self, query: models.Query
@@ -592,6 +623,15 @@
         return models.NoRunner(reason.ALL_UNHEALTHY, wait_s)
 
 
+def _share_for_new(count: int) -> float:
+    """The part of its slots that a runner of a version gives to new requests.
+
+    :param count: number of runners of the version.
+    """
+    count = max(2, count)
+    return (count - 1) / count
+
+
 def _route(candidate: candidates_.Candidate) -> models.Route:
     return models.Route(
         candidate.runner, candidate.first_token_s, int(candidate.cached_blocks)
--- a/src/apricotlever/serving/runner_choice.py
+++ b/src/apricotlever/serving/runner_choice.py
@@ -93,16 +93,20 @@
         """Choose a runner from the query's pool, preferring healthy ones.
 
         A runner that is silent or ejected as an outlier is chosen only if no
-        other one is available.
+        other one is available. One whose room is reserved for streams that go
+        on comes before these.
         """
         tried = query.excluded
-        avoided = self._silence.silent | self._outliers.ejected
-        query.excluded = tried | unavailable | avoided
-        choice = self._router.choose(query)
-        if isinstance(choice, models.NoRunner) and avoided:
-            query.excluded = tried | unavailable
+        faulty = self._silence.silent | self._outliers.ejected
+        reserved = self._router.reserved(query)
+        choice: models.Route | models.NoRunner | None = None
+        for avoided in dict.fromkeys((faulty | reserved, faulty, frozenset())):
+            query.excluded = tried | unavailable | avoided
             choice = self._router.choose(query)
+            if not isinstance(choice, models.NoRunner):
+                break
         query.excluded = tried
+        assert choice is not None
         return choice
 
 
