Let directories that differ in a runner's version differ

Two VMs that held one runner as of two versions had equal checksums, so neither asked the other for its entries: one of them could send streams to the wrong version for good. The checksum now covers the version. The test failed before.

--- a/src/apricotlever/serving/runners.py
+++ b/src/apricotlever/serving/runners.py
@@ -125,14 +125,14 @@
     def state_key(self) -> str:
         """Text that is equal on two VMs that know the same of a runner.
 
-        It covers the incarnation, and whether the runner is leaving or
-        withdrawn.
+        It covers the incarnation, its version, and whether the runner is
+        leaving or withdrawn.
         """
         if self.withdrawn:
             # The start is left out: a VM that has never read the entry does
             # not know it.
             return f"{self.name}!"
-        return f"{self.runner_id}{int(self.leaving)}"
+        return f"{self.runner_id}{int(self.leaving)}{self.version}"
 
     def withdraw(self, revision: int) -> "Runner":
         """A copy of this runner after its entry has become unreadable.
--- a/tests/serving/runner_directory.feature
+++ b/tests/serving/runner_directory.feature
@@ -173,3 +173,9 @@
     Then after 19.0 seconds marks expired are no
     And after 1.5 seconds marks expired are yes
     And new work goes to r1 and r2
+
+  # Guards against a VM that takes a runner for one of another version for good.
+  Scenario: Directories that differ in a runner's version differ
+    Given two directories with one runner, as v1 and as v2
+    Then their checksums differ
+    And its streams have different origins
--- a/tests/steps/serving_runner_directory.py
+++ b/tests/steps/serving_runner_directory.py
@@ -295,3 +295,25 @@
 def _expired(context, seconds, answer):
     context.clock.advance(seconds)
     assert context.directory.expire_marks() == (answer == "yes")
+
+
+@given("two directories with one runner, as v1 and as v2")
+def _directories_of_versions(context):
+    context.both = []
+    for version in ("v1", "v2"):
+        directory = directories.RunnerDirectory(clocks.ManualClock())
+        entry = runners.Runner("r1", "s", "h", 1, "dc", 4, version=version)
+        directory.apply_entry(entry)
+        context.both.append(directory)
+
+
+@then("their checksums differ")
+def _check_checksums_differ(context):
+    one, other = context.both
+    assert one.checksum != other.checksum
+
+
+@then("its streams have different origins")
+def _check_origins_differ(context):
+    one, other = (d.runners[0].origin for d in context.both)
+    assert one != other
