Release versions to and fro in the soak, and resume streams there

Its runners now write their version into each event, releases replace the runners of a service by others of up to three versions at once beside all other faults, and callers drop the connections of streams and resume them at any VM with the first id. It counts streams of two versions, and resumed streams that are lost while two runners of their version serve.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,11 +20,15 @@
 from . import fleet
 from . import fragile_checks
 from . import fragile_times
+from . import releases
 from . import statement_checks
 from . import statements
+from . import version_checks
 
 VM_COUNT = 3
 RUNNER_COUNT = 6
+#: Further runners where versions are released, so that two of each may serve.
+EXTRA_RUNNER_COUNT = 4
 CALLER_COUNT = 8
 #: Further callers where runners are fragile, who fill the little room that
 #: such runners have.
@@ -51,6 +55,7 @@
     :param calls: all calls of the callers.
     :param schedule: start times and names of the faults.
     :param violations: descriptions of the violated guarantees.
+    :param resumptions: the calls that resumed a stream.
     """
 
     def __init__(
@@ -59,7 +64,9 @@
         calls: list[callers.Call],
         schedule: list[tuple[float, str]],
         violations: list[str],
+        resumptions: typing.Sequence[callers.Call] = (),
     ) -> None:
+        self.resumptions = resumptions
         self.seed = seed
         self.calls = calls
         self.schedule = schedule
@@ -72,6 +79,8 @@
             "seed": self.seed,
             "calls": len(self.calls),
             "served": sum(call.served for call in self.calls),
+            "resumed": len(self.resumptions),
+            "went_on": sum(call.has_gone_on for call in self.resumptions),
             "faults": [f"{at:.1f} {name}" for at, name in self.schedule],
             "broken": self.violations,
         }
@@ -84,6 +93,7 @@
     with_statements: bool = False,
     with_cuts: bool = False,
     with_fragility: bool = False,
+    with_releases: bool = False,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -93,6 +103,8 @@
     :param with_cuts: whether VMs are cut off from all runners, and callers
         give calls up.
     :param with_fragility: whether runners are fragile for some times.
+    :param with_releases: whether runners are replaced by others of another
+        version, and callers take broken streams up again.
     """
     rng = random.Random(seed)
     test_fleet = fleet.Fleet(folder)
@@ -116,9 +128,21 @@
         test_fleet, random.Random(f"fragility {seed}")
     )
     leave_rng = random.Random(f"leave {seed}") if with_cuts else None
+    release_schedule = (
+        releases.plan(random.Random(f"plan releases {seed}"), seconds)
+        if with_releases
+        else []
+    )
+    releasing = releases.Injector(
+        test_fleet, random.Random(f"releases {seed}")
+    )
+    resume_rng = random.Random(f"resume {seed}") if with_releases else None
+    runner_count = RUNNER_COUNT + (EXTRA_RUNNER_COUNT if with_releases else 0)
     try:
-        await test_fleet.start(VM_COUNT, RUNNER_COUNT)
-        caller_group = callers.CallerGroup(test_fleet, rng, leave_rng)
+        await test_fleet.start(VM_COUNT, runner_count)
+        caller_group = callers.CallerGroup(
+            test_fleet, rng, leave_rng, resume_rng
+        )
         any_vm = CALLER_COUNT + (EXTRA_CALLER_COUNT if with_fragility else 0)
         vms = [None] * any_vm + (test_fleet.vms if with_cuts else [])
         tasks = [asyncio.ensure_future(caller_group.run(vm)) for vm in vms]
@@ -126,7 +150,9 @@
             _inject_faults(test_fleet, schedule, rng),
             injector.inject(cut_schedule),
             fragility.inject(fragile_schedule),
+            releasing.inject(release_schedule),
         )
+        caller_group.stop_dropping()
         quiet_periods = [await _wait_quietly(caller_group, RECOVERY_S)]
         if with_fragility:
             await asyncio.sleep(LAST_CALLS_S)
@@ -158,8 +184,16 @@
             fragility.times,
             fragile_checks.read_crashes(logs),
         )
-        schedule = sorted(schedule + cut_schedule + fragile_schedule)
-        return SoakResult(seed, caller_group.calls, schedule, violations)
+        schedule = sorted(
+            schedule + cut_schedule + fragile_schedule + release_schedule
+        )
+        return SoakResult(
+            seed,
+            caller_group.calls,
+            schedule,
+            violations,
+            caller_group.resumptions,
+        )
     finally:
         test_fleet.close()
 
@@ -188,7 +222,7 @@
     calls = caller_group.calls
     *first_periods, (last_since_s, _) = quiet_periods
     violations = checks.find_violations(
-        calls, test_fleet.executions(), last_since_s
+        calls, test_fleet.executions(), last_since_s, caller_group.resumptions
     )
     for since_s, until_s in first_periods:
         violations += checks.check_recovery(calls, since_s, until_s)
@@ -205,7 +239,17 @@
         test_fleet.disturbances,
         caller_group.empty_lookups,
     )
-    return violations + cut_checks.find_violations(seen)
+    violations += cut_checks.find_violations(seen)
+    return violations + version_checks.find_violations(
+        version_checks.Observations(
+            calls,
+            caller_group.resumptions,
+            caller_group.started_at,
+            test_fleet.spans,
+            cut_periods,
+            test_fleet.disturbances,
+        )
+    )
 
 
 async def _inject_faults(
@@ -246,7 +290,7 @@
     """Run one soak test; keep its folder if a guarantee was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     result = asyncio.run(
-        run_soak_test(seed, seconds, folder, True, True, True)
+        run_soak_test(seed, seconds, folder, True, True, True, True)
     )
     if result.violations:
         kept = keep_folder / f"seed-{seed}"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,7 +26,16 @@
 TRAILING_READ_BYTES = 4096
 #: Call id, customer and path of each execution on a runner.
 Executions = typing.Sequence[typing.Sequence[str]]
-EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\d+) of (\S+)\n\n")
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\d+) of (\S+) at (\S+)\n\n")
+#: Probability that a caller drops the connection of a stream that may be
+#: resumed, where callers resume streams, and after how many events.
+DROP_PROBABILITY = 0.4
+DROP_AFTER_EVENTS = (1, 4)
+#: How often a caller takes a broken stream up again, and how long it waits
+#: before, in seconds.
+MAX_RESUMPTIONS = 2
+RESUME_AFTER_S = (0.0, 0.3)
+RESUMABLE_PREFIX = "/stream-on/"
 
 
 class Call:
@@ -35,11 +44,19 @@
     :param prefix: path prefix of the route.
     :param vm: name of the VM that the call is sent to.
     :param sent_at: seconds since the start of the soak test.
+    :param after: number of the last event that the caller has of the stream
+        that the call resumes; 0 for a new one.
     """
 
     def __init__(
-        self, call_id: str, prefix: str, vm: str, sent_at: float
+        self,
+        call_id: str,
+        prefix: str,
+        vm: str,
+        sent_at: float,
+        after: int = 0,
     ) -> None:
+        self.after = after
         self.call_id = call_id
         self.prefix = prefix
         self.vm = vm
@@ -55,14 +72,24 @@
         #: Seconds from sending the call until the caller gave it up; None if
         #: it didn't.
         self.left_after_s: float | None = None
+        #: After how many events the caller drops the connection, to take the
+        #: stream up again; 0 if it doesn't.
+        self.drop_after = 0
         #: Bytes received after the end of the answer.
         self.trailing_bytes = b""
+        #: The version at which the stream began that the call resumes.
+        self.version = ""
 
     @property
     def served(self) -> bool:
         """Whether a complete answer with status 200 was received."""
         return self.status == 200 and self.complete
 
+    @property
+    def has_gone_on(self) -> bool:
+        """Whether an event came, or the end of a stream with none left."""
+        return self.served or bool(parse_events(self.body))
+
 
 class Connection:
     """Keep-alive connection to one VM."""
@@ -83,11 +110,18 @@
 
         :param wait_s: the deadline that the call declares, in seconds.
         """
-        self.writer.write(
-            f"POST {call.prefix}x HTTP/1.1\r\nHost: {fleet.ROUTE_HOST}\r\n"
-            f"Call-Id: {call.call_id}\r\nKey: {fleet.API_KEY}\r\n"
-            f"Wait-S: {wait_s}\r\nContent-Length: 2\r\n\r\nhi".encode()
-        )
+        lines = [
+            f"POST {call.prefix}x HTTP/1.1",
+            f"Host: {fleet.ROUTE_HOST}",
+            f"Call-Id: {call.call_id}",
+            f"Key: {fleet.API_KEY}",
+            f"Wait-S: {wait_s}",
+            "Content-Length: 2",
+        ]
+        if call.after:
+            lines.append(f"After: {call.after}")
+            lines.append(f"Resumes: {stream_id(call.call_id)}")
+        self.writer.write("\r\n".join([*lines, "", "hi"]).encode())
         await self.writer.drain()
         head = await self.reader.readuntil(b"\r\n\r\n")
         lines = head.decode().split("\r\n")
@@ -108,6 +142,8 @@
         while size := int(await self.reader.readuntil(b"\r\n"), 16):
             call.body += await self.reader.readexactly(size)
             await self.reader.readexactly(2)
+            if 0 < call.drop_after <= len(parse_events(call.body)):
+                raise ConnectionAbortedError("the caller has dropped it")
         await self.reader.readexactly(2)
 
     async def read_trailing_bytes(self) -> bytes:
@@ -130,6 +166,8 @@
     :param rng: source of all random choices of the callers.
     :param leave_rng: source of the choices which calls the callers give up;
         None if they give none up.
+    :param resume_rng: source of the choices how streams are taken up again;
+        None if they are not.
     """
 
     def __init__(
@@ -137,7 +175,10 @@
         test_fleet: fleet.Fleet,
         rng: random.Random,
         leave_rng: random.Random | None = None,
+        resume_rng: random.Random | None = None,
     ) -> None:
+        self._resume_rng = resume_rng
+        self._drops = True
         self._leave_rng = leave_rng
         self._fleet = test_fleet
         self._rng = rng
@@ -145,6 +186,8 @@
         self._started_at = asyncio.get_running_loop().time()
         self._stopped = False
         self.calls: list[Call] = []
+        #: The calls that resume a stream.
+        self.resumptions: list[Call] = []
         #: When a VM's list of VMs was empty, on the machine's monotonic clock.
         self.empty_lookups: list[float] = []
 
@@ -180,13 +223,16 @@
                 ports = await asyncio.to_thread(self._look_up) or ports
                 looked_up_at_s = self.elapsed_s
             if ports:
-                connection = await self._send_call(ports, connection)
+                connection = await self._send_call(ports, connection, vm)
             await asyncio.sleep(MAX_PAUSE_S * self._rng.random())
         if connection is not None:
             connection.close()
 
     async def _send_call(
-        self, ports: list[int], connection: Connection | None
+        self,
+        ports: list[int],
+        connection: Connection | None,
+        vm: fleet.VmProcess | None,
     ) -> Connection | None:
         prefix = self._rng.choice(fleet.ROUTES)[0]
         port = connection.port if connection else self._rng.choice(ports)
@@ -200,6 +246,8 @@
             self.elapsed_s,
         )
         self.calls.append(call)
+        if leave_after_s is None:
+            call.drop_after = self._draw_drop(prefix)
         keep = self._rng.random() < KEEP_ALIVE_PROBABILITY
         limit_s = leave_after_s or CALL_TIMEOUT_S + 1.0
         try:
@@ -210,10 +258,14 @@
                 await connection.send(call)
         except (OSError, EOFError, ValueError, TimeoutError) as error:
             call.duration_s = self.elapsed_s - call.sent_at
-            if leave_after_s is not None and isinstance(error, TimeoutError):
+            left = leave_after_s is not None and isinstance(
+                error, TimeoutError
+            )
+            if left or isinstance(error, ConnectionAbortedError):
                 call.left_after_s = call.duration_s
             if connection is not None:
                 connection.close()
+            await self._resume(call, vm)
             return None
         call.duration_s = self.elapsed_s - call.sent_at
         call.trailing_bytes = await connection.read_trailing_bytes()
@@ -222,6 +274,59 @@
             return None
         return connection
 
+    def stop_dropping(self) -> None:
+        """Let callers read all streams to their ends from now on."""
+        self._drops = False
+
+    def _draw_drop(self, prefix: str) -> int:
+        """Draw after how many events a stream is dropped; 0 if it is not."""
+        rng = self._resume_rng
+        if rng is None or prefix != RESUMABLE_PREFIX or not self._drops:
+            return 0
+        dropped = rng.random() < DROP_PROBABILITY
+        return rng.randint(*DROP_AFTER_EVENTS) if dropped else 0
+
+    async def _resume(self, call: Call, vm: fleet.VmProcess | None) -> None:
+        """Take a broken stream up again at any VM."""
+        rng = self._resume_rng
+        if rng is None or call.prefix != RESUMABLE_PREFIX:
+            return
+        first, received = call, call.body
+        for number in range(1, MAX_RESUMPTIONS + 1):
+            events = parse_events(received)
+            left = first.left_after_s is not None and not first.drop_after
+            if call.served or left or not events:
+                return
+            await asyncio.sleep(rng.uniform(*RESUME_AFTER_S))
+            port = (vm or rng.choice(self._fleet.vms)).ports["callers"]
+            call = Call(
+                f"{first.call_id}.{number}",
+                first.prefix,
+                self._vm_name(port),
+                self.elapsed_s,
+                events[-1][0],
+            )
+            call.version = versions(received)[-1]
+            self.resumptions.append(call)
+            await self._send_alone(call, port)
+            received += call.body
+
+    async def _send_alone(self, call: Call, port: int) -> None:
+        """Send a call on a connection of its own."""
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S + 1.0):
+                streams = await asyncio.open_connection(fleet.HOST, port)
+                connection = Connection(port, *streams)
+                await connection.send(call)
+        except (OSError, EOFError, ValueError, TimeoutError):
+            # What came until then stays in the call.
+            pass
+        finally:
+            call.duration_s = self.elapsed_s - call.sent_at
+            if connection is not None:
+                connection.close()
+
     def _draw_leaving(self) -> float | None:
         """Draw after how many seconds a caller leaves; None if it stays."""
         rng = self._leave_rng
@@ -253,9 +358,19 @@
         return next(names, "")
 
 
+def stream_id(call_id: str) -> str:
+    """The id of the call that began a call's stream."""
+    return call_id.partition(".")[0]
+
+
 def parse_events(body: bytes) -> list[tuple[int, str]]:
     """Return number and call id of each complete event."""
     return [
         (int(number), call_id.decode())
-        for number, _, call_id in EVENT_PATTERN.findall(body)
+        for number, _, call_id, _ in EVENT_PATTERN.findall(body)
     ]
+
+
+def versions(body: bytes) -> list[str]:
+    """Return the version of the runner that wrote each complete event."""
+    return [match[3].decode() for match in EVENT_PATTERN.findall(body)]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -21,17 +21,23 @@
     calls: list[callers.Call],
     executions: callers.Executions,
     quiet_since_s: float,
+    resumptions: typing.Sequence[callers.Call] = (),
 ) -> list[str]:
     """Describe each violated guarantee.
 
+    :param resumptions: calls that resume streams of other calls.
     :param executions: call id, customer and path of each execution.
     :param quiet_since_s: start of the final quiet period, in seconds since
         the start of the soak test.
     """
     execution_counts = collections.Counter(each[0] for each in executions)
     return [
-        *_check_executions(calls, executions, execution_counts),
-        *itertools.chain.from_iterable(map(_check_answer, calls)),
+        *_check_executions(
+            [*calls, *resumptions], executions, execution_counts
+        ),
+        *itertools.chain.from_iterable(
+            map(_check_answer, [*calls, *resumptions])
+        ),
         *_check_refusals(calls, execution_counts),
         *check_recovery(calls, quiet_since_s),
     ]
@@ -99,11 +105,13 @@
     violations = []
     if any(call_id != call.call_id for _, call_id in events):
         violations.append(f"{call.call_id}: events of another call")
-    if numbers != list(range(1, len(numbers) + 1)):
+    expected = range(call.after + 1, call.after + len(numbers) + 1)
+    if numbers != list(expected):
         violations.append(
             f"{call.call_id}: unexpected event numbers {numbers}"
         )
-    if call.complete and len(numbers) != runner.event_count(call.call_id):
+    last = call.after + len(numbers)
+    if call.complete and last != runner.event_count(call.call_id):
         violations.append(
             f"{call.call_id}: complete answer with {len(numbers)} events"
         )
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -29,6 +29,7 @@
     "leaving": validation.is_bool,
     "born": validation.is_non_negative_int,
     "sequence": validation.is_non_negative_int,
+    "version": validation.is_non_empty_string,
 }
 
 
@@ -86,6 +87,7 @@
             revision=stored.revision,
             born=spec["born"],
             sequence=spec["sequence"],
+            version=spec["version"],
         )
 
     def store_codec(self) -> store.Codec:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -118,10 +118,10 @@
     if runner is None:
         return
     test_fleet.runners.remove(runner)
-    runner.process.kill()
+    _kill(test_fleet, runner)
     await asyncio.sleep(ENTRY_REMOVAL_DELAY_S)
     await test_fleet.delete_entry(runner)
-    await test_fleet.add_runner(runner.service)
+    await test_fleet.add_runner(runner.service, version=runner.version)
     runner.link.close()
 
 
@@ -134,13 +134,13 @@
     if runner is None:
         return
     test_fleet.runners.remove(runner)
-    runner.process.kill()
+    _kill(test_fleet, runner)
     others = [s for s in fleet.SERVICES if s != runner.service]
     port = runner.link.target
     await test_fleet.add_runner(rng.choice(others), runner.link, port)
     await asyncio.sleep(ENTRY_REMOVAL_DELAY_S)
     await test_fleet.delete_entry(runner)
-    await test_fleet.add_runner(runner.service)
+    await test_fleet.add_runner(runner.service, version=runner.version)
 
 
 @register_fault("runner_drain")
@@ -149,8 +149,15 @@
     if runner is None:
         return
     test_fleet.runners.remove(runner)
+    await asyncio.gather(
+        drain(test_fleet, runner),
+        test_fleet.add_runner(runner.service, version=runner.version),
+    )
+
+
+async def drain(test_fleet: fleet.Fleet, runner: fleet.RunnerProcess) -> None:
+    """Let a runner announce that it leaves, and end it later."""
     await test_fleet.write_entry(runner, leaving=True)
-    await test_fleet.add_runner(runner.service)
     await asyncio.sleep(DRAIN_DURATION_S)
     await test_fleet.delete_entry(runner)
     runner.process.kill()
@@ -164,7 +171,7 @@
     if runner is None:
         return
     test_fleet.runners.remove(runner)
-    runner.process.kill()
+    _kill(test_fleet, runner)
     await asyncio.sleep(rng.uniform(0.0, 1.0))
     test_fleet.runners.append(runner)
     await test_fleet.restart_runner(runner)
@@ -247,7 +254,8 @@
     if runner is None:
         return
     test_fleet.runners.remove(runner)
-    await test_fleet.add_runner(runner.service)
+    test_fleet.end_span(runner)
+    await test_fleet.add_runner(runner.service, version=runner.version)
     await test_fleet.say(runner, "Leaving: 1\r\n")
     await asyncio.sleep(LEAVING_DURATION_S)
     await test_fleet.delete_entry(runner)
@@ -269,6 +277,11 @@
     return rng.choice(candidates) if candidates else None
 
 
+def _kill(test_fleet: fleet.Fleet, runner: fleet.RunnerProcess) -> None:
+    test_fleet.end_span(runner)
+    runner.process.kill()
+
+
 def _start_if_ended(child: child_process.ChildProcess) -> None:
     if not child.is_running:
         child.start()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -39,6 +39,8 @@
     ("/stream-on/", "streams", "stream", 3, True),
 )
 ROUTE_TIMEOUT_S = 4.0
+#: The version of the software of runners that no release has replaced.
+FIRST_VERSION = "v1"
 
 
 class VmProcess:
@@ -62,6 +64,22 @@
         self.link = link
 
 
+class RunnerSpan:
+    """A time in which a runner served new calls.
+
+    :param runner: its name.
+    :param since: the beginning, on the machine's monotonic clock.
+    """
+
+    __slots__ = ("runner", "version", "since", "until")
+
+    def __init__(self, runner: str, version: str, since: float) -> None:
+        self.runner = runner
+        self.version = version
+        self.since = since
+        self.until = float("inf")
+
+
 class RunnerProcess:
     """One runner and the proxies through which the VMs reach it."""
 
@@ -69,11 +87,13 @@
         self,
         name: str,
         service: str,
+        version: str,
         process: child_process.ChildProcess,
         link: runner_link.RunnerLink,
     ) -> None:
         self.name = name
         self.service = service
+        self.version = version
         self.process = process
         self.link = link
         self.born = 0
@@ -107,6 +127,8 @@
         self.disturbances: list[statements.Disturbance] = []
         #: The names and times of the faults.
         self.faults: list[statements.Disturbance] = []
+        #: When which runners served new calls.
+        self.spans: list[RunnerSpan] = []
         self.vms: list[VmProcess] = []
         self.runners: list[RunnerProcess] = []
         self._vm_names: list[str] = []
@@ -177,12 +199,14 @@
         service: str,
         link: runner_link.RunnerLink | None = None,
         port: int = 0,
+        version: str = FIRST_VERSION,
     ) -> RunnerProcess:
         """Start a runner and write its entry.
 
         :param link: link of a former runner whose address the new runner
             takes over; None for a new address.
         :param port: of the former runner's process; 0 for a new port.
+        :param version: of its software.
         """
         name = f"r-{next(self._runner_numbers)}"
         port = port or self._ports.reserve()
@@ -193,6 +217,7 @@
                 str(port),
                 str(self.journal),
                 str(self._folder / "statements.txt"),
+                version,
             ],
             self._folder / f"{name}.log",
         )
@@ -206,7 +231,7 @@
             for vm, cut in self._cuts.items():
                 link.cut(vm, cut)
             self._links.append(link)
-        runner = RunnerProcess(name, service, process, link)
+        runner = RunnerProcess(name, service, version, process, link)
         self.runners.append(runner)
         await self.write_entry(runner, leaving=False)
         return runner
@@ -224,8 +249,26 @@
             "leaving": leaving,
             "born": runner.born,
             "sequence": runner.sequence,
+            "version": runner.version,
         }
+        if leaving:
+            self.end_span(runner)
         await self.put_object(dialect.RUNNERS_KIND, runner.name, entry)
+        if not leaving and self._open_span(runner) is None:
+            self.spans.append(
+                RunnerSpan(runner.name, runner.version, time.monotonic())
+            )
+
+    def end_span(self, runner: RunnerProcess) -> None:
+        """Note that a runner serves no new calls from now on."""
+        span = self._open_span(runner)
+        if span is not None:
+            span.until = time.monotonic()
+
+    def _open_span(self, runner: RunnerProcess) -> RunnerSpan | None:
+        """The time that goes on in which a runner serves, if there is one."""
+        spans = (s for s in self.spans if s.runner == runner.name)
+        return next((s for s in spans if s.until == float("inf")), None)
 
     async def restart_runner(self, runner: RunnerProcess) -> None:
         """Start a runner again with the same name and address."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -1,6 +1,6 @@
 """Runner process of a soak test.
 
-Usage: ``python -m soak.runner NAME PORT JOURNAL STATEMENTS``
+Usage: ``python -m soak.runner NAME PORT JOURNAL STATEMENTS VERSION``
 
 A request for the path ``/say`` sets what the runner says of itself from then
 on: the limit in its header Limit-Per-S, the rest for which it asks the VMs of
@@ -10,7 +10,8 @@
 Later-Room calls at a time later on, and falls over as it must reject more.
 
 Answers and events contain the id of the call, so that an answer delivered to
-the wrong caller is detectable. The runner records each call in its journal
+the wrong caller is detectable, and events the version of the runner. The
+runner records each call in its journal
 before it sends the first byte of the answer.
 """
 
@@ -50,7 +51,12 @@
 
 
 def event_count(call_id: str) -> int:
-    """Return the number of events in the stream of a call."""
+    """Return the number of events in the stream of a call.
+
+    A call that resumes a stream has the id of the first one and a dot before
+    its own number.
+    """
+    call_id = call_id.partition(".")[0]
     if call_id.startswith(LONG_CALL_PREFIX):
         return LONG_EVENT_COUNT
     return 5 + int(hashlib.sha256(call_id.encode()).hexdigest(), 16) % (
@@ -58,9 +64,10 @@
     )
 
 
-def format_event(call_id: str, number: int) -> bytes:
+def format_event(call_id: str, number: int, version: str = "v1") -> bytes:
     """Encode one event of a call's stream."""
-    return f"id: {number}\ndata: {number} of {call_id}\n\n".encode()
+    data = f"{number} of {call_id} at {version}"
+    return f"id: {number}\ndata: {data}\n\n".encode()
 
 
 class Runner:
@@ -69,6 +76,7 @@
     :param name: the runner's name in the store.
     :param journal: receives a line for each call that runs.
     :param record: receives what the runner says and to whom.
+    :param version: the version of its software.
     """
 
     def __init__(
@@ -76,7 +84,9 @@
         name: str,
         journal: typing.TextIO,
         record: statements.Record,
+        version: str,
     ) -> None:
+        self._version = version
         self._name = name
         self._journal = journal
         self._record = record
@@ -148,7 +158,9 @@
             self._journal.flush()
             if path.startswith("/stream"):
                 after = int(headers.get("after", 0))
-                await _send_stream(call_id, after, writer, self._tell(vm))
+                await _send_stream(
+                    call_id, after, writer, self._tell(vm), self._version
+                )
             else:
                 await _work(call_id, reader)
                 says = self._tell(vm)
@@ -292,25 +304,30 @@
     after: int,
     writer: asyncio.StreamWriter,
     headers: typing.Sequence[str],
+    version: str,
 ) -> None:
     writer.write(
         _response_head(200, call_id, "Transfer-Encoding: chunked", *headers)
     )
     for number in range(after + 1, event_count(call_id) + 1):
-        data = format_event(call_id, number)
+        data = format_event(call_id, number, version)
         writer.write(b"%x\r\n%b\r\n" % (len(data), data))
         await writer.drain()
         await asyncio.sleep(EVENT_INTERVAL_S)
     writer.write(b"0\r\n\r\n")
 
 
-async def _main(name: str, port: int, journal: str, record: str) -> None:
+async def _main(
+    name: str, port: int, journal: str, record: str, version: str
+) -> None:
     with open(journal, "a", encoding="utf-8") as file:
-        runner = Runner(name, file, statements.Record(pathlib.Path(record)))
+        runner = Runner(
+            name, file, statements.Record(pathlib.Path(record)), version
+        )
         await runner.listen(port)
         print(f"listening host={HOST} port={port}", flush=True)
         await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
-    asyncio.run(_main(sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]))
+    asyncio.run(_main(sys.argv[1], int(sys.argv[2]), *sys.argv[3:6]))
