Don't go by an old directory when a stream is resumed

A directory now proves something only while it is confirmed: by an answer of the store, or by a record of another VM with the same checksum, within five seconds and since the last suspension. An answer of a VM whose own directory isn't confirmed counts only if it has the stream's record. A VM that hears from nobody goes on asking the VMs that it knew for three seconds, as it may be the one that slept.

--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -273,7 +273,7 @@
     def _hand_over_streams(self) -> None:
         """Have other VMs know where the streams began that this one knows."""
         origins = self._upstreams.origins
-        origins.set_fleet(self._fleet.record_keepers, False, True)
+        origins.set_fleet(self._fleet.record_keepers, False)
         origins.hand_over()
 
     def configure(self, spec: store.Json) -> bool:
@@ -397,6 +397,8 @@
 
     def receive_record(self, record: vm_records.VmRecord) -> None:
         """Apply a status record of another VM to the components."""
+        if record.runners == self._directory.checksum:
+            self._directory.confirm()
         self._limits.initialize_levels(record.levels)
         self._limits.receive_totals(record.process, record.used)
         self._usage.merge_counts(record.process, record.usage)
@@ -609,6 +611,7 @@
         """
         logs.event("paused", for_s=for_s)
         self._fleet.handle_stall()
+        self._directory.suspect()
         for watcher in self._watchers:
             watcher.invalidate()
 
@@ -684,7 +687,6 @@
             origins.set_fleet(
                 self._fleet.record_keepers,
                 self.ready,
-                self._is_following_store or self._limits.heard_share > 0.0,
             )
         if self._upstreams.slots.wants_fleet:
             self._upstreams.slots.set_fleet(
--- a/src/apricotlever/serving/runner_directory.py
+++ b/src/apricotlever/serving/runner_directory.py
@@ -78,6 +78,7 @@
         "_by_id",
         "_checksum",
         "_clock",
+        "_confirmed_at",
         "_drain_s",
         "_pending_removals",
         "_tombstones",
@@ -94,6 +95,7 @@
     ) -> None:
         self._clock = clock
         self._drain_s = drain_s
+        self._confirmed_at = float("-inf")
         self._mass_removal_hold_s = min(
             REAPPEAR_TIMEOUT_S, MASS_REMOVAL_DRAIN_SHARE * drain_s
         )
@@ -115,6 +117,19 @@
         self._revision = 0
         self._grace_until = float("-inf")
 
+    @property
+    def unconfirmed_s(self) -> float:
+        """Seconds since this view was last known to be up to date."""
+        return self._clock.now() - self._confirmed_at
+
+    def confirm(self) -> None:
+        """Note that this view is that of the store or of a peer now."""
+        self._confirmed_at = self._clock.now()
+
+    def suspect(self) -> None:
+        """Note that this view may have become old without a sign of it."""
+        self._confirmed_at = float("-inf")
+
     @property
     def drain_s(self) -> float:
         """See the class's parameter."""
@@ -182,6 +197,7 @@
         :param revision: the store's revision of the list.
         :returns: the incarnations that this list marks as leaving or removes.
         """
+        self.confirm()
         ended = []
         present = set()
         for entry in entries:
--- a/src/apricotlever/serving/store_listeners.py
+++ b/src/apricotlever/serving/store_listeners.py
@@ -111,6 +111,7 @@
                 )
                 continue
             ended += self._directory.apply_entry(self._read(change.stored))
+        self._directory.confirm()
         if changes.changes:
             self._tell(ended)
 
--- a/src/apricotlever/serving/stream_origin_protocol.py
+++ b/src/apricotlever/serving/stream_origin_protocol.py
@@ -50,7 +50,7 @@
     validation.is_none_or(
         validation.is_tuple_of(_IS_ORIGIN, validation.is_non_negative_number)
     ),
-    validation.is_list_of(_IS_ORIGIN),
+    validation.is_none_or(validation.is_list_of(_IS_ORIGIN)),
 )
 _IS_RECORDS = validation.is_tuple_of(
     validation.is_non_negative_int,
@@ -101,7 +101,8 @@
 
     :param origin: where it began; None if the VM has no record of it.
     :param age_s: the age of the record, in seconds.
-    :param seen: the origins that the stream may have by the VM's directory.
+    :param seen: the origins that the stream may have by the VM's directory;
+        None if that may be out of date.
     """
 
     __slots__ = ("origin", "age_s", "seen")
@@ -110,7 +111,7 @@
         self,
         origin: models.StreamOrigin | None,
         age_s: float,
-        seen: frozenset[models.StreamOrigin],
+        seen: frozenset[models.StreamOrigin] | None,
     ) -> None:
         self.origin = origin
         self.age_s = age_s
@@ -202,7 +203,9 @@
         found = None
         if answer.origin is not None:
             found = [_encode_origin(answer.origin), answer.age_s]
-        seen = [_encode_origin(origin) for origin in answer.seen]
+        seen = None
+        if answer.seen is not None:
+            seen = [_encode_origin(origin) for origin in answer.seen]
         self._transport.send([ANSWER, number, found, seen], address)
 
     def _receive_answer(
@@ -215,7 +218,11 @@
             KeeperAnswer(
                 models.StreamOrigin(*origin) if origin is not None else None,
                 age_s,
-                frozenset(models.StreamOrigin(*each) for each in seen),
+                (
+                    frozenset(models.StreamOrigin(*each) for each in seen)
+                    if seen is not None
+                    else None
+                ),
             ),
         )
 
--- a/src/apricotlever/serving/stream_origins.py
+++ b/src/apricotlever/serving/stream_origins.py
@@ -27,6 +27,15 @@
 #: Age of a stream, in seconds, from which its record is sent while its service
 #: has one version.
 RECORD_DELAY_S = 0.2
+#: For how long a directory is taken to be up to date after it was confirmed,
+#: in seconds: longer than a watch of the store waits for changes.
+CURRENT_S = 5.0
+#: A process that has not run its periodic work for so long, in seconds, was
+#: suspended.
+STALL_S = 0.5
+#: For how long other VMs are still asked once this VM hears from none, in
+#: seconds. It may be this VM that was suspended.
+KEEP_PEERS_S = 3.0
 #: Seconds between two updates of the other VMs, each of which looks at all of
 #: them.
 FLEET_INTERVAL_S = 0.5
@@ -52,7 +61,7 @@
     :param age_s: the age of the record, in seconds; None without one.
     :param seen: the origins that it may have by the VMs' directories, if there
         is no record.
-    :param answers: number of other VMs that answered.
+    :param answers: number of other VMs whose directories count.
     """
 
     __slots__ = ("source", "origin", "age_s", "seen", "answers")
@@ -110,19 +119,23 @@
     """Records where this VM's streams begin, and finds where others began.
 
     :param vm: this VM's name.
+    :param unconfirmed_s: tells how long ago, in seconds, this VM's directory
+        of runners was last known to be up to date.
     """
 
     __slots__ = (
         "_clock",
         "_data_centre",
         "_fleet_set_at",
+        "_had_peers_at",
         "_history",
-        "_is_current",
         "_peers",
         "_protocol",
         "_ring",
         "_results",
         "_table",
+        "_ticked_at",
+        "_unconfirmed_s",
         "_unsent",
         "_vm",
         "sent_count",
@@ -133,13 +146,14 @@
         clock: clocks.Clock,
         vm: str,
         data_centre: str,
+        unconfirmed_s: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._clock = clock
         self._vm = vm
         self._data_centre = data_centre
-        #: Whether this VM's directory of runners is up to date, as far as it
-        #: can know.
-        self._is_current = True
+        self._unconfirmed_s = unconfirmed_s
+        self._ticked_at: float | None = None
+        self._had_peers_at = float("-inf")
         self._table = origin_table.OriginTable(clock)
         self._history = version_history.VersionHistory(clock)
         self._ring = keeper_ring.KeeperRing()
@@ -186,19 +200,19 @@
         )
 
     def set_fleet(
-        self,
-        peers: typing.Mapping[str, Peer],
-        eligible: bool,
-        is_current: bool,
+        self, peers: typing.Mapping[str, Peer], eligible: bool
     ) -> None:
         """Set which VMs there are; the caller does so when it is due.
 
         :param peers: the other VMs that may keep records, by name.
         :param eligible: whether this VM may keep records, too.
-        :param is_current: whether this VM hears of changes of the runners.
         """
-        self._is_current = is_current
-        self._fleet_set_at = self._clock.now()
+        now = self._clock.now()
+        self._fleet_set_at = now
+        if peers:
+            self._had_peers_at = now
+        elif now - self._had_peers_at < KEEP_PEERS_S:
+            return
         self._peers = dict(peers)
         vms = {name: peer.data_centre for name, peer in peers.items()}
         if eligible:
@@ -244,7 +258,11 @@
             self._table.discard(key)
 
     def tick(self) -> None:
-        """Send the records that are due, and drop those that have ended."""
+        """Send the records that are due, and drop those that have ended.
+
+        The caller does so several times a second.
+        """
+        self._ticked_at = self._clock.now()
         due_at = self._clock.now() - RECORD_DELAY_S
         due = []
         for key in self._unsent:
@@ -283,7 +301,9 @@
     ) -> protocols.KeeperAnswer:
         """Answer another VM's question."""
         record = self._table.get(key)
-        seen = self._history.seen(services, within_s)
+        seen = None
+        if self._is_current:
+            seen = self._history.seen(services, within_s)
         if record is None:
             return protocols.KeeperAnswer(None, 0.0, seen)
         age_s = self._clock.now() - record.recorded_at
@@ -295,6 +315,17 @@
             record.key, record.origin, record.lifetime_s, record.age_s
         )
 
+    @property
+    def _is_current(self) -> bool:
+        """Whether this VM's directory may prove that one version served.
+
+        After a suspension it does so only once it was confirmed again.
+        """
+        now = self._clock.now()
+        if self._ticked_at is not None and now - self._ticked_at > STALL_S:
+            return False
+        return self._unconfirmed_s() < CURRENT_S
+
     async def _find(
         self,
         key: bytes | None,
@@ -310,10 +341,11 @@
         answers = 0
         if key is not None:
             async for answer in self._ask(key, services, within_s):
-                answers += 1
                 if answer.origin is not None:
                     return Finding(Source.KEEPER, answer.origin, answer.age_s)
-                seen |= answer.seen
+                if answer.seen is not None:
+                    answers += 1
+                    seen = seen | answer.seen
         if len(seen) == 1 and (answers or self._is_current):
             (origin,) = seen
             return Finding(Source.SOLE_VERSION, origin)
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -168,7 +168,9 @@
         self._draining = draining_runners.DrainingRunners(
             clock, directory.drain_s
         )
-        self._origins = stream_origins.StreamOrigins(clock, vm, data_centre)
+        self._origins = stream_origins.StreamOrigins(
+            clock, vm, data_centre, lambda: directory.unconfirmed_s
+        )
         self._slots = slot_keepers.SlotKeepers(
             clock,
             vm,
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -71,6 +71,7 @@
         self.name = name
         self.clock = clocks.ManualClock()
         self.directory = directories.RunnerDirectory(self.clock)
+        self.directory.confirm()
         self.upstreams = upstreams.Upstreams(
             clock or clocks.SystemClock(),
             random.Random(1),
--- a/tests/serving/stream_versions.feature
+++ b/tests/serving/stream_versions.feature
@@ -120,3 +120,24 @@
     And 6 streams are made
     Then no stream holds events of two versions
     And runner 1 got no call
+
+  # Guards against streams joined at a VM that has slept through a release, and
+  # resumes a stream as of the only version that it knows.
+  Scenario: A VM that was suspended does not go by its old directory
+    Given 3 VMs and runners v1 v1 that stream slowly
+    When VM 3 is suspended while runners v2 v2 join
+    And no message of VMs 1 2 arrives any more
+    And 12 streams are begun at VM 1
+    And the streams are resumed at VM 3
+    Then all resumptions were refused with 503
+    When VM 3 reads the store
+    And the streams are resumed at VM 3
+    Then no stream holds events of two versions
+
+  Scenario: A VM with an old directory goes by what the others know
+    Given 3 VMs and runners v1 v1 that stream slowly
+    When VM 3 is suspended while runners v2 v2 join
+    And 12 streams are begun at VM 1
+    And the streams are resumed at VM 3
+    Then no stream holds events of two versions
+    And the others were refused with 503
--- a/tests/serving/version_fleet.py
+++ b/tests/serving/version_fleet.py
@@ -107,7 +107,7 @@
                 for other in self.vms
                 if other in alive and other is not vm
             }
-            vm.upstreams.origins.set_fleet(peers, True, True)
+            vm.upstreams.origins.set_fleet(peers, True)
 
     def silence(self, indices):
         """Let VMs send and answer no message any more, as if killed."""
@@ -132,17 +132,23 @@
         vm.upstreams.refresh()
         self.connect(self.vms)
 
-    async def add_runner(self, version, behaviour):
-        """Start a runner of a version that all VMs know."""
-        first = self.vms[0]
-        standin = await first.add_runner([behaviour], version)
-        for runner in first.directory.runners:
-            for vm in self.vms:
-                vm.directory.apply_entry(runner)
-        for vm in self.vms:
-            vm.upstreams.refresh()
+    async def add_runner(self, version, behaviour, without=None):
+        """Start a runner of a version that all VMs know.
+
+        :param without: index of a VM that doesn't learn of it; None for none.
+        """
+        standin = await self.vms[0].add_runner([behaviour], version)
+        for index in range(len(self.vms)):
+            if index != without:
+                self.read_store(index)
         return standin
 
+    def read_store(self, index):
+        """Let a VM learn of all runners."""
+        vm = self.vms[index]
+        vm.directory.apply_list(self.vms[0].directory.runners, 1)
+        vm.upstreams.refresh()
+
     def leave(self, index):
         """Announce that a runner, given by its index, leaves."""
         for vm in self.vms:
--- a/tests/steps/serving_stream_versions.py
+++ b/tests/steps/serving_stream_versions.py
@@ -78,6 +78,21 @@
     assert not context.fleet.vms[0].standins[number - 1].received_calls
 
 
+@when("VM {vm:d} is suspended while runners {versions} join")
+def _suspend(context, vm, versions):
+    async def work():
+        for version in versions.split():
+            await context.fleet.add_runner(version, SLOW, without=vm - 1)
+
+    context.fleet.vms[vm - 1].directory.suspect()
+    _run(context, work())
+
+
+@when("VM {vm:d} reads the store")
+def _read_store(context, vm):
+    context.fleet.read_store(vm - 1)
+
+
 @when("{count:d} streams are begun at VM {first:d}")
 def _begin(context, count, first):
     async def work():
@@ -90,6 +105,7 @@
 
 
 @when("VMs {vms} are killed")
+@when("no message of VMs {vms} arrives any more")
 def _kill(context, vms):
     context.fleet.silence(int(vm) - 1 for vm in vms.split())
 
