Give calls what they share without the relay, and break a circle of imports

call_relay made call_execution and call_state, which imported it back for its type, and the sending modules read five parts through it. A CallContext holds these parts now; the relay owns it, and nothing imports the relay back.

--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -10,6 +10,7 @@
 from .. import logs
 
 from . import attempt_outcome
+from . import call_context
 from . import call_state
 from . import client_channel
 from . import configuration_model
@@ -21,9 +22,6 @@
 from . import response_sink
 from . import runner_sending
 
-if typing.TYPE_CHECKING:
-    from . import call_relay
-
 #: Time left below which a failure is not retried, in seconds.
 MIN_RETRY_TIME_S = 0.05
 #: HTTP status of a successful response.
@@ -59,6 +57,7 @@
 class CallExecution:
     """Runs one call by one attempt after another.
 
+    :param context: what all calls of this VM share.
     :param service: the service whose runners may run the call.
     :param forwarded: what the VM said that has forwarded the call to this one;
         None for a call of this VM's own callers.
@@ -77,7 +76,7 @@
 
     def __init__(
         self,
-        relay_: "call_relay.CallRelay",
+        context: call_context.CallContext,
         call: messages.CallerCall,
         route: configuration_model.Route,
         customer: configuration_model.Customer | None,
@@ -87,13 +86,13 @@
     ) -> None:
         self._reply = reply
         self._state = call_state.CallState(
-            relay_, call, route, customer, service, forwarded
+            context, call, route, customer, service, forwarded
         )
         self._sink = response_sink.ResponseSink(
             self._state,
             reply,
             (
-                relay_.dialect.callers.forwarded_headers
+                context.dialect.callers.forwarded_headers
                 if forwarded is None
                 else forwarding_protocol.response_headers
             ),
@@ -153,7 +152,9 @@
     def clear_suspicion(self) -> None:
         """Record that the call, which was served, crashes no runner."""
         state = self._state
-        state.relay.upstreams.crashes.call_answered(state.call, state.customer)
+        state.context.upstreams.crashes.call_answered(
+            state.call, state.customer
+        )
 
     async def run(self) -> None:
         """Run the call and send its response.
@@ -226,7 +227,7 @@
             and error.reason.startswith(UNREACHED)
             and self._to_runners.reached_none
             and state.left_s > MIN_RETRY_TIME_S
-            and state.relay.helpers.exist
+            and state.context.helpers.exist
         )
 
     def _more_telling(self, error: NotServed) -> NotServed:
@@ -272,7 +273,7 @@
             # Runners had their turn before the first helper.
             self._forward_next = self._unforwarded is not None and (
                 outcome.status is not attempt_outcome.AttemptStatus.BROKEN
-                or self._state.relay.helpers.replace_new_connections
+                or self._state.context.helpers.replace_new_connections
             )
         elif outcome.status is attempt_outcome.AttemptStatus.BROKEN:
             if not self._state.can_repeat:
--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -15,6 +15,7 @@
 from ..contracts import return_slots
 from ..contracts import usage_windows
 
+from . import call_context
 from . import call_execution
 from . import call_metrics
 from . import caller_channel
@@ -83,17 +84,12 @@
     """
 
     __slots__ = (
-        "_budget",
+        "_accepts_calls",
         "_configuration",
-        "_dialect",
-        "_helpers",
+        "_context",
         "_limits",
-        "_last_attempt_number",
         "_observations",
         "_rng",
-        "_accepts_calls",
-        "_upstreams",
-        "_usage",
     )
 
     def __init__(
@@ -106,27 +102,29 @@
         rng: random.Random,
         helpers_: helpers.Helpers,
     ) -> None:
-        self._dialect = dialect
-        self._helpers = helpers_
-        self._upstreams = upstreams_
+        self._context = call_context.CallContext(
+            dialect, upstreams_, budget, usage, helpers_
+        )
         self._limits = limits_
-        self._budget = budget
-        self._usage = usage
         self._rng = rng
         self._configuration: configuration_model.Configuration | None = None
-        self._last_attempt_number = 0
         self._accepts_calls = True
         self._observations = call_metrics.CallMetrics()
 
+    @property
+    def context(self) -> call_context.CallContext:
+        """What all calls of this VM share."""
+        return self._context
+
     @property
     def upstreams(self) -> upstreams.Upstreams:
         """The runners and this VM's connections to them."""
-        return self._upstreams
+        return self._context.upstreams
 
     @property
     def helpers(self) -> helpers.Helpers:
         """The VMs that run calls while this one reaches no runner."""
-        return self._helpers
+        return self._context.helpers
 
     @property
     def configuration(self) -> configuration_model.Configuration | None:
@@ -141,12 +139,12 @@
     @property
     def budget(self) -> retry_allowance.RetryAllowance:
         """The allowance of retries to runners."""
-        return self._budget
+        return self._context.budget
 
     @property
     def usage(self) -> usage_windows.UsageWindows:
         """The customers' call counts by time window, for usage reports."""
-        return self._usage
+        return self._context.usage
 
     @property
     def observations(self) -> call_metrics.CallMetrics:
@@ -156,7 +154,7 @@
     @property
     def dialect(self) -> dialects.Dialect:
         """Translates the protocols of callers and runners."""
-        return self._dialect
+        return self._context.dialect
 
     def refuse_new_calls(self) -> None:
         """Refuse new calls with 503, so that callers retry at another VM."""
@@ -168,11 +166,6 @@
         """Use a new version of the configuration for the calls that follow."""
         self._configuration = configuration
 
-    def next_attempt_number(self) -> int:
-        """Return a number that is unique among this VM's attempts."""
-        self._last_attempt_number += 1
-        return self._last_attempt_number
-
     async def answer(
         self, raw: caller_channel.RawRequest, reply: reply_writer.ReplyWriter
     ) -> None:
@@ -190,7 +183,7 @@
 
     def _parse(self, raw: caller_channel.RawRequest) -> messages.CallerCall:
         try:
-            return self._dialect.callers.parse_call(
+            return self._context.dialect.callers.parse_call(
                 raw.method, raw.target, raw.headers, raw.body, raw.received_at
             )
         except ValueError as error:
@@ -211,7 +204,12 @@
         permit = await self._apply_limit(customer, call, route)
         point = self._rng.random()
         execution = call_execution.CallExecution(
-            self, call, route, customer, route.select_service(point), reply
+            self._context,
+            call,
+            route,
+            customer,
+            route.select_service(point),
+            reply,
         )
         await self._run_and_log(execution, call, route, customer, permit)
 
@@ -319,7 +317,7 @@
         if reply.started:
             reply.abort()
             return
-        headers = self._dialect.callers.refusal_headers(call)
+        headers = self._context.dialect.callers.refusal_headers(call)
         if refusal.retry_after_s is not None:
             headers.append(
                 (
--- a/src/apricotlever/serving/call_state.py
+++ b/src/apricotlever/serving/call_state.py
@@ -1,20 +1,17 @@
 """What the attempts at one call share, and how a call ends without any."""
 
 import asyncio
-import typing
 
 from ..runners import model as models
 from ..runners import silence_detector
 
+from . import call_context
 from . import call_placement
 from . import configuration_model
 from . import event_splitter
 from . import forwarding_protocol
 from . import messages
 
-if typing.TYPE_CHECKING:
-    from . import call_relay
-
 #: A call that may be repeated waits for a runner's response to begin for this
 #: multiple of the route's objective, and at least as long as a sound runner
 #: may be silent if the deadline allows it, else for this many seconds or more.
@@ -48,6 +45,7 @@
 class CallState:
     """One call, and how far its attempts have come.
 
+    :param context: what all calls of this VM share.
     :param service: the service whose runners may run the call.
     :param forwarded: what the VM said that has forwarded the call to this one;
         None for a call of this VM's own callers.
@@ -55,6 +53,7 @@
 
     __slots__ = (
         "call",
+        "context",
         "customer",
         "deadline",
         "forwarded",
@@ -64,7 +63,6 @@
         "origin",
         "placement",
         "reason",
-        "relay",
         "route",
         "runner_id",
         "sends",
@@ -76,7 +74,7 @@
 
     def __init__(
         self,
-        relay_: "call_relay.CallRelay",
+        context: call_context.CallContext,
         call: messages.CallerCall,
         route: configuration_model.Route,
         customer: configuration_model.Customer | None,
@@ -84,14 +82,14 @@
         forwarded: forwarding_protocol.ForwardedCall | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
-        self.relay = relay_
+        self.context = context
         self.call = call
         self.route = route
         self.customer = customer
         self.service = service
         self.forwarded = forwarded
         self.placement = call_placement.CallPlacement(
-            relay_.upstreams, call, route, service, customer
+            context.upstreams, call, route, service, customer
         )
         wait_s = route.timeout_s
         if call.caller_timeout_s is not None:
@@ -133,7 +131,7 @@
 
         A call that was forwarded to this VM never goes to a third one.
         """
-        return self.forwarded is None and self.relay.helpers.are_needed
+        return self.forwarded is None and self.context.helpers.are_needed
 
     @property
     def can_repeat(self) -> bool:
@@ -145,7 +143,7 @@
         # A helper counts the retry.
         return (
             self.needs_helper
-            or self.relay.budget.remaining(self.service) >= 1.0
+            or self.context.budget.remaining(self.service) >= 1.0
         )
 
     def stream_began(self, version: str) -> None:
--- a/src/apricotlever/serving/forwarded_calls.py
+++ b/src/apricotlever/serving/forwarded_calls.py
@@ -167,7 +167,7 @@
             raise Unfit("helper_unready", UNABLE_RETRY_AFTER_S)
         call = forwarded.to_call(raw.received_at)
         return call_execution.CallExecution(
-            self._relay,
+            self._relay.context,
             call,
             _find_route(configuration, forwarded),
             _find_customer(configuration, forwarded),
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -47,7 +47,7 @@
     ) -> None:
         self._state = state
         self._sink = sink
-        self._helpers = state.relay.helpers
+        self._helpers = state.context.helpers
         self._tried: set[str] = set()
         #: What the last helper said that did not run the call.
         self._last_refusal: attempt_outcome.AttemptOutcome | None = None
@@ -79,7 +79,7 @@
             self._helpers,
             helper,
             state.call,
-            state.relay.dialect.upstreams,
+            state.context.dialect.upstreams,
             (
                 self._sink
                 if state.route.kind is configuration_model.CallKind.STREAM
--- a/src/apricotlever/serving/response_sink.py
+++ b/src/apricotlever/serving/response_sink.py
@@ -98,7 +98,7 @@
             return
         self._usage_counted = True
         if self._state.helper is None:
-            self._state.relay.usage.record_call(customer.name)
+            self._state.context.usage.record_call(customer.name)
 
     def send_whole(
         self, head: messages.RunnerResponseHead, body: bytes
@@ -116,7 +116,7 @@
         self.served = True
         key = self._stream_key
         if key is not None:
-            self._state.relay.upstreams.origins.ended(key)
+            self._state.context.upstreams.origins.ended(key)
 
     @property
     def _stream_key(self) -> bytes | None:
@@ -134,7 +134,7 @@
         state = self._state
         key = self._stream_key
         if key is not None and state.origin is not None:
-            state.relay.upstreams.origins.began(
+            state.context.upstreams.origins.began(
                 key, state.origin, stream_origins.lifetime_s(state.route)
             )
 
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -54,7 +54,7 @@
         self._tried: set[str] = set()
         self._rejections = rejection_limit.RejectionLimit(
             state.route.objective_s,
-            state.relay.upstreams.part_modes.priorities is not modes.Mode.ON,
+            state.context.upstreams.part_modes.priorities is not modes.Mode.ON,
         )
         self._only_unreachable = False
         #: When the last attempt began, on the event loop's clock.
@@ -70,7 +70,7 @@
         """
         if self._only_unreachable:
             return True
-        if not self._state.relay.helpers.may_be_needed:
+        if not self._state.context.helpers.may_be_needed:
             return False
         return self._state.placement.has_untried(self._tried)
 
@@ -82,7 +82,7 @@
         state = self._state
         if not state.is_counted:
             state.is_counted = True
-            state.relay.budget.record_request(state.service)
+            state.context.budget.record_request(state.service)
         self._check_crash_blocklist()
         await self._find_origin()
         placement = await self._place()
@@ -114,7 +114,7 @@
     ) -> attempt_outcome.AttemptOutcome:
         """Send the call to the runner that was found for it."""
         state = self._state
-        upstreams = state.relay.upstreams
+        upstreams = state.context.upstreams
         runner, query = placement.runner, placement.query
         self._check_time(placement)
         state.runner_id, state.helper = runner.runner_id, None
@@ -124,13 +124,13 @@
         )
         state.placement.log_chosen(placement, parameters, state.sends + 1)
         attempt = attempts.Attempt(
-            f"{state.call.request_id}.{state.relay.next_attempt_number()}",
+            f"{state.call.request_id}.{state.context.next_attempt_number()}",
             state.call,
             parameters,
             runner,
             query,
             upstreams,
-            state.relay.dialect.upstreams,
+            state.context.dialect.upstreams,
             (
                 self._sink
                 if state.route.kind is configuration_model.CallKind.STREAM
@@ -141,7 +141,7 @@
         connected = await self._connect(attempt, runner)
         if not isinstance(connected, client_channel.Channel):
             if connected.unreachable:
-                state.relay.helpers.connection_failed()
+                state.context.helpers.connection_failed()
             placement.rejected = connected.unreachable
             return connected
         outcome = await self._send(attempt, connected, runner)
@@ -155,11 +155,11 @@
         self, attempt: attempts.Attempt, runner: runners.Runner
     ) -> client_channel.Channel | attempt_outcome.AttemptOutcome:
         """Take or open a connection, or return the outcome if that fails."""
-        relay = self._state.relay
+        context = self._state.context
         if (
             self._state.forwarded is None
-            and relay.helpers.replace_new_connections
-            and not relay.upstreams.pool(runner).has_idle
+            and context.helpers.replace_new_connections
+            and not context.upstreams.pool(runner).has_idle
         ):
             # Opening one would only cost time.
             return attempt_outcome.AttemptOutcome(
@@ -178,7 +178,7 @@
         state = self._state
         if state.origin is not None or state.call.last_event_id is None:
             return
-        finding = await state.relay.upstreams.origins.find(
+        finding = await state.context.upstreams.origins.find(
             stream_origins.key_of(state.call, state.customer),
             [service for service, _ in state.route.targets],
             stream_origins.lifetime_s(state.route),
@@ -217,7 +217,7 @@
         state = self._state
         if state.may_have_run or state.stream_begun:
             return
-        wait_s = state.relay.upstreams.start_times.retry_after_s(
+        wait_s = state.context.upstreams.start_times.retry_after_s(
             state.call.request_id,
             placement.query,
             placement.runner,
@@ -233,14 +233,14 @@
         runner: runners.Runner,
     ) -> attempt_outcome.AttemptOutcome:
         state = self._state
-        upstreams = state.relay.upstreams
+        upstreams = state.context.upstreams
         if not upstreams.statements.takes_calls(runner.runner_id):
             # The runner has said so while the connection was opened.
             upstreams.pool(runner).release(channel, False, None)
             return attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.NOT_SENT, reason="takes_no_calls"
             )
-        if state.sends and not state.relay.budget.try_acquire(state.service):
+        if state.sends and not state.context.budget.try_acquire(state.service):
             upstreams.pool(runner).discard(channel)
             raise state.not_served("retry_budget")
         state.sends += 1
@@ -269,7 +269,7 @@
         :raises call_state.NotServed: when the call is blocked.
         """
         state = self._state
-        wait_s = state.relay.upstreams.crashes.admit(
+        wait_s = state.context.upstreams.crashes.admit(
             state.call, state.customer
         )
         if wait_s is not None:
