--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -12,6 +12,7 @@
 
 from . import fleet
 from . import proxy
+from . import schedules
 
 #: Chooses the VMs that are cut off together.
 Choice = typing.Callable[
@@ -151,17 +152,13 @@
         self._rng = rng
         self.periods: list[CutPeriod] = []
 
-    async def inject(self, schedule: list[tuple[float, str]]) -> None:
+    async def inject(self, schedule: schedules.Schedule) -> None:
         """Begin each cut at its scheduled time and wait for all to end."""
-        began_at = time.monotonic()
-        tasks = []
-        for at, name in schedule:
-            await asyncio.sleep(max(0.0, began_at + at - time.monotonic()))
-            rng = random.Random(self._rng.random())
-            tasks.append(
-                asyncio.ensure_future(cut_vms(self._fleet, name, rng))
-            )
-        periods = await asyncio.gather(*tasks)
+        periods = await schedules.follow(
+            schedule,
+            self._rng,
+            lambda name, rng: cut_vms(self._fleet, name, rng),
+        )
         self.periods += [period for period in periods if period.vms]
 
     async def inject_last(
--- a/soak/fragile_times.py
+++ b/soak/fragile_times.py
@@ -14,6 +14,7 @@
 from . import fleet
 from . import fragility
 from . import loopback
+from . import schedules
 
 #: Chooses the runners of one service that are fragile together.
 Choice = typing.Callable[
@@ -120,15 +121,9 @@
         self._busy: set[str] = set()
         self.times: list[FragileTime] = []
 
-    async def inject(self, schedule: list[tuple[float, str]]) -> None:
+    async def inject(self, schedule: schedules.Schedule) -> None:
         """Begin each time as scheduled and wait for all to end."""
-        began_at = time.monotonic()
-        tasks = []
-        for at, name in schedule:
-            await asyncio.sleep(max(0.0, began_at + at - time.monotonic()))
-            rng = random.Random(self._rng.random())
-            tasks.append(asyncio.ensure_future(self._begin(name, rng)))
-        await asyncio.gather(*tasks)
+        await schedules.follow(schedule, self._rng, self._begin)
 
     async def inject_last(self) -> str:
         """Make all runners of a service fragile, apart from other faults.
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -5,10 +5,10 @@
 
 import asyncio
 import random
-import time
 
 from . import faults
 from . import fleet
+from . import schedules
 
 #: The service whose runners are released.
 SERVICE = "streams"
@@ -48,19 +48,13 @@
         self._fleet = test_fleet
         self._rng = rng
 
-    async def inject(self, schedule: list[tuple[float, str]]) -> None:
+    async def inject(self, schedule: schedules.Schedule) -> None:
         """Begin each release as scheduled and wait for all to end."""
-        began_at = time.monotonic()
-        tasks = []
-        for at, name in schedule:
-            await asyncio.sleep(max(0.0, began_at + at - time.monotonic()))
-            rng = random.Random(self._rng.random())
-            version = name.partition(" ")[2]
-            tasks.append(asyncio.ensure_future(self._release(version, rng)))
-        await asyncio.gather(*tasks)
+        await schedules.follow(schedule, self._rng, self._release)
 
-    async def _release(self, version: str, rng: random.Random) -> None:
+    async def _release(self, name: str, rng: random.Random) -> None:
         """Replace a part of the runners, one after the other."""
+        version = name.partition(" ")[2]
         old = [
             runner
             for runner in self._fleet.runners
