--- a/src/apricotlever/serving/call_placement.py
+++ b/src/apricotlever/serving/call_placement.py
@@ -153,7 +153,7 @@
         )
 
     def _available(self) -> list[runners.Runner]:
-        return self._upstreams.available_runners(self._service, self._origin)
+        return self._upstreams.selection.available(self._service, self._origin)
 
     async def place(self, tried: frozenset[str], left_s: float) -> Placement:
         """Choose a runner, take room there and determine the level there.
@@ -195,7 +195,7 @@
         slots = self._upstreams.slots
         if not slots.grants_slots_of(self._service):
             return None
-        excluded = tried | self._upstreams.avoided_runners(self._service)
+        excluded = tried | self._upstreams.selection.avoided(self._service)
         if not self.has_untried(excluded):
             return None
         return await slots.ask(self._slot_call, excluded, left_s)
@@ -216,10 +216,10 @@
             )
             runner = None
             if granted:
-                runner = self._upstreams.granted_runner(query, granted)
+                runner = self._upstreams.selection.granted(query, granted)
                 granted = ""
             if runner is None:
-                runner = self._upstreams.choose(query, full)
+                runner = self._upstreams.selection.choose(query, full)
             if runner is None:
                 return await self._wait_for_room(query, tried, left_s)
             room = await self._take_room(runner.runner_id, left_s)
--- a/src/apricotlever/serving/upstreams.py
+++ b/src/apricotlever/serving/upstreams.py
@@ -33,6 +33,7 @@
 from . import runner_limits
 from . import runner_pools
 from . import runner_reports
+from . import runner_selection
 from . import runner_statements
 from . import runners
 from . import service_priorities
@@ -81,6 +82,7 @@
         "_reports",
         "_roll_outs",
         "_router",
+        "_selection",
         "_slots",
         "_start_times",
         "_statements",
@@ -168,6 +170,16 @@
         self._draining = draining_runners.DrainingRunners(
             clock, directory.drain_s
         )
+        self._selection = runner_selection.RunnerSelection(
+            directory,
+            self._router,
+            self._choice,
+            self._statements,
+            self._observations.silence,
+            self._observations.outliers,
+            self._draining,
+            lambda: self.in_flight,
+        )
         self._origins = stream_origins.StreamOrigins(
             clock, vm, data_centre, lambda: directory.unconfirmed_s
         )
@@ -221,6 +233,11 @@
         """Asks for slots of plain services, and grants them."""
         return self._slots
 
+    @property
+    def selection(self) -> runner_selection.RunnerSelection:
+        """Selects the runner of a call."""
+        return self._selection
+
     @property
     def origins(self) -> stream_origins.StreamOrigins:
         """Knows where streams began."""
@@ -415,75 +432,6 @@
             return None
         return source.address
 
-    def choose(
-        self, query: models.Query, full: frozenset[str] = frozenset()
-    ) -> runners.Runner | None:
-        """Choose a runner for a query; None if none is available.
-
-        :param full: limited runners that have no room for the call, besides
-            those that take no call of this VM now by their own word.
-        """
-        unavailable = full | self._statements.unavailable
-        name = self._choice.choose(query, unavailable)
-        if name is not None:
-            return self._directory.get(name)
-        if not isinstance(query, models.ContinuationQuery):
-            return None
-        draining = self._draining.usable(
-            self._directory.runners, query, unavailable
-        )
-        return min(draining, key=self._in_flight_here, default=None)
-
-    def _in_flight_here(self, runner: runners.Runner) -> int:
-        return self.in_flight.get(runner.runner_id, 0)
-
-    def avoided_runners(self, service: str) -> frozenset[str]:
-        """The runners of a service that get no call of this VM now.
-
-        Unlike in :meth:`choose`, runners that are silent or fail more than
-        others count, even if no other runner is available.
-        """
-        avoided = (
-            self._statements.unavailable
-            | self._observations.silence.silent
-            | self._observations.outliers.ejected
-        )
-        if avoided:
-            avoided &= {
-                runner.runner_id
-                for runner in self._directory.available_runners(service)
-            }
-        return avoided.union(self._router.blocked(service))
-
-    def granted_runner(
-        self, query: models.Query, name: str
-    ) -> runners.Runner | None:
-        """A runner whose slot was granted; None if it must not be used."""
-        runner = self._directory.get(name)
-        if (
-            runner is None
-            or runner.leaving
-            or name in query.excluded
-            or name in self.avoided_runners(query.pool)
-            or name not in self._router.names(query.group)
-        ):
-            return None
-        return runner
-
-    def available_runners(
-        self, service: str, origin: models.StreamOrigin | None
-    ) -> list[runners.Runner]:
-        """The runners that may take a call to a service, if they have room.
-
-        :param origin: of the stream that the call continues; None if the call
-            has no part of a response yet.
-        """
-        available = self._directory.available_runners(service)
-        if origin is None:
-            return available
-        names = self._router.names(origin)
-        return [each for each in available if each.runner_id in names]
-
     def takes_regular_calls(self, runner: runners.Runner) -> bool:
         """Whether a runner takes its service's regular calls."""
         return self._choice.takes_regular_calls(runner)
--- a/tests/steps/runners_performance.py
+++ b/tests/steps/runners_performance.py
@@ -383,7 +383,7 @@
     def call(self, number):
         """Send one call; one runner is slow."""
         query = _query_of(number)
-        runner = self.upstreams.choose(query)
+        runner = self.upstreams.selection.choose(query)
         self.choices.append(runner.name)
         attempt = str(number)
         self.upstreams.call_started(attempt, runner, query)
--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -372,7 +372,7 @@
     names = upstreams.refused_runners
     assert bool(names) == (reported == "some"), names
     query = models.Query("r", "service", "")
-    chosen = {upstreams.choose(query).runner_id for _ in range(100)}
+    chosen = {upstreams.selection.choose(query).runner_id for _ in range(100)}
     assert chosen.isdisjoint(names) == (opened == "all" or not names), chosen
 
 
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -435,7 +435,9 @@
         vm.upstreams.connect_failed(runner, state == "was refused by it")
     if state == "was refused by it":
         vm.relay.helpers.connection_failed()
-    assert vm.upstreams.choose(models.Query("r", "service", "")) is None
+    assert (
+        vm.upstreams.selection.choose(models.Query("r", "service", "")) is None
+    )
     vm.reach.is_connected = state in ("is connected", "was refused by it")
     vm.reach.lacks_new_connections = state == "lacks new connections"
 
--- a/tests/steps/serving_roll_outs.py
+++ b/tests/steps/serving_roll_outs.py
@@ -323,7 +323,7 @@
     for number in range(count):
         context.clock.advance(0.01)
         query = models.Query("r", SERVICE, "")
-        runner = context.upstreams.choose(query)
+        runner = context.upstreams.selection.choose(query)
         if runner is None:
             continue
         context.chosen.append(runner.version)
