Have other VMs take back the crashes that a cut-off VM had reported

A cut reset the connections of vm-0, which took that for five crashes of runners, charged the calls and told its peers; 1.1 s later it found itself isolated and took the crashes back, at itself alone. The peers kept them, and told them on.

A VM that takes crashes back now has the others clear the calls that no other crash implicates, by the list of cleared calls in its records, which is repeated for three seconds.

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -179,7 +179,8 @@
 
         To be called when this VM finds that it reaches no runner: connections
         that break all at once, and runners that can't be connected to, were
-        its own fault, and the calls that broke off crashed nothing.
+        its own fault, and the calls that broke off crashed nothing. Its peers,
+        which may have heard of the crashes, are told to clear these calls.
 
         :param since: when this VM lost its runners, in monotonic seconds.
         :returns: the number of crashes that were removed.
@@ -187,7 +188,13 @@
         self._pending_reports.clear()
         self._recent_crashes.clear()
         self._broken_calls.clear()
-        return self._quarantine.log.retract(self._vm, since)
+        wrong = self._quarantine.log.retract(self._vm, since)
+        now = self._clock.now()
+        for name in {name for crash in wrong for name in crash.suspects}:
+            if not self._is_suspect(name):
+                self._blocked_until.pop(name, None)
+                self._cleared_at[name] = now
+        return len(wrong)
 
     def call_answered(
         self, make_fingerprint: typing.Callable[[], str], size: int
--- a/src/apricotlever/runners/crashes.py
+++ b/src/apricotlever/runners/crashes.py
@@ -211,12 +211,12 @@
         if len(self._crashes) > MAX_CRASHES:
             self._remove_crash(self._crashes[0])
 
-    def retract(self, vm: str, since: float) -> int:
+    def retract(self, vm: str, since: float) -> list[RunnerCrash]:
         """Remove the crashes that one VM alone reported.
 
         :param vm: a VM that had lost its paths to the runners.
         :param since: only crashes from this monotonic time on, in seconds.
-        :returns: the number of crashes that were removed.
+        :returns: the crashes that were removed.
         """
         wrong = [
             crash
@@ -225,7 +225,7 @@
         ]
         for crash in wrong:
             self._remove_crash(crash)
-        return len(wrong)
+        return wrong
 
     def request_completed(self, report: RequestCompleted) -> None:
         """Clear a request of all crashes before its complete answer."""
--- a/tests/runners/crash_blocklist.feature
+++ b/tests/runners/crash_blocklist.feature
@@ -123,6 +123,16 @@
     Then the call "a" is not blocked
     And the VM's next record reports no crash
 
+  # Guards against the same at the VMs that it had told of the crashes.
+  Scenario: Other VMs take back the crashes of a VM that reached no runner
+    Given an entry VM whose calls "a", "b" and "c" broke off at r1
+    When r1 has ended
+    And the call "a" breaks off at r2, which has ended
+    And another VM hears of it, and has told a third one
+    And the VM finds that it has reached no runner for 9 seconds
+    Then the call "a" is not blocked
+    And the call "a" is blocked at no VM that hears of this
+
   Scenario: A crash before the VM lost its runners is kept
     Given an entry VM whose calls "a", "b" and "c" broke off at r1
     When r1 has ended
