--- a/soak/runner.py
+++ b/soak/runner.py
@@ -84,7 +84,7 @@
         name: str,
         journal: typing.TextIO,
         record: statements.Record,
-        version: str,
+        version: str = "v1",
     ) -> None:
         self._version = version
         self._name = name
