Log which calls and prompt parts a crash of a runner implicates

runner_crashed now names calls and parts, and says how many crashes the VM knows, how many of the calls were at one before, and how many of those are excused. The blocklist is given a call's features (fingerprint, customer, parts) in place of its fingerprint; what it decides is unchanged.

--- a/src/apricotlever/runners/broken_calls.py
+++ b/src/apricotlever/runners/broken_calls.py
@@ -1,6 +1,7 @@
 """Calls whose connections broke off, in case their runners have crashed."""
 
 from .. import clock as clocks
+from . import call_features
 
 #: A call is suspected of a crash if it broke off at most this many seconds
 #: before the crash was detected. A list entry disappears after three missed
@@ -14,11 +15,13 @@
     :param at: when it broke, in monotonic seconds.
     """
 
-    __slots__ = ("at", "fingerprint")
+    __slots__ = ("at", "features")
 
-    def __init__(self, at: float, fingerprint: str) -> None:
+    def __init__(
+        self, at: float, features: call_features.CallFeatures
+    ) -> None:
         self.at = at
-        self.fingerprint = fingerprint
+        self.features = features
 
 
 class BrokenCalls:
@@ -33,10 +36,10 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_runner.values()))
 
-    def add(self, runner: str, fingerprint: str) -> None:
+    def add(self, runner: str, features: call_features.CallFeatures) -> None:
         """Record that a call's connection to a runner has broken."""
         calls = self._by_runner.setdefault(runner, [])
-        calls.append(BrokenCall(self._clock.now(), fingerprint))
+        calls.append(BrokenCall(self._clock.now(), features))
 
     def take(self, runner: str) -> list[BrokenCall]:
         """Remove a runner's calls, and return those not yet expired."""
--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -18,6 +18,7 @@
 
 from .. import clock as clocks
 from . import broken_calls
+from . import call_features
 from . import crash_records
 from . import crash_trials
 from . import crashes
@@ -40,6 +41,30 @@
         self.noticed = noticed
 
 
+class ChargedCrash:
+    """A crash that this VM observed, and the calls it suspects of it.
+
+    :param calls: the suspected calls.
+    :param known_crashes: the number of crashes that this VM knows.
+    :param repeated: how many of the calls were in flight at a crash before.
+    :param excused: how many of these are suspected of no crash all the same.
+    """
+
+    __slots__ = ("calls", "excused", "known_crashes", "repeated")
+
+    def __init__(
+        self,
+        calls: tuple[call_features.CallFeatures, ...],
+        known_crashes: int,
+        repeated: int,
+        excused: int,
+    ) -> None:
+        self.calls = calls
+        self.known_crashes = known_crashes
+        self.repeated = repeated
+        self.excused = excused
+
+
 class _PendingReport:
     """A crash report that this VM's records repeat until a time.
 
@@ -119,14 +144,16 @@
         """Set the names of all VMs, which take turns with trials."""
         self._trials.set_vms(names)
 
-    def connection_broken(self, runner: str, fingerprint: str) -> None:
+    def connection_broken(
+        self, runner: str, features: call_features.CallFeatures
+    ) -> None:
         """Record that a call's connection broke before the answer ended.
 
         The call becomes a suspect if its runner turns out to have crashed.
         """
         now = self._clock.now()
-        self._trials.call_broken(fingerprint)
-        self._broken_calls.add(runner, fingerprint)
+        self._trials.call_broken(features.fingerprint)
+        self._broken_calls.add(runner, features)
         crash = self._recent_crashes.get(runner)
         if crash is not None and now - crash.at < crashes.SAME_CRASH_WINDOW_S:
             # The connections of a crashed runner break one after the other,
@@ -135,21 +162,21 @@
 
     def runner_crashed(
         self, runner: str, data_centre: str, noticed: bool
-    ) -> int:
+    ) -> ChargedCrash | None:
         """Record that a runner refuses connections or is no longer listed.
 
         It counts as a crash only if one of its calls broke off shortly before.
         These calls become suspects, and the crash goes into the next records.
 
         :param noticed: whether the runner had announced its end.
-        :returns: the number of calls suspected of the crash.
+        :returns: None if it doesn't count as a crash.
         """
         now = self._clock.now()
         recent_calls = self._broken_calls.take(runner)
         if not recent_calls or self._is_fragile(runner):
-            return 0
+            return None
         self._recent_crashes[runner] = _RecentCrash(now, data_centre, noticed)
-        names = {call.fingerprint for call in recent_calls}
+        names = {call.features.fingerprint for call in recent_calls}
         pending = self._pending_reports.get(runner)
         if pending is not None:
             # All suspects of the crash go into one report, however late
@@ -172,7 +199,7 @@
             now + crash_records.RECORD_REPEAT_S, report
         )
         self._apply_recent_answers()
-        return len(names)
+        return self._charge([call.features for call in recent_calls])
 
     def retract(self, since: float) -> int:
         """Remove the crashes that only this VM took for crashes.
@@ -197,25 +224,26 @@
         return len(wrong)
 
     def call_answered(
-        self, make_fingerprint: typing.Callable[[], str], size: int
+        self, make_features: recent_answers.MakeFeatures, size: int
     ) -> None:
         """Record a complete answer, which clears its call of earlier crashes.
 
         The answer is kept for a while, as a peer may have seen a crash that
         this VM has not heard of yet.
 
-        :param make_fingerprint: computes the fingerprint of the call.
+        :param make_features: computes the features of the call.
         :param size: the size of the call's body in bytes.
         """
-        self._recent_answers.add(make_fingerprint, size)
+        self._recent_answers.add(make_features, size)
         if self.active:
-            self.answered(make_fingerprint())
+            self.answered(make_features())
 
-    def answered(self, fingerprint: str) -> None:
+    def answered(self, features: call_features.CallFeatures) -> None:
         """Clear a call of all earlier crashes after its complete answer.
 
         The next records tell the peers to clear it, too.
         """
+        fingerprint = features.fingerprint
         if self._block_left_s(fingerprint) is None and not self._is_suspect(
             fingerprint
         ):
@@ -223,13 +251,16 @@
         self._clear(fingerprint)
         self._cleared_at[fingerprint] = self._clock.now()
 
-    def admit(self, fingerprint: str, call: object) -> float | None:
+    def admit(
+        self, features: call_features.CallFeatures, call: object
+    ) -> float | None:
         """Let a call run, as a trial if it is blocked, or refuse it.
 
         :param call: the call itself, which is compared by identity.
         :returns: None if it may run, or the seconds until it may be retried.
         """
-        wait_s = self.retry_after_s(fingerprint, call)
+        fingerprint = features.fingerprint
+        wait_s = self.retry_after_s(features, call)
         if wait_s is None and self._block_left_s(fingerprint) is not None:
             crash_age_s = self._trial_crash_age_s(fingerprint)
             assert crash_age_s is not None
@@ -237,12 +268,13 @@
         return wait_s
 
     def retry_after_s(
-        self, fingerprint: str, call: object = None
+        self, features: call_features.CallFeatures, call: object = None
     ) -> float | None:
         """Seconds until a blocked call may be retried; None if it may run.
 
         :param call: the call, by which its own trial is recognised.
         """
+        fingerprint = features.fingerprint
         left_s = self._block_left_s(fingerprint)
         if left_s is None:
             return None
@@ -341,6 +373,16 @@
         for name in completed:
             self._clear(name)
 
+    def _charge(self, calls: list[call_features.CallFeatures]) -> ChargedCrash:
+        log = self._quarantine.log
+        repeated = [c for c in calls if log.crash_count(c.fingerprint) > 1]
+        return ChargedCrash(
+            tuple(calls),
+            len(log.crashes),
+            len(repeated),
+            sum(not self._is_suspect(c.fingerprint) for c in repeated),
+        )
+
     def _trial_crash_age_s(self, fingerprint: str) -> float | None:
         """Seconds since a call's second crash; None if it gets no trials."""
         crashed = self._quarantine.log.crashes_implicating(fingerprint)
--- a/src/apricotlever/runners/crashes.py
+++ b/src/apricotlever/runners/crashes.py
@@ -280,6 +280,12 @@
             crash for crash in unexplained if crash.at >= now - SUSPICION_S
         ]
 
+    def crash_count(self, fingerprint: str) -> int:
+        """The kept crashes at which a call was in flight, whatever explains
+        them.
+        """
+        return len(self._by_fingerprint.get(fingerprint, ()))
+
     def reports(self, vm: str) -> list[CrashObservation]:
         """The whole log as reports, for a VM that has just started.
 
--- a/src/apricotlever/runners/recent_answers.py
+++ b/src/apricotlever/runners/recent_answers.py
@@ -8,6 +8,7 @@
 import typing
 
 from .. import clock as clocks
+from . import call_features
 
 #: How long an answer is kept, in seconds: as long as the records of peers
 #: repeat a crash.
@@ -19,25 +20,29 @@
 MAX_BODY_BYTES = 1_000_000
 
 
+#: Computes the features of a call.
+MakeFeatures = typing.Callable[[], call_features.CallFeatures]
+
+
 class _Answer:
-    """A complete answer; its fingerprint is computed when it is needed."""
+    """A complete answer; its features are computed when they are needed."""
 
-    __slots__ = ("at", "size", "_make_fingerprint", "_fingerprint")
+    __slots__ = ("at", "size", "_make_features", "_features")
 
     def __init__(
-        self, at: float, size: int, make_fingerprint: typing.Callable[[], str]
+        self, at: float, size: int, make_features: MakeFeatures
     ) -> None:
         self.at = at
         self.size = size
-        self._make_fingerprint = make_fingerprint
-        self._fingerprint: str | None = None
+        self._make_features = make_features
+        self._features: call_features.CallFeatures | None = None
 
     @property
-    def fingerprint(self) -> str:
-        """The fingerprint of the answered call."""
-        if self._fingerprint is None:
-            self._fingerprint = self._make_fingerprint()
-        return self._fingerprint
+    def features(self) -> call_features.CallFeatures:
+        """The features of the answered call."""
+        if self._features is None:
+            self._features = self._make_features()
+        return self._features
 
 
 class RecentAnswers:
@@ -50,17 +55,13 @@
         self._answers: collections.deque[_Answer] = collections.deque()
         self._bytes = 0
 
-    def add(
-        self, make_fingerprint: typing.Callable[[], str], size: int
-    ) -> None:
+    def add(self, make_features: MakeFeatures, size: int) -> None:
         """Keep an answer that has just ended.
 
-        :param make_fingerprint: computes the fingerprint of its call.
+        :param make_features: computes the features of its call.
         :param size: the size of the call's body in bytes.
         """
-        self._answers.append(
-            _Answer(self._clock.now(), size, make_fingerprint)
-        )
+        self._answers.append(_Answer(self._clock.now(), size, make_features))
         self._bytes += size
         self._drop_excess()
 
@@ -68,7 +69,9 @@
         """The seconds since the latest answer of each fingerprint."""
         self._drop_excess()
         now = self._clock.now()
-        return {each.fingerprint: now - each.at for each in self._answers}
+        return {
+            each.features.fingerprint: now - each.at for each in self._answers
+        }
 
     def _drop_excess(self) -> None:
         oldest = self._clock.now() - ANSWER_KEPT_S
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -10,6 +10,7 @@
 
 from .. import clock as clocks
 from .. import logs
+from ..runners import call_features
 from ..runners import crash_blocklist
 from ..runners import crash_records
 from ..runners import past_fragility
@@ -27,14 +28,16 @@
 CHECK_INTERVAL_S = 0.5
 #: Timeout of a connection check, in seconds: slightly more than a round trip.
 CHECK_TIMEOUT_S = 0.1
+#: The greatest number of calls, and of prompt parts, that a log line names.
+MAX_LOGGED = 8
 
 
 class CrashWatch:
     """Reports what this VM observes to a crash blocklist.
 
     The blocklist, a :class:`..runners.crash_blocklist.CrashBlocklist`, decides
-    which calls are blocked. It knows a call by its fingerprint, a hash that
-    repetitions share. Calls are fingerprinted only when one breaks off or
+    which calls are blocked, by what calls have in common
+    (:mod:`..runners.call_features`). It is computed only when one breaks off or
     while the blocklist is active, so that other calls don't bear the cost.
 
     :param vm: this VM's name.
@@ -83,14 +86,8 @@
         charged = self._blocklist.runner_crashed(
             runner.runner_id, runner.data_centre, runner.leaving
         )
-        if charged:
-            logs.event(
-                "runner_crashed",
-                runner=runner.runner_id,
-                data_centre=runner.data_centre,
-                leaving=runner.leaving,
-                charged=charged,
-            )
+        if charged is not None:
+            _log_crash(runner, charged)
 
     def connection_broken(
         self,
@@ -100,7 +97,7 @@
     ) -> None:
         """Handle a connection that a runner closed before the answer's end."""
         self._blocklist.connection_broken(
-            runner.runner_id, fingerprint(call, customer)
+            runner.runner_id, features(call, customer)
         )
 
     async def refuses(
@@ -158,7 +155,7 @@
     ) -> None:
         """Clear a call of suspicion, as it got a complete answer."""
         self._blocklist.call_answered(
-            functools.partial(fingerprint, call, customer), len(call.body)
+            functools.partial(features, call, customer), len(call.body)
         )
 
     def retract(self, since: float) -> int:
@@ -185,7 +182,7 @@
         """
         if not self._blocklist.active:
             return None
-        return self._blocklist.admit(fingerprint(call, customer), call)
+        return self._blocklist.admit(features(call, customer), call)
 
     def retry_after_s(
         self,
@@ -198,7 +195,7 @@
         """
         if not self._blocklist.active:
             return None
-        return self._blocklist.retry_after_s(fingerprint(call, customer), call)
+        return self._blocklist.retry_after_s(features(call, customer), call)
 
     def tick(self) -> None:
         """Remove expired crashes and blocks from the blocklist."""
@@ -227,16 +224,43 @@
             self._blocklist.merge_record(vm, told)
 
 
-def fingerprint(
+def _log_crash(
+    runner: runners.Runner, crash: crash_blocklist.ChargedCrash
+) -> None:
+    parts = collections.Counter(
+        part for call in crash.calls for part in call.parts
+    )
+    logs.event(
+        "runner_crashed",
+        runner=runner.runner_id,
+        data_centre=runner.data_centre,
+        leaving=runner.leaving,
+        charged=len(crash.calls),
+        calls=",".join(c.request_id for c in crash.calls[:MAX_LOGGED]),
+        parts=",".join(
+            f"{part}:{count}" for part, count in parts.most_common(MAX_LOGGED)
+        )
+        or None,
+        crashes=crash.known_crashes,
+        repeated=crash.repeated,
+        excused=crash.excused,
+    )
+
+
+def features(
     call: messages.CallerCall, customer: configuration_model.Customer | None
-) -> str:
-    """A hash that a call shares with its repetitions.
+) -> call_features.CallFeatures:
+    """What a call has in common with others.
 
-    It covers customer, method, target and body.
+    Its fingerprint covers customer, method, target and body.
     """
-    return quarantine.fingerprint(
-        "",
-        customer.name if customer is not None else "",
-        call.body,
-        f"{call.method} {call.target}",
+    name = customer.name if customer is not None else ""
+    prompt = call.prompt
+    return call_features.CallFeatures(
+        quarantine.fingerprint(
+            "", name, call.body, f"{call.method} {call.target}"
+        ),
+        name,
+        [part.part_id for part in prompt.parts[:-1]] if prompt else (),
+        call.request_id,
     )
--- a/tests/steps/runners_crash_blocklist.py
+++ b/tests/steps/runners_crash_blocklist.py
@@ -1,5 +1,6 @@
 """Steps for tests/runners/crash_blocklist.feature."""
 
+import functools
 import random
 
 from behave import given
@@ -7,6 +8,7 @@
 from behave import when
 
 from apricotlever import clock as clocks
+from apricotlever.runners import call_features
 from apricotlever.runners import crash_blocklist
 from apricotlever.runners import past_fragility
 from apricotlever.runners import recent_answers
@@ -21,7 +23,8 @@
 RESTART_S = 5.0
 RECORD_INTERVAL_S = 0.2
 DATA_CENTRE = "dc"
-POISON = "poison"
+Features = call_features.CallFeatures
+POISON = Features("poison")
 
 
 class NoBlocklist:
@@ -143,7 +146,7 @@
     context.clock = clocks.ManualClock(100.0)
     context.vm = _make_vm(context, "vm-1")
     for name in ("a", "b", "c"):
-        context.vm.connection_broken("r1", name)
+        context.vm.connection_broken("r1", Features(name))
 
 
 @given("an entry VM that knows that {runner} is fragile")
@@ -155,7 +158,7 @@
 @given('its calls "a", "b" and "c" broke off at r1')
 def _its_broken_calls(context):
     for name in ("a", "b", "c"):
-        context.vm.connection_broken("r1", name)
+        context.vm.connection_broken("r1", Features(name))
 
 
 def _make_vm(context, name, is_fragile=past_fragility.never_fragile):
@@ -173,27 +176,27 @@
 @when('the call "{name}" breaks off at {runner}, which has ended')
 def _breaks_at_crash(context, name, runner):
     context.clock.advance(2.0)
-    context.vm.connection_broken(runner, name)
+    context.vm.connection_broken(runner, Features(name))
     context.vm.runner_crashed(runner, DATA_CENTRE, False)
 
 
 @when('the call "{name}" breaks off at r2 and at r3')
 def _breaks_at_running_runners(context, name):
     for runner in ("r2", "r3"):
-        context.vm.connection_broken(runner, name)
+        context.vm.connection_broken(runner, Features(name))
 
 
 @when('the call "{name}" breaks off at r1')
 def _breaks_after_crash(context, name):
     context.clock.advance(0.01)
-    context.vm.connection_broken("r1", name)
+    context.vm.connection_broken("r1", Features(name))
 
 
 @when("{count:d} more calls break off at r1, one after the other")
 def _more_calls_break(context, count):
     for number in range(count):
         context.clock.advance(0.01)
-        context.vm.connection_broken("r1", f"more-{number}")
+        context.vm.connection_broken("r1", Features(f"more-{number}"))
 
 
 @then("its next record reports one crash with {count:d} calls")
@@ -217,7 +220,7 @@
 def _reports_same_crashes(context):
     other = _make_vm(context, "vm-2")
     for runner in ("r1", "r2"):
-        other.connection_broken(runner, "a")
+        other.connection_broken(runner, Features("a"))
         other.runner_crashed(runner, DATA_CENTRE, False)
     context.vm.merge_record("vm-2", other.next_record(False))
 
@@ -237,7 +240,9 @@
     context.clock.advance(5.0)
     told_on = context.peers[0].next_record(True)
     context.peers[1].merge_record("vm-2", told_on)
-    assert all(p.retry_after_s("a") is not None for p in context.peers)
+    assert all(
+        p.retry_after_s(Features("a")) is not None for p in context.peers
+    )
 
 
 @then('the call "{name}" is blocked at no VM that hears of this')
@@ -246,7 +251,7 @@
     for peer in context.peers:
         if record is not None:
             peer.merge_record("vm-1", record)
-        assert peer.retry_after_s(name) is None
+        assert peer.retry_after_s(Features(name)) is None
 
 
 @when('the call "{name}" is answered at another entry VM')
@@ -254,7 +259,7 @@
     other = _make_vm(context, "vm-2")
     other.merge_record("vm-1", context.vm.next_record(False))
     context.clock.advance(0.1)
-    other.answered(name)
+    other.answered(Features(name))
     context.vm.merge_record("vm-2", other.next_record(False))
 
 
@@ -262,14 +267,14 @@
 def _answered_unaware(context, name):
     context.clock.advance(0.1)
     context.unaware = _make_vm(context, "vm-2")
-    context.unaware.call_answered(lambda: name, 100)
+    context.unaware.call_answered(lambda: Features(name), 100)
 
 
 @when("that VM notices the ends of r1 and r2 by other calls")
 def _notices_crashes(context):
     context.clock.advance(0.1)
     for runner in ("r1", "r2"):
-        context.unaware.connection_broken(runner, "other")
+        context.unaware.connection_broken(runner, Features("other"))
         context.unaware.runner_crashed(runner, DATA_CENTRE, False)
 
 
@@ -284,7 +289,7 @@
 
 @then('the call "{name}" is blocked at that VM')
 def _blocked_at_unaware(context, name):
-    assert context.unaware.retry_after_s(name) is not None
+    assert context.unaware.retry_after_s(Features(name)) is not None
 
 
 @then(
@@ -294,7 +299,7 @@
     clock = clocks.ManualClock()
     answers = recent_answers.RecentAnswers(clock)
     for number in range(count):
-        answers.add(f"call-{number}".title, 1)
+        answers.add(functools.partial(Features, f"call-{number}"), 1)
     assert len(answers.latest_ages()) == kept
     clock.advance(seconds + 0.1)
     assert not answers.latest_ages()
@@ -304,7 +309,7 @@
 def _large_answers_kept(context, size, kept):
     answers = recent_answers.RecentAnswers(clocks.ManualClock())
     for number in range(10):
-        answers.add(f"call-{number}".title, size)
+        answers.add(functools.partial(Features, f"call-{number}"), size)
     assert len(answers.latest_ages()) == kept
 
 
@@ -330,18 +335,18 @@
 
 @then('the call "{name}" is blocked there for at most {most:d} seconds')
 def _blocked_there(context, name, most):
-    wait_s = context.other.retry_after_s(name)
+    wait_s = context.other.retry_after_s(Features(name))
     assert wait_s is not None and 0 < wait_s <= most, wait_s
 
 
 @then('the call "{name}" is blocked')
 def _blocked(context, name):
-    assert context.vm.retry_after_s(name) is not None
+    assert context.vm.retry_after_s(Features(name)) is not None
 
 
 @then('the call "{name}" is not blocked')
 def _not_blocked(context, name):
-    assert context.vm.retry_after_s(name) is None
+    assert context.vm.retry_after_s(Features(name)) is None
 
 
 @then('none of "a", "b" and "c" is blocked')
@@ -363,14 +368,14 @@
     for _ in range(20):
         context.clock.advance(0.1)
         for vm in context.vms:
-            vm.call_answered(lambda: name, 2)
+            vm.call_answered(lambda: Features(name), 2)
 
 
 @when('r1 and r2 restart within {seconds:d} seconds while they run "{name}"')
 def _two_restarts(context, seconds, name):
     for vm, runner in zip(context.vms, ("r1", "r2")):
         context.clock.advance(seconds / 2)
-        vm.connection_broken(runner, name)
+        vm.connection_broken(runner, Features(name))
         vm.runner_crashed(runner, DATA_CENTRE, False)
         _share_records(context.vms)
 
@@ -386,7 +391,7 @@
 @when('no copy of "{name}" is answered elsewhere')
 def _no_answer_elsewhere(context, name):
     for vm in context.vms:
-        assert vm.retry_after_s(name) is not None
+        assert vm.retry_after_s(Features(name)) is not None
 
 
 @then(
@@ -399,7 +404,9 @@
         _share_records(context.vms)
         for vm in context.vms:
             vm.tick()
-        allowed = [v for v in context.vms if v.retry_after_s(name) is None]
+        allowed = [
+            v for v in context.vms if v.retry_after_s(Features(name)) is None
+        ]
         if allowed:
             break
     assert len(allowed) == 1, allowed
@@ -410,22 +417,22 @@
 def _one_trial(context, name):
     context.name, context.call, other = name, object(), object()
     calls = (context.call, other, context.call)
-    waits = [context.vm.admit(name, call) for call in calls]
+    waits = [context.vm.admit(Features(name), call) for call in calls]
     assert waits[0] is None and waits[2] is None, waits
     assert waits[1] is not None, waits
 
 
 @then("not after a runner has broken it off")
 def _trial_ends(context):
-    context.vm.connection_broken("r3", context.name)
-    assert context.vm.admit(context.name, context.call) is not None
+    context.vm.connection_broken("r3", Features(context.name))
+    assert context.vm.admit(Features(context.name), context.call) is not None
 
 
 @then('its answer clears "{name}" at all VMs')
 def _answer_clears(context, name):
-    context.vm.call_answered(lambda: name, 2)
+    context.vm.call_answered(lambda: Features(name), 2)
     _share_records(context.vms)
-    waits = [vm.retry_after_s(name) for vm in context.vms]
+    waits = [vm.retry_after_s(Features(name)) for vm in context.vms]
     assert waits == [None] * len(waits), waits
 
 
