Let prompt parts crash runners in the soak, and list what it finds

Now calls with a bad part come for 8 to 12 s, at any VM, first or second among their parts, three in ten of them repeats; the runner crashes as it begins to answer (before it, within it or within an event) and is back after a second as a new incarnation. Sound calls of the same customer and other parts go on beside. Two checks count from outside: calls that reach runners later than 3 s after the fifth crash (three allowed), and sound calls of the route from 6 s after it (half of the share else).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from . import bad_parts
 from . import callers
 from . import checks
 from . import cut_checks
@@ -20,6 +21,8 @@
 from . import fleet
 from . import fragile_checks
 from . import fragile_times
+from . import part_callers
+from . import part_checks
 from . import releases
 from . import statement_checks
 from . import statements
@@ -33,6 +36,8 @@
 #: Further callers where runners are fragile, who fill the little room that
 #: such runners have.
 EXTRA_CALLER_COUNT = 8
+#: Callers of each route of sound calls with prompts, where parts are bad.
+SOUND_CALLERS = 3
 DURATION_S = 12.0
 #: From the end of the last fault until calls have to be served again, in
 #: seconds. In this time the VMs detect silent connections and drop runners
@@ -94,6 +99,7 @@
     with_cuts: bool = False,
     with_fragility: bool = False,
     with_releases: bool = False,
+    with_bad_parts: bool = False,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -105,6 +111,8 @@
     :param with_fragility: whether runners are fragile for some times.
     :param with_releases: whether runners are replaced by others of another
         version, and callers take broken streams up again.
+    :param with_bad_parts: whether calls are sent with prompt parts that crash
+        their runners, beside sound ones.
     """
     rng = random.Random(seed)
     test_fleet = fleet.Fleet(folder)
@@ -144,13 +152,30 @@
             test_fleet, rng, leave_rng, resume_rng
         )
         any_vm = CALLER_COUNT + (EXTRA_CALLER_COUNT if with_fragility else 0)
+        prompts = part_callers.PartCallers(
+            test_fleet, caller_group, random.Random(f"prompts {seed}")
+        )
+        bad_injector = bad_parts.Injector(
+            test_fleet, random.Random(f"bad parts {seed}"), prompts.send_bad
+        )
+        bad_schedule = (
+            bad_parts.plan(random.Random(f"plan bad parts {seed}"), seconds)
+            if with_bad_parts
+            else []
+        )
         vms = [None] * any_vm + (test_fleet.vms if with_cuts else [])
         tasks = [asyncio.ensure_future(caller_group.run(vm)) for vm in vms]
+        if with_bad_parts:
+            tasks += [
+                asyncio.ensure_future(prompts.run(prefix))
+                for prefix in SOUND_CALLERS * bad_parts.PREFIXES
+            ]
         await asyncio.gather(
             _inject_faults(test_fleet, schedule, rng),
             injector.inject(cut_schedule),
             fragility.inject(fragile_schedule),
             releasing.inject(release_schedule),
+            bad_injector.inject(bad_schedule),
         )
         caller_group.stop_dropping()
         quiet_periods = [await _wait_quietly(caller_group, RECOVERY_S)]
@@ -172,9 +197,20 @@
                 await _wait_quietly(caller_group, RECOVERY_AFTER_CUT_S)
             )
         caller_group.stop()
+        prompts.stop()
         await asyncio.gather(*tasks)
         violations = _find_violations(
-            test_fleet, caller_group, quiet_periods, injector.periods
+            test_fleet, caller_group, quiet_periods, injector.periods, prompts
+        )
+        violations += part_checks.find_violations(
+            part_checks.Observations(
+                bad_injector.times,
+                test_fleet.record.read(),
+                prompts.sound,
+                caller_group.started_at,
+                injector.periods,
+                test_fleet.disturbances,
+            )
         )
         logs = sorted(folder.glob("vm-*.log"))
         violations += checks.find_failed_tasks(logs)
@@ -185,7 +221,11 @@
             fragile_checks.read_crashes(logs),
         )
         schedule = sorted(
-            schedule + cut_schedule + fragile_schedule + release_schedule
+            schedule
+            + cut_schedule
+            + fragile_schedule
+            + release_schedule
+            + bad_schedule
         )
         return SoakResult(
             seed,
@@ -217,12 +257,16 @@
     caller_group: callers.CallerGroup,
     quiet_periods: list[tuple[float, float]],
     cut_periods: list[cuts.CutPeriod],
+    prompts: part_callers.PartCallers,
 ) -> list[str]:
     """Describe each violated guarantee but those that the logs show."""
     calls = caller_group.calls
     *first_periods, (last_since_s, _) = quiet_periods
     violations = checks.find_violations(
-        calls, test_fleet.executions(), last_since_s, caller_group.resumptions
+        [*calls, *prompts.sound, *prompts.bad],
+        test_fleet.executions(),
+        last_since_s,
+        caller_group.resumptions,
     )
     for since_s, until_s in first_periods:
         violations += checks.check_recovery(calls, since_s, until_s)
@@ -289,9 +333,7 @@
 ) -> SoakResult:
     """Run one soak test; keep its folder if a guarantee was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    result = asyncio.run(
-        run_soak_test(seed, seconds, folder, True, True, True, True)
-    )
+    result = asyncio.run(run_soak_test(seed, seconds, folder, *[True] * 5))
     if result.violations:
         kept = keep_folder / f"seed-{seed}"
         shutil.rmtree(kept, ignore_errors=True)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -77,6 +77,11 @@
         self.drop_after = 0
         #: Bytes received after the end of the answer.
         self.trailing_bytes = b""
+        #: The body of the request.
+        self.request_body = "hi"
+        #: The names of the prompt's parts, separated by commas; "" without a
+        #: prompt.
+        self.parts = ""
         #: The version at which the stream began that the call resumes.
         self.version = ""
 
@@ -116,12 +121,15 @@
             f"Call-Id: {call.call_id}",
             f"Key: {fleet.API_KEY}",
             f"Wait-S: {wait_s}",
-            "Content-Length: 2",
+            f"Content-Length: {len(call.request_body)}",
         ]
+        if call.parts:
+            lines.append(f"Parts: {call.parts}")
         if call.after:
             lines.append(f"After: {call.after}")
             lines.append(f"Resumes: {stream_id(call.call_id)}")
-        self.writer.write("\r\n".join([*lines, "", "hi"]).encode())
+        request = "\r\n".join([*lines, "", call.request_body])
+        self.writer.write(request.encode())
         await self.writer.drain()
         head = await self.reader.readuntil(b"\r\n\r\n")
         lines = head.decode().split("\r\n")
@@ -308,10 +316,10 @@
             )
             call.version = versions(received)[-1]
             self.resumptions.append(call)
-            await self._send_alone(call, port)
+            await self.send_alone(call, port)
             received += call.body
 
-    async def _send_alone(self, call: Call, port: int) -> None:
+    async def send_alone(self, call: Call, port: int) -> None:
         """Send a call on a connection of its own."""
         connection: Connection | None = None
         try:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -24,6 +24,7 @@
 import typing
 
 from . import fragility
+from . import prompt_parts
 from . import statements
 
 HOST = "127.0.0.1"
@@ -39,6 +40,8 @@
 LONG_ANSWER_DELAY_S = 1.8
 #: How often a runner looks whether the VM has left, in seconds.
 LEFT_CHECK_INTERVAL_S = 0.05
+#: From the beginning of an answer on a bad part to the crash, in seconds.
+CRASH_DELAY_S = 0.01
 
 Headers = dict[str, str]
 
@@ -144,6 +147,10 @@
         vm = headers["sent-by"]
         self._record.write(self._name, statements.Kind.ARRIVED, vm)
         self._arrivals += 1
+        bad_part = prompt_parts.find_bad(headers.get("parts", ""))
+        if bad_part:
+            kind = statements.Kind.GOT_BAD_PART
+            self._record.write(self._name, kind, vm, bad_part)
         if self._lacks_room:
             self._reject(vm)
         if self._lacks_room or self._wants_rest:
@@ -156,6 +163,8 @@
             customer = headers.get("customer", "")
             print(f"{call_id} {customer} {path}", file=self._journal)
             self._journal.flush()
+            if bad_part:
+                await self._crash(bad_part, path, call_id, writer)
             if path.startswith("/stream"):
                 after = int(headers.get("after", 0))
                 await _send_stream(
@@ -210,19 +219,48 @@
             self._fall()
             raise ConnectionAbortedError("the runner has fallen over")
 
+    async def _crash(
+        self,
+        part: str,
+        path: str,
+        call_id: str,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Begin to answer on a bad part, in one of several ways, and crash.
+
+        :raises ConnectionAbortedError: always.
+        """
+        await asyncio.sleep(ANSWER_DELAY_S)
+        way = int(hashlib.sha256(call_id.encode()).hexdigest(), 16) % 3
+        if way:
+            writer.write(_response_head(200, call_id))
+        if way == 2:
+            writer.write(format_event(call_id, 1)[:-5])
+        if way:
+            await writer.drain()
+            await asyncio.sleep(CRASH_DELAY_S)
+        self._record.write(self._name, statements.Kind.CRASHED, value=part)
+        self._lose_all(prompt_parts.DOWN_S)
+        raise ConnectionAbortedError("the runner has crashed")
+
     def _fall(self) -> None:
-        """Lose all calls and connections, and get up later."""
+        """Fall over under too many calls, and get up later."""
         self._record.write(self._name, statements.Kind.FELL)
+        self._lose_all(fragility.FALL_S)
+
+    def _lose_all(self, down_s: float) -> None:
+        """Lose all calls and connections, and get up later."""
         assert self._server is not None
         self._server.close()
         for writer, task in list(self._connections.items()):
             writer.transport.abort()
             if task is not asyncio.current_task():
                 task.cancel()
-        self._getting_up = asyncio.ensure_future(self._get_up())
+        if self._getting_up is None or self._getting_up.done():
+            self._getting_up = asyncio.ensure_future(self._get_up(down_s))
 
-    async def _get_up(self) -> None:
-        await asyncio.sleep(fragility.FALL_S)
+    async def _get_up(self, down_s: float) -> None:
+        await asyncio.sleep(down_s)
         await self.listen(self._port)
         self._record.write(self._name, statements.Kind.GOT_UP)
 
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -36,6 +36,10 @@
     FELL = "fell"
     #: It takes connections again.
     GOT_UP = "got_up"
+    #: A call of a VM has arrived whose prompt has a bad part, the value.
+    GOT_BAD_PART = "got_bad_part"
+    #: The runner crashes, as it began to answer on a bad part, the value.
+    CRASHED = "crashed"
     #: A call of a VM begins to run; the value is the call's id.
     BEGAN = "began"
     #: It runs no more, finished or not.
