Know calls that crash runners by the parts of their prompts, too

Cause: what crashes runners was looked for in the whole call only. No two of these calls are alike, so each was at one crash, or at two by its own second try, and none was ever a repetition. The class: evidence is kept by the identity of one item, where the cause is what items have in common.

Evidence: the failing play of crash_parts.feature on one VM that hears of all crashes rules out records that are cut or lost; without a wave in it, and with all crashes in one data centre under one part, excuses for waves are ruled out, too; runner_crashed listed the part at each crash, with repeated=0 or 1.

Change: one log, one account of features: the fingerprint, and each part but the last, for all customers and for the call's own. A system prompt is at every crash, so presence doesn't count, contrast does (crash_causes): crashes since the part was last answered in full, by more than one call; the part that explains most is taken first, one that was never answered before any other, and what it explains speaks against nothing else, parts or whole calls. What always accompanied the part and wasn't answered since belongs to the cause, so that a call with only some of it may run. Two crashes make a cause (three if the part was answered before); crashes of fragile runners, and announced ends, count half. Records list the suspects at most crashes first and the others in turn, by length rather than by name, say how old an answer is, tell again what makes a part a cause with those who saw it, and take back crashes rather than clear the calls. A call is checked again just before it is sent.

--- a/bench/_slope_call_cases.py
+++ b/bench/_slope_call_cases.py
@@ -31,6 +31,7 @@
 from apricotlever.links import upstream_exchange
 from apricotlever.requests import claims
 from apricotlever.requests import ledger_messages
+from apricotlever.runners import crash_log
 from apricotlever.runners import crashes
 from apricotlever import settings
 from tests.support import http
@@ -324,8 +325,8 @@
 
 @cases.slope("quarantine_memory", "charges", "bytes", 2048, 4096, 8192, 16384)
 def _quarantine_memory(size: int) -> float:
-    def make() -> crashes.CrashLog:
-        log = crashes.CrashLog(clocks.ManualClock())
+    def make() -> crash_log.CrashLog:
+        log = crash_log.CrashLog(clocks.ManualClock())
         for crash in range(size // CHARGES_PER_CRASH):
             charges = tuple(
                 crashes.SuspectRequest(
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -40,8 +40,9 @@
 LONG_ANSWER_DELAY_S = 1.8
 #: How often a runner looks whether the VM has left, in seconds.
 LEFT_CHECK_INTERVAL_S = 0.05
-#: From the beginning of an answer on a bad part to the crash, in seconds.
-CRASH_DELAY_S = 0.01
+#: From the beginning of a crash, which the proxies have to see, until all
+#: connections end, in seconds.
+CRASH_DELAY_S = 0.2
 
 Headers = dict[str, str]
 
@@ -231,15 +232,18 @@
         :raises ConnectionAbortedError: always.
         """
         await asyncio.sleep(ANSWER_DELAY_S)
+        assert self._server is not None
+        if not self._server.is_serving():
+            # Another call crashes the runner.
+            await asyncio.Event().wait()
+        self._record.write(self._name, statements.Kind.CRASHED, value=part)
+        self._server.close()
         way = int(hashlib.sha256(call_id.encode()).hexdigest(), 16) % 3
         if way:
             writer.write(_response_head(200, call_id))
         if way == 2:
             writer.write(format_event(call_id, 1)[:-5])
-        if way:
-            await writer.drain()
-            await asyncio.sleep(CRASH_DELAY_S)
-        self._record.write(self._name, statements.Kind.CRASHED, value=part)
+        await asyncio.sleep(CRASH_DELAY_S)
         self._lose_all(prompt_parts.DOWN_S)
         raise ConnectionAbortedError("the runner has crashed")
 
--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -81,7 +81,10 @@
     ("deadline", "its time, or the route's, was over"),
     ("malformed", "the call was malformed"),
     ("caller_gone", "its caller had disconnected"),
-    ("crashes_runners", "two runners ended while they ran the same call"),
+    (
+        "crashes_runners",
+        "runners ended while they ran the same call, or ones with its part",
+    ),
     ("isolated", "its VM reached no runner, and no other VM could run it"),
     (
         "helper_broken",
--- a/src/apricotlever/daemon/gossip_messages.py
+++ b/src/apricotlever/daemon/gossip_messages.py
@@ -179,9 +179,7 @@
     :param vm: this VM's name, stated as the reporter.
     """
     if isinstance(report, crashes.RequestCompleted):
-        return pb.CrashReport(
-            vm=vm, survived=report.fingerprint, age_s=report.age_s
-        )
+        return pb.CrashReport(vm=vm, survived=report.name, age_s=report.age_s)
     return pb.CrashReport(
         vm=vm,
         runner=report.runner,
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -114,6 +114,23 @@
     "runner_crashed": Event(
         WARNING, "A runner ended and its calls in flight were interrupted."
     ),
+    "runner_fell": Event(
+        INFO,
+        "A fragile runner ended and its calls in flight were interrupted.",
+    ),
+    "crash_cause_found": Event(
+        WARNING,
+        "A prompt part explains runners' crashes; calls with it are blocked.",
+    ),
+    "crash_cause_cleared": Event(
+        INFO, "A prompt part explains no crashes any longer."
+    ),
+    "request_blocked": Event(
+        INFO, "A request is blocked, as ones like it crashed runners."
+    ),
+    "request_on_trial": Event(
+        INFO, "A blocked request runs as a trial, to see if it is sound now."
+    ),
     "runner_crashes_retracted": Event(
         WARNING,
         "This VM lost its paths; what it took for crashes of runners is void.",
--- a/src/apricotlever/runners/broken_calls.py
+++ b/src/apricotlever/runners/broken_calls.py
@@ -13,15 +13,17 @@
     """A call whose connection broke before the answer ended.
 
     :param at: when it broke, in monotonic seconds.
+    :param on_trial: whether it ran as a trial.
     """
 
-    __slots__ = ("at", "features")
+    __slots__ = ("at", "features", "on_trial")
 
     def __init__(
-        self, at: float, features: call_features.CallFeatures
+        self, at: float, features: call_features.CallFeatures, on_trial: bool
     ) -> None:
         self.at = at
         self.features = features
+        self.on_trial = on_trial
 
 
 class BrokenCalls:
@@ -36,10 +38,15 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_runner.values()))
 
-    def add(self, runner: str, features: call_features.CallFeatures) -> None:
+    def add(
+        self,
+        runner: str,
+        features: call_features.CallFeatures,
+        on_trial: bool = False,
+    ) -> None:
         """Record that a call's connection to a runner has broken."""
         calls = self._by_runner.setdefault(runner, [])
-        calls.append(BrokenCall(self._clock.now(), features))
+        calls.append(BrokenCall(self._clock.now(), features, on_trial))
 
     def take(self, runner: str) -> list[BrokenCall]:
         """Remove a runner's calls, and return those not yet expired."""
--- a/src/apricotlever/runners/quarantine.py
+++ b/src/apricotlever/runners/quarantine.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from .. import clock as clocks
+from . import crash_log
 from . import crashes
 
 #: How long after its second crash a request is held before it is
@@ -174,11 +175,11 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._log = crashes.CrashLog(clock)
+        self._log = crash_log.CrashLog(clock)
         self._trials: dict[str, _Trial] = {}
 
     @property
-    def log(self) -> crashes.CrashLog:
+    def log(self) -> crash_log.CrashLog:
         """The crashes reported by this VM and its peers."""
         return self._log
 
@@ -194,12 +195,14 @@
         """
         self._log.set_sizes(sizes)
 
-    def receive(self, report: crashes.Report) -> None:
-        """Merge a report from this VM or a peer."""
+    def receive(self, report: crashes.Report) -> bool:
+        """Merge a report from this VM or a peer.
+
+        :returns: whether it tells anything new.
+        """
         if isinstance(report, crashes.CrashObservation):
-            self._log.add(report)
-        else:
-            self._log.request_completed(report)
+            return self._log.add(report)
+        return self._log.request_completed(report)
 
     def status(self, fingerprint: str) -> FingerprintStatus:
         """The current state of a fingerprint, as known to this VM."""
--- a/src/apricotlever/runners/recent_answers.py
+++ b/src/apricotlever/runners/recent_answers.py
@@ -66,11 +66,13 @@
         self._drop_excess()
 
     def latest_ages(self) -> dict[str, float]:
-        """The seconds since the latest answer of each fingerprint."""
+        """The seconds since the latest answer to each feature of a call."""
         self._drop_excess()
         now = self._clock.now()
         return {
-            each.features.fingerprint: now - each.at for each in self._answers
+            name: now - each.at
+            for each in self._answers
+            for name in each.features.names
         }
 
     def _drop_excess(self) -> None:
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -12,6 +12,7 @@
 from .. import logs
 from ..runners import call_features
 from ..runners import crash_blocklist
+from ..runners import crash_causes
 from ..runners import crash_records
 from ..runners import past_fragility
 from ..runners import quarantine
@@ -37,15 +38,22 @@
 
     The blocklist, a :class:`..runners.crash_blocklist.CrashBlocklist`, decides
     which calls are blocked, by what calls have in common
-    (:mod:`..runners.call_features`). It is computed only when one breaks off or
-    while the blocklist is active, so that other calls don't bear the cost.
+    (:mod:`..runners.call_features`). That is computed only when one breaks off
+    or while the blocklist is active, so that other calls don't bear the cost.
 
     :param vm: this VM's name.
     :param is_fragile: tells whether a runner is or was fragile, so that no
         call is suspected of its crash.
     """
 
-    __slots__ = ("_checked_at", "_clock", "_blocklist", "_runners")
+    __slots__ = (
+        "_blocklist",
+        "_causes",
+        "_checked_at",
+        "_clock",
+        "_decisions",
+        "_runners",
+    )
 
     def __init__(
         self,
@@ -55,11 +63,28 @@
     ) -> None:
         self._clock = clock
         self._blocklist = crash_blocklist.CrashBlocklist(clock, vm, is_fragile)
+        #: The causes of crashes that were logged, by feature.
+        self._causes: dict[str, crash_causes.CrashCause] = {}
+        #: How often calls were blocked, or ran as trials, by kind.
+        self._decisions: collections.Counter[str] = collections.Counter()
         #: When each runner was last checked, by incarnation.
         self._checked_at: dict[str, float] = {}
         #: The runners in the last list, by incarnation.
         self._runners: dict[str, runners.Runner] = {}
 
+    @property
+    def decisions(self) -> typing.Mapping[str, int]:
+        """How many calls were blocked, and how many ran as trials."""
+        return self._decisions
+
+    @property
+    def gauges(self) -> dict[str, float]:
+        """The numbers of known crashes and of parts that explain some."""
+        return {
+            "known_crashes": self._blocklist.crash_count,
+            "blocked_parts": len(self._causes),
+        }
+
     def update_runners(self, present: typing.Iterable[runners.Runner]) -> None:
         """Apply the current list of runners.
 
@@ -97,7 +122,7 @@
     ) -> None:
         """Handle a connection that a runner closed before the answer's end."""
         self._blocklist.connection_broken(
-            runner.runner_id, features(call, customer)
+            runner.runner_id, features(call, customer), call
         )
 
     async def refuses(
@@ -182,7 +207,12 @@
         """
         if not self._blocklist.active:
             return None
-        return self._blocklist.admit(features(call, customer), call)
+        block = self._blocklist.admit(features(call, customer), call)
+        if block is None:
+            return None
+        self._decisions["trial" if block.is_trial else "blocked"] += 1
+        _log_block(call, block, self._clock.now())
+        return None if block.is_trial else block.wait_s
 
     def retry_after_s(
         self,
@@ -198,8 +228,14 @@
         return self._blocklist.retry_after_s(features(call, customer), call)
 
     def tick(self) -> None:
-        """Remove expired crashes and blocks from the blocklist."""
+        """Remove expired crashes and blocks, and log changes of causes."""
         self._blocklist.tick()
+        before = self._causes
+        self._causes = {cause.key: cause for cause in self._blocklist.causes}
+        for key in self._causes.keys() - before.keys():
+            _log_cause("crash_cause_found", self._causes[key])
+        for key in before.keys() - self._causes.keys():
+            _log_cause("crash_cause_cleared", before[key])
 
     def next_record(self, whole: bool) -> crash_records.CrashRecord | None:
         """The crashes to include in this VM's next record.
@@ -224,6 +260,41 @@
             self._blocklist.merge_record(vm, told)
 
 
+def _log_block(
+    call: messages.CallerCall, block: crash_blocklist.Block, now: float
+) -> None:
+    evidence = block.evidence
+    logs.event(
+        "request_on_trial" if block.is_trial else "request_blocked",
+        request=call.request_id,
+        feature=block.name,
+        wait_s=block.wait_s,
+        crashes=len(evidence),
+        crash_age_s=min((now - c.at for c in evidence), default=None),
+        runners=",".join(c.runner for c in evidence[-MAX_LOGGED:]) or None,
+        seen_by=",".join(
+            sorted({vm for c in evidence for vm in c.reporters})[:MAX_LOGGED]
+        )
+        or None,
+    )
+
+
+def _log_cause(event: str, cause: crash_causes.CrashCause) -> None:
+    logs.event(
+        event,
+        feature=cause.key,
+        features=",".join(sorted(cause.names)),
+        crashes=len(cause.explained),
+        was_answered=cause.was_answered,
+        runners=",".join(c.runner for c in cause.explained[-MAX_LOGGED:]),
+        seen_by=",".join(
+            sorted({vm for c in cause.explained for vm in c.reporters})[
+                :MAX_LOGGED
+            ]
+        ),
+    )
+
+
 def _log_crash(
     runner: runners.Runner, crash: crash_blocklist.ChargedCrash
 ) -> None:
@@ -231,7 +302,7 @@
         part for call in crash.calls for part in call.parts
     )
     logs.event(
-        "runner_crashed",
+        "runner_fell" if crash.fragile else "runner_crashed",
         runner=runner.runner_id,
         data_centre=runner.data_centre,
         leaving=runner.leaving,
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -29,8 +29,9 @@
     fragile = upstreams.runner_limits.fragile
     services = configuration.services if configuration else ()
     return relay_.observations.format_text(
-        gauges,
+        {**gauges, **upstreams.crashes.gauges},
         {
+            ("crash_blocks_total", "decision"): upstreams.crashes.decisions,
             ("task_restarts_total", "task"): restarts,
             ("in_flight", "runner"): upstreams.in_flight,
             ("waiting_tokens", "runner"): upstreams.pending_tokens,
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -23,6 +23,8 @@
 MIN_RUNNER_TIME_S = 0.001
 #: The reason why no connection is opened, as this VM knows that it would fail.
 NO_NEW_CONNECTIONS = "unreachable:no_new_connections"
+#: The reason why a call is refused that would crash its runner.
+CRASHES_RUNNERS = "crashes_runners"
 #: The reason why a resumed stream is refused whose beginning nobody knows, and
 #: when its caller may return, in seconds: a VM that knows may have been busy.
 STREAM_UNKNOWN = "stream_unknown"
@@ -240,6 +242,11 @@
             return attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.NOT_SENT, reason="takes_no_calls"
             )
+        wait_s = upstreams.crashes.retry_after_s(state.call, state.customer)
+        if wait_s is not None:
+            # News of a crash came while the call waited for its runner.
+            upstreams.pool(runner).release(channel, False, None)
+            raise state.not_served(CRASHES_RUNNERS, wait_s)
         if state.sends and not state.context.budget.try_acquire(state.service):
             upstreams.pool(runner).discard(channel)
             raise state.not_served("retry_budget")
@@ -273,7 +280,7 @@
             state.call, state.customer
         )
         if wait_s is not None:
-            raise state.not_served("crashes_runners", wait_s)
+            raise state.not_served(CRASHES_RUNNERS, wait_s)
 
     def _runner_call_parameters(
         self, placement: call_placement.Placement, copy_from: str | None
