Don't take a short cached prompt for one that is faster than nothing

Cause: each part of a prompt counts as at least one block of 64 tokens, so that a cached prompt of shorter parts had fewer than no tokens left to prefill, and the expected time to its first token could be negative. The policy then compared it with a limit of a tenth more than the least, which no runner met.

The new scenario of routing.feature fails before (IndexError) and passes now.

--- a/src/apricotlever/runners/candidates.py
+++ b/src/apricotlever/runners/candidates.py
@@ -193,7 +193,9 @@
         """
         if now > self._fresh_until:
             self._refresh(now)
-        self.uncached_tokens = uncached = tokens - cached_tokens
+        # Parts shorter than a block count as a whole one.
+        uncached = max(0.0, tokens - cached_tokens)
+        self.uncached_tokens = uncached
         self.first_token_s = (
             self._fixed_s + uncached * self._prefill_s_per_token
         )
--- a/tests/runners/routing.feature
+++ b/tests/runners/routing.feature
@@ -39,6 +39,12 @@
     When runner 2 is leaving and the list still shows it
     Then there is no route because all are leaving
 
+  # Guards against calls that end without a response, as no runner is chosen:
+  # parts shorter than a block of the cache count as more tokens than they are.
+  Scenario: A cached prompt of parts that are shorter than a block
+    Given 3 runners that have cached a prompt of 50 blocks and 20 tokens
+    Then the policy "expected_time" finds a runner for it
+
   Scenario: Excluded runners are not chosen
     Given 1 router and 3 runners of one price
     Then a query that excludes all but runner 1 goes to runner 1
--- a/tests/steps/runners_routing.py
+++ b/tests/steps/runners_routing.py
@@ -51,6 +51,23 @@
     return routers
 
 
+@given(
+    "{count:d} runners that have cached a prompt of 50 blocks and 20 tokens"
+)
+def _short_parts(context, count):
+    context.runners = [_runner(n) for n in range(count)]
+    context.query = _query(tuple(range(50)), tokens=20)
+
+
+@then('the policy "{policy}" finds a runner for it')
+def _finds_runner(context, policy):
+    (router,) = _routers(1, context.runners, policy)
+    events = [models.CacheEvent(0, True, context.query.blocks)]
+    for runner in context.runners:
+        router.observe_cache(runner.name, models.CacheEvents(events, 0))
+    assert router.choose(context.query).expected_first_token_s >= 0.0
+
+
 @then("each route agrees with a plain calculation over all runners")
 def _agrees_with_calculation(context):
     runner = strategies.tuples(
