Suspect a call whose runner ends within an event, not only by a reset

Cause: a stream that ended so was taken as broken off, but only a reset made its call a suspect and had the runner checked. An orderly end of a connection without length is the end of a process as well; whether the runner is gone is asked at once, as for all others, so that an answer that is merely cut accuses nobody.

--- a/src/apricotlever/serving/response_reader.py
+++ b/src/apricotlever/serving/response_reader.py
@@ -237,14 +237,14 @@
             channel.set_body_callback(
                 functools.partial(self._on_body_bytes, head)
             )
+        closed = channel.body_end is client_channel.BodyEnd.CLOSED
         if self._sink.splitter.has_partial_event:
             return attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.BROKEN,
                 reason="ends_within_an_event",
+                reset=closed,
             )
-        if not self.event_count and (
-            channel.body_end is client_channel.BodyEnd.CLOSED
-        ):
+        if closed and not self.event_count:
             # Neither a length nor an event: nothing says that this is all.
             raise client_channel.Broken("ended without an event", reset=True)
         await self._check_end()
