Send HTTP/1.0 callers streams that end with their connection, reset if cut

What callers saw: by HTTP/1.0 a stream came in chunks, which that version doesn't have, and one that was broken off ended like a whole one would.

Cause: each response of unknown length was framed in chunks, whatever the caller's version. Now such a caller gets the events as they are; the end of the connection ends the stream, and a stream that is cut, by its runner, its VM or a caller that reads nothing, resets it.

The four new examples of streams.feature fail before and pass now.

--- a/src/apricotlever/serving/caller_channel.py
+++ b/src/apricotlever/serving/caller_channel.py
@@ -30,9 +30,17 @@
 
     :param received_at: when its first byte came, on the event loop's clock in
         seconds.
+    :ivar takes_chunks: whether a response to it may be sent in chunks.
     """
 
-    __slots__ = ("method", "target", "headers", "body", "received_at")
+    __slots__ = (
+        "body",
+        "headers",
+        "method",
+        "received_at",
+        "takes_chunks",
+        "target",
+    )
 
     def __init__(self, received_at: float) -> None:
         self.method = ""
@@ -40,6 +48,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
         self.received_at = received_at
+        self.takes_chunks = True
 
 
 #: Handles one request and writes its response.
@@ -165,7 +174,7 @@
             async with asyncio.timeout(WRITE_TIMEOUT_S):
                 await self._drain_waiter
         except TimeoutError as error:
-            self.close()
+            self.reset()
             raise reply_writer.CallerGone() from error
         finally:
             self._drain_waiter = None
@@ -175,6 +184,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Reset the connection, which can't pass for the end of a response."""
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            if sock is not None and not self._transport.is_closing():
+                socket_options.reset_on_close(sock)
+            self._transport.abort()
+
     def sweep(
         self, now: float, limits: configuration_model.CallerLimits
     ) -> None:
@@ -290,8 +307,10 @@
         call = self._current_call
         if call is None:
             return
+        version = self._parser.get_http_version()
+        call.takes_chunks = version != request_checks.HTTP_1_0
         request_checks.check_request_head(
-            self._parser.get_http_version(),
+            version,
             call.target,
             call.headers,
             self._server.limits,
@@ -329,7 +348,7 @@
         self._reading_head = True
         self._head_bytes = 0
         self._read_started_at = None
-        if not self._parser.should_keep_alive():
+        if not (call.takes_chunks and self._parser.should_keep_alive()):
             self._closing = True
         self._pending_calls.append(call)
         self._start_next_call()
@@ -347,7 +366,7 @@
             self._transport.write(CONTINUE)
 
     async def _handle(self, call: RawRequest) -> None:
-        reply = reply_writer.ReplyWriter(self)
+        reply = reply_writer.ReplyWriter(self, call.takes_chunks)
         try:
             await self._server.handler(call, reply)
         except reply_writer.CallerGone:
@@ -356,7 +375,7 @@
             self._task = None
             self._idle_started_at = self._loop.time()
             if not reply.ended:
-                self.close()
+                reply.abort()
             elif self.closing and not self._pending_calls:
                 self._close_after_flush()
             else:
--- a/src/apricotlever/serving/reply_writer.py
+++ b/src/apricotlever/serving/reply_writer.py
@@ -50,6 +50,9 @@
     def close(self) -> None:
         """Abort the connection."""
 
+    def reset(self) -> None:
+        """Reset the connection."""
+
 
 class CallerGone(Exception):
     """The caller closed its connection, or stopped reading for too long."""
@@ -62,13 +65,20 @@
     :meth:`start_stream`, :meth:`send_chunk` and :meth:`finish`. Its ``status``
     is 0 until the head is written.
 
+    A caller that takes no chunks gets a stream that ends with its connection,
+    which is reset if the stream is broken off.
+
     :param channel: the caller's connection.
+    :param takes_chunks: whether the caller takes chunks.
     """
 
-    __slots__ = ("_channel", "_ended", "_started", "status")
+    __slots__ = ("_channel", "_ended", "_started", "_takes_chunks", "status")
 
-    def __init__(self, channel: ReplyChannel) -> None:
+    def __init__(
+        self, channel: ReplyChannel, takes_chunks: bool = True
+    ) -> None:
         self._channel = channel
+        self._takes_chunks = takes_chunks
         self._started = False
         self._ended = False
         self.status = 0
@@ -113,7 +123,9 @@
         :raises CallerGone: when the connection is closed.
         """
         lines = self._head(status, headers)
-        lines.append(b"Transfer-Encoding: chunked\r\n\r\n")
+        if self._takes_chunks:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        lines.append(b"\r\n")
         self._channel.write(b"".join(lines))
 
     def send_chunk(self, data: bytes) -> bool:
@@ -123,7 +135,9 @@
             :meth:`drain` then.
         :raises CallerGone: when the connection is closed.
         """
-        self._channel.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if self._takes_chunks:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._channel.write(data)
         return not self._channel.write_paused
 
     async def drain(self) -> None:
@@ -140,12 +154,16 @@
         :raises CallerGone: when the connection is closed.
         """
         self._ended = True
-        self._channel.write(b"0\r\n\r\n")
+        if self._takes_chunks:
+            self._channel.write(b"0\r\n\r\n")
 
     def abort(self) -> None:
         """Abort the connection, which shows the response to be incomplete."""
         self._ended = True
-        self._channel.close()
+        if self._takes_chunks:
+            self._channel.close()
+        else:
+            self._channel.reset()
 
     def _head(
         self, status: int, headers: typing.Iterable[tuple[bytes, bytes]]
--- a/src/apricotlever/serving/request_checks.py
+++ b/src/apricotlever/serving/request_checks.py
@@ -7,9 +7,11 @@
 from . import configuration_model
 from . import messages
 
+#: The version in which a response of unknown length ends with its connection.
+HTTP_1_0 = "1.0"
 #: Accepted versions. The parser treats a request without a version as HTTP/0.9
 #: and the next line as a new request.
-HTTP_VERSIONS = ("1.0", "1.1")
+HTTP_VERSIONS = (HTTP_1_0, "1.1")
 
 
 class RequestRejected(Exception):
--- a/src/apricotlever/socket_options.py
+++ b/src/apricotlever/socket_options.py
@@ -7,6 +7,7 @@
 """
 
 import socket
+import struct
 
 MS_PER_S = 1000
 
@@ -67,6 +68,13 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(probing))
 
 
+def reset_on_close(sock: socket.socket) -> None:
+    """Let the end of a TCP socket reset its connection."""
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
 #: Connections on which a caller's call waits for a response. Two probes, so
 #: that the loss of one, or a second of silence of a sound peer, ends none.
 CALLS = KeepAlive(idle_s=1, interval_s=1, probes=2)
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -204,6 +204,27 @@
         finally:
             writer.close()
 
+    async def call_by_http_1_0(self):
+        """Send a call by HTTP/1.0 and read until the connection ends.
+
+        :returns: the head, the body, and whether the connection was reset.
+        """
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(
+            f"POST /s/x HTTP/1.0\r\nHost: {HOST}\r\nCall-Id: call-1\r\n"
+            f"Key: {KEY}\r\nContent-Length: 5\r\n\r\nhello".encode()
+        )
+        received, was_reset = b"", False
+        try:
+            while data := await reader.read(4096):
+                received += data
+        except ConnectionResetError:
+            was_reset = True
+        finally:
+            writer.close()
+        head, _, body = received.partition(b"\r\n\r\n")
+        return head, body, was_reset
+
     async def call_with_parts(self, call_id, parts):
         """Send a call with a prompt on a connection of its own.
 
--- a/tests/serving/streams.feature
+++ b/tests/serving/streams.feature
@@ -133,3 +133,19 @@
     And a runner that streams half and resets, then streams
     When a call is made and a runner that streams joins after it was sent
     Then the usage of "clerks" is 1
+
+  # Guards against a stream that its caller takes for a whole one, or can't read:
+  # by HTTP/1.0 there are no chunks, and the end of the connection ends it.
+  Scenario Outline: A caller that takes no chunks sees whether a stream is whole
+    Given a route for streams
+    And a runner that <streams>
+    When a call is made by HTTP/1.0
+    Then the body has events 1 to <last>, without chunks
+    And the connection to the caller <ends>
+
+    Examples:
+      | streams                              | last | ends      |
+      | streams                              | 6    | is closed |
+      | streams without length               | 6    | is closed |
+      | streams half and resets              | 3    | is reset  |
+      | streams half without length and ends | 3    | is reset  |
--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -515,3 +515,27 @@
 @then("the failure is counted for runner 1")
 def _check_failure(context):
     assert context.world.upstreams.outcome_counts == {"runner-1": (1, 1)}
+
+
+@when("a call is made by HTTP/1.0")
+def _call_by_http_1_0(context):
+    world = _world(context)
+    world.upstreams.refresh()
+    context.received = _run(context, world.call_by_http_1_0())
+
+
+@then("the body has events 1 to {last:d}, without chunks")
+def _events_without_chunks(context, last):
+    head, body, _ = context.received
+    assert b"transfer-encoding" not in head.lower(), head
+    events = [
+        b"id: %d\ndata: piece %d\n\n" % (number, number)
+        for number in range(1, last + 1)
+    ]
+    assert body == b"".join(events), body
+
+
+@then("the connection to the caller {ended}")
+def _connection_ended(context, ended):
+    *_, was_reset = context.received
+    assert was_reset == (ended == "is reset"), ended
