Take the part with the fewest calls at its crashes for their cause

The first call with a bad part ends its runner, so that no second one is there: each crash now counts divided by the calls with the part that it ended.

The soak reads its record on rather than anew for each look, so that proxies learn of a crash in time.

--- a/soak/bad_parts.py
+++ b/soak/bad_parts.py
@@ -113,17 +113,13 @@
 
     async def _watch_crashes(self) -> None:
         """Give each runner that has crashed a new incarnation."""
-        seen = 0
+        offset = 0
         while True:
             await asyncio.sleep(child_process.POLL_INTERVAL_S)
-            crashes = [
-                event
-                for event in self._fleet.record.read()
-                if event.kind is statements.Kind.CRASHED
-            ]
-            for crash in crashes[seen:]:
-                asyncio.ensure_future(self._restart(crash))
-            seen = len(crashes)
+            events, offset = self._fleet.record.read_from(offset)
+            for event in events:
+                if event.kind is statements.Kind.CRASHED:
+                    asyncio.ensure_future(self._restart(event))
 
     async def _restart(self, crash: statements.Event) -> None:
         runner = next(
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -42,7 +42,7 @@
 LEFT_CHECK_INTERVAL_S = 0.05
 #: From the beginning of a crash, which the proxies have to see, until all
 #: connections end, in seconds.
-CRASH_DELAY_S = 0.2
+CRASH_DELAY_S = 0.3
 
 Headers = dict[str, str]
 
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -86,14 +86,28 @@
 
     def read(self) -> list[Event]:
         """All events in the order of their times."""
-        if not self._path.exists():
-            return []
-        events = []
-        for line in self._path.read_text().splitlines():
-            at, runner, kind, vm, value = line.split(" ")
-            events.append(Event(float(at), runner, Kind(kind), vm, value))
+        events, _ = self.read_from(0)
         return sorted(events, key=lambda event: event.at)
 
+    def read_from(self, offset: int) -> tuple[list[Event], int]:
+        """The events that were written from an offset on.
+
+        :param offset: in bytes; 0 for all events.
+        :returns: the events as written, and the offset of the next one.
+        """
+        if not self._path.exists():
+            return [], offset
+        with self._path.open("rb") as file:
+            file.seek(offset)
+            data = file.read()
+        lines = data[: data.rfind(b"\n") + 1]
+        return list(map(_parse, lines.splitlines())), offset + len(lines)
+
+
+def _parse(line: bytes) -> Event:
+    at, runner, kind, vm, value = line.decode().split(" ")
+    return Event(float(at), runner, Kind(kind), vm, value)
+
 
 class Disturbance:
     """A time in which a VM or runner was restarted, suspended or cut off.
--- a/src/apricotlever/runners/crash_causes.py
+++ b/src/apricotlever/runners/crash_causes.py
@@ -1,10 +1,11 @@
 """Finds the prompt parts that explain why runners crashed.
 
 A crash ends all calls at its runner, so that what all calls have in common,
-as a system prompt, is at every crash. Three things tell a bad part from it:
+as a system prompt, is at every crash. Four things tell a bad part from it:
 
 - no call with the part is answered in full after a crash;
 - calls that differ as a whole crash runners with it;
+- no second call with the part is at the runner, as the first one ends it;
 - it explains crashes that no other part explains. The part that explains the
   most is taken first, one that was never answered before any other, and what
   it explains speaks against no other part.
@@ -70,10 +71,7 @@
     @property
     def weight(self) -> float:
         """The number of crashes; weak ones count less."""
-        return sum(
-            WEAK_CRASH if crash.fragile or crash.noticed else 1.0
-            for crash in self.held_crashes
-        )
+        return sum(map(_weight, self.held_crashes))
 
     @property
     def is_sufficient(self) -> bool:
@@ -97,7 +95,15 @@
         """Sorts the likeliest cause first, equally at all VMs."""
         # Of equal parts, the one of a single customer has a longer name.
         name = self.name
-        return self.was_answered, -self.weight, len(name), name
+        return self.was_answered, -self._contrast, len(name), name
+
+    @property
+    def _contrast(self) -> float:
+        """The number of crashes, each divided among the calls there."""
+        return sum(
+            _weight(crash) / len(crash.suspects_with(self.name))
+            for crash in self.held_crashes
+        )
 
     @property
     def _calls(self) -> set[str]:
@@ -188,6 +194,10 @@
     return tuple(causes)
 
 
+def _weight(crash: crashes.RunnerCrash) -> float:
+    return WEAK_CRASH if crash.fragile or crash.noticed else 1.0
+
+
 def _make_cause(
     evidence: Evidence, answered_since: typing.Callable[[str, float], bool]
 ) -> CrashCause:
