Don't hold crashes of one moment, or amid many like calls, against a part

A kill of several runners at once ends calls with the system prompt at each of them; with few calls a second no answer clears it for seconds, in which all calls would be refused. Crashes of a part that was answered before must now be spread over half a second, and each crash counts divided among the calls with the part that it ended: 0.6 of the crashes needed must be left.

--- a/src/apricotlever/runners/crash_causes.py
+++ b/src/apricotlever/runners/crash_causes.py
@@ -22,6 +22,12 @@
 #: before them.
 MIN_CRASHES = 2.0
 MIN_CRASHES_IF_ANSWERED = 3.0
+#: The least share of these crashes that must be left if each counts divided
+#: among the calls with the part that it ended.
+MIN_CONTRAST_SHARE = 0.6
+#: Crashes of a part that was answered before must be spread over this time, in
+#: seconds: those of one moment have a cause of that moment.
+MIN_SPREAD_S = 0.5
 #: A part at so many crashes by as many calls is their cause, even if other
 #: runners of the data centre crashed without it.
 STRONG_CRASHES = 3.0
@@ -79,7 +85,12 @@
 
         One call at all the crashes would be a simpler cause.
         """
-        return self.weight >= self.needed and not self._one_call_explains
+        return (
+            self.weight >= self.needed
+            and self._contrast >= MIN_CONTRAST_SHARE * self.needed
+            and (not self.was_answered or self._spread_s >= MIN_SPREAD_S)
+            and not self._one_call_explains
+        )
 
     @property
     def is_strong(self) -> bool:
@@ -105,6 +116,12 @@
             for crash in self.held_crashes
         )
 
+    @property
+    def _spread_s(self) -> float:
+        """Seconds from the first to the last crash."""
+        times = [crash.at for crash in self.held_crashes]
+        return max(times) - min(times)
+
     @property
     def _calls(self) -> set[str]:
         """Fingerprints of the calls with the part."""
