Let few VMs tell again what explains crashes, and bound what is kept

As long as a part is blocked, half an hour, each VM repeated the crashes behind it in a whole record each second: in a fleet of thousands the aggregators would pass on all of them. Now eight VMs tell, by rendezvous hashing of the part. The log keeps at most 50,000 features of suspects; with parts that callers make up, 600 crashes with 100 calls of 8 new parts each come to 1,020,000 (600 x 100 x 17).

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -184,6 +184,11 @@
         """The number of crashes on record."""
         return len(self._quarantine.log.crashes)
 
+    @property
+    def feature_count(self) -> int:
+        """The number of features of the suspects on record."""
+        return self._quarantine.log.feature_count
+
     def set_sizes(self, sizes: typing.Mapping[str, int]) -> None:
         """Set the number of runners in each data centre.
 
@@ -193,7 +198,9 @@
 
     def set_vms(self, names: typing.Iterable[str]) -> None:
         """Set the names of all VMs, which take turns with trials."""
-        self._trials.set_vms(names)
+        vms = frozenset(names)
+        self._trials.set_vms(vms)
+        self._reporting.set_vms(vms)
 
     def connection_broken(
         self,
--- a/src/apricotlever/runners/crash_log.py
+++ b/src/apricotlever/runners/crash_log.py
@@ -74,6 +74,11 @@
             )
         return self._causes
 
+    @property
+    def feature_count(self) -> int:
+        """The number of features of the suspects that are still kept."""
+        return len(self._by_name)
+
     def set_sizes(self, sizes: typing.Mapping[str, int]) -> None:
         """Set the number of runners in each data centre.
 
@@ -110,7 +115,10 @@
             self._add_suspect(crash, suspect)
             for suspect in report.suspects[: crashes_.MAX_SUSPECTS]
         ]
-        if len(self._crashes) > crashes_.MAX_CRASHES:
+        while len(self._crashes) > crashes_.MAX_CRASHES or (
+            len(self._by_name) > crashes_.MAX_FEATURES
+            and len(self._crashes) > 1
+        ):
             self._remove_crash(self._crashes[0])
         self._forget_causes()
         return is_new or any(added)
@@ -211,6 +219,10 @@
             if crash.at >= now - crashes_.SUSPICION_S
         ]
 
+    def crashes_with(self, name: str) -> tuple[crashes_.RunnerCrash, ...]:
+        """The crashes with a feature, whatever explains them."""
+        return tuple(self._by_name.get(name, ()))
+
     def crash_count(self, name: str) -> int:
         """The number of crashes with a feature, whatever explains them."""
         return len(self._by_name.get(name, ()))
--- a/src/apricotlever/runners/crash_reporting.py
+++ b/src/apricotlever/runners/crash_reporting.py
@@ -9,12 +9,15 @@
 import typing
 
 from .. import clock as clocks
+from ..vms import rendezvous
 
 from . import crash_causes
 from . import crash_log
 from . import crash_records
 from . import crashes
 
+#: How many VMs tell the others what explains crashes, as long as it does.
+TELLER_COUNT = 8
 #: The calls of one crash by which the cause of it is told to others.
 CALLS_PER_CAUSE = 2
 #: Characters around a suspect in an encoded record.
@@ -54,9 +57,11 @@
         "_log",
         "_pending",
         "_retracted",
+        "_tells",
         "_turn",
         "_unblocked_at",
         "_vm",
+        "_vms",
         "_whole_turn",
     )
 
@@ -65,7 +70,10 @@
     ) -> None:
         self._clock = clock
         self._vm = vm
+        self._vms = frozenset((vm,))
         self._log = log
+        #: Whether this VM tells of a cause, by its key.
+        self._tells: dict[str, bool] = {}
         #: Crashes to be repeated in the next records, by runner.
         self._pending: dict[str, _PendingReport] = {}
         #: When a call of this VM was answered, and until when to tell, by the
@@ -79,6 +87,13 @@
         self._turn = 0
         self._whole_turn = 0
 
+    def set_vms(self, names: typing.Iterable[str]) -> None:
+        """Set the names of all VMs; this one is added if it is missing."""
+        vms = frozenset(names) | {self._vm}
+        if vms != self._vms:
+            self._vms = vms
+            self._tells = {}
+
     def suspects_of(self, runner: str) -> tuple[crashes.SuspectRequest, ...]:
         """The suspects of a crash that is still being reported."""
         pending = self._pending.get(runner)
@@ -208,6 +223,7 @@
         found = [
             (cause, crash)
             for cause in self._log.causes
+            if self._tells_of(cause.key)
             for crash in cause.explained
             if crash.runner not in self._pending
         ]
@@ -216,6 +232,13 @@
         in_turn = _rotate(found, self._whole_turn * room)[:room]
         return [self._cause_entry(*each) for each in in_turn]
 
+    def _tells_of(self, key: str) -> bool:
+        """Whether this VM is one of the few that tell of a cause."""
+        if key not in self._tells:
+            ranked = rendezvous.rank(key, self._vms)
+            self._tells[key] = self._vm in ranked[:TELLER_COUNT]
+        return self._tells[key]
+
     def _cause_entry(
         self, cause: crash_causes.CrashCause, crash: crashes.RunnerCrash
     ) -> crash_records.CrashEntry:
--- a/src/apricotlever/runners/crashes.py
+++ b/src/apricotlever/runners/crashes.py
@@ -25,6 +25,8 @@
 CRASHES_TO_QUARANTINE = 2
 #: Crashes kept in the log; the oldest are dropped first.
 MAX_CRASHES = 4096
+#: The greatest number of features of suspects in the log, likewise.
+MAX_FEATURES = 50_000
 #: The greatest number of suspects that are taken from one report.
 MAX_SUSPECTS = 1024
 
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -79,9 +79,10 @@
 
     @property
     def gauges(self) -> dict[str, float]:
-        """The numbers of known crashes and of parts that explain some."""
+        """The numbers of crashes and suspects known, and of bad parts."""
         return {
             "known_crashes": self._blocklist.crash_count,
+            "suspected_features": self._blocklist.feature_count,
             "blocked_parts": len(self._causes),
         }
 
--- a/tests/runners/crash_parts.feature
+++ b/tests/runners/crash_parts.feature
@@ -78,6 +78,19 @@
     When after 20 s another VM starts and gets the records of 2 seconds
     Then the other VM blocks a call with the parts d bad
 
+  # Guards against a process that grows by the names of parts that callers make
+  # up.
+  Scenario: The features of suspects are limited
+    Given 600 crashes, each with 100 calls with 8 new parts each
+    Then the VM keeps at most 50000 features, and the last crash
+
+  # Guards against a fleet in which thousands of VMs repeat the same crashes.
+  Scenario: Few VMs tell again and again what explains crashes
+    Given calls with the parts a bad that crashed r1 and r2
+    And a call with the parts c bad that crashed r3
+    When all of 40 VMs have heard of it and 20 s have passed
+    Then 8 of them tell it in their whole records
+
   # Guards against the word of a VM that lost its paths, told on by others.
   Scenario: Crashes of a cut-off VM are taken back where they were told on
     Given calls with the parts a bad that crashed r1 and r2
--- a/tests/steps/runners_crash_parts.py
+++ b/tests/steps/runners_crash_parts.py
@@ -385,3 +385,49 @@
         context.clock.advance(1.0)
         context.vm.tick()
         _check(context.vm, _features(context, parts), "blocks")
+
+
+@when("all of {count:d} VMs have heard of it and {seconds:d} s have passed")
+def _all_heard(context, count, seconds):
+    names = [f"vm-{number}" for number in range(1, count + 1)]
+    context.vms = [context.vm]
+    context.vms += [_make_vm(context, name) for name in names[1:]]
+    for record in _get_records(context, 1):
+        for vm in context.vms[1:]:
+            vm.merge_record("vm-1", record)
+    for vm in context.vms:
+        vm.set_vms(names)
+    for _ in range(seconds):
+        context.clock.advance(1.0)
+        for vm in context.vms:
+            vm.tick()
+
+
+@then("{count:d} of them tell it in their whole records")
+def _tellers(context, count):
+    telling = [vm for vm in context.vms if vm.next_record(True)]
+    assert len(telling) == count, len(telling)
+
+
+@given(
+    "{crashes:d} crashes, each with {calls:d} calls with {parts:d} new parts "
+    "each"
+)
+def _many_features(context, crashes, calls, parts):
+    _world(context)
+    for number in range(crashes):
+        context.clock.advance(1.0)
+        for call in range(calls):
+            names = [f"{number}x{call}x{part}" for part in range(parts)]
+            features = _features(context, " ".join(names))
+            context.vm.connection_broken(f"r{number}", features)
+        context.vm.runner_crashed(f"r{number}", DATA_CENTRE, False)
+        context.vm.tick()
+    context.last = f"r{crashes - 1}"
+
+
+@then("the VM keeps at most {most:d} features, and the last crash")
+def _features_limited(context, most):
+    record = context.vm.next_record(False)
+    assert context.last in {entry[0] for entry in record[0]}
+    assert 0 < context.vm.feature_count <= most, context.vm.feature_count
