Recognise a prompt's bad part on the daemon's path, too

What callers saw: requests that share a message of a chat, or the beginning of a text, and differ in the rest crashed one engine after the other: 8 of them, sent in turn to three VMs, crashed all 9 engines (the new outline of daemon/quarantine.feature failed before; at most 5 wanted).

Cause: as for the other path, a request was known by one hash of entry, customer and body. Now it has features: messages of a chat but the last, or the first 64, 128, 256 ... characters of a text, are its parts. Charges carry them between VMs, an answer at the first attempt clears them as well, answers of the last seconds before a crash mark what is common, and the judge grants trials by part: none waits for another's trial, as many requests may have the part.

Besides, streams that were taken up after their VM's end all had an empty fingerprint, so that any two counted as one request that was repeated, and one that crashed engines would have quarantined all. Each has its own now.

Both examples pass; the whole feature 7 of 7.

--- a/src/apricotlever/daemon/attempt_reports.py
+++ b/src/apricotlever/daemon/attempt_reports.py
@@ -6,6 +6,7 @@
 suspect that the judge, one entry VM for each pool, has granted.
 """
 
+from concurrent import futures
 import time
 
 from .. import refusals
@@ -110,6 +111,32 @@
         context.wait_for_reply(future)
 
 
+def send_answers(
+    context: contexts.Context,
+    ended: "futures.Future[tuple[crashes.RequestCompleted, ...]]",
+    wait: bool,
+) -> None:
+    """Send the other entry VMs what an answer shows of suspected features.
+
+    :param context: the daemon's tasks.
+    :param ended: the dispatcher's reports on the end of the request.
+    :param wait: whether to return only when the others have the reports.
+    :raises Refusal: when this VM is stopping.
+    """
+    if wait:
+        for report in context.wait_for_reply(ended):
+            send_report(context, report, True)
+        return
+
+    def send(
+        done: "futures.Future[tuple[crashes.RequestCompleted, ...]]",
+    ) -> None:
+        for report in () if done.exception() else done.result():
+            context.fleet.tell(fleet_link.BroadcastCrashReport(report))
+
+    ended.add_done_callback(send)
+
+
 def wait_for_crash_reports() -> None:
     """Wait until other entry VMs have reported the crash of a runner.
 
--- a/src/apricotlever/daemon/dispatcher.py
+++ b/src/apricotlever/daemon/dispatcher.py
@@ -135,7 +135,7 @@
     @mailbox.handles(dispatcher_messages.RequestEnded)
     def _record_request_end(
         self, message: dispatcher_messages.RequestEnded
-    ) -> crashes.RequestCompleted | None:
+    ) -> tuple[crashes.RequestCompleted, ...]:
         dispatch = self._placements.dispatch_of(message.request_id)
         self._placements.remove(message.request_id)
         self._demand_meter.record_end(message.request_id)
@@ -148,9 +148,9 @@
         self._waiting.settle(verdicts)
         succeeded = message.outcome is runners.Outcome.DONE
         if dispatch is None or not succeeded:
-            return None
+            return ()
         self._retries.record_success(dispatch.query.entry)
-        return self._suspects.record_completion(dispatch.fingerprint)
+        return self._suspects.record_completion(dispatch.features)
 
     @mailbox.handles(dispatcher_messages.DecideRecovery)
     def _decide_recovery(
--- a/src/apricotlever/daemon/dispatcher_messages.py
+++ b/src/apricotlever/daemon/dispatcher_messages.py
@@ -8,6 +8,7 @@
 from ..contracts import admission
 from ..contracts import fleet_shares
 from ..requests import recovery
+from ..runners import call_features
 from ..runners import crashes
 from ..runners import model as runners
 from ..runners import quarantine
@@ -57,7 +58,7 @@
 
     :param request_id: the request's ID.
     :param query: describes the request to the router.
-    :param fingerprint: identifies repetitions of the request in the fleet.
+    :param features: what the request has in common with others.
     :param attempt: number of the attempt, from 1.
     :param request: told how to continue when the runner gets a reclaim
         notice; None for a call of a plain service, which stays at its runner.
@@ -70,7 +71,7 @@
     __slots__ = (
         "request_id",
         "query",
-        "fingerprint",
+        "features",
         "attempt",
         "request",
         "required_runner",
@@ -81,7 +82,7 @@
         self,
         request_id: str,
         query: runners.Query,
-        fingerprint: str,
+        features: call_features.CallFeatures,
         attempt: int,
         request: model_request.ModelRequest | None = None,
         required_runner: str = "",
@@ -89,7 +90,7 @@
     ) -> None:
         self.request_id = request_id
         self.query = query
-        self.fingerprint = fingerprint
+        self.features = features
         self.attempt = attempt
         self.request = request
         self.required_runner = required_runner
--- a/src/apricotlever/daemon/gateway.py
+++ b/src/apricotlever/daemon/gateway.py
@@ -8,6 +8,8 @@
 from ..links import caller_routes
 from ..links import caller_server
 from ..links import openai_format
+from ..runners import call_features
+from ..runners import prompt_parts
 from ..runners import quarantine
 
 from . import access
@@ -208,7 +210,11 @@
             service_class,
             completion_request,
             call.body,
-            quarantine.fingerprint(entry.name, customer.name, call.body),
+            call_features.CallFeatures(
+                quarantine.fingerprint(entry.name, customer.name, call.body),
+                customer.name,
+                prompt_parts.find_parts(completion_request.document),
+            ),
             now + service_class.deadline_s,
         )
 
--- a/src/apricotlever/daemon/gossip_messages.py
+++ b/src/apricotlever/daemon/gossip_messages.py
@@ -192,6 +192,8 @@
                 request_id=charge.request_id,
                 attempt=charge.attempt,
                 on_trial=charge.on_trial,
+                customer_hash=charge.customer_hash,
+                parts=charge.parts,
             )
             for charge in report.suspects
         ],
@@ -221,6 +223,8 @@
                 charge.request_id,
                 charge.attempt,
                 charge.on_trial,
+                charge.customer_hash,
+                tuple(charge.parts),
             )
             for charge in message.charges
         ),
--- a/src/apricotlever/daemon/incoming_handover.py
+++ b/src/apricotlever/daemon/incoming_handover.py
@@ -16,6 +16,8 @@
 from ..requests import handover_receiver
 from ..requests import ledger_messages
 from ..requests import records
+from ..runners import call_features
+from ..runners import prompt_parts
 from ..runners import quarantine
 
 from . import answer_reader
@@ -153,7 +155,13 @@
             service_class,
             parsed,
             record.body,
-            quarantine.fingerprint(entry.name, record.customer, record.body),
+            call_features.CallFeatures(
+                quarantine.fingerprint(
+                    entry.name, record.customer, record.body
+                ),
+                record.customer,
+                prompt_parts.find_parts(parsed.document),
+            ),
             context.clock.now() + service_class.deadline_s,
             transcripts.Transcript(events),
         )
--- a/src/apricotlever/daemon/model_attempts.py
+++ b/src/apricotlever/daemon/model_attempts.py
@@ -233,14 +233,12 @@
             request.completion_request.prompt_tokens + request.resume_from,
         )
         future = self._context.dispatcher.ask(message)
-        if request.attempt > 1 or self._on_trial:
-            report = self._context.wait_for_reply(future)
-            attempt_reports.send_report(self._context, report, False)
+        attempt_reports.send_answers(self._context, future, False)
         if self._on_trial:
             attempt_reports.end_trial(
                 self._context,
                 request.entry.pool,
-                request.fingerprint,
+                request.features.fingerprint,
                 request.request_id,
             )
 
@@ -407,7 +405,7 @@
             return dispatcher_messages.Dispatch(
                 request.request_id,
                 request.query(tried),
-                request.fingerprint,
+                request.features,
                 request.attempt,
                 request,
                 required_runner,
--- a/src/apricotlever/daemon/model_request.py
+++ b/src/apricotlever/daemon/model_request.py
@@ -7,6 +7,7 @@
 from ..catalogue import model as catalogues
 from ..links import openai_format
 from ..requests import recovery
+from ..runners import call_features
 from ..runners import model as runners
 from ..runners import prefix
 
@@ -29,7 +30,7 @@
     :param completion_request: the caller's request, parsed.
     :param body: the caller's request body, as received; empty when only the
         stream is known because the entry VM that held the request has ended.
-    :param fingerprint: identifies repetitions of the request in the fleet.
+    :param features: what the request has in common with others.
     :param deadline: the time on this VM's clock after which the caller no
         longer needs the answer.
     :param transcript: the answer so far; None for a new request.
@@ -42,7 +43,7 @@
         "service_class",
         "completion_request",
         "body",
-        "fingerprint",
+        "features",
         "deadline",
         "arrived_at",
         "transcript",
@@ -66,7 +67,7 @@
         service_class: catalogues.ServiceClass,
         completion_request: openai_format.ModelRequest,
         body: bytes,
-        fingerprint: str,
+        features: call_features.CallFeatures,
         deadline: float,
         transcript: transcripts.Transcript | None = None,
     ) -> None:
@@ -77,7 +78,7 @@
         self.service_class = service_class
         self.completion_request = completion_request
         self.body = body
-        self.fingerprint = fingerprint
+        self.features = features
         self.deadline = deadline
         self.arrived_at = clock.now()
         self.transcript = transcript or transcripts.Transcript()
--- a/src/apricotlever/daemon/orphaned_streams.py
+++ b/src/apricotlever/daemon/orphaned_streams.py
@@ -8,7 +8,9 @@
 from .. import refusals
 from ..catalogue import model as catalogues
 from ..links import openai_format
+from ..runners import call_features
 from ..runners import model as runners
+from ..runners import quarantine
 
 from . import answer_reader
 from . import context as contexts
@@ -98,7 +100,13 @@
             service_class,
             openai_format.ModelRequest(document, token.chat, ""),
             b"",
-            "",
+            call_features.CallFeatures(
+                # Its prompt is unknown; streams are no repeats of each other.
+                quarantine.fingerprint(
+                    entry.name, customer.name, token.request_id.encode()
+                ),
+                customer.name,
+            ),
             now + service_class.deadline_s,
         )
         request.runner = runner
--- a/src/apricotlever/daemon/placements.py
+++ b/src/apricotlever/daemon/placements.py
@@ -134,10 +134,12 @@
         reported_at = self._crash_reported_at.get(runner.name, float("-inf"))
         suspects = tuple(
             crashes.SuspectRequest(
-                placement.dispatch.fingerprint,
+                placement.dispatch.features.fingerprint,
                 placement.dispatch.request_id,
                 placement.dispatch.attempt,
                 placement.dispatch.on_trial,
+                placement.dispatch.features.customer_hash,
+                placement.dispatch.features.parts,
             )
             for placement in self._placements.values()
             if placement.runner.name == runner.name
--- a/src/apricotlever/daemon/service_attempts.py
+++ b/src/apricotlever/daemon/service_attempts.py
@@ -134,15 +134,13 @@
                 request.request_id, outcome, whole_s, 1
             )
         )
-        if self._attempt > 1 or self._on_trial:
-            attempt_reports.send_report(
-                context, context.wait_for_reply(ended), True
-            )
+        repeated = self._attempt > 1 or self._on_trial
+        attempt_reports.send_answers(context, ended, repeated)
         if self._on_trial:
             attempt_reports.end_trial(
                 context,
                 request.entry.pool,
-                request.fingerprint,
+                request.features.fingerprint,
                 request.request_id,
             )
         if outcome is runners.Outcome.DONE:
@@ -191,7 +189,7 @@
             return dispatcher_messages.Dispatch(
                 request.request_id,
                 query,
-                request.fingerprint,
+                request.features,
                 self._attempt,
                 required_runner=required_runner,
                 on_trial=on_trial,
--- a/src/apricotlever/daemon/service_request.py
+++ b/src/apricotlever/daemon/service_request.py
@@ -4,6 +4,7 @@
 
 from ..catalogue import model as catalogues
 from ..links import caller_server
+from ..runners import call_features
 from ..runners import quarantine
 from ..runners import silence_detector
 
@@ -81,11 +82,14 @@
         return hashlib.sha256(head.encode() + self.body).hexdigest()[:32]
 
     @property
-    def fingerprint(self) -> str:
-        """A hash by which the quarantine recognises equal calls."""
+    def features(self) -> call_features.CallFeatures:
+        """By what the quarantine recognises equal calls."""
         call = f"{self.method} {self.path}"
-        return quarantine.fingerprint(
-            self.entry.name, self.customer, self.body, call
+        return call_features.CallFeatures(
+            quarantine.fingerprint(
+                self.entry.name, self.customer, self.body, call
+            ),
+            self.customer,
         )
 
     @property
--- a/src/apricotlever/daemon/suspect_requests.py
+++ b/src/apricotlever/daemon/suspect_requests.py
@@ -3,9 +3,9 @@
 A request that was at a runner when the runner crashed is a suspect; after a
 second crash it is quarantined, and is refused for some time. A suspect runs
 only as a trial, which the judge, one entry VM for each pool, grants at one
-runner. Requests are known by their fingerprint, a hash that is the same for
-all repetitions of a request. This is part of the dispatcher's state and does
-no I/O.
+runner. Requests are known by their features: the fingerprint, a hash that is
+the same for all repetitions of a request, and the parts of the prompt. This is
+part of the dispatcher's state and does no I/O.
 """
 
 import collections
@@ -14,15 +14,19 @@
 from .. import logs
 from .. import metrics as metrics_
 from .. import refusals
+from ..runners import call_features
 from ..runners import crashes
 from ..runners import model as runners
 from ..runners import quarantine
+from ..runners import recent_answers
 from ..runners import routing
 
 from . import dispatcher_messages
 from . import placements as placements_
 
 MAX_TRIAL_CANDIDATES = 4
+#: The greatest number of runners that a log line names.
+MAX_LOGGED = 8
 
 
 class SuspectRequests:
@@ -34,7 +38,14 @@
     :param vm: this VM's name.
     """
 
-    __slots__ = ("_quarantine", "_router", "_placements", "_metrics", "_vm")
+    __slots__ = (
+        "_metrics",
+        "_placements",
+        "_quarantine",
+        "_recent_answers",
+        "_router",
+        "_vm",
+    )
 
     def __init__(
         self,
@@ -45,6 +56,7 @@
         vm: str,
     ) -> None:
         self._quarantine = quarantine.Quarantine(clock)
+        self._recent_answers = recent_answers.RecentAnswers(clock)
         self._router = router
         self._placements = placements
         self._metrics = metrics
@@ -65,22 +77,18 @@
             or None when the request may run anywhere.
         :raises Refusal: when the request is quarantined.
         """
-        status = self._quarantine.status(dispatch.fingerprint)
+        cause = self._quarantine.cause_of(dispatch.features)
+        if cause is not None:
+            wait_s = self._quarantine.cause_wait_s(cause)
+            if wait_s:
+                raise self._refusal(dispatch, cause.key, wait_s)
+            return self._request_trial(dispatch, cause.key)
+        name = dispatch.features.fingerprint
+        status = self._quarantine.status(name)
         if status.state is quarantine.FingerprintState.QUARANTINED:
-            self._metrics.count("requests.quarantined")
-            logs.event(
-                "request_quarantined",
-                request=dispatch.request_id,
-                entry=dispatch.query.entry,
-                fingerprint=dispatch.fingerprint,
-            )
-            raise refusals.Refusal(
-                refusals.QUARANTINED,
-                "requests like this one crashed the runners they ran on",
-                retry_after_s=status.retry_after_s,
-            )
+            raise self._refusal(dispatch, name, status.retry_after_s)
         suspect = status.state is quarantine.FingerprintState.SUSPECT
-        return self._request_trial(dispatch) if suspect else None
+        return self._request_trial(dispatch, name) if suspect else None
 
     def decide_trial(
         self, request: quarantine.TrialRequest
@@ -94,7 +102,8 @@
 
     def receive_report(self, report: crashes.Report) -> None:
         """Record a peer's report of a crash or of a completed suspect."""
-        self._quarantine.receive(report)
+        if self._quarantine.receive(report):
+            self._apply_recent_answers()
 
     def record_crash(
         self, runner: runners.Runner
@@ -105,24 +114,27 @@
             record already.
         """
         report = self._placements.crashed(runner)
-        if report is not None:
-            self._quarantine.receive(report)
+        if report is not None and self._quarantine.receive(report):
+            self._apply_recent_answers()
         return report
 
     def record_completion(
-        self, fingerprint: str
-    ) -> crashes.RequestCompleted | None:
+        self, features: call_features.CallFeatures
+    ) -> tuple[crashes.RequestCompleted, ...]:
         """Record that a request was answered in full.
 
-        :returns: a report for the other VMs, or None when the request was
-            not suspected.
+        :returns: a report for the other VMs on each feature that was at a
+            crash since its last answer.
         """
-        status = self._quarantine.status(fingerprint)
-        if status.state is quarantine.FingerprintState.CLEAR:
-            return None
-        report = crashes.RequestCompleted(fingerprint, 0.0)
-        self._quarantine.receive(report)
-        return report
+        self._recent_answers.add(lambda: features, 0)
+        reports = tuple(
+            crashes.RequestCompleted(name, 0.0)
+            for name in sorted(features.names)
+            if self._quarantine.log.is_implicated(name)
+        )
+        for report in reports:
+            self._quarantine.receive(report)
+        return reports
 
     def reports(self) -> list[crashes.CrashObservation]:
         """All crashes on record, for a VM that has just started."""
@@ -140,9 +152,42 @@
         """Drop expired crashes and trials."""
         self._quarantine.tick()
 
+    def _apply_recent_answers(self) -> None:
+        """Apply the answers that came before their crash was heard of."""
+        for name, age_s in self._recent_answers.latest_ages().items():
+            self._quarantine.receive(crashes.RequestCompleted(name, age_s))
+
+    def _refusal(
+        self,
+        dispatch: dispatcher_messages.Dispatch,
+        name: str,
+        retry_after_s: float,
+    ) -> refusals.Refusal:
+        """The refusal of a request for one of its features.
+
+        :param name: the name of the feature.
+        """
+        self._metrics.count("requests.quarantined")
+        evidence = self._quarantine.log.crashes_with(name)
+        logs.event(
+            "request_quarantined",
+            request=dispatch.request_id,
+            entry=dispatch.query.entry,
+            fingerprint=dispatch.features.fingerprint,
+            feature=name,
+            crashes=len(evidence),
+            runners=",".join(c.runner for c in evidence[-MAX_LOGGED:]),
+        )
+        return refusals.Refusal(
+            refusals.QUARANTINED,
+            "requests like this one crashed the runners they ran on",
+            retry_after_s=retry_after_s,
+        )
+
     def _request_trial(
-        self, dispatch: dispatcher_messages.Dispatch
+        self, dispatch: dispatcher_messages.Dispatch, name: str
     ) -> dispatcher_messages.TrialRequired:
+        """Ask for a trial of a request for one of its features."""
         routes = self._router.ranked(dispatch.query, MAX_TRIAL_CANDIDATES)
         candidates = tuple(
             quarantine.TrialCandidate(
@@ -151,7 +196,7 @@
             for route in routes
         )
         trial_request = quarantine.TrialRequest(
-            dispatch.fingerprint, dispatch.request_id, candidates
+            name, dispatch.request_id, candidates
         )
         return dispatcher_messages.TrialRequired(
             dispatch.query.pool, trial_request
--- a/src/apricotlever/runners/quarantine.py
+++ b/src/apricotlever/runners/quarantine.py
@@ -16,6 +16,8 @@
 import xxhash
 
 from .. import clock as clocks
+from . import call_features
+from . import crash_causes
 from . import crash_log
 from . import crashes
 
@@ -23,6 +25,9 @@
 #: quarantined, in seconds. By then further crashes, if any, have shown
 #: whether the runners had a common cause.
 CRASH_SETTLE_S = 4.0
+#: How long after the last crash of a part that was never answered a request
+#: with it may run as a trial, in seconds.
+RARE_TRIAL_S = 67.0
 #: A trial whose end was not reported expires after this time.
 TRIAL_TIMEOUT_S = 60.0
 #: Seconds after which a VM asks again for a trial that could not be granted
@@ -221,12 +226,33 @@
             max(1.0, crashes.QUARANTINE_S - age_s),
         )
 
+    def cause_of(
+        self, features: call_features.CallFeatures
+    ) -> crash_causes.CrashCause | None:
+        """What explains crashes and a request has; None if there is none."""
+        return next(
+            (c for c in self._log.causes if c.names <= features.names), None
+        )
+
+    def cause_wait_s(self, cause: crash_causes.CrashCause) -> float:
+        """Seconds until a request with a cause of crashes may run as a trial.
+
+        After a trial that has crashed its runner, until the cause expires.
+        """
+        age_s = self._clock.now() - cause.last_crash_at
+        first_s = CRASH_SETTLE_S if cause.was_answered else RARE_TRIAL_S
+        if cause.crashed_on_trial:
+            first_s = crashes.QUARANTINE_S
+        return max(0.0, first_s - age_s)
+
     def decide(self, request: TrialRequest) -> TrialDecision:
         """Decide as the judge of a pool whether a suspect may run.
 
         :returns: the decision; a granted trial occupies its runner until
             :meth:`end_trial` or :data:`TRIAL_TIMEOUT_S`.
         """
+        if call_features.is_part(request.fingerprint):
+            return self._decide_for_part(request)
         status = self.status(request.fingerprint)
         if status.state is FingerprintState.QUARANTINED:
             return RejectRequest(status.retry_after_s)
@@ -237,29 +263,54 @@
         since_s = self._seconds_since_crash(request.fingerprint)
         if since_s < CRASH_PROPAGATION_S:
             return RetryLater(CRASH_PROPAGATION_S - since_s)
+        return self._begin_trial(request) or RetryLater(TRIAL_RETRY_S)
+
+    def end_trial(self, report: TrialEnded) -> None:
+        """Free the runner of a trial; late and duplicate reports are safe.
+
+        The trial may be one for another feature of the request than its
+        fingerprint.
+        """
+        self._trials = {
+            name: trial
+            for name, trial in self._trials.items()
+            if trial.request_id != report.request_id
+        }
+
+    def tick(self) -> None:
+        """Drop expired crashes and trials."""
+        self._log.expire()
+        self._expire_trials()
+
+    def _decide_for_part(self, request: TrialRequest) -> TrialDecision:
+        """Decide on a request for a part of its prompt.
+
+        Requests with a part may be many, so that none waits for the trial of
+        another one.
+        """
+        causes = (c for c in self._log.causes if c.key == request.fingerprint)
+        cause = next(causes, None)
+        if cause is None:
+            return RunNormally()
+        wait_s = self.cause_wait_s(cause)
+        if wait_s:
+            return RejectRequest(wait_s)
+        return self._begin_trial(request) or RejectRequest(TRIAL_RETRY_S)
+
+    def _begin_trial(self, request: TrialRequest) -> RunAsTrial | None:
+        """Grant a trial; None if another one runs or no runner is free."""
         self._expire_trials()
         running = self._trials.get(request.fingerprint)
         if running is not None and running.request_id != request.request_id:
-            return RetryLater(TRIAL_RETRY_S)
+            return None
         candidate = self._free_runner(request)
         if candidate is None:
-            return RetryLater(TRIAL_RETRY_S)
+            return None
         self._trials[request.fingerprint] = _Trial(
             request.request_id, candidate, self._clock.now() + TRIAL_TIMEOUT_S
         )
         return RunAsTrial(candidate)
 
-    def end_trial(self, report: TrialEnded) -> None:
-        """Free the runner of a trial; late and duplicate reports are safe."""
-        trial = self._trials.get(report.fingerprint)
-        if trial is not None and trial.request_id == report.request_id:
-            del self._trials[report.fingerprint]
-
-    def tick(self) -> None:
-        """Drop expired crashes and trials."""
-        self._log.expire()
-        self._expire_trials()
-
     def _seconds_since_crash(self, fingerprint: str) -> float:
         """Seconds since the last crash that a request may have caused.
 
@@ -284,7 +335,7 @@
         }
         crashed_in = {
             crash.data_centre
-            for crash in self._log.crashes_implicating(request.fingerprint)
+            for crash in self._implicating(request.fingerprint)
         }
         recently_crashed = self._log.recent_crash_data_centres(CRASH_SETTLE_S)
         free = [
@@ -296,6 +347,12 @@
         free.sort(key=lambda candidate: candidate.data_centre in crashed_in)
         return free[0].runner if free else None
 
+    def _implicating(self, name: str) -> typing.Sequence[crashes.RunnerCrash]:
+        """The crashes for which a feature's trial is needed."""
+        if call_features.is_part(name):
+            return self._log.crashes_with(name)
+        return self._log.crashes_implicating(name)
+
     def _expire_trials(self) -> None:
         now = self._clock.now()
         self._trials = {
--- a/tests/daemon/poison.py
+++ b/tests/daemon/poison.py
@@ -50,6 +50,26 @@
             vms = self._fixture.vms
             self.send(vms[number % len(vms)])
 
+    def send_variants(self, times: int, in_message: bool) -> None:
+        """Send requests with the poison in a common part of their prompts.
+
+        :param in_message: whether the part is a message of a chat, in place
+            of the beginning of a text.
+        """
+        client = self._fixture.caller("ana")
+        for number in range(times):
+            vms = self._fixture.vms
+            address = self._fixture.fleet.address(vms[number % len(vms)])
+            path, body = _variant(number, in_message, CRASH_WORD)
+            self.sent.append(client.stream(path, body, address))
+
+    def send_sound_variant(self) -> answers.Answer:
+        """Send a chat like those with the poison, but without it."""
+        client = self._fixture.caller("ana")
+        address = self._fixture.fleet.address(self._fixture.vms[0])
+        path, body = _variant(0, True, "nothing")
+        return client.stream(path, body, address)
+
     def send_concurrently(self, callers: int, times: int) -> None:
         """Send the request from several callers, each to its own entry VM."""
         vms = self._fixture.vms
@@ -98,3 +118,23 @@
             for answer in self.sent
             if answer.executed == "no" and answer.request_id in journals
         ]
+
+
+def _variant(
+    number: int, in_message: bool, word: str
+) -> tuple[str, dict[str, typing.Any]]:
+    """A request whose prompt has a part in common with others.
+
+    :returns: path and body.
+    """
+    common = f"mandate with {word} " + "clause " * fleet_fixture.WORDS
+    own = f"number {number} " + "word " * fleet_fixture.WORDS
+    body = {key: value for key, value in BODY.items() if key != "prompt"}
+    if not in_message:
+        return "/v1/completions", {**body, "prompt": f"{common} {own}"}
+    messages = [
+        {"role": "system", "content": "be brief"},
+        {"role": "user", "content": common},
+        {"role": "user", "content": own},
+    ]
+    return "/v1/chat/completions", {**body, "messages": messages}
--- a/tests/daemon/quarantine.feature
+++ b/tests/daemon/quarantine.feature
@@ -29,6 +29,22 @@
       | at once            |
       | after some tokens  |
 
+  # Guards against engines that crash one after the other under requests that
+  # have one message in common and are otherwise all different.
+  Scenario Outline: Requests with one poisoned part are refused, others served
+    Given engines that crash on poison at once, 9 of them behind 3 entry VMs
+    And 8 callers are streaming 160 tokens each
+    When ana sends 8 different requests with the poison in <part>, to one entry VM after another
+    Then at most 5 engines have crashed
+    And the last attempts were refused as quarantined, with a time to retry
+    And no poison reported as not executed had reached an engine
+    And a request of ana without the poison is served
+
+    Examples:
+      | part                        |
+      | a common message            |
+      | a common beginning of texts |
+
   Scenario: Three callers send the request at the same time
     Guards against a request that crashes one runner after another. Three
     callers send the request to three entry VMs concurrently, and again when
--- a/tests/steps/daemon_quarantine.py
+++ b/tests/steps/daemon_quarantine.py
@@ -54,6 +54,20 @@
     context.poison.send_in_turn(times)
 
 
+@when(
+    "ana sends {times:d} different requests with the poison in {part}, to one "
+    "entry VM after another"
+)
+def _send_variants(context, times, part):
+    context.poison.send_variants(times, part == "a common message")
+
+
+@then("a request of ana without the poison is served")
+def _sound_served(context):
+    answer = context.poison.send_sound_variant()
+    assert not answer.problem, answer.problem
+
+
 @when("{callers:d} callers send the poison at once, {times:d} times each")
 def _concurrently(context, callers, times):
     context.last = callers
--- a/tests/steps/daemon_resumed_answers.py
+++ b/tests/steps/daemon_resumed_answers.py
@@ -21,6 +21,7 @@
 from apricotlever.links import openai_format
 from apricotlever.links import stream_loop
 from apricotlever.requests import recovery
+from apricotlever.runners import call_features
 from apricotlever.runners import model as runners
 
 from tests.links import scripted_upstream
@@ -93,6 +94,8 @@
             return retry_policy.Retry(message.tried)
         if isinstance(message, dispatcher_messages.DecideRecovery):
             return recovery.Replay("", ())
+        if isinstance(message, dispatcher_messages.RequestEnded):
+            return ()
         return None
 
 
@@ -130,7 +133,7 @@
         ),
         openai_format.parse_request(body, False),
         body,
-        "",
+        call_features.CallFeatures("r-1"),
         clock.now() + DEADLINE_S,
     )
 
--- a/tests/steps/daemon_runner_statements.py
+++ b/tests/steps/daemon_runner_statements.py
@@ -18,6 +18,7 @@
 from apricotlever.daemon import dispatcher_messages
 from apricotlever.daemon import runner_messages
 from apricotlever.links import upstream_exchange
+from apricotlever.runners import call_features
 from apricotlever.runners import model as runners
 from apricotlever.runners import statements
 
@@ -46,7 +47,9 @@
 
 def _dispatch(context, number, excluded=()):
     query = runners.Query("entry", POOL, "", excluded=frozenset(excluded))
-    message = dispatcher_messages.Dispatch(f"r-{number}", query, 0, 1)
+    message = dispatcher_messages.Dispatch(
+        f"r-{number}", query, call_features.CallFeatures(""), 1
+    )
     reply = context.dispatcher.ask(message).result(REPLY_TIMEOUT_S)
     return reply.runner.name
 
