Clear a call by an answer without length only once its runner lived on

Cause: an answer without length ends with its connection, as a crash of its runner ends it, too. Whether the runner goes on is asked by opening a connection; where that is accepted although the process has ended, as by a proxy before it, the call of the bad part was taken for answered, which cleared the part of all crashes, again and again (crash_cause_found and _cleared in turn, was_answered).

Now such an answer clears its call a second later, if its runner is still listed and was not found lost since. And a part that was answered before is held guilty of six crashes of as many calls even amid crashes of others.

crash_watch.feature: two of the four new examples fail without the change (an answer cleared the call at once).

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -288,7 +288,10 @@
         return len(wrong)
 
     def call_answered(
-        self, make_features: recent_answers.MakeFeatures, size: int
+        self,
+        make_features: recent_answers.MakeFeatures,
+        size: int,
+        age_s: float = 0.0,
     ) -> None:
         """Record a complete answer, which clears its call of earlier crashes.
 
@@ -297,21 +300,26 @@
 
         :param make_features: computes the features of the call.
         :param size: the size of the call's body in bytes.
+        :param age_s: seconds since the answer.
         """
-        self._recent_answers.add(make_features, size)
+        self._recent_answers.add(make_features, size, age_s)
         if self.active:
-            self.answered(make_features())
+            self.answered(make_features(), age_s)
 
-    def answered(self, features: call_features.CallFeatures) -> None:
+    def answered(
+        self, features: call_features.CallFeatures, age_s: float = 0.0
+    ) -> None:
         """Clear a call of all earlier crashes after its complete answer.
 
         The next records tell the peers to clear its features, too.
+
+        :param age_s: seconds since the answer.
         """
         log = self._quarantine.log
         for name in features.names:
             if name in self._peer_blocks or log.is_implicated(name):
-                self._clear(name, 0.0)
-                self._reporting.add_answer(name, 0.0)
+                self._clear(name, age_s)
+                self._reporting.add_answer(name, age_s)
 
     def admit(
         self, features: call_features.CallFeatures, call: object
--- a/src/apricotlever/runners/crash_causes.py
+++ b/src/apricotlever/runners/crash_causes.py
@@ -31,6 +31,8 @@
 #: A part at so many crashes by as many calls is their cause, even if other
 #: runners of the data centre crashed without it.
 STRONG_CRASHES = 3.0
+#: So many times as many, if it was answered before.
+ANSWERED_FACTOR = 2.0
 #: What a crash counts if its runner was fragile, or had announced its end.
 WEAK_CRASH = 0.5
 
@@ -95,11 +97,10 @@
     @property
     def is_strong(self) -> bool:
         """Whether the crashes of other runners don't matter."""
-        return (
-            not self.was_answered
-            and self.weight >= STRONG_CRASHES
-            and len(self._calls) >= STRONG_CRASHES
-        )
+        needed = STRONG_CRASHES
+        if self.was_answered:
+            needed *= ANSWERED_FACTOR
+        return self.weight >= needed and len(self._calls) >= needed
 
     @property
     def rank(self) -> tuple[bool, float, int, str]:
--- a/src/apricotlever/runners/recent_answers.py
+++ b/src/apricotlever/runners/recent_answers.py
@@ -55,13 +55,17 @@
         self._answers: collections.deque[_Answer] = collections.deque()
         self._bytes = 0
 
-    def add(self, make_features: MakeFeatures, size: int) -> None:
-        """Keep an answer that has just ended.
+    def add(
+        self, make_features: MakeFeatures, size: int, age_s: float = 0.0
+    ) -> None:
+        """Keep an answer.
 
         :param make_features: computes the features of its call.
         :param size: the size of the call's body in bytes.
+        :param age_s: seconds since it ended.
         """
-        self._answers.append(_Answer(self._clock.now(), size, make_features))
+        at = self._clock.now() - age_s
+        self._answers.append(_Answer(at, size, make_features))
         self._bytes += size
         self._drop_excess()
 
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -152,8 +152,13 @@
     def clear_suspicion(self) -> None:
         """Record that the call, which was served, crashes no runner."""
         state = self._state
+        ended_with_connection = (
+            self._received.body_end is client_channel.BodyEnd.CLOSED
+        )
         state.context.upstreams.crashes.call_answered(
-            state.call, state.customer
+            state.call,
+            state.customer,
+            state.runner_id if ended_with_connection else None,
         )
 
     async def run(self) -> None:
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -31,6 +31,33 @@
 CHECK_TIMEOUT_S = 0.1
 #: The greatest number of calls, and of prompt parts, that a log line names.
 MAX_LOGGED = 8
+#: An answer that ended with its connection clears its call if its runner lives
+#: on for so long, in seconds.
+LIVED_ON_S = 1.0
+#: The greatest number of such answers that are kept until then.
+MAX_UNCONFIRMED = 1024
+
+
+class _UnconfirmedAnswer:
+    """An answer that may have ended with its runner.
+
+    :param at: when it ended, in monotonic seconds.
+    :param runner: the runner's incarnation.
+    """
+
+    __slots__ = ("at", "call", "customer", "runner")
+
+    def __init__(
+        self,
+        at: float,
+        runner: str,
+        call: messages.CallerCall,
+        customer: configuration_model.Customer | None,
+    ) -> None:
+        self.at = at
+        self.runner = runner
+        self.call = call
+        self.customer = customer
 
 
 class CrashWatch:
@@ -52,7 +79,9 @@
         "_checked_at",
         "_clock",
         "_decisions",
+        "_lost_at",
         "_runners",
+        "_unconfirmed",
     )
 
     def __init__(
@@ -67,6 +96,12 @@
         self._causes: dict[str, crash_causes.CrashCause] = {}
         #: How often calls were blocked, or ran as trials, by kind.
         self._decisions: collections.Counter[str] = collections.Counter()
+        #: When each runner was last lost, by incarnation.
+        self._lost_at: dict[str, float] = {}
+        #: Answers that the end of their connections ended, the oldest first.
+        self._unconfirmed: collections.deque[_UnconfirmedAnswer] = (
+            collections.deque(maxlen=MAX_UNCONFIRMED)
+        )
         #: When each runner was last checked, by incarnation.
         self._checked_at: dict[str, float] = {}
         #: The runners in the last list, by incarnation.
@@ -97,6 +132,9 @@
         self._checked_at = {
             name: at for name, at in self._checked_at.items() if name in now
         }
+        self._lost_at = {
+            name: at for name, at in self._lost_at.items() if name in now
+        }
         self._blocklist.set_sizes(
             collections.Counter(r.data_centre for r in now.values())
         )
@@ -109,6 +147,7 @@
         The blocklist decides whether it has crashed and which of its calls are
         suspected of it.
         """
+        self._lost_at[runner.runner_id] = self._clock.now()
         charged = self._blocklist.runner_crashed(
             runner.runner_id, runner.data_centre, runner.leaving
         )
@@ -178,8 +217,20 @@
         self,
         call: messages.CallerCall,
         customer: configuration_model.Customer | None,
+        ended_with: str | None = None,
     ) -> None:
-        """Clear a call of suspicion, as it got a complete answer."""
+        """Clear a call of suspicion, as it got a complete answer.
+
+        :param ended_with: the runner, if the end of its connection ended the
+            answer. The call is cleared once the runner has lived on.
+        """
+        if ended_with is not None:
+            self._unconfirmed.append(
+                _UnconfirmedAnswer(
+                    self._clock.now(), ended_with, call, customer
+                )
+            )
+            return
         self._blocklist.call_answered(
             functools.partial(features, call, customer), len(call.body)
         )
@@ -230,6 +281,7 @@
 
     def tick(self) -> None:
         """Remove expired crashes and blocks, and log changes of causes."""
+        self._confirm_answers()
         self._blocklist.tick()
         before = self._causes
         self._causes = {cause.key: cause for cause in self._blocklist.causes}
@@ -238,6 +290,22 @@
         for key in before.keys() - self._causes.keys():
             _log_cause("crash_cause_cleared", before[key])
 
+    def _confirm_answers(self) -> None:
+        """Clear the calls whose runners have lived on after their answers."""
+        now = self._clock.now()
+        while self._unconfirmed and (
+            now - self._unconfirmed[0].at >= LIVED_ON_S
+        ):
+            answer = self._unconfirmed.popleft()
+            if answer.runner in self._runners and (
+                self._lost_at.get(answer.runner, float("-inf")) < answer.at
+            ):
+                self._blocklist.call_answered(
+                    functools.partial(features, answer.call, answer.customer),
+                    len(answer.call.body),
+                    now - answer.at,
+                )
+
     def next_record(self, whole: bool) -> crash_records.CrashRecord | None:
         """The crashes to include in this VM's next record.
 
--- a/tests/serving/crash_watch.feature
+++ b/tests/serving/crash_watch.feature
@@ -43,3 +43,18 @@
       | fails      | count |
       | is refused | 1     |
       | times out  | 0     |
+
+  # Guards against a call that crashes runners and is cleared each time, as its
+  # half answer without length passes for a whole one.
+  Scenario Outline: An answer without length clears its call if its runner lives on
+    Given a watch on crashes and a call that crashed two runners
+    When the call's answer <ends> and <then>
+    Then after 1.1 seconds the call is <state>
+
+    Examples:
+      | ends                     | then                   | state       |
+      | has a length             | its runner ends        | not blocked |
+      | ends with its connection | its runner lives on    | not blocked |
+      | ends with its connection | its runner ends        | blocked     |
+      | ends with its connection | its runner is unlisted | blocked     |
+
--- a/tests/steps/serving_crash_watch.py
+++ b/tests/steps/serving_crash_watch.py
@@ -11,6 +11,7 @@
 from apricotlever.serving import client_channel
 from apricotlever.serving import connection_pool as pools
 from apricotlever.serving import crash_watch
+from apricotlever.serving import messages
 from apricotlever.serving import runners
 
 #: The error when connecting to a port, by what the port does.
@@ -101,3 +102,47 @@
 @then("{count:d} calls are charged with a crash")
 def _check_charged(context, count):
     assert context.charged == count, context.charged
+
+
+def _runner(number):
+    return runners.Runner(f"r-{number}", "llm", "127.0.0.1", 1, "dc-a", 4)
+
+
+@given("a watch on crashes and a call that crashed two runners")
+def _crashing_call(context):
+    context.clock = clocks.ManualClock(100.0)
+    context.watch = crash_watch.CrashWatch(context.clock, "vm-1")
+    context.watch.update_runners(map(_runner, range(9)))
+    context.call = messages.CallerCall(
+        "POST", "/s/x", "h", (), b"b", "id", None, "k", None, None, 0.0
+    )
+    for number in (1, 2):
+        context.clock.advance(1.0)
+        runner = _runner(number)
+        context.watch.connection_broken(runner, context.call, None)
+        context.watch.runner_lost(runner)
+    assert context.watch.retry_after_s(context.call, None) is not None
+
+
+@when("the call's answer {ends} and {then}")
+def _call_answered(context, ends, then):
+    runner = _runner(3)
+    closed = ends == "ends with its connection"
+    context.clock.advance(0.1)
+    context.watch.call_answered(
+        context.call, None, runner.runner_id if closed else None
+    )
+    context.clock.advance(0.1)
+    if then == "its runner ends":
+        context.watch.runner_lost(runner)
+    elif then == "its runner is unlisted":
+        left = [_runner(n) for n in range(9) if n != 3]
+        context.watch.update_runners(left)
+
+
+@then("after {seconds:g} seconds the call is {state}")
+def _is_blocked(context, seconds, state):
+    context.clock.advance(seconds)
+    context.watch.tick()
+    wait_s = context.watch.retry_after_s(context.call, None)
+    assert (wait_s is not None) == (state == "blocked"), wait_s
