Let a runner of the soak crash only once its proxies refuse, too

Now the runner refuses, waits for a file by which the soak says that the proxies do, and then loses its connections.

--- a/soak/bad_parts.py
+++ b/soak/bad_parts.py
@@ -21,6 +21,8 @@
 INTERVAL_S = (3.0, 9.0)
 #: Shortest and longest time for which calls with a bad part are sent.
 DURATION_S = (8.0, 12.0)
+#: How long a crashed runner may take to be back, in seconds.
+RESTART_TIMEOUT_S = 5.0
 #: How long after it a runner still counts as disturbed, in seconds.
 SETTLE_S = 0.3
 
@@ -127,10 +129,12 @@
         )
         if runner is not None:
             runner.link.set_down(True)
+            record = self._fleet.record.path
+            record.with_name(runner.name + prompt_parts.DOWN_SUFFIX).touch()
             await child_process.wait_until(
                 lambda: loopback.is_listening(runner.link.target)
                 or not runner.process.is_running,
-                2 * prompt_parts.DOWN_S,
+                RESTART_TIMEOUT_S,
             )
             runner.link.set_down(False)
             if runner in self._fleet.runners and runner.process.is_running:
--- a/soak/prompt_parts.py
+++ b/soak/prompt_parts.py
@@ -11,6 +11,9 @@
 COMMON_PART = "00aa"
 #: How long a crashed runner refuses connections, in seconds.
 DOWN_S = 1.0
+#: Suffix of the file, beside the runners' record, by which a runner that
+#: crashes learns that nothing connects to it any longer.
+DOWN_SUFFIX = ".down"
 
 
 def find_bad(parts: str) -> str:
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -40,9 +40,10 @@
 LONG_ANSWER_DELAY_S = 1.8
 #: How often a runner looks whether the VM has left, in seconds.
 LEFT_CHECK_INTERVAL_S = 0.05
-#: From the beginning of a crash, which the proxies have to see, until all
-#: connections end, in seconds.
-CRASH_DELAY_S = 0.3
+#: How long the proxies may take to refuse connections once a runner does, and
+#: how often it looks, in seconds.
+DOWN_TIMEOUT_S = 3.0
+DOWN_CHECK_INTERVAL_S = 0.02
 
 Headers = dict[str, str]
 
@@ -243,10 +244,21 @@
             writer.write(_response_head(200, call_id))
         if way == 2:
             writer.write(format_event(call_id, 1)[:-5])
-        await asyncio.sleep(CRASH_DELAY_S)
+        await self._wait_until_down()
         self._lose_all(prompt_parts.DOWN_S)
         raise ConnectionAbortedError("the runner has crashed")
 
+    async def _wait_until_down(self) -> None:
+        """Wait until the proxies refuse connections, too."""
+        path = self._record.path.with_name(
+            self._name + prompt_parts.DOWN_SUFFIX
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DOWN_TIMEOUT_S):
+                while not path.exists():
+                    await asyncio.sleep(DOWN_CHECK_INTERVAL_S)
+        path.unlink(missing_ok=True)
+
     def _fall(self) -> None:
         """Fall over under too many calls, and get up later."""
         self._record.write(self._name, statements.Kind.FELL)
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -76,6 +76,11 @@
     def __init__(self, path: pathlib.Path) -> None:
         self._path = path
 
+    @property
+    def path(self) -> pathlib.Path:
+        """The file."""
+        return self._path
+
     def write(
         self, runner: str, kind: Kind, vm: str = "-", value: str = "-"
     ) -> None:
