Explain a blocked request by the crashes that are held against it

They may be minutes before the request, and at other VMs; explain showed what happened within seconds of it. The new scenario fails without the change.

--- a/src/apricotlever/client/request_timeline.py
+++ b/src/apricotlever/client/request_timeline.py
@@ -34,6 +34,12 @@
         "stop_cut_off",
     }
 )
+#: Events that name the runners whose crashes block a request, and events that
+#: tell of these crashes.
+BLOCK_EVENTS = frozenset({"request_blocked", "request_on_trial"})
+CRASH_EVENTS = frozenset(
+    {"runner_crashed", "runner_fell", "crash_cause_found"}
+)
 #: Prefix of a logged reason, and its meaning. The first match counts, so a
 #: longer prefix stands before a shorter one.
 REASON_MEANINGS = (
@@ -289,12 +295,23 @@
         request_lines[-1].time,
         max(BACKGROUND_MARGIN_S, _time_left_s(request_lines[-1])),
     )
+    blamed_runners, features = _blocks(request_lines)
     background = [
         line
         for line in lines
-        if line.event in BACKGROUND_EVENTS
-        and since <= line.time <= until
-        and _is_related(line, vms, runners)
+        if (
+            line.event in BACKGROUND_EVENTS
+            and since <= line.time <= until
+            and _is_related(line, vms, runners)
+        )
+        or (
+            line.event in CRASH_EVENTS
+            and line.time <= until
+            and (
+                line.fields.get("runner") in blamed_runners
+                or line.fields.get("feature") in features
+            )
+        )
     ]
     first = _resumed_request(request_lines)
     first_lines = [
@@ -303,6 +320,20 @@
     return RequestTimeline(request_id, request_lines, background, first_lines)
 
 
+def _blocks(
+    lines: typing.Iterable[log_parser.LogLine],
+) -> tuple[set[str], set[str]]:
+    """The runners whose crashes blocked a request, and the features."""
+    blocks = [x for x in lines if x.event in BLOCK_EVENTS]
+    runners = {
+        runner
+        for line in blocks
+        for runner in line.fields.get("runners", "").split(",")
+        if runner
+    }
+    return runners, {f for x in blocks if (f := x.fields.get("feature"))}
+
+
 def _resumed_request(lines: typing.Iterable[log_parser.LogLine]) -> str:
     """The request whose stream a request resumed; "" if it resumed none."""
     return next((r for x in lines if (r := x.fields.get("resumes"))), "")
--- a/tests/client/explain.feature
+++ b/tests/client/explain.feature
@@ -84,6 +84,16 @@
     Then the command succeeds and prints "no runner would have begun"
     And the command succeeds and prints "request_without_time"
 
+  # Guards against a refusal that names no crash, as that was minutes before.
+  Scenario: A request that is blocked is explained by the crashes before
+    Given logs of two VMs with a request that is blocked for its prompt's part
+    When the operator explains "nn22"
+    Then the command succeeds and prints "runners ended while they ran"
+    And the command succeeds and prints "vm-2 runner_crashed"
+    And the command succeeds and prints "calls=nn11"
+    And the command succeeds and prints "vm-1 crash_cause_found"
+    But it does not print the crash of another runner
+
   # Guards against two timelines of one request that two VMs have handled.
   Scenario: A request that another VM ran is explained from both logs
     Given logs of two VMs with requests that one forwarded to the other
--- a/tests/steps/client_explain.py
+++ b/tests/steps/client_explain.py
@@ -308,3 +308,31 @@
 def _check_failure(context, text):
     assert context.code == exit_codes.INVALID_INPUT, context.code
     assert text in context.err, context.err
+
+
+_BLOCK_VM_1 = """\
+time=2026-05-01T10:00:01.200000Z level=WARNING event=crash_cause_found vm=vm-1\
+ feature=part/bad0 features=part/bad0 crashes=2 runners=r-1,r-2 seen_by=vm-2
+time=2026-05-01T10:05:00.000000Z level=INFO event=request_blocked vm=vm-1\
+ request=nn22 feature=part/bad0 wait_s=9 crashes=2 runners=r-1,r-2
+time=2026-05-01T10:05:00.000100Z level=INFO event=request_refused vm=vm-1\
+ request=nn22 status=503 reason=crashes_runners retry_after_s=9
+"""
+_BLOCK_VM_2 = """\
+time=2026-05-01T10:00:01.000000Z level=WARNING event=runner_crashed vm=vm-2\
+ runner=r-2 charged=1 calls=nn11 parts=bad0:1
+time=2026-05-01T10:00:02.000000Z level=WARNING event=runner_crashed vm=vm-2\
+ runner=r-9 charged=1 calls=zz99 parts=00aa:1
+"""
+
+
+@given("logs of two VMs with a request that is blocked for its prompt's part")
+def _blocked_logs(context):
+    _create_folder(context)
+    _write_log(context, "vm-1.log", _BLOCK_VM_1)
+    _write_log(context, "vm-2.log", _BLOCK_VM_2)
+
+
+@then("it does not print the crash of another runner")
+def _no_other_crash(context):
+    assert "zz99" not in context.out, context.out
