--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -386,8 +386,10 @@
                 name,
                 _format_number(min(deaths, target.MAX_QUARANTINED_DEATHS)),
                 _format_number(
-                    min(deaths, target.MAX_QUARANTINED_DEATHS)
-                    * streams
+                    min(
+                        deaths * streams,
+                        target.MAX_QUARANTINED_FEATURES,
+                    )
                     * charge
                     / 1e6
                 ),
--- a/src/apricotlever/runners/crashes.py
+++ b/src/apricotlever/runners/crashes.py
@@ -47,8 +47,8 @@
         "attempt",
         "customer_hash",
         "fingerprint",
-        "names",
         "on_trial",
+        "part_names",
         "parts",
         "request_id",
     )
@@ -68,10 +68,17 @@
         self.on_trial = on_trial
         self.customer_hash = customer_hash
         self.parts = parts
-        #: The names of all features.
-        self.names = frozenset(
-            (fingerprint, *call_features.part_features(customer_hash, parts))
-        )
+        #: The names of the features of its parts.
+        self.part_names = call_features.part_features(customer_hash, parts)
+
+    @property
+    def names(self) -> frozenset[str]:
+        """The names of all features."""
+        return frozenset((self.fingerprint, *self.part_names))
+
+    def has(self, name: str) -> bool:
+        """Whether the request has a feature."""
+        return name == self.fingerprint or name in self.part_names
 
 
 class CrashObservation:
@@ -167,7 +174,7 @@
 
     def suspects_with(self, name: str) -> list[SuspectRequest]:
         """The suspects that have a feature."""
-        return [s for s in self.suspects.values() if name in s.names]
+        return [s for s in self.suspects.values() if s.has(name)]
 
     def shares_trial_suspect(self, others: "list[RunnerCrash]") -> bool:
         """Whether a suspect on trial here was at another of the crashes.
