Move log lines, blocks of peers and what a blocklist tells into modules of their own

A first form of the move refused all calls after the first crash, as the end of a block that wasn't there was a moment later than now; crash_parts.feature showed it, and the blocks of peers now say how much is left, nothing for none.

--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -19,12 +19,14 @@
 from .. import clock as clocks
 from . import broken_calls
 from . import call_features
+from . import crash_blocks
 from . import crash_causes
 from . import crash_records
 from . import crash_reporting
 from . import crash_trials
 from . import crashes
 from . import past_fragility
+from . import peer_blocks
 from . import quarantine
 from . import recent_answers
 
@@ -47,79 +49,6 @@
         self.noticed = noticed
 
 
-class _PeerBlock:
-    """A block that a peer reported.
-
-    :param heard_at: when this VM heard of it, in monotonic seconds.
-    :param until: its end.
-    """
-
-    __slots__ = ("heard_at", "until")
-
-    def __init__(self, heard_at: float, until: float) -> None:
-        self.heard_at = heard_at
-        self.until = until
-
-
-class ChargedCrash:
-    """A crash that this VM observed, and the calls it suspects of it.
-
-    :param calls: the suspected calls.
-    :param fragile: whether the runner was fragile, so that the calls are
-        hardly suspected.
-    :param known_crashes: the number of crashes that this VM knows.
-    :param repeated: how many of the calls were in flight at a crash before.
-    :param excused: how many of these are suspected of no crash all the same.
-    """
-
-    __slots__ = ("calls", "excused", "fragile", "known_crashes", "repeated")
-
-    def __init__(
-        self,
-        calls: tuple[call_features.CallFeatures, ...],
-        fragile: bool,
-        known_crashes: int,
-        repeated: int,
-        excused: int,
-    ) -> None:
-        self.calls = calls
-        self.fragile = fragile
-        self.known_crashes = known_crashes
-        self.repeated = repeated
-        self.excused = excused
-
-
-class Block:
-    """Why a call is blocked.
-
-    :param name: the feature of the call that explains crashes.
-    :param wait_s: seconds until the call may be retried; 0 if it may run as a
-        trial now.
-    :param crash_age_s: seconds since the last of the crashes; None where only
-        a peer knows of them, or if no trial is allowed.
-    :param evidence: the crashes that are held against it, as far as known.
-    """
-
-    __slots__ = ("crash_age_s", "evidence", "name", "wait_s")
-
-    def __init__(
-        self,
-        name: str,
-        wait_s: float,
-        crash_age_s: float | None,
-        evidence: typing.Sequence[crashes.RunnerCrash],
-    ) -> None:
-        self.name = name
-        self.wait_s = wait_s
-        self.crash_age_s = crash_age_s
-        self.evidence = evidence
-
-    @property
-    def is_trial(self) -> bool:
-        """Whether the call may run all the same, as a trial."""
-        return not self.wait_s
-
-
 class CrashBlocklist:
     """Crashes seen by this VM and its peers, and the calls they block.
 
@@ -163,8 +92,7 @@
         self._broken_calls = broken_calls.BrokenCalls(clock)
         #: Crashes within the last SAME_CRASH_WINDOW_S, by runner.
         self._recent_crashes: dict[str, _RecentCrash] = {}
-        #: The blocks that peers reported, by fingerprint.
-        self._peer_blocks: dict[str, _PeerBlock] = {}
+        self._peer_blocks = peer_blocks.PeerBlocks(clock)
 
     @property
     def active(self) -> bool:
@@ -227,7 +155,7 @@
 
     def runner_crashed(
         self, runner: str, data_centre: str, noticed: bool
-    ) -> ChargedCrash | None:
+    ) -> crash_blocks.ChargedCrash | None:
         """Record that a runner refuses connections or is no longer listed.
 
         It counts as a crash only if one of its calls broke off shortly before.
@@ -283,7 +211,7 @@
         wrong = self._quarantine.log.retract(self._vm, since)
         for name in {name for crash in wrong for name in crash.suspects}:
             if not self._is_suspect(name):
-                self._peer_blocks.pop(name, None)
+                self._peer_blocks.remove(name)
                 self._reporting.add_unblocked(name)
         return len(wrong)
 
@@ -323,7 +251,7 @@
 
     def admit(
         self, features: call_features.CallFeatures, call: object
-    ) -> Block | None:
+    ) -> crash_blocks.Block | None:
         """Let a call run, as a trial if it is blocked, or refuse it.
 
         :param call: the call itself, which is compared by identity.
@@ -356,11 +284,7 @@
         self._quarantine.tick()
         self._trials.tick()
         self._reporting.tick()
-        self._peer_blocks = {
-            name: block
-            for name, block in self._peer_blocks.items()
-            if block.until > now
-        }
+        self._peer_blocks.tick()
         self._recent_crashes = {
             runner: crash
             for runner, crash in self._recent_crashes.items()
@@ -393,25 +317,21 @@
             is_new |= self._quarantine.receive(observation)
         if is_new:
             self._apply_recent_answers()
-        for name, left_s in news.blocked.items():
-            # A known block is not extended: two VMs that report it to each
-            # other would otherwise keep it alive for ever.
-            block = _PeerBlock(now, now + left_s)
-            self._peer_blocks.setdefault(name, block)
+        self._peer_blocks.add(news.blocked)
         for answer in news.answers:
             self._clear(answer.name, answer.age_s)
         for name in news.unblocked:
-            self._peer_blocks.pop(name, None)
+            self._peer_blocks.remove(name)
         if news.retracted_s is not None:
             since = now - news.retracted_s - RETRACTION_MARGIN_S
             self._quarantine.log.retract(vm, since)
 
     def _charge(
         self, calls: list[call_features.CallFeatures], fragile: bool
-    ) -> ChargedCrash:
+    ) -> crash_blocks.ChargedCrash:
         log = self._quarantine.log
         repeated = [c for c in calls if log.crash_count(c.fingerprint) > 1]
-        return ChargedCrash(
+        return crash_blocks.ChargedCrash(
             tuple(calls),
             fragile,
             len(log.crashes),
@@ -421,7 +341,7 @@
 
     def _blocks(
         self, features: call_features.CallFeatures, call: object
-    ) -> list[Block]:
+    ) -> list[crash_blocks.Block]:
         """What blocks a call: as a whole, and by parts of its prompt."""
         blocks = [
             self._cause_block(cause, call)
@@ -433,40 +353,42 @@
 
     def _cause_block(
         self, cause: crash_causes.CrashCause, call: object
-    ) -> Block:
+    ) -> crash_blocks.Block:
         crash_age_s = self._clock.now() - cause.last_crash_at
         if cause.crashed_on_trial:
             left_s = max(0.1, crashes.QUARANTINE_S - crash_age_s)
-            return Block(cause.key, left_s, None, cause.explained)
+            return crash_blocks.Block(cause.key, left_s, None, cause.explained)
         if cause.was_answered:
             self._trials.note_common(cause.key)
         wait_s = self._trials.wait_s(cause.key, call, crash_age_s)
-        return Block(cause.key, wait_s, crash_age_s, cause.explained)
+        return crash_blocks.Block(
+            cause.key, wait_s, crash_age_s, cause.explained
+        )
 
-    def _whole_block(self, fingerprint: str, call: object) -> Block | None:
+    def _whole_block(
+        self, fingerprint: str, call: object
+    ) -> crash_blocks.Block | None:
         left_s = self._block_left_s(fingerprint)
         if left_s is None:
             return None
         crashed = self._quarantine.log.crashes_implicating(fingerprint)
         if len(crashed) != crashes.CRASHES_TO_QUARANTINE:
-            return Block(fingerprint, left_s, None, crashed)
+            return crash_blocks.Block(fingerprint, left_s, None, crashed)
         crash_age_s = self._clock.now() - max(crash.at for crash in crashed)
         wait_s = self._trials.wait_s(fingerprint, call, crash_age_s)
-        return Block(fingerprint, wait_s, crash_age_s, crashed)
+        return crash_blocks.Block(fingerprint, wait_s, crash_age_s, crashed)
 
     def _block_left_s(self, fingerprint: str) -> float | None:
         """Seconds until a call's block ends; None if it isn't blocked."""
-        now = self._clock.now()
-        peer_block = self._peer_blocks.get(fingerprint)
-        until = peer_block.until if peer_block is not None else now
+        left_s = self._peer_blocks.left_s(fingerprint)
         status = self._quarantine.status(fingerprint)
         if status.state is quarantine.FingerprintState.QUARANTINED or (
             # After two crashes the call waits until it is known whether
             # they have another explanation.
             status.retry_after_s
         ):
-            until = max(until, now + status.retry_after_s)
-        return until - now if until > now else None
+            left_s = max(left_s, status.retry_after_s)
+        return left_s or None
 
     def _blocked_for_record(self) -> dict[str, float]:
         """The quarantined calls to list in a record.
@@ -516,12 +438,7 @@
         :param age_s: seconds since the answer.
         """
         self._quarantine.receive(crashes.RequestCompleted(name, age_s))
-        block = self._peer_blocks.get(name)
-        if block is not None:
-            # Peers list a block only after its crashes have settled.
-            crashed_at = block.heard_at - quarantine.CRASH_SETTLE_S
-            if self._clock.now() - age_s > crashed_at:
-                del self._peer_blocks[name]
+        self._peer_blocks.answered(name, age_s)
         if not self._quarantine.log.is_implicated(name):
             self._trials.call_cleared(name)
 
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -9,7 +9,6 @@
 import typing
 
 from .. import clock as clocks
-from .. import logs
 from ..runners import call_features
 from ..runners import crash_blocklist
 from ..runners import crash_causes
@@ -20,6 +19,7 @@
 from . import client_channel
 from . import configuration_model
 from . import connection_pool as pools
+from . import crash_logs
 from . import messages
 from . import runners
 
@@ -29,8 +29,6 @@
 CHECK_INTERVAL_S = 0.5
 #: Timeout of a connection check, in seconds: slightly more than a round trip.
 CHECK_TIMEOUT_S = 0.1
-#: The greatest number of calls, and of prompt parts, that a log line names.
-MAX_LOGGED = 8
 #: An answer that ended with its connection clears its call if its runner lives
 #: on for so long, in seconds.
 LIVED_ON_S = 1.0
@@ -152,7 +150,7 @@
             runner.runner_id, runner.data_centre, runner.leaving
         )
         if charged is not None:
-            _log_crash(runner, charged)
+            crash_logs.log_crash(runner, charged)
 
     def connection_broken(
         self,
@@ -263,7 +261,7 @@
         if block is None:
             return None
         self._decisions["trial" if block.is_trial else "blocked"] += 1
-        _log_block(call, block, self._clock.now())
+        crash_logs.log_block(call, block, self._clock.now())
         return None if block.is_trial else block.wait_s
 
     def retry_after_s(
@@ -286,9 +284,9 @@
         before = self._causes
         self._causes = {cause.key: cause for cause in self._blocklist.causes}
         for key in self._causes.keys() - before.keys():
-            _log_cause("crash_cause_found", self._causes[key])
+            crash_logs.log_cause("crash_cause_found", self._causes[key])
         for key in before.keys() - self._causes.keys():
-            _log_cause("crash_cause_cleared", before[key])
+            crash_logs.log_cause("crash_cause_cleared", before[key])
 
     def _confirm_answers(self) -> None:
         """Clear the calls whose runners have lived on after their answers."""
@@ -329,64 +327,6 @@
             self._blocklist.merge_record(vm, told)
 
 
-def _log_block(
-    call: messages.CallerCall, block: crash_blocklist.Block, now: float
-) -> None:
-    evidence = block.evidence
-    logs.event(
-        "request_on_trial" if block.is_trial else "request_blocked",
-        request=call.request_id,
-        feature=block.name,
-        wait_s=block.wait_s,
-        crashes=len(evidence),
-        crash_age_s=min((now - c.at for c in evidence), default=None),
-        runners=",".join(c.runner for c in evidence[-MAX_LOGGED:]) or None,
-        seen_by=",".join(
-            sorted({vm for c in evidence for vm in c.reporters})[:MAX_LOGGED]
-        )
-        or None,
-    )
-
-
-def _log_cause(event: str, cause: crash_causes.CrashCause) -> None:
-    logs.event(
-        event,
-        feature=cause.key,
-        features=",".join(sorted(cause.names)),
-        crashes=len(cause.explained),
-        was_answered=cause.was_answered,
-        runners=",".join(c.runner for c in cause.explained[-MAX_LOGGED:]),
-        seen_by=",".join(
-            sorted({vm for c in cause.explained for vm in c.reporters})[
-                :MAX_LOGGED
-            ]
-        ),
-    )
-
-
-def _log_crash(
-    runner: runners.Runner, crash: crash_blocklist.ChargedCrash
-) -> None:
-    parts = collections.Counter(
-        part for call in crash.calls for part in call.parts
-    )
-    logs.event(
-        "runner_fell" if crash.fragile else "runner_crashed",
-        runner=runner.runner_id,
-        data_centre=runner.data_centre,
-        leaving=runner.leaving,
-        charged=len(crash.calls),
-        calls=",".join(c.request_id for c in crash.calls[:MAX_LOGGED]),
-        parts=",".join(
-            f"{part}:{count}" for part, count in parts.most_common(MAX_LOGGED)
-        )
-        or None,
-        crashes=crash.known_crashes,
-        repeated=crash.repeated,
-        excused=crash.excused,
-    )
-
-
 def features(
     call: messages.CallerCall, customer: configuration_model.Customer | None
 ) -> call_features.CallFeatures:
--- a/tests/steps/serving_crash_watch.py
+++ b/tests/steps/serving_crash_watch.py
@@ -10,6 +10,7 @@
 from apricotlever import clock as clocks
 from apricotlever.serving import client_channel
 from apricotlever.serving import connection_pool as pools
+from apricotlever.serving import crash_logs
 from apricotlever.serving import crash_watch
 from apricotlever.serving import messages
 from apricotlever.serving import runners
@@ -90,7 +91,7 @@
 def _connection_fails(context, fails):
     upstreams = context.world.upstreams
     (runner,) = context.world.directory.runners
-    with mock.patch.object(crash_watch.logs, "event") as event:
+    with mock.patch.object(crash_logs.logs, "event") as event:
         upstreams.connect_failed(runner, refused=fails == "is refused")
     context.charged = sum(
         call.kwargs["charged"]
