--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,7 +27,8 @@
 #: Tries of a caller to take a stream up again, and the pauses before them.
 RESUME_PAUSES_S = (0.1, 0.5, 1.0)
 #: A text that ends in one half of a UTF-16 pair, as when a writer cuts it in
-#: the middle of a character. In JSON it is an escape, "v1\ud83d".
+#: the middle of a character. The store sends it as the bytes ED A0 BD, which
+#: are not valid UTF-8.
 UNREADABLE_VERSION = "v1\ud83d"
 
 
--- a/review/standins/web.py
+++ b/review/standins/web.py
@@ -62,8 +62,13 @@
 
 
 def encode_json(status: int, document: typing.Any) -> bytes:
-    """A whole response with a JSON body."""
-    body = json.dumps(document).encode()
+    """A whole response with a JSON body.
+
+    A text that is no valid one, as another program may have written it, is
+    sent as the bytes that it was stored as.
+    """
+    text = json.dumps(document, ensure_ascii=False)
+    body = text.encode("utf-8", "surrogatepass")
     headers = {
         "Content-Type": "application/json",
         "Content-Length": str(len(body)),
