End the review's processes when a case is stopped early

Cause: a case that gets SIGTERM left its VMs running.

The stand-ins are formatted like the project's code.

--- a/review/standins/caller.py
+++ b/review/standins/caller.py
@@ -69,7 +69,9 @@
         ]
         if method == "POST":
             lines.append("Content-Length: 2")
-        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        lines += [
+            f"{name}: {value}" for name, value in (headers or {}).items()
+        ]
         data = "\r\n".join([*lines, "", ""]).encode()
         if method == "POST":
             data += b"{}"
@@ -96,9 +98,7 @@
 
 
 async def _read(reader: asyncio.StreamReader, answer: Answer) -> None:
-    first, answer.headers = web.parse_head(
-        await reader.readuntil(b"\r\n\r\n")
-    )
+    first, answer.headers = web.parse_head(await reader.readuntil(b"\r\n\r\n"))
     answer.status = int(first.split()[1])
     if answer.headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readuntil(b"\r\n"), 16):
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import tempfile
 import time
 import typing
@@ -23,7 +24,11 @@
 
 
 def route(
-    prefix: str, kind: str, attempts: int, timeout_ms: int, resume: bool = False
+    prefix: str,
+    kind: str,
+    attempts: int,
+    timeout_ms: int,
+    resume: bool = False,
 ) -> dict[str, typing.Any]:
     """A route of the configuration."""
     return {
@@ -171,9 +176,7 @@
 
 
 #: Plays a case; returns whether the rule held, and a line that says why.
-Play = typing.Callable[
-    [Deployment, bool], typing.Awaitable[tuple[bool, str]]
-]
+Play = typing.Callable[[Deployment, bool], typing.Awaitable[tuple[bool, str]]]
 
 
 def main(folder: pathlib.Path, play: Play) -> int:
@@ -188,10 +191,16 @@
 async def _main(folder: pathlib.Path, play: Play, trouble: bool) -> int:
     deployment = Deployment(folder)
     started_at = time.monotonic()
+    playing = asyncio.current_task()
+    assert playing is not None
+    # A case that is stopped early ends its processes, too.
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, playing.cancel
+    )
     try:
         async with asyncio.timeout(100.0):
             held, text = await play(deployment, trouble)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, asyncio.CancelledError) as error:
         deployment.log.write(f"the case could not run: {error!r}")
         print(f"not run: {error!r}")
         return NOT_RUN
