--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -16,6 +16,7 @@
 from apricotlever.serving import runners
 from apricotlever.serving import upstreams
 from standins import plain_dialect
+from tests.serving import memory_store
 from tests.serving import runner_standin
 
 HOST = "shop.example"
@@ -55,6 +56,20 @@
     lacks_new_connections = False
 
 
+class LoopTasks:
+    """Starts tasks on a loop, also between two of its runs."""
+
+    def __init__(self):
+        self._loop = asyncio.get_running_loop()
+        self._tasks = set()
+
+    def spawn(self, work):
+        """Start a task."""
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
 class RequestPath:
     """The request path, its runner stand-ins and a caller."""
 
@@ -67,8 +82,10 @@
         reach=None,
         min_retries=20.0,
         data_centre="dc",
+        store=None,
     ):
         self.name = name
+        self._store = store or memory_store.MemoryStore()
         self.clock = clocks.ManualClock()
         self.directory = directories.RunnerDirectory(self.clock)
         self.directory.confirm()
@@ -116,6 +133,13 @@
         """Start the server for callers."""
         self.port = await self.server.listen("127.0.0.1", 0)
         self.sweeper = asyncio.ensure_future(self.server.sweep_forever())
+        self.upstreams.origins.enable_records(
+            random.Random(7),
+            self._store,
+            LoopTasks(),
+            self.upstreams.refresh,
+            lambda: True,
+        )
 
     async def add_runner(self, behaviour_names, version=""):
         """Start a runner stand-in.
--- a/tests/serving/version_fleet.py
+++ b/tests/serving/version_fleet.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import itertools
-import random
 
 from apricotlever import clock as clocks
 from apricotlever import log_rate_limiter
 from apricotlever.serving import configuration_model
 from apricotlever.serving import limit_protocol
 from apricotlever.serving import stream_origins
-from apricotlever.serving import task_supervisor
 from tests.serving import memory_store
 from tests.serving import request_path
 
@@ -68,7 +66,6 @@
         self._retired = []
         #: What outlives all VMs.
         self.store = memory_store.MemoryStore()
-        self._tasks = task_supervisor.TaskSupervisor()
         self.vms = [self._new_vm() for _ in range(count)]
         #: Sockets for messages about streams, by VM.
         self.sockets = {}
@@ -77,7 +74,10 @@
         number = number or next(self._names)
         data_centre = f"dc-{number % DATA_CENTRES}"
         vm = request_path.RequestPath(
-            f"vm-{number}", min_retries=MIN_RETRIES, data_centre=data_centre
+            f"vm-{number}",
+            min_retries=MIN_RETRIES,
+            data_centre=data_centre,
+            store=self.store,
         )
         self.data_centres[vm.name] = data_centre
         return vm
@@ -91,13 +91,6 @@
 
     async def _start_vm(self, vm, max_attempts):
         await vm.start()
-        vm.upstreams.origins.enable_records(
-            random.Random(7),
-            self.store,
-            self._tasks,
-            vm.upstreams.refresh,
-            lambda: True,
-        )
         vm.configure(
             configuration_model.CallKind.STREAM,
             resumable=True,
