Count an event of a stream as passed on once it was written

Hypotheses: (1) the splitter counts the good events of a piece before it finds the bad one, and drops them; (2) the body callback's failure loses what was buffered behind it; (3) the next runner skips events by itself. The gap is always the good events of the bad one's own piece, also with one piece per event group read by the task, so (1); in the scenarios below the next runner's first event is the one after those dropped.

Cause: a place in the stream ran ahead of the bytes. Change: the splitter writes the events itself (pass_on) and moves its place only after the write; the good events before a bad one are written, then the bad one is raised. No call can advance the place without a write any more.

An event has an upper limit of 1 MiB, is searched for its end in linear work, and an id has at most 19 digits: Python refuses to read longer ones with an error that ended the call.

Not covered: a runner that leaves out the last event, or the first one of a stream, and is well-formed otherwise; nothing tells a VM how many there are.

--- a/src/apricotlever/serving/event_splitter.py
+++ b/src/apricotlever/serving/event_splitter.py
@@ -4,32 +4,65 @@
 fails, another runner may resume the stream after the last event sent on.
 """
 
+import typing
 
-class EventOrderError(Exception):
-    """An event of a stream is missing, is repeated or has no id."""
+#: Upper limit of an event in bytes. A runner that has gone wrong may send
+#: bytes without an end.
+MAX_EVENT_BYTES = 1048576
+#: Upper limit of the digits of an event's id: those of a 64-bit number.
+MAX_ID_DIGITS = 19
+_EVENT_END = b"\n\n"
+
+#: Takes the bytes of complete events and their number; returns False when the
+#: receiver has enough for now.
+Write = typing.Callable[[bytes, int], bool]
+
+
+class BadEvent(Exception):
+    """An event of a stream is missing, repeated, too long or has no id."""
+
+
+class Passed:
+    """What became of a piece of a stream.
+
+    :param count: the number of events that were written.
+    :param taken: False when the receiver has enough for now.
+    """
+
+    __slots__ = ("count", "taken")
+
+    def __init__(self, count: int, taken: bool) -> None:
+        self.count = count
+        self.taken = taken
 
 
 class EventSplitter:
-    """Splits a byte stream into complete events whose ids increase by one.
+    """Passes on the complete events of a byte stream with ids in order.
 
-    Only complete events are forwarded, because a runner may fail in the
+    Only complete events are passed on, because a runner may fail in the
     middle of an event, and a stream is resumed at another runner after a
     complete one. Without the check of the ids, a stream joined from two
     runners could omit or repeat an event unnoticed.
 
+    The splitter itself writes the events: an event counts as passed on only
+    once it was written, so a stream is never resumed after an event that its
+    caller hasn't got.
+
     :param last_id: id of the event after which the caller resumes a stream;
         None for a stream from its start.
     """
 
-    __slots__ = ("_buffer", "_last_id")
+    __slots__ = ("_buffer", "_last_id", "_searched")
 
     def __init__(self, last_id: int | None = None) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        #: How many bytes of the buffer were searched for an event's end.
+        self._searched = 0
         self._last_id = last_id
 
     @property
     def last_id(self) -> int | None:
-        """The id of the last complete event; None before the first one.
+        """The id of the last event that was written; None before the first.
 
         A stream that the caller resumes begins with the id that it gave.
         """
@@ -45,38 +78,73 @@
 
         That runner sends the event again as a whole.
         """
-        self._buffer = b""
+        self._buffer.clear()
+        self._searched = 0
+
+    def pass_on(self, data: bytes, write: Write) -> Passed:
+        """Add received bytes, and write the events that are now complete.
 
-    def feed(self, data: bytes) -> tuple[bytes, int]:
-        """Add received bytes; those of an incomplete event are kept.
+        The events before a bad one are written, too.
 
-        :returns: the bytes of the events that are now complete, and the
-            number of these events.
-        :raises EventOrderError: when an id is missing or out of order.
+        :raises BadEvent: when an event is too long, or its id is missing or
+            out of order. Nothing after it is written.
+        """
+        whole = self._take_whole(data)
+        end, count, last_id, error = self._check(whole)
+        taken = True
+        if count:
+            taken = write(whole[:end], count)
+            self._last_id = last_id
+        if error is None and len(self._buffer) > MAX_EVENT_BYTES:
+            error = BadEvent("an event is too long")
+        if error is not None:
+            self.discard_partial()
+            raise error
+        return Passed(count, taken)
+
+    def _take_whole(self, data: bytes) -> bytes:
+        """Take the complete events; the rest stays in the buffer."""
+        buffer = self._buffer
+        buffer += data
+        # The first byte of an event's end may have come before.
+        start = max(0, self._searched - 1)
+        end = buffer.rfind(_EVENT_END, start)
+        whole = b""
+        if end >= 0:
+            end += len(_EVENT_END)
+            whole = bytes(buffer[:end])
+            del buffer[:end]
+        self._searched = len(buffer)
+        return whole
+
+    def _check(
+        self, whole: bytes
+    ) -> tuple[int, int, int | None, BadEvent | None]:
+        """Find the events that may be written.
+
+        :returns: the end of their bytes, their number, the id of the last
+            one, and what is wrong with the next one.
         """
-        buffer = self._buffer + data
-        end = buffer.rfind(b"\n\n")
-        if end < 0:
-            self._buffer = buffer
-            return b"", 0
-        whole, self._buffer = buffer[: end + 2], buffer[end + 2 :]
-        events = whole[:-2].split(b"\n\n")
-        for event in events:
-            self._check(event)
-        return whole, len(events)
-
-    def _check(self, event: bytes) -> None:
-        number = _event_id(event)
-        if number is None:
-            raise EventOrderError("an event has no id")
-        if self._last_id is not None and number != self._last_id + 1:
-            raise EventOrderError(f"event {number} after {self._last_id}")
-        self._last_id = number
+        end = count = 0
+        last_id = self._last_id
+        for event in whole.split(_EVENT_END)[:-1]:
+            number = _event_id(event)
+            if number is None:
+                return end, count, last_id, BadEvent("an event has no id")
+            if last_id is not None and number != last_id + 1:
+                error = BadEvent(f"event {number} after {last_id}")
+                return end, count, last_id, error
+            end += len(event) + len(_EVENT_END)
+            count += 1
+            last_id = number
+        return end, count, last_id, None
 
 
 def _event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             digits = line[3:].strip()
-            return int(digits) if digits.isdigit() else None
+            if digits.isdigit() and len(digits) <= MAX_ID_DIGITS:
+                return int(digits)
+            return None
     return None
--- a/src/apricotlever/serving/forwarding_attempt.py
+++ b/src/apricotlever/serving/forwarding_attempt.py
@@ -169,7 +169,7 @@
                 attempt_outcome.AttemptStatus.BROKEN,
                 reason=f"{OWN_REASON}broken:{error}",
             )
-        except event_splitter.EventOrderError as error:
+        except event_splitter.BadEvent as error:
             outcome = attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.BROKEN,
                 reason=f"disorder:{error}",
--- a/src/apricotlever/serving/response_reader.py
+++ b/src/apricotlever/serving/response_reader.py
@@ -136,7 +136,7 @@
         :param first_response_timeout_s: how long the response may take to
             begin, in seconds; None for no limit.
         :raises client_channel.Broken: when the response can't be complete.
-        :raises event_splitter.EventOrderError: when an event is missing.
+        :raises event_splitter.BadEvent: when an event is bad.
         :raises reply_writer.CallerGone: when the caller has disconnected.
         """
         try:
@@ -263,7 +263,7 @@
         try:
             return self._forward(head, data)
         except (
-            event_splitter.EventOrderError,
+            event_splitter.BadEvent,
             reply_writer.CallerGone,
         ) as error:
             # This method runs as a callback of the connection, so the error
@@ -274,10 +274,18 @@
     def _forward(self, head: messages.RunnerResponseHead, data: bytes) -> bool:
         assert self._sink is not None
         self._observer.bytes_received()
-        events, count = self._sink.splitter.feed(data)
+        passed = self._sink.splitter.pass_on(
+            data, functools.partial(self._write_events, head)
+        )
+        self.caller_is_slow |= not passed.taken
+        return passed.taken
+
+    def _write_events(
+        self, head: messages.RunnerResponseHead, data: bytes, count: int
+    ) -> bool:
+        assert self._sink is not None
+        taken = self._sink.write_events(head, data, count)
         self.event_count += count
-        taken = not count or self._sink.write_events(head, events, count)
-        self.caller_is_slow |= not taken
         return taken
 
     async def _read_body(self) -> bytes:
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -149,7 +149,7 @@
                 reason=f"broken:{error}",
                 reset=error.reset,
             )
-        except event_splitter.EventOrderError as error:
+        except event_splitter.BadEvent as error:
             result = models.Outcome.FAILED
             outcome = attempt_outcome.AttemptOutcome(
                 attempt_outcome.AttemptStatus.BROKEN,
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -273,6 +273,36 @@
     reset(writer)
 
 
+#: What a faulty runner may make of the events 3 to 6 of a piece.
+BAD_PIECES = {
+    "a missing event": lambda events: [events[0], events[1], events[3]],
+    "a doubled event": lambda events: [*events[:2], events[1], *events[2:]],
+    "swapped events": lambda events: [events[0], events[2], events[1]],
+    "a spoiled event": lambda events: [*events[:2], b"\xa5\n\n", events[3]],
+    "a huge id": lambda events: [events[0], b"id: %b\n\n" % (b"9" * 5000)],
+    "no good event": lambda events: [b"\xa5\n\n", *events[1:]],
+}
+
+
+def _streams_bad_piece(spoil):
+    async def behave(runner, writer, call):
+        if "after" in call:
+            await _streams(runner, writer, call)
+            return
+        writer.write(response_head(200, call, "Transfer-Encoding: chunked"))
+        writer.write(_encode_chunk(_encode_event(1) + _encode_event(2)))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        events = spoil([_encode_event(number) for number in range(3, 7)])
+        writer.write(_encode_chunk(b"".join(events)) + b"0\r\n\r\n")
+
+    return behave
+
+
+for _name, _spoil in BAD_PIECES.items():
+    behaviour(f"streams a piece with {_name}")(_streams_bad_piece(_spoil))
+
+
 def _encode_event_of_version(runner, number):
     return b"id: %d\ndata: %b\n\n" % (number, runner.version.encode())
 
--- a/tests/serving/streams.feature
+++ b/tests/serving/streams.feature
@@ -118,6 +118,31 @@
     When a call is made
     Then the stream has events 1 to 5 and is not complete
 
+  # Guards against a gap in a stream that ends as complete: the good events
+  # before a bad one of the same piece counted as passed on, and were dropped.
+  Scenario Outline: A stream goes on after the good events before a bad one
+    Given a route for resumable streams
+    And a runner that streams a piece with <fault>
+    And a runner that streams a piece with <fault>
+    When a call is made
+    Then the stream has events 1 to 6 and is complete
+    And runners ran 2 calls
+
+    Examples:
+      | fault           |
+      | a missing event |
+      | a doubled event |
+      | swapped events  |
+      | a spoiled event |
+      | a huge id       |
+      | no good event   |
+
+  Scenario: The good events before a bad one reach a caller that can't go on
+    Given a route for streams
+    And a runner that streams a piece with a spoiled event
+    When a call is made
+    Then the stream has events 1 to 4 and is not complete
+
   # Guards against memory that grows with each slow caller, and against lost
   # events, because events are forwarded faster than the caller reads. Here
   # 18 MB of events arrive at once and the caller reads nothing for 0.3 s.
