Pass on the tokens before a bad one on the daemon's path, too

They were in the transcript, and the request went on after them, but the reader raised before it returned them.

Change: what is wrong behind accepted tokens is kept, and raised once these were passed on. The cutting into events is one class for both paths now (streams/event_buffer.py), which bounds an event and the digits of an id and searches each byte once; the daemon's partial event had no bound, and its work grew with the square of the event's length.

--- a/src/apricotlever/daemon/answer_reader.py
+++ b/src/apricotlever/daemon/answer_reader.py
@@ -17,6 +17,7 @@
 from ..requests import recovery
 from ..requests import stream_cursor
 from ..runners import model as runners
+from ..streams import event_buffer
 
 from . import context as contexts
 from . import dispatcher_messages
@@ -84,7 +85,9 @@
         self._token_times = token_times.TokenTimes(context, request)
         self._expected_prefix = b"id: %d\n" % request.resume_from
         self._exchange: upstream_exchange.Exchange | None = None
-        self._partial_event = b""
+        self._partial_event = event_buffer.EventBuffer()
+        #: What is wrong behind the tokens that were accepted last.
+        self._failure: upstream_exchange.ConnectionBroken | None = None
         self._complete = False
         self._sink: Sink = _discard
         self._linger_until = float("inf")
@@ -158,7 +161,8 @@
 
         :returns: the new events; they may be empty if the answer is complete.
         """
-        self._partial_event = b""
+        self._partial_event.clear()
+        self._failure = None
         exchange = self._attempts.open(self._decision, self._tried)
         self._cursor.start_attempt(self._request.attempt)
         self._exchange = exchange
@@ -179,6 +183,14 @@
         if exchange is None:
             self._sink(self._open_attempt())
             return
+        try:
+            self._check_failure()
+            self._read_on(exchange)
+        except upstream_exchange.UpstreamError:
+            exchange.abandon()
+            raise
+
+    def _read_on(self, exchange: upstream_exchange.Exchange) -> None:
         sock = exchange.raw_socket
         if sock is None:
             self._read_http_framed(exchange)
@@ -186,18 +198,13 @@
         reading = self._context.streams.read(
             sock, exchange.address, self._silence_timeout_s(), self._on_data
         )
-        try:
-            reading.result()
-        except upstream_exchange.UpstreamError:
-            exchange.abandon()
-            raise
+        reading.result()
 
     def _read_http_framed(self, exchange: upstream_exchange.Exchange) -> None:
         """Read an answer through http.client, which decodes its framing."""
         while not self._complete:
             chunk = exchange.read_chunk()
             if not chunk:
-                exchange.abandon()
                 raise upstream_exchange.ConnectionBroken(
                     "the stream ended early", sent=True
                 )
@@ -207,6 +214,7 @@
         fresh = self._accept_data(data)
         if fresh:
             self._sink(fresh)
+        self._check_failure()
         linger_over = self._token_times.last_at > self._linger_until
         if linger_over and not self._request.transcript.followed:
             self._request.cancel()
@@ -215,6 +223,9 @@
     def _accept_data(self, data: bytes) -> bytes:
         """Accept events, each token once and in order.
 
+        Those before a bad one count, so they must be passed on: the request
+        goes on after them. What is wrong is raised after that.
+
         :param data: bytes as read; may end in the middle of an event.
         :returns: the accepted events, to be passed on.
         :raises ConnectionBroken: when a token is missing or not numbered, or
@@ -228,13 +239,21 @@
                 self._accept_next(data)
                 self._token_times.record()
                 return data
-        *events, self._partial_event = (self._partial_event + data).split(
-            openai_format.EVENT_END
-        )
+        whole = self._partial_event.take(data)
         first_index = self._cursor.next_index
-        for event in events:
-            self._accept_event(event)
+        try:
+            for event in whole.split(openai_format.EVENT_END)[:-1]:
+                self._accept_event(event)
+            self._partial_event.check_length()
+        except upstream_exchange.ConnectionBroken as error:
+            self._failure = error
+        except event_buffer.EventTooLong as error:
+            self._failure = upstream_exchange.ConnectionBroken(
+                str(error), sent=True
+            )
         accepted = self._request.transcript.events(first_index)
+        if not accepted:
+            self._check_failure()
         if accepted:
             self._token_times.record()
         if self._complete and not self._request.resume_from:
@@ -244,16 +263,25 @@
             )
         return b"".join(accepted)
 
+    def _check_failure(self) -> None:
+        """Raise what is wrong behind the accepted tokens, once.
+
+        :raises ConnectionBroken: when a token is missing or not numbered.
+        """
+        failure, self._failure = self._failure, None
+        if failure is not None:
+            raise failure
+
     def _accept_event(self, event: bytes) -> None:
         if not event.startswith(_ID_PREFIX):
             self._complete |= event.startswith(_DONE_DATA)
             return
         digits = event[len(_ID_PREFIX) :].partition(b"\n")[0]
-        if not digits.isdigit():
+        index = event_buffer.parse_id(digits)
+        if index is None:
             raise upstream_exchange.ConnectionBroken(
                 "an event has no number", sent=True
             )
-        index = int(digits)
         verdict = self._cursor.offer(self._request.attempt, index)
         if verdict == stream_cursor.GAP:
             raise upstream_exchange.ConnectionBroken(
--- a/src/apricotlever/serving/event_splitter.py
+++ b/src/apricotlever/serving/event_splitter.py
@@ -6,12 +6,7 @@
 
 import typing
 
-#: Upper limit of an event in bytes. A runner that has gone wrong may send
-#: bytes without an end.
-MAX_EVENT_BYTES = 1048576
-#: Upper limit of the digits of an event's id: those of a 64-bit number.
-MAX_ID_DIGITS = 19
-_EVENT_END = b"\n\n"
+from ..streams import event_buffer
 
 #: Takes the bytes of complete events and their number; returns False when the
 #: receiver has enough for now.
@@ -52,12 +47,10 @@
         None for a stream from its start.
     """
 
-    __slots__ = ("_buffer", "_last_id", "_searched")
+    __slots__ = ("_buffer", "_last_id")
 
     def __init__(self, last_id: int | None = None) -> None:
-        self._buffer = bytearray()
-        #: How many bytes of the buffer were searched for an event's end.
-        self._searched = 0
+        self._buffer = event_buffer.EventBuffer()
         self._last_id = last_id
 
     @property
@@ -79,7 +72,6 @@
         That runner sends the event again as a whole.
         """
         self._buffer.clear()
-        self._searched = 0
 
     def pass_on(self, data: bytes, write: Write) -> Passed:
         """Add received bytes, and write the events that are now complete.
@@ -89,34 +81,22 @@
         :raises BadEvent: when an event is too long, or its id is missing or
             out of order. Nothing after it is written.
         """
-        whole = self._take_whole(data)
+        whole = self._buffer.take(data)
         end, count, last_id, error = self._check(whole)
         taken = True
         if count:
             taken = write(whole[:end], count)
             self._last_id = last_id
-        if error is None and len(self._buffer) > MAX_EVENT_BYTES:
-            error = BadEvent("an event is too long")
         if error is not None:
             self.discard_partial()
             raise error
+        try:
+            self._buffer.check_length()
+        except event_buffer.EventTooLong as too_long:
+            self.discard_partial()
+            raise BadEvent(str(too_long)) from too_long
         return Passed(count, taken)
 
-    def _take_whole(self, data: bytes) -> bytes:
-        """Take the complete events; the rest stays in the buffer."""
-        buffer = self._buffer
-        buffer += data
-        # The first byte of an event's end may have come before.
-        start = max(0, self._searched - 1)
-        end = buffer.rfind(_EVENT_END, start)
-        whole = b""
-        if end >= 0:
-            end += len(_EVENT_END)
-            whole = bytes(buffer[:end])
-            del buffer[:end]
-        self._searched = len(buffer)
-        return whole
-
     def _check(
         self, whole: bytes
     ) -> tuple[int, int, int | None, BadEvent | None]:
@@ -127,14 +107,14 @@
         """
         end = count = 0
         last_id = self._last_id
-        for event in whole.split(_EVENT_END)[:-1]:
+        for event in whole.split(event_buffer.EVENT_END)[:-1]:
             number = _event_id(event)
             if number is None:
                 return end, count, last_id, BadEvent("an event has no id")
             if last_id is not None and number != last_id + 1:
                 error = BadEvent(f"event {number} after {last_id}")
                 return end, count, last_id, error
-            end += len(event) + len(_EVENT_END)
+            end += len(event) + len(event_buffer.EVENT_END)
             count += 1
             last_id = number
         return end, count, last_id, None
@@ -143,8 +123,5 @@
 def _event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            digits = line[3:].strip()
-            if digits.isdigit() and len(digits) <= MAX_ID_DIGITS:
-                return int(digits)
-            return None
+            return event_buffer.parse_id(line[3:].strip())
     return None
--- a/tests/daemon/resumed_answers.feature
+++ b/tests/daemon/resumed_answers.feature
@@ -25,6 +25,21 @@
       | half of the next token   |
       | an event without a number |
 
+  # Guards against tokens that count as passed on and were dropped, as a bad one
+  # came in the same piece.
+  Scenario Outline: The tokens before a bad one of the same piece are passed on
+    Given a runner that sends 3 tokens, then <what>, in one piece
+    And a runner that resumes the answer with the rest
+    When the answer is read
+    Then the caller gets the tokens 0 to 5 and the answer is done
+
+    Examples:
+      | what                       |
+      | a missing token            |
+      | a token without a number   |
+      | a token with a huge number |
+      | bytes without end          |
+
   # Guards against an answer that looks complete though its end is missing.
   Scenario Outline: An answer that nobody can go on with isn't done
     Given a runner that breaks off after 3 tokens of 6
--- a/tests/steps/daemon_resumed_answers.py
+++ b/tests/steps/daemon_resumed_answers.py
@@ -155,6 +155,21 @@
     _add_runner(context, _resumption(answer))
 
 
+#: What a runner sends in one piece from token 0 on, by name.
+BAD_PIECES = {
+    "a missing token": _events(0, 2) + _event(4),
+    "a token without a number": _events(0, 2) + b"id: x\ndata: {}\n\n",
+    "a token with a huge number": _events(0, 2)
+    + b"id: %b\ndata: {}\n\n" % (b"9" * 5000),
+    "bytes without end": _events(0, 2) + b"id: 3\ndata: " + b"x" * 4000000,
+}
+
+
+@given("a runner that sends 3 tokens, then {what}, in one piece")
+def _sends_bad_piece(context, what):
+    _add_runner(context, _HEAD + b"\r\n" + BAD_PIECES[what])
+
+
 @given("a runner that answers the request with status {status:d}")
 def _answers_status(context, status):
     _add_runner(context, _resumption(f"status {status}"))
--- a/tests/steps/serving_event_splitter.py
+++ b/tests/steps/serving_event_splitter.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from apricotlever.serving import event_splitter
+from apricotlever.streams import event_buffer
 
 MAX_EVENTS = 8
 EXAMPLES = 1500
@@ -141,7 +142,7 @@
     context.sent = 0
     piece = b"id: 1\ndata: " + b"x" * size
     try:
-        while context.sent < 50 * event_splitter.MAX_EVENT_BYTES:
+        while context.sent < 50 * event_buffer.MAX_EVENT_BYTES:
             context.sent += len(piece)
             context.splitter.pass_on(piece, lambda data, count: True)
             piece = b"x" * size
