Decode what other programs have written strictly, once, at the edge

Hypotheses: (1) the checksum of the directory can't be encoded, so no status record is sent or taken; (2) the entry is used as a runner and streams are sent there; (3) the records of streams are lost with the datagrams.

Cause: the edge let in what the inside can't write. json.loads accepts half pairs as escapes and, from bytes, as such; one deep nesting made a whole list unreadable; names could hold line ends, which break a request's head in two.

Names hold no control characters and at most 512 characters. An object whose name nothing of this fleet can have is ignored, without reading the list for it again; a configuration with such a text is refused whole. A page that doesn't tell where the next one begins fails the list: its end was taken for removed runners. What peers send is checked by the same rule, and an unpacked configuration has a bound.

--- a/src/apricotlever/serving/peer_http.py
+++ b/src/apricotlever/serving/peer_http.py
@@ -28,6 +28,9 @@
 CONFIGURATION_FETCH_TIMEOUT_S = 2.0
 #: The fastest zlib level; the default level saves little more.
 COMPRESSION_LEVEL = 1
+#: Upper limit of a configuration document in bytes, many times that of an
+#: object in the store. A few bytes may unpack to any length.
+MAX_CONFIGURATION_BYTES = 16777216
 #: The path names the format, so that a peer without support for compression
 #: answers 404.
 CONFIGURATION_PATH = "/configuration.msgpack.z"
@@ -125,15 +128,24 @@
         return answer.body if answer.status == 200 else None
 
 
+def pack_configuration(spec: store.Json) -> bytes:
+    """Encode a configuration document for peers."""
+    return zlib.compress(msgpack.packb(spec), COMPRESSION_LEVEL)
+
+
 def unpack_configuration(body: bytes) -> store.Json:
     """Decode a configuration document that a peer sent.
 
-    :raises ValueError: if the data is malformed.
+    :raises ValueError: if the data is malformed or too large.
     """
+    decompressing = zlib.decompressobj()
     try:
-        return _decode(zlib.decompress(body))
+        packed = decompressing.decompress(body, MAX_CONFIGURATION_BYTES)
     except zlib.error as error:
         raise ValueError(str(error)) from error
+    if not decompressing.eof:
+        raise ValueError("the configuration is cut off or too large")
+    return _decode(packed)
 
 
 def unpack_runners(
@@ -244,6 +256,6 @@
             return b""
         version, packed = self._packed
         if version != self._source.version:
-            packed = zlib.compress(msgpack.packb(spec), COMPRESSION_LEVEL)
+            packed = pack_configuration(spec)
             self._packed = (self._source.version, packed)
         return packed
--- a/src/apricotlever/serving/runners.py
+++ b/src/apricotlever/serving/runners.py
@@ -175,14 +175,19 @@
         )
 
 
+def _is_name_or_empty(value: typing.Any) -> bool:
+    """Whether a value is a name, or "" as a placeholder has."""
+    return value == "" or validation.is_name(value)
+
+
 #: The fields of :meth:`Runner.to_record` in order, each with the check of a
 #: value that a peer sent.
 _FIELDS: tuple[tuple[str, validation.Predicate], ...] = (
-    ("name", validation.is_non_empty_string),
-    ("service", validation.is_string),
-    ("host", validation.is_string),
+    ("name", validation.is_name),
+    ("service", _is_name_or_empty),
+    ("host", _is_name_or_empty),
     ("port", validation.is_non_negative_int),
-    ("data_centre", validation.is_string),
+    ("data_centre", _is_name_or_empty),
     ("concurrency", validation.is_non_negative_int),
     ("leaving", validation.is_bool),
     ("leaves_s", validation.is_none_or(validation.is_non_negative_number)),
@@ -191,7 +196,7 @@
     ("born", validation.is_non_negative_int),
     ("sequence", validation.is_non_negative_int),
     ("withdrawn", validation.is_bool),
-    ("version", validation.is_string),
+    ("version", _is_name_or_empty),
 )
 
 #: What was read from a runner's entry in the store.
--- a/src/apricotlever/serving/store.py
+++ b/src/apricotlever/serving/store.py
@@ -21,6 +21,8 @@
 WATCH_TIMEOUT_MARGIN_S = 0.7
 #: Default time that a watch call waits for changes, in seconds.
 WATCH_WAIT_S = 4.0
+#: Upper limit of the objects of one kind.
+MAX_LISTED = 200000
 
 
 class StoreError(Exception):
@@ -56,17 +58,25 @@
     :param revision: the store's revision of the object's last change.
     :param spec: the object's value.
     :param status: the object's status, which is written separately.
+    :param unreadable: why value and status are None, if they can't be read;
+        "" if they can.
     """
 
-    __slots__ = ("name", "revision", "spec", "status")
+    __slots__ = ("name", "revision", "spec", "status", "unreadable")
 
     def __init__(
-        self, name: str, revision: int, spec: Json, status: Json
+        self,
+        name: str,
+        revision: int,
+        spec: Json,
+        status: Json,
+        unreadable: str = "",
     ) -> None:
         self.name = name
         self.revision = revision
         self.spec = spec
         self.status = status
+        self.unreadable = unreadable
 
 
 class Page:
@@ -76,9 +86,20 @@
     :param revision: the revision of the whole store when the list was read.
     :param unreadable: the number of objects that can't be read, not even
         their names.
+    :param last_name: the name after which the next page begins; None without
+        one.
+    :param nameless: the number of objects whose names nothing of this fleet
+        can have.
     """
 
-    __slots__ = ("objects", "more", "revision", "unreadable")
+    __slots__ = (
+        "objects",
+        "more",
+        "revision",
+        "unreadable",
+        "last_name",
+        "nameless",
+    )
 
     def __init__(
         self,
@@ -86,11 +107,15 @@
         more: bool,
         revision: int,
         unreadable: int = 0,
+        last_name: str | None = None,
+        nameless: int = 0,
     ) -> None:
         self.objects = objects
         self.more = more
         self.revision = revision
         self.unreadable = unreadable
+        self.last_name = last_name
+        self.nameless = nameless
 
 
 class Change:
@@ -111,16 +136,23 @@
 
     :param revision: the revision from which the next watch call continues.
     :param unreadable: the number of changes that can't be read.
+    :param nameless: the number of changes of objects whose names nothing of
+        this fleet can have.
     """
 
-    __slots__ = ("changes", "revision", "unreadable")
+    __slots__ = ("changes", "revision", "unreadable", "nameless")
 
     def __init__(
-        self, changes: list[Change], revision: int, unreadable: int = 0
+        self,
+        changes: list[Change],
+        revision: int,
+        unreadable: int = 0,
+        nameless: int = 0,
     ) -> None:
         self.changes = changes
         self.revision = revision
         self.unreadable = unreadable
+        self.nameless = nameless
 
 
 class Call:
@@ -222,18 +254,30 @@
 
         :param stale: whether the list may be slightly out of date.
         :returns: all objects as one page, with the revision of the last page.
+        :raises Unanswered: if a page doesn't tell where the next one begins.
         """
         objects: list[StoredObject] = []
-        unreadable = 0
+        unreadable = nameless = 0
         after: str | None = None
-        while True:
+        while len(objects) <= MAX_LISTED:
             call = self._codec.list_call(kind, after, stale)
             page = _read(self._codec.decode_page, await self._call(call))
             objects += page.objects
             unreadable += page.unreadable
-            if not page.more or not page.objects:
-                return Page(objects, False, page.revision, unreadable)
-            after = page.objects[-1].name
+            nameless += page.nameless
+            if not page.more:
+                return Page(
+                    objects,
+                    False,
+                    page.revision,
+                    unreadable,
+                    nameless=nameless,
+                )
+            if page.last_name is None or page.last_name == after:
+                # To go without the rest would take its objects for removed.
+                raise Unanswered("a page of the list has no end")
+            after = page.last_name
+        raise Unanswered("the list has too many objects")
 
     async def watch(
         self, kind: str, revision: int, wait_s: float = WATCH_WAIT_S
--- a/src/apricotlever/serving/store_watch.py
+++ b/src/apricotlever/serving/store_watch.py
@@ -151,7 +151,7 @@
         if self._revision is None:
             page = await self._store.list_all(self._kind)
             self._record_success(loop.time())
-            self._log_unreadable(page.unreadable)
+            self._log_unreadable(page.unreadable + page.nameless)
             self._listener.listed(page)
             self._revision = page.revision
             return
@@ -165,6 +165,9 @@
         self._listener.changed(changes)
         if self._revision is not None:
             self._revision = changes.revision
+        # An object without a usable name is none of this fleet's, so the list
+        # need not be read for it again.
+        self._log_unreadable(changes.nameless)
         if changes.unreadable:
             # The list shows the changed objects if they are readable there.
             self._log_unreadable(changes.unreadable)
--- a/src/apricotlever/validation.py
+++ b/src/apricotlever/validation.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 import typing
 
 Predicate = typing.Callable[[typing.Any], bool]
@@ -14,6 +15,11 @@
 #: or time in milliseconds comes close to it.
 MAX_SAFE_INTEGER = 2**53
 MAX_PORT = 65535
+#: Upper limit of a name in characters. Names stand in messages of one
+#: datagram.
+MAX_NAME_CHARS = 512
+#: No control characters, halves of UTF-16 pairs, or separators of lines.
+_TEXT = re.compile("[^\x00-\x1f\x7f-\x9f\ud800-\udfff\u2028\u2029]+")
 
 
 class Misshapen(ValueError):
@@ -39,6 +45,20 @@
     return isinstance(value, str)
 
 
+def is_text(value: typing.Any) -> bool:
+    """Whether a value is text that may stand in a head, a log or a metric.
+
+    It is not empty, can be encoded, and holds no control characters such as
+    line ends.
+    """
+    return isinstance(value, str) and _TEXT.fullmatch(value) is not None
+
+
+def is_name(value: typing.Any) -> bool:
+    """Whether a value is text of at most :data:`MAX_NAME_CHARS`."""
+    return is_text(value) and len(value) <= MAX_NAME_CHARS
+
+
 def is_bool(value: typing.Any) -> bool:
     """Whether a value is a Boolean."""
     return isinstance(value, bool)
--- a/tests/adapter/entries.feature
+++ b/tests/adapter/entries.feature
@@ -44,6 +44,63 @@
       | a number of 5000 digits |
       | no name                 |
       | only a number           |
+      | half a pair as bytes    |
+      | half a pair, escaped    |
+      | half a pair in a key    |
+      | nesting of 1500 levels  |
+      | nesting of 100 levels   |
+      | a line end in its name  |
+      | a name that is half a pair |
+      | a name of 5000 characters |
+
+  # Guards against calls to runners that have left, while the entry of another
+  # writer makes the list of runners or each change of it unreadable.
+  Scenario Outline: A VM goes on to follow the store beside an unreadable entry
+    Given a store whose list and changes have an entry with <what>
+    When a VM watches the store, and a runner is added and removed
+    Then the watch continues and only the runner with the valid entry gets calls
+    And the list was read at most <lists> times
+
+    Examples:
+      | what                    | lists |
+      | half a pair as bytes    | 1     |
+      | half a pair, escaped    | 1     |
+      | nesting of 1500 levels  | 1     |
+      | a line end in its name  | 1     |
+      | a name that is half a pair | 1  |
+      | no name                 | 4     |
+
+  # Guards against a list whose end is taken for removed runners, as the last
+  # object of a page can't be read.
+  Scenario Outline: A list of pages goes on after an object that can't be read
+    Given a list of two pages, the first of which ends with <what>
+    When the list is read
+    Then <outcome>
+
+    Examples:
+      | what                       | outcome                         |
+      | half a pair as bytes       | the valid entries of both pages are found |
+      | a name that is half a pair | the valid entries of both pages are found |
+      | a line end in its name     | the valid entries of both pages are found |
+      | no name                    | the list fails as a whole       |
+      | only a number              | the list fails as a whole       |
+
+  # Guards against a configuration of which some components know nothing, and
+  # against heads of requests that a name breaks in two.
+  Scenario Outline: A configuration with an unreadable text is refused whole
+    Given a stored configuration with <what>
+    When the configuration is decoded
+    Then it is refused
+
+    Examples:
+      | what                        |
+      | half a pair in a key        |
+      | half a pair in a customer   |
+      | a line end in a customer    |
+      | a line end in a route       |
+      | NUL in a service            |
+      | a control character in a key of a customer |
+      | nesting of 100 levels       |
 
   # Guards against a healthy runner that loses its calls in flight because its
   # entry becomes unreadable for a while. This happens when an unreadable
--- a/tests/steps/adapter_entries.py
+++ b/tests/steps/adapter_entries.py
@@ -4,6 +4,7 @@
 import copy
 import json
 import random
+import unicodedata
 import zlib
 
 from behave import given
@@ -19,6 +20,8 @@
 from apricotlever import clock as clocks
 from apricotlever import logs
 from apricotlever.serving import checkpoint
+from apricotlever.serving import client_channel
+from apricotlever.serving import connection_pool
 from apricotlever.serving import peer_datagrams
 from apricotlever.serving import peer_http
 from apricotlever.serving import runner_directory as directories
@@ -60,18 +63,20 @@
     "fencing": 3,
     "duration_s": 4.5,
 }
+#: Text with control characters and halves of UTF-16 pairs, too.
+ANY_TEXT = strategies.text(strategies.characters(categories=None), max_size=8)
 ANY_JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
     | strategies.integers(0, 100)
     | strategies.floats()
-    | strategies.text(max_size=8)
+    | ANY_TEXT
     | strategies.sampled_from(
         ["ready", "draining", "10.0.0.1:80", "a:1", "10.0.0.1:٣", "1.2.3.4:0"]
     ),
     lambda inner: strategies.lists(inner, max_size=3)
-    | strategies.dictionaries(strategies.text(max_size=4), inner, max_size=3),
+    | strategies.dictionaries(ANY_TEXT, inner, max_size=3),
     max_leaves=5,
 )
 MISSING = object()
@@ -188,6 +193,22 @@
     + b"}",
     "no name": b'{"metadata":{},"spec":{}}',
     "only a number": b"7",
+    "half a pair as bytes": b'{"metadata":{"name":"bad","revision":2},"spec":'
+    b'{"version":"v\xed\xa0\xbd"}}',
+    "half a pair, escaped": b'{"metadata":{"name":"bad","revision":2},"spec":'
+    b'{"version":"v\\ud83d"}}',
+    "half a pair in a key": b'{"metadata":{"name":"bad","revision":2},"spec":'
+    b'{"\\ud83d":1}}',
+    "nesting of 1500 levels": b'{"metadata":{"name":"bad","revision":2},'
+    b'"spec":' + b"[" * 1500 + b"]" * 1500 + b"}",
+    "nesting of 100 levels": b'{"metadata":{"name":"bad","revision":2},'
+    b'"spec":' + b'{"a":' * 100 + b"1" + b"}" * 100 + b"}",
+    "a line end in its name": b'{"metadata":{"name":"b\\r\\nX: 1"},"spec":{}}',
+    "a name that is half a pair": b'{"metadata":{"name":"b\\ud83d"},'
+    b'"spec":{}}',
+    "a name of 5000 characters": b'{"metadata":{"name":"'
+    + b"b" * 5000
+    + b'"},"spec":{}}',
 }
 
 
@@ -206,7 +227,187 @@
     ]
     good = [entry for entry in found if isinstance(entry, runners.Runner)]
     assert [runner.name for runner in good] == ["good"]
-    assert len(found) - len(good) + page.unreadable == 1
+    bad = len(found) - len(good) + page.unreadable + page.nameless
+    assert bad == 1
+
+
+class _ChangingStore:
+    """A store whose list and changes hold an object, given as bytes."""
+
+    def __init__(self, bad):
+        self._bad = bad
+        self.lists = 0
+        self._revision = 9
+
+    async def list_all(self, kind):
+        """Decode a list with a valid entry, of a runner that will leave."""
+        self.lists += 1
+        page = _page(
+            *(_object(name, 3, VALID_ENTRY) for name in ("good", "gone")),
+            "@",
+        )
+        if self._revision > 9:
+            page = _page(_object("good", 3, VALID_ENTRY), "@")
+        page["as_of"] = self._revision
+        return objects.ObjectStoreCodec().decode_page(self._encode(page))
+
+    async def watch(self, kind, revision, wait_s):
+        """Decode some changes: the bad object, and one runner's leaving."""
+        if self._revision >= 12:
+            await asyncio.sleep(60)
+        self._revision += 1
+        leaving = {**VALID_ENTRY, "state": "draining"}
+        stored = _object("gone", self._revision, leaving)
+        events = [
+            {"object": "@", "deleted": False},
+            {"object": stored, "deleted": False},
+        ]
+        changes = {"events": events, "as_of": self._revision}
+        return objects.ObjectStoreCodec().decode_changes(self._encode(changes))
+
+    def _encode(self, document):
+        return json.dumps(document).encode().replace(b'"@"', self._bad)
+
+
+@given("a store whose list and changes have an entry with {what}")
+def _changing_store(context, what):
+    context.store = _ChangingStore(UNREADABLE_OBJECTS[what])
+
+
+@when("a VM watches the store, and a runner is added and removed")
+def _watch_changes(context):
+    context.vm = _Vm()
+    running = task_supervisor.TaskSupervisor()
+
+    async def follow():
+        context.watcher = store_watch.Watcher(
+            context.store, "servers", context.vm.entries, random.Random(1)
+        )
+        running.supervise("watch", context.watcher.run)
+        for _ in range(60):
+            await asyncio.sleep(0)
+        context.is_connected = context.watcher.is_connected
+
+    asyncio.run(follow())
+    context.restarts = running.restarts["watch"]
+
+
+@then("the list was read at most {count:d} times")
+def _check_lists(context, count):
+    assert context.store.lists <= count, context.store.lists
+
+
+class _PagedCalls(store.Store):
+    """A store of two pages, given as bytes."""
+
+    __slots__ = ("pages", "targets")
+
+    def __init__(self, pages):
+        super().__init__(objects.ObjectStoreCodec(), "127.0.0.1", 1)
+        self.pages = pages
+        self.targets = []
+
+    async def _call(self, call, pool=None, timeout_s=0.0):
+        self.targets.append(call.target)
+        body = self.pages[min(len(self.targets), len(self.pages)) - 1]
+        return connection_pool.HttpResponse(
+            client_channel.ResponseHead(200, []), body
+        )
+
+
+@given("a list of two pages, the first of which ends with {what}")
+def _two_pages(context, what):
+    first = _page(_object("first", 1, VALID_ENTRY), "@")
+    first["has_more"] = True
+    body = json.dumps(first).encode().replace(b'"@"', UNREADABLE_OBJECTS[what])
+    second = json.dumps(_page(_object("second", 2, VALID_ENTRY))).encode()
+    context.paged = _PagedCalls([body, second])
+
+
+@when("the list is read")
+def _read_list(context):
+    context.found = context.error = None
+    try:
+        context.found = asyncio.run(context.paged.list_all("servers"))
+    except store.StoreError as error:
+        context.error = error
+
+
+@then("the valid entries of both pages are found")
+def _check_both_pages(context):
+    names = [stored.name for stored in context.found.objects]
+    assert {"first", "second"} <= set(names), names
+    assert len(context.paged.targets) == 2
+
+
+@then("the list fails as a whole")
+def _check_list_failed(context):
+    assert isinstance(context.error, store.Unanswered), context.found
+
+
+BAD_CONFIGURATIONS = {
+    "half a pair in a key": lambda c: {**c, "x\ud83d": 1},
+    "half a pair in a customer": lambda c: _renamed(c, "tenants", "a\ud83d"),
+    "a line end in a customer": lambda c: _renamed(c, "tenants", "a\r\nX: 1"),
+    "a line end in a route": lambda c: _renamed(c, "routes", "a\n"),
+    "NUL in a service": lambda c: _renamed(c, "services", "a\0"),
+    "a control character in a key of a customer": lambda c: {
+        **c,
+        "tenants": [{"name": "a", "api_keys": ["k\x1f"]}],
+    },
+    "nesting of 100 levels": lambda c: {**c, "x": _nested(100)},
+}
+
+
+def _renamed(document, section, name):
+    first, *others = document[section]
+    return {**document, section: [{**first, "name": name}, *others]}
+
+
+def _nested(levels):
+    value = 1
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
+@given("a stored configuration with {what}")
+def _stored_configuration(context, what):
+    valid = {
+        "version": 3,
+        "routes": [
+            {
+                "name": "r",
+                "hostname": "h.example",
+                "path_prefix": "/a/",
+                "service": "s",
+                "type": "safe",
+            }
+        ],
+        "services": [{"name": "s", "max_connections": 5}],
+        "tenants": [{"name": "t", "api_keys": ["k"]}],
+        "limits": {},
+    }
+    documents.AdapterPlatformDialect().parse_configuration(valid)
+    spec = BAD_CONFIGURATIONS[what](valid)
+    body = json.dumps(_object("main", 1, spec)).encode()
+    context.stored = objects.ObjectStoreCodec().decode_object(body)
+
+
+@when("the configuration is decoded")
+def _decode_configuration(context):
+    context.error = None
+    try:
+        documents.AdapterPlatformDialect().parse_configuration(
+            context.stored.spec
+        )
+    except ValueError as error:
+        context.error = error
+
+
+@then("it is refused")
+def _check_refused(context):
+    assert isinstance(context.error, ValueError)
 
 
 @given("a store with two valid entries")
@@ -286,12 +487,23 @@
     )
 
 
+def _is_name(value):
+    """Check a name character by character."""
+    return (
+        type(value) is str
+        and 0 < len(value) <= 512
+        and not {"Cc", "Cs", "Zl", "Zp"}.intersection(
+            map(unicodedata.category, value)
+        )
+    )
+
+
 #: Functions that check whether a value is valid, by field of an entry.
 FIELD_CHECKS = {
-    "service": lambda v: type(v) is str and v != "",
+    "service": _is_name,
     "address": _is_address,
-    "zone": lambda v: type(v) is str and v != "",
-    "version": lambda v: type(v) is str and v != "",
+    "zone": _is_name,
+    "version": _is_name,
     "concurrency": lambda v: _is_int_in_range(v, 1, 65535),
     "state": lambda v: v == "ready" or v == "draining",
     "cold_remaining_ms": _is_duration,
