Go on after an unexpected error of one round or one step

Cause: the shutdown, and the passing on of a configuration, were sequences that their first error ended. The task that ends the process was started last.

Change: TaskSupervisor is the one place that goes on after any error: it runs periodic rounds by name, and sequences of steps of which a failed one keeps none of the later from being taken. The task that ends the process starts first and ends it whatever it meets; a configuration that some component didn't take is passed on again every 0.5 s.

--- a/src/apricotlever/serving/duty_roster.py
+++ b/src/apricotlever/serving/duty_roster.py
@@ -170,13 +170,20 @@
         """Start the tasks of the added duties and of their lease."""
         if (self._runners, self._usage, self._roll_outs) == (None, None, None):
             return
-        running.repeat(duty_lease.TICK_S, self._lease_manager.step)
+        repeat = running.repeat
+        repeat("lease", duty_lease.TICK_S, self._lease_manager.step)
         if self._runners is not None:
-            running.repeat(runner_duty.STEP_INTERVAL_S, self._runners.step)
+            repeat(
+                "runner_duty", runner_duty.STEP_INTERVAL_S, self._runners.step
+            )
         if self._usage is not None:
-            running.repeat(usage_duty.STEP_INTERVAL_S, self._usage.step)
+            repeat("usage_duty", usage_duty.STEP_INTERVAL_S, self._usage.step)
         if self._roll_outs is not None:
-            running.repeat(roll_out_duty.STEP_INTERVAL_S, self._roll_outs.step)
+            repeat(
+                "roll_out_duty",
+                roll_out_duty.STEP_INTERVAL_S,
+                self._roll_outs.step,
+            )
 
     def configure(
         self, configuration: configuration_model.Configuration
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -203,16 +203,19 @@
     def listen(self, address: settings.Address) -> None:
         """Open the socket and start sending and receiving messages."""
         self._datagrams.listen(address.host, address.port)
-        self._tasks.repeat(
-            peer_datagrams.READ_INTERVAL_S, self._receive_pending
+        repeat = self._tasks.repeat
+        repeat(
+            "receive", peer_datagrams.READ_INTERVAL_S, self._receive_pending
         )
-        self._tasks.repeat(
-            vm_records.RECORD_INTERVAL_S, self._publish_periodically
+        repeat(
+            "publish", vm_records.RECORD_INTERVAL_S, self._publish_periodically
         )
-        self._tasks.repeat(
-            record_aggregation.AGGREGATE_INTERVAL_S, self._publish_aggregates
+        repeat(
+            "publish_aggregates",
+            record_aggregation.AGGREGATE_INTERVAL_S,
+            self._publish_aggregates,
         )
-        self._tasks.repeat(TALLY_INTERVAL_S, self._publish_tally)
+        repeat("publish_tally", TALLY_INTERVAL_S, self._publish_tally)
 
     def close(self) -> None:
         """Close the socket for messages of other VMs."""
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -5,6 +5,7 @@
 from . import call_relay
 from . import configuration_model
 from . import customer_limits
+from . import task_supervisor
 
 
 def format_metrics(
@@ -12,7 +13,7 @@
     limits_: customer_limits.CustomerLimits,
     configuration: configuration_model.Configuration | None,
     gauges: typing.Mapping[str, float],
-    restarts: typing.Mapping[str, int],
+    tasks: task_supervisor.TaskSupervisor,
     helped: typing.Mapping[str, int],
 ) -> str:
     """Format all metrics in the text format of Prometheus.
@@ -21,7 +22,7 @@
     :param limits_: the customers' rate limits.
     :param configuration: the active configuration; None without one.
     :param gauges: metrics of the rest of the process, by name.
-    :param restarts: number of restarts of each supervised task, by name.
+    :param tasks: restarts tasks, and counts rounds that failed.
     :param helped: number of calls of other VMs that ended here, by result.
     """
     upstreams = relay_.upstreams
@@ -32,7 +33,8 @@
         {**gauges, **upstreams.crashes.gauges},
         {
             ("crash_blocks_total", "decision"): upstreams.crashes.decisions,
-            ("task_restarts_total", "task"): restarts,
+            ("task_restarts_total", "task"): tasks.restarts,
+            ("task_failures_total", "task"): tasks.failures,
             ("in_flight", "runner"): upstreams.in_flight,
             ("waiting_tokens", "runner"): upstreams.pending_tokens,
             ("runner_calls_total", "runner"): {
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -64,8 +64,11 @@
 #: fleet's duties, in seconds. A new process knows few other VMs: when a whole
 #: fleet starts at once, each VM would contend for the lease.
 MIN_UPTIME_FOR_DUTIES_S = 1.0
-#: Time between two such calls, in seconds, above which the process is taken to
-#: have been suspended.
+#: Time between two tries to pass a configuration on to all components, in
+#: seconds.
+CONFIGURE_RETRY_S = 0.5
+#: Time between two calls of :meth:`Node._tick`, in seconds, above which the
+#: process is taken to have been suspended.
 STALL_THRESHOLD_S = 1.0
 
 
@@ -99,6 +102,10 @@
         self._process = f"{config.vm}#{self._incarnation}"
         self._configuration: configuration_model.Configuration | None = None
         self._configuration_spec: store.Json = None
+        #: Whether all components have the active configuration, and when it
+        #: was passed on to them.
+        self._is_configured = True
+        self._configured_at = float("-inf")
         self._directory = directories.RunnerDirectory(
             clock, config.bounds.drain_s
         )
@@ -244,9 +251,11 @@
         spawn = self._tasks.spawn
         spawn(self._restore_limit_levels())
         self._tasks.repeat(
-            settings_reloader.RELOAD_INTERVAL_S, self._reloader.poll
+            "settings",
+            settings_reloader.RELOAD_INTERVAL_S,
+            self._reloader.poll,
         )
-        self._tasks.repeat(TICK_S, self._tick)
+        self._tasks.repeat("tick", TICK_S, self._tick)
         self._servers.start_idle_sweeps(self._tasks)
         informed = await self._servers.serve_callers()
         logs.event(
@@ -256,9 +265,14 @@
             informed=informed,
         )
         await self._stopped.wait()
-        self._fleet.close()
-        self._limit_calls.close()
-        self._servers.close()
+        self._tasks.run_steps(
+            "stop",
+            (
+                self._fleet.close,
+                self._limit_calls.close,
+                self._servers.close,
+            ),
+        )
         logs.event("stopped")
 
     def begin_shutdown(self) -> None:
@@ -270,12 +284,18 @@
         if self._leaving_since is not None:
             return
         self._leaving_since = self._clock.now()
-        logs.event("stopping", busy=self._servers.busy)
-        self._servers.drain()
-        self._duties.release_lease()
-        self._fleet.publish_now()
-        self._hand_over_streams()
+        # First, as the process must end whatever fails on the way.
         self._tasks.spawn(self._stop_when_idle())
+        logs.event("stopping", busy=self._servers.busy)
+        self._tasks.run_steps(
+            "shutdown",
+            (
+                self._servers.drain,
+                self._duties.release_lease,
+                self._fleet.publish_now,
+                self._hand_over_streams,
+            ),
+        )
 
     def _hand_over_streams(self) -> None:
         """Have other VMs know where the streams began that this one knows."""
@@ -300,16 +320,33 @@
             return False
         self._configuration = configuration
         self._configuration_spec = spec
-        self._limits.configure(configuration)
-        self._upstreams.configure(configuration)
-        self._relay.configure(configuration)
-        self._duties.configure(configuration)
-        self._servers.set_limits(configuration.limits)
+        self._apply_configuration()
         logs.event("configuration_in_force", version=self.version)
         self._fleet.publish_soon()
         self._check_informed()
         return True
 
+    def _apply_configuration(self) -> None:
+        """Pass the active configuration on to all components.
+
+        One that fails is tried again, and keeps none of the others from it:
+        a VM must not go by two versions.
+        """
+        configuration = self._configuration
+        if configuration is None:
+            return
+        self._configured_at = self._clock.now()
+        self._is_configured = self._tasks.run_steps(
+            "configure",
+            (
+                lambda: self._limits.configure(configuration),
+                lambda: self._upstreams.configure(configuration),
+                lambda: self._relay.configure(configuration),
+                lambda: self._duties.configure(configuration),
+                lambda: self._servers.set_limits(configuration.limits),
+            ),
+        )
+
     def runners_changed(self, ended: list[str]) -> None:
         """Apply changes of the runner directory to the other components.
 
@@ -525,7 +562,7 @@
             self._limits,
             self._configuration,
             gauges,
-            self._tasks.restarts,
+            self._tasks,
             self._forwarded.results,
         )
 
@@ -555,7 +592,9 @@
             self._upstreams.slots.enable_protocol(self._limit_calls)
             self._upstreams.origins.enable_protocol(self._limit_calls)
             self._tasks.repeat(
-                runner_limits.EXCHANGE_INTERVAL_S, limits.exchange
+                "runner_limits",
+                runner_limits.EXCHANGE_INTERVAL_S,
+                limits.exchange,
             )
 
     def _check_informed(self) -> None:
@@ -630,6 +669,9 @@
             watcher.invalidate()
 
     def _update(self) -> None:
+        since_s = self._clock.now() - self._configured_at
+        if not self._is_configured and since_s >= CONFIGURE_RETRY_S:
+            self._apply_configuration()
         ended = self._directory.tick()
         if ended:
             self.runners_changed(ended)
@@ -713,10 +755,12 @@
 
     async def _stop_when_idle(self) -> None:
         shutdown_s = self._settings.bounds.shutdown_s
-        await drain.wait_until_idle(
-            self._clock,
-            lambda: self._servers.busy + self._forwarded.in_progress,
-            shutdown_s,
-            self._relay.refuse_new_calls,
-        )
-        self._stopped.set()
+        try:
+            await drain.wait_until_idle(
+                self._clock,
+                lambda: self._servers.busy + self._forwarded.in_progress,
+                shutdown_s,
+                self._relay.refuse_new_calls,
+            )
+        finally:
+            self._stopped.set()
--- a/src/apricotlever/serving/task_supervisor.py
+++ b/src/apricotlever/serving/task_supervisor.py
@@ -1,9 +1,12 @@
 """Supervision of the tasks that run for the lifetime of the process."""
 
 import asyncio
+import collections
 import typing
 
 from .. import backoff
+from .. import clock as clocks
+from .. import log_rate_limiter
 from .. import logs
 
 from . import aligned_timer
@@ -18,18 +21,26 @@
 
 
 class TaskSupervisor:
-    """Keeps references to asyncio tasks, and logs their failures.
+    """Keeps references to asyncio tasks, and records their failures.
 
     A task without references may be garbage-collected, and an exception that
     is never retrieved goes unnoticed. In both cases, a part of the process
-    would stop silently.
+    would stop silently. An unexpected error must not stop more than the round
+    or the step that it is in, so this is the one place that goes on after any.
     """
 
-    __slots__ = ("_restarts", "_tasks")
+    __slots__ = ("_failures", "_log_limit", "_restarts", "_tasks")
 
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
         self._restarts: dict[str, int] = {}
+        self._failures: collections.Counter[str] = collections.Counter()
+        self._log_limit = log_rate_limiter.LogRateLimiter(clocks.SystemClock())
+
+    @property
+    def failures(self) -> dict[str, int]:
+        """Number of rounds and steps that failed, by name."""
+        return dict(self._failures)
 
     @property
     def restarts(self) -> dict[str, int]:
@@ -40,19 +51,48 @@
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
         """Start a task that is not restarted when it ends."""
-        task = asyncio.get_running_loop().create_task(work)
+        name = getattr(work, "__qualname__", "task")
+        task = asyncio.get_running_loop().create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
 
     def repeat(
-        self, pause_s: float, step: typing.Callable[[], typing.Awaitable[None]]
+        self,
+        name: str,
+        pause_s: float,
+        step: typing.Callable[[], typing.Awaitable[None]],
     ) -> None:
         """Run a step periodically, even after it has failed.
 
+        :param name: name of the task in the log and the metrics.
         :param pause_s: period of the step, in seconds.
         :param step: starts one run of the step.
         """
-        self.spawn(_repeat(pause_s, step))
+        self.spawn(self._repeat(name, pause_s, step))
+
+    def run_steps(
+        self,
+        name: str,
+        steps: typing.Iterable[typing.Callable[[], typing.Any]],
+    ) -> bool:
+        """Run all steps in order, the later ones even if one fails.
+
+        :param name: what the steps do together, for the log and the metrics.
+        :returns: whether none has failed.
+        """
+        failed = 0
+        for step in steps:
+            try:
+                step()
+            except Exception as error:
+                failed += 1
+                self._record_failure(name, error)
+        return not failed
+
+    def _record_failure(self, name: str, error: BaseException) -> None:
+        self._failures[name] += 1
+        if self._log_limit.allows(f"{name} {type(error).__name__}"):
+            logs.event("task_failed", task=name, error=repr(error))
 
     def supervise(
         self, name: str, start: typing.Callable[[], typing.Awaitable[None]]
@@ -89,18 +129,21 @@
 
     def _on_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.event("task_failed", error=repr(task.exception()))
-
-
-async def _repeat(
-    pause_s: float, step: typing.Callable[[], typing.Awaitable[None]]
-) -> None:
-    while True:
-        try:
-            await step()
-        except Exception as error:
-            # Without this handler, one error would end the repetition for
-            # good.
-            logs.event("task_failed", error=repr(error))
-        await aligned_timer.sleep_until_tick(pause_s)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._record_failure(task.get_name(), error)
+
+    async def _repeat(
+        self,
+        name: str,
+        pause_s: float,
+        step: typing.Callable[[], typing.Awaitable[None]],
+    ) -> None:
+        while True:
+            try:
+                await step()
+            except Exception as error:
+                self._record_failure(name, error)
+            await aligned_timer.sleep_until_tick(pause_s)
--- a/tests/steps/serving_call_metrics.py
+++ b/tests/steps/serving_call_metrics.py
@@ -5,6 +5,7 @@
 
 from apricotlever.serving import call_metrics
 from apricotlever.serving import metrics
+from apricotlever.serving import task_supervisor
 
 
 @when("two calls are served and one fails with a long reason")
@@ -46,11 +47,13 @@
 @when("the VM's metrics are read")
 def _read_metrics(context):
     world = context.world
+    context.tasks = task_supervisor.TaskSupervisor()
+    context.tasks.restarts["watch_runners"] = 1
     context.metrics = metrics.format_metrics(
         world.relay,
         world.limits,
         world.configuration,
         {"cloud_calls_total": 2},
-        {"watch_runners": 1},
+        context.tasks,
         {},
     )
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -16,6 +16,7 @@
 from apricotlever.serving import forwarding_protocol
 from apricotlever.serving import metrics
 from apricotlever.serving import runners
+from apricotlever.serving import task_supervisor
 from tests.serving import forwarding_fleet
 from tests.serving import request_path
 
@@ -401,7 +402,12 @@
 def _check_metrics(context, number, line):
     vm = _vm(context, number)
     text = metrics.format_metrics(
-        vm.relay, vm.limits, vm.configuration, {}, {}, vm.forwarded.results
+        vm.relay,
+        vm.limits,
+        vm.configuration,
+        {},
+        task_supervisor.TaskSupervisor(),
+        vm.forwarded.results,
     )
     assert f"apricotlever_{line}" in text.splitlines(), text
 
