Leave a peer that sends bytes without end

Cause: no reader bounded what leads nowhere. The parser keeps each line of a head, the trailers were even added to the head's fields, and a chunk's extension or interim heads are read for ever; bodies of the store, the cloud API and other VMs had no limit; the daemon's clients read interim heads and trailers as long as they come.

Change: ReadBounds counts the bytes in a row that end no head or chunk and hold no part of a body: 64 KiB beside the piece that is being parsed, and 3 s from runners, store, cloud API and other VMs. A head has 256 fields at most, trailers are ignored, late responses that are skipped are bounded in number and bytes, and bodies at 16 MiB. A request of a caller or another VM has the same bound behind its head, which has limits of the configuration. The connection is closed, the runner has failed, and the call goes on elsewhere where that is safe. On the daemon's path lines in a row have 256 KiB, and the platform's client reads by the same strict class as the others.

Shown: endless_bytes.feature (33 scenarios, every kind, by bytes, by time and by what calls get; sound long responses pass) and endless_upstreams.feature (10).

Not bounded in time: a byte a second within one line on the daemon's path; its bound is the request's deadline.

--- a/src/apricotlever/links/_http_client.py
+++ b/src/apricotlever/links/_http_client.py
@@ -15,6 +15,8 @@
 from .. import errors
 from .. import socket_options
 
+from . import strict_responses
+
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_CONNECTION_AGE_S = 60.0
 CONNECT_TIMEOUT_S = 1.0
@@ -237,6 +239,8 @@
     # Otherwise http.client reopens a closed connection for the next request,
     # without the socket options and the checks of this module.
     connection.auto_open = 0
+    # It refuses heads and trailers without end.
+    connection.response_class = strict_responses.StrictResponse
     return connection
 
 
--- a/src/apricotlever/links/strict_responses.py
+++ b/src/apricotlever/links/strict_responses.py
@@ -8,6 +8,9 @@
 from http import client as http
 import typing
 
+#: Upper limit of the bytes of lines in a row that lead to no body: heads, also
+#: interim ones, and trailers.
+MAX_LINES_BYTES = 262144
 _CHUNKED = "chunked"
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
@@ -16,24 +19,48 @@
 class _WholeLines:
     """A file that raises an error for a line without its end.
 
+    It does so, too, for lines without end: a peer that has gone wrong may send
+    interim heads or trailers for ever.
+
     :param file: the file that the lines are read from.
     """
 
-    __slots__ = ("_file",)
+    __slots__ = ("_bytes", "_file")
 
     def __init__(self, file: typing.Any) -> None:
         self._file = file
+        #: Bytes of lines since something else was read.
+        self._bytes = 0
 
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._file, name)
 
+    def read(self, size: int = -1) -> bytes:
+        """Read bytes of a body."""
+        self._bytes = 0
+        return bytes(self._file.read(size))
+
+    def read1(self, size: int = -1) -> bytes:
+        """Read bytes of a body, by one call to the system at most."""
+        self._bytes = 0
+        return bytes(self._file.read1(size))
+
+    def readinto(self, buffer: typing.Any) -> int:
+        """Read bytes of a body into a buffer."""
+        self._bytes = 0
+        return int(self._file.readinto(buffer))
+
     def readline(self, limit: int = -1) -> bytes:
         """Read a line, with its end.
 
         :raises http.client.IncompleteRead: when the file ends before it, or
             the line is longer than the limit.
+        :raises http.client.HTTPException: when there are too many lines.
         """
         line = bytes(self._file.readline(limit))
+        self._bytes += len(line)
+        if self._bytes > MAX_LINES_BYTES:
+            raise http.HTTPException("lines without end")
         if not line.endswith(b"\n"):
             raise http.IncompleteRead(line)
         return line
--- a/src/apricotlever/serving/caller_channel.py
+++ b/src/apricotlever/serving/caller_channel.py
@@ -12,6 +12,7 @@
 from .. import socket_options
 
 from . import configuration_model
+from . import read_bounds
 from . import reply_writer
 from . import request_checks
 
@@ -80,6 +81,7 @@
     __slots__ = (
         "_body",
         "_body_bytes",
+        "_bounds",
         "_current_call",
         "_pending_calls",
         "_chunked",
@@ -111,6 +113,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._bounds = read_bounds.ReadBounds()
         self._reading_head = True
         self._closing = False
         #: Whether the caller waits to be asked for the body of its next call.
@@ -234,6 +237,11 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            if not self._reading_head:
+                # A head has limits of its own, and so has the time.
+                self._bounds.check(len(data), 0.0)
+        except read_bounds.Endless:
+            self._reject(400)
         except httptools.HttpParserUpgrade:
             self._reject(400)
         except httptools.HttpParserError as error:
@@ -317,18 +325,24 @@
         )
         self._reading_head = False
         self._head_bytes = 0
+        self._bounds.advance()
         call.method = self._parser.get_method().decode("latin-1")
         if any(name.lower() == b"expect" for name, _ in call.headers):
             self._continue_due = True
             if not self.busy:
                 self._ask_for_body()
 
+    def on_chunk_header(self) -> None:
+        """Note that a chunk begins, the last one of a body too."""
+        self._bounds.advance()
+
     def on_body(self, data: bytes) -> None:
         """Append a part of the call's body.
 
         :raises request_checks.RequestRejected: when the body is over its
             limit.
         """
+        self._bounds.advance()
         self._body_bytes += len(data)
         if self._body_bytes > self._server.limits.body_bytes:
             raise request_checks.RequestRejected(413)
--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -16,9 +16,14 @@
 from .. import socket_options
 
 from . import messages
+from . import read_bounds
 
 #: Body bytes buffered for a slow consumer before the connection stops reading.
 MAX_BUFFERED_BYTES = 262144
+#: Upper limit of the late responses to earlier requests that are skipped for
+#: one request, and of the bytes of their bodies.
+MAX_SKIPPED_RESPONSES = 16
+MAX_SKIPPED_BYTES = 16777216
 #: Time beyond the limit for connecting in which the loop handles what has
 #: arrived until then, in seconds.
 PROCESSING_S = 0.01
@@ -91,6 +96,7 @@
         "_body_chunks",
         "_error",
         "_awaiting_response",
+        "_bounds",
         "_head",
         "_headers",
         "_buffered_bytes",
@@ -100,6 +106,9 @@
         "_on_end",
         "_parser",
         "_read_paused",
+        "_reading_head",
+        "_skipped_bytes",
+        "_skipped_responses",
         "_skipping_response",
         "_socket",
         "_body_callback",
@@ -136,6 +145,10 @@
         )
         self._buffered_bytes = 0
         self._read_paused = False
+        self._reading_head = True
+        self._bounds = read_bounds.ReadBounds()
+        self._skipped_responses = 0
+        self._skipped_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._idle_since = loop.time()
         #: Number of requests sent on this connection.
@@ -189,6 +202,8 @@
         self._awaiting_response = True
         self._head = None
         self._body_end = None
+        self._skipped_responses = 0
+        self._skipped_bytes = 0
         self.uses += 1
         self._set_probing(True)
         self._transport.write(request)
@@ -302,8 +317,15 @@
             return
         try:
             self._parser.feed_data(data)
+            self._bounds.check(len(data), self._loop.time())
         except (httptools.HttpParserError, ValueError) as error:
-            self._fail(Broken(f"not an answer: {type(error).__name__}"))
+            cause = error.__context__
+            if not isinstance(cause, read_bounds.Endless):
+                cause = error
+            self._fail(Broken(f"not an answer: {type(cause).__name__}"))
+            self._abort()
+        except read_bounds.Endless as error:
+            self._fail(Broken(f"not an answer: {error}"))
             self._abort()
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._read_paused:
             self._read_paused = True
@@ -345,10 +367,18 @@
             # A second response after a complete one answers no request.
             self._reject_unexpected_bytes()
         self._headers = []
+        self._reading_head = True
         self._in_response = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header of the response."""
+        """Append a header of the response; trailers are ignored.
+
+        :raises read_bounds.Endless: when there are too many.
+        """
+        if not self._reading_head:
+            return
+        if len(self._headers) >= read_bounds.MAX_FIELDS:
+            raise read_bounds.Endless("too many fields in a head")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -357,6 +387,7 @@
         Interim responses (1xx) are skipped, and so are those which the head
         filter takes for late responses to earlier requests.
         """
+        self._reading_head = False
         if not self._awaiting_response or self._error is not None:
             return
         status = self._parser.get_status_code()
@@ -374,17 +405,28 @@
         self._skipping_response = head_filter is not None and not head_filter(
             status, self._headers
         )
-        if not self._skipping_response:
-            self._head = ResponseHead(status, self._headers)
-            self._wake()
+        if self._skipping_response:
+            self._skipped_responses += 1
+            if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+                raise read_bounds.Endless("too many late responses")
+            return
+        self._bounds.advance()
+        self._head = ResponseHead(status, self._headers)
+        self._wake()
+
+    def on_chunk_header(self) -> None:
+        """Note that a chunk begins, the last one of a body too."""
+        self._bounds.advance()
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the callback, or buffer it."""
-        if (
-            not self._awaiting_response
-            or self._skipping_response
-            or self._error is not None
-        ):
+        self._bounds.advance()
+        if not self._awaiting_response or self._error is not None:
+            return
+        if self._skipping_response:
+            self._skipped_bytes += len(data)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise read_bounds.Endless("a late response without end")
             return
         if self._body_callback is not None:
             if self._body_callback(data):
@@ -397,6 +439,8 @@
 
     def on_message_complete(self) -> None:
         """End the response; after a skipped one, wait for the next."""
+        if self._parser.get_status_code() >= 200:
+            self._bounds.advance()
         if not self._awaiting_response or self._error is not None:
             return
         if self._skipping_response:
--- a/src/apricotlever/serving/connection_pool.py
+++ b/src/apricotlever/serving/connection_pool.py
@@ -13,6 +13,8 @@
 #: be reused. The rest is a margin: if the peer closes the connection while a
 #: request is sent, the request may have run.
 KEEP_ALIVE_SHARE = 0.7
+#: Upper limit of a response body in bytes: many pages of the store's lists.
+MAX_RESPONSE_BYTES = 16777216
 #: Default timeout for opening a connection, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 #: Keep-alive timeout that :func:`exchange` assumes if the peer announces none,
@@ -238,9 +240,17 @@
 
 
 async def _read_body(channel: client_channel.Channel) -> bytes:
+    """Read a whole body.
+
+    :raises client_channel.Broken: when it is too large.
+    """
     parts = []
+    size = 0
     while (part := await channel.read_chunk()) is not None:
         parts.append(part)
+        size += len(part)
+        if size > MAX_RESPONSE_BYTES:
+            raise client_channel.Broken("the response body is too large")
     return b"".join(parts)
 
 
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -441,6 +441,80 @@
     writer.write(b"0\r\n\r\n")
 
 
+#: What may come without end instead of a response: what comes first, and what
+#: comes over and over.
+ENDLESS = {
+    "lines of a head": (b"HTTP/1.1 200 X\r\n", b"X: aaaaaaaaaaaaaaaaaa\r\n"),
+    "a line of a head": (b"HTTP/1.1 200 X\r\nX: ", b"a" * 100),
+    "a status line": (b"HTTP/1.1 200 ", b"a" * 100),
+    "interim heads": (b"", b"HTTP/1.1 102 X\r\nX: y\r\n\r\n"),
+    "late responses": (
+        b"",
+        b"HTTP/1.1 200 X\r\nCall-Id: of-another\r\n"
+        b"Content-Length: 1\r\n\r\na",
+    ),
+    "a late body": (
+        b"HTTP/1.1 200 X\r\nCall-Id: of-another\r\n\r\n",
+        b"a" * 100,
+    ),
+}
+#: The same after the head of a response that answers the call.
+ENDLESS_BODIES = {
+    "trailers": (b"2\r\nok\r\n0\r\n", b"X: y\r\n"),
+    "a trailer": (b"2\r\nok\r\n0\r\nX: ", b"a" * 100),
+    "a chunk extension": (b"2\r\nok\r\n2;", b"a" * 100),
+    "a body": (b"", b"2710\r\n" + b"a" * 10000 + b"\r\n"),
+}
+#: The same within a stream.
+ENDLESS_STREAMS = {
+    "an event": (b"", _encode_chunk(b"a" * 1000)),
+    "a chunk extension": (b"2;", b"a" * 100),
+    "trailers": (b"0\r\n", b"X: y\r\n"),
+}
+#: Bytes that a runner writes at a time.
+ENDLESS_PIECE_BYTES = 20000
+
+
+async def _send_endless(writer, first, repeated):
+    writer.write(first)
+    piece = repeated * (1 + ENDLESS_PIECE_BYTES // len(repeated))
+    try:
+        while True:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+    except ConnectionError:
+        return
+
+
+def _sends_endless(what):
+    async def behave(runner, writer, call):
+        if what in ENDLESS_BODIES:
+            writer.write(
+                response_head(200, call, "Transfer-Encoding: chunked")
+            )
+        await _send_endless(writer, *(ENDLESS | ENDLESS_BODIES)[what])
+
+    return behave
+
+
+def _streams_then_endless(what):
+    async def behave(runner, writer, call):
+        first = int(call.get("after", 0)) + 1
+        await _send_events(writer, call, range(first, 4), False)
+        await _send_endless(writer, *ENDLESS_STREAMS[what])
+
+    return behave
+
+
+for _what in ENDLESS | ENDLESS_BODIES:
+    behaviour(f"sends {_what} without end")(_sends_endless(_what))
+for _what in ENDLESS_STREAMS:
+    behaviour(f"streams half and sends {_what} without end")(
+        _streams_then_endless(_what)
+    )
+
+
 class RunnerStandIn:
     """A runner with a port of its own.
 
