Keep records of streams in the store while versions overlap

What callers would see: all VMs are killed within a release, and no stream is taken up again, though its version serves: the store's record of versions tells that several may have begun it, and the records of streams are gone with the VMs.

Change: a VM whose service has several versions in the store's record writes the records of streams that it has, its own and those it keeps for others, to an object of its own, at most each 0.5 s and 40 times a second in a fleet, and reads it at its start.

Shown: three new scenarios of stream_versions.feature (24 streams of two versions, all VMs killed once and twice, resumed at each VM) failed without the writes and pass with them; the 29 others pass.

--- a/src/apricotlever/serving/stream_origins.py
+++ b/src/apricotlever/serving/stream_origins.py
@@ -21,6 +21,7 @@
 from . import configuration_model
 from . import limit_protocol
 from . import messages
+from . import origin_checkpoint
 from . import stream_origin_protocol as protocols
 from . import task_supervisor
 from . import version_records
@@ -131,6 +132,7 @@
     """
 
     __slots__ = (
+        "_checkpoint",
         "_clock",
         "_data_centre",
         "_fleet_set_at",
@@ -143,6 +145,7 @@
         "_ring",
         "_results",
         "_table",
+        "_tasks",
         "_ticked_at",
         "_unconfirmed_s",
         "_unsent",
@@ -167,6 +170,8 @@
         self._history = version_history.VersionHistory(clock)
         self._ledger = version_ledger.VersionLedger(clock)
         self._records: version_records.VersionRecords | None = None
+        self._checkpoint: origin_checkpoint.OriginCheckpoint | None = None
+        self._tasks: task_supervisor.TaskSupervisor | None = None
         self._ring = keeper_ring.KeeperRing()
         self._protocol: protocols.StreamOriginProtocol | None = None
         self._peers: dict[str, Peer] = {}
@@ -202,6 +207,9 @@
             "stream_version_writes_total": (
                 records.write_count if records else 0
             ),
+            "stream_checkpoint_writes_total": (
+                self._checkpoint.write_count if self._checkpoint else 0
+            ),
         }
 
     @property
@@ -241,6 +249,34 @@
         self._records = version_records.VersionRecords(
             self._clock, rng, self._ledger, store, tasks, changed, tidies
         )
+        self._tasks = tasks
+        self._checkpoint = origin_checkpoint.OriginCheckpoint(
+            self._clock, self._vm, store
+        )
+        tasks.spawn(self._restore(self._checkpoint))
+
+    async def _restore(
+        self, checkpoint: origin_checkpoint.OriginCheckpoint
+    ) -> None:
+        """Take up the records that this VM had before its start."""
+        for each in await checkpoint.read():
+            self._table.add(each.key, each.origin, each.lifetime_s)
+
+    def _write_checkpoint(self) -> None:
+        """Write the records that only VMs know while versions overlap."""
+        checkpoint, tasks = self._checkpoint, self._tasks
+        if checkpoint is None or tasks is None:
+            return
+        services = [s for s in self._ledger.services if self._has_several(s)]
+        if not services:
+            return
+        records = {
+            key: record
+            for key, record in self._table.records.items()
+            if record.origin.service in services
+        }
+        if checkpoint.is_due(records, len(self._peers) + 1):
+            tasks.spawn(checkpoint.write(records))
 
     def configure(
         self, configuration: configuration_model.Configuration
@@ -328,6 +364,7 @@
         self._ticked_at = self._clock.now()
         if self._records is not None:
             self._records.tick()
+        self._write_checkpoint()
         due_at = self._clock.now() - RECORD_DELAY_S
         due = []
         for key in self._unsent:
--- a/tests/serving/stream_versions.feature
+++ b/tests/serving/stream_versions.feature
@@ -182,6 +182,22 @@
     Then no stream holds events of two versions
     And the others were refused with 503
 
+  # Guards against streams that are lost with all VMs though their version serves.
+  Scenario Outline: Streams of several versions go on after all VMs were killed
+    Given 3 VMs and runners v1 v1 v2 v2 that stream slowly
+    When 24 streams are begun at VM 1
+    And the VMs have time to write down where streams began
+    And all VMs are killed and started again<times>
+    And the streams are resumed at VM <vm>
+    Then no stream holds events of two versions
+    And all streams are whole
+
+    Examples:
+      | times     | vm |
+      |           | 2  |
+      |           | 1  |
+      | , 2 times | 3  |
+
   # Guards against streams that nobody resumes because all VMs have restarted.
   Scenario Outline: All VMs are killed while one version serves
     Given 3 VMs and runners v1 v1 that stream slowly
--- a/tests/steps/serving_stream_versions.py
+++ b/tests/steps/serving_stream_versions.py
@@ -296,3 +296,13 @@
     origin = models.StreamOrigin("service", context.standin.version)
     for vm in context.fleet.vms:
         assert vm.upstreams.selection.available("service", origin)
+
+
+@when("the VMs have time to write down where streams began")
+def _tick(context):
+    async def work():
+        for vm in context.fleet.vms:
+            vm.upstreams.origins.tick()
+        await asyncio.sleep(MESSAGE_S)
+
+    _run(context, work())
