--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 from . import fleet
 from . import fragile_checks
 from . import fragile_times
+from . import hard_faults
 from . import part_callers
 from . import part_checks
 from . import releases
@@ -100,6 +101,7 @@
     with_fragility: bool = False,
     with_releases: bool = False,
     with_bad_parts: bool = False,
+    with_hard_faults: bool = False,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -113,6 +115,8 @@
         version, and callers take broken streams up again.
     :param with_bad_parts: whether calls are sent with prompt parts that crash
         their runners, beside sound ones.
+    :param with_hard_faults: whether all VMs are killed at once, runners spoil
+        streams or send without end, and others write unreadable entries.
     """
     rng = random.Random(seed)
     test_fleet = fleet.Fleet(folder)
@@ -144,6 +148,12 @@
     releasing = releases.Injector(
         test_fleet, random.Random(f"releases {seed}")
     )
+    hard_schedule = (
+        hard_faults.plan(random.Random(f"plan hard {seed}"), seconds)
+        if with_hard_faults
+        else []
+    )
+    hard = hard_faults.Injector(test_fleet, random.Random(f"hard {seed}"))
     resume_rng = random.Random(f"resume {seed}") if with_releases else None
     runner_count = RUNNER_COUNT + (EXTRA_RUNNER_COUNT if with_releases else 0)
     try:
@@ -176,6 +186,7 @@
             fragility.inject(fragile_schedule),
             releasing.inject(release_schedule),
             bad_injector.inject(bad_schedule),
+            hard.inject(hard_schedule),
         )
         caller_group.stop_dropping()
         quiet_periods = [await _wait_quietly(caller_group, RECOVERY_S)]
@@ -226,6 +237,7 @@
             + fragile_schedule
             + release_schedule
             + bad_schedule
+            + hard_schedule
         )
         return SoakResult(
             seed,
@@ -333,7 +345,7 @@
 ) -> SoakResult:
     """Run one soak test; keep its folder if a guarantee was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    result = asyncio.run(run_soak_test(seed, seconds, folder, *[True] * 5))
+    result = asyncio.run(run_soak_test(seed, seconds, folder, *[True] * 6))
     if result.violations:
         kept = keep_folder / f"seed-{seed}"
         shutil.rmtree(kept, ignore_errors=True)
--- a/soak/dialect.py
+++ b/soak/dialect.py
@@ -21,15 +21,15 @@
 
 #: The predicate that each field of a runner's entry must satisfy.
 _ENTRY_FIELDS: dict[str, validation.Predicate] = {
-    "service": validation.is_non_empty_string,
-    "host": validation.is_non_empty_string,
+    "service": validation.is_name,
+    "host": validation.is_name,
     "port": validation.is_non_negative_int,
-    "data_centre": validation.is_non_empty_string,
+    "data_centre": validation.is_name,
     "concurrency": validation.is_non_negative_int,
     "leaving": validation.is_bool,
     "born": validation.is_non_negative_int,
     "sequence": validation.is_non_negative_int,
-    "version": validation.is_non_empty_string,
+    "version": validation.is_name,
 }
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -309,7 +309,11 @@
 
     async def delete_entry(self, runner: RunnerProcess) -> None:
         """Delete the entry of a runner, retrying while the store is down."""
-        path = f"/v1/objects/{dialect.RUNNERS_KIND}/{runner.name}"
+        await self.delete_object(dialect.RUNNERS_KIND, runner.name)
+
+    async def delete_object(self, kind: str, name: str) -> None:
+        """Delete an object, retrying while the store is down."""
+        path = f"/v1/objects/{kind}/{name}"
         await self._retry(lambda: self._try_store_request("DELETE", path))
 
     async def put_object(
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -23,6 +23,7 @@
 import time
 import typing
 
+from . import bad_answers
 from . import fragility
 from . import prompt_parts
 from . import statements
@@ -99,6 +100,7 @@
         self._says: Headers = {}
         self._arrivals = 0
         self._fragility: fragility.Fragility | None = None
+        self._bad = bad_answers.BadAnswers(0, "", 0.0)
         self._port = 0
         self._server: asyncio.Server | None = None
         #: The connections with the tasks that serve them.
@@ -167,10 +169,17 @@
             self._journal.flush()
             if bad_part:
                 await self._crash(bad_part, path, call_id, writer)
+            if self._bad.endless in bad_answers.IN_PLACE_OF_HEAD:
+                await bad_answers.send_endless(writer, self._bad.endless)
             if path.startswith("/stream"):
                 after = int(headers.get("after", 0))
                 await _send_stream(
-                    call_id, after, writer, self._tell(vm), self._version
+                    call_id,
+                    after,
+                    writer,
+                    self._tell(vm),
+                    self._version,
+                    self._bad,
                 )
             else:
                 await _work(call_id, reader)
@@ -190,6 +199,10 @@
             kind = statements.Kind.SAYS_FRAGILE
             self._record.write(self._name, kind, value=value)
             return
+        bad = bad_answers.read_bad_answers(headers, time.monotonic())
+        if bad is not None:
+            self._bad = bad
+            return
         self._says = headers
         limit = headers.get("limit-per-s", "-")
         self._record.write(self._name, statements.Kind.SAYS, value=limit)
@@ -359,15 +372,25 @@
     writer: asyncio.StreamWriter,
     headers: typing.Sequence[str],
     version: str,
+    bad: bad_answers.BadAnswers,
 ) -> None:
     writer.write(
         _response_head(200, call_id, "Transfer-Encoding: chunked", *headers)
     )
-    for number in range(after + 1, event_count(call_id) + 1):
-        data = format_event(call_id, number, version)
+    pieces = [
+        format_event(call_id, number, version)
+        for number in range(after + 1, event_count(call_id) + 1)
+    ]
+    if bad.spoils_next():
+        pieces = bad_answers.spoil(pieces)
+    if bad.endless:
+        pieces = pieces[: len(pieces) // 2]
+    for data in pieces:
         writer.write(b"%x\r\n%b\r\n" % (len(data), data))
         await writer.drain()
         await asyncio.sleep(EVENT_INTERVAL_S)
+    if bad.endless:
+        await bad_answers.send_endless(writer, bad.endless)
     writer.write(b"0\r\n\r\n")
 
 
