Take a response without an id for nobody's on a connection with ids

The next caller on that connection got the other caller's answer.

Cause: a response without an id counted as the pending call's own. Change: once a runner has named a call of a connection, a head without an id breaks the connection: the call goes on elsewhere where that is safe, and is answered 502 where it may have run. On a new connection no late response can come, so runners that never name calls are served as before.

Shown: two new scenarios of call_relay.feature (the stand-in spoils each second answer on a connection) failed without the change and pass; the 39 others pass. The daemon's path takes an empty echo for its own, too: open.

--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -116,6 +116,7 @@
         "_transport",
         "_body_until_close",
         "_waiter",
+        "echoes_ids",
         "uses",
         "reusable_until",
     )
@@ -151,6 +152,8 @@
         self._skipped_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._idle_since = loop.time()
+        #: Whether a response on this connection named its request.
+        self.echoes_ids = False
         #: Number of requests sent on this connection.
         self.uses = 0
         #: Until when the connection may be reused, on the event loop's clock
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -41,6 +41,7 @@
         "_parameters",
         "_call",
         "_attempt_id",
+        "_channel",
         "_pool",
         "_query",
         "_reader",
@@ -70,6 +71,7 @@
         self._dialect = dialect
         self._sink = sink
         self._pool = upstreams_.pool(runner)
+        self._channel: client_channel.Channel | None = None
         self._reader: response_reader.ResponseReader | None = None
         #: When the call was sent, by the clock of the upstreams.
         self._sent_at = 0.0
@@ -107,6 +109,7 @@
         :param first_response_timeout_s: how long the response may take to
             begin, in seconds; None for no limit.
         """
+        self._channel = channel
         self._reader = reader = response_reader.ResponseReader(
             channel, self._call, self._dialect, self._sink, self
         )
@@ -179,7 +182,11 @@
 
         Another runner may use the address now, and an unsigned head may come
         from something else on the way.
+
+        :raises client_channel.Broken: if the head may belong to an earlier
+            call on the connection.
         """
+        self._check_id(head)
         head.version = self._runner.version
         if head.other_runner:
             self._upstreams.runner_replaced(self._runner)
@@ -207,6 +214,20 @@
         """Whether the runner's process goes on after it has closed."""
         return not await self._upstreams.may_have_ended(self._runner)
 
+    def _check_id(self, head: messages.RunnerResponseHead) -> None:
+        """Check that a head without an id can only be that of this call.
+
+        :raises client_channel.Broken: if the runner has named the calls of
+            this connection before: a late response may have lost its id.
+        """
+        channel = self._channel
+        if channel is None:
+            return
+        if head.request_id:
+            channel.echoes_ids = True
+        elif channel.echoes_ids:
+            raise client_channel.Broken("a response without an id")
+
     def _shows_speed_of_runner(self) -> bool:
         """Whether the times of the call depend on the runner alone.
 
--- a/tests/serving/call_relay.feature
+++ b/tests/serving/call_relay.feature
@@ -251,3 +251,17 @@
     Given a VM whose peer reports 50 admitted units of a new customer
     When the customer's limit of 80 units is set and the peer reports the same
     Then the VM refuses 40 units and admits 20
+
+  # Guards against the answer to one caller that another one gets: a late second
+  # answer of a runner whose id is spoiled names no call.
+  Scenario Outline: A late answer without an id is nobody's
+    Given a route for <kind>
+    And a runner that answers the call before once more, with a spoiled id
+    And a runner that answers with the id of the call
+    When 8 calls are made on one connection after the other
+    Then each call got its own answer, or was told of a failure
+
+    Examples:
+      | kind                 |
+      | idempotent calls     |
+      | non-idempotent calls |
--- a/tests/serving/runner_standin.py
+++ b/tests/serving/runner_standin.py
@@ -77,6 +77,22 @@
     writer.write(_response(200, call, f"from {runner.name}".encode()))
 
 
+@behaviour("answers with the id of the call")
+async def _answers_id(runner, writer, call):
+    writer.write(_response(200, call, call["call-id"].encode()))
+
+
+@behaviour("answers the call before once more, with a spoiled id")
+async def _answers_call_before(runner, writer, call):
+    """The late answer comes where that to this call is due."""
+    before = runner.answered_on.get(writer)
+    if before is not None:
+        late = _response(200, before, before["call-id"].encode())
+        writer.write(late.replace(b"Call-Id", b"Cxll-Id"))
+    runner.answered_on[writer] = call
+    await _answers_id(runner, writer, call)
+
+
 @behaviour("answers late")
 async def _answers_late(runner, writer, call):
     await asyncio.sleep(0.1)
@@ -536,6 +552,8 @@
         #: When calls arrived from each VM, and when VMs were turned away.
         self.arrived_from = collections.defaultdict(list)
         self.turned_away = collections.defaultdict(list)
+        #: The last call that was answered on each connection.
+        self.answered_on = {}
         self.disconnects = 0
         self.connections = 0
         self.port = 0
--- a/tests/steps/serving_call_relay.py
+++ b/tests/steps/serving_call_relay.py
@@ -539,3 +539,26 @@
 def _connection_ended(context, ended):
     *_, was_reset = context.received
     assert was_reset == (ended == "is reset"), ended
+
+
+@when("{count:d} calls are made on one connection after the other")
+def _call_in_turn(context, count):
+    async def work():
+        return [
+            await context.world.call(call_id=f"turn-{number}")
+            for number in range(count)
+        ]
+
+    context.replies = _run(context, work())
+
+
+@then("each call got its own answer, or was told of a failure")
+def _check_own_answers(context):
+    bodies = [r.body for r in context.replies if r.status == 200]
+    wanted = [
+        f"turn-{number}".encode()
+        for number, reply in enumerate(context.replies)
+        if reply.status == 200
+    ]
+    assert bodies == wanted, bodies
+    assert len(bodies) >= len(context.replies) // 2, context.replies
