Don't trust the end of an answer that was read after a suspension

Cause: the check asks whether something listens now, and takes the end for one of now. Change: within a second after a suspension, or while the periodic work has not run for half a second, such an answer counts as broken off.

Shown at the check that decides (crash_watch.feature): two of four new scenarios failed before the change was wired in, and pass; not played with processes. Beside it: a checkpoint is composed only when one is due, and a record with more versions than can be read is not written.

--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -22,6 +22,7 @@
 from . import crash_logs
 from . import messages
 from . import runners
+from . import suspension_watch
 
 #: Minimum time between two connection checks of one runner, in seconds (see
 #: :meth:`CrashWatch.refuses`). A runner that ends breaks all its connections
@@ -79,6 +80,7 @@
         "_decisions",
         "_lost_at",
         "_runners",
+        "_suspension",
         "_unconfirmed",
     )
 
@@ -89,6 +91,7 @@
         is_fragile: past_fragility.IsFragile = past_fragility.never_fragile,
     ) -> None:
         self._clock = clock
+        self._suspension = suspension_watch.SuspensionWatch(clock)
         self._blocklist = crash_blocklist.CrashBlocklist(clock, vm, is_fragile)
         #: The causes of crashes that were logged, by feature.
         self._causes: dict[str, crash_causes.CrashCause] = {}
@@ -202,8 +205,11 @@
         connection that is opened here serves a later call.
 
         :returns: False only if the runner accepts a connection. True also if
-            the pool is full, as nothing is learned of the runner then.
+            the pool is full, as nothing is learned of the runner then, and if
+            this process was suspended: the runner may be back by now.
         """
+        if self._suspension.is_recent:
+            return True
         try:
             channel = await pool.acquire(CHECK_TIMEOUT_S, fresh=True)
         except client_channel.ChannelError:
@@ -278,7 +284,11 @@
         return self._blocklist.retry_after_s(features(call, customer), call)
 
     def tick(self) -> None:
-        """Remove expired crashes and blocks, and log changes of causes."""
+        """Remove expired crashes and blocks, and log changes of causes.
+
+        To be called several times a second.
+        """
+        self._suspension.tick()
         self._confirm_answers()
         self._blocklist.tick()
         before = self._causes
--- a/src/apricotlever/serving/origin_checkpoint.py
+++ b/src/apricotlever/serving/origin_checkpoint.py
@@ -155,18 +155,17 @@
         #: Number of writes to the store.
         self.write_count = 0
 
-    def is_due(
-        self,
-        records: typing.Mapping[bytes, origin_table.OriginRecord],
-        fleet_size: int,
-    ) -> bool:
-        """Whether some records should be written now."""
+    def is_time(self, fleet_size: int) -> bool:
+        """Whether this VM may write again."""
         interval_s = max(MIN_INTERVAL_S, fleet_size / MAX_WRITES_PER_S)
-        return (
-            not self._is_running
-            and self._clock.now() - self._written_at >= interval_s
-            and not records.keys() <= self._written_keys
-        )
+        since_s = self._clock.now() - self._written_at
+        return not self._is_running and since_s >= interval_s
+
+    def lacks(
+        self, records: typing.Mapping[bytes, origin_table.OriginRecord]
+    ) -> bool:
+        """Whether some of the records have not been written yet."""
+        return not records.keys() <= self._written_keys
 
     async def write(
         self, records: typing.Mapping[bytes, origin_table.OriginRecord]
--- a/src/apricotlever/serving/stream_origins.py
+++ b/src/apricotlever/serving/stream_origins.py
@@ -267,6 +267,8 @@
         checkpoint, tasks = self._checkpoint, self._tasks
         if checkpoint is None or tasks is None:
             return
+        if not checkpoint.is_time(len(self._peers) + 1):
+            return
         services = [s for s in self._ledger.services if self._has_several(s)]
         if not services:
             return
@@ -275,7 +277,7 @@
             for key, record in self._table.records.items()
             if record.origin.service in services
         }
-        if checkpoint.is_due(records, len(self._peers) + 1):
+        if checkpoint.lacks(records):
             tasks.spawn(checkpoint.write(records))
 
     def configure(
--- a/src/apricotlever/serving/version_records.py
+++ b/src/apricotlever/serving/version_records.py
@@ -238,6 +238,9 @@
         record: dict[str, version_ledger.VersionState],
         revision: int | None,
     ) -> None:
+        if len(record) > MAX_VERSIONS:
+            # Nobody could read it any more.
+            raise validation.Misshapen(VERSIONS, len(record))
         asked_at = self._clock.now()
         self.write_count += 1
         spec = encode_record(record)
--- a/tests/serving/crash_watch.feature
+++ b/tests/serving/crash_watch.feature
@@ -29,6 +29,21 @@
       | opens no connection in time        | may have ended |
       | has no free connection in the pool | may have ended |
 
+  # Guards against half a response that passes for a whole one: the runner ended
+  # and was back while the VM was suspended.
+  Scenario Outline: A response's end is not trusted after a suspension
+    Given a watch on crashes
+    When the process <runs>
+    And a runner ends a response by closing, and its port accepts a connection
+    Then the runner <may have ended>
+
+    Examples:
+      | runs                                       | may have ended |
+      | runs for 2 s                               | goes on        |
+      | is suspended for 3.7 s                     | may have ended |
+      | is suspended for 3.7 s, and runs for 0.5 s | may have ended |
+      | is suspended for 3.7 s, and runs for 2 s   | goes on        |
+
   # Guards against calls that are kept away from all runners for half an hour,
   # because a VM that lost its paths, or met a runner in a short silence, takes
   # a connection that opens late for the runner's crash.
--- a/tests/steps/serving_crash_watch.py
+++ b/tests/steps/serving_crash_watch.py
@@ -15,6 +15,8 @@
 from apricotlever.serving import messages
 from apricotlever.serving import runners
 
+#: Time between two ticks of a process that runs, in seconds.
+TICK_S = 0.1
 #: The error when connecting to a port, by what the port does.
 CONNECT_ERRORS = {
     "refuses": client_channel.NotConnected(
@@ -52,7 +54,32 @@
 
 @given("a watch on crashes")
 def _crash_watch(context):
-    context.watch = crash_watch.CrashWatch(clocks.ManualClock(), "vm-1")
+    context.clock = clocks.ManualClock()
+    context.watch = crash_watch.CrashWatch(context.clock, "vm-1")
+
+
+def _let_run(context, seconds):
+    for _ in range(round(seconds / TICK_S)):
+        context.clock.advance(TICK_S)
+        context.watch.tick()
+
+
+@when("the process runs for {seconds:g} s")
+def _run_on(context, seconds):
+    _let_run(context, seconds)
+
+
+@when("the process is suspended for {seconds:g} s")
+def _suspend(context, seconds):
+    _let_run(context, 1.0)
+    context.clock.advance(seconds)
+
+
+@when("the process is suspended for {gap:g} s, and runs for {seconds:g} s")
+def _suspend_and_run(context, gap, seconds):
+    _suspend(context, gap)
+    context.watch.tick()
+    _let_run(context, seconds)
 
 
 @when("a runner breaks off an answer and its port {does}")
