--- a/tests/steps/serving_reach_probes.py
+++ b/tests/steps/serving_reach_probes.py
@@ -39,7 +39,7 @@
         probes.tick()
 
     async def start():
-        tasks.repeat(TICK_S, tick)
+        tasks.repeat("probes", TICK_S, tick)
 
     _run(context, start())
 
