--- a/tests/steps/serving_aligned_timer.py
+++ b/tests/steps/serving_aligned_timer.py
@@ -91,7 +91,7 @@
                 raise TypeError("field has an unexpected type")
 
         running = task_supervisor.TaskSupervisor()
-        running.repeat(PERIOD_S, step)
+        running.repeat("timer", PERIOD_S, step)
         await asyncio.wait_for(over.wait(), TIMEOUT_S)
 
     asyncio.run(work())
