--- a/soak/bad_answers.py
+++ b/soak/bad_answers.py
@@ -21,6 +21,8 @@
 }
 #: Those that stand in place of a head.
 IN_PLACE_OF_HEAD = frozenset({"head", "interim"})
+#: Headers of which one at least tells a runner to answer badly.
+_HEADERS = frozenset({"spoil-every", "endless", "lost-of-five"})
 
 
 class BadAnswers:
@@ -29,15 +31,31 @@
     :param spoil_every: one in so many streams is spoiled; 0 for none.
     :param endless: what comes without end; "" for nothing.
     :param until: on the monotonic clock, in seconds.
+    :param lost_of_five: of five calls that run so many are not answered.
     """
 
-    __slots__ = ("_count", "_endless", "_spoil_every", "_until")
+    __slots__ = (
+        "_count",
+        "_endless",
+        "_lost_of_five",
+        "_run_count",
+        "_spoil_every",
+        "_until",
+    )
 
-    def __init__(self, spoil_every: int, endless: str, until: float) -> None:
+    def __init__(
+        self,
+        spoil_every: int,
+        endless: str,
+        until: float,
+        lost_of_five: int = 0,
+    ) -> None:
         self._spoil_every = spoil_every
         self._endless = endless
         self._until = until
+        self._lost_of_five = lost_of_five
         self._count = 0
+        self._run_count = 0
 
     @property
     def endless(self) -> str:
@@ -51,17 +69,25 @@
         self._count += 1
         return self._count % self._spoil_every == 0
 
+    def loses_next(self) -> bool:
+        """Whether the next answer is lost."""
+        if time.monotonic() >= self._until:
+            return False
+        self._run_count += 1
+        return self._run_count % 5 < self._lost_of_five
+
 
 def read_bad_answers(
     headers: typing.Mapping[str, str], now: float
 ) -> BadAnswers | None:
     """Read what a runner is told to do; None for nothing of the kind."""
-    if "spoil-every" not in headers and "endless" not in headers:
+    if not _HEADERS & headers.keys():
         return None
     return BadAnswers(
         int(headers.get("spoil-every", "0")),
         headers.get("endless", ""),
         now + float(headers["for-s"]),
+        int(headers.get("lost-of-five", "0")),
     )
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -39,6 +39,8 @@
     ("/stream-on/", "streams", "stream", 3, True),
 )
 ROUTE_TIMEOUT_S = 4.0
+#: Retries that the VMs may make in a window beside a share of the calls.
+RETRY_MIN = 10.0
 #: The version of the software of runners that no release has replaced.
 FIRST_VERSION = "v1"
 
@@ -110,10 +112,14 @@
     """All processes of one soak test.
 
     :param folder: for settings, logs and the runners' journal.
+    :param retry_min: see :class:`apricotlever.serving.settings.FleetBounds`.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, retry_min: float = RETRY_MIN
+    ) -> None:
         self._folder = folder
+        self.retry_min = retry_min
         self._runner_numbers = itertools.count(1)
         self._ports = ports.PortReservations()
         self._store_port = self._ports.reserve()
@@ -363,6 +369,7 @@
             "data_centre": data_centre,
             "seeds": seeds,
             "store": link.port,
+            "retry_min": self.retry_min,
             **ports_by_role,
         }
         path = self._folder / f"{name}.json"
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -149,7 +149,7 @@
             writer.write(_response(421, call_id, "", *says))
             return
         vm = headers["sent-by"]
-        self._record.write(self._name, statements.Kind.ARRIVED, vm)
+        self._record.write(self._name, statements.Kind.ARRIVED, vm, call_id)
         self._arrivals += 1
         bad_part = prompt_parts.find_bad(headers.get("parts", ""))
         if bad_part:
@@ -169,6 +169,9 @@
             self._journal.flush()
             if bad_part:
                 await self._crash(bad_part, path, call_id, writer)
+            if self._bad.loses_next():
+                await asyncio.sleep(ANSWER_DELAY_S)
+                raise ConnectionAbortedError("the answer is lost")
             if self._bad.endless in bad_answers.IN_PLACE_OF_HEAD:
                 await bad_answers.send_endless(writer, self._bad.endless)
             if path.startswith("/stream"):
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -17,7 +17,7 @@
     STARTED = "started"
     #: The runner begins to say something else in all its responses.
     SAYS = "says"
-    #: A call of a VM has arrived.
+    #: A call of a VM has arrived; the value is the call's id.
     ARRIVED = "arrived"
     #: A VM was sent a response that names the runner's limit.
     TOLD_LIMIT = "told_limit"
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -45,7 +45,9 @@
         None,
         False,
         False,
-        settings.FleetBounds(shutdown_s=SHUTDOWN_TIMEOUT_S),
+        settings.FleetBounds(
+            shutdown_s=SHUTDOWN_TIMEOUT_S, retry_min=document["retry_min"]
+        ),
         settings.Address(HOST, 0),
     )
 
