Tell what each VM takes its part of the retries for

Neither log nor metrics told why a VM might retry: among how many VMs it divides the fixed number, since when, and what it has sent or refused. The event retry_share says when that number changes, and metrics count requests, retries and refused retries of each service since the start of the process.

No decision changes.

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -195,6 +195,9 @@
     "request_retried": Event(
         INFO, "An attempt failed and another one started."
     ),
+    "retry_share": Event(
+        INFO, "This VM takes another number of VMs to share the retries."
+    ),
     "request_forwarded": Event(
         INFO,
         "A request was sent to another VM, as this one reached no runner.",
--- a/src/apricotlever/serving/metrics.py
+++ b/src/apricotlever/serving/metrics.py
@@ -30,7 +30,7 @@
     fragile = upstreams.runner_limits.fragile
     services = configuration.services if configuration else ()
     return relay_.observations.format_text(
-        {**gauges, **upstreams.crashes.gauges},
+        {**gauges, **relay_.budget.gauges, **upstreams.crashes.gauges},
         {
             ("crash_blocks_total", "decision"): upstreams.crashes.decisions,
             ("task_restarts_total", "task"): tasks.restarts,
@@ -64,6 +64,10 @@
                 service: relay_.budget.remaining(service)
                 for service in services
             },
+            **{
+                (metric, "service"): totals
+                for metric, totals in relay_.budget.counts.items()
+            },
             ("limit_left", "customer"): limits_.levels,
             ("limit_part", "customer"): limits_.usable_fractions,
             ("stream_resumptions_total", "source"): upstreams.origins.results,
