--- a/tests/serving/retry_play.py
+++ b/tests/serving/retry_play.py
@@ -27,7 +27,7 @@
 HIT_AT_S = 8.0
 DURATION_S = 19.0
 #: Time between two hits of a series, in seconds.
-BETWEEN_HITS_S = 3.0
+BETWEEN_HITS_S = 2.0
 PREFIX = "/safe/"
 SERVICE = "plain"
 
