Earn retries by requests and time, from nothing at each start

Callers and operators saw more retries than the fleet's limit when VMs were restarted: 286 and 278 arrivals beyond the first in ten seconds where 172 are allowed (seven VMs killed five times within 8 s, runners that lose four of five answers).

Cause: each VM sent as many as a window allowed by what its process remembered. A process that starts remembers nothing, so it sent a whole part again, and until it knew the others (0.3 to 0.7 s) it took the fixed number for its own. Ruled out as the only cause: unknown members. A simulated fleet of the old class with the size known from the start still exceeds the limit 1.03 to 1.56 times; with it unknown, 3 to 54 times at 1, 7 and 70 VMs.

Now a VM earns parts of retries, by each request that it counts and as time passes, and saves up half of a window's worth at most. A process begins with nothing. What a fleet sends in a window is at most what it had saved when the window began and what it earns in it, so neither restarts nor callers that move between VMs add to it, and nothing needs to be told. The fixed number is divided by the size of the fleet that the store names (kind fleet, one read at a start, one write when it grows) or by the VMs heard from in ten minutes, silent ones included; while neither is known, requests alone earn retries.

Tests: retries.feature failed 3 of 3 before; the simulation of 8 seeds at 1, 7 and 70 VMs replaces the one with four fixed VMs, counts by the rule's own windows and fails for the class before at each size. The scenario of 8 retries at once is replaced: half of a part may be saved up, the rest comes with time. Tests of the request path begin with a VM that has run for a while.

--- a/soak/retry_checks.py
+++ b/soak/retry_checks.py
@@ -22,7 +22,7 @@
 
 
 class Excess:
-    """The window in which the retries exceeded the limit most.
+    """The window in which the retries came closest to the limit, or beyond.
 
     :param until: its end, in the unit of the times given.
     :param repeats: arrivals beyond the first of their call in it.
@@ -102,7 +102,7 @@
     retry_min: float,
     window_s: float = WINDOW_S,
 ) -> Excess:
-    """Find the window in which retries exceeded the limit most.
+    """Find the window whose retries are the most for what is allowed.
 
     :param sent: when each request was sent, in seconds.
     :param repeats: when each arrival beyond the first came.
@@ -129,6 +129,6 @@
     )
     return max(
         windows,
-        key=lambda each: each.repeats - each.allowed,
+        key=lambda each: each.repeats / each.allowed,
         default=Excess(0.0, 0, retry_min),
     )
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -198,6 +198,15 @@
     "retry_share": Event(
         INFO, "This VM takes another number of VMs to share the retries."
     ),
+    "fleet_size_unread": Event(
+        INFO, "The store's record of the fleet's size could not be read."
+    ),
+    "fleet_size_written": Event(
+        INFO, "The store's record of the fleet's size was written."
+    ),
+    "fleet_size_unwritten": Event(
+        INFO, "The store's record of the fleet's size could not be written."
+    ),
     "request_forwarded": Event(
         INFO,
         "A request was sent to another VM, as this one reached no runner.",
--- a/src/apricotlever/serving/call_state.py
+++ b/src/apricotlever/serving/call_state.py
@@ -141,10 +141,7 @@
         if self.sends >= self.route.max_attempts:
             return False
         # A helper counts the retry.
-        return (
-            self.needs_helper
-            or self.context.budget.remaining(self.service) >= 1.0
-        )
+        return self.needs_helper or self.context.budget.may_retry(self.service)
 
     def stream_began(self, version: str) -> None:
         """Record that the caller receives the first event of this call.
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -16,6 +16,7 @@
 from .. import clock as clocks
 from .. import logs
 from ..vms import aggregates
+from ..vms import fleet_size
 from ..vms import follower_selection
 from ..vms import notices
 from ..vms import peer_loads
@@ -68,6 +69,7 @@
         "_local",
         "_marks_by_notices",
         "_record_exchange",
+        "_size",
         "_publish_scheduled",
         "_table",
         "_tasks",
@@ -101,6 +103,7 @@
             # A VM that only observes sends notices, too: without them there
             # would be nothing to observe.
             self._record_exchange.notices.connect(directory)
+        self._size = fleet_size.FleetSize(clock)
         self._datagrams = peer_datagrams.PeerSocket(self)
         self._fetcher = update_fetcher.UpdateFetcher(
             clock, local, directory, running
@@ -124,6 +127,11 @@
         """Status records of the VMs that may be alive, even if silent."""
         return self._table.members()
 
+    @property
+    def size(self) -> fleet_size.FleetSize:
+        """How many VMs fleet-wide amounts are divided among."""
+        return self._size
+
     @property
     def limit_keepers(self) -> dict[str, tuple[str, int]]:
         """Addresses of the other VMs that may be keepers of limits, by name.
@@ -286,6 +294,11 @@
             for record in alive:
                 self._check_for_updates(record)
         self._followers.update(alive)
+        self._size.set_counted(
+            self._table.count_heard(
+                fleet_size.REMEMBER_S, fleet_size.REMEMBER_ENDED_S
+            )
+        )
         if not self._followers.follows:
             self._following_since = None
         elif self._following_since is None:
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -33,6 +33,7 @@
 from . import duty_lease
 from . import duty_roster
 from . import fleet_link
+from . import fleet_size_record
 from . import fleet_workload
 from . import forwarded_calls
 from . import forwarding_protocol
@@ -182,6 +183,12 @@
             config.store.host,
             config.store.port,
         )
+        self._fleet_size_record = fleet_size_record.FleetSizeRecord(
+            rng,
+            self._fleet.size,
+            self._store,
+            lambda: self._fleet.must_follow_store,
+        )
         self._servers = servers.Servers(listening)
         self._duties = duty_roster.DutyRoster(
             clock,
@@ -248,6 +255,7 @@
             lambda: self._fleet.must_follow_store,
         )
         self._start_watchers()
+        self._tasks.supervise("fleet_size", self._fleet_size_record.run)
         spawn = self._tasks.spawn
         spawn(self._restore_limit_levels())
         self._tasks.repeat(
@@ -689,7 +697,7 @@
         )
         self._work.retain_processes(processes | {self._process})
         self._samples.send(self._configuration)
-        self._retry_allowance.set_members(len(members) + 1)
+        self._retry_allowance.set_fleet_size(self._fleet.size.size)
         self._upstreams.set_fleet_size(len(members) + 1)
         self._upstreams.crashes.set_vms(member.vm for member in members)
         if not self._fleet.aggregator:
--- a/src/apricotlever/vms/peer_table.py
+++ b/src/apricotlever/vms/peer_table.py
@@ -259,6 +259,20 @@
             and not (peer.record.leaving and now - peer.heard_at > alive_s)
         ]
 
+    def count_heard(self, within_s: float, ended_s: float) -> int:
+        """Return the number of VMs heard from in some time, silent or not.
+
+        :param within_s: that time, in seconds.
+        :param ended_s: after so many seconds of silence a VM that announced
+            its departure doesn't count.
+        """
+        now = self._clock.now()
+        return sum(
+            now - peer.heard_at
+            < (min(within_s, ended_s) if peer.record.leaving else within_s)
+            for peer in self._peers.values()
+        )
+
     def mark_all_silent(self) -> None:
         """Treat all peers as silent, after a pause of this process."""
         long_ago = self._clock.now() - self._alive_timeout_s()
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -70,6 +70,15 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _warm_allowance(min_retries):
+    """The allowance of retries of a VM that has run for a while."""
+    clock = clocks.ManualClock()
+    allowance = retry_allowance.RetryAllowance(clock, 0.2, min_retries, 10.0)
+    allowance.set_fleet_size(1)
+    clock.advance(100.0)
+    return allowance
+
+
 class RequestPath:
     """The request path, its runner stand-ins and a caller."""
 
@@ -103,9 +112,7 @@
         self.limits = customer_limits.CustomerLimits(clocks.SystemClock())
         self.reach = reach or AlwaysConnected()
         self.usage = usage_windows.UsageWindows(self.clock, "vm#1", 5.0)
-        self.budget = retry_allowance.RetryAllowance(
-            clocks.SystemClock(), 0.2, min_retries, 10.0
-        )
+        self.budget = _warm_allowance(min_retries)
         self.relay = call_relay.CallRelay(
             dialects.Dialect(
                 callers or plain_dialect.PlainCallerDialect(),
--- a/tests/steps/adapter_early_signals.py
+++ b/tests/steps/adapter_early_signals.py
@@ -34,6 +34,7 @@
                 "vm": "vm-0",
                 "data_centre": "dc-a",
                 "seeds": [context.ports["peers"]],
+                "retry_min": 10.0,
                 **context.ports,
             }
         )
--- a/tests/steps/contracts_retry_allowance.py
+++ b/tests/steps/contracts_retry_allowance.py
@@ -3,26 +3,13 @@
 from behave import given
 from behave import then
 from behave import when
-import hypothesis
-from hypothesis import strategies
 
 from apricotlever import clock as clocks
 from apricotlever.contracts import retry_allowance
+from tests.contracts import retry_fleet
 
-SETTINGS = hypothesis.settings(
-    derandomize=True, deadline=None, database=None, max_examples=60
-)
 WINDOW_S = 10.0
-
-
-def _vms(count, ratio, least):
-    clock = clocks.ManualClock()
-    vms = []
-    for _ in range(count):
-        vm = retry_allowance.RetryAllowance(clock, ratio, least, WINDOW_S)
-        vm.set_members(count)
-        vms.append(vm)
-    return clock, vms
+SEEDS = 8
 
 
 @given(
@@ -30,49 +17,69 @@
     "10 seconds"
 )
 def _allowances(context, count, ratio, least):
-    context.clock, context.vms = _vms(count, ratio, least)
+    context.clock = clocks.ManualClock()
+    context.vm = retry_allowance.RetryAllowance(
+        context.clock, ratio, least, WINDOW_S
+    )
+    context.vm.set_fleet_size(count)
+
+
+@given(
+    "1 VM of an unknown fleet with a ratio of {ratio:f} and {least:d} "
+    "retries in 10 s"
+)
+def _unknown(context, ratio, least):
+    context.clock = clocks.ManualClock()
+    context.vm = retry_allowance.RetryAllowance(
+        context.clock, ratio, least, WINDOW_S
+    )
 
 
-@when("VM 1 sends {count:d} requests")
-def _sends(context, count):
+@when("VM 1 waits for {seconds:d} seconds")
+def _wait(context, seconds):
+    context.clock.advance(seconds)
+
+
+@when("VM 1 gets {count:d} requests in the last of {seconds:d} seconds")
+def _requests(context, count, seconds):
+    context.clock.advance(seconds - 1.0)
     for _ in range(count):
-        context.vms[0].record_request("service")
+        context.clock.advance(1.0 / count)
+        context.vm.record_request("service")
 
 
 @then("VM 1 may retry {count:d} times and not more")
 def _may_retry(context, count):
-    assert all(context.vms[0].try_acquire("service") for _ in range(count))
-    assert not context.vms[0].try_acquire("service")
+    assert all(context.vm.try_acquire("service") for _ in range(count))
+    assert not context.vm.try_acquire("service")
+
+
+@then("VM 1 may retry {count:d} times and not more {seconds:d} seconds later")
+def _may_retry_later(context, count, seconds):
+    context.clock.advance(seconds)
+    _may_retry(context, count)
+
 
+@given("{count:d} VMs that are always asked to retry, some busier than others")
+def _fleet(context, count):
+    context.fleets = [
+        retry_fleet.RetryFleet(count, seed) for seed in range(SEEDS)
+    ]
 
-@then("in no window the VMs together retry more than is allowed")
+
+@when("they start, end, pause and take over callers of others at random")
+def _play(context):
+    context.worst = [fleet.run() for fleet in context.fleets]
+
+
+@then("in no window they retry more than is allowed")
 def _within_allowance(context):
-    steps = strategies.lists(
-        strategies.tuples(
-            strategies.integers(0, 3),
-            strategies.booleans(),
-            strategies.floats(0.0, 1.0),
-        ),
-        max_size=300,
-    )
+    excess = [(w.repeats, w.allowed) for w in context.worst if w.is_violation]
+    assert not excess, excess
+    assert all(worst.repeats for worst in context.worst)
+
 
-    @SETTINGS
-    @hypothesis.given(steps)
-    def check(sequence):
-        clock, vms = _vms(4, 0.2, 12.0)
-        requests, retries = [], []
-        for vm, is_retry, pause_s in sequence:
-            clock.advance(pause_s)
-            now = clock.now()
-            if is_retry:
-                if vms[vm].try_acquire("service"):
-                    retries.append(now)
-            else:
-                vms[vm].record_request("service")
-                requests.append(now)
-        for end in retries:
-            sent = sum(end - WINDOW_S < at <= end for at in retries)
-            base = sum(end - 2 * WINDOW_S < at <= end for at in requests)
-            assert sent <= 0.2 * base + 12.0
-
-    check()
+@then("each window that a VM lives through brings it retries")
+def _none_starved(context):
+    starved = [fleet.starved for fleet in context.fleets]
+    assert not any(starved), starved
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -8,6 +8,7 @@
 from behave import when
 import msgpack
 
+from apricotlever.contracts import retry_allowance
 from apricotlever.runners import model as models
 from apricotlever.serving import configuration_model
 from apricotlever.serving import connection_pool
@@ -325,7 +326,7 @@
 )
 def _check_counts(context, number, requests, usage, units):
     vm = _vm(context, number)
-    counted = sum(len(times) for times in vm.budget._requests.values())
+    counted = sum(vm.budget.counts[retry_allowance.REQUESTS].values())
     assert counted == requests, counted
     total = vm.usage.total(vm.usage.window)
     assert total.get("clerks", 0) == usage, total
@@ -335,8 +336,8 @@
 
 @then("VM {number:d} has counted {count:d} retries")
 def _check_retries(context, number, count):
-    retries = _vm(context, number).budget._retries
-    assert sum(len(times) for times in retries.values()) == count, retries
+    retries = _vm(context, number).budget.counts[retry_allowance.RETRIES]
+    assert sum(retries.values()) == count, retries
 
 
 @then("helper {number:d} was not told the key")
