Count retries by window in the soak, and lose answers beside kills in series

No soak counted arrivals beyond the first of each call, and no runner wrote down which call arrived, so none could show what the users saw.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,8 @@
 from . import part_callers
 from . import part_checks
 from . import releases
+from . import retry_checks
+from . import retry_faults
 from . import statement_checks
 from . import statements
 from . import version_checks
@@ -102,6 +104,7 @@
     with_releases: bool = False,
     with_bad_parts: bool = False,
     with_hard_faults: bool = False,
+    with_retry_faults: bool = False,
 ) -> SoakResult:
     """Run one soak test.
 
@@ -117,9 +120,14 @@
         their runners, beside sound ones.
     :param with_hard_faults: whether all VMs are killed at once, runners spoil
         streams or send without end, and others write unreadable entries.
+    :param with_retry_faults: whether runners lose most answers while VMs are
+        killed in series.
     """
     rng = random.Random(seed)
-    test_fleet = fleet.Fleet(folder)
+    retry_min = (
+        retry_faults.RETRY_MIN if with_retry_faults else fleet.RETRY_MIN
+    )
+    test_fleet = fleet.Fleet(folder, retry_min)
     schedule = faults.plan_faults(rng, seconds)
     if with_statements:
         statements_rng = random.Random(f"statements {seed}")
@@ -154,6 +162,14 @@
         else []
     )
     hard = hard_faults.Injector(test_fleet, random.Random(f"hard {seed}"))
+    retry_schedule = (
+        retry_faults.plan(random.Random(f"plan retries {seed}"), seconds)
+        if with_retry_faults
+        else []
+    )
+    retries = retry_faults.Injector(
+        test_fleet, random.Random(f"retries {seed}")
+    )
     resume_rng = random.Random(f"resume {seed}") if with_releases else None
     runner_count = RUNNER_COUNT + (EXTRA_RUNNER_COUNT if with_releases else 0)
     try:
@@ -180,6 +196,11 @@
                 asyncio.ensure_future(prompts.run(prefix))
                 for prefix in SOUND_CALLERS * bad_parts.PREFIXES
             ]
+        repeatable = retry_faults.RepeatableCalls(
+            test_fleet, caller_group, random.Random(f"repeatable {seed}")
+        )
+        if with_retry_faults:
+            tasks.append(asyncio.ensure_future(repeatable.run()))
         await asyncio.gather(
             _inject_faults(test_fleet, schedule, rng),
             injector.inject(cut_schedule),
@@ -187,8 +208,10 @@
             releasing.inject(release_schedule),
             bad_injector.inject(bad_schedule),
             hard.inject(hard_schedule),
+            retries.inject(retry_schedule),
         )
         caller_group.stop_dropping()
+        repeatable.stop()
         quiet_periods = [await _wait_quietly(caller_group, RECOVERY_S)]
         if with_fragility:
             await asyncio.sleep(LAST_CALLS_S)
@@ -211,7 +234,11 @@
         prompts.stop()
         await asyncio.gather(*tasks)
         violations = _find_violations(
-            test_fleet, caller_group, quiet_periods, injector.periods, prompts
+            test_fleet,
+            caller_group,
+            quiet_periods,
+            injector.periods,
+            [*prompts.sound, *prompts.bad, *repeatable.calls],
         )
         violations += part_checks.find_violations(
             part_checks.Observations(
@@ -223,6 +250,18 @@
                 test_fleet.disturbances,
             )
         )
+        violations += retry_checks.find_violations(
+            [
+                *caller_group.calls,
+                *caller_group.resumptions,
+                *prompts.sound,
+                *prompts.bad,
+                *repeatable.calls,
+            ],
+            caller_group.started_at,
+            test_fleet.record.read(),
+            retry_min,
+        )
         logs = sorted(folder.glob("vm-*.log"))
         violations += checks.find_failed_tasks(logs)
         violations += fragile_checks.find_violations(
@@ -238,6 +277,7 @@
             + release_schedule
             + bad_schedule
             + hard_schedule
+            + retry_schedule
         )
         return SoakResult(
             seed,
@@ -269,13 +309,16 @@
     caller_group: callers.CallerGroup,
     quiet_periods: list[tuple[float, float]],
     cut_periods: list[cuts.CutPeriod],
-    prompts: part_callers.PartCallers,
+    other_calls: list[callers.Call],
 ) -> list[str]:
-    """Describe each violated guarantee but those that the logs show."""
+    """Describe each violated guarantee but those that the logs show.
+
+    :param other_calls: calls beside those of the caller group.
+    """
     calls = caller_group.calls
     *first_periods, (last_since_s, _) = quiet_periods
     violations = checks.find_violations(
-        [*calls, *prompts.sound, *prompts.bad],
+        [*calls, *other_calls],
         test_fleet.executions(),
         last_since_s,
         caller_group.resumptions,
@@ -345,7 +388,7 @@
 ) -> SoakResult:
     """Run one soak test; keep its folder if a guarantee was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    result = asyncio.run(run_soak_test(seed, seconds, folder, *[True] * 6))
+    result = asyncio.run(run_soak_test(seed, seconds, folder, *[True] * 7))
     if result.violations:
         kept = keep_folder / f"seed-{seed}"
         shutil.rmtree(kept, ignore_errors=True)
--- a/soak/hard_faults.py
+++ b/soak/hard_faults.py
@@ -60,12 +60,21 @@
 @_register("all_vms_kill")
 async def _kill_all(test_fleet: fleet.Fleet, rng: random.Random) -> None:
     """All VMs are killed at once, and are started again."""
+    await restart(test_fleet, test_fleet.vms, rng.uniform(*DOWN_S))
+
+
+async def restart(
+    test_fleet: fleet.Fleet,
+    vms: typing.Sequence[fleet.VmProcess],
+    down_s: float,
+) -> None:
+    """Kill VMs at once, and start them after so many seconds."""
     with contextlib.ExitStack() as stack:
-        for vm in test_fleet.vms:
+        for vm in vms:
             stack.enter_context(test_fleet.disturbance(vm.name))
             vm.process.kill()
-        await asyncio.sleep(rng.uniform(*DOWN_S))
-        for vm in test_fleet.vms:
+        await asyncio.sleep(down_s)
+        for vm in vms:
             if not vm.process.is_running:
                 vm.process.start()
 
@@ -97,10 +106,18 @@
     runners: list[fleet.RunnerProcess],
 ) -> None:
     """Let one of some runners do something for a while."""
-    if not runners:
-        return
-    runner = rng.choice(runners)
-    for_s = rng.uniform(*RUNNER_FAULT_S)
+    if runners:
+        runner, for_s = rng.choice(runners), rng.uniform(*RUNNER_FAULT_S)
+        await let_say(test_fleet, runner, header, for_s)
+
+
+async def let_say(
+    test_fleet: fleet.Fleet,
+    runner: fleet.RunnerProcess,
+    header: str,
+    for_s: float,
+) -> None:
+    """Let a runner do something for so many seconds."""
     with test_fleet.disturbance(runner.name):
         await test_fleet.say(runner, f"{header}For-S: {for_s:.2f}\r\n")
         await asyncio.sleep(for_s)
--- a/soak/retry_checks.py
+++ b/soak/retry_checks.py
@@ -84,10 +84,11 @@
     repeats: dict[str, list[float]] = collections.defaultdict(list)
     seen: set[str] = set()
     for event in sorted(events, key=lambda event: event.at):
-        if event.kind is not statements.Kind.ARRIVED:
+        service = service_of.get(event.value, "")
+        if event.kind is not statements.Kind.ARRIVED or not service:
             continue
         if event.value in seen:
-            repeats[service_of[event.value]].append(event.at)
+            repeats[service].append(event.at)
         seen.add(event.value)
     return {
         service: worst_window(sent[service], times, RATIO, retry_min)
--- a/tests/serving/retry_play.py
+++ b/soak/retry_play.py
@@ -1,19 +1,25 @@
 """Plays of a fleet whose runners lose answers while VMs end and start.
 
+Usage: ``python -m soak.retry_play SEED...``
+
 Calls that may be repeated are sent at a steady rate to VMs at random, one
 attempt each. Counted is what reaches the runners.
 """
 
+import argparse
 import asyncio
 import itertools
+import json
 import pathlib
 import random
 import signal
+import sys
 import tempfile
+import typing
 
-from soak import callers
-from soak import fleet
-from soak import retry_checks
+from . import callers
+from . import fleet
+from . import retry_checks
 
 VM_COUNT = 7
 RUNNER_COUNT = 6
@@ -32,26 +38,62 @@
 SERVICE = "plain"
 
 
+class Hits:
+    """A series of kills or suspensions of the same VMs, all at once.
+
+    :param number: how often they are hit.
+    :param count: how many VMs.
+    :param down_s: after how many seconds they start again; None for never.
+    :param pause_s: for how many seconds they are suspended instead; 0 to kill
+        them.
+    :param between_s: seconds from one hit to the next.
+    """
+
+    __slots__ = ("number", "count", "down_s", "pause_s", "between_s")
+
+    def __init__(
+        self,
+        number: int,
+        count: int = VM_COUNT,
+        down_s: float | None = 0.4,
+        pause_s: float = 0.0,
+        between_s: float = BETWEEN_HITS_S,
+    ) -> None:
+        self.number = number
+        self.count = count
+        self.down_s = down_s
+        self.pause_s = pause_s
+        self.between_s = between_s
+
+    @classmethod
+    def draw(cls, seed: int) -> "Hits":
+        """Draw a series."""
+        rng = random.Random(f"hits {seed}")
+        return cls(
+            rng.randint(1, 6),
+            rng.choice((1, 3, VM_COUNT, VM_COUNT)),
+            rng.uniform(0.1, 1.0),
+            rng.choice((0.0, 0.0, 0.0, rng.uniform(0.5, 2.0))),
+            rng.uniform(1.6, 3.0),
+        )
+
+
 class Play:
     """One play.
 
-    :param hits: how often VMs are hit.
-    :param count: how many of them.
-    :param down_s: after how many seconds they start again; None for never.
+    :param seed: of the VMs that calls are sent to.
     """
 
-    def __init__(self, hits, count=VM_COUNT, down_s=0.4, pause_s=0.0):
+    def __init__(self, hits: Hits, seed: int = 7) -> None:
         self._hits = hits
-        self._count = count
-        self._down_s = down_s
-        self._pause_s = pause_s
-        self._rng = random.Random(7)
-        self._calls = []
-        #: The worst window, and the share of the calls that were served.
-        self.worst = None
+        self._rng = random.Random(seed)
+        self._calls: list[callers.Call] = []
+        #: The window that came closest to the limit.
+        self.worst = retry_checks.Excess(0.0, 0, RETRY_MIN)
+        #: The share of the calls that were served.
         self.served = 0.0
 
-    async def run(self):
+    async def run(self) -> None:
         """Play from the start of all processes to their end."""
         with tempfile.TemporaryDirectory() as folder:
             test_fleet = fleet.Fleet(pathlib.Path(folder), RETRY_MIN)
@@ -63,7 +105,7 @@
             finally:
                 test_fleet.close()
 
-    async def _play(self, test_fleet):
+    async def _play(self, test_fleet: fleet.Fleet) -> None:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         sending = asyncio.ensure_future(self._send_calls(test_fleet))
@@ -74,10 +116,10 @@
                 runner,
                 f"Lost-Of-Five: {LOST_OF_FIVE}\r\nFor-S: {lost_s}\r\n",
             )
-        for number in range(self._hits):
-            at = started_at + HIT_AT_S + number * BETWEEN_HITS_S
+        for number in range(self._hits.number):
+            at = started_at + HIT_AT_S + number * self._hits.between_s
             await asyncio.sleep(at - loop.time())
-            await self._hit(test_fleet.vms[: self._count])
+            await self._hit(test_fleet.vms[: self._hits.count])
         await sending
         worst = retry_checks.worst_windows(
             self._calls, started_at, test_fleet.record.read(), RETRY_MIN
@@ -85,23 +127,23 @@
         self.worst = worst[SERVICE]
         self.served = sum(c.served for c in self._calls) / len(self._calls)
 
-    async def _hit(self, vms):
-        if self._pause_s:
+    async def _hit(self, vms: list[fleet.VmProcess]) -> None:
+        if self._hits.pause_s:
             for vm in vms:
                 vm.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(self._pause_s)
+            await asyncio.sleep(self._hits.pause_s)
             for vm in vms:
                 vm.process.send_signal(signal.SIGCONT)
             return
         for vm in vms:
             vm.process.kill()
-        if self._down_s is None:
+        if self._hits.down_s is None:
             return
-        await asyncio.sleep(self._down_s)
+        await asyncio.sleep(self._hits.down_s)
         for vm in vms:
             vm.process.start()
 
-    async def _send_calls(self, test_fleet):
+    async def _send_calls(self, test_fleet: fleet.Fleet) -> None:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         tasks = []
@@ -121,9 +163,9 @@
         await asyncio.gather(*tasks)
 
 
-async def _send(call, port):
+async def _send(call: callers.Call, port: int) -> None:
     """Send a call on a connection of its own."""
-    connection = None
+    connection: callers.Connection | None = None
     try:
         async with asyncio.timeout(callers.CALL_TIMEOUT_S):
             streams = await asyncio.open_connection(fleet.HOST, port)
@@ -135,3 +177,38 @@
     finally:
         if connection is not None:
             connection.close()
+
+
+def main(arguments: list[str]) -> int:
+    """Play the seeds that the command line names.
+
+    :returns: 1 if the limit was exceeded, else 0.
+    """
+    parser = argparse.ArgumentParser("retry_play", description=__doc__)
+    parser.add_argument("seeds", type=int, nargs="+")
+    failed = False
+    for seed in parser.parse_args(arguments).seeds:
+        hits = Hits.draw(seed)
+        play = Play(hits, seed)
+        asyncio.run(play.run())
+        failed |= play.worst.is_violation
+        result: dict[str, typing.Any] = {
+            name: getattr(hits, name) for name in hits.__slots__
+        }
+        print(
+            json.dumps(
+                {
+                    "seed": seed,
+                    **result,
+                    "retries": play.worst.repeats,
+                    "allowed": round(play.worst.allowed, 1),
+                    "served": round(play.served, 3),
+                }
+            ),
+            flush=True,
+        )
+    return int(failed)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/steps/serving_retries.py
+++ b/tests/steps/serving_retries.py
@@ -5,14 +5,14 @@
 from behave import then
 from behave import when
 
-from tests.serving import retry_play
+from soak import retry_play
 
 
 @when(
     "runners lose most answers, and all VMs are killed five times within 8 s"
 )
 def _kill_all(context):
-    context.play = retry_play.Play(hits=5)
+    context.play = retry_play.Play(retry_play.Hits(5))
     asyncio.run(context.play.run())
 
 
