--- a/tests/run.py
+++ b/tests/run.py
@@ -25,7 +25,7 @@
 PASSED = model_core.Status.passed
 NOT_RUN = (model_core.Status.skipped, model_core.Status.untested)
 #: Limits the load: each of the longest features starts a dozen processes.
-MAX_PARALLEL_FEATURES = max(1, min(4, (os.cpu_count() or 2) // 2))
+MAX_PARALLEL_FEATURES = max(1, min(4, (os.cpu_count() or 2) - 1))
 #: A feature that runs longer is assumed to hang and counts as failed.
 FEATURE_TIMEOUT_S = 900.0
 KNOWN_RED_FILE = pathlib.Path("KNOWN-RED.txt")
