--- a/src/apricotlever/serving/forwarded_calls.py
+++ b/src/apricotlever/serving/forwarded_calls.py
@@ -16,6 +16,7 @@
 from . import call_relay
 from . import caller_channel
 from . import configuration_model
+from . import forwarding_attempt
 from . import forwarding_protocol
 from . import helpers
 from . import reply_writer
@@ -33,8 +34,6 @@
 UNABLE_RETRY_AFTER_S = 1.0
 #: The reason of a VM that has lost its paths to runners itself.
 ISOLATED = "helper_isolated"
-#: The reason if it may have lost them, and reached no runner for this call.
-REACHED_NONE = "helper_reached_none"
 
 
 class Unfit(Exception):
@@ -227,7 +226,7 @@
             and reason.startswith(call_execution.UNREACHED)
             and self._relay.helpers.may_be_needed
         ):
-            reason, retry_after_s = REACHED_NONE, None
+            reason, retry_after_s = forwarding_attempt.REACHED_NONE, None
         refusal = forwarding_protocol.HelperRefusal(
             reason, _executed(execution), retry_after_s, execution.sends
         )
--- a/src/apricotlever/serving/forwarding_attempt.py
+++ b/src/apricotlever/serving/forwarding_attempt.py
@@ -24,6 +24,9 @@
 #: Prefix of the reasons for which a helper itself turns calls away; others are
 #: those of the runners that it tried.
 OWN_REASON = "helper_"
+#: The reason of a helper that tried the call, and may have lost its paths as
+#: it reached no runner for it.
+REACHED_NONE = "helper_reached_none"
 
 
 class _HelperDialect:
@@ -112,6 +115,18 @@
         """What the helper said instead of a runner's response, if it did."""
         return self._dialect.refusal
 
+    @property
+    def counted_elsewhere(self) -> bool:
+        """Whether the helper refused a call that it has counted.
+
+        It counts a call once it tries to send it to a runner.
+        """
+        refusal = self.refusal
+        return refusal is not None and (
+            refusal.reason == REACHED_NONE
+            or not refusal.reason.startswith(OWN_REASON)
+        )
+
     async def connect(
         self, timeout_s: float
     ) -> client_channel.Channel | attempt_outcome.AttemptOutcome:
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -123,6 +123,7 @@
             state.sends = max(forwarded.sends, attempt.refusal.sends)
         if outcome.status is attempt_outcome.AttemptStatus.NOT_RUN:
             state.may_have_run = ran_before
+            state.is_counted |= attempt.counted_elsewhere
             self._last_refusal = outcome
             return outcome
         state.is_counted = True
--- a/tests/serving/forwarding.feature
+++ b/tests/serving/forwarding.feature
@@ -424,6 +424,16 @@
     Then the status is 503 with a time to come back
     And VM 2 was sent 0 calls
 
+  # Guards against a call that earns retries at two VMs.
+  Scenario: A call that a first helper has counted isn't counted by a second
+    Given an isolated VM and 2 other VMs
+    And a route for idempotent calls
+    And a runner that answers
+    And VM 2 reaches none and suspects it
+    And VM 3 reaches none and suspects it
+    When a call is made
+    Then the VMs have counted 1 request in all
+
   # Guards against calls that fail in the first moments of a cut, because the
   # helper has lost its paths as well and no record says so yet.
   Scenario: A call that reached no runner goes on to a second helper
--- a/tests/steps/serving_forwarding.py
+++ b/tests/steps/serving_forwarding.py
@@ -334,6 +334,15 @@
     assert admitted.get("clerks", 0) == units, admitted
 
 
+@then("the VMs have counted 1 request in all")
+def _check_counted_once(context):
+    totals = [
+        vm.budget.counts[retry_allowance.REQUESTS].values()
+        for vm in [context.world, *context.vms]
+    ]
+    assert sum(map(sum, totals)) == 1, totals
+
+
 @then("VM {number:d} has counted {count:d} retries")
 def _check_retries(context, number, count):
     retries = _vm(context, number).budget.counts[retry_allowance.RETRIES]
