--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -384,11 +384,16 @@
 
 
 def _run_seed(
-    seed: int, seconds: float, keep_folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    keep_folder: pathlib.Path,
+    with_retry_faults: bool,
 ) -> SoakResult:
     """Run one soak test; keep its folder if a guarantee was violated."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    result = asyncio.run(run_soak_test(seed, seconds, folder, *[True] * 7))
+    result = asyncio.run(
+        run_soak_test(seed, seconds, folder, *[True] * 6, with_retry_faults)
+    )
     if result.violations:
         kept = keep_folder / f"seed-{seed}"
         shutil.rmtree(kept, ignore_errors=True)
@@ -422,6 +427,11 @@
         default=pathlib.Path("soak-logs"),
         help="where to keep the folders of failed soak tests",
     )
+    parser.add_argument(
+        "--retries",
+        action="store_true",
+        help="also lose most answers while VMs are killed in series",
+    )
     options = parser.parse_args(arguments)
     system_rng = random.SystemRandom()
     seeds = options.seed or [
@@ -429,7 +439,9 @@
     ]
     failed_soaks = 0
     for seed in seeds:
-        result = _run_seed(seed, options.seconds, options.keep)
+        result = _run_seed(
+            seed, options.seconds, options.keep, options.retries
+        )
         print(json.dumps(result.summary), flush=True)
         failed_soaks += bool(result.violations)
     return int(bool(failed_soaks))
