Tell calls apart by the prompts that they declare, too

Callers saw: one prompt part went on crashing runners.

Cause: a call's fingerprint covered customer, method, target and body. All calls of the play have one target and no body, and differ by their declared prompts alone, so that all of them counted as one call: one call that was at every crash (a part is no cause then), and which the answers to sound calls cleared. The log shows it: runner_crashed says repeated=1 at each crash but the first, of calls that were sent once.

--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -342,15 +342,14 @@
 ) -> call_features.CallFeatures:
     """What a call has in common with others.
 
-    Its fingerprint covers customer, method, target and body.
+    Its fingerprint covers customer, method, target, body and declared prompt.
     """
     name = customer.name if customer is not None else ""
-    prompt = call.prompt
+    parts = [part.part_id for part in call.prompt.parts] if call.prompt else []
+    what = " ".join((call.method, call.target, *parts))
     return call_features.CallFeatures(
-        quarantine.fingerprint(
-            "", name, call.body, f"{call.method} {call.target}"
-        ),
+        quarantine.fingerprint("", name, call.body, what),
         name,
-        [part.part_id for part in prompt.parts[:-1]] if prompt else (),
+        parts[:-1],
         call.request_id,
     )
--- a/tests/serving/crash_play.py
+++ b/tests/serving/crash_play.py
@@ -78,14 +78,18 @@
     :param bad_first: whether the bad part is the first one of its calls.
     :param end: how a crash ends a connection, a key of :data:`ENDS`.
     :param beginning: whether a crash leaves the beginning of an answer.
+    :param body: the body of all calls; None if each has its own.
     """
 
-    def __init__(self, streams, bad_first, end="resets", beginning=False):
+    def __init__(
+        self, streams, bad_first, end="resets", beginning=False, body=None
+    ):
         self.streams = streams
         self.end = ENDS[end]
         self.bad_part = BAD_PART
         self._bad_first = bad_first
         self._beginning = beginning
+        self._body = body
         #: When each call with the part reached a runner.
         self.bad_runs = []
         #: When each runner ended.
@@ -206,7 +210,7 @@
         self._numbers[kind] += 1
         number = self._numbers[kind]
         reply = await self.path.call_with_parts(
-            f"{kind}-{number}", f"{parts},{kind}{number}"
+            f"{kind}-{number}", f"{parts},{kind}{number}", self._body
         )
         self.statuses[kind, reply.status] += 1
         return reply.status == 200 and reply.complete
--- a/tests/serving/request_path.py
+++ b/tests/serving/request_path.py
@@ -256,17 +256,18 @@
         head, _, body = received.partition(b"\r\n\r\n")
         return head, body, was_reset
 
-    async def call_with_parts(self, call_id, parts):
+    async def call_with_parts(self, call_id, parts, body=None):
         """Send a call with a prompt on a connection of its own.
 
-        :param parts: the names of the prompt's parts, separated by commas;
-            they are the call's body, too.
+        :param parts: the names of the prompt's parts, separated by commas.
+        :param body: the call's body; None for the names of the parts.
         """
+        body = parts if body is None else body
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(
             f"POST /s/x HTTP/1.1\r\nHost: {HOST}\r\nCall-Id: {call_id}\r\n"
             f"Key: {KEY}\r\nParts: {parts}\r\n"
-            f"Content-Length: {len(parts)}\r\n\r\n{parts}".encode()
+            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
         )
         try:
             return await self._read_reply(reader)
--- a/tests/steps/serving_crash_parts.py
+++ b/tests/steps/serving_crash_parts.py
@@ -23,11 +23,26 @@
 )
 def _played(context, kind, place, end):
     how, beginning = ENDS[end]
-    context.play = crash_play.CrashPlay(
-        kind == "streams", place == "first", how, beginning
+    _play(
+        context,
+        crash_play.CrashPlay(
+            kind == "streams", place == "first", how, beginning
+        ),
     )
-    asyncio.run(context.play.run(PLAY_S))
-    assert context.play.crash_times
+
+
+@when(
+    "idempotent calls that differ by their declared prompts alone are played "
+    "beside calls with a bad part"
+)
+def _played_with_one_body(context):
+    _play(context, crash_play.CrashPlay(False, False, body=""))
+
+
+def _play(context, play):
+    context.play = play
+    asyncio.run(play.run(PLAY_S))
+    assert play.crash_times
 
 
 @then(
