--- a/soak/bad_parts.py
+++ b/soak/bad_parts.py
@@ -94,7 +94,7 @@
 
     async def inject(self, schedule: schedules.Schedule) -> None:
         """Begin each time as scheduled and wait for all to end."""
-        watch = asyncio.ensure_future(self._watch_crashes())
+        watch = asyncio.ensure_future(self.watch_crashes())
         try:
             await schedules.follow(schedule, self._rng, self._begin)
             await asyncio.sleep(prompt_parts.DOWN_S + SETTLE_S)
@@ -113,8 +113,8 @@
         self.times.append(bad)
         await self._send(bad, rng)
 
-    async def _watch_crashes(self) -> None:
-        """Give each runner that has crashed a new incarnation."""
+    async def watch_crashes(self) -> None:
+        """Give each runner that has crashed a new incarnation, without end."""
         offset = 0
         while True:
             await asyncio.sleep(child_process.POLL_INTERVAL_S)
--- a/soak/part_callers.py
+++ b/soak/part_callers.py
@@ -52,9 +52,15 @@
             await asyncio.sleep(self._rng.uniform(*SOUND_PAUSE_S))
 
     async def send_bad(
-        self, bad: bad_parts.BadTime, rng: random.Random
+        self,
+        bad: bad_parts.BadTime,
+        rng: random.Random,
+        pause_s: tuple[float, float] = BAD_PAUSE_S,
     ) -> None:
-        """Send calls with a bad part, as long as its time lasts."""
+        """Send calls with a bad part, as long as its time lasts.
+
+        :param pause_s: shortest and longest time between two, in seconds.
+        """
         tasks = []
         loop = asyncio.get_running_loop()
         bodies: list[str] = []
@@ -66,7 +72,7 @@
             call.parts = f"{bad.parts},{call.request_body}"
             self.bad.append(call)
             tasks.append(asyncio.ensure_future(self._send(call)))
-            await asyncio.sleep(rng.uniform(*BAD_PAUSE_S))
+            await asyncio.sleep(rng.uniform(*pause_s))
         await asyncio.gather(*tasks)
 
     def _make_call(self, kind: str, prefix: str) -> callers.Call:
