Keep the crashes that VMs have seen in the store, and read them at each start

Callers saw (own play, soak/crash_play.py): one prompt part crashed runner after runner, as all VMs were killed after each crash: 14 to 16 crashes, 9 or 10 calls with the part later than 3 s after the fifth, three allowed.

Cause: which calls crash runners was known to processes only; VMs tell each other, and when all end nobody is left to tell. runner_crashed said crashes=1 and 2 in each life. Class: a process takes what it hasn't seen for what there wasn't.

Change: each of the first eight VMs that saw a crash keeps it, with suspects and answers, in an object of its own in the store, written within 0.1 s at 7 VMs and spread by the size of the fleet; each process reads all objects at its start and goes by their age. A VM that knows less than half of the fleet begins no trial: after a restart each would take every turn for its own.

Twelve scenarios on the record itself (clocks that differ by 20 s, a store that fails, foreign objects, answers, age, trials).

--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -207,6 +207,15 @@
     "fleet_size_unwritten": Event(
         INFO, "The store's record of the fleet's size could not be written."
     ),
+    "crashes_restored": Event(
+        INFO, "Crashes of runners were read that VMs had seen before."
+    ),
+    "crashes_unread": Event(
+        WARNING, "The crashes that VMs have seen before could not be read."
+    ),
+    "crashes_unwritten": Event(
+        WARNING, "The crashes that this VM has seen could not be written."
+    ),
     "request_forwarded": Event(
         INFO,
         "A request was sent to another VM, as this one reached no runner.",
--- a/src/apricotlever/runners/crash_blocklist.py
+++ b/src/apricotlever/runners/crash_blocklist.py
@@ -21,6 +21,7 @@
 from . import call_features
 from . import crash_blocks
 from . import crash_causes
+from . import crash_evidence
 from . import crash_records
 from . import crash_reporting
 from . import crash_trials
@@ -124,10 +125,45 @@
         """
         self._quarantine.set_sizes(sizes)
 
-    def set_vms(self, names: typing.Iterable[str]) -> None:
-        """Set the names of all VMs, which take turns with trials."""
+    @property
+    def revision(self) -> int:
+        """Changes whenever :meth:`evidence` may have changed."""
+        return self._quarantine.log.revision
+
+    def evidence(self) -> crash_evidence.Evidence:
+        """What must outlive this process of the crashes that it knows."""
+        return crash_evidence.select(
+            self._clock, self._vm, self._quarantine.log
+        )
+
+    def restore(
+        self, vm: str, record: crash_records.CrashRecord, age_s: float
+    ) -> None:
+        """Merge what a VM has kept of crashes.
+
+        :param vm: the name of that VM, or of this one before its start.
+        :param age_s: seconds since then.
+        """
+        news = crash_records.decode(vm, record)
+        for observation in news.observations:
+            observation.age_s += age_s
+            self._quarantine.log.add(
+                observation, crash_evidence.CLOCK_TOLERANCE_S
+            )
+        for answer in news.answers:
+            # Calls are mostly sent again and again that were answered once.
+            self._trials.note_common(answer.name)
+            self._clear(answer.name, answer.age_s + age_s)
+
+    def set_vms(
+        self, names: typing.Iterable[str], fleet_size: int | None = 0
+    ) -> None:
+        """Set the names of all known VMs, which take turns with trials.
+
+        :param fleet_size: how many VMs there are; None if that is unknown.
+        """
         vms = frozenset(names)
-        self._trials.set_vms(vms)
+        self._trials.set_vms(vms, fleet_size)
         self._reporting.set_vms(vms)
 
     def connection_broken(
--- a/src/apricotlever/runners/crash_log.py
+++ b/src/apricotlever/runners/crash_log.py
@@ -34,6 +34,7 @@
         "_crashes",
         "_runner_counts",
         "_completed_at",
+        "revision",
     )
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -44,6 +45,8 @@
         self._runner_counts: dict[str, int] = {}
         #: When a call was last answered, by its features.
         self._completed_at: dict[str, float] = {}
+        #: Counts the changes of crashes, suspects and answers.
+        self.revision = 0
         self._causes: tuple[crash_causes.CrashCause, ...] = ()
         #: Until when the causes hold unless a report comes.
         self._causes_until = float("-inf")
@@ -89,18 +92,24 @@
         self._runner_counts = dict(sizes)
         self._forget_causes()
 
-    def add(self, report: crashes_.CrashObservation) -> bool:
+    def add(
+        self,
+        report: crashes_.CrashObservation,
+        window_s: float = crashes_.SAME_CRASH_WINDOW_S,
+    ) -> bool:
         """Merge a report of a crash into the log.
 
         A report of a known crash may add suspects to it; a duplicate has no
         effect. Reports older than :data:`.crashes.QUARANTINE_S` are ignored.
 
+        :param window_s: by how much its time may differ from that of other
+            reports of the same crash, in seconds.
         :returns: whether it holds a crash or suspect that was not known.
         """
         at = self._clock.now() - report.age_s
         if report.age_s > crashes_.QUARANTINE_S:
             return False
-        crash = self._find_crash(report.runner, at)
+        crash = self._find_crash(report.runner, at, window_s)
         is_new = crash is None
         if crash is None:
             crash = crashes_.RunnerCrash(report.runner, report.data_centre, at)
@@ -124,7 +133,7 @@
         is_new |= any(added)
         # Records repeat a crash many times.
         if is_new or before != (crash.at, crash.noticed, crash.fragile):
-            self._forget_causes()
+            self._changed()
         return is_new
 
     def retract(self, vm: str, since: float) -> list[crashes_.RunnerCrash]:
@@ -156,7 +165,7 @@
         if at <= known:
             return False
         self._completed_at[name] = at
-        self._forget_causes()
+        self._changed()
         return True
 
     def is_implicated(self, name: str) -> bool:
@@ -231,6 +240,17 @@
         """The number of crashes with a feature, whatever explains them."""
         return len(self._by_name.get(name, ()))
 
+    def suspicion(self, suspect: crashes_.SuspectRequest) -> int:
+        """The most crashes of one feature that was never answered."""
+        return max(
+            (
+                self.crash_count(name)
+                for name in suspect.names
+                if name not in self._completed_at
+            ),
+            default=0,
+        )
+
     def reports(self, vm: str) -> list[crashes_.CrashObservation]:
         """The whole log as reports, for a VM that has just started.
 
@@ -327,17 +347,20 @@
             1, min(crashes_.MIN_CORRELATED_CRASHES, size - 1)
         )
 
+    def _changed(self) -> None:
+        self.revision += 1
+        self._forget_causes()
+
     def _forget_causes(self) -> None:
         self._causes_until = float("-inf")
 
     def _find_crash(
-        self, runner: str, at: float
+        self, runner: str, at: float, window_s: float
     ) -> crashes_.RunnerCrash | None:
         matching = (
             crash
             for crash in self._crashes
-            if crash.runner == runner
-            and abs(crash.at - at) <= crashes_.SAME_CRASH_WINDOW_S
+            if crash.runner == runner and abs(crash.at - at) <= window_s
         )
         return next(matching, None)
 
@@ -365,4 +388,4 @@
             if not implicated:
                 del self._by_name[name]
                 self._completed_at.pop(name, None)
-        self._forget_causes()
+        self._changed()
--- a/src/apricotlever/runners/crash_records.py
+++ b/src/apricotlever/runners/crash_records.py
@@ -5,6 +5,7 @@
 place of a name, they get text that they don't know and that has no effect.
 """
 
+import itertools
 import typing
 
 from .. import validation
@@ -25,6 +26,8 @@
 MAX_BLOCKED_PER_RECORD = 32
 #: The greatest number of answered features that a record lists.
 MAX_ANSWERED_PER_RECORD = 32
+#: Characters around a suspect in an encoded record.
+_QUOTES = 3
 #: Begins the name of a VM that reported a crash, among its suspects.
 _REPORTER = "@"
 #: Begins a suspect that was on trial.
@@ -122,6 +125,23 @@
     return (_ON_TRIAL if suspect.on_trial else "") + " ".join(words)
 
 
+def fit(
+    suspects: typing.Iterable[crashes.SuspectRequest],
+    chars: int = MAX_SUSPECT_CHARS,
+) -> list[crashes.SuspectRequest]:
+    """The first of some suspects, as many as there is room for.
+
+    :param chars: the greatest total length of what is listed.
+    """
+    fitting = []
+    for suspect in itertools.islice(suspects, MAX_SUSPECTS_PER_CRASH):
+        chars -= len(encode_suspect(suspect)) + _QUOTES
+        if chars < 0:
+            break
+        fitting.append(suspect)
+    return fitting
+
+
 def encode_answer(name: str, age_s: float) -> str:
     """Encode that a call with a feature was answered so many seconds ago."""
     return f"{name} {age_s:.2f}"
--- a/src/apricotlever/runners/crash_reporting.py
+++ b/src/apricotlever/runners/crash_reporting.py
@@ -20,8 +20,6 @@
 TELLER_COUNT = 8
 #: The calls of one crash by which the cause of it is told to others.
 CALLS_PER_CAUSE = 2
-#: Characters around a suspect in an encoded record.
-QUOTES = 3
 
 _Item = typing.TypeVar("_Item")
 
@@ -195,27 +193,12 @@
         """
         ranked = sorted(
             suspects,
-            key=lambda s: (-self._suspicion(s), s.fingerprint),
+            key=lambda s: (-self._log.suspicion(s), s.fingerprint),
         )
         half = crash_records.MAX_SUSPECTS_PER_CRASH // 2
         first, rest = ranked[:half], ranked[half:]
-        selected = []
-        for suspect in first + _rotate(rest, self._turn * half)[:half]:
-            chars -= len(crash_records.encode_suspect(suspect)) + QUOTES
-            if chars < 0:
-                break
-            selected.append(suspect)
-        return selected
-
-    def _suspicion(self, suspect: crashes.SuspectRequest) -> int:
-        """The most crashes of one feature that was never answered."""
-        return max(
-            (
-                self._log.crash_count(name)
-                for name in suspect.names
-                if self._log.last_answer_age_s(name) is None
-            ),
-            default=0,
+        return crash_records.fit(
+            first + _rotate(rest, self._turn * half)[:half], chars
         )
 
     def _cause_entries(self, room: int) -> list[crash_records.CrashEntry]:
--- a/src/apricotlever/runners/crash_trials.py
+++ b/src/apricotlever/runners/crash_trials.py
@@ -60,19 +60,39 @@
     :param vm: this VM's name.
     """
 
-    __slots__ = ("_clock", "_common_until", "_trials", "_vm", "_vms")
+    __slots__ = (
+        "_clock",
+        "_common_until",
+        "_knows_fleet",
+        "_trials",
+        "_vm",
+        "_vms",
+    )
 
     def __init__(self, clock: clocks.Clock, vm: str) -> None:
         self._clock = clock
         self._vm = vm
         self._vms = frozenset((vm,))
+        self._knows_fleet = True
         #: Until when a call counts as common, by feature.
         self._common_until: dict[str, float] = {}
         self._trials: dict[str, _Trial] = {}
 
-    def set_vms(self, names: typing.Iterable[str]) -> None:
-        """Set the names of all VMs; this one is added if it is missing."""
+    def set_vms(
+        self, names: typing.Iterable[str], fleet_size: int | None = 0
+    ) -> None:
+        """Set the names of all known VMs; this one is added if it is missing.
+
+        A VM that knows less than half of the fleet, as one that has just
+        started or is cut off, begins no trial: each of them would take every
+        turn for its own.
+
+        :param fleet_size: how many VMs there are; None if that is unknown.
+        """
         self._vms = frozenset(names) | {self._vm}
+        self._knows_fleet = (
+            fleet_size is not None and 2 * len(self._vms) > fleet_size
+        )
 
     def note_common(self, name: str) -> None:
         """Record that a suspect was answered shortly before its crash.
@@ -154,7 +174,9 @@
 
     def _may_begin(self, name: str, slot: int, age_s: float) -> bool:
         start_s, end_s = _slot_start_s(slot), _slot_start_s(slot + 1)
-        if age_s >= start_s + START_SHARE * (end_s - start_s):
+        if not self._knows_fleet or age_s >= start_s + START_SHARE * (
+            end_s - start_s
+        ):
             return False
         ranked = rendezvous.rank(name, self._vms)
         return ranked[slot % len(ranked)] == self._vm
--- a/src/apricotlever/serving/crash_watch.py
+++ b/src/apricotlever/serving/crash_watch.py
@@ -246,9 +246,19 @@
         """
         return self._blocklist.retract(since)
 
-    def set_vms(self, names: typing.Iterable[str]) -> None:
-        """Set the names of all VMs, which take turns with trials."""
-        self._blocklist.set_vms(names)
+    @property
+    def blocklist(self) -> crash_blocklist.CrashBlocklist:
+        """What this VM knows of crashes."""
+        return self._blocklist
+
+    def set_vms(
+        self, names: typing.Iterable[str], fleet_size: int | None
+    ) -> None:
+        """Set the names of all known VMs, which take turns with trials.
+
+        :param fleet_size: how many VMs there are; None if that is unknown.
+        """
+        self._blocklist.set_vms(names, fleet_size)
 
     def admit(
         self,
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -27,6 +27,7 @@
 from . import call_relay
 from . import checkpoint
 from . import configuration_model
+from . import crash_evidence_record
 from . import customer_limits
 from . import dialects
 from . import drain
@@ -189,6 +190,13 @@
             self._store,
             lambda: self._fleet.must_follow_store,
         )
+        self._crash_evidence = crash_evidence_record.CrashEvidenceRecord(
+            clock,
+            rng,
+            config.vm,
+            self._upstreams.crashes.blocklist,
+            self._store,
+        )
         self._servers = servers.Servers(listening)
         self._duties = duty_roster.DutyRoster(
             clock,
@@ -258,6 +266,7 @@
         self._tasks.supervise("fleet_size", self._fleet_size_record.run)
         spawn = self._tasks.spawn
         spawn(self._restore_limit_levels())
+        spawn(self._crash_evidence.read())
         self._tasks.repeat(
             "settings",
             settings_reloader.RELOAD_INTERVAL_S,
@@ -699,7 +708,12 @@
         self._samples.send(self._configuration)
         self._retry_allowance.set_fleet_size(self._fleet.size.size)
         self._upstreams.set_fleet_size(len(members) + 1)
-        self._upstreams.crashes.set_vms(member.vm for member in members)
+        self._upstreams.crashes.set_vms(
+            (member.vm for member in members), self._fleet.size.size
+        )
+        self._crash_evidence.set_fleet_size(len(members) + 1)
+        if self._crash_evidence.is_due:
+            self._tasks.spawn(self._crash_evidence.write())
         if not self._fleet.aggregator:
             self.observe_loads(self._fleet.loads)
         if self._roll_outs.tick():
