Connect to other VMs from the address by which they know this one

What operators saw: a VM with several addresses was a stranger to the others; in a play of seven VMs on loopback addresses of their own, 2,054 lines of peer_refused reason=stranger in 25 s, and no fetch of news and no forwarded call between VMs ever succeeded.

Cause: connections to peers left from whatever address the kernel chose, and the receiver goes by the sender's address.

Evidence: the new scenario fails without the change (a VM at 127.0.0.3 is refused).

--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -493,10 +493,12 @@
     port: int,
     timeout_s: float,
     on_end: typing.Callable[[Channel], None] | None = None,
+    source_host: str | None = None,
 ) -> Channel:
     """Open a connection.
 
     :param on_end: called once when the connection ends.
+    :param source_host: the address from which to connect; None for any.
     :raises NotConnected: when the connection fails or times out.
     """
     loop = asyncio.get_running_loop()
@@ -505,7 +507,12 @@
         async with asyncio.timeout(None) as limit:
             timer = loop.call_later(timeout_s, _expire_soon, loop, limit)
             try:
-                await loop.create_connection(lambda: channel, host, port)
+                await loop.create_connection(
+                    lambda: channel,
+                    host,
+                    port,
+                    local_addr=(source_host, 0) if source_host else None,
+                )
             finally:
                 timer.cancel()
     except (OSError, TimeoutError) as error:
--- a/src/apricotlever/serving/connection_pool.py
+++ b/src/apricotlever/serving/connection_pool.py
@@ -31,6 +31,7 @@
     """Connections to one address; the most recently used one is reused first.
 
     :param limit: maximum number of open connections.
+    :param source_host: the address from which to connect; None for any.
     """
 
     __slots__ = (
@@ -41,9 +42,17 @@
         "_opened",
         "_port",
         "_retired",
+        "_source_host",
     )
 
-    def __init__(self, host: str, port: int, limit: int = 256) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limit: int = 256,
+        source_host: str | None = None,
+    ) -> None:
+        self._source_host = source_host
         self._host = host
         self._port = port
         self._limit = limit
@@ -103,7 +112,11 @@
         if len(self._open) >= self._limit:
             raise PoolFull("too many connections are open")
         channel = await client_channel.connect(
-            self._host, self._port, timeout_s, self._on_channel_end
+            self._host,
+            self._port,
+            timeout_s,
+            self._on_channel_end,
+            self._source_host,
         )
         self._opened += 1
         self._open.add(channel)
--- a/src/apricotlever/serving/fleet_link.py
+++ b/src/apricotlever/serving/fleet_link.py
@@ -106,7 +106,7 @@
         self._size = fleet_size.FleetSize(clock)
         self._datagrams = peer_datagrams.PeerSocket(self)
         self._fetcher = update_fetcher.UpdateFetcher(
-            clock, local, directory, running
+            clock, local, directory, running, config.peers.host
         )
         self._alive: set[str] = set()
         self._followers = follower_selection.FollowerSelection(
--- a/src/apricotlever/serving/helpers.py
+++ b/src/apricotlever/serving/helpers.py
@@ -39,6 +39,8 @@
     :param vm: this VM's name.
     :param data_centre: this VM's data centre.
     :param reach: tells whether this VM needs helpers.
+    :param own_host: the address by which other VMs know this one; None to
+        connect to them from any.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "_connection_failed_at",
         "_data_centre",
         "_far_bytes",
+        "_own_host",
         "_pools",
         "_reach",
         "_results",
@@ -59,8 +62,10 @@
         vm: str,
         data_centre: str,
         reach: Reachability,
+        own_host: str | None = None,
     ) -> None:
         self._clock = clock
+        self._own_host = own_host
         self._reach = reach
         self._data_centre = data_centre
         self._choice = helper_choice.HelperChoice(clock, rng, vm, data_centre)
@@ -133,7 +138,9 @@
         pool = self._pools.get(address)
         if pool is None:
             host, _, port = address.rpartition(":")
-            pool = pools.ConnectionPool(host, int(port), MAX_CONNECTIONS)
+            pool = pools.ConnectionPool(
+                host, int(port), MAX_CONNECTIONS, self._own_host
+            )
             self._pools[address] = pool
         return pool
 
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -157,6 +157,7 @@
             config.vm,
             config.data_centre,
             self._upstreams.reach,
+            config.peers.host,
         )
         self._relay = call_relay.CallRelay(
             dialect,
--- a/src/apricotlever/serving/peer_http.py
+++ b/src/apricotlever/serving/peer_http.py
@@ -9,6 +9,8 @@
 
 import msgpack
 
+from .. import clock as clocks
+from .. import log_rate_limiter
 from .. import logs
 from .. import validation
 
@@ -51,11 +53,15 @@
     """Fetches updates that the store did not deliver from other VMs.
 
     It is the client of their :class:`PeerServer`.
+
+    :param own_host: this VM's address, by which the others know it. A VM with
+        several addresses would connect from any of them.
     """
 
-    __slots__ = ("_pools",)
+    __slots__ = ("_own_host", "_pools")
 
-    def __init__(self) -> None:
+    def __init__(self, own_host: str | None = None) -> None:
+        self._own_host = own_host
         #: Pools by address and timeout of a fetch. Configurations have pools
         #: of their own: on a slow link they would hold for seconds the
         #: connections that fetches of runners need.
@@ -114,7 +120,8 @@
     ) -> bytes | None:
         host, _, port = address.rpartition(":")
         pool = self._pools.setdefault(
-            (address, timeout_s), pools.ConnectionPool(host, int(port), 2)
+            (address, timeout_s),
+            pools.ConnectionPool(host, int(port), 2, self._own_host),
         )
         request = pools.encode_request("GET", target, address)
         try:
@@ -204,7 +211,7 @@
     :param handlers: handlers of requests of other VMs, by path.
     """
 
-    __slots__ = ("_handlers", "_packed", "_source")
+    __slots__ = ("_handlers", "_log_limit", "_packed", "_source")
 
     def __init__(
         self,
@@ -215,6 +222,7 @@
     ) -> None:
         self._source = source
         self._handlers = handlers or {}
+        self._log_limit = log_rate_limiter.LogRateLimiter(clocks.SystemClock())
         #: The last encoded configuration: its version and data. All other VMs
         #: request the same version within a second.
         self._packed: tuple[int, bytes] = (0, b"")
@@ -227,9 +235,10 @@
         Hosts outside the fleet get status 403.
         """
         if not self._source.is_peer(reply.caller_host):
-            logs.event(
-                "peer_refused", peer=reply.caller_host, reason="stranger"
-            )
+            if self._log_limit.allows(reply.caller_host):
+                logs.event(
+                    "peer_refused", peer=reply.caller_host, reason="stranger"
+                )
             reply.send_whole(403, ())
             return
         path, _, above = raw.target.partition("?")
--- a/src/apricotlever/serving/update_fetcher.py
+++ b/src/apricotlever/serving/update_fetcher.py
@@ -42,6 +42,7 @@
     :param local: this VM.
     :param directory: this VM's runner directory.
     :param running: runs the fetches.
+    :param own_host: the address by which other VMs know this one.
     """
 
     __slots__ = (
@@ -59,11 +60,12 @@
         local: local_vm.LocalVm,
         directory: directories.RunnerDirectory,
         running: task_supervisor.TaskSupervisor,
+        own_host: str,
     ) -> None:
         self._local = local
         self._directory = directory
         self._tasks = running
-        self._client = peer_http.PeerClient()
+        self._client = peer_http.PeerClient(own_host)
         self._timers = catch_up.CatchUpTimers(clock)
         self._fetches = catch_up.RunningFetches(clock)
 
--- a/tests/serving/peer_http.feature
+++ b/tests/serving/peer_http.feature
@@ -22,3 +22,11 @@
     Given a peer that answers nothing but the changes of runners after 7
     When a VM fetches its configuration, its whole directory and those changes
     Then the changes arrive
+
+  # Guards against VMs with several addresses that are strangers to each other.
+  Scenario: A VM connects from the address by which it is known
+    Given a VM with a configuration of 3 routes
+    And it knows a VM at 127.0.0.3 only
+    When VMs at 127.0.0.3 and 127.0.0.4 fetch it five times each
+    Then the first one gets it and the other does not
+    And the refusals of the other are one line of its log
--- a/tests/steps/serving_peer_http.py
+++ b/tests/steps/serving_peer_http.py
@@ -32,9 +32,12 @@
         """The configuration document; None unless newer than a version."""
         return self.spec if self.version > version else None
 
+    #: The hosts that it knows; all if it is empty.
+    peers = ()
+
     def is_peer(self, host):
-        """Accept every host."""
-        return True
+        """Whether it knows a host."""
+        return not self.peers or host in self.peers
 
 
 def _route(rng):
@@ -145,3 +148,41 @@
 @then("the changes arrive")
 def _changes(context):
     assert context.fetched == ([], {"r1": 8}), context.fetched
+
+
+@given("it knows a VM at {host} only")
+def _knows(context, host):
+    context.source.peers = (host,)
+
+
+@when("VMs at {first} and {second} fetch it five times each")
+def _fetch_from(context, first, second):
+    async def fetch_all():
+        server = caller_server.CallerServer(context.server.answer)
+        port = await server.listen("127.0.0.1", 0)
+        context.got = {}
+        for host in (first, second):
+            client = peer_http.PeerClient(host)
+            context.got[host] = [
+                await client.configuration(f"127.0.0.1:{port}", 0)
+                for _ in range(5)
+            ]
+        server.close()
+
+    with mock.patch.object(peer_http.logs, "event") as event:
+        asyncio.run(fetch_all())
+    context.refusals = [
+        call for call in event.call_args_list if call.args == ("peer_refused",)
+    ]
+
+
+@then("the first one gets it and the other does not")
+def _first_only(context):
+    first, second = context.got.values()
+    assert first == [context.source.spec] * 5, first
+    assert second == [None] * 5, second
+
+
+@then("the refusals of the other are one line of its log")
+def _one_line(context):
+    assert len(context.refusals) == 1, context.refusals
