Let counts that a VM took with it show no failures without ends

Operators would see: task_failed task=tick error=ZeroDivisionError at every VM, again and again, while VMs are killed in turn beside a roll-out, and no verdict on the new version meanwhile.

Cause: the counts of all VMs are sums over those that run. When one ends as another goes on, calls and ends of a window may be equal while failures have grown; Sample.since clamped each by itself, and the failure rate divides by the ends.

--- a/src/apricotlever/roll_outs/samples.py
+++ b/src/apricotlever/roll_outs/samples.py
@@ -148,10 +148,12 @@
         """
         if before.calls > self.calls or before.ended > self.ended:
             return Sample()
+        ended = self.ended - before.ended
         return Sample(
             self.calls - before.calls,
-            self.ended - before.ended,
-            max(0, self.failed - before.failed),
+            ended,
+            # The counts of one VM may be lost while those of others grow.
+            min(ended, max(0, self.failed - before.failed)),
             self.first_byte.since(before.first_byte),
             self.last_byte.since(before.last_byte),
         )
