Take what a restarted fleet can't know of a roll-out for used, and for no proof

Cause: what was sent to the new version, and how it went, is counted in processes; after the loss of all the schedule spends the exposure anew, and the comparison knows no fault.

Change: each VM knows from the starts of all processes how much of the time since the order the counts miss on the mean. For that part the schedule's calls count as used, and no version takes over by counts of less than a quarter of the time: it is taken back, and can be ordered again.

--- a/src/apricotlever/roll_outs/controller.py
+++ b/src/apricotlever/roll_outs/controller.py
@@ -8,6 +8,7 @@
 """
 
 import random
+import statistics
 import typing
 
 from .. import clock as clocks
@@ -257,6 +258,24 @@
         sample.calls += 1
         return sample
 
+    @property
+    def is_active(self) -> bool:
+        """Whether a roll-out is running."""
+        return any(self._running())
+
+    def set_process_starts(self, starts: typing.Collection[float]) -> None:
+        """Set since when the processes run whose calls are counted.
+
+        A process that ends takes its counts with it.
+
+        :param starts: times of day, in seconds, this VM's included.
+        """
+        for roll_out in self._running():
+            began_at = roll_out.order.started_at
+            roll_out.uncovered_s = statistics.fmean(
+                max(0.0, start - began_at) for start in starts
+            )
+
     def update_fleet_counts(
         self, records: samples.Records, includes_own: bool
     ) -> None:
@@ -359,7 +378,7 @@
         phase = roll_out.phase
         if phase is schedule.Phase.CANARY:
             return model.RollOutState.RUNNING
-        if not roll_out.progress.may_take_over:
+        if not roll_out.progress.may_take_over(self._elapsed_s(roll_out)):
             is_due = phase is schedule.Phase.DUE
             return (
                 model.RollOutState.ROLLED_BACK
--- a/src/apricotlever/roll_outs/progress.py
+++ b/src/apricotlever/roll_outs/progress.py
@@ -36,6 +36,9 @@
     ``slot``. ``own_counts`` are the calls sent by this VM, ``fleet_counts``
     those of all VMs. ``phase`` is the phase of the last evaluation.
 
+    ``uncovered_s`` is the time, in seconds, whose calls the counts don't
+    include, on the mean of all VMs.
+
     The attribute ``stopped_runners`` holds the runners that were old when the
     roll-out was completed; they have stopped.
 
@@ -53,6 +56,7 @@
         "fleet_counts",
         "phase",
         "slot",
+        "uncovered_s",
         "_history",
     )
 
@@ -60,6 +64,7 @@
         self, order: model.RollOutOrder, limits: model.RollOutLimits
     ) -> None:
         self.order = order
+        self.uncovered_s = 0.0
         self.schedule = schedule.Schedule(order.duration_s, limits)
         self.old_runners: frozenset[str] = frozenset()
         self.new_runners: frozenset[str] = frozenset()
@@ -87,6 +92,7 @@
             calls_by_route,
             len(self.old_runners),
             len(self.new_runners),
+            self.uncovered_s,
         )
 
     def select_canaries(self) -> None:
--- a/src/apricotlever/roll_outs/schedule.py
+++ b/src/apricotlever/roll_outs/schedule.py
@@ -48,6 +48,9 @@
 MIN_DRAIN_S = 0.3
 #: Minimum number of calls at the new version for the takeover.
 MIN_CALLS = 20
+#: Minimum part of the time since the start that the counts must cover for the
+#: takeover. VMs that have ended took theirs with them.
+MIN_COVERED_FRACTION = 0.25
 #: Minimum time over which the call rate is computed, in seconds.
 MIN_RATE_WINDOW_S = 1.0
 
@@ -73,6 +76,8 @@
     :param calls_by_route: number of calls sent to both versions, by route.
     :param old_runners: number of old runners.
     :param new_runners: number of new runners.
+    :param uncovered_s: length of the time whose calls the numbers don't
+        include, in seconds.
     """
 
     __slots__ = (
@@ -81,6 +86,7 @@
         "calls_by_route",
         "old_runners",
         "new_runners",
+        "uncovered_s",
     )
 
     def __init__(
@@ -89,22 +95,28 @@
         calls_by_route: typing.Mapping[str, int],
         old_runners: int,
         new_runners: int,
+        uncovered_s: float = 0.0,
     ) -> None:
+        self.uncovered_s = uncovered_s
         self.new_calls = new_calls
         self.calls = sum(calls_by_route.values())
         self.calls_by_route = calls_by_route
         self.old_runners = old_runners
         self.new_runners = new_runners
 
-    @property
-    def may_take_over(self) -> bool:
+    def may_take_over(self, elapsed_s: float) -> bool:
         """Whether the new version has enough calls and runners to take over.
 
-        Without enough calls, a fault could have gone undetected.
+        Without enough calls, a fault could have gone undetected, or those that
+        had shown it could have been forgotten.
+
+        :param elapsed_s: time since the start of the roll-out, in seconds.
         """
+        covered_s = elapsed_s - self.uncovered_s
         return (
             self.new_calls >= MIN_CALLS
             and self.new_runners >= MIN_RUNNER_RATIO * self.old_runners
+            and covered_s >= MIN_COVERED_FRACTION * elapsed_s
         )
 
 
@@ -168,7 +180,7 @@
         if not progress.new_runners:
             return 0.0
         if self.phase(elapsed_s) is not Phase.CANARY:
-            return 1.0 if progress.may_take_over else 0.0
+            return 1.0 if progress.may_take_over(elapsed_s) else 0.0
         budget_share = self._budgeted_share(elapsed_s, progress)
         count = self.canaries(progress.old_runners, progress.new_runners)
         regular_share = count / max(1, progress.old_runners)
@@ -202,6 +214,9 @@
     def _budgeted_share(self, elapsed_s: float, progress: Progress) -> float:
         """The calls that canaries may still get, as a share of those expected.
 
+        Of the time that the counts don't cover, it is assumed that its part of
+        the calls was used.
+
         :param elapsed_s: time since the start of the roll-out, in seconds.
         :param progress: present numbers of calls and runners.
         """
@@ -209,7 +224,9 @@
         if not calls:
             return 0.0
         limits = self._limits
-        calls_per_s = calls / max(elapsed_s, MIN_RATE_WINDOW_S)
+        uncovered_s = min(progress.uncovered_s, elapsed_s)
+        calls_per_s = calls / max(elapsed_s - uncovered_s, MIN_RATE_WINDOW_S)
+        calls += round(calls_per_s * uncovered_s)
         expected_calls = calls_per_s * (self.take_over_s - elapsed_s)
         planned = (
             CANARY_BUDGET_FRACTION
@@ -217,6 +234,7 @@
             * (calls + expected_calls)
         )
         planned += CANARY_SLACK_FRACTION * limits.exposure_slack
+        new_calls += round(planned * uncovered_s / self.take_over_s)
         # The calls so far limit the budget as well, since the number of
         # expected calls may be an overestimate.
         limit = limits.exposure_share * calls + limits.exposure_slack
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -717,6 +717,11 @@
             self._tasks.spawn(self._crash_evidence.write())
         if not self._fleet.aggregator:
             self.observe_loads(self._fleet.loads)
+        if self._roll_outs.is_active:
+            starts_ms = [peer.incarnation for peer in alive]
+            self._roll_outs.set_process_starts(
+                [ms / 1000.0 for ms in (*starts_ms, self._incarnation)]
+            )
         if self._roll_outs.tick():
             self._roll_outs_changed()
         self._upstreams.origins.tick()
