--- a/soak/fragile_times.py
+++ b/soak/fragile_times.py
@@ -152,7 +152,7 @@
         since = time.monotonic()
         until = since + duration_s
         await asyncio.gather(
-            *(self._keep_fragile(r, headers, until) for r in runners)
+            *(self.keep_fragile(r, headers, until) for r in runners)
         )
         self._busy.remove(service)
         names = [runner.name for runner in runners]
@@ -160,7 +160,7 @@
             FragileTime(service, names, len(present), since, until)
         )
 
-    async def _keep_fragile(
+    async def keep_fragile(
         self, runner: fleet.RunnerProcess, headers: str, until: float
     ) -> None:
         """Let a runner be fragile, also after it was restarted.
