--- a/tests/roll_outs/restarted_vms.feature
+++ b/tests/roll_outs/restarted_vms.feature
@@ -3,7 +3,7 @@
   # Guards against a bad version that gets its exposure anew after each kill, or
   # takes over as the calls that showed its fault are forgotten.
   Scenario Outline: A bad version stays within its exposure: <fault>, <which>
-    When a version with <fault> is rolled out 10 times, and <which> killed every <s> s
+    When a version with <fault> is rolled out 20 times, and <which> killed every <s> s
     Then it is never completed, and never gets more calls than it may
 
     Examples:
@@ -12,6 +12,8 @@
       | failures_one_route | all VMs are | 1.5 |
       | failures           | all VMs are | 1.5 |
       | failures_one_route | one VM is   | 1.0 |
+      | failures_one_route | one VM is   | 2.0 |
+      | failures_one_route | all VMs are | 7.0 |
 
   # Guards against a good version that is taken back for a single kill.
   Scenario: A good version is moved to, though all VMs were killed once
