--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -143,11 +143,12 @@
         #: The VMs that are cut off from all runners, and how.
         self._cuts: dict[str, proxy.Cut] = {}
 
-    async def start(self, vms: int, runners: int) -> None:
+    async def start(self, vms: int, runners: int, apart: int = 0) -> None:
         """Start all processes.
 
         :param vms: number of entry VMs.
         :param runners: number of runners.
+        :param apart: number of VMs, the first ones, that know only each other.
         :raises TimeoutError: when a VM does not become ready.
         """
         self._vm_names = [f"vm-{number}" for number in range(vms)]
@@ -159,9 +160,10 @@
         for number in range(runners):
             await self.add_runner(SERVICES[number % len(SERVICES)])
         addresses = [self._reserve_vm_ports() for _ in range(vms)]
-        seeds = [each["peers"] for each in addresses[:3]]
-        for name, each in zip(self._vm_names, addresses, strict=True):
-            await self._add_vm(name, each, seeds)
+        peers = [each["peers"] for each in addresses]
+        for number, name in enumerate(self._vm_names):
+            known = peers[:apart] if number < apart else peers[apart:]
+            await self._add_vm(name, addresses[number], known[:3])
         for vm in self.vms:
             await self._retry(lambda vm=vm: is_ready(vm))
 
--- a/soak/rejoin_play.py
+++ b/soak/rejoin_play.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import pathlib
 import random
@@ -58,12 +59,12 @@
 class Play:
     """One play.
 
-    :param way: a key of :data:`WAYS`.
+    :param way: kills VMs; one of :data:`WAYS`.
     :param seed: of the VMs that calls are sent to, and of the pauses.
     """
 
-    def __init__(self, way: str, seed: int = 7) -> None:
-        self._way = WAYS[way]
+    def __init__(self, way: Way, seed: int = 7) -> None:
+        self._way = way
         self._rng = random.Random(seed)
         #: The tries of each stream.
         self._streams: list[list[callers.Call]] = []
@@ -87,6 +88,11 @@
             for stream in self._streams
         )
 
+    @property
+    def refused(self) -> int:
+        """The tries that were refused."""
+        return sum(c.status == 503 for c in itertools.chain(*self._streams))
+
     @property
     def joined(self) -> int:
         """The streams that hold events of two versions."""
@@ -95,17 +101,48 @@
             for stream in self._streams
         )
 
+    @property
+    def result(self) -> dict[str, int]:
+        """All counts, by name."""
+        return {
+            "began": self.began,
+            "resumed": self.resumed,
+            "whole": self.whole,
+            "refused": self.refused,
+            "joined": self.joined,
+        }
+
     async def run(self) -> None:
         """Play from the start of all processes to their end."""
         with tempfile.TemporaryDirectory() as folder:
             test_fleet = fleet.Fleet(pathlib.Path(folder))
             try:
-                await test_fleet.start(VM_COUNT, 0)
-                await add_runners(test_fleet, OLD)
+                await self.start(test_fleet)
                 await self._play(test_fleet)
             finally:
                 test_fleet.close()
 
+    async def start(self, test_fleet: fleet.Fleet) -> None:
+        """Start all processes."""
+        await test_fleet.start(VM_COUNT, 0)
+        await add_runners(test_fleet, OLD)
+
+    def choose_vm(self, test_fleet: fleet.Fleet, turn: int) -> fleet.VmProcess:
+        """The VM that a try of a stream is sent to.
+
+        :param turn: 0 for the first try.
+        """
+        return self._rng.choice(test_fleet.vms)
+
+    def call_id(self, number: int, turn: int) -> str:
+        """The id of a try of a stream."""
+        first_id = f"{runner.LONG_CALL_PREFIX}{number}"
+        return f"{first_id}.{turn}" if turn else first_id
+
+    async def before_resuming(self, turn: int) -> None:
+        """Wait until a caller may take its stream up again."""
+        await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+
     async def _play(self, test_fleet: fleet.Fleet) -> None:
         group = callers.CallerGroup(test_fleet, self._rng)
         await asyncio.sleep(1.0)
@@ -144,14 +181,13 @@
         """Read a stream, over several tries if it breaks off."""
         stream: list[callers.Call] = []
         self._streams.append(stream)
-        first_id = f"{runner.LONG_CALL_PREFIX}{number}"
         for turn in range(MAX_TRIES + 1):
             events = callers.parse_events(_body(stream))
             if turn and not events:
                 return
-            vm = self._rng.choice(test_fleet.vms)
+            vm = self.choose_vm(test_fleet, turn)
             call = callers.Call(
-                f"{first_id}.{turn}" if turn else first_id,
+                self.call_id(number, turn),
                 PREFIX,
                 vm.name,
                 group.elapsed_s,
@@ -161,7 +197,7 @@
             await group.send_alone(call, vm.ports["callers"])
             if call.served:
                 return
-            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            await self.before_resuming(turn + 1)
 
 
 async def add_runners(test_fleet: fleet.Fleet, version: str) -> None:
@@ -245,14 +281,10 @@
     """
     failed = False
     for way in arguments or WAYS:
-        play = Play(way)
+        play = Play(WAYS[way])
         asyncio.run(play.run())
         failed |= play.joined > ALLOWED_JOINED
-        result = {
-            name: getattr(play, name)
-            for name in ("began", "resumed", "whole", "joined")
-        }
-        print(json.dumps({"way": way, **result}), flush=True)
+        print(json.dumps({"way": way, **play.result}), flush=True)
     return int(failed)
 
 
--- a/tests/steps/serving_rejoined_streams.py
+++ b/tests/steps/serving_rejoined_streams.py
@@ -11,7 +11,7 @@
 @when("{count:d} streams are taken up again after all VMs were killed: {way}")
 def _taken_up(context, count, way):
     assert count == rejoin_play.STREAMS
-    context.play = rejoin_play.Play(way)
+    context.play = rejoin_play.Play(rejoin_play.WAYS[way])
     asyncio.run(context.play.run())
     assert context.play.resumed > count // 2, context.play.resumed
 
