Log how old a VM's knowledge of the runners is as a stream is taken up

stream_resumed and stream_unknown told by what a VM vouched, but not how long ago its directory was confirmed. With unconfirmed_s a line tells a conclusion from old knowledge from one by a fresh read of the store.

--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -198,6 +198,7 @@
             seen=_versions(finding.seen),
             answers=finding.answers,
             vouched=finding.vouched or None,
+            unconfirmed_s=finding.unconfirmed_s,
         )
         if origin is None or not state.may_continue_at(origin):
             raise state.not_served(STREAM_UNKNOWN, UNKNOWN_RETRY_AFTER_S)
--- a/src/apricotlever/serving/stream_origins.py
+++ b/src/apricotlever/serving/stream_origins.py
@@ -70,7 +70,15 @@
     :param vouched: by what this VM knows the versions; "" if it doesn't.
     """
 
-    __slots__ = ("source", "origin", "age_s", "seen", "answers", "vouched")
+    __slots__ = (
+        "source",
+        "origin",
+        "age_s",
+        "seen",
+        "answers",
+        "vouched",
+        "unconfirmed_s",
+    )
 
     def __init__(
         self,
@@ -87,6 +95,8 @@
         self.seen = seen
         self.answers = answers
         self.vouched = vouched
+        #: How long ago the directory was last confirmed, in seconds.
+        self.unconfirmed_s: float | None = None
 
 
 class Peer:
@@ -395,6 +405,7 @@
         :param within_s: how long ago it may have begun, in seconds.
         """
         finding = await self._find(key, services, within_s)
+        finding.unconfirmed_s = self._unconfirmed_s()
         self._results[finding.source.value] += 1
         return finding
 
