Prove that one version served by a read of the store after the question only

Now a directory only adds versions. That holds whoever is cut off from whom, as each version is in the record before a stream begins there. Records of streams go out at the next tick, as they are what is left while the store is away.

--- a/src/apricotlever/serving/stream_origin_protocol.py
+++ b/src/apricotlever/serving/stream_origin_protocol.py
@@ -5,6 +5,7 @@
 keeper has it. A VM at which a caller resumes a stream asks them.
 """
 
+import asyncio
 import itertools
 import typing
 
@@ -15,10 +16,12 @@
 from . import keeper_questions
 from . import limit_protocol
 
-#: Kinds of messages: a question, its answer, and records.
+#: Kinds of messages: a question, its answer, records, and a question before
+#: whose answer the VM reads the store.
 ASK = 21
 ANSWER = 22
 RECORDS = 23
+READ = 24
 #: Upper limit of the records in a message, so that its datagram is not
 #: fragmented.
 MAX_RECORDS = 16
@@ -26,6 +29,11 @@
 #: sent. A caller would rather wait than lose its stream.
 ANSWER_TIMEOUT_S = 0.05
 TRIES = 4
+#: The same for a question before whose answer the VM reads the store.
+READ_TIMEOUT_S = 0.15
+READ_TRIES = 2
+#: Upper limit of the questions for which this VM reads the store at once.
+MAX_READS = 256
 #: Upper limit of the lifetime of a record, in seconds.
 MAX_LIFETIME_S = 240.0
 
@@ -44,6 +52,13 @@
     validation.is_list_of(validation.is_non_empty_string),
     validation.is_non_negative_number,
 )
+_IS_READ = validation.is_tuple_of(
+    validation.is_non_negative_int,
+    validation.is_non_negative_int,
+    validation.is_none_or(_is_key),
+    validation.is_list_of(validation.is_non_empty_string),
+    validation.is_non_negative_number,
+)
 _IS_ANSWER = validation.is_tuple_of(
     validation.is_non_negative_int,
     validation.is_non_negative_int,
@@ -101,8 +116,9 @@
 
     :param origin: where it began; None if the VM has no record of it.
     :param age_s: the age of the record, in seconds.
-    :param seen: the origins that the stream may have by the VM's directory;
-        None if that may be out of date.
+    :param seen: the origins that the stream may have by all that the VM
+        knows; None if that may be out of date. Only after a read of the store
+        does it show that there are no others.
     """
 
     __slots__ = ("origin", "age_s", "seen")
@@ -130,6 +146,17 @@
         :param within_s: how long ago it may have begun, in seconds.
         """
 
+    async def read_origin(
+        self,
+        key: bytes | None,
+        services: typing.Collection[str],
+        within_s: float,
+    ) -> KeeperAnswer:
+        """Read the store, and answer another VM's question after that.
+
+        Parameters are those of :meth:`known_origin`.
+        """
+
     def receive_record(self, record: SentRecord) -> None:
         """Keep a record of another VM."""
 
@@ -142,7 +169,7 @@
     :param first_number: see :class:`.keeper_questions.KeeperQuestions`.
     """
 
-    __slots__ = ("_questions", "_transport", "_vm")
+    __slots__ = ("_questions", "_reads", "_transport", "_vm")
 
     def __init__(
         self,
@@ -155,8 +182,14 @@
         self._questions = keeper_questions.KeeperQuestions[KeeperAnswer](
             transport, first_number
         )
+        #: Answers that wait for the store, by address and number of the
+        #: question, which may come again meanwhile.
+        self._reads: dict[
+            tuple[limit_protocol.Address, int], asyncio.Task[None]
+        ] = {}
         for kind, is_valid, handler in (
             (ASK, _IS_ASK, self._receive_question),
+            (READ, _IS_READ, self._receive_read),
             (ANSWER, _IS_ANSWER, self._receive_answer),
             (RECORDS, _IS_RECORDS, self._receive_records),
         ):
@@ -186,6 +219,28 @@
         )
         return answer
 
+    async def ask_to_read(
+        self,
+        address: limit_protocol.Address,
+        key: bytes | None,
+        services: typing.Collection[str],
+        within_s: float,
+    ) -> KeeperAnswer:
+        """Ask a VM to read the store and tell where a stream began.
+
+        Parameters are those of :meth:`Vm.read_origin`.
+
+        :raises TimeoutError: if it does not answer.
+        """
+        _, answer = await self._questions.ask(
+            address,
+            READ,
+            [key, sorted(services), within_s],
+            READ_TIMEOUT_S,
+            READ_TRIES,
+        )
+        return answer
+
     def send_records(
         self,
         address: limit_protocol.Address,
@@ -202,6 +257,31 @@
     ) -> None:
         _, number, key, services, within_s = message
         answer = self._vm.known_origin(key, services, within_s)
+        self._send_answer(number, answer, address)
+
+    def _receive_read(
+        self, message: list[typing.Any], address: limit_protocol.Address
+    ) -> None:
+        question = (address, message[1])
+        if question in self._reads or len(self._reads) >= MAX_READS:
+            return
+        task = asyncio.ensure_future(self._answer_read(message, address))
+        self._reads[question] = task
+        task.add_done_callback(lambda _: self._reads.pop(question))
+
+    async def _answer_read(
+        self, message: list[typing.Any], address: limit_protocol.Address
+    ) -> None:
+        _, number, key, services, within_s = message
+        answer = await self._vm.read_origin(key, services, within_s)
+        self._send_answer(number, answer, address)
+
+    def _send_answer(
+        self,
+        number: int,
+        answer: KeeperAnswer,
+        address: limit_protocol.Address,
+    ) -> None:
         found = None
         if answer.origin is not None:
             found = [_encode_origin(answer.origin), answer.age_s]
--- a/src/apricotlever/serving/stream_origins.py
+++ b/src/apricotlever/serving/stream_origins.py
@@ -1,8 +1,8 @@
 """Knows where streams began, also those that other VMs have served.
 
-See :mod:`..streams`. While all runners of a service have one version, a record
-is sent only for a stream that has lasted a while, and several at a time: until
-then, the directory of runners shows each VM where it began.
+See :mod:`..streams`. While all runners of a service have one version, the
+records of streams that have just begun are sent together: until then, the
+store's record of versions shows each VM where they began.
 """
 
 import asyncio
@@ -29,9 +29,6 @@
 #: For how long a stream may be taken up again after it has begun or gone on,
 #: as a multiple of the time that its route gives a call.
 LIFETIME_FACTOR = 2.0
-#: Age of a stream, in seconds, from which its record is sent while its service
-#: has one version.
-RECORD_DELAY_S = 0.2
 #: For how long a directory is taken to be up to date after it was confirmed,
 #: in seconds: longer than a watch of the store waits for changes.
 CURRENT_S = 5.0
@@ -64,10 +61,11 @@
 
     :param origin: None if that is unknown.
     :param age_s: the age of the record, in seconds; None without one.
-    :param seen: the origins that it may have by the VMs' directories, if there
-        is no record.
-    :param answers: number of other VMs whose directories count.
-    :param vouched: by what this VM knows the versions; "" if it doesn't.
+    :param seen: the origins that it may have by all that is known, if there is
+        no record.
+    :param answers: number of other VMs that told what they know.
+    :param vouched: who has read the store's record for this question: this VM
+        ("store") or another one ("peer"); "" if nobody has.
     """
 
     __slots__ = (
@@ -377,14 +375,7 @@
         if self._records is not None:
             self._records.tick()
         self._write_checkpoint()
-        due_at = self._clock.now() - RECORD_DELAY_S
-        due = []
-        for key in self._unsent:
-            record = self._table.get(key)
-            if record is not None and record.recorded_at > due_at:
-                break
-            due.append(key)
-        self._send(due)
+        self._send(list(self._unsent))
         self._table.expire()
         self._history.expire()
 
@@ -415,14 +406,19 @@
         self, key: bytes, services: typing.Collection[str], within_s: float
     ) -> protocols.KeeperAnswer:
         """Answer another VM's question."""
-        record = self._table.get(key)
-        seen = None
-        if self._vouched_by(services, within_s):
-            seen = self._seen(services, within_s)
-        if record is None:
-            return protocols.KeeperAnswer(None, 0.0, seen)
-        age_s = self._clock.now() - record.recorded_at
-        return protocols.KeeperAnswer(record.origin, max(0.0, age_s), seen)
+        seen = self._seen(services, within_s) if self._is_current else None
+        return self._answer(key, seen)
+
+    async def read_origin(
+        self,
+        key: bytes | None,
+        services: typing.Collection[str],
+        within_s: float,
+    ) -> protocols.KeeperAnswer:
+        """Read the store for another VM, and answer its question."""
+        is_read = await self._read_records(services)
+        seen = self._seen(services, within_s) if is_read else None
+        return self._answer(key, seen)
 
     def receive_record(self, record: protocols.SentRecord) -> None:
         """Keep a record of another VM."""
@@ -430,9 +426,19 @@
             record.key, record.origin, record.lifetime_s, record.age_s
         )
 
+    def _answer(
+        self, key: bytes | None, seen: frozenset[models.StreamOrigin] | None
+    ) -> protocols.KeeperAnswer:
+        """What this VM knows of a stream, and of all streams' origins."""
+        record = None if key is None else self._table.get(key)
+        if record is None:
+            return protocols.KeeperAnswer(None, 0.0, seen)
+        age_s = self._clock.now() - record.recorded_at
+        return protocols.KeeperAnswer(record.origin, max(0.0, age_s), seen)
+
     @property
     def _is_current(self) -> bool:
-        """Whether this VM's directory may prove that one version served.
+        """Whether this VM's directory may show which versions serve.
 
         After a suspension it does so only once it was confirmed again.
         """
@@ -456,7 +462,7 @@
         answers = 0
         others: frozenset[models.StreamOrigin] = frozenset()
         if key is not None:
-            # Others most likely confirm it, so lost VMs aren't waited for.
+            # The store most likely tells it, so lost VMs aren't waited for.
             is_sole = len(self._seen(services, within_s)) == 1
             tries = 1 if is_sole and self._is_current else protocols.TRIES
             async for answer in self._ask(key, services, within_s, tries):
@@ -465,11 +471,19 @@
                 if answer.seen is not None:
                     answers += 1
                     others |= answer.seen
-        vouched = (
-            "store" if await read else self._vouched_by(services, within_s)
-        )
+        vouched = ""
+        if await read:
+            vouched = "store"
+        else:
+            async for answer in self._ask_to_read(key, services, within_s):
+                if answer.origin is not None:
+                    return Finding(Source.KEEPER, answer.origin, answer.age_s)
+                if answer.seen is not None:
+                    vouched = "peer"
+                    others |= answer.seen
+                    break
         seen = others | self._seen(services, within_s)
-        if len(seen) == 1 and (answers or vouched):
+        if len(seen) == 1 and vouched:
             (origin,) = seen
             return Finding(
                 Source.SOLE_VERSION, origin, None, seen, answers, vouched
@@ -490,25 +504,6 @@
             services
         )
 
-    def _vouched_by(
-        self, services: typing.Collection[str], within_s: float
-    ) -> str:
-        """By what this VM can say that no other version has served.
-
-        A VM that has just started, or has slept, knows no other version
-        because it has seen nothing.
-
-        :returns: "record" if it has watched the runners since it has read the
-            store's record, "watch" if it has watched them for long enough; ""
-            if it can't say so.
-        """
-        since = self._ledger.watched_since
-        if since is None or not self._is_current:
-            return ""
-        if all(map(self._ledger.is_complete, services)):
-            return "record"
-        return "watch" if self._clock.now() - since >= within_s else ""
-
     def _has_several(self, service: str) -> bool:
         """Whether a service's streams may have begun at several versions."""
         return (
@@ -516,7 +511,7 @@
             or len(self._ledger.recorded((service,))) > 1
         )
 
-    async def _ask(
+    def _ask(
         self,
         key: bytes,
         services: typing.Collection[str],
@@ -528,14 +523,48 @@
         :param tries: how often each is asked that doesn't answer.
         :returns: their answers, in the order in which they come.
         """
+        return self._collect(
+            key,
+            lambda protocol, address: protocol.ask(
+                address, key, services, within_s, tries
+            ),
+        )
+
+    def _ask_to_read(
+        self,
+        key: bytes | None,
+        services: typing.Collection[str],
+        within_s: float,
+    ) -> typing.AsyncIterator[protocols.KeeperAnswer]:
+        """Ask some VMs to read the store, those that may have the record.
+
+        :returns: their answers, in the order in which they come.
+        """
+        return self._collect(
+            # Without a key, each VM asks others.
+            key or origin_table.stream_key(self._vm, ""),
+            lambda protocol, address: protocol.ask_to_read(
+                address, key, services, within_s
+            ),
+        )
+
+    async def _collect(
+        self,
+        key: bytes,
+        ask: typing.Callable[
+            [protocols.StreamOriginProtocol, limit_protocol.Address],
+            typing.Coroutine[typing.Any, typing.Any, protocols.KeeperAnswer],
+        ],
+    ) -> typing.AsyncIterator[protocols.KeeperAnswer]:
+        """Ask the VMs that may keep a key.
+
+        :param ask: asks a VM at an address.
+        :returns: their answers, in the order in which they come.
+        """
         if self._protocol is None:
             return
         questions = [
-            asyncio.ensure_future(
-                self._protocol.ask(
-                    self._peers[vm].address, key, services, within_s, tries
-                )
-            )
+            asyncio.ensure_future(ask(self._protocol, self._peers[vm].address))
             for vm in self._ring.candidates(key)
             if vm in self._peers
         ]
--- a/src/apricotlever/streams/version_ledger.py
+++ b/src/apricotlever/streams/version_ledger.py
@@ -91,11 +91,6 @@
         #: When this VM last watched.
         self._watched_at = clock.now()
 
-    @property
-    def watched_since(self) -> float | None:
-        """Since when no version can have come unseen; None in a gap."""
-        return self._watched_since
-
     @property
     def services(self) -> frozenset[str]:
         """The services whose streams may be taken up again."""
