Play crowds that don't behave: tests that fail, listed as red

A VM of 100 MB and 600 descriptors, as its settings say, and 18 crowds of up to 700 connections, at all four addresses: heads of short lines, bodies, chunks, pipelined calls, unread answers, connections without a byte; three single requests inside the limits.

--- a/soak/child_process.py
+++ b/soak/child_process.py
@@ -29,6 +29,11 @@
         """Whether the process was started and has not ended."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """The id of the process that was started last; 0 before."""
+        return self._process.pid if self._process is not None else 0
+
     def start(self) -> None:
         """Start the process, or start it again after it has ended."""
         with self._log.open("ab") as log:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -113,12 +113,22 @@
 
     :param folder: for settings, logs and the runners' journal.
     :param retry_min: see :class:`apricotlever.serving.settings.FleetBounds`.
+    :param memory_mb: memory of a VM's machine; 0 if that isn't limited.
+    :param max_descriptors: the same for its descriptors.
     """
 
     def __init__(
-        self, folder: pathlib.Path, retry_min: float = RETRY_MIN
+        self,
+        folder: pathlib.Path,
+        retry_min: float = RETRY_MIN,
+        memory_mb: int = 0,
+        max_descriptors: int = 0,
     ) -> None:
         self._folder = folder
+        self._machine = {
+            "memory_mb": memory_mb,
+            "max_descriptors": max_descriptors,
+        }
         self.retry_min = retry_min
         self._runner_numbers = itertools.count(1)
         self._ports = ports.PortReservations()
@@ -372,6 +382,7 @@
             "seeds": seeds,
             "store": link.port,
             "retry_min": self.retry_min,
+            **self._machine,
             **ports_by_role,
         }
         path = self._folder / f"{name}.json"
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -39,6 +39,9 @@
 LONG_CALL_PREFIX = "long-"
 LONG_EVENT_COUNT = 90
 LONG_ANSWER_DELAY_S = 1.8
+#: Prefix of the ids of calls with a large answer, and its size.
+LARGE_CALL_PREFIX = "large-"
+LARGE_ANSWER_BYTES = 8 * 1024 * 1024
 #: How often a runner looks whether the VM has left, in seconds.
 LEFT_CHECK_INTERVAL_S = 0.05
 #: How long the proxies may take to refuse connections once a runner does, and
@@ -187,9 +190,10 @@
             else:
                 await _work(call_id, reader)
                 says = self._tell(vm)
-                writer.write(
-                    _response(200, call_id, answer_text(call_id), *says)
-                )
+                text = answer_text(call_id)
+                if call_id.startswith(LARGE_CALL_PREFIX):
+                    text = "x" * LARGE_ANSWER_BYTES
+                writer.write(_response(200, call_id, text, *says))
         finally:
             self._running -= 1
             self._record.write(self._name, statements.Kind.ENDED, vm, call_id)
