Serve a call whose head is inside its limit, however short its lines are

A head of 16,184 bytes in lines of 'a:' got 431, though 16,384 are allowed: a line was counted with four bytes beside its name and value, and needs three (a colon and the line's end).

--- a/src/apricotlever/serving/request_checks.py
+++ b/src/apricotlever/serving/request_checks.py
@@ -12,6 +12,9 @@
 #: Accepted versions. The parser treats a request without a version as HTTP/0.9
 #: and the next line as a new request.
 HTTP_VERSIONS = (HTTP_1_0, "1.1")
+#: The least that a header line has beside its name and value, in bytes: a
+#: colon and the line's end.
+MIN_LINE = 3
 
 
 class RequestRejected(Exception):
@@ -36,7 +39,7 @@
     :raises RequestRejected: when the head is malformed or ambiguous, or the
         head or the body is too large.
     """
-    size = sum(len(name) + len(value) + 4 for name, value in headers)
+    size = sum(len(name) + len(value) + MIN_LINE for name, value in headers)
     if size + len(target) > limits.header_bytes:
         raise RequestRejected(431)
     if version not in HTTP_VERSIONS:
