Bound what callers hold of a VM's memory, over all its connections

Callers that stay inside each limit ended a process by their sum: 500 heads of short lines took a VM of 100 MB to 171 MB, 40 bodies of 4 MiB to 190 to 234, pipelined calls to 204, at each of its addresses. What a request may hold was bounded, its sum wasn't, and nothing paused reading.

One account of a process counts heads (160 bytes a line beside the text), bodies, queued calls and calls being answered (the body twice, as it also goes to a runner). Callers may hold 0.4 of the machine's memory by the settings, and calls over 64 KB three quarters of that, so small ones find room. When it's full, calls that aren't read to their end give way, the largest first (503 with Retry-After, as they have not run, and a close), then queued ones; a complete call that finds no room gets 503. A connection is parsed 16 KB at a time and read no further while 16 calls wait, or its caller takes no responses.

The fuzz of connections checks that the account ends at 0. Log caller_gave_way, metrics caller_memory_*, callers_gave_way_*.

--- a/soak/vm.py
+++ b/soak/vm.py
@@ -20,6 +20,7 @@
 from . import runner_paths  # noqa: E402
 
 HOST = "127.0.0.1"
+BYTES_PER_MB = 1_000_000
 #: How long a VM may take to shut down, in seconds.
 SHUTDOWN_TIMEOUT_S = 4.0
 
@@ -49,6 +50,10 @@
             shutdown_s=SHUTDOWN_TIMEOUT_S, retry_min=document["retry_min"]
         ),
         settings.Address(HOST, 0),
+        machine=settings.Machine(
+            document.get("memory_mb", 0) * BYTES_PER_MB,
+            document.get("max_descriptors", 0),
+        ),
     )
 
 
--- a/src/apricotlever/logs.py
+++ b/src/apricotlever/logs.py
@@ -230,6 +230,10 @@
     "request_quarantined": Event(
         ERROR, "A request that crashed runners is refused by all VMs."
     ),
+    "caller_gave_way": Event(
+        WARNING,
+        "A caller's connection was closed, as callers hold too much.",
+    ),
     "stream_resumed": Event(
         INFO, "A caller took its stream up again, whose beginning is known."
     ),
--- a/src/apricotlever/serving/caller_channel.py
+++ b/src/apricotlever/serving/caller_channel.py
@@ -10,6 +10,7 @@
 import httptools
 
 from .. import socket_options
+from ..vms import caller_memory
 
 from . import configuration_model
 from . import read_bounds
@@ -22,6 +23,13 @@
 #: Seconds that a full write buffer may take to drain before the connection is
 #: aborted.
 WRITE_TIMEOUT_S = 10.0
+#: Bytes that are parsed at once, so that a caller can't have many small
+#: calls made of one piece.
+SLICE_BYTES = 16384
+#: Calls of a connection that may wait; nothing more is read meanwhile.
+MAX_QUEUED_CALLS = 16
+#: ``Retry-After`` of a call that is refused for want of memory, in seconds.
+NO_MEMORY_RETRY_AFTER_S = 1
 #: Asks a caller for the body of its call. Sent only between two responses.
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -32,10 +40,13 @@
     :param received_at: when its first byte came, on the event loop's clock in
         seconds.
     :ivar takes_chunks: whether a response to it may be sent in chunks.
+    :ivar cost: memory of its head, and of its body once that is complete, in
+        bytes.
     """
 
     __slots__ = (
         "body",
+        "cost",
         "headers",
         "method",
         "received_at",
@@ -50,6 +61,7 @@
         self.body = b""
         self.received_at = received_at
         self.takes_chunks = True
+        self.cost = 0
 
 
 #: Handles one request and writes its response.
@@ -65,17 +77,25 @@
     limits: configuration_model.CallerLimits
     #: The open connections, which add and remove themselves.
     channels: "set[CallerChannel]"
+    #: What all callers of the process hold.
+    memory: caller_memory.CallerMemory
 
     @property
     def keep_alive_disabled(self) -> bool:
         """Whether each connection closes after its current response."""
 
+    def note_gave_way(
+        self, host: str, stage: caller_memory.Stage, held_bytes: int
+    ) -> None:
+        """Note that a connection is closed, as callers hold too much."""
+
 
 class CallerChannel(asyncio.Protocol):
     """The server's end of one HTTP connection from a caller.
 
     It parses received bytes into calls and queues complete ones. The handler
     runs for one call at a time, so pipelined calls are answered in order.
+    While many wait, or the caller reads no responses, nothing more is read.
     """
 
     __slots__ = (
@@ -88,6 +108,7 @@
         "_continue_due",
         "_eof",
         "_head_bytes",
+        "_read_cost",
         "_reading_head",
         "_loop",
         "_parser",
@@ -98,6 +119,10 @@
         "_transport",
         "_drain_waiter",
         "_idle_started_at",
+        "_unparsed",
+        "_unsent",
+        "_unsent_before",
+        "_write_paused_at",
     )
 
     def __init__(self, server: Server) -> None:
@@ -122,6 +147,16 @@
         self._task: asyncio.Task[None] | None = None
         self._read_started_at: float | None = None
         self._idle_started_at = self._loop.time()
+        #: Memory of the call that is being read, in bytes, as it is counted.
+        self._read_cost = 0
+        #: Bytes that were read and are parsed once fewer calls wait.
+        self._unparsed = b""
+        #: Response bytes that are counted as not sent, and their number when
+        #: the connection was looked at before.
+        self._unsent = 0
+        self._unsent_before = 0
+        #: Since when the write buffer has been too full.
+        self._write_paused_at = 0.0
 
     @property
     def closing(self) -> bool:
@@ -160,6 +195,7 @@
         if self._transport is None or self._transport.is_closing():
             raise reply_writer.CallerGone()
         self._transport.write(data)
+        self._count_unsent()
 
     async def drain(self) -> None:
         """Wait while the write buffer is too full to write on.
@@ -193,6 +229,39 @@
                 socket_options.reset_on_close(sock)
             self._transport.abort()
 
+    @property
+    def held_bytes(self) -> int:
+        """See :class:`.caller_memory.Holder`."""
+        if self.stage is caller_memory.Stage.UNREAD:
+            return self._unsent
+        queued = sum(call.cost for call in self._pending_calls)
+        return queued + self._read_cost + len(self._unparsed)
+
+    @property
+    def stage(self) -> caller_memory.Stage:
+        """What the connection holds memory for."""
+        if self._pending_calls or self._unparsed:
+            return caller_memory.Stage.QUEUED
+        if self._read_cost:
+            return caller_memory.Stage.UNFINISHED
+        if 0 < self._unsent_before <= self._unsent:
+            return caller_memory.Stage.UNREAD
+        return caller_memory.Stage.ACTIVE
+
+    def give_way(self) -> None:
+        """Free the memory of what is not being answered, and close.
+
+        A call that is being answered goes on; a response that its caller
+        doesn't read is given up.
+        """
+        stage = self.stage
+        self._server.note_gave_way(self.host, stage, self.held_bytes)
+        if stage is caller_memory.Stage.UNREAD:
+            self.reset()
+            return
+        self._drop_queue()
+        self._reject(503)
+
     def sweep(
         self, now: float, limits: configuration_model.CallerLimits
     ) -> None:
@@ -203,6 +272,12 @@
 
         :param now: on the event loop's clock, in seconds.
         """
+        self._unsent_before = self._unsent
+        self._count_unsent()
+        if self._write_paused and self._task is None:
+            if now - self._write_paused_at > WRITE_TIMEOUT_S:
+                self.reset()
+            return
         if self.busy:
             return
         since = self._read_started_at
@@ -224,11 +299,52 @@
         if sock is not None:
             socket_options.CALLERS.apply(sock)
         self._server.channels.add(self)
+        self._server.memory.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed or oversized calls are rejected."""
-        if self._closing:
+        if self._unparsed:
+            self._keep_unparsed(self._unparsed + data)
+        else:
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes, unless too many calls wait."""
+        for start in range(0, len(data), SLICE_BYTES):
+            if self._closing:
+                return
+            if self._is_full:
+                self._keep_unparsed(data[start:])
+                return
+            if len(data) > SLICE_BYTES:
+                self._parse_slice(data[start : start + SLICE_BYTES])
+            else:
+                self._parse_slice(data)
+
+    @property
+    def _is_full(self) -> bool:
+        """Whether no more calls are read for now."""
+        return len(self._pending_calls) >= MAX_QUEUED_CALLS
+
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keep bytes for later, and read no more."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+        self._server.memory.change(len(data) - len(self._unparsed))
+        self._unparsed = data
+        self._server.memory.check()
+
+    def _parse_unparsed(self) -> None:
+        """Go on with bytes that were kept, and read on."""
+        data, self._unparsed = self._unparsed, b""
+        self._server.memory.change(-len(data))
+        self._parse(data)
+        if self._unparsed or self._closing or self._transport is None:
             return
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _parse_slice(self, data: bytes) -> None:
         if self._read_started_at is None:
             self._read_started_at = self._loop.time()
         if self._reading_head:
@@ -254,6 +370,42 @@
         if self._reading_head and self._current_call is not None:
             if self._head_bytes > self._server.limits.header_bytes:
                 self._reject(431)
+        self._count_read()
+        self._server.memory.check()
+
+    def _count_read(self) -> None:
+        """Count the memory of the call that is being read."""
+        call = self._current_call
+        cost = 0
+        if call is not None:
+            cost = call.cost or self._head_cost(call)
+            cost += len(self._body)
+        if cost != self._read_cost:
+            self._server.memory.change(cost - self._read_cost)
+            self._read_cost = cost
+
+    def _head_cost(self, call: RawRequest) -> int:
+        """The memory of the head that is being read, in bytes."""
+        lines = len(call.headers) * caller_memory.LINE_BYTES
+        return caller_memory.CALL_BYTES + lines + self._head_bytes
+
+    def _count_unsent(self) -> None:
+        """Count the response bytes that the caller has not taken."""
+        unsent = self.unsent_bytes
+        if unsent != self._unsent:
+            self._server.memory.change(unsent - self._unsent)
+            self._unsent = unsent
+
+    def _drop_queue(self) -> None:
+        """Release what waits and what is being read."""
+        held = sum(call.cost for call in self._pending_calls)
+        held += len(self._unparsed) + self._read_cost
+        self._server.memory.change(-held)
+        self._pending_calls.clear()
+        self._unparsed = b""
+        self._read_cost = 0
+        self._current_call = None
+        self._body = bytearray()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its sending side.
@@ -266,7 +418,10 @@
         """Cancel the calls of a caller that has disconnected."""
         self._server.channels.discard(self)
         self._closing = True
-        self._pending_calls.clear()
+        self._drop_queue()
+        self._server.memory.change(-self._unsent)
+        self._unsent = 0
+        self._server.memory.remove(self)
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_exception(reply_writer.CallerGone())
         if self._task is not None:
@@ -275,12 +430,15 @@
     def pause_writing(self) -> None:
         """Make :meth:`drain` wait, as the write buffer is above its limit."""
         self._write_paused = True
+        self._write_paused_at = self._loop.time()
 
     def resume_writing(self) -> None:
         """Let :meth:`drain` return, as the write buffer has drained."""
         self._write_paused = False
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
+        self._count_unsent()
+        self._start_next_call()
 
     # Callbacks of the parser.
 
@@ -320,6 +478,7 @@
             call.headers,
             self._server.limits,
         )
+        call.cost = self._head_cost(call)
         self._reading_head = False
         self._head_bytes = 0
         self._bounds.advance()
@@ -355,9 +514,16 @@
             return
         call.body = bytes(self._body)
         self._body = bytearray()
+        call.cost += caller_memory.BODY_COPIES * len(call.body)
         self._reading_head = True
         self._head_bytes = 0
         self._read_started_at = None
+        self._count_read()
+        if not self._server.memory.admits(call.cost):
+            self._reject(503)
+        if self._closing:
+            return
+        self._server.memory.change(call.cost)
         if not (call.takes_chunks and self._parser.should_keep_alive()):
             self._closing = True
         self._pending_calls.append(call)
@@ -365,8 +531,13 @@
 
     def _start_next_call(self) -> None:
         if self._task is None and self._pending_calls:
+            if self._write_paused:
+                # The caller reads no responses.
+                return
             call = self._pending_calls.popleft()
             self._task = self._loop.create_task(self._handle(call))
+            if self._unparsed and not self._is_full:
+                self._loop.call_soon(self._parse_unparsed)
         elif self._continue_due and not self.busy:
             self._ask_for_body()
 
@@ -382,6 +553,7 @@
         except reply_writer.CallerGone:
             self.close()
         finally:
+            self._server.memory.change(-call.cost)
             self._task = None
             self._idle_started_at = self._loop.time()
             if not reply.ended:
@@ -403,8 +575,11 @@
         self._read_started_at = None
         if self.busy:
             return
+        headers = []
+        if status == 503:
+            headers.append((b"Retry-After", b"%d" % NO_MEMORY_RETRY_AFTER_S))
         try:
-            reply_writer.ReplyWriter(self).send_whole(status, ())
+            reply_writer.ReplyWriter(self).send_whole(status, headers)
         except reply_writer.CallerGone:
             return
         self._close_after_flush()
--- a/src/apricotlever/serving/caller_server.py
+++ b/src/apricotlever/serving/caller_server.py
@@ -9,6 +9,10 @@
 import socket
 
 from .. import addresses
+from .. import clock as clocks
+from .. import log_rate_limiter
+from .. import logs
+from ..vms import caller_memory
 
 from . import aligned_timer
 from . import caller_channel
@@ -23,15 +27,32 @@
     """HTTP server on one address.
 
     :param handler: answers each call.
+    :param memory: counts what all callers of the process hold; by default
+        without a limit.
     """
 
-    __slots__ = ("handler", "limits", "channels", "_leaving", "_server")
-
-    def __init__(self, handler: caller_channel.RequestHandler) -> None:
+    __slots__ = (
+        "handler",
+        "limits",
+        "channels",
+        "memory",
+        "_leaving",
+        "_log_limit",
+        "_server",
+    )
+
+    def __init__(
+        self,
+        handler: caller_channel.RequestHandler,
+        memory: caller_memory.CallerMemory | None = None,
+    ) -> None:
         self.handler = handler
+        self.memory = memory or caller_memory.CallerMemory()
         self.limits = configuration_model.CallerLimits()
         self.channels: set[caller_channel.CallerChannel] = set()
         self._leaving = False
+        #: Limits the lines about each address.
+        self._log_limit = log_rate_limiter.LogRateLimiter(clocks.SystemClock())
         self._server: asyncio.Server | None = None
 
     @property
@@ -50,6 +71,18 @@
             for channel in self.channels
         )
 
+    def note_gave_way(
+        self, host: str, stage: caller_memory.Stage, held_bytes: int
+    ) -> None:
+        """Log that a connection is closed, as callers hold too much."""
+        if self._log_limit.allows(host):
+            logs.event(
+                "caller_gave_way",
+                caller=host,
+                stage=stage.name.lower(),
+                held_bytes=held_bytes,
+            )
+
     async def listen(self, host: str, port: int) -> int:
         """Accept connections at an address.
 
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -198,7 +198,7 @@
             self._upstreams.crashes.blocklist,
             self._store,
         )
-        self._servers = servers.Servers(listening)
+        self._servers = servers.Servers(listening, config.machine)
         self._duties = duty_roster.DutyRoster(
             clock,
             rng,
@@ -566,6 +566,7 @@
             "members": len(self._fleet.alive) + 1,
             "configuration_version": self.version,
             "callers_busy": self._servers.busy,
+            **self._servers.memory.metrics,
             "cloud_calls_total": self._duties.cloud_calls,
             "limit_asks_total": self._limit_calls.request_count,
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
--- a/src/apricotlever/serving/servers.py
+++ b/src/apricotlever/serving/servers.py
@@ -1,5 +1,7 @@
 """The HTTP servers of one process, one for each address of its settings."""
 
+from ..vms import caller_memory
+
 from . import caller_channel
 from . import caller_server
 from . import configuration_model
@@ -21,11 +23,19 @@
     """Starts, drains and closes the HTTP servers of a process, by name.
 
     :param listening: listening sockets that are already open.
+    :param machine: what the machine has.
     """
 
-    __slots__ = ("_opening", "_ports", "_servers")
+    __slots__ = ("_machine", "_opening", "_ports", "_servers", "memory")
 
-    def __init__(self, listening: listening_sockets.ListeningSockets) -> None:
+    def __init__(
+        self,
+        listening: listening_sockets.ListeningSockets,
+        machine: settings.Machine | None = None,
+    ) -> None:
+        self._machine = machine or settings.Machine()
+        #: What callers of all servers hold.
+        self.memory = caller_memory.CallerMemory(self._machine.memory_bytes)
         self._ports = listening
         self._servers: dict[str, caller_server.CallerServer] = {}
         self._opening = start_gate.StartGate()
@@ -53,7 +63,9 @@
         """
         if address is None:
             return
-        server = self._servers[name] = caller_server.CallerServer(handler)
+        server = self._servers[name] = caller_server.CallerServer(
+            handler, self.memory
+        )
         sock = self._ports.take(address)
         if name in CALLER_FACING:
             self._opening.add(server, sock)
--- a/src/apricotlever/serving/settings.py
+++ b/src/apricotlever/serving/settings.py
@@ -90,6 +90,20 @@
         self.resolve_ttl_s = resolve_ttl_s
 
 
+class Machine:
+    """What the machine of a process has; 0 stands for what isn't known.
+
+    :param memory_bytes: memory that the process may take.
+    :param descriptors: descriptors that it may have open.
+    """
+
+    __slots__ = ("memory_bytes", "descriptors")
+
+    def __init__(self, memory_bytes: int = 0, descriptors: int = 0) -> None:
+        self.memory_bytes = memory_bytes
+        self.descriptors = descriptors
+
+
 class NodeSettings:
     """Identity, addresses and duties of one process.
 
@@ -111,6 +125,7 @@
     :param orders_runners: whether this fleet orders runners.
     :param bounds: bounds that the fleet guarantees.
     :param modes: the modes of the parts of the request path.
+    :param machine: what the process may take of its machine.
     """
 
     __slots__ = (
@@ -130,6 +145,7 @@
         "orders_runners",
         "bounds",
         "modes",
+        "machine",
     )
 
     def __init__(
@@ -150,8 +166,10 @@
         bounds: FleetBounds,
         limits: Address | None = None,
         modes: modes_.PartModes | None = None,
+        machine: Machine | None = None,
     ) -> None:
         self.limits = limits
+        self.machine = machine or Machine()
         self.modes = modes or modes_.PartModes()
         self.vm = vm
         self.data_centre = data_centre
--- a/tests/steps/serving_fuzz.py
+++ b/tests/steps/serving_fuzz.py
@@ -93,6 +93,15 @@
     def set_write_buffer_limits(self, high):
         """Do nothing, as the write buffer never fills."""
 
+    def get_write_buffer_size(self):
+        """Return 0, as all bytes are sent."""
+        return 0
+
+    def pause_reading(self):
+        """Do nothing, as the parts don't wait."""
+
+    resume_reading = pause_reading
+
 
 async def _feed(parts):
     """Pass the bytes of a connection to a caller's channel, part by part.
@@ -116,6 +125,9 @@
         await asyncio.sleep(0)
     for _ in range(10):
         await asyncio.sleep(0)
+    channel.connection_lost(None)
+    await asyncio.sleep(0)
+    assert server.memory.used == 0, server.memory.used
     return calls, transport
 
 
--- a/tests/steps/serving_interim_responses.py
+++ b/tests/steps/serving_interim_responses.py
@@ -39,6 +39,10 @@
     def set_write_buffer_limits(self, high):
         """Do nothing, as the write buffer never fills."""
 
+    def get_write_buffer_size(self):
+        """Return 0, as all bytes are sent."""
+        return 0
+
 
 async def _settle():
     for _ in range(ITERATIONS):
--- /dev/null
+++ b/tests/vms/caller_memory.feature
@@ -0,0 +1,20 @@
+Feature: What callers hold of a VM's memory is bounded in sum
+
+  # Guards against large calls that end a process, or keep small ones out.
+  Scenario: The largest calls that aren't read to their end give way first
+    Given a machine of 10 MB, of which callers may hold 4
+    When connections hold 1000 1000 900 700 300 20 KB of calls not read to their end
+    And a call of 80 KB is read to its end
+    Then that call is admitted
+    And the connections of 1000 KB alone have given way
+
+  Scenario: A large call that finds no room is refused, and a small one isn't
+    Given a machine of 10 MB, of which callers may hold 4
+    When calls that hold 2900 KB are being answered
+    Then a call of 200 KB is refused
+    And a call of 60 KB is admitted
+
+  Scenario: Without a known size of the machine nothing gives way
+    Given a machine of 0 MB, of which callers may hold 0
+    When connections hold 90000 90000 KB of calls not read to their end
+    Then a call of 90000 KB is admitted
