Bound the connections of each address by the machine's descriptors

700 connections without a byte took a VM to 722 descriptors where its settings allow 600, at the callers' and at the peers' address: a process at its limit accepts nobody, and reaches neither runners nor the store.

--- a/src/apricotlever/serving/caller_channel.py
+++ b/src/apricotlever/serving/caller_channel.py
@@ -75,7 +75,7 @@
 
     handler: RequestHandler
     limits: configuration_model.CallerLimits
-    #: The open connections, which add and remove themselves.
+    #: The open connections, which remove themselves.
     channels: "set[CallerChannel]"
     #: What all callers of the process hold.
     memory: caller_memory.CallerMemory
@@ -84,6 +84,12 @@
     def keep_alive_disabled(self) -> bool:
         """Whether each connection closes after its current response."""
 
+    def add(self, channel: "CallerChannel") -> bool:
+        """Add an open connection.
+
+        :returns: whether it stays open.
+        """
+
     def note_gave_way(
         self, host: str, stage: caller_memory.Stage, held_bytes: int
     ) -> None:
@@ -229,6 +235,16 @@
                 socket_options.reset_on_close(sock)
             self._transport.abort()
 
+    @property
+    def waiting_since(self) -> float:
+        """When the call began to come, or the last one ended.
+
+        On the event loop's clock, in seconds.
+        """
+        if self._read_started_at is not None:
+            return self._read_started_at
+        return self._idle_started_at
+
     @property
     def held_bytes(self) -> int:
         """See :class:`.caller_memory.Holder`."""
@@ -298,8 +314,9 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             socket_options.CALLERS.apply(sock)
-        self._server.channels.add(self)
         self._server.memory.add(self)
+        if not self._server.add(self):
+            self._closing = True
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; malformed or oversized calls are rejected."""
--- a/src/apricotlever/serving/caller_server.py
+++ b/src/apricotlever/serving/caller_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import heapq
 import socket
 
 from .. import addresses
@@ -21,6 +22,12 @@
 
 #: Interval between checks for idle and slow connections, in seconds.
 SWEEP_INTERVAL_S = 0.5
+#: Connections that are accepted before those that were are looked at, as many
+#: may come at once. More wait in the queue of the listening socket.
+ACCEPTED_AT_ONCE = 32
+#: Part of the connections that close once too many are open, so that the next
+#: ones aren't sought for each new one.
+CLOSED_SHARE = 1 / 16
 
 
 class CallerServer:
@@ -29,6 +36,7 @@
     :param handler: answers each call.
     :param memory: counts what all callers of the process hold; by default
         without a limit.
+    :param max_connections: upper limit of the open connections; 0 for none.
     """
 
     __slots__ = (
@@ -36,8 +44,10 @@
         "limits",
         "channels",
         "memory",
+        "closed_for_room",
         "_leaving",
         "_log_limit",
+        "_max_connections",
         "_server",
     )
 
@@ -45,8 +55,12 @@
         self,
         handler: caller_channel.RequestHandler,
         memory: caller_memory.CallerMemory | None = None,
+        max_connections: int = 0,
     ) -> None:
         self.handler = handler
+        self._max_connections = max_connections
+        #: How many connections were closed as too many were open.
+        self.closed_for_room = 0
         self.memory = memory or caller_memory.CallerMemory()
         self.limits = configuration_model.CallerLimits()
         self.channels: set[caller_channel.CallerChannel] = set()
@@ -71,6 +85,33 @@
             for channel in self.channels
         )
 
+    def add(self, channel: caller_channel.CallerChannel) -> bool:
+        """Add an open connection, and close others if too many are open.
+
+        Those close that have waited longest for a call, or for the end of
+        one; the new one itself, if all others are being answered.
+
+        :returns: whether the new one stays open.
+        """
+        self.channels.add(channel)
+        if not 0 < self._max_connections < len(self.channels):
+            return True
+        waiting = [
+            other
+            for other in self.channels
+            if other is not channel and not other.busy
+        ]
+        count = max(1, int(CLOSED_SHARE * self._max_connections))
+        oldest = heapq.nsmallest(
+            count, waiting, key=lambda other: other.waiting_since
+        )
+        for other in oldest or [channel]:
+            self.closed_for_room += 1
+            self.note_gave_way(other.host, other.stage, other.held_bytes)
+            self.channels.discard(other)
+            other.close()
+        return bool(oldest)
+
     def note_gave_way(
         self, host: str, stage: caller_memory.Stage, held_bytes: int
     ) -> None:
@@ -102,8 +143,9 @@
         self._server = await loop.create_server(
             lambda: caller_channel.CallerChannel(self),
             sock=sock,
-            backlog=listening_sockets.BACKLOG,
+            backlog=ACCEPTED_AT_ONCE,
         )
+        sock.listen(listening_sockets.BACKLOG)
         return int(sock.getsockname()[1])
 
     def disable_keep_alive(self) -> None:
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -566,7 +566,7 @@
             "members": len(self._fleet.alive) + 1,
             "configuration_version": self.version,
             "callers_busy": self._servers.busy,
-            **self._servers.memory.metrics,
+            **self._servers.metrics,
             "cloud_calls_total": self._duties.cloud_calls,
             "limit_asks_total": self._limit_calls.request_count,
             "limit_asks_unanswered_total": self._limit_calls.timeout_count,
--- a/src/apricotlever/serving/servers.py
+++ b/src/apricotlever/serving/servers.py
@@ -17,6 +17,17 @@
 #: Bytes of a forwarded call for each byte of its headers: prompts are sent as
 #: headers and once more by their parts.
 HEADER_EXPANSION = 3
+#: Descriptors that are left to files.
+RESERVED_DESCRIPTORS = 200
+#: Parts of the others that the connections of each server may take. The rest
+#: is for runners, the store and calls to other VMs.
+CONNECTION_SHARES = {
+    "callers": 0.5,
+    "lookups": 0.1,
+    "checks": 0.05,
+    "peers": 0.15,
+    "metrics": 0.05,
+}
 
 
 class Servers:
@@ -40,6 +51,19 @@
         self._servers: dict[str, caller_server.CallerServer] = {}
         self._opening = start_gate.StartGate()
 
+    @property
+    def metrics(self) -> dict[str, float]:
+        """Values for the metrics, by name."""
+        return {
+            **self.memory.metrics,
+            "caller_connections": sum(
+                len(server.channels) for server in self._servers.values()
+            ),
+            "caller_connections_closed_for_room_total": sum(
+                server.closed_for_room for server in self._servers.values()
+            ),
+        }
+
     @property
     def busy(self) -> int:
         """Number of connections on which callers' calls are being answered."""
@@ -64,7 +88,7 @@
         if address is None:
             return
         server = self._servers[name] = caller_server.CallerServer(
-            handler, self.memory
+            handler, self.memory, self._max_connections(name)
         )
         sock = self._ports.take(address)
         if name in CALLER_FACING:
@@ -72,6 +96,13 @@
         else:
             await server.serve(sock)
 
+    def _max_connections(self, name: str) -> int:
+        """How many connections a server may have; 0 for any number."""
+        sockets = self._machine.descriptors - RESERVED_DESCRIPTORS
+        if sockets <= 0:
+            return 0
+        return max(1, int(CONNECTION_SHARES[name] * sockets))
+
     def set_ready(self) -> None:
         """Record that this VM can answer callers.
 
