Give whole responses of runners room, until callers have taken them

20 callers that read nothing of 8 MiB each took a VM of 100 MB to 219 MB: each response was read whole and then buffered for its caller without a bound over all. Large ones (over 64 KB) now wait for room in the order in which they come: a quarter of the machine's memory for those being read and those not taken; one has it in any case. What waits isn't read, so its runner waits.

--- a/src/apricotlever/serving/call_context.py
+++ b/src/apricotlever/serving/call_context.py
@@ -5,6 +5,7 @@
 
 from . import dialects
 from . import helpers
+from . import response_room
 from . import upstreams
 
 
@@ -16,6 +17,7 @@
     :param budget: the allowance of retries to runners.
     :param usage: the customers' call counts by time window.
     :param helpers_: the VMs that run calls while this one reaches no runner.
+    :param responses: room for whole responses.
     """
 
     __slots__ = (
@@ -23,6 +25,7 @@
         "budget",
         "dialect",
         "helpers",
+        "responses",
         "upstreams",
         "usage",
     )
@@ -34,7 +37,9 @@
         budget: retry_allowance.RetryAllowance,
         usage: usage_windows.UsageWindows,
         helpers_: helpers.Helpers,
+        responses: response_room.ResponseRoom,
     ) -> None:
+        self.responses = responses
         self.dialect = dialect
         self.upstreams = upstreams_
         self.budget = budget
--- a/src/apricotlever/serving/call_execution.py
+++ b/src/apricotlever/serving/call_execution.py
@@ -175,6 +175,8 @@
             if not self._reply.started:
                 raise state.not_served(call_state.DEADLINE) from None
             self._reply.abort()
+        finally:
+            state.reservation.release()
 
     async def _run_attempts(self) -> None:
         ended = False
--- a/src/apricotlever/serving/call_relay.py
+++ b/src/apricotlever/serving/call_relay.py
@@ -25,6 +25,7 @@
 from . import helpers
 from . import messages
 from . import reply_writer
+from . import response_room
 from . import upstreams
 
 #: ``Retry-After`` of a call that is refused because this VM has no
@@ -81,6 +82,7 @@
     :param usage: the customers' call counts by time window.
     :param rng: selects a service for a route that splits its traffic.
     :param helpers_: the VMs that run calls while this one reaches no runner.
+    :param responses: room for whole responses; by default without a limit.
     """
 
     __slots__ = (
@@ -101,9 +103,15 @@
         usage: usage_windows.UsageWindows,
         rng: random.Random,
         helpers_: helpers.Helpers,
+        responses: response_room.ResponseRoom | None = None,
     ) -> None:
         self._context = call_context.CallContext(
-            dialect, upstreams_, budget, usage, helpers_
+            dialect,
+            upstreams_,
+            budget,
+            usage,
+            helpers_,
+            responses or response_room.ResponseRoom(),
         )
         self._limits = limits_
         self._rng = rng
--- a/src/apricotlever/serving/call_state.py
+++ b/src/apricotlever/serving/call_state.py
@@ -11,6 +11,7 @@
 from . import event_splitter
 from . import forwarding_protocol
 from . import messages
+from . import response_room
 
 #: A call that may be repeated waits for a runner's response to begin for this
 #: multiple of the route's objective, and at least as long as a sound runner
@@ -63,6 +64,7 @@
         "origin",
         "placement",
         "reason",
+        "reservation",
         "route",
         "runner_id",
         "sends",
@@ -83,6 +85,8 @@
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self.context = context
+        #: Room for the whole response.
+        self.reservation = response_room.Reservation(context.responses)
         self.call = call
         self.route = route
         self.customer = customer
--- a/src/apricotlever/serving/caller_channel.py
+++ b/src/apricotlever/serving/caller_channel.py
@@ -260,7 +260,8 @@
             return caller_memory.Stage.QUEUED
         if self._read_cost:
             return caller_memory.Stage.UNFINISHED
-        if 0 < self._unsent_before <= self._unsent:
+        taken = self._unsent_before - self._unsent
+        if self._unsent_before and taken < MAX_UNSENT_BYTES < self._unsent:
             return caller_memory.Stage.UNREAD
         return caller_memory.Stage.ACTIVE
 
@@ -410,7 +411,7 @@
         """Count the response bytes that the caller has not taken."""
         unsent = self.unsent_bytes
         if unsent != self._unsent:
-            self._server.memory.change(unsent - self._unsent)
+            self._server.memory.unsent += unsent - self._unsent
             self._unsent = unsent
 
     def _drop_queue(self) -> None:
@@ -436,7 +437,7 @@
         self._server.channels.discard(self)
         self._closing = True
         self._drop_queue()
-        self._server.memory.change(-self._unsent)
+        self._server.memory.unsent -= self._unsent
         self._unsent = 0
         self._server.memory.remove(self)
         if self._drain_waiter is not None and not self._drain_waiter.done():
--- a/src/apricotlever/serving/forwarding_attempt.py
+++ b/src/apricotlever/serving/forwarding_attempt.py
@@ -15,6 +15,7 @@
 from . import messages
 from . import reply_writer
 from . import response_reader
+from . import response_room
 
 #: Timeout for opening a connection to a helper, in seconds; as for a runner.
 CONNECT_TIMEOUT_S = 0.35
@@ -93,7 +94,15 @@
         a stream.
     """
 
-    __slots__ = ("_call", "_dialect", "_helper", "_helpers", "_pool", "_sink")
+    __slots__ = (
+        "_call",
+        "_dialect",
+        "_helper",
+        "_helpers",
+        "_pool",
+        "_reservation",
+        "_sink",
+    )
 
     def __init__(
         self,
@@ -102,12 +111,14 @@
         call: messages.CallerCall,
         dialect: dialects.RunnerDialect,
         sink: response_reader.EventSink | None,
+        reservation: response_room.Reservation | None = None,
     ) -> None:
         self._helpers = helpers_
         self._helper = helper
         self._call = call
         self._dialect = _HelperDialect(dialect)
         self._sink = sink
+        self._reservation = reservation
         self._pool = helpers_.pool(helper.peer_address)
 
     @property
@@ -166,6 +177,7 @@
             self._dialect,
             self if self._sink is not None else None,
             response_reader.ResponseObserver(),
+            self._reservation,
         )
         self._helpers.choice.call_started(self._helper.vm)
         reusable = False
--- a/src/apricotlever/serving/helper_sending.py
+++ b/src/apricotlever/serving/helper_sending.py
@@ -85,6 +85,7 @@
                 if state.route.kind is configuration_model.CallKind.STREAM
                 else None
             ),
+            state.reservation,
         )
         connected = await attempt.connect(state.left_s)
         if not isinstance(connected, client_channel.Channel):
--- a/src/apricotlever/serving/node.py
+++ b/src/apricotlever/serving/node.py
@@ -44,6 +44,7 @@
 from . import metrics
 from . import peer_http
 from . import reach_probes
+from . import response_room
 from . import roll_out_orders
 from . import runner_directory as directories
 from . import runner_limits
@@ -159,6 +160,7 @@
             self._upstreams.reach,
             config.peers.host,
         )
+        self._servers = servers.Servers(listening, config.machine)
         self._relay = call_relay.CallRelay(
             dialect,
             self._upstreams,
@@ -167,6 +169,7 @@
             self._usage,
             rng,
             self._helpers,
+            response_room.ResponseRoom(self._servers.memory),
         )
         self._forwarded = forwarded_calls.ForwardedCalls(
             self._relay,
@@ -198,7 +201,6 @@
             self._upstreams.crashes.blocklist,
             self._store,
         )
-        self._servers = servers.Servers(listening, config.machine)
         self._duties = duty_roster.DutyRoster(
             clock,
             rng,
--- a/src/apricotlever/serving/response_reader.py
+++ b/src/apricotlever/serving/response_reader.py
@@ -15,10 +15,13 @@
 from . import event_splitter
 from . import messages
 from . import reply_writer
+from . import response_room
 
 #: Maximum size of a response body that is buffered and then forwarded in one
 #: piece, in bytes.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+#: How often a whole body is held: as it was read, and in one piece.
+COPIES = 2
 
 
 class EventSink(typing.Protocol):
@@ -75,6 +78,7 @@
     :param call: the call that the response must answer.
     :param sink: receives the events of a stream; None if the response is not
         a stream.
+    :param reservation: gives a whole response room.
     """
 
     __slots__ = (
@@ -82,7 +86,9 @@
         "_channel",
         "_dialect",
         "_failure",
+        "_announced_bytes",
         "_observer",
+        "_reservation",
         "_sink",
         "caller_is_slow",
         "event_count",
@@ -97,7 +103,10 @@
         dialect: dialects.RunnerDialect,
         sink: EventSink | None,
         observer: ResponseObserver,
+        reservation: response_room.Reservation | None = None,
     ) -> None:
+        self._reservation = reservation
+        self._announced_bytes = MAX_BODY_BYTES
         self._channel = channel
         self._call = call
         self._dialect = dialect
@@ -169,6 +178,7 @@
         self._observer.bytes_received()
         head = self._dialect.parse_response_head(raw.status, raw.headers)
         self.head = head
+        self._announced_bytes = _announced_bytes(raw.headers)
         self._observer.head_received(head)
         return head
 
@@ -291,9 +301,22 @@
     async def _read_body(self) -> bytes:
         parts: list[bytes] = []
         size = 0
+        has_room = self._reservation is None
         while (data := await self._channel.read_chunk()) is not None:
             parts.append(data)
             size += len(data)
             if size > MAX_BODY_BYTES:
                 raise client_channel.Broken("the response body is too large")
+            if size > response_room.FREE_BYTES and not has_room:
+                assert self._reservation is not None
+                await self._reservation.grow(COPIES * self._announced_bytes)
+                has_room = True
         return b"".join(parts)
+
+
+def _announced_bytes(headers: messages.Headers) -> int:
+    """The size of a body by its head, in bytes; the most without one."""
+    for name, value in headers:
+        if name.lower() == b"content-length" and value.isdigit():
+            return min(MAX_BODY_BYTES, int(value))
+    return MAX_BODY_BYTES
--- a/src/apricotlever/serving/runner_attempt.py
+++ b/src/apricotlever/serving/runner_attempt.py
@@ -11,6 +11,7 @@
 from . import event_splitter
 from . import messages
 from . import response_reader
+from . import response_room
 from . import runners
 from . import upstreams
 
@@ -47,6 +48,7 @@
         "_reader",
         "_runner",
         "_sent_at",
+        "_reservation",
         "_sink",
         "_upstreams",
     )
@@ -61,6 +63,7 @@
         upstreams_: upstreams.Upstreams,
         dialect: dialects.RunnerDialect,
         sink: response_reader.EventSink | None,
+        reservation: response_room.Reservation | None = None,
     ) -> None:
         self._attempt_id = attempt_id
         self._call = call
@@ -70,6 +73,7 @@
         self._upstreams = upstreams_
         self._dialect = dialect
         self._sink = sink
+        self._reservation = reservation
         self._pool = upstreams_.pool(runner)
         self._channel: client_channel.Channel | None = None
         self._reader: response_reader.ResponseReader | None = None
@@ -111,7 +115,12 @@
         """
         self._channel = channel
         self._reader = reader = response_reader.ResponseReader(
-            channel, self._call, self._dialect, self._sink, self
+            channel,
+            self._call,
+            self._dialect,
+            self._sink,
+            self,
+            self._reservation,
         )
         result = models.Outcome.CANCELLED
         outlier_failure = reusable = shows_speed = answered = False
--- a/src/apricotlever/serving/runner_sending.py
+++ b/src/apricotlever/serving/runner_sending.py
@@ -138,6 +138,7 @@
                 if state.route.kind is configuration_model.CallKind.STREAM
                 else None
             ),
+            state.reservation,
         )
         self._started_at = self._loop.time()
         connected = await self._connect(attempt, runner)
--- a/src/apricotlever/vms/caller_memory.py
+++ b/src/apricotlever/vms/caller_memory.py
@@ -12,8 +12,10 @@
 #: Part of the machine's memory that callers may hold. The rest is for the
 #: process itself, runners, the store, other VMs and the allocator's gaps.
 CALLERS_SHARE = 0.4
-#: Part of that which calls may hold that aren't small, so that small ones find
-#: room beside any number of others.
+#: Part of it that responses may hold, from their reading to their sending.
+RESPONSES_SHARE = 0.25
+#: Part of CALLERS_SHARE which calls may hold that aren't small, so that small
+#: ones find room beside any number of others.
 LARGE_SHARE = 0.75
 #: Upper limit of a small call, in bytes.
 SMALL_BYTES = 65536
@@ -78,12 +80,18 @@
         "gave_way",
         "peak",
         "refused",
+        "response_limit",
+        "unsent",
     )
 
     def __init__(self, machine_bytes: int = 0) -> None:
         self._limit = int(CALLERS_SHARE * machine_bytes)
         self._holders: set[Holder] = set()
         self._used = 0
+        #: What responses may hold, in bytes; 0 for no limit.
+        self.response_limit = int(RESPONSES_SHARE * machine_bytes)
+        #: Bytes of responses that callers have not taken.
+        self.unsent = 0
         #: The most that was held, in bytes.
         self.peak = 0
         #: How many connections gave way, by the name of their stage.
@@ -103,6 +111,7 @@
             "caller_memory_bytes": self._used,
             "caller_memory_peak_bytes": self.peak,
             "caller_memory_limit_bytes": self._limit,
+            "caller_unsent_bytes": self.unsent,
             "caller_memory_refused_total": self.refused,
             **{
                 f"callers_gave_way_{stage}_total": self.gave_way[stage]
@@ -152,6 +161,13 @@
         if self._limit and self._used > self._limit:
             self._make_room(int(LOW_SHARE * self._limit))
 
+    def drop_unread(self) -> None:
+        """Let the largest response go that its caller doesn't read."""
+        unread = [h for h in self._holders if h.stage is Stage.UNREAD]
+        if unread:
+            self.gave_way[Stage.UNREAD.name.lower()] += 1
+            max(unread, key=lambda holder: holder.held_bytes).give_way()
+
     def _make_room(self, target: int) -> None:
         """Let connections give way, the largest of the first stage first.
 
@@ -163,7 +179,7 @@
             if held:
                 by_stage.setdefault(holder.stage, []).append((held, holder))
         for stage in sorted(by_stage):
-            if stage is Stage.ACTIVE:
+            if stage >= Stage.UNREAD:
                 return
             for _, holder in sorted(
                 by_stage[stage], key=lambda each: -each[0]
