Take no status that HTTP doesn't have for an answer

A runner in trouble that sent the status 600 or 999 had it passed on to its caller; 000 and 099 counted as interim, so the call waited to its deadline. Only 100 to 599 are statuses now, all else is no answer and breaks the attempt at once. The rows 000, 099, 600 and 999 of mixed_answers.feature failed before (two with the wrong answer, two by their time). Forwarded calls use the same reader; the daemon's path was not tried.

--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -24,6 +24,8 @@
 #: one request, and of the bytes of their bodies.
 MAX_SKIPPED_RESPONSES = 16
 MAX_SKIPPED_BYTES = 16777216
+#: The statuses that HTTP has.
+MIN_STATUS, MAX_STATUS = 100, 599
 #: Time beyond the limit for connecting in which the loop handles what has
 #: arrived until then, in seconds.
 PROCESSING_S = 0.01
@@ -394,6 +396,8 @@
         if not self._awaiting_response or self._error is not None:
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise ValueError(f"the status {status}")
         names = {name.lower() for name, _ in self._headers}
         self._body_until_close = (
             b"content-length" not in names
