Take no part of an answer for the whole while its request is being read

A runner that answered an upload of 3 MiB with a 200 without a length, sent a part and the end of its sending, then a reset: the caller got the part as a whole answer. The end of a connection shows the end of such a body, but a runner that stops in the middle of an upload ends it just so. Such an end counts only once the request has been received: nothing in the write buffer, and, for more than 64 KiB, nothing that the runner's machine has not acknowledged. Else the attempt is broken off as by a reset. The first two rows of mixed_answers.feature failed before (a part taken as complete); the same end after the upload was read stays a complete answer.

Not shown: a runner whose machine has received all of the request, and whose process reads none of it.

--- a/src/apricotlever/serving/client_channel.py
+++ b/src/apricotlever/serving/client_channel.py
@@ -26,6 +26,8 @@
 MAX_SKIPPED_BYTES = 16777216
 #: The statuses that HTTP has.
 MIN_STATUS, MAX_STATUS = 100, 599
+#: A request that a peer has received once it answers, in bytes.
+SMALL_REQUEST_BYTES = 65536
 #: Time beyond the limit for connecting in which the loop handles what has
 #: arrived until then, in seconds.
 PROCESSING_S = 0.01
@@ -109,6 +111,7 @@
         "_parser",
         "_read_paused",
         "_reading_head",
+        "_request_bytes",
         "_skipped_bytes",
         "_skipped_responses",
         "_skipping_response",
@@ -129,6 +132,7 @@
         on_end: "typing.Callable[[Channel], None] | None" = None,
     ) -> None:
         self._loop = loop
+        self._request_bytes = 0
         self._on_end = on_end
         self._transport: asyncio.Transport | None = None
         self._socket: socket.socket | None = None
@@ -211,6 +215,7 @@
         self._skipped_bytes = 0
         self.uses += 1
         self._set_probing(True)
+        self._request_bytes = len(request)
         self._transport.write(request)
 
     async def read_head(self) -> ResponseHead:
@@ -348,11 +353,26 @@
             and self._in_response
             and self._body_until_close
         ):
-            self._finish_response(BodyEnd.CLOSED)
+            if self._has_unread_request:
+                # A runner that stops in the middle ends its answer so, too.
+                self._fail(Broken("ended before it read its request", True))
+            else:
+                self._finish_response(BodyEnd.CLOSED)
         self._fail(Broken("closed by the other side", reset=True))
         self._notify_end()
         return False
 
+    @property
+    def _has_unread_request(self) -> bool:
+        """Whether the peer's machine has not received the whole request."""
+        if self._transport is None:
+            return False
+        if self._transport.get_write_buffer_size():
+            return True
+        if self._request_bytes <= SMALL_REQUEST_BYTES or self._socket is None:
+            return False
+        return socket_options.unacknowledged_bytes(self._socket) > 0
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request and report the end of the connection.
 
--- a/src/apricotlever/socket_options.py
+++ b/src/apricotlever/socket_options.py
@@ -6,8 +6,10 @@
 these options a connection stays open for many minutes, or for ever.
 """
 
+import fcntl
 import socket
 import struct
+import termios
 
 MS_PER_S = 1000
 
@@ -75,6 +77,18 @@
     )
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Bytes that were written and that the peer's machine has not received.
+
+    :returns: 0 if the system doesn't tell.
+    """
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int(struct.unpack("i", found)[0])
+
+
 #: Connections on which a caller's call waits for a response. Two probes, so
 #: that the loss of one, or a second of silence of a sound peer, ends none.
 CALLS = KeepAlive(idle_s=1, interval_s=1, probes=2)
