--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -218,6 +218,7 @@
         link: runner_link.RunnerLink | None = None,
         port: int = 0,
         version: str = FIRST_VERSION,
+        is_entered: bool = True,
     ) -> RunnerProcess:
         """Start a runner and write its entry.
 
@@ -225,6 +226,7 @@
             takes over; None for a new address.
         :param port: of the former runner's process; 0 for a new port.
         :param version: of its software.
+        :param is_entered: whether its entry is written at once.
         """
         name = f"r-{next(self._runner_numbers)}"
         port = port or self._ports.reserve()
@@ -251,7 +253,8 @@
             self._links.append(link)
         runner = RunnerProcess(name, service, version, process, link)
         self.runners.append(runner)
-        await self.write_entry(runner, leaving=False)
+        if is_entered:
+            await self.write_entry(runner, leaving=False)
         return runner
 
     async def write_entry(self, runner: RunnerProcess, leaving: bool) -> None:
--- a/soak/rejoin_play.py
+++ b/soak/rejoin_play.py
@@ -200,11 +200,18 @@
             await self.before_resuming(turn + 1)
 
 
-async def add_runners(test_fleet: fleet.Fleet, version: str) -> None:
-    """Start the runners of a version."""
+async def add_runners(
+    test_fleet: fleet.Fleet, version: str, are_entered: bool = True
+) -> None:
+    """Start the runners of a version.
+
+    :param are_entered: whether their entries are written at once.
+    """
     await asyncio.gather(
         *(
-            test_fleet.add_runner(SERVICE, version=version)
+            test_fleet.add_runner(
+                SERVICE, version=version, is_entered=are_entered
+            )
             for _ in range(RUNNERS_PER_VERSION)
         )
     )
--- a/soak/skew_play.py
+++ b/soak/skew_play.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import sys
 import typing
@@ -22,6 +23,8 @@
 TIMES = 2
 #: How long VMs stay out of step once the streams broke, in seconds.
 OUT_OF_STEP_S = 2.5
+#: How long the store is away and back where it comes and goes, in seconds.
+AWAY_S, BACK_S = 0.6, 0.15
 #: How long VMs know of new runners before streams begin, in seconds.
 HEAR_S = 1.0
 #: How long the store stays away once the streams broke, where all VMs lose it
@@ -31,11 +34,60 @@
 #: How long it has been away when streams begin there, in seconds.
 AWAY_BEFORE_S = 6.0
 
+#: What links to the store suffer in a block.
+Disturbance = typing.Callable[
+    [list[proxy.FaultProxy]], typing.ContextManager[None]
+]
 Break = typing.Callable[
     [list[fleet.VmProcess], fleet.Fleet], typing.Awaitable[None]
 ]
 
 
+def _disturb(
+    begin: typing.Callable[[proxy.FaultProxy], None],
+    end: typing.Callable[[proxy.FaultProxy], None] = proxy.FaultProxy.heal,
+) -> Disturbance:
+    """A disturbance that begins once and ends once."""
+
+    @contextlib.contextmanager
+    def disturb(links: list[proxy.FaultProxy]) -> typing.Iterator[None]:
+        for link in links:
+            begin(link)
+        yield
+        for link in links:
+            end(link)
+
+    return disturb
+
+
+RESET = _disturb(lambda link: link.cut(proxy.Cut.RESET))
+HANG = _disturb(lambda link: link.cut(proxy.Cut.HANG))
+ANSWERS_LOST = _disturb(
+    lambda link: link.set_mode(proxy.Mode.ONE_WAY),
+    lambda link: link.set_mode(proxy.Mode.PASS),
+)
+
+
+@contextlib.contextmanager
+def come_and_go(links: list[proxy.FaultProxy]) -> typing.Iterator[None]:
+    """Cut links off again and again, longer than they are whole."""
+
+    async def work() -> None:
+        while True:
+            for link in links:
+                link.cut(proxy.Cut.RESET)
+            await asyncio.sleep(AWAY_S)
+            for link in links:
+                link.heal()
+            await asyncio.sleep(BACK_S)
+
+    task = asyncio.ensure_future(work())
+    yield
+    task.cancel()
+    for link in links:
+        link.heal()
+
+
 class Way:
     """One way to play.
 
@@ -45,6 +97,7 @@
     :param are_apart: whether these VMs know only each other, and callers take
         their streams up there.
     :param releases: whether a new version joins meanwhile.
+    :param disturbance: what the store's links of these VMs suffer meanwhile.
     :param names_stream: whether callers tell which stream they take up.
     """
 
@@ -55,6 +108,7 @@
         "are_apart",
         "releases",
         "names_stream",
+        "disturbance",
     )
 
     def __init__(
@@ -65,7 +119,9 @@
         are_apart: bool = True,
         releases: bool = True,
         names_stream: bool = True,
+        disturbance: Disturbance = RESET,
     ) -> None:
+        self.disturbance = disturbance
         self.skewed = skewed
         self.breaks = breaks
         self.away_s = away_s
@@ -74,9 +130,18 @@
         self.names_stream = names_stream
 
 
-async def _add_runners(test_fleet: fleet.Fleet, version: str) -> None:
+async def _add_runners(
+    test_fleet: fleet.Fleet, version: str, are_entered: bool = True
+) -> None:
     for _ in range(TIMES):
-        await rejoin_play.add_runners(test_fleet, version)
+        await rejoin_play.add_runners(test_fleet, version, are_entered)
+
+
+async def _enter_runners(test_fleet: fleet.Fleet, version: str) -> None:
+    """Write the entries of runners that wait for it."""
+    for runner in test_fleet.runners:
+        if runner.version == version:
+            await test_fleet.write_entry(runner, leaving=False)
 
 
 async def _kill(others: list[fleet.VmProcess], _: fleet.Fleet) -> None:
@@ -106,6 +171,12 @@
     "one VM, runners crash": Way(1, _crash_runners),
     "one VM, the others are killed": Way(1, _kill),
     "two VMs, the others are killed": Way(2, _kill),
+    "one VM, store hangs": Way(1, _kill, disturbance=HANG),
+    "one VM, answers of the store lost": Way(
+        1, _kill, disturbance=ANSWERS_LOST
+    ),
+    "one VM, store comes and goes": Way(1, _kill, disturbance=come_and_go),
+    "two VMs, store comes and goes": Way(2, _kill, disturbance=come_and_go),
     "store away": Way(
         7, _kill_one, STORE_AWAY_S, are_apart=False, releases=False
     ),
@@ -138,6 +209,8 @@
         super().__init__(self._break, seed)
         self._skew = WAYS[way]
         self._broken = asyncio.Event()
+        #: Ends what the links to the store suffer.
+        self._skewed = contextlib.ExitStack()
 
     async def start(self, test_fleet: fleet.Fleet) -> None:
         """Start all processes, and put some VMs out of step."""
@@ -145,11 +218,14 @@
         apart = skew.skewed if skew.are_apart else 0
         await test_fleet.start(rejoin_play.VM_COUNT, 0, apart)
         await _add_runners(test_fleet, OLD)
+        if skew.releases:
+            # What takes long on a busy machine is done before the cut.
+            await _add_runners(test_fleet, NEW, are_entered=False)
         await asyncio.sleep(HEAR_S)
-        for vm in test_fleet.vms[: skew.skewed]:
-            vm.link.cut(proxy.Cut.RESET)
+        links = [vm.link for vm in test_fleet.vms[: skew.skewed]]
+        self._skewed.enter_context(skew.disturbance(links))
         if skew.releases:
-            await _add_runners(test_fleet, NEW)
+            await _enter_runners(test_fleet, NEW)
             await asyncio.sleep(HEAR_S)
         elif not skew.are_apart:
             await asyncio.sleep(AWAY_BEFORE_S)
@@ -185,8 +261,7 @@
         await skew.breaks(others, test_fleet)
         self._broken.set()
         await asyncio.sleep(skew.away_s)
-        for vm in test_fleet.vms[: skew.skewed]:
-            vm.link.heal()
+        self._skewed.close()
 
 
 def main(arguments: list[str]) -> int:
--- a/tests/serving/out_of_step.feature
+++ b/tests/serving/out_of_step.feature
@@ -10,6 +10,7 @@
       | one VM, runners crash          |
       | one VM, the others are killed  |
       | two VMs, the others are killed |
+      | one VM, store hangs            |
 
   # Guards against refusing what could go on, as a cure for joined streams.
   Scenario Outline: One version serves, and streams go on: <way>
