Release what a call holds also if its caller leaves before it begins

A caller that sent a whole call and left in the same moment left its cost in the account of callers' memory: its task was cancelled before its first step, so the release at the task's end never ran. Enough of these, and the account is full for good, and all large calls are refused. The release is a callback of the task's end now. Two rows of caller_memory.feature failed before (at once, with 1 and 40 calls).

--- a/src/apricotlever/serving/caller_channel.py
+++ b/src/apricotlever/serving/caller_channel.py
@@ -586,6 +586,10 @@
                 return
             call = self._pending_calls.popleft()
             self._task = self._loop.create_task(self._handle(call))
+            # A task that is cancelled before it begins runs none of its code.
+            self._task.add_done_callback(
+                lambda _: self._server.memory.change(-call.cost)
+            )
             if self._unparsed and not self._is_full:
                 self._loop.call_soon(self._parse_unparsed)
         elif self._continue_due and not self.busy:
@@ -603,7 +607,6 @@
         except reply_writer.CallerGone:
             self.close()
         finally:
-            self._server.memory.change(-call.cost)
             self._task = None
             self._idle_started_at = self._loop.time()
             if not reply.ended:
--- a/tests/vms/caller_memory.feature
+++ b/tests/vms/caller_memory.feature
@@ -18,3 +18,16 @@
     Given a machine of 0 MB, of which callers may hold 0
     When connections hold 90000 90000 KB of calls not read to their end
     Then a call of 90000 KB is admitted
+
+  # Guards against an account that never empties, and then refuses everybody.
+  Scenario Outline: Nothing is held for callers that have left <when>
+    When a connection brings <calls> calls with bodies, and ends <when>
+    Then callers hold nothing
+
+    Examples:
+      | calls | when                      |
+      | 1     | at once                   |
+      | 40    | at once                   |
+      | 1     | after the call began      |
+      | 40    | after the call began      |
+      | 40    | after all were answered   |
