Let a slow caller read its response as long as it takes some of it

A whole response over 64 KiB that its caller read for more than 10 s was reset, however it went on: the time counted from when the write buffer was full. The time counts from when the caller last took some now. caller_memory.feature:42 failed before.

--- a/src/apricotlever/serving/caller_channel.py
+++ b/src/apricotlever/serving/caller_channel.py
@@ -159,7 +159,7 @@
         "_unparsed",
         "_unsent",
         "_unsent_before",
-        "_write_paused_at",
+        "_untaken_since",
     )
 
     def __init__(self, server: Server) -> None:
@@ -192,8 +192,8 @@
         #: the connection was looked at before.
         self._unsent = 0
         self._unsent_before = 0
-        #: Since when the write buffer has been too full.
-        self._write_paused_at = 0.0
+        #: Since when the caller has taken nothing of a full write buffer.
+        self._untaken_since = 0.0
 
     @property
     def closing(self) -> bool:
@@ -322,8 +322,10 @@
         """
         self._unsent_before = self._unsent
         self._count_unsent()
+        if self._unsent < self._unsent_before:
+            self._untaken_since = now
         if self._write_paused and self._task is None:
-            if now - self._write_paused_at > WRITE_TIMEOUT_S:
+            if now - self._untaken_since > WRITE_TIMEOUT_S:
                 self.reset()
             return
         if self.busy:
@@ -480,7 +482,7 @@
     def pause_writing(self) -> None:
         """Make :meth:`drain` wait, as the write buffer is above its limit."""
         self._write_paused = True
-        self._write_paused_at = self._loop.time()
+        self._untaken_since = self._loop.time()
 
     def resume_writing(self) -> None:
         """Let :meth:`drain` return, as the write buffer has drained."""
--- a/tests/vms/caller_memory.feature
+++ b/tests/vms/caller_memory.feature
@@ -31,3 +31,13 @@
       | 1     | after the call began      |
       | 40    | after the call began      |
       | 40    | after all were answered   |
+
+  # Guards against a response that breaks off at a slow caller that reads on.
+  Scenario Outline: A caller that takes <taken> bytes a second is <result>
+    When a large response is taken at <taken> bytes a second
+    Then its connection is <result> after 30 s
+
+    Examples:
+      | taken | result      |
+      | 1000  | still there |
+      | 0     | reset       |
