--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -81,6 +81,7 @@
         self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
+                request.reader = reader
                 if not await self._handle(request, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError,
@@ -132,6 +133,10 @@
             self.running -= 1
             run.ended = time.time()
 
+    def left(self, run, writer):
+        """Whether the caller of a run has closed its channel."""
+        return writer.transport.is_closing() or run.request.reader.at_eof()
+
     def answer_headers(self, run):
         return [
             ("Request-Id", run.request_id or ""),
@@ -159,7 +164,7 @@
         lines = "".join(f"{k}: {v}\r\n" for k, v in head)
         writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
         for number in range(last + 1, self.events + 1):
-            if writer.transport.is_closing():
+            if self.left(run, writer):
                 run.result = "caller gone"
                 return False
             event = f"id: {number}\ndata: {run.request_id} {number}\n\n"
