--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -14,7 +14,6 @@
 import time
 
 import platform_store
-import runner as runners_
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST_NAME = "ficu95.example"
